Add design page, schema, platform and engine interfaces

Cause: every part needs the same typed interfaces before it can be written. Change: design page; generated messages and settings; INI loader that reports all findings; abstract platform and engine interfaces with HTTP adapters. Conclusion: packages can be written against these interfaces.

--- /dev/null
+++ b/pomelolug/clock/__init__.py
@@ -0,0 +1,6 @@
+"""The clock as an interface, so that tests can run on virtual time."""
+
+from pomelolug.clock._base import Clock
+from pomelolug.clock._system import SystemClock
+
+__all__ = ["Clock", "SystemClock"]
--- /dev/null
+++ b/pomelolug/engines/_http.py
@@ -0,0 +1,197 @@
+"""HTTP adapter of the model engines.
+
+Status and orders are JSON calls below ``/control``. Generation is the
+OpenAI-compatible ``POST /v1/completions`` with server-sent events. Each event
+carries the request identifier (``id``) and the token position (``position``);
+the last one has a ``finish_reason`` and the token count, then ``[DONE]``.
+"""
+
+import datetime
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from pomelolug.engines._base import (
+    AssignOrder,
+    CachePage,
+    Engine,
+    EngineRefusedError,
+    EngineRequest,
+    EngineUnavailableError,
+    MemberStatus,
+    ReleaseOrder,
+    StreamEnd,
+    TokenEvent,
+)
+
+__all__ = ["HttpEngine"]
+
+_CONNECT_TIMEOUT_S = 1.0
+_MAX_STATUS_BYTES = 64 * 1024
+_MAX_LINE_BYTES = 64 * 1024
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    id: str
+    position: int
+    choices: tuple[_Choice, ...] = ()
+
+
+class _Refusal(msgspec.Struct):
+    code: str = "unspecified"
+
+
+_decode_chunk = msgspec.json.Decoder(_Chunk).decode
+_decode_refusal = msgspec.json.Decoder(_Refusal).decode
+
+
+class HttpEngine(Engine):
+    """Engines over HTTP.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Client of the process.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def status(
+        self, address: str, *, timeout: datetime.timedelta
+    ) -> MemberStatus:
+        """Return what the backend server at `address` reports."""
+        return await self._call(
+            "GET", address, "/control/status", MemberStatus, timeout=timeout
+        )
+
+    async def assign(
+        self, address: str, order: AssignOrder, *, timeout: datetime.timedelta
+    ) -> None:
+        """Order a member to join a group and load its model."""
+        await self._call(
+            "POST", address, "/control/assign", dict, timeout=timeout, order=order
+        )
+
+    async def release(
+        self, address: str, order: ReleaseOrder, *, timeout: datetime.timedelta
+    ) -> None:
+        """Order a member to leave a group."""
+        await self._call(
+            "POST", address, "/control/release", dict, timeout=timeout, order=order
+        )
+
+    async def cache_events(
+        self, address: str, after: int, *, timeout: datetime.timedelta
+    ) -> CachePage:
+        """Return prefix-cache events with a sequence number above `after`."""
+        path = f"/control/cache-events?after={after}"
+        return await self._call("GET", address, path, CachePage, timeout=timeout)
+
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        kind: Any,
+        *,
+        timeout: datetime.timedelta,
+        order: msgspec.Struct | None = None,
+    ) -> Any:
+        body = msgspec.json.encode(order) if order is not None else None
+        limits = aiohttp.ClientTimeout(total=timeout.total_seconds())
+        try:
+            async with self._session.request(
+                method, f"http://{address}{path}", data=body, timeout=limits
+            ) as response:
+                content = await response.content.read(_MAX_STATUS_BYTES)
+                if response.status != 200:
+                    raise EngineRefusedError(_refusal_code(content))
+                return msgspec.json.decode(content, type=kind)
+        except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError) as error:
+            raise EngineUnavailableError(
+                f"{address}: {type(error).__name__}", maybe_run=True
+            ) from error
+
+    async def generate(
+        self, address: str, request: EngineRequest
+    ) -> AsyncIterator[TokenEvent | StreamEnd]:
+        """Yield the tokens and, if the answer is complete, the end marker."""
+        headers = {
+            "X-Request-Id": request.request_id,
+            "X-Group": request.group,
+            "X-Fencing-Token": str(request.token),
+            "X-Priority": str(request.priority),
+            "X-Resume-From": str(request.resume_from),
+            "X-Deadline-Ms": str(round(request.deadline_s * 1000)),
+        }
+        limits = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S)
+        body = msgspec.json.encode({**request.body, "stream": True})
+        try:
+            async with self._session.post(
+                f"http://{address}/v1/completions",
+                data=body,
+                headers=headers,
+                timeout=limits,
+            ) as response:
+                try:
+                    if response.status != 200:
+                        content = await response.content.read(_MAX_STATUS_BYTES)
+                        raise EngineRefusedError(_refusal_code(content))
+                    async for event in _events(response.content, address):
+                        yield event
+                        if isinstance(event, StreamEnd):
+                            return
+                finally:
+                    # A connection whose answer was not read to its end must not
+                    # return to the pool: the rest would reach another request.
+                    response.close()
+        except aiohttp.ClientConnectorError as error:
+            raise EngineUnavailableError(str(error), maybe_run=False) from error
+        except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
+            raise EngineUnavailableError(
+                f"{address}: {type(error).__name__}", maybe_run=True
+            ) from error
+
+
+def _refusal_code(content: bytes) -> str:
+    try:
+        return _decode_refusal(content).code
+    except msgspec.DecodeError:
+        return "unspecified"
+
+
+async def _events(
+    content: aiohttp.StreamReader, address: str
+) -> AsyncIterator[TokenEvent | StreamEnd]:
+    rest = b""
+    while True:
+        data = await content.readany()
+        if not data:
+            raise EngineUnavailableError(
+                f"{address}: stream ended without end marker", maybe_run=True
+            )
+        *lines, rest = (rest + data).split(b"\n")
+        if len(rest) > _MAX_LINE_BYTES:
+            raise EngineUnavailableError(f"{address}: line too long", maybe_run=True)
+        for line in lines:
+            if not line.startswith(b"data: ") or line.startswith(b"data: [DONE]"):
+                continue
+            try:
+                chunk = _decode_chunk(line[6:])
+            except msgspec.DecodeError as error:
+                raise EngineUnavailableError(
+                    f"{address}: malformed event", maybe_run=True
+                ) from error
+            choice = chunk.choices[0] if chunk.choices else _Choice()
+            if choice.finish_reason:
+                yield StreamEnd(chunk.id, chunk.position, choice.finish_reason)
+            else:
+                yield TokenEvent(chunk.id, chunk.position, choice.text)
--- /dev/null
+++ b/pomelolug/messages/__init__.py
@@ -0,0 +1,49 @@
+"""Messages between the processes and records on the log."""
+
+from pomelolug.messages._claims_generated import (
+    Claim,
+    ClaimBatch,
+    ClaimRequest,
+    ClaimUpdate,
+    ClaimVerdict,
+)
+from pomelolug.messages._codec import (
+    MAX_MESSAGE_BYTES,
+    Message,
+    decode,
+    encode,
+)
+from pomelolug.messages._peer_generated import (
+    Heartbeat,
+    Hello,
+    LossReport,
+    RecordsRequest,
+    StreamRecords,
+)
+from pomelolug.messages._routing_generated import (
+    DemandReport,
+    GroupStatus,
+    RoutingTable,
+    ServiceStatus,
+)
+
+__all__ = [
+    "Claim",
+    "ClaimBatch",
+    "ClaimRequest",
+    "ClaimUpdate",
+    "ClaimVerdict",
+    "DemandReport",
+    "GroupStatus",
+    "Heartbeat",
+    "Hello",
+    "LossReport",
+    "MAX_MESSAGE_BYTES",
+    "Message",
+    "RecordsRequest",
+    "RoutingTable",
+    "ServiceStatus",
+    "StreamRecords",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/pomelolug/settings/_spec.py
@@ -0,0 +1,39 @@
+"""Specification of one option of a settings file."""
+
+import dataclasses
+
+__all__ = ["Address", "OptionSpec"]
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """IP number and port.
+
+    Examples
+    --------
+    >>> str(Address("127.0.0.1", 8080))
+    '127.0.0.1:8080'
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OptionSpec:
+    """One option: its place, kind, bounds and default in INI form.
+
+    An option without a default has to be given.
+    """
+
+    section: str
+    key: str
+    kind: str
+    doc: str
+    default: str | None = None
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[str, ...] = ()
--- /dev/null
+++ b/pomelolug/telemetry/__init__.py
@@ -0,0 +1,5 @@
+"""Logging set-up and metrics of the processes."""
+
+from pomelolug.telemetry._logging import configure_logging
+
+__all__ = ["configure_logging"]
