--- /dev/null
+++ b/pomelolug/control/_directory.py
@@ -0,0 +1,131 @@
+"""The platform's VM list as this node last saw it."""
+
+import collections
+import datetime
+import random
+from collections.abc import Callable, Sequence
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.errors import Finding, PlatformError
+from pomelolug.platform import VmDirectory, VmEntry, VmRole
+
+__all__ = ["DirectoryPoller", "contradictions"]
+
+_log = structlog.get_logger()
+_POLL = datetime.timedelta(seconds=1)
+_TIMEOUT = datetime.timedelta(seconds=2)
+
+
+def contradictions(entries: Sequence[VmEntry]) -> list[Finding]:
+    """Return the entries of a VM list that contradict each other.
+
+    Parameters
+    ----------
+    entries : sequence of VmEntry
+        List of the platform.
+
+    Returns
+    -------
+    list of Finding
+        One for each VM that is listed twice and each address that two VMs have.
+    """
+    findings = []
+    vms = collections.Counter(entry.vm for entry in entries)
+    for vm, count in sorted(vms.items()):
+        if count > 1:
+            findings.append(
+                Finding(place=f"vm {vm}", value=str(count), problem="listed repeatedly")
+            )
+    addresses = collections.Counter(entry.address for entry in entries)
+    for address, count in sorted(addresses.items()):
+        if count > 1:
+            findings.append(
+                Finding(
+                    place=f"address {address}",
+                    value=str(count),
+                    problem="belongs to several VMs",
+                )
+            )
+    return findings
+
+
+class DirectoryPoller:
+    """Polls the VM list and keeps the last consistent entries.
+
+    Parameters
+    ----------
+    directory : VmDirectory
+        The platform's list.
+    clock : Clock
+        Time source.
+    random_state : random.Random
+        Source of the poll jitter.
+    on_findings : callable
+        Called with the number of contradictory entries of a list.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: VmDirectory,
+        clock: Clock,
+        random_state: random.Random,
+        on_findings: Callable[[int], None],
+    ) -> None:
+        self._directory = directory
+        self._clock = clock
+        self._random = random_state
+        self._on_findings = on_findings
+        self._entries: tuple[VmEntry, ...] = ()
+        self._read_at: float | None = None
+
+    @property
+    def entries(self) -> tuple[VmEntry, ...]:
+        """Entries of the last list without contradictory ones."""
+        return self._entries
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the last successful read; -1 before the first."""
+        if self._read_at is None:
+            return -1.0
+        return self._clock.monotonic() - self._read_at
+
+    def with_role(self, role: VmRole) -> tuple[VmEntry, ...]:
+        """Return the entries with `role`."""
+        return tuple(entry for entry in self._entries if entry.role is role)
+
+    async def run(self) -> None:
+        """Poll until cancelled; a failed poll keeps the last list."""
+        while True:
+            try:
+                await self.refresh()
+            except PlatformError as error:
+                _log.warning("vm_list_unavailable", error=str(error))
+            jitter = self._random.uniform(0.8, 1.2)
+            await self._clock.sleep(_POLL * jitter)
+
+    async def refresh(self) -> None:
+        """Read the list once.
+
+        Raises
+        ------
+        PlatformError
+            If the list cannot be had.
+        """
+        entries = await self._directory.list_vms(timeout=_TIMEOUT)
+        findings = contradictions(entries)
+        if findings:
+            self._on_findings(len(findings))
+            for finding in findings[:10]:
+                _log.error("vm_list_contradiction", finding=str(finding))
+        bad_vms = {f.place.removeprefix("vm ") for f in findings}
+        bad_addresses = {f.place.removeprefix("address ") for f in findings}
+        self._entries = tuple(
+            entry
+            for entry in entries
+            if entry.vm not in bad_vms and entry.address not in bad_addresses
+        )
+        self._read_at = self._clock.monotonic()
--- /dev/null
+++ b/pomelolug/gateway/__init__.py
@@ -0,0 +1,5 @@
+"""The gateway: callers' HTTP interface, admission, routing and streams."""
+
+from pomelolug.gateway._compose import run_gateway
+
+__all__ = ["run_gateway"]
--- /dev/null
+++ b/pomelolug/gateway/_authentication.py
@@ -0,0 +1,71 @@
+"""Find the client account that a bearer key belongs to."""
+
+import collections
+import hashlib
+import hmac
+
+from pomelolug.configuration import Account, Configuration
+from pomelolug.errors import ErrorCode, RequestError
+
+__all__ = ["Authenticator"]
+
+_CACHE_SIZE = 4096
+_MAX_KEY_LENGTH = 256
+
+
+class Authenticator:
+    """Checks bearer keys against the configuration's salted hashes.
+
+    Results are cached by the key's digest, so that a request costs one hash
+    and not one for each account. The cache is dropped with the configuration.
+    """
+
+    def __init__(self) -> None:
+        self._accounts: tuple[Account, ...] = ()
+        self._cache: collections.OrderedDict[bytes, Account | None] = (
+            collections.OrderedDict()
+        )
+
+    def configure(self, configuration: Configuration) -> None:
+        """Use the accounts of `configuration` from now on."""
+        self._accounts = configuration.accounts
+        self._cache.clear()
+
+    def account(self, authorization: str) -> Account:
+        """Return the account of an ``Authorization`` header.
+
+        Raises
+        ------
+        RequestError
+            ``unauthenticated`` if there is no key or no account has it.
+        """
+        scheme, _, key = authorization.partition(" ")
+        if scheme.lower() != "bearer" or not 0 < len(key) <= _MAX_KEY_LENGTH:
+            raise _unauthenticated()
+        digest = hashlib.sha256(key.encode()).digest()
+        if digest in self._cache:
+            self._cache.move_to_end(digest)
+            account = self._cache[digest]
+        else:
+            account = self._search(key)
+            self._cache[digest] = account
+            if len(self._cache) > _CACHE_SIZE:
+                self._cache.popitem(last=False)
+        if account is None:
+            raise _unauthenticated()
+        return account
+
+    def _search(self, key: str) -> Account | None:
+        for account in self._accounts:
+            for entry in account.keys:
+                salt, _, expected = entry.partition(":")
+                actual = hashlib.sha256((salt + key).encode()).hexdigest()
+                if hmac.compare_digest(actual, expected):
+                    return account
+        return None
+
+
+def _unauthenticated() -> RequestError:
+    return RequestError(
+        ErrorCode.UNAUTHENTICATED, "no client account has this key", status=401
+    )
--- /dev/null
+++ b/pomelolug/gateway/_direct.py
@@ -0,0 +1,96 @@
+"""Verification of groups by the gateway itself while control is away."""
+
+import asyncio
+import datetime
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.engines import Engine, EngineRefusedError, EngineUnavailableError
+from pomelolug.messages import GroupStatus, RoutingTable
+
+__all__ = ["verify_directly"]
+
+_log = structlog.get_logger()
+_STATUS_TIMEOUT = datetime.timedelta(milliseconds=800)
+_MAX_CONCURRENT = 32
+_SERVING = "serving"
+
+
+async def verify_directly(
+    engine: Engine, table: RoutingTable, *, clock: Clock
+) -> RoutingTable:
+    """Return `table` with each serving group verified by reading its members.
+
+    Parameters
+    ----------
+    engine : Engine
+        Adapter of the engines.
+    table : RoutingTable
+        Last table of the control process.
+    clock : Clock
+        Time source.
+
+    Returns
+    -------
+    RoutingTable
+        Only groups that were serving and whose members all confirm group and
+        token; their age counts from before the first request was sent. A group
+        that was not serving stays out: only control may open it.
+    """
+    limit = asyncio.Semaphore(_MAX_CONCURRENT)
+    serving = [
+        group
+        for group in table.groups
+        if group.phase == _SERVING and len(group.addresses) == len(group.members)
+    ]
+    checked = await asyncio.gather(
+        *(_verify_group(engine, group, clock, limit) for group in serving)
+    )
+    confirmed = tuple(group for group in checked if group is not None)
+    _log.info("groups_verified_directly", asked=len(serving), confirmed=len(confirmed))
+    return RoutingTable(
+        config_version=table.config_version,
+        config=b"",
+        groups=confirmed,
+        services=table.services,
+        nodes_alive=table.nodes_alive,
+        condemned=table.condemned,
+    )
+
+
+async def _verify_group(
+    engine: Engine, group: GroupStatus, clock: Clock, limit: asyncio.Semaphore
+) -> GroupStatus | None:
+    async with limit:
+        before = clock.monotonic()
+        try:
+            members = await asyncio.gather(
+                *(
+                    engine.status(address, timeout=_STATUS_TIMEOUT)
+                    for address in group.addresses
+                )
+            )
+        except (EngineUnavailableError, EngineRefusedError):
+            return None
+    for vm, member in zip(group.members, members, strict=True):
+        if (member.vm, member.group, member.token) != (vm, group.group, group.token):
+            return None
+        if not member.ready or member.leaving:
+            return None
+    return GroupStatus(
+        group=group.group,
+        pool=group.pool,
+        model=group.model,
+        zone=group.zone,
+        domain=group.domain,
+        token=group.token,
+        phase=_SERVING,
+        leader=group.leader,
+        members=group.members,
+        addresses=group.addresses,
+        verified_age_s=clock.monotonic() - before,
+        capacity=group.capacity,
+        load=members[0].running + members[0].waiting,
+        straggler=group.straggler,
+    )
--- /dev/null
+++ b/pomelolug/gateway/_lifecycle.py
@@ -0,0 +1,71 @@
+"""Readiness, planned stop and the count of requests in flight."""
+
+import contextlib
+import datetime
+from collections.abc import Iterator
+
+from pomelolug.configuration import Configuration
+from pomelolug.errors import ErrorCode, RequestError
+
+__all__ = ["Lifecycle"]
+
+_RETRY_AFTER = datetime.timedelta(seconds=1)
+
+
+class Lifecycle:
+    """What the balancer and the server need to know about this gateway.
+
+    Examples
+    --------
+    >>> lifecycle = Lifecycle()
+    >>> lifecycle.not_ready_reason(None)
+    'no_configuration'
+    """
+
+    def __init__(self) -> None:
+        self._draining = False
+        self._in_flight = 0
+
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._draining
+
+    @property
+    def in_flight(self) -> int:
+        """Requests in flight."""
+        return self._in_flight
+
+    def drain(self) -> None:
+        """Fail readiness; requests that still arrive are served."""
+        self._draining = True
+
+    def not_ready_reason(self, configuration: Configuration | None) -> str:
+        """Return why the balancer must send nothing here, empty if it may."""
+        if self._draining:
+            return ErrorCode.DRAINING.value
+        if configuration is None:
+            return ErrorCode.NO_CONFIGURATION.value
+        return ""
+
+    @contextlib.contextmanager
+    def request(self, limit: int) -> Iterator[None]:
+        """Count a request in flight inside the context.
+
+        Raises
+        ------
+        RequestError
+            ``queue_full`` if `limit` requests are in flight.
+        """
+        if self._in_flight >= limit:
+            raise RequestError(
+                ErrorCode.QUEUE_FULL,
+                "the gateway has too many requests in flight",
+                status=503,
+                retry_after=_RETRY_AFTER,
+            )
+        self._in_flight += 1
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
--- /dev/null
+++ b/pomelolug/gateway/_replies.py
@@ -0,0 +1,124 @@
+"""Bodies of answers: OpenAI-compatible objects, events and errors."""
+
+from typing import Any
+
+import msgspec
+from starlette.responses import Response
+
+from pomelolug.errors import RequestError
+
+__all__ = [
+    "DONE_EVENT",
+    "answer_body",
+    "end_event",
+    "error_body",
+    "error_event",
+    "error_response",
+    "token_event",
+]
+
+DONE_EVENT = b"data: [DONE]\n\n"
+_encode = msgspec.json.Encoder().encode
+
+
+def token_event(
+    request_id: str, model: str, position: int, text: str, chat: bool
+) -> bytes:
+    """Return one token as a server-sent event.
+
+    Returns
+    -------
+    bytes
+        The event with its blank line.
+    """
+    choice: dict[str, Any] = {"index": 0, "finish_reason": None}
+    if chat:
+        choice["delta"] = {"content": text}
+    else:
+        choice["text"] = text
+    return b"data: %b\n\n" % _encode(
+        {
+            "id": request_id,
+            "object": "chat.completion.chunk" if chat else "text_completion",
+            "model": model,
+            "position": position,
+            "choices": [choice],
+        }
+    )
+
+
+def end_event(
+    request_id: str, model: str, tokens: int, reason: str, chat: bool
+) -> bytes:
+    """Return the last chunk and the end marker of a complete answer."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+    if chat:
+        choice["delta"] = {}
+    else:
+        choice["text"] = ""
+    body = {
+        "id": request_id,
+        "object": "chat.completion.chunk" if chat else "text_completion",
+        "model": model,
+        "position": tokens,
+        "choices": [choice],
+        "usage": {"completion_tokens": tokens},
+    }
+    return b"data: %b\n\n" % _encode(body) + DONE_EVENT
+
+
+def answer_body(
+    request_id: str, model: str, texts: list[str], reason: str, chat: bool
+) -> bytes:
+    """Return the JSON body of a complete answer that is not streamed."""
+    text = "".join(texts)
+    choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return _encode(
+        {
+            "id": request_id,
+            "object": "chat.completion" if chat else "text_completion",
+            "model": model,
+            "choices": [choice],
+            "usage": {"completion_tokens": len(texts)},
+        }
+    )
+
+
+def error_body(error: RequestError, request_id: str) -> bytes:
+    """Return the JSON body that every refusal and failure has."""
+    return _encode(
+        {
+            "error": {
+                "code": error.code.value,
+                "message": str(error),
+                "outcome": error.outcome.value,
+                "request_id": request_id,
+            }
+        }
+    )
+
+
+def error_event(error: RequestError, request_id: str) -> bytes:
+    """Return the event that ends a stream which could not be completed."""
+    return b"event: error\ndata: %b\n\n" % error_body(error, request_id)
+
+
+def error_response(error: RequestError, request_id: str) -> Response:
+    """Return the HTTP response for a request that ends without an answer."""
+    headers = {"X-Request-Id": request_id, "X-Outcome": error.outcome.value}
+    if error.retry_after is not None:
+        # Retry-After has whole seconds; rounded up so that a try is not early.
+        seconds = -(-error.retry_after.total_seconds() // 1)
+        headers["Retry-After"] = str(max(1, int(seconds)))
+    if error.status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
+    return Response(
+        error_body(error, request_id),
+        status_code=error.status,
+        headers=headers,
+        media_type="application/json",
+    )
--- /dev/null
+++ b/pomelolug/gateway/_table.py
@@ -0,0 +1,116 @@
+"""The routing table and configuration that the gateway has in force."""
+
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.configuration import Configuration
+from pomelolug.errors import ErrorCode, RequestError
+from pomelolug.invariants import InvariantError, Invariants
+from pomelolug.messages import RoutingTable
+
+__all__ = ["TableHolder"]
+
+_log = structlog.get_logger()
+
+
+class TableHolder:
+    """Takes tables from control and passes them to the parts that use them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time source.
+    invariants : Invariants
+        Run-time assertions.
+    on_configuration : sequence of callable
+        Called with each new configuration.
+    on_table : sequence of callable
+        Called with each table.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        invariants: Invariants,
+        on_configuration: list[Callable[[Configuration], None]],
+        on_table: list[Callable[[RoutingTable], None]],
+    ) -> None:
+        self._clock = clock
+        self._invariants = invariants
+        self._on_configuration = on_configuration
+        self._on_table = on_table
+        self._configuration: Configuration | None = None
+        self._table: RoutingTable | None = None
+        self._arrived = 0.0
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Configuration in force, None before the first."""
+        return self._configuration
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """Last table of the control process."""
+        return self._table
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the last table arrived; -1 before the first."""
+        if self._table is None:
+            return -1.0
+        return self._clock.monotonic() - self._arrived
+
+    def require_configuration(self) -> Configuration:
+        """Return the configuration in force.
+
+        Raises
+        ------
+        RequestError
+            ``no_configuration`` before the first one.
+        """
+        if self._configuration is None:
+            raise RequestError(
+                ErrorCode.NO_CONFIGURATION,
+                "this entry VM has no configuration yet",
+                status=503,
+            )
+        return self._configuration
+
+    def receive(self, table: RoutingTable) -> None:
+        """Use `table`, and its configuration if it is newer."""
+        self._table = table
+        self._arrived = self._clock.monotonic()
+        if table.config:
+            self._configure(table)
+        self.pass_on(table)
+
+    def pass_on(self, table: RoutingTable) -> None:
+        """Give `table` to the parts, without groups that share a VM."""
+        stopped = self._invariants.shared_members(table.groups)
+        if stopped:
+            kept = tuple(g for g in table.groups if g.group not in stopped)
+            table = msgspec.structs.replace(table, groups=kept)
+        for callback in self._on_table:
+            callback(table)
+
+    def _configure(self, table: RoutingTable) -> None:
+        current = self._configuration
+        if current is not None and current.version == table.config_version:
+            return
+        try:
+            configuration = msgspec.json.decode(table.config, type=Configuration)
+            self._invariants.check_configuration(configuration.version)
+        except msgspec.DecodeError as error:
+            _log.error("configuration_unreadable", error=str(error))
+            return
+        except InvariantError:
+            # An older version than the one in force is never applied.
+            return
+        self._configuration = configuration
+        _log.info("configuration_in_force", version=configuration.version)
+        for callback in self._on_configuration:
+            callback(configuration)
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -21,10 +21,14 @@
     StreamRecords,
 )
 from pomelolug.messages._routing_generated import (
-    DemandReport,
+    ExplainRequest,
+    Explanation,
     GroupStatus,
     RoutingTable,
     ServiceStatus,
+    StatusBatch,
+    StatusPull,
+    TablePull,
 )
 
 __all__ = [
@@ -33,7 +37,8 @@
     "ClaimRequest",
     "ClaimUpdate",
     "ClaimVerdict",
-    "DemandReport",
+    "ExplainRequest",
+    "Explanation",
     "GroupStatus",
     "Heartbeat",
     "Hello",
@@ -43,7 +48,10 @@
     "RecordsRequest",
     "RoutingTable",
     "ServiceStatus",
+    "StatusBatch",
+    "StatusPull",
     "StreamRecords",
+    "TablePull",
     "decode",
     "encode",
 ]
--- a/pomelolug/messages/_routing_generated.py
+++ b/pomelolug/messages/_routing_generated.py
@@ -5,7 +5,16 @@
 
 from pomelolug.messages._codec import Message
 
-__all__ = ["DemandReport", "GroupStatus", "RoutingTable", "ServiceStatus"]
+__all__ = [
+    "ExplainRequest",
+    "Explanation",
+    "GroupStatus",
+    "RoutingTable",
+    "ServiceStatus",
+    "StatusBatch",
+    "StatusPull",
+    "TablePull",
+]
 
 
 class GroupStatus(Message, frozen=True, kw_only=True):
@@ -29,8 +38,12 @@
     """IP and port of the member that takes requests."""
     members: tuple[str, ...]
     """VMs of the group."""
+    addresses: tuple[str, ...] = ()
+    """IP and port of each member, in the order of ``members``."""
     verified_age_s: float
-    """Age of the oldest member verification when sent, seconds."""
+    """Age when sent, seconds: of the oldest member verification if the group serves, else of the evidence against it."""
+    contradicted: bool = False
+    """Whether a member's own answer speaks against the group, not only its silence."""
     capacity: int
     """Requests that the group runs at once."""
     load: int
@@ -73,11 +86,17 @@
     """Gateways that share the capacity."""
     condemned: tuple[bytes, ...] = ()
     """Fingerprints of quarantined requests."""
+    echo_s: float = 0.0
+    """Gateway's clock in the newest `TablePull` that control has received."""
 
 
-class DemandReport(Message, frozen=True, kw_only=True):
-    """Demand that a gateway saw since its last report."""
+class TablePull(Message, frozen=True, kw_only=True):
+    """Asks control for the routing table; reports the gateway's demand."""
 
+    sent_at_s: float
+    """Gateway's monotonic clock when sent, seconds."""
+    config_version: int
+    """Configuration version that the gateway has; -1 if none."""
     gateway: str
     """Identifier of the gateway's node."""
     admitted: int
@@ -86,3 +105,43 @@
     """Requests waiting now."""
     in_flight: int
     """Requests in flight now."""
+
+
+class ExplainRequest(Message, frozen=True, kw_only=True):
+    """Asks a gateway what was decided for a request."""
+
+    serial: int
+    """Number that the answer repeats."""
+    request_id: str
+    """Identifier of the caller's request."""
+
+
+class Explanation(Message, frozen=True, kw_only=True):
+    """Answer to an explain request."""
+
+    serial: int
+    """Number of the request."""
+    steps: tuple[str, ...]
+    """Decisions in order, empty if the request is not known."""
+
+
+class StatusPull(Message, frozen=True, kw_only=True):
+    """Asks a peer for the groups that it knows."""
+
+    sent_at_s: float
+    """Sender's monotonic clock when sent, seconds."""
+    known: int = -1
+    """`StatusBatch.version` of the last full batch from this peer."""
+
+
+class StatusBatch(Message, frozen=True, kw_only=True):
+    """Answer to a status pull; full, or brief if nothing but age and load changed."""
+
+    echo_s: float
+    """`sent_at_s` of the pull; the answer was made after it."""
+    version: int
+    """Changes whenever more than age and load of a group changes."""
+    statuses: tuple[GroupStatus, ...] = ()
+    """All groups, if the pull did not know this version."""
+    brief: tuple[tuple[int, int, int], ...] = ()
+    """Fencing token, age in milliseconds and load of each group, else."""
