Add first version of admission, routing and retries

Cause: the gateway needs fixed names for admission, group choice and retry rules before its request flow can be written. A permit counts against the free slots until Permit.dispatched is called; from then on the router counts the request.

--- /dev/null
+++ b/pomelolug/admission/__init__.py
@@ -0,0 +1,15 @@
+"""Admission of requests: queues, deadlines, fairness and capacity shares."""
+
+from pomelolug.admission._estimate import WaitEstimator
+from pomelolug.admission._queue import AdmissionQueue, Permit, Ticket
+from pomelolug.admission._request import AdmissionRequest
+from pomelolug.admission._share import CapacityShare
+
+__all__ = [
+    "AdmissionQueue",
+    "AdmissionRequest",
+    "CapacityShare",
+    "Permit",
+    "Ticket",
+    "WaitEstimator",
+]
--- /dev/null
+++ b/pomelolug/admission/_fair.py
@@ -0,0 +1,224 @@
+"""Weighted fair queueing among the accounts of one class.
+
+References
+----------
+Goyal, Vin and Cheng, "Start-time fair queueing: a scheduling algorithm for
+integrated services packet switching networks", SIGCOMM 1996.
+"""
+
+import collections
+import enum
+import math
+from collections.abc import Callable, Iterator
+
+from pomelolug.admission._request import AdmissionRequest
+from pomelolug.errors import RequestError
+from pomelolug.ids import AccountId
+
+__all__ = ["FairQueue", "Waiter", "WaiterState"]
+
+_SMALLEST_WEIGHT = 1e-6
+_MOST_ACCOUNTS_KEPT = 4096
+
+
+class WaiterState(enum.Enum):
+    """What became of a request in a queue."""
+
+    WAITING = "waiting"
+    GRANTED = "granted"
+    REFUSED = "refused"
+    CANCELLED = "cancelled"
+
+
+class Waiter:
+    """A request in a queue.
+
+    Parameters
+    ----------
+    request : AdmissionRequest
+        The request.
+    arrived_at : float
+        Monotonic time of its arrival, in seconds.
+    start_by : float
+        Monotonic time after which starting it would be useless.
+    on_settled : callable
+        Called with None when a slot is granted, otherwise with the error.
+    """
+
+    __slots__ = (
+        "arrived_at",
+        "finish_tag",
+        "on_settled",
+        "request",
+        "start_by",
+        "start_tag",
+        "state",
+    )
+
+    def __init__(
+        self,
+        request: AdmissionRequest,
+        *,
+        arrived_at: float,
+        start_by: float,
+        on_settled: Callable[[RequestError | None], None],
+    ) -> None:
+        self.request = request
+        self.arrived_at = arrived_at
+        self.start_by = start_by
+        self.on_settled = on_settled
+        self.state = WaiterState.WAITING
+        self.start_tag = 0.0
+        self.finish_tag = 0.0
+
+
+class FairQueue:
+    """Waiting requests of one class, in the order of start-time fair queueing."""
+
+    def __init__(self) -> None:
+        self._queues: dict[AccountId, collections.deque[Waiter]] = {}
+        self._finish_tags: dict[AccountId, float] = {}
+        self._virtual_time = 0.0
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def __iter__(self) -> Iterator[Waiter]:
+        for queue in list(self._queues.values()):
+            yield from list(queue)
+
+    def backlog(self, account: AccountId) -> int:
+        """Return how many requests of `account` wait."""
+        queue = self._queues.get(account)
+        return len(queue) if queue else 0
+
+    def charge(self, request: AdmissionRequest) -> None:
+        """Account for a request that got a slot without waiting."""
+        start, finish = self._tags(request)
+        self._virtual_time = max(self._virtual_time, start)
+        self._set_finish_tag(request.account, finish)
+
+    def push(self, waiter: Waiter) -> None:
+        """Append a waiter to its account's queue."""
+        account = waiter.request.account
+        waiter.start_tag, waiter.finish_tag = self._tags(waiter.request)
+        self._set_finish_tag(account, waiter.finish_tag)
+        self._queues.setdefault(account, collections.deque()).append(waiter)
+        self._size += 1
+
+    def first(self) -> Waiter:
+        """Return the waiter that goes next.
+
+        Raises
+        ------
+        IndexError
+            If the queue is empty.
+        """
+        if not self._queues:
+            raise IndexError("the queue is empty")
+        queue = min(self._queues.values(), key=lambda waiters: waiters[0].start_tag)
+        return queue[0]
+
+    def pop(self) -> Waiter:
+        """Remove and return the waiter that goes next.
+
+        Raises
+        ------
+        IndexError
+            If the queue is empty.
+        """
+        waiter = self.first()
+        self._virtual_time = max(self._virtual_time, waiter.start_tag)
+        self._drop_first(waiter.request.account)
+        return waiter
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a waiter; its account's later ones take over its tags."""
+        account = waiter.request.account
+        queue = self._queues[account]
+        if queue[0] is waiter:
+            self._drop_first(account)
+        else:
+            queue.remove(waiter)
+            self._size -= 1
+        self._renumber(account, waiter.start_tag)
+
+    def ahead(self, request: AdmissionRequest) -> float:
+        """Return how many waiters would go before `request` if it came now."""
+        start, _ = self._tags(request)
+        return sum(
+            _count_before(queue, start)
+            for account, queue in self._queues.items()
+            if account != request.account
+        ) + float(self.backlog(request.account))
+
+    def in_order(self) -> list[Waiter]:
+        """Return the waiters in the order in which they would go."""
+        return sorted(self, key=lambda waiter: waiter.start_tag)
+
+    def longest(self) -> Waiter | None:
+        """Return the last waiter of the account with most backlog by weight."""
+        if not self._queues:
+            return None
+        queue = max(self._queues.values(), key=_weighted_backlog)
+        return queue[-1]
+
+    def weighted_backlog(self, request: AdmissionRequest) -> float:
+        """Return the backlog by weight of the account if `request` joined."""
+        return (self.backlog(request.account) + 1) / _weight(request)
+
+    def _tags(self, request: AdmissionRequest) -> tuple[float, float]:
+        last = self._finish_tags.get(request.account, 0.0)
+        start = max(self._virtual_time, last)
+        return start, start + max(request.cost, 0.0) / _weight(request)
+
+    def _set_finish_tag(self, account: AccountId, tag: float) -> None:
+        self._finish_tags[account] = tag
+        if len(self._finish_tags) > _MOST_ACCOUNTS_KEPT:
+            self._finish_tags = {
+                name: value
+                for name, value in self._finish_tags.items()
+                if value > self._virtual_time or name in self._queues
+            }
+
+    def _drop_first(self, account: AccountId) -> None:
+        queue = self._queues[account]
+        queue.popleft()
+        self._size -= 1
+        if not queue:
+            del self._queues[account]
+
+    def _renumber(self, account: AccountId, start: float) -> None:
+        """Close the gap in the tags that a removed waiter left behind."""
+        tag = start
+        for waiter in self._queues.get(account, ()):
+            if waiter.start_tag < start:
+                continue
+            waiter.start_tag = tag
+            tag += max(waiter.request.cost, 0.0) / _weight(waiter.request)
+            waiter.finish_tag = tag
+        self._finish_tags[account] = tag
+
+
+def _weight(request: AdmissionRequest) -> float:
+    """Return the account's weight, never zero."""
+    return max(request.weight, _SMALLEST_WEIGHT)
+
+
+def _weighted_backlog(queue: collections.deque[Waiter]) -> float:
+    """Return the length of a queue over its account's weight."""
+    return len(queue) / _weight(queue[-1].request)
+
+
+def _count_before(queue: collections.deque[Waiter], start: float) -> int:
+    """Estimate how many waiters of a queue have a start tag below `start`.
+
+    The tags of a queue rise about evenly, so the ends are enough.
+    """
+    first, last = queue[0].start_tag, queue[-1].finish_tag
+    if start < first:
+        return 0
+    if last <= first or not math.isfinite(last):
+        return len(queue)
+    return min(len(queue), math.ceil(len(queue) * (start - first) / (last - first)))
--- /dev/null
+++ b/pomelolug/admission/_pool.py
@@ -0,0 +1,133 @@
+"""Queues of one pool: classes by priority, fair among accounts in each."""
+
+from pomelolug.admission._estimate import RateMeter, WaitEstimator
+from pomelolug.admission._fair import FairQueue, Waiter
+from pomelolug.admission._request import AdmissionRequest
+from pomelolug.configuration import WorkClass
+from pomelolug.ids import AccountId, ClassName, RequestId
+
+__all__ = ["PoolQueue"]
+
+_MOST_CLASSES = 256
+
+
+class ClassLine:
+    """Queue of one class, its priority and its rate of arrivals."""
+
+    __slots__ = ("arrivals", "priority", "queue")
+
+    def __init__(self, priority: int) -> None:
+        self.priority = priority
+        self.queue = FairQueue()
+        self.arrivals = RateMeter()
+
+
+class PoolQueue:
+    """Waiting requests of one pool and the slots that it holds."""
+
+    def __init__(self) -> None:
+        self.estimator = WaitEstimator()
+        self.undispatched: set[RequestId] = set()
+        self.held_by_account: dict[AccountId, int] = {}
+        self._lines: dict[ClassName, ClassLine] = {}
+        self._by_priority: list[ClassLine] = []
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def line(self, work_class: WorkClass) -> ClassLine:
+        """Return the line of a class; a changed priority takes effect."""
+        name = ClassName(work_class.name)
+        line = self._lines.get(name)
+        if line is None:
+            self._forget_unused()
+            line = self._lines[name] = ClassLine(work_class.priority)
+            self._sort()
+        elif line.priority != work_class.priority:
+            line.priority = work_class.priority
+            self._sort()
+        return line
+
+    def push(self, waiter: Waiter) -> None:
+        """Append a waiter to the line of its class."""
+        self.line(waiter.request.work_class).queue.push(waiter)
+        self._size += 1
+
+    def pop(self) -> Waiter:
+        """Remove and return the waiter that goes next.
+
+        Raises
+        ------
+        IndexError
+            If nothing waits.
+        """
+        best: ClassLine | None = None
+        for line in self._by_priority:
+            if best is not None and line.priority < best.priority:
+                break
+            # Classes of equal priority go by arrival, so that none starves.
+            if line.queue and (best is None or _arrival(line) < _arrival(best)):
+                best = line
+        if best is None:
+            raise IndexError("pop from an empty queue")
+        self._size -= 1
+        return best.queue.pop()
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a waiter that gets no slot."""
+        self._lines[ClassName(waiter.request.work_class.name)].queue.remove(waiter)
+        self._size -= 1
+
+    def wait(self, request: AdmissionRequest, now: float) -> float:
+        """Return the expected wait of `request` in seconds if it came now."""
+        line = self.line(request.work_class)
+        ahead = line.queue.ahead(request)
+        taken = 0.0
+        for other in self._by_priority:
+            if other.priority > line.priority:
+                ahead += len(other.queue)
+                taken += other.arrivals.rate(now)
+            elif other is not line and other.priority == line.priority:
+                ahead += len(other.queue)
+        return self.estimator.wait(ahead=ahead, now=now, taken_rate=taken)
+
+    def late(self, now: float, *, tolerance: float) -> list[Waiter]:
+        """Return the waiters that are expected to start too late.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time.
+        tolerance : float
+            Factor by which the expected wait may exceed the time left.
+        """
+        late: list[Waiter] = []
+        ahead = 0
+        taken = 0.0
+        for line in self._by_priority:
+            for waiter in line.queue.in_order():
+                left_s = waiter.start_by - now
+                wait_s = self.estimator.wait(ahead=ahead, now=now, taken_rate=taken)
+                if left_s <= 0 or wait_s > left_s * tolerance:
+                    late.append(waiter)
+                else:
+                    ahead += 1
+            taken += line.arrivals.rate(now)
+        return late
+
+    def _sort(self) -> None:
+        self._by_priority = sorted(
+            self._lines.values(), key=lambda line: -line.priority
+        )
+
+    def _forget_unused(self) -> None:
+        if len(self._lines) < _MOST_CLASSES:
+            return
+        self._lines = {name: line for name, line in self._lines.items() if line.queue}
+        self._sort()
+
+
+def _arrival(line: ClassLine) -> float:
+    """Return when the next waiter of a line that is not empty arrived."""
+    return line.queue.first().arrived_at
--- /dev/null
+++ b/pomelolug/admission/_queue.py
@@ -0,0 +1,375 @@
+"""Admission queue of a gateway."""
+
+import asyncio
+import datetime
+import math
+import random
+from collections.abc import Callable
+
+from pomelolug.admission._fair import Waiter, WaiterState
+from pomelolug.admission._pool import PoolQueue
+from pomelolug.admission._request import AdmissionRequest
+from pomelolug.clock import Clock
+from pomelolug.errors import ErrorCode, RequestError
+
+__all__ = ["AdmissionQueue", "Permit", "Ticket"]
+
+_SWEEP_S = 0.05
+# A waiter is refused early only if its forecast exceeds the time left by half,
+# since the forecast of a single moment is noisy.
+_FORECAST_TOLERANCE = 1.5
+_SHORTEST_RETRY_S = 1.0
+_LONGEST_RETRY_S = 30.0
+_TOO_MANY_REQUESTS = 429
+_UNAVAILABLE = 503
+
+
+class Permit:
+    """Right to one slot; to be released exactly when the request has ended.
+
+    It counts against the free slots until `dispatched` is called; from then on
+    the router counts the request as in flight.
+    """
+
+    __slots__ = ("_granted_at", "_owner", "_released", "_request", "_waited_s")
+
+    def __init__(
+        self,
+        owner: "AdmissionQueue",
+        request: AdmissionRequest,
+        *,
+        granted_at: float,
+        waited_s: float,
+    ) -> None:
+        self._owner = owner
+        self._request = request
+        self._granted_at = granted_at
+        self._waited_s = waited_s
+        self._released = False
+
+    @property
+    def request(self) -> AdmissionRequest:
+        """The admitted request."""
+        return self._request
+
+    @property
+    def waited(self) -> datetime.timedelta:
+        """Time that the request waited for its slot."""
+        return datetime.timedelta(seconds=self._waited_s)
+
+    @property
+    def granted_at(self) -> float:
+        """Monotonic time at which the slot was granted, in seconds."""
+        return self._granted_at
+
+    def dispatched(self) -> None:
+        """Record that the router now counts the request; may be repeated."""
+        if not self._released:
+            self._owner._on_dispatched(self._request)
+
+    def release(self) -> None:
+        """Give the slot back; only the first call has an effect."""
+        if not self._released:
+            self._released = True
+            self._owner._on_release(self)
+
+
+class Ticket:
+    """Handle of a submitted request: granted, or waiting.
+
+    `permit` is None as long as the request waits.
+    """
+
+    __slots__ = ("permit", "waiter")
+
+    def __init__(self) -> None:
+        self.permit: Permit | None = None
+        self.waiter: Waiter | None = None
+
+
+class AdmissionQueue:
+    """Decides when a request may take a slot, or refuses it at once.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    free_slots : callable
+        Returns the free slots of a pool, without permits that were dispatched.
+    random_state : random.Random
+        Source of the jitter of ``Retry-After``.
+    hold_to_target : bool
+        Whether the wait is bounded by the class's target for the first token
+        as well as by the deadline.
+    call_later : callable, optional
+        Runs a function after a delay in seconds; by default on the event loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        free_slots: Callable[[str], int],
+        random_state: random.Random,
+        hold_to_target: bool = True,
+        call_later: Callable[[float, Callable[[], None]], object] | None = None,
+    ) -> None:
+        self._clock = clock
+        self._free_slots = free_slots
+        self._random = random_state
+        self._hold_to_target = hold_to_target
+        self._call_later = call_later or _call_later_on_loop
+        self._pools: dict[str, PoolQueue] = {}
+        self._sweep_due = False
+
+    def waiting(self, pool: str) -> int:
+        """Return how many requests wait for `pool`."""
+        queue = self._pools.get(pool)
+        return len(queue) if queue else 0
+
+    def held(self, pool: str) -> int:
+        """Return how many permits for `pool` are not released."""
+        queue = self._pools.get(pool)
+        return queue.estimator.held if queue else 0
+
+    async def admit(self, request: AdmissionRequest) -> Permit:
+        """Wait for a slot.
+
+        Raises
+        ------
+        RequestError
+            With the code ``QUEUE_FULL``, ``DEADLINE_UNMEETABLE``,
+            ``ACCOUNT_LIMIT`` or ``DEADLINE_EXCEEDED``; nothing has run.
+        """
+        loop = asyncio.get_running_loop()
+        settled: asyncio.Future[Permit] = loop.create_future()
+
+        def on_settled(result: Permit | RequestError) -> None:
+            if settled.done():
+                if isinstance(result, Permit):
+                    result.release()
+            elif isinstance(result, Permit):
+                settled.set_result(result)
+            else:
+                settled.set_exception(result)
+
+        ticket = self.submit(request, on_settled)
+        if ticket.permit is not None:
+            return ticket.permit
+        try:
+            return await settled
+        except asyncio.CancelledError:
+            self.cancel(ticket)
+            raise
+
+    def submit(
+        self,
+        request: AdmissionRequest,
+        on_settled: Callable[[Permit | RequestError], None],
+    ) -> Ticket:
+        """Grant a slot, queue the request, or refuse it.
+
+        Parameters
+        ----------
+        request : AdmissionRequest
+            The request.
+        on_settled : callable
+            Called later with the permit or the error, only if the request waits.
+
+        Returns
+        -------
+        Ticket
+            With a permit, or without one if the request waits.
+
+        Raises
+        ------
+        RequestError
+            If the request is refused; see `admit`.
+        """
+        now = self._clock.monotonic()
+        pool = self._pool(request.pool)
+        self._check_account(pool, request)
+        self._fill(pool, request.pool)
+        ticket = Ticket()
+        line = pool.line(request.work_class)
+        if len(pool) == 0 and self._free(pool, request.pool) > 0:
+            if request.deadline_s <= 0:
+                raise self._refusal(ErrorCode.DEADLINE_EXCEEDED, 0.0)
+            line.queue.charge(request)
+            line.arrivals.count(now)
+            ticket.permit = self._grant(pool, request, waited_s=0.0)
+            return ticket
+        start_by = now + self._check_deadline(pool, request, now)
+        self._check_room(pool, request)
+        line.arrivals.count(now)
+
+        def settle(error: RequestError | None) -> None:
+            if error is not None:
+                on_settled(error)
+                return
+            waited_s = self._clock.monotonic() - now
+            ticket.permit = self._grant(pool, request, waited_s=waited_s)
+            on_settled(ticket.permit)
+
+        ticket.waiter = Waiter(
+            request, arrived_at=now, start_by=start_by, on_settled=settle
+        )
+        pool.push(ticket.waiter)
+        self._schedule_sweep()
+        return ticket
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Withdraw a request; a slot that it already has is released."""
+        if ticket.permit is not None:
+            ticket.permit.release()
+        waiter = ticket.waiter
+        if waiter is not None and waiter.state is WaiterState.WAITING:
+            waiter.state = WaiterState.CANCELLED
+            self._pool(waiter.request.pool).remove(waiter)
+
+    def notify(self) -> None:
+        """Grant slots that may have come free."""
+        for name, pool in self._pools.items():
+            self._fill(pool, name)
+
+    def _pool(self, name: str) -> PoolQueue:
+        return self._pools.setdefault(name, PoolQueue())
+
+    def _free(self, pool: PoolQueue, name: str) -> int:
+        return self._free_slots(name) - len(pool.undispatched)
+
+    def _fill(self, pool: PoolQueue, name: str) -> None:
+        if len(pool) == 0:
+            return
+        now = self._clock.monotonic()
+        # A callback may take or release slots, so they are counted each time.
+        while len(pool) > 0 and self._free(pool, name) > 0:
+            waiter = pool.pop()
+            if now > waiter.start_by:
+                self._refuse(waiter, ErrorCode.DEADLINE_EXCEEDED, 0.0)
+                continue
+            waiter.state = WaiterState.GRANTED
+            waiter.on_settled(None)
+
+    def _grant(
+        self, pool: PoolQueue, request: AdmissionRequest, *, waited_s: float
+    ) -> Permit:
+        now = self._clock.monotonic()
+        pool.estimator.on_grant(now)
+        pool.undispatched.add(request.request_id)
+        held = pool.held_by_account
+        held[request.account] = held.get(request.account, 0) + 1
+        return Permit(self, request, granted_at=now, waited_s=waited_s)
+
+    def _on_dispatched(self, request: AdmissionRequest) -> None:
+        self._pool(request.pool).undispatched.discard(request.request_id)
+
+    def _on_release(self, permit: Permit) -> None:
+        request = permit.request
+        now = self._clock.monotonic()
+        pool = self._pool(request.pool)
+        pool.undispatched.discard(request.request_id)
+        pool.estimator.on_release(
+            held_s=now - permit.granted_at, now=now, cost=request.cost
+        )
+        held = pool.held_by_account
+        held[request.account] -= 1
+        if held[request.account] == 0:
+            del held[request.account]
+        self._fill(pool, request.pool)
+
+    def _check_account(self, pool: PoolQueue, request: AdmissionRequest) -> None:
+        if request.max_in_flight <= 0:
+            return
+        used = pool.held_by_account.get(request.account, 0)
+        used += pool.line(request.work_class).queue.backlog(request.account)
+        if used >= request.max_in_flight:
+            raise self._refusal(ErrorCode.ACCOUNT_LIMIT, 0.0)
+
+    def _check_deadline(
+        self, pool: PoolQueue, request: AdmissionRequest, now: float
+    ) -> float:
+        """Return the longest useful wait in seconds, or refuse the request."""
+        service_s = (pool.estimator.mean_hold_s or 0.0) * request.cost
+        longest_s = request.deadline_s - service_s
+        if self._hold_to_target:
+            target_s = request.work_class.ttft_target.total_seconds()
+            longest_s = min(longest_s, target_s)
+        if request.deadline_s <= 0:
+            raise self._refusal(ErrorCode.DEADLINE_EXCEEDED, 0.0)
+        wait_s = pool.wait(request, now)
+        if wait_s > longest_s:
+            raise self._refusal(ErrorCode.DEADLINE_UNMEETABLE, wait_s - longest_s)
+        return longest_s
+
+    def _check_room(self, pool: PoolQueue, request: AdmissionRequest) -> None:
+        """Make room in a full queue, or refuse the request.
+
+        A request of an account with less backlog takes the place of the last
+        request of the account with most, so that one account cannot fill the
+        queue of its class.
+        """
+        queue = pool.line(request.work_class).queue
+        if len(queue) < request.work_class.queue_limit:
+            return
+        victim = queue.longest()
+        if victim is None:
+            raise self._refusal(ErrorCode.QUEUE_FULL, _SHORTEST_RETRY_S)
+        shorter = queue.weighted_backlog(request) < queue.weighted_backlog(
+            victim.request
+        )
+        if not shorter:
+            raise self._refusal(ErrorCode.QUEUE_FULL, _SHORTEST_RETRY_S)
+        pool.remove(victim)
+        self._refuse(victim, ErrorCode.ACCOUNT_LIMIT, _SHORTEST_RETRY_S)
+
+    def _schedule_sweep(self) -> None:
+        if not self._sweep_due:
+            self._sweep_due = True
+            self._call_later(_SWEEP_S, self._sweep)
+
+    def _sweep(self) -> None:
+        """Refuse waiters that can no longer be served in time."""
+        self._sweep_due = False
+        now = self._clock.monotonic()
+        for name, pool in self._pools.items():
+            self._fill(pool, name)
+            for waiter in pool.late(now, tolerance=_FORECAST_TOLERANCE):
+                if waiter.state is WaiterState.WAITING:
+                    pool.remove(waiter)
+                    self._refuse(waiter, _late_code(waiter.start_by - now), 0.0)
+        if any(len(pool) for pool in self._pools.values()):
+            self._schedule_sweep()
+
+    def _refuse(self, waiter: Waiter, code: ErrorCode, retry_s: float) -> None:
+        waiter.state = WaiterState.REFUSED
+        waiter.on_settled(self._refusal(code, retry_s))
+
+    def _refusal(self, code: ErrorCode, retry_s: float) -> RequestError:
+        retry_s = min(max(retry_s, _SHORTEST_RETRY_S), _LONGEST_RETRY_S)
+        retry_s *= self._random.uniform(1.0, 1.5)
+        limited = code is ErrorCode.ACCOUNT_LIMIT
+        return RequestError(
+            code,
+            _MESSAGES[code],
+            status=_TOO_MANY_REQUESTS if limited else _UNAVAILABLE,
+            retry_after=datetime.timedelta(seconds=math.ceil(retry_s)),
+        )
+
+
+_MESSAGES = {
+    ErrorCode.ACCOUNT_LIMIT: "the account has too many requests in progress",
+    ErrorCode.DEADLINE_EXCEEDED: "no slot came free before the deadline",
+    ErrorCode.DEADLINE_UNMEETABLE: "the expected wait exceeds the deadline",
+    ErrorCode.QUEUE_FULL: "the queue of the class is full",
+}
+
+
+def _late_code(left_s: float) -> ErrorCode:
+    """Return the code for a waiter with `left_s` seconds left."""
+    return ErrorCode.DEADLINE_UNMEETABLE if left_s > 0 else ErrorCode.DEADLINE_EXCEEDED
+
+
+def _call_later_on_loop(delay_s: float, function: Callable[[], None]) -> object:
+    """Run `function` on the running event loop after `delay_s` seconds."""
+    return asyncio.get_running_loop().call_later(delay_s, function)
--- /dev/null
+++ b/pomelolug/admission/_request.py
@@ -0,0 +1,31 @@
+"""One request as admission sees it."""
+
+import msgspec
+
+from pomelolug.configuration import WorkClass
+from pomelolug.ids import AccountId, RequestId
+
+__all__ = ["AdmissionRequest"]
+
+
+class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """One request that asks for a slot.
+
+    `weight` is the account's share relative to the others. `deadline_s` is the
+    time in seconds from now until the answer has to be complete. `cost` is the
+    expected work relative to a mean request. `max_in_flight` bounds the
+    account's requests that wait or run on this gateway; 0 means no bound.
+    """
+
+    request_id: RequestId
+    work_class: WorkClass
+    account: AccountId
+    weight: float = 1.0
+    deadline_s: float = 60.0
+    cost: float = 1.0
+    max_in_flight: int = 0
+
+    @property
+    def pool(self) -> str:
+        """Name of the pool or plain service whose slots are asked for."""
+        return self.work_class.pool or self.work_class.service
--- /dev/null
+++ b/pomelolug/retries/_containment.py
@@ -0,0 +1,179 @@
+"""Containment of requests that crash every group that runs them."""
+
+import datetime
+import enum
+
+from pomelolug.clock import Clock
+from pomelolug.ids import DomainId, FencingToken, GroupId, VmId
+from pomelolug.messages import LossReport
+from pomelolug.retries._losses import (
+    ContainmentState,
+    GroupLoss,
+    LossKey,
+    Verdicts,
+    VmLoss,
+    judge,
+)
+
+__all__ = ["Containment", "RunMode"]
+
+_MOST_LOSSES = 512
+_MOST_VM_LOSSES = 512
+_MOST_FINGERPRINTS = 4096
+_MOST_CLEARED = 4096
+
+
+class RunMode(enum.Enum):
+    """How a request may be run."""
+
+    NORMAL = "normal"
+    SOLO = "solo"
+    QUARANTINED = "quarantined"
+
+
+class Containment:
+    """Strikes and quarantine of request fingerprints.
+
+    The verdicts are a function of the set of known losses. States of several
+    nodes can therefore be merged in any order, and a loss that turns out to be
+    part of a domain failure takes its strikes back.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of wall time, for losses that are reported without a time.
+    window : datetime.timedelta
+        Time for which a loss is remembered.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        window: datetime.timedelta = datetime.timedelta(days=1),
+    ) -> None:
+        self._clock = clock
+        self._window_s = window.total_seconds()
+        self._state = ContainmentState()
+        self._verdicts: Verdicts | None = Verdicts()
+        self._condemned: frozenset[bytes] = frozenset()
+
+    def on_loss(
+        self, report: LossReport, *, at: datetime.datetime | None = None
+    ) -> None:
+        """Take a report of the loss of a group.
+
+        Parameters
+        ----------
+        report : LossReport
+            The report; reports of several nodes on one loss are joined.
+        at : datetime.datetime, optional
+            Wall time of the loss, by default now.
+        """
+        key = LossKey(GroupId(report.group), FencingToken(report.token))
+        loss = GroupLoss(
+            domain=DomainId(report.domain),
+            at_s=self._wall_s(at),
+            fingerprints=frozenset(report.fingerprints),
+            solo=report.solo,
+        )
+        self.merge(ContainmentState(losses={key: loss}))
+
+    def on_vm_loss(
+        self,
+        domain: DomainId,
+        vm: VmId,
+        *,
+        group: GroupId | None = None,
+        at: datetime.datetime | None = None,
+    ) -> None:
+        """Take the loss of a VM; outside a lost group it points to the domain."""
+        loss = VmLoss(domain, vm, group or GroupId(""), self._wall_s(at))
+        self.merge(ContainmentState(vm_losses=frozenset({loss})))
+
+    def on_success(
+        self, fingerprint: bytes, *, at: datetime.datetime | None = None
+    ) -> None:
+        """Clear the strikes of a request whose isolated run ended well."""
+        if self.may_run(fingerprint) is RunMode.SOLO:
+            cleared = {fingerprint: self._wall_s(at)}
+            self.merge(ContainmentState(cleared=cleared))
+
+    def set_condemned(self, fingerprints: frozenset[bytes]) -> None:
+        """Replace the fingerprints that the log declares quarantined."""
+        self._condemned = fingerprints
+
+    def may_run(self, fingerprint: bytes) -> RunMode:
+        """Return how a request may be run."""
+        verdicts = self._judged()
+        if fingerprint in verdicts.quarantined or fingerprint in self._condemned:
+            return RunMode.QUARANTINED
+        return RunMode.SOLO if fingerprint in verdicts.struck else RunMode.NORMAL
+
+    def quarantined(self) -> frozenset[bytes]:
+        """Return the fingerprints that the known losses quarantine."""
+        return self._judged().quarantined
+
+    def export(self) -> ContainmentState:
+        """Return the state for another node."""
+        return self._state
+
+    def merge(self, other: ContainmentState) -> None:
+        """Join the state of another node; repeating or reordering is harmless."""
+        mine = self._state
+        losses = dict(mine.losses)
+        for key, loss in other.losses.items():
+            known = losses.get(key)
+            losses[key] = loss if known is None else _join(known, loss)
+        cleared = dict(mine.cleared)
+        for fingerprint, at_s in other.cleared.items():
+            cleared[fingerprint] = max(at_s, cleared.get(fingerprint, at_s))
+        state = ContainmentState(
+            losses=losses,
+            vm_losses=mine.vm_losses | other.vm_losses,
+            cleared=cleared,
+        )
+        self._state = self._bounded(state)
+        self._verdicts = None
+
+    def _judged(self) -> Verdicts:
+        if self._verdicts is None:
+            self._verdicts = judge(self._state)
+        return self._verdicts
+
+    def _wall_s(self, at: datetime.datetime | None) -> float:
+        return (at or self._clock.now()).timestamp()
+
+    def _bounded(self, state: ContainmentState) -> ContainmentState:
+        oldest_s = self._clock.now().timestamp() - self._window_s
+        losses = sorted(
+            (item for item in state.losses.items() if item[1].at_s >= oldest_s),
+            key=lambda item: (-item[1].at_s, item[0]),
+        )
+        vm_losses = sorted(
+            (loss for loss in state.vm_losses if loss.at_s >= oldest_s),
+            key=lambda loss: (-loss.at_s, loss),
+        )
+        cleared = sorted(
+            (item for item in state.cleared.items() if item[1] >= oldest_s),
+            key=lambda item: (-item[1], item[0]),
+        )
+        return ContainmentState(
+            losses=dict(losses[:_MOST_LOSSES]),
+            vm_losses=frozenset(vm_losses[:_MOST_VM_LOSSES]),
+            cleared=dict(cleared[:_MOST_CLEARED]),
+        )
+
+
+def _join(one: GroupLoss, other: GroupLoss) -> GroupLoss:
+    """Join two reports of one loss."""
+    fingerprints = one.fingerprints | other.fingerprints
+    if len(fingerprints) > _MOST_FINGERPRINTS:
+        # The smallest ones are kept, so that the order of joining is irrelevant.
+        fingerprints = frozenset(sorted(fingerprints)[:_MOST_FINGERPRINTS])
+    return GroupLoss(
+        domain=min(one.domain, other.domain),
+        at_s=min(one.at_s, other.at_s),
+        fingerprints=fingerprints,
+        solo=one.solo or other.solo,
+    )
--- /dev/null
+++ b/pomelolug/retries/_hedge.py
@@ -0,0 +1,99 @@
+"""Rule for sending a second copy of a slow request."""
+
+import collections
+import datetime
+import math
+
+from pomelolug.ids import ClassName
+
+__all__ = ["HedgePolicy"]
+
+_MOST_CLASSES = 256
+_SAMPLES = 256
+_FEWEST_SAMPLES = 20
+
+
+class HedgePolicy:
+    """Decides whether a second copy of a request may be sent.
+
+    Only idempotent work before its first token is hedged, once, after the time
+    within which nearly all requests of its class have had their first token, and
+    only while the pool has free slots. The caller of this policy pays for the
+    copy from the retry budget.
+
+    Parameters
+    ----------
+    quantile : float
+        Part of the first tokens that arrive before a hedge is sent, 0 to 1.
+
+    Examples
+    --------
+    >>> import datetime
+    >>> policy = HedgePolicy()
+    >>> for _ in range(20):
+    ...     policy.on_first_token("chat", datetime.timedelta(seconds=1))
+    >>> policy.may_hedge(
+    ...     "chat",
+    ...     idempotent=True,
+    ...     has_token=False,
+    ...     copies=1,
+    ...     elapsed=datetime.timedelta(seconds=2),
+    ...     free_slots=1,
+    ... )
+    True
+    """
+
+    def __init__(self, *, quantile: float = 0.95) -> None:
+        self._quantile = quantile
+        self._samples: dict[ClassName, collections.deque[float]] = {}
+
+    def on_first_token(
+        self, work_class: ClassName, elapsed: datetime.timedelta
+    ) -> None:
+        """Record the time from dispatch to the first token of a request."""
+        samples = self._samples.get(work_class)
+        if samples is None:
+            if len(self._samples) >= _MOST_CLASSES:
+                self._samples.clear()
+            samples = self._samples[work_class] = collections.deque(maxlen=_SAMPLES)
+        samples.append(elapsed.total_seconds())
+
+    def delay(self, work_class: ClassName) -> datetime.timedelta | None:
+        """Return the time after which to hedge, None if too little is known."""
+        samples = self._samples.get(work_class, ())
+        if len(samples) < _FEWEST_SAMPLES:
+            return None
+        rank = math.ceil(self._quantile * len(samples)) - 1
+        return datetime.timedelta(seconds=sorted(samples)[rank])
+
+    def may_hedge(
+        self,
+        work_class: ClassName,
+        *,
+        idempotent: bool,
+        has_token: bool,
+        copies: int,
+        elapsed: datetime.timedelta,
+        free_slots: int,
+    ) -> bool:
+        """Return whether a second copy may be sent now.
+
+        Parameters
+        ----------
+        work_class : ClassName
+            Class of the request.
+        idempotent : bool
+            Whether the request may run twice.
+        has_token : bool
+            Whether a token has arrived.
+        copies : int
+            Copies that were sent.
+        elapsed : datetime.timedelta
+            Time since the first copy was sent.
+        free_slots : int
+            Free slots of the pool.
+        """
+        if not idempotent or has_token or copies != 1 or free_slots <= 0:
+            return False
+        delay = self.delay(work_class)
+        return delay is not None and elapsed >= delay
--- /dev/null
+++ b/pomelolug/routing/__init__.py
@@ -0,0 +1,6 @@
+"""Choice of a replica group for each request."""
+
+from pomelolug.routing._breaker import BreakerState, CircuitBreaker
+from pomelolug.routing._view import RoutingView
+
+__all__ = ["BreakerState", "CircuitBreaker", "RoutingView"]
--- /dev/null
+++ b/pomelolug/routing/_breaker.py
@@ -0,0 +1,88 @@
+"""Circuit breaker for one group."""
+
+import enum
+import random
+
+__all__ = ["BreakerState", "CircuitBreaker"]
+
+_FAILURES_TO_OPEN = 3
+_FIRST_PAUSE_S = 1.0
+_LONGEST_PAUSE_S = 30.0
+
+
+class BreakerState(enum.Enum):
+    """Whether a group receives requests."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+class CircuitBreaker:
+    """Stops sending to a group after consecutive failures.
+
+    After a pause, one request at a time is let through; its success closes the
+    breaker, its failure opens it again for twice as long. The pause is drawn
+    between half and all of its nominal length, so that gateways do not probe in
+    step.
+
+    Parameters
+    ----------
+    random_state : random.Random
+        Source of the jitter.
+
+    Examples
+    --------
+    >>> import random
+    >>> breaker = CircuitBreaker(random_state=random.Random(1))
+    >>> for _ in range(3):
+    ...     breaker.on_failure(now=0.0)
+    >>> breaker.allows(now=0.1), breaker.allows(now=1.5)
+    (False, True)
+    """
+
+    __slots__ = ("_failures", "_pause_s", "_probing", "_random", "_retry_at")
+
+    def __init__(self, *, random_state: random.Random) -> None:
+        self._random = random_state
+        self._failures = 0
+        self._pause_s = _FIRST_PAUSE_S
+        self._retry_at: float | None = None
+        self._probing = False
+
+    def state(self, now: float) -> BreakerState:
+        """Return the state at the monotonic time `now`."""
+        if self._retry_at is None:
+            return BreakerState.CLOSED
+        if now < self._retry_at:
+            return BreakerState.OPEN
+        return BreakerState.HALF_OPEN
+
+    def allows(self, now: float) -> bool:
+        """Return whether a request may be sent at the monotonic time `now`."""
+        if self._retry_at is None:
+            return True
+        return now >= self._retry_at and not self._probing
+
+    def on_dispatch(self) -> None:
+        """Record that a request was sent; in the half-open state it is the probe."""
+        if self._retry_at is not None:
+            self._probing = True
+
+    def on_success(self) -> None:
+        """Record a request that the group completed."""
+        self._failures = 0
+        self._pause_s = _FIRST_PAUSE_S
+        self._retry_at = None
+        self._probing = False
+
+    def on_failure(self, now: float) -> None:
+        """Record a request that the group lost at the monotonic time `now`."""
+        self._failures += 1
+        probe_failed = self._probing
+        self._probing = False
+        if probe_failed:
+            self._pause_s = min(2 * self._pause_s, _LONGEST_PAUSE_S)
+        elif self._retry_at is not None or self._failures < _FAILURES_TO_OPEN:
+            return
+        self._retry_at = now + self._pause_s * self._random.uniform(0.5, 1.0)
--- /dev/null
+++ b/pomelolug/routing/_group.py
@@ -0,0 +1,152 @@
+"""What a gateway knows about one group: last report and own requests."""
+
+import collections
+import math
+import random
+
+from pomelolug.ids import RequestId
+from pomelolug.messages import GroupStatus
+from pomelolug.routing._breaker import CircuitBreaker
+from pomelolug.routing._score import expected_wait
+
+__all__ = ["GroupState"]
+
+SERVING = "serving"
+
+_MAX_CHANGES = 4096
+_SERVICE_TIME_WEIGHT = 0.1
+_MAX_LOAD_AGE_S = 60.0
+
+
+class GroupState:
+    """Last report of a group, corrected by own requests since then.
+
+    Parameters
+    ----------
+    status : GroupStatus
+        First report.
+    arrived_at : float
+        Monotonic time of its arrival, in seconds.
+    lease_s : float
+        Age of the verification, in seconds, from which on nothing is sent.
+    random_state : random.Random
+        Source of the breaker's jitter.
+    """
+
+    __slots__ = (
+        "_changes",
+        "_correction",
+        "_expires_at",
+        "_lease_s",
+        "_measured_at",
+        "_refused_at",
+        "_service_time_s",
+        "breaker",
+        "capacity",
+        "in_flight",
+        "load",
+        "serving",
+        "solo",
+        "status",
+    )
+
+    def __init__(
+        self,
+        status: GroupStatus,
+        *,
+        arrived_at: float,
+        lease_s: float,
+        random_state: random.Random,
+    ) -> None:
+        self.breaker = CircuitBreaker(random_state=random_state)
+        self.in_flight: set[RequestId] = set()
+        self.solo: set[RequestId] = set()
+        self._changes: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=_MAX_CHANGES
+        )
+        self._lease_s = lease_s
+        self._service_time_s: float | None = None
+        self._refused_at = -math.inf
+        self.load: int = 0
+        self.update(status, arrived_at=arrived_at)
+
+    def update(self, status: GroupStatus, *, arrived_at: float) -> None:
+        """Take a new report that arrived at the monotonic time `arrived_at`."""
+        verified_at = arrived_at - _age(status.verified_age_s)
+        # Only a verification made after a refusal reopens the group.
+        if verified_at > self._refused_at:
+            self._refused_at = -math.inf
+        self.status = status
+        self.serving = status.phase == SERVING and status.capacity > 0
+        self.capacity = status.capacity
+        self._expires_at = verified_at + self._lease_s
+        self._measured_at = arrived_at - min(_age(status.load_age_s), _MAX_LOAD_AGE_S)
+        while self._changes and self._changes[0][0] <= self._measured_at:
+            self._changes.popleft()
+        self._correction = sum(change for _, change in self._changes)
+        self._set_load()
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the proof of membership holds at `now`."""
+        return self.serving and self._refused_at == -math.inf and now < self._expires_at
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether a request may be sent at `now`."""
+        return self.is_current(now) and self.breaker.allows(now)
+
+    def service_time(self, default_s: float) -> float:
+        """Return the mean service time in seconds, or `default_s` if unknown."""
+        return default_s if self._service_time_s is None else self._service_time_s
+
+    def wait(self, default_service_s: float) -> float:
+        """Return the expected wait for a slot in seconds."""
+        return expected_wait(
+            self.load, self.capacity, self.service_time(default_service_s)
+        )
+
+    def on_dispatch(self, request: RequestId, *, now: float, solo: bool) -> None:
+        """Count a request sent to the group."""
+        if request in self.in_flight:
+            return
+        self.in_flight.add(request)
+        if solo:
+            self.solo.add(request)
+        self.breaker.on_dispatch()
+        self._change(now, 1)
+
+    def on_finish(
+        self, request: RequestId, *, now: float, ok: bool, service_time_s: float
+    ) -> None:
+        """Count a request that left the group."""
+        if request in self.in_flight:
+            self.in_flight.discard(request)
+            self.solo.discard(request)
+            self._change(now, -1)
+        if not ok:
+            self.breaker.on_failure(now)
+            return
+        self.breaker.on_success()
+        old = self.service_time(service_time_s)
+        self._service_time_s = old + _SERVICE_TIME_WEIGHT * (service_time_s - old)
+
+    def on_full(self) -> None:
+        """Treat the group as full until the next report."""
+        self.load = max(self.load, self.capacity)
+
+    def on_stale(self, now: float) -> None:
+        """Close the group until a verification newer than `now` arrives."""
+        self._refused_at = now
+
+    def _change(self, now: float, change: int) -> None:
+        self._changes.append((now, change))
+        self._correction += change
+        self._set_load()
+
+    def _set_load(self) -> None:
+        corrected = self.status.load + self._correction
+        self.load = max(corrected, len(self.in_flight), 0)
+
+
+def _age(reported_s: float) -> float:
+    """Return a reported age, or infinity if it is no valid duration."""
+    return reported_s if 0.0 <= reported_s < math.inf else math.inf
--- /dev/null
+++ b/pomelolug/routing/_view.py
@@ -0,0 +1,289 @@
+"""A gateway's view of the groups, and the choice among them."""
+
+import bisect
+import datetime
+import itertools
+import random
+from collections.abc import Sequence
+
+from pomelolug.clock import Clock
+from pomelolug.ids import FencingToken, GroupId, PoolId, RequestId, ZoneId
+from pomelolug.messages import GroupStatus, RoutingTable
+from pomelolug.routing._group import GroupState
+from pomelolug.routing._score import (
+    LOAD_COST,
+    STRAGGLER_COST,
+    ZONE_COST_S,
+    sampling_weight,
+)
+
+__all__ = ["RoutingView"]
+
+_DEFAULT_SERVICE_TIME_S = 1.0
+_DRAWS = 2
+_TEMPORARY_REFUSALS = frozenset({"busy"})
+
+
+class RoutingView:
+    """Groups that requests may be sent to, and the choice of one.
+
+    Parameters
+    ----------
+    zone : ZoneId
+        Availability zone of this gateway.
+    lease : datetime.timedelta
+        Age of a group's verification from which on nothing is sent to it.
+    clock : Clock
+        Source of monotonic time.
+    random_state : random.Random
+        Source of the candidate draws and of the breakers' jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: ZoneId,
+        lease: datetime.timedelta,
+        clock: Clock,
+        random_state: random.Random,
+    ) -> None:
+        self._zone = zone
+        self._lease_s = lease.total_seconds()
+        self._clock = clock
+        self._random = random_state
+        self._groups: dict[GroupId, GroupState] = {}
+        self._pools: dict[PoolId, list[GroupState]] = {}
+        self._in_flight: dict[PoolId, int] = {}
+        self._placed: dict[tuple[GroupId, RequestId], PoolId] = {}
+        self._service_time_s: dict[PoolId, float] = {}
+        self._share = 1.0
+        self._has_share = False
+
+    @property
+    def share(self) -> float:
+        """Part of every group's slots that this gateway may use, 0 to 1."""
+        return self._share
+
+    def set_share(self, share: float) -> None:
+        """Set the part of every group's slots that this gateway may use."""
+        self._share = min(max(share, 0.0), 1.0)
+        self._has_share = True
+
+    def update(self, table: RoutingTable) -> None:
+        """Replace the table.
+
+        Ages in the table count from its arrival on the own monotonic clock. A
+        status with a lower token than the known one is ignored.
+        """
+        now = self._clock.monotonic()
+        groups: dict[GroupId, GroupState] = {}
+        for status in table.groups:
+            group = GroupId(status.group)
+            groups[group] = self._merge(self._groups.get(group), status, now)
+        self._groups = groups
+        self._pools = {}
+        for state in groups.values():
+            self._pools.setdefault(PoolId(state.status.pool), []).append(state)
+        if not self._has_share:
+            self._share = 1.0 / max(table.nodes_alive, 1)
+
+    def candidates(self, pool: PoolId) -> tuple[GroupStatus, ...]:
+        """Return the groups of `pool` that a request may be sent to now."""
+        now = self._clock.monotonic()
+        return tuple(
+            state.status for state in self._pools.get(pool, ()) if state.is_usable(now)
+        )
+
+    def choose(
+        self,
+        pool: PoolId,
+        *,
+        exclude: frozenset[GroupId] = frozenset(),
+        prefix: Sequence[str] = (),
+        solo: bool = False,
+    ) -> GroupStatus | None:
+        """Choose a group for one request.
+
+        Parameters
+        ----------
+        pool : PoolId
+            Pool whose model is asked for.
+        exclude : frozenset of GroupId
+            Groups that must not be chosen, for example after a failure there.
+        prefix : sequence of str
+            Hashes of the prompt's blocks, the first block first.
+        solo : bool
+            Whether the request has a strike; a group with another such request
+            is then not chosen.
+
+        Returns
+        -------
+        GroupStatus or None
+            None if no group is usable.
+        """
+        now = self._clock.monotonic()
+        local: list[GroupState] = []
+        remote: list[GroupState] = []
+        for state in self._pools.get(pool, ()):
+            if not state.is_usable(now) or state.status.group in exclude:
+                continue
+            if solo and state.solo:
+                continue
+            (local if state.status.zone == self._zone else remote).append(state)
+        default_s = self._service_time_s.get(pool, _DEFAULT_SERVICE_TIME_S)
+        chosen = self._draw(local, prefix, default_s)
+        if remote and (chosen is None or chosen.wait(default_s) > ZONE_COST_S):
+            other = self._draw(remote, prefix, default_s)
+            if chosen is None or self._saves_zone_cost(other, chosen, default_s):
+                chosen = other
+        return None if chosen is None else chosen.status
+
+    def is_dispatchable(self, group_id: GroupId, token: FencingToken) -> bool:
+        """Return whether a packet to the group may leave now.
+
+        To be called after the last await before the packet leaves.
+        """
+        state = self._groups.get(group_id)
+        if state is None or state.status.token != token:
+            return False
+        return state.is_current(self._clock.monotonic())
+
+    def free_slots(self, pool: PoolId) -> int:
+        """Return how many more requests this gateway may have in flight.
+
+        It is this gateway's share of the usable groups' slots, at least one if
+        any group is usable, less its own requests in flight.
+        """
+        now = self._clock.monotonic()
+        slots = sum(
+            state.capacity
+            for state in self._pools.get(pool, ())
+            if state.is_usable(now)
+        )
+        if slots == 0:
+            return 0
+        share = max(int(slots * self._share), 1)
+        return max(share - self._in_flight.get(pool, 0), 0)
+
+    def on_dispatch(
+        self, group_id: GroupId, request_id: RequestId, *, solo: bool = False
+    ) -> None:
+        """Count a request that was sent to the group."""
+        state = self._groups.get(group_id)
+        placement = (group_id, request_id)
+        if state is None or placement in self._placed:
+            return
+        pool = PoolId(state.status.pool)
+        self._placed[placement] = pool
+        self._in_flight[pool] = self._in_flight.get(pool, 0) + 1
+        state.on_dispatch(request_id, now=self._clock.monotonic(), solo=solo)
+
+    def on_finish(
+        self,
+        group_id: GroupId,
+        request_id: RequestId,
+        *,
+        ok: bool,
+        service_time_s: float,
+    ) -> None:
+        """Count the end of a request on the group.
+
+        Parameters
+        ----------
+        group_id : GroupId
+            Group that the request was sent to.
+        request_id : RequestId
+            The request.
+        ok : bool
+            Whether the group completed it. A request that its caller cancelled
+            is no failure of the group.
+        service_time_s : float
+            Time on the group in seconds; used only if `ok`.
+        """
+        pool = self._placed.pop((group_id, request_id), None)
+        if pool is None:
+            return
+        self._in_flight[pool] -= 1
+        if ok:
+            old = self._service_time_s.get(pool, service_time_s)
+            self._service_time_s[pool] = old + 0.05 * (service_time_s - old)
+        state = self._groups.get(group_id)
+        if state is not None:
+            state.on_finish(
+                request_id,
+                now=self._clock.monotonic(),
+                ok=ok,
+                service_time_s=service_time_s,
+            )
+
+    def on_refused(self, group_id: GroupId, reason: str) -> None:
+        """Take a group's refusal into account.
+
+        A full group counts as full until its next report; any other refusal
+        closes the group until a verification that is newer than the refusal.
+        """
+        state = self._groups.get(group_id)
+        if state is None:
+            return
+        if reason in _TEMPORARY_REFUSALS:
+            state.on_full()
+        else:
+            state.on_stale(self._clock.monotonic())
+
+    def _merge(
+        self, known: GroupState | None, status: GroupStatus, now: float
+    ) -> GroupState:
+        if known is None or status.token > known.status.token:
+            return GroupState(
+                status,
+                arrived_at=now,
+                lease_s=self._lease_s,
+                random_state=self._random,
+            )
+        if status.token == known.status.token:
+            known.update(status, arrived_at=now)
+        return known
+
+    def _draw(
+        self, states: list[GroupState], prefix: Sequence[str], default_s: float
+    ) -> GroupState | None:
+        """Draw two candidates by free slots and return the better one."""
+        if not states:
+            return None
+        if len(states) == 1:
+            return states[0]
+        bounds = list(
+            itertools.accumulate(
+                sampling_weight(
+                    state.load, state.capacity, straggler=state.status.straggler
+                )
+                for state in states
+            )
+        )
+        drawn = [
+            states[
+                min(
+                    bisect.bisect(bounds, self._random.random() * bounds[-1]),
+                    len(states) - 1,
+                )
+            ]
+            for _ in range(_DRAWS)
+        ]
+        return min(drawn, key=lambda state: self._score(state, prefix, default_s))
+
+    def _score(
+        self, state: GroupState, prefix: Sequence[str], default_s: float
+    ) -> float:
+        service_s = state.service_time(default_s)
+        score = state.wait(default_s)
+        score += LOAD_COST * service_s * state.load / state.capacity
+        if state.status.straggler:
+            score += STRAGGLER_COST * service_s
+        return score
+
+    def _saves_zone_cost(
+        self, other: GroupState | None, chosen: GroupState, default_s: float
+    ) -> bool:
+        if other is None:
+            return False
+        return other.wait(default_s) + ZONE_COST_S < chosen.wait(default_s)
