--- /dev/null
+++ b/pomelolug/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, trace replay and benchmarks on the simulated platform."""
--- /dev/null
+++ b/pomelolug/testing/_engine_vm.py
@@ -0,0 +1,227 @@
+"""State of one simulated backend server and the rules of its orders."""
+
+import dataclasses
+import datetime
+
+import msgspec
+
+from pomelolug.clock import Clock
+from pomelolug.engines import (
+    AssignOrder,
+    CacheEvent,
+    CachePage,
+    FencingKind,
+    MemberStatus,
+    ReleaseOrder,
+)
+
+__all__ = ["EngineTimes", "EngineVm", "OrderRefused", "PrefixCache"]
+
+_MAX_CACHE_EVENTS = 2000
+
+
+class OrderRefused(Exception):
+    """The backend server refuses; the argument is the code of the refusal."""
+
+    @property
+    def code(self) -> str:
+        """Code of the refusal."""
+        return str(self.args[0])
+
+
+class EngineTimes(msgspec.Struct, frozen=True, kw_only=True):
+    """Simulated times of an engine.
+
+    `first_token` is the time to the first token of an uncached prompt and
+    `first_token_cached` that of a wholly cached one; `step` is the time of one
+    decoding step.
+    """
+
+    first_token: datetime.timedelta = datetime.timedelta(milliseconds=80)
+    first_token_cached: datetime.timedelta = datetime.timedelta(milliseconds=20)
+    step: datetime.timedelta = datetime.timedelta(milliseconds=20)
+
+
+class PrefixCache:
+    """Blocks in a cache of limited size, least recently used first out.
+
+    Parameters
+    ----------
+    size : int
+        Number of blocks.
+    """
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._blocks: dict[str, None] = {}
+        self._events: list[CacheEvent] = []
+        self._sequence = 0
+
+    def use(self, blocks: tuple[str, ...]) -> float:
+        """Store `blocks` and return which part of them was cached already."""
+        cached = sum(block in self._blocks for block in blocks)
+        new = tuple(block for block in blocks if block not in self._blocks)
+        for block in blocks:
+            self._blocks.pop(block, None)
+            self._blocks[block] = None
+        if new:
+            self._record("stored", new)
+        excess = list(self._blocks)[: max(0, len(self._blocks) - self._size)]
+        for block in excess:
+            del self._blocks[block]
+        if excess:
+            self._record("removed", tuple(excess))
+        return cached / len(blocks) if blocks else 0.0
+
+    def clear(self) -> None:
+        """Remove every block."""
+        self._blocks.clear()
+        self._record("cleared", ())
+
+    def page(self, after: int) -> CachePage:
+        """Return the events with a sequence number above `after`."""
+        oldest = self._events[0].sequence if self._events else self._sequence + 1
+        events = tuple(event for event in self._events if event.sequence > after)
+        return CachePage(oldest=oldest, events=events)
+
+    def _record(self, action: str, blocks: tuple[str, ...]) -> None:
+        self._sequence += 1
+        self._events.append(
+            CacheEvent(sequence=self._sequence, action=action, blocks=blocks)
+        )
+        del self._events[:-_MAX_CACHE_EVENTS]
+
+
+@dataclasses.dataclass(kw_only=True)
+class EngineVm:
+    """One backend server: identity, assignment, load and faults.
+
+    `alive` is false while the VM is down; `reachable` is false while it answers
+    nobody. `loading_bytes` is what remains to be loaded.
+    """
+
+    vm: str
+    address: str
+    zone: str
+    region: str
+    domain: str
+    clock: Clock
+    times: EngineTimes
+    capacity: int
+    model_bytes: int
+    service: str = ""
+    fencing: FencingKind = FencingKind.REFUSES
+    incarnation: int = 1
+    alive: bool = True
+    reachable: bool = True
+    leaving_since: float | None = None
+    slowdown: float = 1.0
+    group: str = ""
+    token: int = -1
+    rank: int = -1
+    members: tuple[str, ...] = ()
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = "both"
+    loading_bytes: float = 0.0
+    held: set[str] = dataclasses.field(default_factory=set)
+    running: int = 0
+    waiting: int = 0
+    cache: PrefixCache = dataclasses.field(default_factory=lambda: PrefixCache(4096))
+
+    @property
+    def ready(self) -> bool:
+        """Whether the weights of the assigned model are loaded."""
+        return bool(self.group) and self.loading_bytes <= 0
+
+    @property
+    def step_s(self) -> float:
+        """Time of one decoding step in seconds."""
+        return self.times.step.total_seconds() * self.slowdown
+
+    def status(self) -> MemberStatus:
+        """Return what the backend server reports of itself."""
+        return MemberStatus(
+            vm=self.vm,
+            incarnation=self.incarnation,
+            group=self.group,
+            token=self.token,
+            model=self.model,
+            version=self.version,
+            ready=self.ready,
+            held=tuple(sorted(self.held)),
+            running=self.running,
+            waiting=self.waiting,
+            capacity=self.capacity,
+            step_time_s=self.step_s,
+            leaving=self.leaving_since is not None,
+            fencing=self.fencing,
+        )
+
+    def assign(self, order: AssignOrder) -> None:
+        """Join the group of `order`; loading starts if weights are missing.
+
+        Raises
+        ------
+        OrderRefused
+            If the VM refuses old tokens and the token is old.
+        """
+        if self.fencing is FencingKind.REFUSES and order.token < self.token:
+            raise OrderRefused("stale_token")
+        if (order.group, order.token) != (self.group, self.token):
+            self.cache.clear()
+        same_weights = (order.model, order.version) == (self.model, self.version)
+        if not (same_weights and self.group):
+            self.loading_bytes = 0 if order.model in self.held else self.model_bytes
+        self.group = order.group
+        self.token = order.token
+        self.rank = order.rank
+        self.members = order.members
+        self.model = order.model
+        self.version = order.version
+        self.adapters = order.adapters
+        self.role = order.role
+        if self.loading_bytes <= 0:
+            self.held.add(self.model)
+
+    def release(self, order: ReleaseOrder) -> None:
+        """Leave the group of `order`; the weights stay.
+
+        Raises
+        ------
+        OrderRefused
+            If the order is old or names another group.
+        """
+        if self.fencing is FencingKind.REFUSES:
+            if order.token < self.token:
+                raise OrderRefused("stale_token")
+            if self.group and order.group != self.group:
+                raise OrderRefused("wrong_group")
+        self.token = max(self.token, order.token)
+        self._unassign()
+
+    def restart(self) -> None:
+        """Come back with a new incarnation and without assignment."""
+        self.incarnation += 1
+        self.token = -1
+        self._unassign()
+        self.held.clear()
+        self.alive = True
+        self.reachable = True
+        self.leaving_since = None
+        self.cache.clear()
+
+    def load(self, received_bytes: float) -> None:
+        """Account for `received_bytes` of weights."""
+        self.loading_bytes = max(0.0, self.loading_bytes - received_bytes)
+        if self.loading_bytes <= 0:
+            self.held.add(self.model)
+
+    def _unassign(self) -> None:
+        self.group = ""
+        self.rank = -1
+        self.members = ()
+        self.model = ""
+        self.version = ""
+        self.loading_bytes = 0.0
--- /dev/null
+++ b/pomelolug/testing/_serve.py
@@ -0,0 +1,39 @@
+"""Run a stand-in until SIGTERM or SIGINT."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+import uvloop
+
+__all__ = ["names", "run_until_stopped"]
+
+
+def names(value: object) -> tuple[str, ...]:
+    """Return the names in a command-line value, a list or one string.
+
+    Examples
+    --------
+    >>> names("a,b")
+    ('a', 'b')
+    """
+    if isinstance(value, list | tuple):
+        return tuple(str(part) for part in value)
+    return tuple(part.strip() for part in str(value).split(",") if part.strip())
+
+
+def run_until_stopped(
+    start: Callable[[], Awaitable[Callable[[], Awaitable[None]]]],
+) -> None:
+    """Run `start`, wait for a signal, then run the function that it returned."""
+
+    async def serve() -> None:
+        stopped = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopped.set)
+        stop = await start()
+        await stopped.wait()
+        await stop()
+
+    uvloop.run(serve())
--- /dev/null
+++ b/pomelolug/testing/_tokens.py
@@ -0,0 +1,114 @@
+"""Deterministic tokens, so that a caller can check its answer.
+
+Each token names a digest of the prompt and its own position. A caller thus
+recognises tokens of another request, repeated tokens and missing tokens.
+"""
+
+import dataclasses
+import hashlib
+import re
+from collections.abc import Mapping
+from typing import Any
+
+__all__ = [
+    "AnswerCheck",
+    "check_answer",
+    "prefix_blocks",
+    "prompt_digest",
+    "prompt_text",
+    "token",
+]
+
+_DIGEST_CHARS = 12
+_BLOCK_CHARS = 64
+_TOKEN = re.compile(r"([0-9a-f]{12})\.(\d+) ")
+
+
+def prompt_text(body: Mapping[str, Any]) -> str:
+    """Return the prompt of a completion or chat-completion request."""
+    if "messages" in body:
+        return "\n".join(str(message.get("content")) for message in body["messages"])
+    return str(body.get("prompt", ""))
+
+
+def prompt_digest(body: Mapping[str, Any]) -> str:
+    """Return the digest of the prompt that every token of the answer carries."""
+    digest = hashlib.sha256(prompt_text(body).encode()).hexdigest()
+    return digest[:_DIGEST_CHARS]
+
+
+def token(digest: str, position: int) -> str:
+    """Return the token at `position`.
+
+    Examples
+    --------
+    >>> token("0123456789ab", 7)
+    '0123456789ab.7 '
+    """
+    return f"{digest}.{position} "
+
+
+def prefix_blocks(body: Mapping[str, Any]) -> tuple[str, ...]:
+    """Return the chained hash of each full block of 64 prompt characters."""
+    text = prompt_text(body)
+    blocks = []
+    previous = b""
+    for end in range(_BLOCK_CHARS, len(text) + 1, _BLOCK_CHARS):
+        part = text[end - _BLOCK_CHARS : end].encode()
+        previous = hashlib.sha256(previous + part).digest()
+        blocks.append(previous.hex()[:16])
+    return tuple(blocks)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AnswerCheck:
+    """What is wrong with an answer's text.
+
+    `crossed` counts tokens of other prompts, `repeated` tokens at a position
+    already seen, `missing` positions never seen, and `garbage` characters that
+    belong to no token.
+    """
+
+    tokens: int
+    crossed: int
+    repeated: int
+    missing: int
+    garbage: int
+
+    @property
+    def whole(self) -> bool:
+        """Whether the text is exactly the expected answer."""
+        return not (self.crossed or self.repeated or self.missing or self.garbage)
+
+
+def check_answer(text: str, digest: str, expected_tokens: int) -> AnswerCheck:
+    """Compare an answer's text with the tokens of the prompt.
+
+    Examples
+    --------
+    >>> own, other = "0123456789ab", "ba9876543210"
+    >>> check_answer(token(own, 0) + token(own, 1), own, 2).whole
+    True
+    >>> check_answer(token(own, 0) + token(other, 1), own, 2).crossed
+    1
+    """
+    crossed = 0
+    repeated = 0
+    matched = 0
+    seen: set[int] = set()
+    for match in _TOKEN.finditer(text):
+        matched += match.end() - match.start()
+        position = int(match[2])
+        if match[1] != digest:
+            crossed += 1
+        elif position in seen:
+            repeated += 1
+        else:
+            seen.add(position)
+    return AnswerCheck(
+        tokens=len(seen),
+        crossed=crossed,
+        repeated=repeated,
+        missing=len(set(range(expected_tokens)) - seen),
+        garbage=len(text) - matched,
+    )
--- /dev/null
+++ b/pomelolug/testing/_vm_server.py
@@ -0,0 +1,151 @@
+"""Listening socket of one simulated VM and the faults of its connections."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import psutil
+from aiohttp import web
+
+__all__ = ["VmServer"]
+
+_SHUTDOWN_S = 0.05
+
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class VmServer:
+    """HTTP server of one VM that can stop, fall silent and be cut off.
+
+    Parameters
+    ----------
+    host : str
+        Address to listen on.
+    port : int
+        Port; with 0 the system chooses one.
+    is_reachable : callable
+        Tells whether the VM answers now.
+    """
+
+    def __init__(
+        self, *, host: str, port: int, is_reachable: Callable[[], bool]
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._is_reachable = is_reachable
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._silent: set[asyncio.BaseTransport] = set()
+        self._checked: set[asyncio.BaseTransport] = set()
+        self._cut_pids: set[int] = set()
+        self._changed = asyncio.Event()
+
+    @property
+    def address(self) -> str:
+        """IP and port."""
+        return f"{self._host}:{self._port}"
+
+    async def start(self, routes: list[web.RouteDef]) -> None:
+        """Listen and serve `routes`."""
+        app = web.Application(
+            middlewares=[self._gate], client_max_size=16 * 1024 * 1024
+        )
+        app.add_routes(routes)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=_SHUTDOWN_S,
+        )
+        await self._runner.setup()
+        await self.listen()
+
+    async def listen(self) -> None:
+        """Accept connections, again if the VM was down."""
+        if self._runner is None or self._site is not None:
+            return
+        self._site = web.TCPSite(
+            self._runner, self._host, self._port, reuse_address=True
+        )
+        await self._site.start()
+        if self._port == 0:
+            self._port = self._runner.addresses[0][1]
+
+    async def refuse(self) -> None:
+        """Close the listening socket and abort every connection."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+        self.abort_connections()
+
+    async def close(self) -> None:
+        """End the server."""
+        if self._runner is not None:
+            self.abort_connections()
+            await self._runner.cleanup()
+
+    def abort_connections(self) -> None:
+        """Abort every open connection."""
+        for transport in self._transports():
+            transport.abort()
+        self._silent.clear()
+        self.notify()
+
+    def silence_connections(self) -> None:
+        """Stop sending on the open connections without closing them."""
+        self._silent.update(self._transports())
+
+    def cut(self, pids: set[int]) -> None:
+        """Fall silent towards the processes `pids`; an empty set heals."""
+        self._cut_pids = pids
+        self._silent.clear()
+        self._checked.clear()
+        if pids:
+            ports = _local_ports(pids)
+            for transport in self._transports():
+                if transport.get_extra_info("peername")[1] in ports:
+                    self._silent.add(transport)
+        self.notify()
+
+    async def wait_sendable(self, transport: asyncio.BaseTransport | None) -> None:
+        """Wait while the VM or this connection sends nothing."""
+        while transport in self._silent or not self._is_reachable():
+            self._changed.clear()
+            await self._changed.wait()
+
+    def notify(self) -> None:
+        """Tell the waiting streams that the VM's reachability changed."""
+        self._changed.set()
+
+    def _transports(self) -> list[asyncio.Transport]:
+        if self._runner is None or self._runner.server is None:
+            return []
+        transports = (item.transport for item in self._runner.server.connections)
+        return [item for item in transports if isinstance(item, asyncio.Transport)]
+
+    @web.middleware
+    async def _gate(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        self._check_cut(request.transport)
+        await self.wait_sendable(request.transport)
+        response = await handler(request)
+        await self.wait_sendable(request.transport)
+        return response
+
+    def _check_cut(self, transport: asyncio.BaseTransport | None) -> None:
+        if not self._cut_pids or transport is None or transport in self._checked:
+            return
+        self._checked.add(transport)
+        if transport.get_extra_info("peername")[1] in _local_ports(self._cut_pids):
+            self._silent.add(transport)
+
+
+def _local_ports(pids: set[int]) -> set[int]:
+    ports: set[int] = set()
+    for pid in pids:
+        try:
+            connections = psutil.Process(pid).net_connections(kind="tcp4")
+        except psutil.Error:
+            continue
+        ports.update(item.laddr.port for item in connections if item.laddr)
+    return ports
--- /dev/null
+++ b/pomelolug/testing/backend_server.py
@@ -0,0 +1,247 @@
+"""Simulated backend servers, each on its own port, in one process.
+
+Run ``python -m pomelolug.testing.backend_server --base-port 9100 --engines 16
+--services 1``. The base port answers ``POST /faults`` with a `BackendFault`,
+``GET /ledger`` and ``GET /vms``; the VMs have the ports above it, the engines
+first. Fabric domains are filled one after the other and dealt to the zones in
+turn.
+"""
+
+import asyncio
+import dataclasses
+import datetime
+from collections.abc import Awaitable, Callable
+
+import fire
+import msgspec
+from aiohttp import web
+
+from pomelolug.clock import Clock, SystemClock
+from pomelolug.engines import FencingKind
+from pomelolug.testing._engine_app import engine_routes
+from pomelolug.testing._engine_vm import EngineTimes, EngineVm
+from pomelolug.testing._fleet import BackendFault, Fleet, Member
+from pomelolug.testing._serve import names, run_until_stopped
+from pomelolug.testing._service_app import service_routes
+from pomelolug.testing._slots import Slots
+from pomelolug.testing._vm_server import VmServer
+
+__all__ = ["FleetPlan", "main", "start_backends"]
+
+_SERVICE_CAPACITY = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetPlan:
+    """Size, places and times of the simulated backend servers.
+
+    `domain_size` is the number of engines in a fabric domain, `capacity` the
+    requests that an engine runs at once. `base_port` 0 lets the system choose
+    every port.
+    """
+
+    base_port: int = 0
+    host: str = "127.0.0.1"
+    engines: int = 16
+    services: int = 1
+    zones: tuple[str, ...] = ("zone-a",)
+    region: str = "region-1"
+    domain_size: int = 8
+    service_name: str = "service"
+    capacity: int = 16
+    model_bytes: int = 100_000_000
+    rate_bytes_per_s: float = 1e9
+    times: EngineTimes = EngineTimes()
+    service_time: datetime.timedelta = datetime.timedelta(milliseconds=5)
+    fencing: FencingKind = FencingKind.REFUSES
+    platform: str = ""
+
+
+class _Backends:
+    """A running fleet with its control port."""
+
+    def __init__(self, fleet: Fleet, plan: FleetPlan) -> None:
+        self._fleet = fleet
+        self._plan = plan
+        self._runner: web.AppRunner | None = None
+        self._loader: asyncio.Task[None] | None = None
+
+    @property
+    def fleet(self) -> Fleet:
+        """The backend servers."""
+        return self._fleet
+
+    @property
+    def address(self) -> str:
+        """Address of the control port."""
+        assert self._runner is not None
+        host, port = self._runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        """Start every server and register the VMs."""
+        plan = self._plan
+        for index in range(plan.engines):
+            member = _engine(plan, index, self._fleet.clock)
+            await self._fleet.add(member, engine_routes(self._fleet, member))
+        for index in range(plan.services):
+            member = _service(plan, index, self._fleet.clock)
+            routes = service_routes(self._fleet, member, service_time=plan.service_time)
+            await self._fleet.add(member, routes)
+        await self._fleet.register([member.vm for member in self._fleet.members])
+        self._loader = asyncio.create_task(self._fleet.load_weights())
+        await self._listen()
+
+    async def close(self) -> None:
+        """End every server."""
+        if self._loader is not None:
+            self._loader.cancel()
+        await self._fleet.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _listen(self) -> None:
+        app = web.Application()
+        app.add_routes(
+            [
+                web.post("/faults", self._faults),
+                web.get("/ledger", self._ledger),
+                web.get("/vms", self._vms),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._plan.host, self._plan.base_port).start()
+
+    async def _faults(self, request: web.Request) -> web.Response:
+        try:
+            fault = msgspec.json.decode(await request.read(), type=BackendFault)
+        except msgspec.DecodeError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        return web.json_response({"vms": await self._fleet.apply(fault)})
+
+    async def _ledger(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._fleet.ledger.encode(), content_type="application/json"
+        )
+
+    async def _vms(self, request: web.Request) -> web.Response:
+        vms = [
+            {
+                "address": member.vm.address,
+                "zone": member.vm.zone,
+                "domain": member.vm.domain,
+                "service": member.vm.service,
+                "alive": member.vm.alive,
+                "members": member.vm.members,
+                "rank": member.vm.rank,
+                "status": member.vm.status(),
+            }
+            for member in self._fleet.members
+        ]
+        body = msgspec.json.encode({"vms": vms})
+        return web.Response(body=body, content_type="application/json")
+
+
+async def start_backends(plan: FleetPlan, *, clock: Clock | None = None) -> _Backends:
+    """Start the backend servers of `plan`; its ``close`` ends them."""
+    fleet = Fleet(
+        clock=clock or SystemClock(),
+        rate_bytes_per_s=plan.rate_bytes_per_s,
+        platform=plan.platform,
+    )
+    backends = _Backends(fleet, plan)
+    await backends.start()
+    return backends
+
+
+def _engine(plan: FleetPlan, index: int, clock: Clock) -> Member:
+    domain = index // plan.domain_size
+    vm = EngineVm(
+        vm=f"engine-{index}",
+        address="",
+        zone=plan.zones[domain % len(plan.zones)],
+        region=plan.region,
+        domain=f"domain-{domain}",
+        clock=clock,
+        times=plan.times,
+        capacity=plan.capacity,
+        model_bytes=plan.model_bytes,
+        fencing=plan.fencing,
+    )
+    return _member(plan, vm, index)
+
+
+def _service(plan: FleetPlan, index: int, clock: Clock) -> Member:
+    vm = EngineVm(
+        vm=f"{plan.service_name}-{index}",
+        address="",
+        zone=plan.zones[index % len(plan.zones)],
+        region=plan.region,
+        domain=f"{plan.service_name}-domain",
+        clock=clock,
+        times=plan.times,
+        capacity=_SERVICE_CAPACITY,
+        model_bytes=0,
+        service=plan.service_name,
+    )
+    return _member(plan, vm, plan.engines + index)
+
+
+def _member(plan: FleetPlan, vm: EngineVm, index: int) -> Member:
+    port = plan.base_port + 1 + index if plan.base_port else 0
+    server = VmServer(host=plan.host, port=port, is_reachable=lambda: vm.reachable)
+    return Member(vm=vm, server=server, slots=Slots(vm.capacity))
+
+
+def main(
+    base_port: int,
+    engines: int = 16,
+    services: int = 1,
+    zones: str = "zone-a",
+    region: str = "region-1",
+    domain_size: int = 8,
+    service_name: str = "service",
+    capacity: int = 16,
+    model_bytes: int = 100_000_000,
+    rate_bytes_per_s: float = 1e9,
+    first_token_ms: float = 80.0,
+    first_token_cached_ms: float = 20.0,
+    step_ms: float = 20.0,
+    service_ms: float = 5.0,
+    fencing: str = "refuses",
+    platform: str = "",
+    host: str = "127.0.0.1",
+) -> None:
+    """Serve the simulated backend servers until SIGTERM or SIGINT."""
+    plan = FleetPlan(
+        base_port=base_port,
+        host=host,
+        engines=engines,
+        services=services,
+        zones=names(zones),
+        region=region,
+        domain_size=domain_size,
+        service_name=service_name,
+        capacity=capacity,
+        model_bytes=model_bytes,
+        rate_bytes_per_s=rate_bytes_per_s,
+        times=EngineTimes(
+            first_token=datetime.timedelta(milliseconds=first_token_ms),
+            first_token_cached=datetime.timedelta(milliseconds=first_token_cached_ms),
+            step=datetime.timedelta(milliseconds=step_ms),
+        ),
+        service_time=datetime.timedelta(milliseconds=service_ms),
+        fencing=FencingKind(fencing),
+        platform=platform,
+    )
+
+    async def start() -> Callable[[], Awaitable[None]]:
+        backends = await start_backends(plan)
+        return backends.close
+
+    run_until_stopped(start)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
