Wire the gateway: link to control, drain, direct verification

Cause: the request path has to start before control, log and peers are all in. Change: composition root, pulled routing tables with echo, direct verification of groups while control is away, bounded HTTP headers, planned stop.

--- /dev/null
+++ b/pomelolug/gateway/_compose.py
@@ -0,0 +1,308 @@
+"""Composition root of the gateway."""
+
+import asyncio
+import contextlib
+import datetime
+import random
+import signal
+from collections.abc import Iterator
+
+import aiohttp
+import structlog
+import uvicorn
+from prometheus_client import CollectorRegistry
+
+from pomelolug.admission import AdmissionQueue
+from pomelolug.claims import ClaimClient
+from pomelolug.clock import Clock, SystemClock
+from pomelolug.engines import HttpEngine
+from pomelolug.gateway._application import GatewayApplication
+from pomelolug.gateway._authentication import Authenticator
+from pomelolug.gateway._capacity import CapacityView
+from pomelolug.gateway._decisions import DecisionLog
+from pomelolug.gateway._direct import keep_verified
+from pomelolug.gateway._lifecycle import Lifecycle
+from pomelolug.gateway._link import ControlLink
+from pomelolug.gateway._losses import LossReporter
+from pomelolug.gateway._metrics import GatewayMetrics
+from pomelolug.gateway._model_flow import ModelFlow
+from pomelolug.gateway._protocol import BoundedHttpProtocol
+from pomelolug.gateway._service_flow import ServiceFlow
+from pomelolug.gateway._service_view import ServiceView
+from pomelolug.gateway._table import TableHolder
+from pomelolug.ids import ZoneId
+from pomelolug.invariants import Invariants
+from pomelolug.membership import Keys, WebsocketDialer
+from pomelolug.messages import LossReport
+from pomelolug.retries import Containment, RetryBudget, RunMode
+from pomelolug.routing import RoutingView
+from pomelolug.services import HttpPlainService
+from pomelolug.settings._gateway_generated import GatewaySettings
+from pomelolug.telemetry import configure_logging
+
+__all__ = ["Gateway", "compose", "run_gateway"]
+
+_log = structlog.get_logger()
+_KEEP_ALIVE_S = 20
+_POOL_CONNECTIONS = 0
+
+
+class Gateway:
+    """The wired parts of one gateway.
+
+    Parameters
+    ----------
+    application : GatewayApplication
+        Callers' interface.
+    link : ControlLink
+        Connection to control.
+    table : TableHolder
+        Configuration and routing table in force.
+    lifecycle : Lifecycle
+        Readiness and drain.
+    engine : HttpEngine
+        Adapter of the engines.
+    clock : Clock
+        Time source.
+    lease : datetime.timedelta
+        Time for which a verification allows dispatch.
+    """
+
+    def __init__(
+        self,
+        *,
+        application: GatewayApplication,
+        link: ControlLink,
+        table: TableHolder,
+        lifecycle: Lifecycle,
+        engine: HttpEngine,
+        clock: Clock,
+        lease: datetime.timedelta,
+    ) -> None:
+        self.application = application
+        self.link = link
+        self.table = table
+        self.lifecycle = lifecycle
+        self._engine = engine
+        self._clock = clock
+        self._lease = lease
+
+    @contextlib.contextmanager
+    def background(self) -> Iterator[None]:
+        """Run the link and the direct verification inside the context."""
+        tasks = [
+            asyncio.create_task(self.link.run()),
+            asyncio.create_task(
+                keep_verified(
+                    self._engine, self.table, clock=self._clock, lease=self._lease
+                )
+            ),
+        ]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+
+
+def compose(
+    settings: GatewaySettings, session: aiohttp.ClientSession, clock: Clock
+) -> Gateway:
+    """Return the wired gateway.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Checked settings.
+    session : aiohttp.ClientSession
+        Client for engines and services.
+    clock : Clock
+        Time source.
+
+    Returns
+    -------
+    Gateway
+        Ready to run.
+    """
+    random_state = random.Random(settings.random.state or None)
+    registry = CollectorRegistry()
+    metrics = GatewayMetrics(registry)
+    invariants = Invariants(lambda which: metrics.violations.labels(which.value).inc())
+    engine = HttpEngine(session)
+    decisions = DecisionLog()
+    view = RoutingView(
+        zone=ZoneId(settings.node.zone),
+        lease=settings.routing.lease,
+        clock=clock,
+        random_state=random_state,
+    )
+    services = ServiceView(
+        zone=settings.node.zone, clock=clock, random_state=random_state
+    )
+    capacity = CapacityView(view=view, services=services)
+    queue = AdmissionQueue(
+        clock=clock, free_slots=capacity.free_slots, random_state=random_state
+    )
+    containment = Containment(clock=clock)
+    lifecycle = Lifecycle()
+    authenticator = Authenticator()
+
+    def report_loss(report: LossReport) -> None:
+        _log.warning("group_lost", group=report.group, requests=len(report.fingerprints))
+        containment.on_loss(report)
+        link.send(report)
+
+    losses = LossReporter(
+        node=settings.node.name,
+        clock=clock,
+        is_struck=lambda print_: containment.may_run(print_) is not RunMode.NORMAL,
+        report=report_loss,
+    )
+    table = TableHolder(
+        clock=clock,
+        invariants=invariants,
+        on_configuration=[
+            authenticator.configure,
+            capacity.configure,
+            lambda configuration: metrics.config_version.set(configuration.version),
+        ],
+        on_table=[
+            view.update,
+            services.update,
+            losses.on_table,
+            lambda update: containment.set_condemned(frozenset(update.condemned)),
+            lambda update: queue.notify(),
+        ],
+    )
+    claims = ClaimClient(
+        node=settings.node.name,
+        send=lambda message: link.send(message),
+        clock=clock,
+        random_state=random_state,
+    )
+    link = ControlLink(
+        node=settings.node.name,
+        zone=settings.node.zone,
+        address=str(settings.control.address),
+        keys=Keys.from_options(settings.control.keys),
+        dialer=WebsocketDialer(),
+        clock=clock,
+        random_state=random_state,
+        on_table=table.receive,
+        on_loss=containment.on_loss,
+        on_verdict=claims.on_verdict,
+        demand=lambda: capacity.demand(settings.node.name, queue, lifecycle),
+        config_version=lambda: (
+            table.configuration.version if table.configuration else -1
+        ),
+        explain=decisions.explain,
+    )
+    budget = RetryBudget(clock=clock)
+    model_flow = ModelFlow(
+        engine=engine,
+        view=view,
+        queue=queue,
+        claims=claims,
+        budget=budget,
+        containment=containment,
+        losses=losses,
+        invariants=invariants,
+        metrics=metrics,
+        decisions=decisions,
+        clock=clock,
+        write_timeout=settings.listen.write_timeout,
+    )
+    service_flow = ServiceFlow(
+        plain=HttpPlainService(session),
+        view=services,
+        queue=queue,
+        claims=claims,
+        budget=budget,
+        metrics=metrics,
+        decisions=decisions,
+        clock=clock,
+    )
+    application = GatewayApplication(
+        model_flow=model_flow,
+        service_flow=service_flow,
+        table=table,
+        authenticator=authenticator,
+        lifecycle=lifecycle,
+        metrics=metrics,
+        registry=registry,
+        listen=settings.listen,
+    )
+    return Gateway(
+        application=application,
+        link=link,
+        table=table,
+        lifecycle=lifecycle,
+        engine=engine,
+        clock=clock,
+        lease=settings.routing.lease,
+    )
+
+
+class _Server(uvicorn.Server):
+    """Server that leaves the signals to the drain below."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no handlers."""
+        yield
+
+
+async def run_gateway(settings: GatewaySettings) -> None:
+    """Run a gateway until it is told to stop, then drain it.
+
+    SIGTERM and SIGINT begin the planned stop: readiness fails at once, requests
+    are served for the grace time in which the balancer takes note, then no
+    connection is accepted, and the process ends when the last request has.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Checked settings.
+    """
+    configure_logging(settings.log.level, node=settings.node.name, process="gateway")
+    clock = SystemClock()
+    connector = aiohttp.TCPConnector(limit=_POOL_CONNECTIONS)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        gateway = compose(settings, session, clock)
+        config = uvicorn.Config(
+            gateway.application.build(),
+            host=settings.listen.address.host,
+            port=settings.listen.address.port,
+            http=BoundedHttpProtocol,
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            timeout_keep_alive=_KEEP_ALIVE_S,
+            timeout_graceful_shutdown=round(settings.drain.limit.total_seconds()),
+        )
+        server = _Server(config)
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        with gateway.background():
+            drainer = asyncio.create_task(_drain(stop, gateway, server, settings, clock))
+            try:
+                await server.serve()
+            finally:
+                drainer.cancel()
+    _log.info("gateway_stopped")
+
+
+async def _drain(
+    stop: asyncio.Event,
+    gateway: Gateway,
+    server: uvicorn.Server,
+    settings: GatewaySettings,
+    clock: Clock,
+) -> None:
+    await stop.wait()
+    gateway.lifecycle.drain()
+    _log.info("drain_started", in_flight=gateway.lifecycle.in_flight)
+    await clock.sleep(settings.drain.grace)
+    server.should_exit = True
--- a/pomelolug/gateway/_direct.py
+++ b/pomelolug/gateway/_direct.py
@@ -7,16 +7,46 @@
 
 from pomelolug.clock import Clock
 from pomelolug.engines import Engine, EngineRefusedError, EngineUnavailableError
+from pomelolug.gateway._table import TableHolder
 from pomelolug.messages import GroupStatus, RoutingTable
 
-__all__ = ["verify_directly"]
+__all__ = ["keep_verified", "verify_directly"]
 
 _log = structlog.get_logger()
 _STATUS_TIMEOUT = datetime.timedelta(milliseconds=800)
 _MAX_CONCURRENT = 32
+_PERIOD = datetime.timedelta(seconds=1)
 _SERVING = "serving"
 
 
+async def keep_verified(
+    engine: Engine,
+    holder: TableHolder,
+    *,
+    clock: Clock,
+    lease: datetime.timedelta,
+) -> None:
+    """Verify the groups directly for as long as control sends no table.
+
+    Parameters
+    ----------
+    engine : Engine
+        Adapter of the engines.
+    holder : TableHolder
+        Last table of the control process.
+    clock : Clock
+        Time source.
+    lease : datetime.timedelta
+        Control counts as away after half of it without a table, so that the
+        groups' verifications do not lapse in between.
+    """
+    while True:
+        await clock.sleep(_PERIOD)
+        table = holder.table
+        if table is not None and holder.age_s > lease.total_seconds() / 2:
+            holder.pass_on(await verify_directly(engine, table, clock=clock))
+
+
 async def verify_directly(
     engine: Engine, table: RoutingTable, *, clock: Clock
 ) -> RoutingTable:
--- a/pomelolug/gateway/_link.py
+++ b/pomelolug/gateway/_link.py
@@ -9,13 +9,25 @@
 
 from pomelolug.clock import Clock
 from pomelolug.errors import PeerError
-from pomelolug.membership import Connection, Keys, connect
+from pomelolug.ids import Incarnation, NodeId, RegionId, ZoneId
+from pomelolug.membership import (
+    Connection,
+    Dialer,
+    Identity,
+    Keys,
+    Role,
+    Side,
+    open_connection,
+)
 from pomelolug.messages import (
     ClaimVerdict,
     DemandReport,
+    ExplainRequest,
+    Explanation,
     LossReport,
     Message,
     RoutingTable,
+    TablePull,
 )
 
 __all__ = ["ControlLink"]
@@ -23,12 +35,17 @@
 _log = structlog.get_logger()
 _RETRY_MIN = datetime.timedelta(milliseconds=100)
 _RETRY_MAX = datetime.timedelta(seconds=2)
-_DEMAND_EVERY = datetime.timedelta(seconds=1)
+_PULL_EVERY = datetime.timedelta(milliseconds=250)
+_DEMAND_EVERY_PULLS = 4
+_HANDSHAKE_TIMEOUT = datetime.timedelta(seconds=2)
 
 
 class ControlLink:
     """Keeps one connection to the control process and reconnects.
 
+    The routing table is pulled: it answers a message of this process, so that a
+    table that was delayed on its way is known to be old.
+
     Parameters
     ----------
     node, zone : str
@@ -37,6 +54,8 @@
         IP and port of the control process.
     keys : Keys
         Shared keys for authentication.
+    dialer : Dialer
+        Opens the connection.
     clock : Clock
         Time source.
     random_state : random.Random
@@ -49,6 +68,10 @@
         Called with each `ClaimVerdict`.
     demand : callable
         Returns the current `DemandReport`.
+    config_version : callable
+        Returns the configuration version in force.
+    explain : callable
+        Returns the decisions about a request.
     """
 
     def __init__(
@@ -58,23 +81,35 @@
         zone: str,
         address: str,
         keys: Keys,
+        dialer: Dialer,
         clock: Clock,
         random_state: random.Random,
         on_table: Callable[[RoutingTable], None],
         on_loss: Callable[[LossReport], None],
         on_verdict: Callable[[ClaimVerdict], None],
         demand: Callable[[], DemandReport],
+        config_version: Callable[[], int],
+        explain: Callable[[str], tuple[str, ...]],
     ) -> None:
-        self._node = node
-        self._zone = zone
+        self._identity = Identity(
+            node=NodeId(node),
+            role=Role.GATEWAY,
+            incarnation=Incarnation(int(clock.now().timestamp() * 1000)),
+            zone=ZoneId(zone),
+            region=RegionId(""),
+            address="",
+        )
         self._address = address
         self._keys = keys
+        self._dialer = dialer
         self._clock = clock
         self._random = random_state
         self._on_table = on_table
         self._on_loss = on_loss
         self._on_verdict = on_verdict
         self._demand = demand
+        self._config_version = config_version
+        self._explain = explain
         self._connection: Connection | None = None
 
     @property
@@ -93,37 +128,37 @@
         delay = _RETRY_MIN
         while True:
             try:
-                connection = await connect(
-                    self._address,
-                    node=self._node,
-                    zone=self._zone,
-                    role="gateway",
-                    keys=self._keys,
+                transport = await self._dialer.dial(
+                    self._address, timeout=_HANDSHAKE_TIMEOUT
+                )
+                connection = await open_connection(
+                    transport,
+                    Side.DIALER,
+                    self._identity,
+                    self._keys,
                     clock=self._clock,
-                    random_state=self._random,
+                    timeout=_HANDSHAKE_TIMEOUT,
                 )
                 delay = _RETRY_MIN
                 await self._serve(connection)
-            except (PeerError, OSError, TimeoutError) as error:
-                _log.warning("control_link_lost", error=str(error))
-            self._connection = None
+            except (PeerError, OSError) as error:
+                _log.warning("control_unreachable", error=str(error))
             jitter = self._random.uniform(0.5, 1.0)
             await self._clock.sleep(delay * jitter)
             delay = min(delay * 2, _RETRY_MAX)
 
     async def _serve(self, connection: Connection) -> None:
         self._connection = connection
-        _log.info("control_link_up", address=self._address)
-        reporter = asyncio.create_task(self._report())
+        _log.info("control_connected", address=self._address)
+        puller = asyncio.create_task(self._pull())
         try:
-            async for message in connection:
-                self._dispatch(message)
+            await connection.run(self._receive)
         finally:
             self._connection = None
-            reporter.cancel()
-            await connection.close()
+            puller.cancel()
+            _log.warning("control_lost", reason=connection.close_reason)
 
-    def _dispatch(self, message: Message) -> None:
+    async def _receive(self, connection: Connection, message: Message) -> None:
         match message:
             case RoutingTable():
                 self._on_table(message)
@@ -131,8 +166,20 @@
                 self._on_verdict(message)
             case LossReport():
                 self._on_loss(message)
+            case ExplainRequest():
+                steps = self._explain(message.request_id)
+                connection.send(Explanation(serial=message.serial, steps=steps))
 
-    async def _report(self) -> None:
+    async def _pull(self) -> None:
+        count = 0
         while True:
-            self.send(self._demand())
-            await self._clock.sleep(_DEMAND_EVERY)
+            if count % _DEMAND_EVERY_PULLS == 0:
+                self.send(self._demand())
+            count += 1
+            self.send(
+                TablePull(
+                    sent_at_s=self._clock.monotonic(),
+                    config_version=self._config_version(),
+                )
+            )
+            await self._clock.sleep(_PULL_EVERY)
--- a/pomelolug/gateway/_service_view.py
+++ b/pomelolug/gateway/_service_view.py
@@ -79,6 +79,12 @@
         """Return whether the service has a server that is not leaving."""
         return any(not s.leaving for s in self._servers.get(service, []))
 
+    def free_slots(self, service: str, per_server: int) -> int:
+        """Return how many more calls may be in flight to the service."""
+        servers = [s for s in self._servers.get(service, []) if not s.leaving]
+        running = sum(self._running[server.address] for server in servers)
+        return max(0, per_server * len(servers) - running)
+
     @contextlib.contextmanager
     def in_flight(self, address: str) -> Iterator[None]:
         """Count a call in flight on the server inside the context."""
--- a/pomelolug/gateway/_table.py
+++ b/pomelolug/gateway/_table.py
@@ -81,9 +81,23 @@
         return self._configuration
 
     def receive(self, table: RoutingTable) -> None:
-        """Use `table`, and its configuration if it is newer."""
+        """Use `table`, and its configuration if it is newer.
+
+        The table was made after the pull that it names had left, so that the
+        time since then is added to every age. A table that waited in a buffer
+        while this process was paused is old by that much.
+        """
+        now = self._clock.monotonic()
+        on_way_s = max(0.0, now - table.echo_s)
+        groups = tuple(
+            msgspec.structs.replace(
+                group, verified_age_s=group.verified_age_s + on_way_s
+            )
+            for group in table.groups
+        )
+        table = msgspec.structs.replace(table, groups=groups)
         self._table = table
-        self._arrived = self._clock.monotonic()
+        self._arrived = now
         if table.config:
             self._configure(table)
         self.pass_on(table)
--- a/pomelolug/settings/_gateway_generated.py
+++ b/pomelolug/settings/_gateway_generated.py
@@ -45,6 +45,13 @@
     """Named keys as name=hex, as in the control process."""
 
 
+class GatewayRouting(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``[routing]``."""
+
+    lease: datetime.timedelta
+    """How long a verification of a group allows dispatch; as in control."""
+
+
 class GatewayDrain(msgspec.Struct, frozen=True, kw_only=True):
     """Section ``[drain]``."""
 
@@ -74,6 +81,7 @@
     node: GatewayNode
     listen: GatewayListen
     control: GatewayControl
+    routing: GatewayRouting
     drain: GatewayDrain
     log: GatewayLog
     random: GatewayRandom
@@ -136,6 +144,15 @@
         kind="list",
         doc="Named keys as name=hex, as in the control process.",
     ),
+    OptionSpec(
+        section="routing",
+        key="lease",
+        kind="duration",
+        doc="How long a verification of a group allows dispatch; as in control.",
+        default="3s",
+        minimum=0.2,
+        maximum=30.0,
+    ),
     OptionSpec(
         section="drain",
         key="grace",
