Add replica groups: fold, policies, watcher, controller and fake fleet

Cause: nothing formed groups of VMs or proved that their members are present. Change: records and checkpoint of the groups stream; the ownership fold; three formation policies; a watcher that reads every member back; a level-triggered controller with lease check, successor wait, repair and load order; an in-memory engine fleet with a shared weight store.

--- /dev/null
+++ b/pomelolug/groups/__init__.py
@@ -0,0 +1,36 @@
+"""Replica groups: ownership, formation, read-back and repair."""
+
+from pomelolug.groups._controller import DEFAULT_POLICIES, Append, GroupController
+from pomelolug.groups._fold import GroupsFold
+from pomelolug.groups._group import Group, GroupLimits, GroupPhase, Member
+from pomelolug.groups._policy import (
+    BestFitWithSpare,
+    DissolveProposal,
+    FirstFit,
+    FormationPolicy,
+    FormationSnapshot,
+    FormProposal,
+    RepairInPlace,
+    VmView,
+)
+from pomelolug.groups._watcher import GroupWatcher
+
+__all__ = [
+    "Append",
+    "BestFitWithSpare",
+    "DEFAULT_POLICIES",
+    "DissolveProposal",
+    "FirstFit",
+    "FormProposal",
+    "FormationPolicy",
+    "FormationSnapshot",
+    "Group",
+    "GroupController",
+    "GroupLimits",
+    "GroupPhase",
+    "GroupWatcher",
+    "GroupsFold",
+    "Member",
+    "RepairInPlace",
+    "VmView",
+]
--- /dev/null
+++ b/pomelolug/groups/_fold.py
@@ -0,0 +1,195 @@
+"""Fold of the groups stream: which VM belongs to which group."""
+
+from collections.abc import Mapping, Set
+from types import MappingProxyType
+
+from pomelolug.errors import ErrorCode, PeerError
+from pomelolug.groups._group import Group, group_of
+from pomelolug.ids import FencingToken, GroupId, Offset, VmId
+from pomelolug.messages import (
+    Dissolution,
+    Drain,
+    Formation,
+    GroupsCheckpoint,
+    GroupState,
+    VmChange,
+    decode,
+    encode,
+)
+from pomelolug.state import Fold, Record, RecordKind, VoidRecordError
+
+__all__ = ["GroupsFold"]
+
+# A checkpoint has to fit into one message of 256 KiB.
+_MAX_CHANGES = 2048
+_MAX_MEMBERS = 256
+
+
+class GroupsFold(Fold):
+    """Ownership of VMs as a function of the records of the groups stream.
+
+    A formation is void if a member is listed twice, is under drain or is in a
+    live group that the record does not replace, or if its base is older than
+    the last change of a member or of a replaced group.
+    """
+
+    def __init__(self) -> None:
+        self._formations: dict[GroupId, Formation] = {}
+        self._groups: dict[GroupId, Group] = {}
+        self._owners: dict[VmId, GroupId] = {}
+        self._drained: set[VmId] = set()
+        self._changes: dict[VmId, Offset] = {}
+        self._floor = Offset(-1)
+        self._offset = Offset(-1)
+
+    @property
+    def groups(self) -> Mapping[GroupId, Group]:
+        """Live groups."""
+        return MappingProxyType(self._groups)
+
+    @property
+    def drained(self) -> Set[VmId]:
+        """VMs under drain."""
+        return frozenset(self._drained)
+
+    @property
+    def offset(self) -> Offset:
+        """Offset of the last record seen, void ones included; -1 if none."""
+        return self._offset
+
+    def owner(self, vm: VmId) -> Group | None:
+        """Return the live group of `vm`, or None if it is free."""
+        group = self._owners.get(vm)
+        return None if group is None else self._groups[group]
+
+    def last_change(self, vm: VmId) -> Offset:
+        """Return the offset of the last record that changed `vm`, -1 if none."""
+        return self._changes.get(vm, self._floor)
+
+    def apply(self, record: Record) -> None:
+        """Apply the next record of the stream."""
+        self._offset = max(self._offset, record.offset)
+        try:
+            if record.kind is RecordKind.FORMATION:
+                self._form(decode(record.body, Formation), record.offset)
+            elif record.kind is RecordKind.DISSOLUTION:
+                self._dissolve(decode(record.body, Dissolution), record.offset)
+            elif record.kind is RecordKind.DRAIN:
+                self._drain(decode(record.body, Drain), record.offset)
+            else:
+                raise _void(f"{record.kind.value} does not belong to this stream")
+        except PeerError as error:
+            raise _void(str(error)) from error
+
+    def _form(self, record: Formation, offset: Offset) -> None:
+        self._check_formation(record, offset)
+        vms = [VmId(member.vm) for member in record.members]
+        inherited = frozenset(vm for vm in vms if self.last_change(vm) >= 0)
+        for replaced in record.replaces:
+            self._remove(GroupId(replaced), offset)
+        token = FencingToken(offset)
+        group = group_of(record, token=token, inherited=inherited)
+        self._insert(record, group)
+        for vm in vms:
+            self._touch(vm, offset)
+
+    def _check_formation(self, record: Formation, offset: Offset) -> None:
+        vms = [VmId(member.vm) for member in record.members]
+        replaced = set(record.replaces)
+        if not vms or len(vms) > _MAX_MEMBERS:
+            raise _void(f"{record.group}: {len(vms)} members")
+        if len(set(vms)) != len(vms):
+            raise _void(f"{record.group}: a member is listed twice")
+        if record.base >= offset:
+            raise _void(f"{record.group}: base {record.base} is not in the past")
+        if GroupId(record.group) in self._groups and record.group not in replaced:
+            raise _void(f"{record.group}: the group is live")
+        for name in replaced:
+            if GroupId(name) not in self._groups:
+                raise _void(f"{record.group}: replaced group {name} is not live")
+            vms += self._groups[GroupId(name)].vms
+        for vm in vms:
+            if record.base < self.last_change(vm):
+                raise _void(f"{record.group}: base is older than a change of {vm}")
+        for member in record.members:
+            owner = self._owners.get(VmId(member.vm))
+            if owner is not None and owner not in replaced:
+                raise _void(f"{record.group}: {member.vm} belongs to {owner}")
+            if member.vm in self._drained:
+                raise _void(f"{record.group}: {member.vm} is under drain")
+
+    def _dissolve(self, record: Dissolution, offset: Offset) -> None:
+        group = self._groups.get(GroupId(record.group))
+        if group is None or group.token != record.token:
+            raise _void(f"{record.group}: token {record.token} is not live")
+        self._remove(group.id, offset)
+
+    def _drain(self, record: Drain, offset: Offset) -> None:
+        vm = VmId(record.vm)
+        if record.active == (vm in self._drained):
+            raise _void(f"{vm}: drain unchanged")
+        if record.active:
+            self._drained.add(vm)
+        else:
+            self._drained.discard(vm)
+        self._touch(vm, offset)
+
+    def _insert(self, record: Formation, group: Group) -> None:
+        self._formations[group.id] = record
+        self._groups[group.id] = group
+        for vm in group.vms:
+            self._owners[vm] = group.id
+
+    def _remove(self, name: GroupId, offset: Offset) -> None:
+        del self._formations[name]
+        for vm in self._groups.pop(name).vms:
+            del self._owners[vm]
+            self._touch(vm, offset)
+
+    def _touch(self, vm: VmId, offset: Offset) -> None:
+        """Note a change; dict order stays the order of offsets."""
+        self._changes.pop(vm, None)
+        self._changes[vm] = offset
+        while len(self._changes) > _MAX_CHANGES:
+            oldest = next(iter(self._changes))
+            self._floor = max(self._floor, self._changes.pop(oldest))
+
+    def dump(self) -> bytes:
+        """Return the state as deterministic CBOR."""
+        live = sorted(self._groups.values(), key=lambda group: group.token)
+        return encode(
+            GroupsCheckpoint(
+                groups=tuple(
+                    GroupState(
+                        formation=self._formations[group.id],
+                        token=group.token,
+                        inherited=tuple(sorted(group.inherited)),
+                    )
+                    for group in live
+                ),
+                drained=tuple(sorted(self._drained)),
+                changes=tuple(
+                    VmChange(vm=vm, offset=offset)
+                    for vm, offset in self._changes.items()
+                ),
+                floor=self._floor,
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by that of a checkpoint."""
+        state = decode(data, GroupsCheckpoint)
+        self._formations, self._groups, self._owners = {}, {}, {}
+        for saved in state.groups:
+            inherited = frozenset(VmId(vm) for vm in saved.inherited)
+            token = FencingToken(saved.token)
+            group = group_of(saved.formation, token=token, inherited=inherited)
+            self._insert(saved.formation, group)
+        self._drained = {VmId(vm) for vm in state.drained}
+        self._changes = {VmId(c.vm): Offset(c.offset) for c in state.changes}
+        self._floor = Offset(state.floor)
+        self._offset = max([self._floor, *self._changes.values()])
+
+
+def _void(message: str) -> VoidRecordError:
+    return VoidRecordError(ErrorCode.CONFIGURATION_RACED, message)
--- /dev/null
+++ b/pomelolug/groups/_policy.py
@@ -0,0 +1,306 @@
+"""Formation policies: pure functions from a snapshot to proposals."""
+
+import abc
+import dataclasses
+import functools
+from collections.abc import Callable, Iterable, Sequence
+
+from pomelolug.configuration import Pool
+from pomelolug.groups._group import Group, Member
+from pomelolug.ids import DomainId, GroupId, Incarnation, VmId, ZoneId
+
+__all__ = [
+    "BestFitWithSpare",
+    "DissolveProposal",
+    "FirstFit",
+    "FormProposal",
+    "FormationPolicy",
+    "FormationSnapshot",
+    "RepairInPlace",
+    "VmView",
+]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class VmView:
+    """What a controller knows of one VM.
+
+    `usable` is whether the VM may join a group now: it answers, is neither
+    leaving nor under drain, and the VM list does not contradict itself on it.
+    `held` names the models whose weights it has.
+    """
+
+    vm: VmId
+    zone: ZoneId
+    domain: DomainId
+    incarnation: Incarnation
+    usable: bool
+    held: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FormationSnapshot:
+    """Input of a policy.
+
+    Parameters
+    ----------
+    vms : sequence of VmView
+        VMs of the domains that the caller controls.
+    groups : sequence of Group
+        Live groups in these domains.
+    broken : frozenset of GroupId
+        Groups that lost a member and cannot serve again unchanged.
+    pools : sequence of Pool
+        Declared pools.
+    """
+
+    vms: Sequence[VmView]
+    groups: Sequence[Group]
+    broken: frozenset[GroupId]
+    pools: Sequence[Pool]
+
+    def domains(self) -> list[DomainId]:
+        """Return the fabric domains in a fixed order."""
+        return sorted({vm.domain for vm in self.vms})
+
+    def free(self, domain: DomainId) -> list[VmView]:
+        """Return the usable VMs of a domain that no group has, by id."""
+        owned = {vm for group in self.groups for vm in group.vms}
+        free = [
+            v for v in self.vms if v.usable and v.domain == domain and v.vm not in owned
+        ]
+        return sorted(free, key=lambda view: view.vm)
+
+    def lost(self, domain: DomainId) -> list[Group]:
+        """Return the broken groups of a domain by id."""
+        lost = [g for g in self.groups if g.id in self.broken and g.domain == domain]
+        return sorted(lost, key=lambda group: group.id)
+
+    def survivors(self, group: Group) -> list[VmView]:
+        """Return the usable VMs of a group in rank order."""
+        views = {view.vm: view for view in self.vms if view.usable}
+        return [views[vm] for vm in group.vms if vm in views]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FormProposal:
+    """Form a group of `members`; the groups in `replaces` end with it."""
+
+    group: GroupId
+    pool: Pool
+    members: tuple[Member, ...]
+    zone: ZoneId
+    domain: DomainId
+    replaces: tuple[GroupId, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DissolveProposal:
+    """End a group."""
+
+    group: Group
+    reason: str
+
+
+Proposal = FormProposal | DissolveProposal
+
+
+class FormationPolicy(abc.ABC):
+    """Decides which groups to form, repair and dissolve."""
+
+    @abc.abstractmethod
+    def propose(self, snapshot: FormationSnapshot) -> list[Proposal]:
+        """Return proposals that do not share a VM or a group.
+
+        The result depends on the snapshot only.
+        """
+
+
+class FirstFit(FormationPolicy):
+    """Dissolves broken groups and forms groups of free VMs by their ids."""
+
+    def propose(self, snapshot: FormationSnapshot) -> list[Proposal]:
+        """Return dissolutions first, then formations."""
+        names = _Names(snapshot)
+        proposals: list[Proposal] = []
+        for domain in snapshot.domains():
+            lost = snapshot.lost(domain)
+            if lost:
+                proposals += [_dissolve(group) for group in lost]
+                continue
+            free = snapshot.free(domain)
+            proposals += _new_groups(snapshot, names, free, order=_by_id)
+        return proposals
+
+
+class BestFitWithSpare(FormationPolicy):
+    """Forms groups of VMs that hold the weights and keeps spare VMs free.
+
+    A broken group is repaired with a spare VM if there is one and dissolved
+    otherwise, so that its VMs can join the next group.
+
+    Parameters
+    ----------
+    spares : int
+        VMs of a fabric domain that new groups leave free.
+    """
+
+    def __init__(self, *, spares: int = 1) -> None:
+        self._spares = spares
+
+    def propose(self, snapshot: FormationSnapshot) -> list[Proposal]:
+        """Return repairs and dissolutions first, then formations."""
+        names = _Names(snapshot)
+        proposals: list[Proposal] = []
+        for domain in snapshot.domains():
+            free = snapshot.free(domain)
+            for group in snapshot.lost(domain):
+                repair = _repair(snapshot, group, free)
+                proposals.append(repair or _dissolve(group))
+            proposals += _new_groups(
+                snapshot, names, free, order=_held_first, keep=self._spares
+            )
+        return proposals
+
+
+class RepairInPlace(FormationPolicy):
+    """Repairs broken groups and uses members of one to complete another.
+
+    Members that stay keep their weights. The group that lacks the fewest
+    members is repaired first; a group that cannot be completed gives its
+    members to those that can, and is kept while it waits for a free VM.
+    """
+
+    def propose(self, snapshot: FormationSnapshot) -> list[Proposal]:
+        """Return repairs first, then formations."""
+        names = _Names(snapshot)
+        proposals: list[Proposal] = []
+        for domain in snapshot.domains():
+            free = snapshot.free(domain)
+            lost = snapshot.lost(domain)
+            lost.sort(key=lambda g: (-len(snapshot.survivors(g)), g.token))
+            while lost:
+                group = lost.pop(0)
+                repair = _repair(snapshot, group, free)
+                if repair is None and lost:
+                    donor = lost[-1]
+                    repair = _repair(snapshot, group, free, donor=donor)
+                    if repair is not None:
+                        lost.pop()
+                if repair is not None:
+                    proposals.append(repair)
+                elif not _can_wait(snapshot, group):
+                    proposals.append(_dissolve(group))
+            proposals += _new_groups(snapshot, names, free, order=_held_first)
+        return proposals
+
+
+class _Names:
+    """Unused group ids; a fixed order makes two controllers collide visibly."""
+
+    def __init__(self, snapshot: FormationSnapshot) -> None:
+        self._used = {group.id for group in snapshot.groups}
+
+    def new(self, pool: Pool, domain: DomainId) -> GroupId:
+        number = 0
+        while GroupId(f"{pool.name}.{domain}.{number}") in self._used:
+            number += 1
+        name = GroupId(f"{pool.name}.{domain}.{number}")
+        self._used.add(name)
+        return name
+
+
+def _by_id(pool: Pool, view: VmView) -> tuple[bool, VmId]:
+    return (False, view.vm)
+
+
+def _held_first(pool: Pool, view: VmView) -> tuple[bool, VmId]:
+    return (pool.model not in view.held, view.vm)
+
+
+def _members(views: Iterable[VmView]) -> tuple[Member, ...]:
+    return tuple(Member(vm=v.vm, incarnation=v.incarnation) for v in views)
+
+
+def _can_wait(snapshot: FormationSnapshot, group: Group) -> bool:
+    """Return whether a later repair could still complete the group."""
+    declared = any(pool.name == group.pool for pool in snapshot.pools)
+    return declared and bool(snapshot.survivors(group))
+
+
+def _dissolve(group: Group) -> DissolveProposal:
+    return DissolveProposal(group=group, reason="member lost")
+
+
+def _repair(
+    snapshot: FormationSnapshot,
+    group: Group,
+    free: list[VmView],
+    *,
+    donor: Group | None = None,
+) -> FormProposal | None:
+    """Return a proposal that completes `group`, and take what it uses from `free`."""
+    pool = next((p for p in snapshot.pools if p.name == group.pool), None)
+    kept = snapshot.survivors(group)
+    if pool is None or len(kept) > pool.members:
+        return None
+    material = sorted(free, key=lambda view: _held_first(pool, view))
+    given = snapshot.survivors(donor) if donor is not None else []
+    chosen = (material + given)[: pool.members - len(kept)]
+    if not kept or len(kept) + len(chosen) < pool.members:
+        return None
+    taken = {view.vm for view in chosen}
+    free[:] = [view for view in free if view.vm not in taken]
+    replaces = (group.id,) if donor is None else (group.id, donor.id)
+    return FormProposal(
+        group=group.id,
+        pool=pool,
+        members=_members(kept + chosen),
+        zone=group.zone,
+        domain=group.domain,
+        replaces=replaces,
+    )
+
+
+def _new_groups(
+    snapshot: FormationSnapshot,
+    names: _Names,
+    free: list[VmView],
+    *,
+    order: Callable[[Pool, VmView], tuple[bool, VmId]],
+    keep: int = 0,
+) -> list[Proposal]:
+    """Return groups of free VMs of one domain, and take their VMs from `free`.
+
+    The pool with the fewest accelerators in groups comes first.
+    """
+    shares = {p.name: _accelerators(snapshot, p) for p in snapshot.pools}
+    occupied = {group.domain for group in snapshot.groups}
+    proposals: list[Proposal] = []
+    while free:
+        spare = keep if free[0].domain in occupied else 0
+        room = len(free) - spare
+        fitting = [p for p in snapshot.pools if 0 < p.members <= room]
+        if not fitting:
+            break
+        pool = min(fitting, key=lambda p: (shares[p.name], p.name))
+        free.sort(key=functools.partial(order, pool))
+        chosen = free[: pool.members]
+        del free[: pool.members]
+        shares[pool.name] += pool.members * pool.accelerators
+        occupied.add(chosen[0].domain)
+        proposals.append(
+            FormProposal(
+                group=names.new(pool, chosen[0].domain),
+                pool=pool,
+                members=_members(chosen),
+                zone=chosen[0].zone,
+                domain=chosen[0].domain,
+            )
+        )
+    return proposals
+
+
+def _accelerators(snapshot: FormationSnapshot, pool: Pool) -> int:
+    groups = [group for group in snapshot.groups if group.pool == pool.name]
+    return sum(len(group.members) for group in groups) * pool.accelerators
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -13,6 +13,15 @@
     decode,
     encode,
 )
+from pomelolug.messages._groups_generated import (
+    Dissolution,
+    Drain,
+    Formation,
+    GroupMember,
+    GroupsCheckpoint,
+    GroupState,
+    VmChange,
+)
 from pomelolug.messages._peer_generated import (
     Heartbeat,
     Hello,
@@ -34,7 +43,13 @@
     "ClaimUpdate",
     "ClaimVerdict",
     "DemandReport",
+    "Dissolution",
+    "Drain",
+    "Formation",
+    "GroupMember",
+    "GroupState",
     "GroupStatus",
+    "GroupsCheckpoint",
     "Heartbeat",
     "Hello",
     "LossReport",
@@ -44,6 +59,7 @@
     "RoutingTable",
     "ServiceStatus",
     "StreamRecords",
+    "VmChange",
     "decode",
     "encode",
 ]
--- a/pomelolug/messages/_routing_generated.py
+++ b/pomelolug/messages/_routing_generated.py
@@ -39,6 +39,8 @@
     """Age of the load report, seconds."""
     straggler: bool = False
     """Whether the group is slower than its peers."""
+    step_time_s: float = 0.0
+    """Time of one decoding step of the slowest member, seconds."""
     watcher: str = ""
     """Node that observed the group."""
 
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -1,5 +1,16 @@
 """Fakes and stand-ins for tests, the demo and the experiments."""
 
 from pomelolug.testing._clock import LoopClock
+from pomelolug.testing._engine_fleet import FakeEngineFleet, FakeVm, LedgerEntry
+from pomelolug.testing._group_world import ControlNode, GroupWorld
+from pomelolug.testing._shared_store import FakeWeightStore
 
-__all__ = ["LoopClock"]
+__all__ = [
+    "ControlNode",
+    "FakeEngineFleet",
+    "FakeVm",
+    "FakeWeightStore",
+    "GroupWorld",
+    "LedgerEntry",
+    "LoopClock",
+]
--- /dev/null
+++ b/pomelolug/testing/_group_world.py
@@ -0,0 +1,214 @@
+"""A fleet with a log, controllers and watchers in one event loop."""
+
+import asyncio
+import dataclasses
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from pomelolug.clock import Clock
+from pomelolug.configuration import Objective, Pool
+from pomelolug.errors import ErrorCode, PlatformError
+from pomelolug.groups import (
+    Group,
+    GroupController,
+    GroupLimits,
+    GroupsFold,
+    GroupWatcher,
+)
+from pomelolug.ids import DomainId, FencingToken, GroupId, ModelName, Offset
+from pomelolug.messages import GroupStatus, Message, encode
+from pomelolug.platform import VmEntry
+from pomelolug.state import Record, RecordKind, VoidRecordError
+from pomelolug.testing._engine_fleet import FakeEngineFleet
+from pomelolug.testing._shared_store import FakeWeightStore
+
+__all__ = ["ControlNode", "GroupWorld"]
+
+_READ_EVERY_S = 0.1
+
+
+@dataclasses.dataclass(kw_only=True)
+class ControlNode:
+    """One control process of a `GroupWorld`.
+
+    `is_paused` stops its log reader and keeps its controller's next orders
+    waiting. `is_cut` cuts it off from the log.
+    """
+
+    name: str
+    fold: GroupsFold
+    controller: GroupController
+    applied: int = 0
+    proof: float = -math.inf
+    is_paused: bool = False
+    is_cut: bool = False
+
+
+class GroupWorld:
+    """Fleet, log, control nodes and one watcher for each group.
+
+    Parameters
+    ----------
+    clock : Clock
+        Virtual clock.
+    pools : sequence of Pool
+        Declared pools; may be replaced while the world runs.
+    rate_bytes_per_s : float
+        Rate of the weight store.
+    sizes : dict
+        Size of each model in bytes.
+    limits : GroupLimits, optional
+        Durations.
+    objective : Objective, optional
+        Declared objective.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        pools: Sequence[Pool],
+        rate_bytes_per_s: float,
+        sizes: dict[str, int],
+        limits: GroupLimits | None = None,
+        objective: Objective = Objective.GROUP_DOWNTIME,
+    ) -> None:
+        self.clock = clock
+        self.pools = list(pools)
+        self.limits = limits or GroupLimits()
+        self.objective = objective
+        known = {ModelName(name): size for name, size in sizes.items()}
+        self.store = FakeWeightStore(
+            clock=clock, rate_bytes_per_s=rate_bytes_per_s, sizes=known
+        )
+        self.fleet = FakeEngineFleet(clock=clock, store=self.store)
+        self.records: list[Record] = []
+        self.nodes: list[ControlNode] = []
+        self.statuses: dict[GroupId, GroupStatus] = {}
+        self.history: list[tuple[float, GroupStatus]] = []
+        self.counts: Counter[str] = Counter()
+        self.violations: Counter[str] = Counter()
+        self.extra_entries: list[VmEntry] = []
+        self._watchers: dict[FencingToken, asyncio.Task[None]] = {}
+        self._tasks: list[asyncio.Task[Any]] = []
+
+    def add_node(
+        self,
+        name: str,
+        *,
+        is_mine: Callable[[DomainId], bool] = lambda domain: True,
+        **options: Any,
+    ) -> ControlNode:
+        """Add a control node; `options` go to its `GroupController`."""
+        fold = GroupsFold()
+        controller = GroupController(
+            fold=fold,
+            append=self.append,
+            engine=self.fleet,
+            weights=self.store,
+            directory=lambda: [*self.fleet.entries(), *self.extra_entries],
+            pools=lambda: self.pools,
+            is_mine=is_mine,
+            objective=lambda: self.objective,
+            statuses=lambda: self.statuses,
+            log_proof=lambda: node.proof,
+            clock=self.clock,
+            random_state=random.Random(name),
+            limits=self.limits,
+            counted=lambda reason: self.counts.update([reason]),
+            violated=lambda what: self.violations.update([what]),
+            **options,
+        )
+        node = ControlNode(name=name, fold=fold, controller=controller)
+        self.nodes.append(node)
+        return node
+
+    async def append(self, kind: RecordKind, message: Message) -> Offset:
+        """Append a record as any node would."""
+        if all(node.is_cut for node in self.nodes):
+            raise PlatformError(ErrorCode.PLATFORM_UNAVAILABLE, "log is down")
+        await asyncio.sleep(0.002)
+        offset = Offset(len(self.records))
+        self.records.append(
+            Record(
+                offset=offset,
+                stamp=self.clock.now(),
+                kind=kind,
+                author="node:test",
+                nonce=offset.to_bytes(8),
+                body=encode(message),
+            )
+        )
+        return offset
+
+    def read_log(self, node: ControlNode) -> None:
+        """Apply what `node` has not applied yet and renew its proof."""
+        for record in self.records[node.applied :]:
+            try:
+                node.fold.apply(record)
+            except VoidRecordError:
+                self.counts["void"] += 1
+        node.applied = len(self.records)
+        node.proof = self.clock.monotonic()
+
+    async def start(self) -> None:
+        """Start the readers, the controllers and the watchers."""
+        for node in self.nodes:
+            self._tasks.append(asyncio.create_task(self._read(node)))
+            self._tasks.append(asyncio.create_task(node.controller.run()))
+        self._tasks.append(asyncio.create_task(self._watch()))
+
+    async def stop(self) -> None:
+        """Cancel everything that `start` started."""
+        tasks = [*self._tasks, *self._watchers.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _read(self, node: ControlNode) -> None:
+        while True:
+            if not node.is_paused and not node.is_cut:
+                self.read_log(node)
+            await asyncio.sleep(_READ_EVERY_S)
+
+    async def _watch(self) -> None:
+        """Keep one watcher for each live group of the first node's fold."""
+        node = self.nodes[0]
+        while True:
+            live = {g.token: g for g in node.fold.groups.values()}
+            for token in [t for t in self._watchers if t not in live]:
+                self._watchers.pop(token).cancel()
+            for name in [n for n in self.statuses if n not in node.fold.groups]:
+                del self.statuses[name]
+            for token, group in live.items():
+                if token not in self._watchers:
+                    watcher = self.watcher(group)
+                    self._watchers[token] = asyncio.create_task(watcher.run())
+            await asyncio.sleep(_READ_EVERY_S)
+
+    def watcher(self, group: Group) -> GroupWatcher:
+        """Return a watcher of `group` that publishes to `statuses`."""
+        return GroupWatcher(
+            engine=self.fleet,
+            group=group,
+            addresses={v.vm: v.address for v in self.fleet.vms.values()},
+            clock=self.clock,
+            publish=self._publish,
+            limits=self.limits,
+            draining=lambda: group.id in self.nodes[0].controller.draining,
+            violated=lambda what: self.violations.update([what]),
+        )
+
+    def _publish(self, status: GroupStatus) -> None:
+        previous = self.statuses.get(GroupId(status.group))
+        if previous is not None and previous.token > status.token:
+            return
+        self.statuses[GroupId(status.group)] = status
+        self.history.append((self.clock.monotonic(), status))
+
+    def serving(self) -> list[GroupStatus]:
+        """Return the groups that gateways may use now."""
+        return [s for s in self.statuses.values() if s.phase == "serving"]
--- /dev/null
+++ b/pomelolug/testing/_shared_store.py
@@ -0,0 +1,91 @@
+"""Weight store of the fakes: a rate that all loads share equally."""
+
+import datetime
+from collections.abc import Mapping
+
+from pomelolug.clock import Clock
+from pomelolug.errors import ErrorCode, PlatformError
+from pomelolug.ids import ModelName
+from pomelolug.platform import WeightStore, WeightStoreInfo
+
+__all__ = ["FakeWeightStore"]
+
+
+class FakeWeightStore(WeightStore):
+    """Weight store with equal division of its rate, computed on demand.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    rate_bytes_per_s : float
+        Rate of all loads together.
+    sizes : mapping of ModelName to int
+        Size of each model in bytes.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rate_bytes_per_s: float,
+        sizes: Mapping[ModelName, int],
+    ) -> None:
+        self._clock = clock
+        self._rate = rate_bytes_per_s
+        self._sizes = dict(sizes)
+        self._left: dict[str, float] = {}
+        self._stalled: set[str] = set()
+        self._updated = 0.0
+        self.is_down = False
+
+    @property
+    def sizes(self) -> Mapping[ModelName, int]:
+        """Size of each model in bytes."""
+        return self._sizes
+
+    async def info(self, *, timeout: datetime.timedelta) -> WeightStoreInfo:
+        """Return the rate and the sizes."""
+        if self.is_down:
+            raise PlatformError(ErrorCode.PLATFORM_UNAVAILABLE, "weight store is down")
+        return WeightStoreInfo(rate_bytes_per_s=self._rate, sizes=self._sizes)
+
+    def start(self, loader: str, size: float) -> None:
+        """Start a load, or replace the one that `loader` has."""
+        self._advance()
+        self._left[loader] = size
+
+    def cancel(self, loader: str) -> None:
+        """End a load without a result."""
+        self._advance()
+        self._left.pop(loader, None)
+
+    def stall(self, loader: str, stalled: bool) -> None:
+        """Stop or continue the load of a paused or unreachable loader."""
+        self._advance()
+        if stalled:
+            self._stalled.add(loader)
+        else:
+            self._stalled.discard(loader)
+
+    def is_done(self, loader: str) -> bool:
+        """Return whether `loader` has no load under way."""
+        self._advance()
+        return loader not in self._left
+
+    def _advance(self) -> None:
+        now = self._clock.monotonic()
+        span = now - self._updated
+        self._updated = now
+        while span > 0:
+            active = [name for name in self._left if name not in self._stalled]
+            if not active:
+                return
+            share = self._rate / len(active)
+            shortest = min(self._left[name] for name in active)
+            used = min(span, shortest / share)
+            span -= used
+            for name in active:
+                self._left[name] -= used * share
+                if self._left[name] <= 1e-6 * share:
+                    del self._left[name]
