--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -13,6 +13,15 @@
     decode,
     encode,
 )
+from pomelolug.messages._groups_generated import (
+    Dissolution,
+    Drain,
+    Formation,
+    GroupMember,
+    GroupsCheckpoint,
+    GroupState,
+    VmChange,
+)
 from pomelolug.messages._peer_generated import (
     Heartbeat,
     Hello,
@@ -37,9 +46,15 @@
     "ClaimRequest",
     "ClaimUpdate",
     "ClaimVerdict",
+    "Dissolution",
+    "Drain",
     "ExplainRequest",
     "Explanation",
+    "Formation",
+    "GroupMember",
+    "GroupState",
     "GroupStatus",
+    "GroupsCheckpoint",
     "Heartbeat",
     "Hello",
     "LossReport",
@@ -52,6 +67,7 @@
     "StatusPull",
     "StreamRecords",
     "TablePull",
+    "VmChange",
     "decode",
     "encode",
 ]
