--- a/pomelolug/control/_statuses.py
+++ b/pomelolug/control/_statuses.py
@@ -11,7 +11,7 @@
 __all__ = ["StatusBoard"]
 
 _FORGET_AFTER_S = 30.0
-_SILENCE_MARGIN_S = 1.0
+_SILENCE_MARGIN_S = 2.0
 _SERVING = "serving"
 
 
@@ -150,8 +150,9 @@
     """Return whether `status`, made at `at`, replaces the current entry.
 
     A contradiction outweighs every earlier verification. Silence that one
-    watcher sees may be its own network fault: it does not close a group that
-    another watcher verified within the margin.
+    watcher sees may be its own network fault, and a watcher that has just begun
+    knows nothing: neither closes a group that another watcher verified within the
+    margin.
     """
     if status.token != current.status.token:
         return status.token > current.status.token
--- a/pomelolug/gateway/_application.py
+++ b/pomelolug/gateway/_application.py
@@ -16,6 +16,7 @@
 
 from pomelolug.errors import ErrorCode, Outcome, PomelolugError, RequestError
 from pomelolug.gateway._authentication import Authenticator
+from pomelolug.gateway._decisions import DecisionLog
 from pomelolug.gateway._lifecycle import Lifecycle
 from pomelolug.gateway._metrics import GatewayMetrics
 from pomelolug.gateway._model_flow import ModelFlow
@@ -73,6 +74,8 @@
         Counters.
     registry : prometheus_client.CollectorRegistry
         What ``/metrics`` shows.
+    decisions : DecisionLog
+        Decisions about requests, for operators.
     listen : GatewayListen
         Bounds on bodies and connections.
     """
@@ -87,6 +90,7 @@
         lifecycle: Lifecycle,
         metrics: GatewayMetrics,
         registry: CollectorRegistry,
+        decisions: DecisionLog,
         listen: GatewayListen,
     ) -> None:
         self._model_flow = model_flow
@@ -96,6 +100,7 @@
         self._lifecycle = lifecycle
         self._metrics = metrics
         self._registry = registry
+        self._decisions = decisions
         self._listen = listen
 
     def build(self) -> Starlette:
@@ -157,6 +162,7 @@
         request = Request(scope, receive, send)
         scope["pomelolug.class"] = _UNKNOWN_CLASS
         outcome = Outcome.ANSWERED
+        ending = outcome.value
         try:
             with self._lifecycle.request(self._listen.max_connections):
                 self._metrics.in_flight.inc()
@@ -166,6 +172,7 @@
                     self._metrics.in_flight.dec()
         except RequestError as error:
             outcome = error.outcome
+            ending = f"{outcome.value} ({error.code.value})"
             self._metrics.refusals.labels(error.code.value).inc()
             if not started:
                 await error_response(error, request_id)(scope, receive, send)
@@ -173,6 +180,7 @@
             # The reply has begun or an assertion failed: the connection is cut,
             # so that the caller cannot take the rest for a whole answer.
             outcome = Outcome.UNKNOWN
+            ending = f"{outcome.value} ({error.code.value})"
             self._metrics.refusals.labels(error.code.value).inc()
             _log.warning(
                 "request_cut", request_id=request_id, code=error.code.value
@@ -187,6 +195,7 @@
             self._metrics.requests.labels(
                 scope["pomelolug.class"], outcome.value
             ).inc()
+            self._decisions.end(request_id, ending)
 
     async def _completion(self, request: Request, request_id: str, send: Send) -> None:
         await self._model_call(request, request_id, send, chat=False)
--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -129,7 +129,7 @@
     metrics = GatewayMetrics(registry)
     invariants = Invariants(lambda which: metrics.violations.labels(which.value).inc())
     engine = HttpEngine(session)
-    decisions = DecisionLog()
+    decisions = DecisionLog(lambda explanation: link.send(explanation))
     view = RoutingView(
         zone=ZoneId(settings.node.zone),
         lease=settings.routing.lease,
@@ -168,6 +168,7 @@
         ],
         on_table=[
             view.update,
+            lambda update: view.set_share(update.share) if update.share else None,
             services.update,
             losses.on_table,
             lambda update: containment.set_condemned(frozenset(update.condemned)),
@@ -195,7 +196,6 @@
         config_version=lambda: (
             table.configuration.version if table.configuration else -1
         ),
-        explain=decisions.explain,
     )
     budget = RetryBudget(clock=clock)
     model_flow = ModelFlow(
@@ -230,6 +230,7 @@
         lifecycle=lifecycle,
         metrics=metrics,
         registry=registry,
+        decisions=decisions,
         listen=settings.listen,
     )
     return Gateway(
--- a/pomelolug/gateway/_decisions.py
+++ b/pomelolug/gateway/_decisions.py
@@ -1,35 +1,47 @@
-"""Recent decisions, kept so that an operator can have one explained."""
+"""Decisions about a request, collected for operators."""
 
-import collections
+from collections.abc import Callable
+
+from pomelolug.messages import Explanation
 
 __all__ = ["DecisionLog"]
 
-_MAX_REQUESTS = 2000
+_MAX_REQUESTS = 4096
 _MAX_STEPS = 16
 
 
 class DecisionLog:
-    """Bounded record of what was decided for recent requests.
+    """Collects the steps of each request and passes them on when it ends.
+
+    Parameters
+    ----------
+    publish : callable
+        Called with the `Explanation` of each request that has ended.
 
     Examples
     --------
-    >>> log = DecisionLog()
+    >>> seen = []
+    >>> log = DecisionLog(seen.append)
     >>> log.note("r1", "g7", "complete")
-    >>> log.explain("r1")
-    ('g7: complete',)
+    >>> log.end("r1", "answered")
+    >>> seen[0].steps
+    ('g7: complete', 'outcome: answered')
     """
 
-    def __init__(self) -> None:
-        self._steps: collections.OrderedDict[str, list[str]] = collections.OrderedDict()
+    def __init__(self, publish: Callable[[Explanation], object]) -> None:
+        self._publish = publish
+        self._steps: dict[str, list[str]] = {}
 
     def note(self, request_id: str, place: str, decision: str) -> None:
         """Add one step of `request_id`, for example a group and its result."""
+        if request_id not in self._steps and len(self._steps) >= _MAX_REQUESTS:
+            return
         steps = self._steps.setdefault(request_id, [])
         if len(steps) < _MAX_STEPS:
             steps.append(f"{place}: {decision}")
-        if len(self._steps) > _MAX_REQUESTS:
-            self._steps.popitem(last=False)
 
-    def explain(self, request_id: str) -> tuple[str, ...]:
-        """Return the steps of `request_id`, empty if it is not known."""
-        return tuple(self._steps.get(request_id, ()))
+    def end(self, request_id: str, outcome: str) -> None:
+        """Publish and forget the steps of `request_id`."""
+        steps = self._steps.pop(request_id, [])
+        steps.append(f"outcome: {outcome}")
+        self._publish(Explanation(request_id=request_id, steps=tuple(steps)))
--- a/pomelolug/gateway/_link.py
+++ b/pomelolug/gateway/_link.py
@@ -22,8 +22,6 @@
 from pomelolug.messages import (
     ClaimVerdict,
     DemandReport,
-    ExplainRequest,
-    Explanation,
     LossReport,
     Message,
     RoutingTable,
@@ -70,8 +68,6 @@
         Returns the current `DemandReport`.
     config_version : callable
         Returns the configuration version in force.
-    explain : callable
-        Returns the decisions about a request.
     """
 
     def __init__(
@@ -89,7 +85,6 @@
         on_verdict: Callable[[ClaimVerdict], None],
         demand: Callable[[], DemandReport],
         config_version: Callable[[], int],
-        explain: Callable[[str], tuple[str, ...]],
     ) -> None:
         self._identity = Identity(
             node=NodeId(node),
@@ -109,7 +104,6 @@
         self._on_verdict = on_verdict
         self._demand = demand
         self._config_version = config_version
-        self._explain = explain
         self._connection: Connection | None = None
 
     @property
@@ -166,9 +160,6 @@
                 self._on_verdict(message)
             case LossReport():
                 self._on_loss(message)
-            case ExplainRequest():
-                steps = self._explain(message.request_id)
-                connection.send(Explanation(serial=message.serial, steps=steps))
 
     async def _pull(self) -> None:
         count = 0
--- a/pomelolug/gateway/_losses.py
+++ b/pomelolug/gateway/_losses.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Iterator
 
 from pomelolug.clock import Clock
-from pomelolug.gateway._attempt import AttemptResult
 from pomelolug.messages import GroupStatus, LossReport, RoutingTable
 
 __all__ = ["LossReporter"]
@@ -86,9 +85,7 @@
             if any(self._is_struck(fingerprint) for fingerprint in running.values())
         )
 
-    def on_broken_stream(
-        self, group: GroupStatus, fingerprint: bytes, result: AttemptResult
-    ) -> None:
+    def on_broken_stream(self, group: GroupStatus, fingerprint: bytes) -> None:
         """Remember a broken stream until its group's state is known."""
         now = self._clock.monotonic()
         self._cuts.append(_Cut(now, group.group, group.token, fingerprint))
--- a/pomelolug/gateway/_service_flow.py
+++ b/pomelolug/gateway/_service_flow.py
@@ -1,45 +1,40 @@
 """A plain-service call from admission to its last byte."""
 
+import dataclasses
 import datetime
-import random
 
 from starlette.types import Send
 
-from pomelolug.admission import AdmissionQueue, AdmissionRequest
+from pomelolug.admission import AdmissionQueue, AdmissionRequest, Permit
 from pomelolug.claims import ClaimClient, ClaimTicket
 from pomelolug.clock import Clock
 from pomelolug.configuration import Service
 from pomelolug.engines import EngineUnavailableError
-from pomelolug.errors import ErrorCode, Outcome, RequestError
+from pomelolug.errors import ErrorCode, RequestError
+from pomelolug.gateway import _endings as endings
 from pomelolug.gateway._decisions import DecisionLog
 from pomelolug.gateway._metrics import GatewayMetrics
 from pomelolug.gateway._parsing import CallerRequest
 from pomelolug.gateway._service_view import ServiceView
+from pomelolug.ids import AccountId, ClassName, PoolId, RequestId
+from pomelolug.messages import ServiceStatus
 from pomelolug.retries import RetryBudget
 from pomelolug.services import PlainService, ServiceCall, ServiceReply
 
 __all__ = ["ServiceFlow", "ServiceTarget"]
 
 _MAX_ATTEMPTS = 3
-_RETRY_AFTER = datetime.timedelta(seconds=1)
 
 
+@dataclasses.dataclass(frozen=True)
 class ServiceTarget:
-    """Method, path, query and headers of one call."""
+    """Method, path, query and end-to-end headers of one call."""
 
-    def __init__(
-        self,
-        service: Service,
-        method: str,
-        path: str,
-        query: str,
-        headers: tuple[tuple[str, str], ...],
-    ) -> None:
-        self.service = service
-        self.method = method
-        self.path = path
-        self.query = query
-        self.headers = headers
+    service: Service
+    method: str
+    path: str
+    query: str
+    headers: tuple[tuple[str, str], ...]
 
 
 class ServiceFlow:
@@ -63,8 +58,6 @@
         Keeps recent decisions for operators.
     clock : Clock
         Time source.
-    random_state : random.Random
-        Breaks ties between backend servers.
     """
 
     def __init__(
@@ -78,7 +71,6 @@
         metrics: GatewayMetrics,
         decisions: DecisionLog,
         clock: Clock,
-        random_state: random.Random,
     ) -> None:
         self._plain = plain
         self._view = view
@@ -88,7 +80,6 @@
         self._metrics = metrics
         self._decisions = decisions
         self._clock = clock
-        self._random = random_state
 
     async def run(
         self, request: CallerRequest, target: ServiceTarget, send: Send
@@ -99,38 +90,35 @@
         ------
         RequestError
             If the call ends without a reply.
+        EngineUnavailableError
+            If the reply breaks off after its first byte.
         """
         started = self._clock.monotonic()
         deadline = started + request.work_class.deadline.total_seconds()
         permit = await self._queue.admit(
             AdmissionRequest(
-                request_id=request.request_id,
+                request_id=RequestId(request.request_id),
                 work_class=request.work_class,
-                account=request.account.name,
+                account=AccountId(request.account.name),
                 weight=request.account.weight,
                 deadline_s=deadline - started,
-                cost=1.0,
+                max_in_flight=request.account.max_in_flight,
             )
         )
         try:
+            job = _ServiceJob(request, target, send, deadline, permit)
             if request.idempotent:
-                reply = await self._attempts(request, target, deadline, None)
-                await _relay(reply, send, request.request_id)
+                await self._attempts(job, None)
             else:
-                await self._run_claimed(request, target, deadline, send)
+                await self._run_claimed(job)
         finally:
             permit.release()
         self._metrics.ttft.labels(request.work_class.name).observe(
             self._clock.monotonic() - started
         )
 
-    async def _run_claimed(
-        self,
-        request: CallerRequest,
-        target: ServiceTarget,
-        deadline: float,
-        send: Send,
-    ) -> None:
+    async def _run_claimed(self, job: "_ServiceJob") -> None:
+        request, target = job.request, job.target
         digest_input = b"\0".join(
             (target.method.encode(), target.path.encode(), request.body)
         )
@@ -139,110 +127,117 @@
             idempotency_key=request.idempotency_key,
             body=digest_input,
         ) as ticket:
-            reply = await self._attempts(request, target, deadline, ticket)
-            # The backend server has answered: the call took effect even if the
-            # rest of the reply does not reach the caller.
-            ticket.answered()
-            await _relay(reply, send, request.request_id)
+            await self._attempts(job, ticket)
 
-    async def _attempts(
-        self,
-        request: CallerRequest,
-        target: ServiceTarget,
-        deadline: float,
-        ticket: ClaimTicket | None,
-    ) -> ServiceReply:
-        tried: set[str] = set()
-        service = target.service
+    async def _attempts(self, job: "_ServiceJob", ticket: ClaimTicket | None) -> None:
+        service = job.target.service
         for attempt in range(1, _MAX_ATTEMPTS + 1):
-            server = self._view.choose(service.name, exclude=tried)
+            server = self._view.choose(service.name, exclude=job.tried)
             if server is None:
-                raise _no_server()
-            tried.add(server.address)
-            left = deadline - self._clock.monotonic()
-            if left <= 0:
-                raise _late()
-            call = ServiceCall(
-                request_id=request.request_id,
-                method=target.method,
-                path=target.path,
-                query=target.query,
-                headers=target.headers,
-                body=request.body,
-                timeout=min(service.timeout, datetime.timedelta(seconds=left)),
-                max_reply_bytes=service.max_body_bytes,
-            )
+                raise self._without_server(job)
+            job.tried.add(server.address)
+            left = deadline_left(job, self._clock)
+            if left <= datetime.timedelta(0):
+                raise endings.deadline_exceeded(maybe_ran=job.maybe_ran)
             if ticket is not None:
                 ticket.dispatch()
             try:
-                with self._view.in_flight(server.address):
-                    reply = await self._plain.call(server.address, call)
-                self._decisions.note(request.request_id, server.vm, "answered")
-                self._budget.on_success(
-                    request.work_class.name, request.account.name, service.name
-                )
-                return reply
+                await self._attempt(job, server, left, ticket)
+                return
             except EngineUnavailableError as error:
-                self._decisions.note(request.request_id, server.vm, str(error))
+                if job.started:
+                    raise
+                self._decisions.note(job.request.request_id, server.vm, str(error))
                 self._view.on_failure(server.address)
-                self._after_failure(request, service, error, ticket, attempt)
-        raise _lost(maybe_ran=request.idempotent)
+                job.maybe_ran = job.maybe_ran or error.maybe_run
+                self._after_failure(job, error, ticket, attempt)
+
+    async def _attempt(
+        self,
+        job: "_ServiceJob",
+        server: ServiceStatus,
+        left: datetime.timedelta,
+        ticket: ClaimTicket | None,
+    ) -> None:
+        request, target = job.request, job.target
+        call = ServiceCall(
+            request_id=request.request_id,
+            method=target.method,
+            path=target.path,
+            query=target.query,
+            headers=target.headers,
+            body=request.body,
+            timeout=min(target.service.timeout, left),
+            max_reply_bytes=target.service.max_body_bytes,
+        )
+        with self._view.in_flight(server.address):
+            job.permit.dispatched()
+            reply = await self._plain.call(server.address, call)
+            # The backend server has answered: the call took effect even if the
+            # rest of the reply does not reach the caller.
+            if ticket is not None:
+                ticket.answered()
+            job.started = True
+            await _relay(reply, job.send, request.request_id)
+        self._decisions.note(request.request_id, server.vm, "answered")
+        self._budget.on_success(
+            ClassName(request.work_class.name),
+            AccountId(request.account.name),
+            PoolId(target.service.name),
+        )
+
+    def _without_server(self, job: "_ServiceJob") -> RequestError:
+        if job.maybe_ran:
+            return endings.backend_lost("no server is left", maybe_ran=True)
+        return endings.no_backend("backend server of this service")
 
     def _after_failure(
         self,
-        request: CallerRequest,
-        service: Service,
+        job: "_ServiceJob",
         error: EngineUnavailableError,
         ticket: ClaimTicket | None,
         attempt: int,
     ) -> None:
-        reason = "cut" if error.maybe_run else "not_reached"
+        """Decide whether another attempt may follow; raise if not."""
+        if ticket is not None and error.maybe_run:
+            ticket.unknown()
+            raise endings.outcome_unknown("the backend server broke off") from error
         if ticket is not None:
-            if error.maybe_run:
-                ticket.unknown()
-                raise _lost(maybe_ran=True) from error
             ticket.not_dispatched()
+        reason = "cut" if error.maybe_run else "not_reached"
         if attempt == _MAX_ATTEMPTS:
-            raise _lost(maybe_ran=error.maybe_run) from error
+            raise endings.backend_lost(reason, maybe_ran=job.maybe_ran) from error
         self._metrics.retries.labels(reason).inc()
-        if not self._budget.try_spend(
-            request.work_class.name, request.account.name, service.name
-        ):
-            raise RequestError(
-                ErrorCode.RETRY_BUDGET_EXHAUSTED,
-                "the service failed and the retry budget is spent",
-                status=503,
-                outcome=Outcome.UNKNOWN if error.maybe_run else Outcome.NOT_RUN,
-                retry_after=_RETRY_AFTER,
+        allowed = self._budget.try_spend(
+            ClassName(job.request.work_class.name),
+            AccountId(job.request.account.name),
+            PoolId(job.target.service.name),
+        )
+        if not allowed:
+            raise endings.backend_lost(
+                reason,
+                maybe_ran=job.maybe_ran,
+                code=ErrorCode.RETRY_BUDGET_EXHAUSTED,
             ) from error
 
 
-def _no_server() -> RequestError:
-    return RequestError(
-        ErrorCode.NO_GROUP,
-        "no backend server of this service is available",
-        status=503,
-        retry_after=_RETRY_AFTER,
-    )
-
+@dataclasses.dataclass(slots=True)
+class _ServiceJob:
+    """One call on its way; `tried` holds the servers that failed it."""
 
-def _late() -> RequestError:
-    return RequestError(
-        ErrorCode.DEADLINE_EXCEEDED,
-        "the class's deadline passed",
-        status=504,
-        outcome=Outcome.UNKNOWN,
-    )
+    request: CallerRequest
+    target: ServiceTarget
+    send: Send
+    deadline: float
+    permit: Permit
+    tried: set[str] = dataclasses.field(default_factory=set)
+    maybe_ran: bool = False
+    started: bool = False
 
 
-def _lost(*, maybe_ran: bool) -> RequestError:
-    return RequestError(
-        ErrorCode.BACKEND_LOST,
-        "the backend server did not complete the call",
-        status=502,
-        outcome=Outcome.UNKNOWN if maybe_ran else Outcome.NOT_RUN,
-        retry_after=_RETRY_AFTER,
-    )
+def deadline_left(job: _ServiceJob, clock: Clock) -> datetime.timedelta:
+    """Return the time left until the deadline of `job`."""
+    return datetime.timedelta(seconds=job.deadline - clock.monotonic())
 
 
 async def _relay(reply: ServiceReply, send: Send, request_id: str) -> None:
--- a/pomelolug/groups/_watcher.py
+++ b/pomelolug/groups/_watcher.py
@@ -24,6 +24,7 @@
 
 # Two silent read-backs close the group; one may be a lost packet.
 _SILENT_READS = 2
+_NOT_VERIFIED = "not verified"
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,7 +37,7 @@
 
     verified_at: float = -math.inf
     silent: int = 0
-    against: str = "not verified"
+    against: str = _NOT_VERIFIED
     status: MemberStatus | None = None
 
 
@@ -239,7 +240,9 @@
             members=self._group.vms,
             addresses=tuple(self._addresses.get(vm, "") for vm in self._group.vms),
             verified_age_s=self._age() if serves else 0.0,
-            contradicted=any(k.against and not k.silent for k in known),
+            contradicted=any(
+                k.against not in ("", _NOT_VERIFIED) and not k.silent for k in known
+            ),
             capacity=report.capacity if report else 0,
             load=report.running + report.waiting if report else 0,
             load_age_s=self._clock.monotonic() - leader.verified_at,
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -30,7 +30,6 @@
     StreamRecords,
 )
 from pomelolug.messages._routing_generated import (
-    ExplainRequest,
     Explanation,
     GroupStatus,
     RoutingTable,
@@ -48,7 +47,6 @@
     "ClaimVerdict",
     "Dissolution",
     "Drain",
-    "ExplainRequest",
     "Explanation",
     "Formation",
     "GroupMember",
--- a/pomelolug/messages/_routing_generated.py
+++ b/pomelolug/messages/_routing_generated.py
@@ -6,7 +6,6 @@
 from pomelolug.messages._codec import Message
 
 __all__ = [
-    "ExplainRequest",
     "Explanation",
     "GroupStatus",
     "RoutingTable",
@@ -86,6 +85,8 @@
     """Backend servers of the plain services."""
     nodes_alive: int = 1
     """Gateways that share the capacity."""
+    share: float = 0.0
+    """This gateway's part of every group's slots, 0 to 1; 0 if not known."""
     condemned: tuple[bytes, ...] = ()
     """Fingerprints of quarantined requests."""
     echo_s: float = 0.0
@@ -109,22 +110,13 @@
     """Requests in flight now."""
 
 
-class ExplainRequest(Message, frozen=True, kw_only=True):
-    """Asks a gateway what was decided for a request."""
+class Explanation(Message, frozen=True, kw_only=True):
+    """What a gateway decided for one request."""
 
-    serial: int
-    """Number that the answer repeats."""
     request_id: str
     """Identifier of the caller's request."""
-
-
-class Explanation(Message, frozen=True, kw_only=True):
-    """Answer to an explain request."""
-
-    serial: int
-    """Number of the request."""
     steps: tuple[str, ...]
-    """Decisions in order, empty if the request is not known."""
+    """Decisions in order."""
 
 
 class StatusPull(Message, frozen=True, kw_only=True):
