Add signed records, stream reader, appender and configuration

Cause: every later part needs durable state with one order and a checked configuration, and none existed beyond the fold interface.

Change: KeyRing, envelope, Appender and StreamReader in pomelolug.state; parser with findings, fold and publish in pomelolug.configuration; MemoryLog in pomelolug.testing. StreamRecords gains `checkpoint` and `end`. settings exposes parse_option and nearest_name, which the document parser shares.

--- a/pomelolug/configuration/__init__.py
+++ b/pomelolug/configuration/__init__.py
@@ -8,12 +8,31 @@
     Service,
     WorkClass,
 )
+from pomelolug.configuration._fold import (
+    CONFIG_STREAM,
+    ConfigurationEntry,
+    ConfigurationFold,
+)
+from pomelolug.configuration._keys import hash_key, verify_key
+from pomelolug.configuration._parse import MAX_DOCUMENT_BYTES, parse_document
+from pomelolug.configuration._publish import Publication, publish
+from pomelolug.configuration._render import render_document
 
 __all__ = [
     "Account",
+    "CONFIG_STREAM",
     "Configuration",
+    "ConfigurationEntry",
+    "ConfigurationFold",
+    "MAX_DOCUMENT_BYTES",
     "Objective",
     "Pool",
+    "Publication",
     "Service",
     "WorkClass",
+    "hash_key",
+    "parse_document",
+    "publish",
+    "render_document",
+    "verify_key",
 ]
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -13,6 +13,7 @@
     decode,
     encode,
 )
+from pomelolug.messages._configuration_generated import ConfigurationChange
 from pomelolug.messages._peer_generated import (
     Heartbeat,
     Hello,
@@ -26,20 +27,25 @@
     RoutingTable,
     ServiceStatus,
 )
+from pomelolug.messages._state_generated import Checkpoint, Envelope, RecordPayload
 
 __all__ = [
+    "Checkpoint",
     "Claim",
     "ClaimBatch",
     "ClaimRequest",
     "ClaimUpdate",
     "ClaimVerdict",
+    "ConfigurationChange",
     "DemandReport",
+    "Envelope",
     "GroupStatus",
     "Heartbeat",
     "Hello",
     "LossReport",
     "MAX_MESSAGE_BYTES",
     "Message",
+    "RecordPayload",
     "RecordsRequest",
     "RoutingTable",
     "ServiceStatus",
--- a/pomelolug/messages/_peer_generated.py
+++ b/pomelolug/messages/_peer_generated.py
@@ -61,6 +61,10 @@
     """Log time stamp of each record, milliseconds since 1970."""
     records: tuple[bytes, ...]
     """Encoded envelopes in log order."""
+    checkpoint: bytes = b""
+    """Signed checkpoint that ends before the first record, or empty."""
+    end: int = -1
+    """Offset after the last record that the sender has applied; -1 if unknown."""
 
 
 class RecordsRequest(Message, frozen=True, kw_only=True):
--- a/pomelolug/settings/_loader.py
+++ b/pomelolug/settings/_loader.py
@@ -13,7 +13,7 @@
 from pomelolug.errors import ErrorCode, Finding, FindingsError
 from pomelolug.settings._spec import Address, OptionSpec
 
-__all__ = ["load_settings"]
+__all__ = ["load_settings", "nearest_name", "parse_option"]
 
 T = TypeVar("T")
 _TRUE_WORDS = {"yes": True, "true": True, "on": True, "1": True}
@@ -61,7 +61,7 @@
             )
             continue
         try:
-            section[option.key] = _parse(option, raw)
+            section[option.key] = parse_option(option, raw)
         except ValueError as error:
             shown = "***" if option.kind == "secret" else raw
             findings.append(Finding(place=place, value=shown, problem=str(error)))
@@ -81,7 +81,7 @@
     findings = []
     for section in parser.sections():
         if section not in known:
-            problem = "unknown section" + _nearest(section, list(known))
+            problem = "unknown section" + nearest_name(section, list(known))
             findings.append(
                 Finding(place=f"{path.name} [{section}]", value="", problem=problem)
             )
@@ -92,18 +92,32 @@
                     Finding(
                         place=f"{path.name} [{section}] {key}",
                         value=parser[section][key],
-                        problem="unknown key" + _nearest(key, known[section]),
+                        problem="unknown key" + nearest_name(key, known[section]),
                     )
                 )
     return findings
 
 
-def _nearest(word: str, known: list[str]) -> str:
+def nearest_name(word: str, known: Sequence[str]) -> str:
+    """Return a question with the known name closest to `word`, or nothing.
+
+    Examples
+    --------
+    >>> nearest_name("prot", ["port", "host"])
+    ", did you mean 'port'?"
+    """
     close = difflib.get_close_matches(word, known, n=1)
     return f", did you mean {close[0]!r}?" if close else ""
 
 
-def _parse(option: OptionSpec, raw: str) -> Any:
+def parse_option(option: OptionSpec, raw: str) -> Any:
+    """Return the value of one option.
+
+    Raises
+    ------
+    ValueError
+        If `raw` is not of the option's kind or out of its bounds.
+    """
     value = _PARSERS[option.kind](raw.strip())
     if option.choices and value not in option.choices:
         raise ValueError(f"not one of {', '.join(option.choices)}")
--- /dev/null
+++ b/pomelolug/state/_append.py
@@ -0,0 +1,208 @@
+"""Appends that survive a lost answer without a second record."""
+
+import datetime
+import hashlib
+import random
+
+import structlog
+from prometheus_client import Counter
+
+from pomelolug.clock import Clock
+from pomelolug.errors import ErrorCode, PlatformError
+from pomelolug.ids import Offset
+from pomelolug.messages import Message
+from pomelolug.platform import LogRecord, LogService
+from pomelolug.state._envelope import NONCE_BYTES, decode_record, encode_record
+from pomelolug.state._fold import RecordKind
+from pomelolug.state._keys import KeyRing
+from pomelolug.state._refusal import RecordRefusedError
+from pomelolug.state._retry import retry_delay
+
+__all__ = ["Appender"]
+
+_APPEND_TIMEOUT = datetime.timedelta(seconds=2)
+_READ_TIMEOUT = datetime.timedelta(seconds=2)
+_LONGEST_WAIT = datetime.timedelta(seconds=1)
+_DEFAULT_DEADLINE = datetime.timedelta(seconds=8)
+_PAGE_RECORDS = 500
+_TRIES = 4
+_APPENDS = Counter(
+    "pomelolug_appends_total", "Appends to the log by outcome.", ["outcome"]
+)
+
+
+class Appender:
+    """Signs and appends the records of one author.
+
+    Parameters
+    ----------
+    log : LogService
+        The platform's log.
+    keyring : KeyRing
+        Holds the author's key.
+    author : str
+        ``node:NAME`` or ``operator:NAME``.
+    clock : Clock
+        Source of time.
+    random_state : random.Random
+        Source of nonces and jitter.
+    deadline : datetime.timedelta
+        Longest time that one append takes, the search after a lost answer
+        included.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: LogService,
+        keyring: KeyRing,
+        author: str,
+        clock: Clock,
+        random_state: random.Random,
+        deadline: datetime.timedelta = _DEFAULT_DEADLINE,
+    ) -> None:
+        self._log = log
+        self._keyring = keyring
+        self._author = author
+        self._clock = clock
+        self._random = random_state
+        self._deadline = deadline
+        self._ends: dict[str, Offset] = {}
+        self._serial = 0
+        self._logger = structlog.get_logger(__name__)
+
+    @property
+    def author(self) -> str:
+        """Author of the records."""
+        return self._author
+
+    async def append(self, stream: str, kind: RecordKind, message: Message) -> Offset:
+        """Append one record and return its offset.
+
+        Parameters
+        ----------
+        stream : str
+            Name of the stream.
+        kind : RecordKind
+            What the record says.
+        message : Message
+            Body of the record.
+
+        Raises
+        ------
+        PlatformError
+            ``PLATFORM_UNAVAILABLE`` if the record is certainly not on the log,
+            ``APPEND_UNKNOWN`` if that could not be found out in time.
+        """
+        until = self._clock.monotonic() + self._deadline.total_seconds()
+        nonce = self._new_nonce()
+        data = encode_record(
+            stream=stream,
+            kind=kind,
+            author=self._author,
+            nonce=nonce,
+            message=message,
+            keyring=self._keyring,
+        )
+        start = await self._known_end(stream)
+        try:
+            offset = await self._send(stream, data, until)
+        except PlatformError as error:
+            if not error.maybe_applied:
+                _APPENDS.labels("not_applied").inc()
+                raise
+            offset = await self._find(stream, start, nonce, until)
+        else:
+            _APPENDS.labels("applied").inc()
+        self._note_end(stream, Offset(offset + 1))
+        return offset
+
+    def _new_nonce(self) -> bytes:
+        # The author, the time and a serial number keep two processes with the
+        # same seed, or one that restarts with its seed, from the same nonces.
+        self._serial += 1
+        seed = f"{self._author}|{self._clock.now().isoformat()}|{self._serial}|"
+        material = seed.encode() + self._random.randbytes(NONCE_BYTES)
+        return hashlib.sha256(material).digest()[:NONCE_BYTES]
+
+    def _note_end(self, stream: str, end: Offset) -> None:
+        self._ends[stream] = max(end, self._ends.get(stream, end))
+
+    async def _known_end(self, stream: str) -> Offset:
+        """Return an offset at or below that of the next append."""
+        if stream not in self._ends:
+            page = await self._log.read(
+                stream,
+                Offset(0),
+                limit=1,
+                wait=datetime.timedelta(0),
+                timeout=_READ_TIMEOUT,
+            )
+            self._note_end(stream, page.end)
+        return self._ends[stream]
+
+    async def _send(self, stream: str, data: bytes, until: float) -> Offset:
+        """Append once, again only after a try that certainly did nothing."""
+        for failures in range(1, _TRIES + 1):
+            try:
+                return await self._log.append(stream, data, timeout=_APPEND_TIMEOUT)
+            except PlatformError as error:
+                delay = retry_delay(failures, self._random)
+                late = self._clock.monotonic() + delay.total_seconds() >= until
+                if error.maybe_applied or failures == _TRIES or late:
+                    raise
+            await self._clock.sleep(delay)
+        raise AssertionError("unreachable")
+
+    async def _find(
+        self, stream: str, start: Offset, nonce: bytes, until: float
+    ) -> Offset:
+        """Read forward until the record with `nonce` appears.
+
+        The end of the log proves nothing, since the append may still be under
+        way; only the record itself is an answer.
+        """
+        position, failures = start, 0
+        while (left := until - self._clock.monotonic()) > 0:
+            wait = min(datetime.timedelta(seconds=left), _LONGEST_WAIT)
+            try:
+                page = await self._log.read(
+                    stream,
+                    position,
+                    limit=_PAGE_RECORDS,
+                    wait=wait,
+                    timeout=_READ_TIMEOUT,
+                )
+            except PlatformError:
+                failures += 1
+                await self._clock.sleep(retry_delay(failures, self._random))
+                continue
+            failures = 0
+            for record in page.records:
+                if self._has_nonce(stream, record, nonce):
+                    _APPENDS.labels("found").inc()
+                    return record.offset
+                position = Offset(record.offset + 1)
+            if not page.records:
+                # A log that does not wait must not be asked in a tight loop.
+                await self._clock.sleep(retry_delay(1, self._random))
+        _APPENDS.labels("unknown").inc()
+        self._logger.warning("append_unknown", stream=stream, start=start)
+        raise PlatformError(
+            ErrorCode.APPEND_UNKNOWN,
+            f"no answer to an append to {stream}; the record may be on the log",
+            maybe_applied=True,
+        )
+
+    def _has_nonce(self, stream: str, record: LogRecord, nonce: bytes) -> bool:
+        try:
+            found = decode_record(
+                record.data,
+                stream=stream,
+                offset=record.offset,
+                stamp=record.stamp,
+                keyring=self._keyring,
+            )
+        except RecordRefusedError:
+            return False
+        return found.nonce == nonce and found.author == self._author
--- /dev/null
+++ b/pomelolug/state/_keys.py
@@ -0,0 +1,119 @@
+"""Named keys that sign records."""
+
+import hashlib
+import hmac
+from collections.abc import Mapping, Sequence
+
+from pomelolug.errors import ErrorCode, Finding, FindingsError
+
+__all__ = ["KeyRing"]
+
+_MIN_KEY_BYTES = 16
+_ROTATION_MARK = "#"
+_CONTEXT = b"pomelolug-record\0"
+
+
+class KeyRing:
+    """HMAC keys of the nodes and, apart from them, of the operators.
+
+    Nodes share their keys. An operator's key has the operator's name, with
+    ``#`` and a suffix for a further key during a rotation; it proves records of
+    that operator only. The first matching key signs, all of them verify.
+
+    Parameters
+    ----------
+    nodes, operators : mapping of str to bytes
+        Keys by name.
+
+    Examples
+    --------
+    >>> ring = KeyRing.from_options(("a=" + "00" * 16,), ("eve#2=" + "11" * 16,))
+    >>> ring.signing_key("operator:eve")
+    'eve#2'
+    """
+
+    def __init__(
+        self, nodes: Mapping[str, bytes], operators: Mapping[str, bytes]
+    ) -> None:
+        self._nodes = dict(nodes)
+        self._operators = dict(operators)
+
+    @classmethod
+    def from_options(
+        cls, nodes: Sequence[str], operators: Sequence[str] = ()
+    ) -> "KeyRing":
+        """Return the ring for ``name=hex`` options.
+
+        Raises
+        ------
+        FindingsError
+            If an option is malformed or a key is shorter than 16 bytes. Values
+            are not shown.
+        """
+        findings: list[Finding] = []
+        parsed = [
+            _parse_keys(place, options, findings)
+            for place, options in (("node keys", nodes), ("operator keys", operators))
+        ]
+        if findings:
+            raise FindingsError(ErrorCode.SETTINGS_INVALID, findings)
+        return cls(parsed[0], parsed[1])
+
+    def signing_key(self, author: str) -> str:
+        """Return the name of the key that signs for `author`.
+
+        Raises
+        ------
+        KeyError
+            If the ring has no key for the author.
+        """
+        for name in self._keys_of(author):
+            if self.may_sign(name, author):
+                return name
+        raise KeyError(f"no key for {author}")
+
+    def may_sign(self, name: str, author: str) -> bool:
+        """Return whether the key `name` proves records of `author`."""
+        if name not in self._keys_of(author):
+            return False
+        role, _, owner = author.partition(":")
+        return role == "node" or name.split(_ROTATION_MARK)[0] == owner
+
+    def sign(self, name: str, author: str, payload: bytes) -> bytes:
+        """Return the HMAC-SHA256 of `payload` under the key `name`."""
+        key = self._keys_of(author)[name]
+        message = _CONTEXT + name.encode() + b"\0" + payload
+        return hmac.digest(key, message, hashlib.sha256)
+
+    def verify(self, name: str, author: str, payload: bytes, signature: bytes) -> bool:
+        """Return whether `signature` belongs to `payload`, in constant time."""
+        return hmac.compare_digest(self.sign(name, author, payload), signature)
+
+    def _keys_of(self, author: str) -> Mapping[str, bytes]:
+        role, _, owner = author.partition(":")
+        if not owner:
+            return {}
+        return {"node": self._nodes, "operator": self._operators}.get(role, {})
+
+
+def _parse_keys(
+    place: str, options: Sequence[str], findings: list[Finding]
+) -> dict[str, bytes]:
+    keys: dict[str, bytes] = {}
+    for option in options:
+        name, _, digits = option.partition("=")
+        name = name.strip()
+        where = f"{place} {name}"
+        try:
+            key = bytes.fromhex(digits)
+        except ValueError:
+            findings.append(Finding(place=where, value="***", problem="not name=hex"))
+            continue
+        if len(key) < _MIN_KEY_BYTES or not name:
+            problem = f"needs a name and at least {_MIN_KEY_BYTES} bytes"
+            findings.append(Finding(place=where, value="***", problem=problem))
+        elif name in keys:
+            findings.append(Finding(place=where, value="***", problem="given twice"))
+        else:
+            keys[name] = key
+    return keys
--- /dev/null
+++ b/pomelolug/state/_observers.py
@@ -0,0 +1,54 @@
+"""Callbacks and waiting tasks of a reader."""
+
+import asyncio
+import datetime
+from collections.abc import Callable
+
+__all__ = ["Observers"]
+
+
+class Observers:
+    """Calls subscribers and wakes tasks that wait for a condition."""
+
+    def __init__(self) -> None:
+        self._callbacks: dict[int, Callable[[], None]] = {}
+        self._next_id = 0
+        self._waiters: set[asyncio.Future[None]] = set()
+
+    def subscribe(self, callback: Callable[[], None]) -> Callable[[], None]:
+        """Add `callback` and return the function that removes it."""
+        number = self._next_id
+        self._next_id += 1
+        self._callbacks[number] = callback
+
+        def unsubscribe() -> None:
+            self._callbacks.pop(number, None)
+
+        return unsubscribe
+
+    def notify(self) -> None:
+        """Call the subscribers and let the waiting tasks check again."""
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        for callback in tuple(self._callbacks.values()):
+            callback()
+
+    async def wait_until(
+        self, condition: Callable[[], bool], timeout: datetime.timedelta
+    ) -> None:
+        """Wait until `condition` returns true after a notification.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not within `timeout`.
+        """
+        async with asyncio.timeout(timeout.total_seconds()):
+            while not condition():
+                waiter = asyncio.get_running_loop().create_future()
+                self._waiters.add(waiter)
+                try:
+                    await waiter
+                finally:
+                    self._waiters.discard(waiter)
--- /dev/null
+++ b/pomelolug/state/_outbox.py
@@ -0,0 +1,71 @@
+"""What a node keeps of a stream for peers that cannot reach the log."""
+
+from collections.abc import Callable
+
+from pomelolug.ids import Offset
+from pomelolug.messages import Checkpoint, StreamRecords
+from pomelolug.platform import LogRecord
+from pomelolug.state._buffer import RecordBuffer
+from pomelolug.state._keys import KeyRing
+from pomelolug.state._relay import MAX_RELAY_BYTES, pack_records, sign_checkpoint
+
+__all__ = ["Outbox"]
+
+
+class Outbox:
+    """The last raw records of a stream, and a signed checkpoint on demand.
+
+    Parameters
+    ----------
+    stream : str
+        Name of the stream.
+    author : str
+        Author of the checkpoints; none are made if it is empty.
+    keyring : KeyRing
+        Holds the author's key.
+    limit_bytes : int
+        Bound on the raw records kept.
+    """
+
+    def __init__(
+        self, *, stream: str, author: str, keyring: KeyRing, limit_bytes: int
+    ) -> None:
+        self._stream = stream
+        self._author = author
+        self._keyring = keyring
+        self._buffer = RecordBuffer(limit_bytes)
+        self._signed: tuple[Offset, bytes] | None = None
+
+    def add(self, record: LogRecord) -> None:
+        """Keep an applied record."""
+        self._buffer.add(record)
+
+    def records(self, first: Offset, end: Offset, log_id: str) -> StreamRecords | None:
+        """Return records from `first` on, None if they are no longer held."""
+        held = self._buffer.first
+        if held is None or held > first:
+            return None
+        return self._pack(first, end, log_id, b"")
+
+    def checkpoint(
+        self, end: Offset, log_id: str, make: Callable[[], Checkpoint]
+    ) -> StreamRecords | None:
+        """Return a checkpoint of everything before `end`."""
+        if not self._author:
+            return None
+        if self._signed is None or self._signed[0] != end:
+            signed = sign_checkpoint(make(), author=self._author, keyring=self._keyring)
+            self._signed = end, signed
+        return self._pack(end, end, log_id, self._signed[1])
+
+    def _pack(
+        self, first: Offset, end: Offset, log_id: str, checkpoint: bytes
+    ) -> StreamRecords:
+        return pack_records(
+            self._buffer.page(first, MAX_RELAY_BYTES),
+            stream=self._stream,
+            log_id=log_id,
+            first=first,
+            end=end,
+            checkpoint=checkpoint,
+        )
--- /dev/null
+++ b/pomelolug/state/_prefix.py
@@ -0,0 +1,146 @@
+"""A fold with the position and nonces of the prefix that it has applied."""
+
+import collections
+import datetime
+
+from pomelolug.errors import PeerError
+from pomelolug.ids import Offset
+from pomelolug.messages import Checkpoint
+from pomelolug.platform import LogRecord
+from pomelolug.state._checkpoint import make_checkpoint, split_nonces, state_digest
+from pomelolug.state._envelope import decode_record
+from pomelolug.state._fold import Fold, Record, RecordKind, VoidRecordError
+from pomelolug.state._keys import KeyRing
+from pomelolug.state._refusal import RecordRefusedError, RefusalReason
+
+__all__ = ["DIGEST_HISTORY", "Prefix", "stamp_from_ms", "stamp_to_ms"]
+
+_REMEMBERED_NONCES = 2048
+DIGEST_HISTORY = 64
+"""Digests kept for comparison with checkpoints of other nodes."""
+_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+def stamp_to_ms(stamp: datetime.datetime) -> int:
+    """Return milliseconds since 1970, rounded to the nearest."""
+    return round((stamp - _EPOCH) / _MILLISECOND)
+
+
+def stamp_from_ms(milliseconds: int) -> datetime.datetime:
+    """Return the time that is `milliseconds` after 1970."""
+    return _EPOCH + milliseconds * _MILLISECOND
+
+
+class Prefix:
+    """Applies the records of one stream to a fold, in order and once each.
+
+    Nonces are remembered for the last 2,048 authenticated records. They are
+    part of a checkpoint: a reader that starts from one has to drop the same
+    duplicates as a reader that has seen the whole prefix.
+
+    Parameters
+    ----------
+    stream : str
+        Name of the stream.
+    fold : Fold
+        State, without any record applied.
+    keyring : KeyRing
+        Accepted keys.
+    """
+
+    def __init__(self, *, stream: str, fold: Fold, keyring: KeyRing) -> None:
+        self._stream = stream
+        self._fold = fold
+        self._keyring = keyring
+        self._offset = Offset(-1)
+        self._nonces: collections.OrderedDict[bytes, None] = collections.OrderedDict()
+        self._digests: collections.OrderedDict[Offset, bytes] = (
+            collections.OrderedDict()
+        )
+
+    @property
+    def offset(self) -> Offset:
+        """Last offset of the prefix, -1 if it is empty."""
+        return self._offset
+
+    def skip_to(self, offset: Offset) -> None:
+        """Leave out all records before `offset`."""
+        self._offset = Offset(offset - 1)
+
+    def apply(self, record: LogRecord) -> Record:
+        """Apply the next record.
+
+        The offset advances in any case: a refused record is part of the prefix.
+
+        Returns
+        -------
+        Record
+            The record; a checkpoint has not changed the fold.
+
+        Raises
+        ------
+        RecordRefusedError
+            If the record has not changed the fold.
+        """
+        self._offset = record.offset
+        decoded = decode_record(
+            record.data,
+            stream=self._stream,
+            offset=record.offset,
+            stamp=stamp_from_ms(stamp_to_ms(record.stamp)),
+            keyring=self._keyring,
+        )
+        if decoded.nonce in self._nonces:
+            raise RecordRefusedError(RefusalReason.DUPLICATE, "nonce seen before")
+        self._remember(decoded.nonce)
+        if decoded.kind is not RecordKind.CHECKPOINT:
+            self._apply_to_fold(decoded)
+        return decoded
+
+    def _remember(self, nonce: bytes) -> None:
+        self._nonces[nonce] = None
+        if len(self._nonces) > _REMEMBERED_NONCES:
+            self._nonces.popitem(last=False)
+
+    def _apply_to_fold(self, record: Record) -> None:
+        try:
+            self._fold.apply(record)
+        except VoidRecordError as error:
+            raise RecordRefusedError(RefusalReason.VOID, str(error)) from error
+        except PeerError as error:
+            raise RecordRefusedError(RefusalReason.MALFORMED, str(error)) from error
+        except Exception as error:
+            # One record must not end every node's reader at the same time.
+            message = f"fold raised {type(error).__name__}: {error}"
+            raise RecordRefusedError(RefusalReason.FOLD_FAULT, message) from error
+
+    def checkpoint(self, log_id: str) -> Checkpoint:
+        """Return the checkpoint of the prefix as it is now."""
+        return make_checkpoint(
+            stream=self._stream,
+            log_id=log_id,
+            covered=self._offset,
+            nonces=self._nonces,
+            state=self._fold.dump(),
+        )
+
+    def restore(self, checkpoint: Checkpoint) -> None:
+        """Replace an empty prefix by that of `checkpoint`."""
+        self._fold.restore(checkpoint.state)
+        self._nonces = collections.OrderedDict.fromkeys(split_nonces(checkpoint.nonces))
+        self._offset = Offset(checkpoint.covered)
+        self._digests = collections.OrderedDict()
+        self._digests[self._offset] = checkpoint.digest
+
+    def note_digest(self) -> None:
+        """Keep the digest at the present offset for later comparison."""
+        nonces = b"".join(self._nonces)
+        digest = state_digest(self._offset, nonces, self._fold.dump())
+        self._digests[self._offset] = digest
+        if len(self._digests) > DIGEST_HISTORY:
+            self._digests.popitem(last=False)
+
+    def digest_at(self, offset: Offset) -> bytes | None:
+        """Return the digest at `offset` if it is kept."""
+        return self._digests.get(offset)
--- /dev/null
+++ b/pomelolug/state/_reader.py
@@ -0,0 +1,389 @@
+"""Follows one stream of the log and keeps its fold up to date."""
+
+import datetime
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from pomelolug.clock import Clock
+from pomelolug.errors import ErrorCode, LogRegressedError, PlatformError
+from pomelolug.ids import Offset
+from pomelolug.messages import Checkpoint, StreamRecords
+from pomelolug.platform import LogPage, LogRecord, LogService
+from pomelolug.state._fold import Fold
+from pomelolug.state._intake import Intake
+from pomelolug.state._keys import KeyRing
+from pomelolug.state._observers import Observers
+from pomelolug.state._outbox import Outbox
+from pomelolug.state._reader_state import ReaderState
+from pomelolug.state._refusal import RecordRefusedError, RefusalReason
+from pomelolug.state._relay import open_checkpoint, unpack_records
+from pomelolug.state._retry import retry_delay
+from pomelolug.state._startup import PAGE_RECORDS, READ_TIMEOUT, StartFinder
+
+__all__ = ["StreamReader"]
+
+_LONG_POLL = datetime.timedelta(seconds=10)
+# Longer than one long poll with its timeout, so that a quiet stream is not stale.
+_STALE_AFTER = datetime.timedelta(seconds=15)
+_INCOMPLETE_PAUSE = datetime.timedelta(seconds=2)
+_RELAY_BYTES = 512 * 1024
+_NO_WAIT = datetime.timedelta(0)
+_NOT_COMPLETE = (ReaderState.STARTING, ReaderState.INCOMPLETE)
+
+
+class StreamReader:
+    """Reads a stream with long polls and applies its records to a fold.
+
+    Parameters
+    ----------
+    log : LogService
+        The platform's log.
+    stream : str
+        Name of the stream.
+    fold : Fold
+        State without any record applied.
+    keyring : KeyRing
+        Accepted keys.
+    clock : Clock
+        Source of time.
+    expected_log_id : str
+        Identity that the log has to have; any if empty.
+    random_state : random.Random, optional
+        Source of the retry jitter; by default one seeded by the system.
+    author : str
+        Author of checkpoints made for peers; without it, none are made.
+    window : datetime.timedelta, optional
+        Records older than this are left out at start-up, and no checkpoint is
+        needed. By default the fold needs the whole stream.
+    relay_bytes : int
+        Bound on the raw records kept for peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: LogService,
+        stream: str,
+        fold: Fold,
+        keyring: KeyRing,
+        clock: Clock,
+        expected_log_id: str = "",
+        random_state: random.Random | None = None,
+        author: str = "",
+        window: datetime.timedelta | None = None,
+        relay_bytes: int = _RELAY_BYTES,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._fold = fold
+        self._keyring = keyring
+        self._clock = clock
+        self._expected_log_id = expected_log_id
+        self._random = random_state or random.Random()
+        self._window = window
+        self._intake = Intake(
+            stream=stream, fold=fold, keyring=keyring, digests=window is None
+        )
+        self._outbox = Outbox(
+            stream=stream, author=author, keyring=keyring, limit_bytes=relay_bytes
+        )
+        self._observers = Observers()
+        self._state = ReaderState.STARTING
+        self._log_id = expected_log_id
+        self._log_seen = False
+        self._last_answer = 0.0
+        self._finder = StartFinder(
+            log=log, stream=stream, keyring=keyring, clock=clock, window=window
+        )
+        self._placed = False
+        self._verify_last = False
+        self._from_peer = False
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream."""
+        return self._stream
+
+    @property
+    def fold(self) -> Fold:
+        """The fold that the records are applied to."""
+        return self._fold
+
+    @property
+    def offset(self) -> Offset:
+        """Last applied offset, -1 before."""
+        return self._intake.offset
+
+    @property
+    def log_id(self) -> str:
+        """Identity of the log that the applied records belong to."""
+        return self._log_id
+
+    @property
+    def from_peer(self) -> bool:
+        """Whether the last records came from a peer and not from the log."""
+        return self._from_peer
+
+    @property
+    def refusals(self) -> Mapping[RefusalReason, int]:
+        """Records that were not applied, by reason."""
+        return self._intake.refusals
+
+    @property
+    def last_checkpoint(self) -> LogRecord | None:
+        """Latest accepted checkpoint record of the stream."""
+        return self._intake.last_checkpoint
+
+    @property
+    def checkpoint_covers(self) -> Offset:
+        """Offset that the latest checkpoint covers, -1 without one."""
+        return self._intake.checkpoint_covers
+
+    @property
+    def state(self) -> ReaderState:
+        """How far the fold can be relied on."""
+        silence = self._clock.monotonic() - self._last_answer
+        silent = silence > _STALE_AFTER.total_seconds()
+        if self._state is ReaderState.FOLLOWING and silent:
+            return ReaderState.STALE
+        return self._state
+
+    @property
+    def can_checkpoint(self) -> bool:
+        """Whether the fold holds all that its prefix says.
+
+        It does not if a record of a later schema version was carried.
+        """
+        following = self.state is ReaderState.FOLLOWING
+        return following and not self._carried_later() and self.offset >= 0
+
+    def _carried_later(self) -> bool:
+        return self._intake.refusals.get(RefusalReason.LATER_VERSION, 0) > 0
+
+    def subscribe(self, callback: Callable[[], None]) -> Callable[[], None]:
+        """Call `callback` after records were applied or the state changed.
+
+        Returns
+        -------
+        callable
+            Ends the subscription.
+        """
+        return self._observers.subscribe(callback)
+
+    async def wait_for(self, offset: Offset, timeout: datetime.timedelta) -> None:
+        """Wait until the record at `offset` has been applied.
+
+        Raises
+        ------
+        LogRegressedError
+            If the stream has regressed.
+        TimeoutError
+            If the record is not applied in time.
+        """
+
+        def applied() -> bool:
+            if self._state is ReaderState.REGRESSED:
+                raise LogRegressedError(
+                    ErrorCode.LOG_REGRESSED, f"stream {self._stream} has regressed"
+                )
+            return self.offset >= offset
+
+        await self._observers.wait_until(applied, timeout)
+
+    async def wait_until(
+        self, condition: Callable[[], bool], timeout: datetime.timedelta
+    ) -> None:
+        """Wait until `condition` holds after a change of the stream.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not within `timeout`.
+        """
+        await self._observers.wait_until(condition, timeout)
+
+    def checkpoint(self) -> Checkpoint:
+        """Return a checkpoint of the state at the present offset."""
+        return self._intake.checkpoint(self._log_id)
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled; return if it has regressed."""
+        failures = 0
+        while self._state is not ReaderState.REGRESSED:
+            try:
+                await self._read_once()
+                failures = 0
+            except PlatformError:
+                failures += 1
+                self._verify_last = True
+                self._observers.notify()
+                await self._clock.sleep(retry_delay(failures, self._random))
+
+    async def _read_once(self) -> None:
+        # A feed by a peer may advance the offset while the read is under way,
+        # so the answer is judged by the offset that was asked for.
+        needed = Offset(self.offset + 1)
+        first = Offset(max(needed - 1, 0)) if self._verify_last else needed
+        caught_up = self._state is ReaderState.FOLLOWING and first == needed
+        page = await self._log.read(
+            self._stream,
+            first,
+            limit=PAGE_RECORDS,
+            wait=_LONG_POLL if caught_up else _NO_WAIT,
+            timeout=READ_TIMEOUT,
+        )
+        if self._state is ReaderState.REGRESSED:
+            return
+        self._last_answer = self._clock.monotonic()
+        if self._has_regressed(page, needed):
+            self._regress(page.log_id, page.end)
+            return
+        self._verify_last = False
+        self._log_id = page.log_id
+        self._log_seen = True
+        await self._take_page(page)
+
+    def _has_regressed(self, page: LogPage, needed: Offset) -> bool:
+        if self._log_id and page.log_id != self._log_id:
+            return True
+        if page.end < needed:
+            return True
+        return any(self._intake.contradicts(record) for record in page.records[:1])
+
+    def _regress(self, log_id: str, end: int) -> None:
+        self._intake.report("log_regressed", log_id=log_id, end=end)
+        self._set_state(ReaderState.REGRESSED)
+
+    async def _take_page(self, page: LogPage) -> None:
+        before = self.offset
+        if not self._placed:
+            self._placed = await self._find_start(page)
+        if not self._placed:
+            await self._wait_incomplete()
+        elif before < 0 <= self.offset:
+            # The start is not where the page begins; read on from there.
+            return
+        elif page.oldest > self.offset + 1:
+            self._intake.count(RefusalReason.GAP, page.oldest, "records expired")
+            await self._wait_incomplete()
+        elif not self._apply(page.records, page.end):
+            await self._wait_incomplete()
+        else:
+            self._note_progress(page)
+
+    def _note_progress(self, page: LogPage) -> None:
+        self._from_peer = False
+        if self.offset + 1 >= page.end:
+            self._set_state(ReaderState.FOLLOWING)
+        elif self._state is ReaderState.INCOMPLETE:
+            self._set_state(ReaderState.STARTING)
+        elif page.records:
+            self._observers.notify()
+
+    async def _wait_incomplete(self) -> None:
+        self._set_state(ReaderState.INCOMPLETE)
+        await self._clock.sleep(_INCOMPLETE_PAUSE)
+
+    async def _find_start(self, page: LogPage) -> bool:
+        """Choose where to begin; return whether that is possible."""
+        start = await self._finder.find(page)
+        if self._placed:
+            # A peer has provided the state meanwhile.
+            return True
+        if isinstance(start, Checkpoint):
+            return self._intake.restore(start)
+        if start is not None:
+            self._intake.skip_to(start)
+        return start is not None
+
+    def _apply(self, records: Sequence[LogRecord], end: Offset) -> bool:
+        """Apply what is new; return whether the records were consecutive."""
+        for record in records:
+            if record.offset <= self.offset:
+                continue
+            if record.offset > self.offset + 1:
+                self._intake.count(
+                    RefusalReason.GAP, record.offset, f"follows {self.offset}"
+                )
+                return False
+            self._intake.apply(record, self._log_id, end)
+            self._outbox.add(record)
+        return True
+
+    def _set_state(self, state: ReaderState) -> None:
+        self._state = state
+        self._observers.notify()
+
+    def feed(self, message: StreamRecords) -> int:
+        """Apply records that a peer has relayed.
+
+        Parameters
+        ----------
+        message : StreamRecords
+            Consecutive records, with a checkpoint before them if the peer no
+            longer has the stream's beginning.
+
+        Returns
+        -------
+        int
+            Number of offsets by which the prefix has grown.
+        """
+        before = self.offset
+        try:
+            if self._may_feed(message):
+                self._feed(message)
+        except RecordRefusedError as error:
+            self._intake.count(
+                error.reason, Offset(message.first_offset), f"from a peer: {error}"
+            )
+        grown = self.offset - before
+        if grown:
+            self._placed = True
+            self._from_peer = True
+            self._verify_last = True
+        complete = self.offset >= 0 and self.offset + 1 >= message.end
+        if grown and complete and self._state in _NOT_COMPLETE:
+            self._set_state(ReaderState.STALE)
+        elif grown:
+            self._observers.notify()
+        return grown
+
+    def _may_feed(self, message: StreamRecords) -> bool:
+        if self._state is ReaderState.REGRESSED:
+            return False
+        if message.stream != self._stream:
+            raise RecordRefusedError(RefusalReason.OTHER_STREAM, message.stream[:40])
+        if self._log_id and message.log_id != self._log_id:
+            if self._log_seen and not self._expected_log_id:
+                # Peers know another log and nobody has declared this one.
+                self._regress(message.log_id, message.end)
+            raise RecordRefusedError(RefusalReason.OTHER_LOG, message.log_id[:40])
+        return True
+
+    def _feed(self, message: StreamRecords) -> None:
+        records = unpack_records(message)
+        self._log_id = message.log_id
+        if message.checkpoint and not self._placed:
+            checkpoint = open_checkpoint(message, self._keyring)
+            if not self._intake.restore(checkpoint):
+                return
+        self._apply(records, Offset(message.end))
+
+    def records_from(self, offset: Offset) -> StreamRecords | None:
+        """Return records from `offset` on for a peer.
+
+        Returns
+        -------
+        StreamRecords or None
+            At most 200 KiB of records. If `offset` is 0 and the beginning of
+            the stream is not held, a checkpoint and the records after it. None
+            if there is nothing to send.
+        """
+        if offset > self.offset or not self._log_id:
+            return None
+        end = Offset(self.offset + 1)
+        held = self._outbox.records(offset, end, self._log_id)
+        lacks_state = self._window is not None or self._carried_later()
+        if held is not None or offset > 0 or lacks_state:
+            return held
+        return self._outbox.checkpoint(end, self._log_id, self.checkpoint)
--- /dev/null
+++ b/pomelolug/state/_relay.py
@@ -0,0 +1,107 @@
+"""Signed records on the way to and from peers without the log."""
+
+import hashlib
+from collections.abc import Sequence
+
+from pomelolug.ids import Offset
+from pomelolug.messages import Checkpoint, StreamRecords
+from pomelolug.platform import LogRecord
+from pomelolug.state._checkpoint import decode_checkpoint
+from pomelolug.state._envelope import NONCE_BYTES, decode_record, encode_record
+from pomelolug.state._fold import RecordKind
+from pomelolug.state._keys import KeyRing
+from pomelolug.state._prefix import stamp_from_ms, stamp_to_ms
+from pomelolug.state._refusal import RecordRefusedError, RefusalReason
+
+__all__ = [
+    "MAX_RELAY_BYTES",
+    "open_checkpoint",
+    "pack_records",
+    "sign_checkpoint",
+    "unpack_records",
+]
+
+MAX_RELAY_BYTES = 200 * 1024
+"""Leaves room in a message for the stamps and the CBOR framing."""
+
+
+def sign_checkpoint(checkpoint: Checkpoint, *, author: str, keyring: KeyRing) -> bytes:
+    """Return a signed checkpoint that is not on the log."""
+    seed = f"{author}|{checkpoint.covered}|".encode() + checkpoint.digest
+    return encode_record(
+        stream=checkpoint.stream,
+        kind=RecordKind.CHECKPOINT,
+        author=author,
+        nonce=hashlib.sha256(seed).digest()[:NONCE_BYTES],
+        message=checkpoint,
+        keyring=keyring,
+    )
+
+
+def open_checkpoint(message: StreamRecords, keyring: KeyRing) -> Checkpoint:
+    """Return the checkpoint that `message` carries.
+
+    Raises
+    ------
+    RecordRefusedError
+        If it is not an authentic checkpoint of the stream.
+    """
+    record = decode_record(
+        message.checkpoint,
+        stream=message.stream,
+        offset=Offset(message.first_offset),
+        stamp=stamp_from_ms(0),
+        keyring=keyring,
+    )
+    if record.kind is not RecordKind.CHECKPOINT:
+        raise RecordRefusedError(RefusalReason.MALFORMED, "not a checkpoint")
+    checkpoint = decode_checkpoint(record, stream=message.stream, log_id=message.log_id)
+    if checkpoint.covered + 1 != message.first_offset:
+        raise RecordRefusedError(
+            RefusalReason.GAP,
+            f"checkpoint covers {checkpoint.covered}, "
+            f"records start at {message.first_offset}",
+        )
+    return checkpoint
+
+
+def pack_records(
+    records: Sequence[LogRecord],
+    *,
+    stream: str,
+    log_id: str,
+    first: Offset,
+    end: Offset,
+    checkpoint: bytes = b"",
+) -> StreamRecords:
+    """Return the message that carries consecutive `records`."""
+    return StreamRecords(
+        stream=stream,
+        log_id=log_id,
+        first_offset=first,
+        stamps_ms=tuple(stamp_to_ms(record.stamp) for record in records),
+        records=tuple(record.data for record in records),
+        checkpoint=checkpoint,
+        end=end,
+    )
+
+
+def unpack_records(message: StreamRecords) -> list[LogRecord]:
+    """Return the records of `message`.
+
+    Raises
+    ------
+    RecordRefusedError
+        If the message has another number of stamps than of records, or a stamp
+        out of range.
+    """
+    if len(message.stamps_ms) != len(message.records):
+        raise RecordRefusedError(RefusalReason.MALFORMED, "stamps do not match")
+    try:
+        stamps = [stamp_from_ms(stamp) for stamp in message.stamps_ms]
+    except OverflowError as error:
+        raise RecordRefusedError(RefusalReason.MALFORMED, str(error)) from error
+    return [
+        LogRecord(offset=Offset(message.first_offset + index), stamp=stamp, data=data)
+        for index, (stamp, data) in enumerate(zip(stamps, message.records, strict=True))
+    ]
--- /dev/null
+++ b/pomelolug/state/_startup.py
@@ -0,0 +1,139 @@
+"""Where a reader without state starts in a stream."""
+
+import datetime
+
+from pomelolug.clock import Clock
+from pomelolug.ids import Offset
+from pomelolug.messages import Checkpoint
+from pomelolug.platform import LogPage, LogRecord, LogService
+from pomelolug.state._checkpoint import decode_checkpoint
+from pomelolug.state._envelope import decode_record
+from pomelolug.state._fold import RecordKind
+from pomelolug.state._keys import KeyRing
+from pomelolug.state._refusal import RecordRefusedError
+
+__all__ = ["PAGE_RECORDS", "READ_TIMEOUT", "StartFinder"]
+
+PAGE_RECORDS = 500
+READ_TIMEOUT = datetime.timedelta(seconds=2)
+_NO_WAIT = datetime.timedelta(0)
+
+
+class StartFinder:
+    """Finds where a reader without state has to begin.
+
+    Parameters
+    ----------
+    log : LogService
+        The platform's log.
+    stream : str
+        Name of the stream.
+    keyring : KeyRing
+        Accepted keys.
+    clock : Clock
+        Source of time.
+    window : datetime.timedelta, optional
+        Age of the oldest record that is needed; by default all are.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: LogService,
+        stream: str,
+        keyring: KeyRing,
+        clock: Clock,
+        window: datetime.timedelta | None,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._keyring = keyring
+        self._clock = clock
+        self._window = window
+        self._scanned = Offset(0)
+
+    async def find(self, page: LogPage) -> Checkpoint | Offset | None:
+        """Return a checkpoint, the offset to begin at, or None.
+
+        Parameters
+        ----------
+        page : LogPage
+            A recent answer, for the identity and bounds of the log.
+
+        Raises
+        ------
+        PlatformError
+            If the log does not answer.
+        """
+        if self._window is not None:
+            return await self._find_window_start(page, self._window)
+        if page.oldest == 0:
+            return Offset(0)
+        return await self._find_checkpoint(page)
+
+    async def _read(self, first: Offset, limit: int) -> LogPage:
+        return await self._log.read(
+            self._stream, first, limit=limit, wait=_NO_WAIT, timeout=READ_TIMEOUT
+        )
+
+    async def _find_checkpoint(self, page: LogPage) -> Checkpoint | None:
+        """Return the latest checkpoint whose following records are all kept.
+
+        The stream is searched backwards from its end: a checkpoint is due every
+        1,000 records, so that a few pages suffice however long the stream is.
+        A later search does not go back to what was searched before.
+        """
+        upper = page.end
+        lowest = max(page.oldest, self._scanned)
+        while upper > lowest:
+            lower = Offset(max(lowest, upper - PAGE_RECORDS))
+            answer = await self._read(lower, upper - lower)
+            if answer.log_id != page.log_id:
+                return None
+            for record in reversed(answer.records):
+                found = self._usable(record, answer)
+                if found is not None:
+                    return found
+            upper = lower
+        self._scanned = page.end
+        return None
+
+    def _usable(self, record: LogRecord, page: LogPage) -> Checkpoint | None:
+        try:
+            decoded = decode_record(
+                record.data,
+                stream=self._stream,
+                offset=record.offset,
+                stamp=record.stamp,
+                keyring=self._keyring,
+            )
+            if decoded.kind is not RecordKind.CHECKPOINT:
+                return None
+            checkpoint = decode_checkpoint(
+                decoded, stream=self._stream, log_id=page.log_id
+            )
+        except RecordRefusedError:
+            return None
+        follows = checkpoint.covered < record.offset
+        complete = checkpoint.covered + 1 >= page.oldest
+        return checkpoint if follows and complete else None
+
+    async def _find_window_start(
+        self, page: LogPage, window: datetime.timedelta
+    ) -> Offset:
+        """Return the first offset inside `window`.
+
+        Bisects by the log's stamps, one record a read.
+        """
+        since = self._clock.now() - window
+        low, high = page.oldest, page.end
+        while low < high:
+            middle = Offset((low + high) // 2)
+            answer = await self._read(middle, 1)
+            if not answer.records or answer.records[0].offset != middle:
+                low = max(Offset(middle + 1), answer.oldest)
+            elif answer.records[0].stamp >= since:
+                high = middle
+            else:
+                low = Offset(middle + 1)
+        return low
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -1,5 +1,6 @@
 """Fakes and stand-ins for tests, the demo and the experiments."""
 
 from pomelolug.testing._clock import LoopClock
+from pomelolug.testing._memory_log import LogFaults, MemoryLog
 
-__all__ = ["LoopClock"]
+__all__ = ["LogFaults", "LoopClock", "MemoryLog"]
