--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -13,6 +13,7 @@
     decode,
     encode,
 )
+from pomelolug.messages._configuration_generated import ConfigurationChange
 from pomelolug.messages._groups_generated import (
     Dissolution,
     Drain,
@@ -38,15 +39,19 @@
     StatusPull,
     TablePull,
 )
+from pomelolug.messages._state_generated import Checkpoint, Envelope, RecordPayload
 
 __all__ = [
+    "Checkpoint",
     "Claim",
     "ClaimBatch",
     "ClaimRequest",
     "ClaimUpdate",
     "ClaimVerdict",
+    "ConfigurationChange",
     "Dissolution",
     "Drain",
+    "Envelope",
     "Explanation",
     "Formation",
     "GroupMember",
@@ -58,6 +63,7 @@
     "LossReport",
     "MAX_MESSAGE_BYTES",
     "Message",
+    "RecordPayload",
     "RecordsRequest",
     "RoutingTable",
     "ServiceStatus",
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -1,6 +1,7 @@
 """Fakes and stand-ins for tests, the demo and the experiments."""
 
 from pomelolug.testing._clock import LoopClock
+<<<<<<< HEAD
 from pomelolug.testing._engine_fleet import FakeEngineFleet, FakeVm, LedgerEntry
 from pomelolug.testing._group_world import ControlNode, GroupWorld
 from pomelolug.testing._shared_store import FakeWeightStore
@@ -14,3 +15,8 @@
     "LedgerEntry",
     "LoopClock",
 ]
+=======
+from pomelolug.testing._memory_log import LogFaults, MemoryLog
+
+__all__ = ["LogFaults", "LoopClock", "MemoryLog"]
+>>>>>>> state
