Export the fakes of all packages

Cause: a merge left both lists of exports in one file. Change: one list. Conclusion: the test packages import again.

--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -1,9 +1,9 @@
 """Fakes and stand-ins for tests, the demo and the experiments."""
 
 from pomelolug.testing._clock import LoopClock
-<<<<<<< HEAD
 from pomelolug.testing._engine_fleet import FakeEngineFleet, FakeVm, LedgerEntry
 from pomelolug.testing._group_world import ControlNode, GroupWorld
+from pomelolug.testing._memory_log import LogFaults, MemoryLog
 from pomelolug.testing._shared_store import FakeWeightStore
 
 __all__ = [
@@ -13,10 +13,7 @@
     "FakeWeightStore",
     "GroupWorld",
     "LedgerEntry",
+    "LogFaults",
     "LoopClock",
+    "MemoryLog",
 ]
-=======
-from pomelolug.testing._memory_log import LogFaults, MemoryLog
-
-__all__ = ["LogFaults", "LoopClock", "MemoryLog"]
->>>>>>> state
