--- /dev/null
+++ b/pomelolug/claims/_choice.py
@@ -0,0 +1,22 @@
+"""Which node relays the claims of a partition."""
+
+from collections.abc import Iterable
+
+from pomelolug.ids import NodeId, RegionId
+from pomelolug.membership import NodeInfo, rendezvous
+
+__all__ = ["relay_of"]
+
+
+def relay_of(
+    partition: int, nodes: Iterable[NodeInfo], region: RegionId
+) -> NodeId | None:
+    """Return the node that relays `partition`, None if no node is live.
+
+    Nodes of `region` go first. Views that differ lead to several relays of one
+    partition, which costs appends and no correctness.
+    """
+    nodes = list(nodes)
+    near = [info.node for info in nodes if info.region == region]
+    chosen = rendezvous(f"claims {partition}", near or [info.node for info in nodes], 1)
+    return NodeId(chosen[0]) if chosen else None
--- /dev/null
+++ b/pomelolug/membership/__init__.py
@@ -0,0 +1,37 @@
+"""Peer mesh: authenticated connections, heartbeats and choice of nodes."""
+
+from pomelolug.membership._connection import Connection, open_connection
+from pomelolug.membership._handshake import PROTOCOL, Identity, Role, handshake
+from pomelolug.membership._keys import Keys, Side
+from pomelolug.membership._mesh import Mesh
+from pomelolug.membership._rendezvous import rendezvous
+from pomelolug.membership._server import HttpReply, PeerServer
+from pomelolug.membership._table import NodeInfo, NodeState, start_of
+from pomelolug.membership._transport import (
+    Dialer,
+    Transport,
+    WebsocketDialer,
+    WebsocketTransport,
+)
+
+__all__ = [
+    "PROTOCOL",
+    "Connection",
+    "Dialer",
+    "HttpReply",
+    "Identity",
+    "Keys",
+    "Mesh",
+    "NodeInfo",
+    "NodeState",
+    "PeerServer",
+    "Role",
+    "Side",
+    "Transport",
+    "WebsocketDialer",
+    "WebsocketTransport",
+    "handshake",
+    "open_connection",
+    "rendezvous",
+    "start_of",
+]
--- /dev/null
+++ b/pomelolug/membership/_connection.py
@@ -0,0 +1,280 @@
+"""One authenticated connection with a bounded send queue."""
+
+import asyncio
+import contextlib
+import datetime
+from collections.abc import Awaitable, Callable
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.errors import ErrorCode, PeerError, PomelolugError
+from pomelolug.membership._handshake import Identity, handshake
+from pomelolug.membership._keys import Keys, Side
+from pomelolug.membership._metrics import BYTES, HANDLER_ERRORS, REFUSALS
+from pomelolug.membership._queue import Queued, SendQueue
+from pomelolug.membership._transport import Transport
+from pomelolug.messages import (
+    ClaimRequest,
+    ClaimUpdate,
+    ClaimVerdict,
+    DemandReport,
+    Digest,
+    GroupStatus,
+    KeepAlive,
+    LossReport,
+    Message,
+    RecordsRequest,
+    Relay,
+    RoutingTable,
+    StreamRecords,
+    decode,
+)
+
+__all__ = ["MESSAGE_KINDS", "Connection", "open_connection"]
+
+MESSAGE_KINDS: tuple[type[Message], ...] = (
+    ClaimRequest,
+    ClaimUpdate,
+    ClaimVerdict,
+    DemandReport,
+    Digest,
+    GroupStatus,
+    KeepAlive,
+    LossReport,
+    RecordsRequest,
+    Relay,
+    RoutingTable,
+    StreamRecords,
+)
+QUEUE_SIZE = 512
+SILENCE = datetime.timedelta(seconds=3)
+# The writer wakes this often within the silence limit.
+TICKS_PER_SILENCE = 4
+
+_log = structlog.get_logger(__name__)
+
+
+class Connection:
+    """An authenticated connection; made by `open_connection` or `PeerServer`.
+
+    Parameters
+    ----------
+    transport : Transport
+        Frames to and from the other end, after the handshake.
+    peer : Identity
+        The authenticated other end.
+    side : Side
+        Which end this process is.
+    clock : Clock
+        Source of monotonic time.
+    silence : datetime.timedelta
+        Time without any message after which the connection is closed. A keep
+        alive is sent often enough for the other end.
+    queue_size : int
+        Most messages that wait to be sent.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        peer: Identity,
+        *,
+        side: Side,
+        clock: Clock,
+        silence: datetime.timedelta = SILENCE,
+        queue_size: int = QUEUE_SIZE,
+    ) -> None:
+        self._transport = transport
+        self._peer = peer
+        self._side = side
+        self._clock = clock
+        self._silence = silence.total_seconds()
+        self._queue = SendQueue(queue_size)
+        self._wake = asyncio.Event()
+        self._closed = asyncio.Event()
+        self._quiet = 0.0
+        self._reason = ""
+
+    @property
+    def peer(self) -> Identity:
+        """The authenticated other end."""
+        return self._peer
+
+    @property
+    def side(self) -> Side:
+        """Which end this process is."""
+        return self._side
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing can be sent any more."""
+        return self._closed.is_set()
+
+    @property
+    def close_reason(self) -> str:
+        """Why the connection was closed; empty while it is open."""
+        return self._reason
+
+    def send(self, message: Message, *, key: str | None = None) -> bool:
+        """Queue `message` and return whether it was taken.
+
+        Parameters
+        ----------
+        message : Message
+            Any generated message.
+        key : str, optional
+            What the message is a status about: a waiting message with the same
+            key is replaced.
+
+        Raises
+        ------
+        PeerError
+            If the encoded message is too large.
+        """
+        if self.closed or self._queue.put(message, key=key) is Queued.REFUSED:
+            return False
+        self._wake.set()
+        return True
+
+    async def run(
+        self, handler: Callable[["Connection", Message], Awaitable[None]]
+    ) -> None:
+        """Pass each received message to `handler` until the connection ends.
+
+        Messages are handled one after the other in the order of arrival. An
+        error of the handler is counted and does not end the connection.
+        """
+        writer = asyncio.create_task(self._write())
+        closing = asyncio.create_task(self._closed.wait())
+        reader = asyncio.create_task(self._read(handler))
+        tasks = (writer, closing, reader)
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.close("ended")
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            with contextlib.suppress(PeerError, OSError):
+                await self._transport.close()
+
+    def close(self, reason: str) -> None:
+        """Close the connection; messages that still wait are lost."""
+        if not self.closed:
+            self._reason = reason
+            self._closed.set()
+
+    async def _read(
+        self, handler: Callable[["Connection", Message], Awaitable[None]]
+    ) -> None:
+        while not self.closed:
+            try:
+                frame = await self._transport.receive()
+            except PeerError as error:
+                if error.code is not ErrorCode.PEER_PROTOCOL:
+                    REFUSALS.labels(reason=error.code.value).inc()
+                self.close(str(error))
+                return
+            self._quiet = 0.0
+            BYTES.labels(direction="received").inc(len(frame))
+            try:
+                message = decode(frame, *MESSAGE_KINDS)
+            except PeerError as error:
+                # A kind of a later version must not cost the connection.
+                REFUSALS.labels(reason=error.code.value).inc()
+                continue
+            if not isinstance(message, KeepAlive):
+                await self._handle(handler, message)
+
+    async def _handle(
+        self,
+        handler: Callable[["Connection", Message], Awaitable[None]],
+        message: Message,
+    ) -> None:
+        kind = type(message).__name__
+        try:
+            await handler(self, message)
+        except PomelolugError as error:
+            HANDLER_ERRORS.labels(kind=kind).inc()
+            _log.warning("message_refused", kind=kind, code=error.code.value)
+        except Exception:
+            HANDLER_ERRORS.labels(kind=kind).inc()
+            _log.exception("message_handler_failed", kind=kind)
+
+    async def _write(self) -> None:
+        tick = self._silence / TICKS_PER_SILENCE
+        unsent_for = 0.0
+        while not self.closed:
+            before = self._clock.monotonic()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(tick):
+                    await self._wake.wait()
+            # Time in which this process itself was paused does not count as
+            # silence of the other end.
+            waited = min(self._clock.monotonic() - before, 2 * tick)
+            self._quiet += waited
+            unsent_for += waited
+            if self._quiet >= self._silence:
+                REFUSALS.labels(reason="silent").inc()
+                self.close("silent")
+                return
+            if unsent_for >= tick and not len(self._queue):
+                self._queue.put(KeepAlive())
+            if len(self._queue):
+                unsent_for = 0.0
+            await self._flush()
+
+    async def _flush(self) -> None:
+        self._wake.clear()
+        try:
+            while len(self._queue) and not self.closed:
+                frame = self._queue.pop()
+                async with asyncio.timeout(self._silence):
+                    await self._transport.send(frame)
+                BYTES.labels(direction="sent").inc(len(frame))
+        except PeerError as error:
+            self.close(str(error))
+        except TimeoutError:
+            REFUSALS.labels(reason="congested").inc()
+            self.close("congested")
+
+
+async def open_connection(
+    transport: Transport,
+    side: Side,
+    identity: Identity,
+    keys: Keys,
+    *,
+    clock: Clock,
+    timeout: datetime.timedelta,
+    silence: datetime.timedelta = SILENCE,
+    queue_size: int = QUEUE_SIZE,
+) -> Connection:
+    """Authenticate `transport` and return the connection.
+
+    Raises
+    ------
+    PeerError
+        If the handshake fails or takes longer than `timeout`; the transport is
+        closed then.
+    """
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            peer = await handshake(transport, side, identity, keys)
+    except BaseException as error:
+        with contextlib.suppress(PeerError, OSError):
+            await transport.close()
+        if isinstance(error, TimeoutError):
+            error = PeerError(ErrorCode.PEER_PROTOCOL, "handshake took too long")
+        if isinstance(error, PeerError):
+            REFUSALS.labels(reason=error.code.value).inc()
+        raise error
+    return Connection(
+        transport,
+        peer,
+        side=side,
+        clock=clock,
+        silence=silence,
+        queue_size=queue_size,
+    )
--- /dev/null
+++ b/pomelolug/membership/_handshake.py
@@ -0,0 +1,116 @@
+"""Mutual authentication at the start of a connection."""
+
+import dataclasses
+import enum
+import secrets
+
+from pomelolug.errors import ErrorCode, PeerError
+from pomelolug.ids import Incarnation, NodeId, RegionId, ZoneId
+from pomelolug.membership._keys import Keys, Side
+from pomelolug.membership._transport import Transport
+from pomelolug.messages import Hello, Proof, decode, encode
+
+__all__ = ["MIN_PROTOCOL", "PROTOCOL", "Identity", "Role", "handshake"]
+
+PROTOCOL = 1
+# The oldest version that is still understood; older peers are refused.
+MIN_PROTOCOL = 1
+CHALLENGE_BYTES = 16
+MAX_NAME_CHARS = 128
+
+
+class Role(enum.Enum):
+    """What kind of process is at the other end."""
+
+    CONTROL = "control"
+    GATEWAY = "gateway"
+    OPERATOR = "operator"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Identity:
+    """Who a process is, as told in its hello message.
+
+    `protocol` is the version that both ends understand once the handshake is
+    done. `address` is the IP and port of a control process.
+    """
+
+    node: NodeId
+    role: Role
+    incarnation: Incarnation
+    zone: ZoneId
+    region: RegionId = RegionId("")
+    address: str = ""
+    protocol: int = PROTOCOL
+
+
+async def handshake(
+    transport: Transport,
+    side: Side,
+    identity: Identity,
+    keys: Keys,
+) -> Identity:
+    """Authenticate both ends of `transport` and return the other's identity.
+
+    Both send a hello message with a fresh challenge, then a proof over their
+    side and the bytes of both hello messages. A proof therefore holds for one
+    pair of challenges, identities and one direction only.
+
+    Raises
+    ------
+    PeerError
+        If the other end is not authenticated or breaks the protocol.
+    """
+    own = encode(_hello(identity, keys))
+    await transport.send(own)
+    other = await transport.receive()
+    hello = decode(other, Hello)
+    peer = _identity(hello)
+    if other == own:
+        raise PeerError(ErrorCode.PEER_UNAUTHENTICATED, "own hello reflected")
+    dialer, acceptor = (own, other) if side is Side.DIALER else (other, own)
+    await transport.send(encode(Proof(mac=keys.prove(side, dialer, acceptor))))
+    proof = decode(await transport.receive(), Proof)
+    keys.check(hello.key_name, proof.mac, side.opposite, dialer, acceptor)
+    return peer
+
+
+def _hello(identity: Identity, keys: Keys) -> Hello:
+    # The challenge comes from the system and not from a seeded source: one that
+    # can be predicted would let an old proof be used again.
+    return Hello(
+        protocol=identity.protocol,
+        node=identity.node,
+        role=identity.role.value,
+        incarnation=identity.incarnation,
+        zone=identity.zone,
+        region=identity.region,
+        address=identity.address,
+        key_name=keys.signing_name,
+        challenge=secrets.token_bytes(CHALLENGE_BYTES),
+    )
+
+
+def _identity(hello: Hello) -> Identity:
+    if hello.protocol < MIN_PROTOCOL:
+        raise PeerError(
+            ErrorCode.PEER_PROTOCOL, f"protocol version {hello.protocol} is too old"
+        )
+    names = (hello.node, hello.zone, hello.region, hello.address)
+    if not hello.node or any(len(name) > MAX_NAME_CHARS for name in names):
+        raise PeerError(ErrorCode.PEER_PROTOCOL, "malformed name in the hello")
+    if len(hello.challenge) < CHALLENGE_BYTES:
+        raise PeerError(ErrorCode.PEER_PROTOCOL, "challenge too short")
+    try:
+        role = Role(hello.role)
+    except ValueError as error:
+        raise PeerError(ErrorCode.PEER_PROTOCOL, "unknown role") from error
+    return Identity(
+        node=NodeId(hello.node),
+        role=role,
+        incarnation=Incarnation(hello.incarnation),
+        zone=ZoneId(hello.zone),
+        region=RegionId(hello.region),
+        address=hello.address,
+        protocol=min(hello.protocol, PROTOCOL),
+    )
--- /dev/null
+++ b/pomelolug/membership/_link.py
@@ -0,0 +1,178 @@
+"""The digests on one peer connection."""
+
+import collections
+
+import msgspec
+
+from pomelolug.membership._connection import Connection
+from pomelolug.membership._table import FAR, Member, NodeState, Table, start_of
+from pomelolug.messages import Digest, Heartbeat, VersionUpdate
+
+__all__ = ["Link"]
+
+# A hub vouches only for nodes that it hears itself, towards other hubs, and for
+# those that another hub hears, towards the rest. Bounded distances keep two
+# nodes from vouching for a dead third one in a circle.
+MAX_DISTANCE_TO_HUB = 1
+MAX_DISTANCE = 2
+MAX_ENTRIES = 500
+SILENT = -1
+
+
+class Link:
+    """What was sent and received on one peer connection.
+
+    Parameters
+    ----------
+    connection : Connection
+        The connection.
+    table : Table
+        The node's table.
+    """
+
+    def __init__(self, connection: Connection, table: Table) -> None:
+        self.connection = connection
+        self.to_hub = False
+        self.last_digest = table.awake
+        self.unwanted_for = 0
+        self._table = table
+        self._sent_version = 0
+        self._sent: dict[str, Heartbeat] = {}
+        self._numbers: dict[str, int] = {}
+        self._names: list[str] = []
+        self._named: set[str] = set()
+        self._vouched: dict[str, tuple[int, int]] = {}
+
+    @property
+    def node(self) -> str:
+        """Node at the other end."""
+        return self.connection.peer.node
+
+    def set_hub(self, to_hub: bool) -> None:
+        """Tell whether the other end is a hub."""
+        if to_hub is not self.to_hub:
+            self.to_hub = to_hub
+            self._sent_version = 0
+
+    def vouched(self) -> dict[str, int]:
+        """Return the distance of each node that the other end vouches for."""
+        found = {}
+        for node, (distance, start) in self._vouched.items():
+            member = self._table.get(node)
+            if member and start_of(member.beat.incarnation) == start:
+                found[node] = distance + 1
+        return found
+
+    def send_digest(self) -> None:
+        """Send a digest with all that changed since the last one."""
+        version = self._table.version
+        entries: list[Heartbeat] = []
+        updates: dict[tuple[int, int], list[int]] = collections.defaultdict(list)
+        if version > self._sent_version:
+            for member in self._table:
+                if member.changed > self._sent_version:
+                    self._collect(member, entries, updates)
+        grouped = tuple(
+            VersionUpdate(config_version=c, groups_offset=g, nodes=tuple(numbers))
+            for (c, g), numbers in updates.items()
+        )
+        for part in _parts(entries, grouped):
+            # Within the queue a digest must not be lost: what it renews depends
+            # on all digests before it.
+            if not self.connection.send(part):
+                self.connection.close("digest refused by the send queue")
+                return
+        self._sent_version = version
+
+    def _collect(
+        self,
+        member: Member,
+        entries: list[Heartbeat],
+        updates: dict[tuple[int, int], list[int]],
+    ) -> None:
+        entry = self._entry(member)
+        node = entry.node
+        before = self._sent.get(node)
+        if node == self.node and member.state is NodeState.ALIVE:
+            return
+        was_vouched = before is not None and before.distance != SILENT
+        is_news = member.event > self._sent_version or was_vouched
+        if entry.distance == SILENT and self.to_hub and not is_news:
+            return
+        if before is not None and entry.distance != SILENT:
+            unchanged = msgspec.structs.replace(
+                before,
+                config_version=entry.config_version,
+                groups_offset=entry.groups_offset,
+                distance=entry.distance,
+            )
+            # The exact distance matters only where it decides about vouching.
+            if unchanged == entry and was_vouched and before.distance == entry.distance:
+                if before != entry:
+                    key = (entry.config_version, entry.groups_offset)
+                    updates[key].append(self._numbers[node])
+                    self._sent[node] = entry
+                return
+        self._numbers.setdefault(node, len(self._numbers))
+        self._sent[node] = entry
+        entries.append(entry)
+
+    def _entry(self, member: Member) -> Heartbeat:
+        bound = MAX_DISTANCE_TO_HUB if self.to_hub else MAX_DISTANCE
+        if member.state is NodeState.ALIVE and member.distance <= bound:
+            return msgspec.structs.replace(
+                member.beat, distance=member.distance, age_ms=0
+            )
+        age = max(0.0, self._table.awake - member.heard)
+        return msgspec.structs.replace(
+            member.beat, distance=SILENT, age_ms=int(age * 1000)
+        )
+
+    def receive(self, digest: Digest) -> None:
+        """Merge a digest of the other end into the table."""
+        self.last_digest = self._table.awake
+        for entry in digest.entries:
+            if entry.node not in self._named:
+                self._named.add(entry.node)
+                self._names.append(entry.node)
+            if entry.node == self._table.own.node:
+                self._hear_of_self(entry)
+            else:
+                self._hear_of_other(entry)
+        for update in digest.updates:
+            for number in update.nodes:
+                if 0 <= number < len(self._names):
+                    self._table.learn_versions(
+                        self._names[number], update.config_version, update.groups_offset
+                    )
+
+    def _hear_of_self(self, entry: Heartbeat) -> None:
+        own = self._table.own.incarnation
+        suspected = (
+            entry.distance == SILENT
+            and entry.age_ms >= self._table.suspect_after * 1000
+        )
+        if entry.incarnation > own or (entry.incarnation == own and suspected):
+            self._table.refute(entry.incarnation)
+
+    def _hear_of_other(self, entry: Heartbeat) -> None:
+        awake = self._table.awake
+        silent = not 0 <= entry.distance < FAR
+        heard = awake - max(0, entry.age_ms) / 1000 if silent else awake
+        plain = msgspec.structs.replace(entry, distance=0, age_ms=0)
+        member = self._table.learn(plain, heard)
+        if member is None or silent:
+            self._vouched.pop(entry.node, None)
+        else:
+            start = start_of(entry.incarnation)
+            self._vouched[entry.node] = (entry.distance, start)
+
+
+def _parts(
+    entries: list[Heartbeat], updates: tuple[VersionUpdate, ...]
+) -> list[Digest]:
+    parts = [
+        Digest(entries=tuple(entries[start : start + MAX_ENTRIES]))
+        for start in range(0, len(entries), MAX_ENTRIES)
+    ]
+    return [*parts, Digest(updates=updates)] if updates or not parts else parts
--- /dev/null
+++ b/pomelolug/membership/_memory.py
@@ -0,0 +1,220 @@
+"""In-memory network with faults, for tests and experiments on virtual time."""
+
+import asyncio
+import datetime
+from collections.abc import Awaitable, Callable
+
+from pomelolug.clock import Clock
+from pomelolug.errors import ErrorCode, PeerError
+from pomelolug.membership._connection import Connection, open_connection
+from pomelolug.membership._keys import Keys, Side
+from pomelolug.membership._mesh import Mesh
+from pomelolug.membership._transport import Dialer, Transport
+
+__all__ = ["MemoryNetwork", "MemoryTransport", "PausableClock"]
+
+
+class PausableClock(Clock):
+    """Clock of a simulated process that can be paused.
+
+    While it is paused, sleeps do not end and readings stand still; afterwards
+    the reading jumps, as that of a real process does.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._running = asyncio.Event()
+        self._running.set()
+        self._frozen = 0.0
+
+    def pause(self) -> None:
+        """Stop the process."""
+        self._frozen = self._clock.monotonic()
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Let the process continue."""
+        self._running.set()
+
+    async def running(self) -> None:
+        """Wait until the process is not paused."""
+        await self._running.wait()
+
+    def monotonic(self) -> float:
+        """Return seconds; stands still while paused."""
+        return self._clock.monotonic() if self._running.is_set() else self._frozen
+
+    def now(self) -> datetime.datetime:
+        """Return the wall time."""
+        return self._clock.now()
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Wait for `duration` and for the end of a pause."""
+        await self._clock.sleep(duration)
+        await self._running.wait()
+
+
+class MemoryTransport(Transport):
+    """One end of a connection in a `MemoryNetwork`."""
+
+    def __init__(self, network: "MemoryNetwork", source: str, target: str) -> None:
+        self._network = network
+        self._source = source
+        self._target = target
+        self._frames: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._open = True
+        self.other: MemoryTransport | None = None
+
+    async def send(self, frame: bytes) -> None:
+        """Send one frame; while the direction is cut, it waits like in TCP."""
+        if not self._open:
+            raise PeerError(ErrorCode.PEER_PROTOCOL, "connection closed")
+        self._network.carry(self._source, self._target, frame, self.other)
+
+    async def receive(self) -> bytes:
+        """Return the next frame."""
+        frame = await self._frames.get()
+        clock = self._network.clocks.get(self._source)
+        if clock is not None:
+            await clock.running()
+        if frame is None or not self._open:
+            raise PeerError(ErrorCode.PEER_PROTOCOL, "connection closed")
+        return frame
+
+    async def close(self) -> None:
+        """Close this end and tell the other if the direction is open."""
+        if self._open:
+            self._open = False
+            self._frames.put_nowait(None)
+            self._network.carry(self._source, self._target, None, self.other)
+
+    def deliver(self, frame: bytes | None) -> None:
+        """Take a frame, or the end of the connection, from the network."""
+        self._frames.put_nowait(frame)
+
+
+class _MemoryDialer(Dialer):
+    def __init__(self, network: "MemoryNetwork", source: str) -> None:
+        self._network = network
+        self._source = source
+
+    async def dial(self, address: str, *, timeout: datetime.timedelta) -> Transport:
+        return await self._network.connect(self._source, address, timeout)
+
+
+class MemoryNetwork:
+    """Connects meshes of one process.
+
+    Parameters
+    ----------
+    keys : Keys
+        Shared keys of the accepting ends.
+    delay : datetime.timedelta
+        One-way delay of each frame.
+    """
+
+    def __init__(
+        self,
+        keys: Keys,
+        *,
+        delay: datetime.timedelta = datetime.timedelta(milliseconds=1),
+    ) -> None:
+        self._keys = keys
+        self._delay = delay.total_seconds()
+        self._serve: dict[str, Callable[[MemoryTransport], Awaitable[None]]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._cut: set[tuple[str, str]] = set()
+        self._held: list[tuple[str, str, bytes | None, MemoryTransport]] = []
+        self.clocks: dict[str, PausableClock] = {}
+        self.frames = 0
+        self.sent_bytes: dict[str, int] = {}
+
+    def dialer(self, source: str) -> Dialer:
+        """Return a dialer for the process at `source`."""
+        return _MemoryDialer(self, source)
+
+    def listen(
+        self, address: str, mesh: Mesh, clock: Clock, silence: datetime.timedelta
+    ) -> None:
+        """Have `mesh` serve connections to `address`."""
+
+        async def accept(transport: MemoryTransport) -> None:
+            try:
+                connection: Connection = await open_connection(
+                    transport,
+                    Side.ACCEPTOR,
+                    mesh.identity,
+                    self._keys,
+                    clock=clock,
+                    timeout=silence,
+                    silence=silence,
+                )
+            except PeerError:
+                return
+            await mesh.serve(connection)
+
+        self._serve[address] = accept
+
+    def unlisten(self, address: str) -> None:
+        """Refuse connections to `address`."""
+        self._serve.pop(address, None)
+
+    async def connect(
+        self, source: str, target: str, timeout: datetime.timedelta
+    ) -> Transport:
+        """Connect two processes; both directions have to be open."""
+        await asyncio.sleep(2 * self._delay)
+        if (source, target) in self._cut or (target, source) in self._cut:
+            await asyncio.sleep(timeout.total_seconds())
+            raise PeerError(ErrorCode.PEER_PROTOCOL, "no connection: timeout")
+        serve = self._serve.get(target)
+        if serve is None:
+            raise PeerError(ErrorCode.PEER_PROTOCOL, "no connection: refused")
+        near = MemoryTransport(self, source, target)
+        far = MemoryTransport(self, target, source)
+        near.other, far.other = far, near
+        task = asyncio.create_task(self._run(serve, far))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return near
+
+    @staticmethod
+    async def _run(
+        serve: Callable[[MemoryTransport], Awaitable[None]], end: MemoryTransport
+    ) -> None:
+        await serve(end)
+
+    def carry(
+        self,
+        source: str,
+        target: str,
+        frame: bytes | None,
+        end: "MemoryTransport | None",
+    ) -> None:
+        """Deliver a frame after the delay, or hold it while the way is cut."""
+        if end is None:
+            return
+        if frame is not None:
+            self.frames += 1
+            self.sent_bytes[source] = self.sent_bytes.get(source, 0) + len(frame)
+        if (source, target) in self._cut:
+            self._held.append((source, target, frame, end))
+        else:
+            asyncio.get_running_loop().call_later(self._delay, end.deliver, frame)
+
+    def cut(self, source: str, target: str) -> None:
+        """Stop the frames from `source` to `target`, one way."""
+        self._cut.add((source, target))
+
+    def heal(self) -> None:
+        """Open all ways and deliver what was held."""
+        self._cut.clear()
+        held, self._held = self._held, []
+        for _, _, frame, end in held:
+            end.deliver(frame)
+
+    async def close(self) -> None:
+        """End all accepted connections."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/pomelolug/membership/_mesh.py
@@ -0,0 +1,423 @@
+"""The mesh of control processes."""
+
+import asyncio
+import datetime
+import random
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Iterable
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.errors import PeerError
+from pomelolug.ids import NodeId, RegionId, ZoneId
+from pomelolug.membership._connection import (
+    MESSAGE_KINDS,
+    Connection,
+    open_connection,
+)
+from pomelolug.membership._handshake import Identity, Role
+from pomelolug.membership._keys import Keys, Side
+from pomelolug.membership._link import Link
+from pomelolug.membership._metrics import DIALS, REFUSALS
+from pomelolug.membership._relay import Relays
+from pomelolug.membership._rendezvous import rendezvous
+from pomelolug.membership._table import (
+    Member,
+    NodeInfo,
+    NodeState,
+    Table,
+    first_incarnation,
+)
+from pomelolug.membership._transport import Dialer, WebsocketDialer
+from pomelolug.messages import Digest, Heartbeat, Message, Relay
+
+__all__ = ["FULL_MESH_NODES", "Handler", "Mesh"]
+
+FULL_MESH_NODES = 16
+# Hysteresis keeps a fleet at the limit from rebuilding its connections on every
+# restart.
+FULL_MESH_AGAIN = 14
+MAX_ADDRESSES = 2048
+# A connection that is not wanted any more is kept for this many heartbeats, in
+# which the other end may come to want it.
+LINGER_BEATS = 5
+# One address that no live node has is dialled in this many heartbeats.
+EXPLORE_BEATS = 10
+MAX_BACKOFF_BEATS = 8
+MAX_EXPLORING = 3
+JITTER = 0.1
+
+Handler = Callable[[str, Message], Awaitable[None]]
+
+_log = structlog.get_logger(__name__)
+
+
+class Mesh:
+    """Connections to the other control processes and what they tell.
+
+    Parameters
+    ----------
+    node, zone, region : str
+        Identity of this node.
+    address : str
+        IP and port at which peers reach it.
+    seeds : iterable of str
+        Addresses to start from; the own one may be among them.
+    keys : Keys
+        Shared keys.
+    clock : Clock
+        Source of time.
+    random_state : random.Random
+        Draws jitter and the addresses to explore.
+    heartbeat, suspect_after, dead_after : datetime.timedelta
+        Period of the digests; silence after which a node is suspected and dead.
+    hubs_per_zone : int
+        Hubs of each zone when there are too many nodes for a full mesh.
+    full_mesh_nodes : int
+        Up to this many nodes every node is connected to every other.
+    dialer : Dialer, optional
+        Opens connections; websockets by default.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        zone: str,
+        region: str,
+        address: str,
+        seeds: Iterable[str],
+        keys: Keys,
+        clock: Clock,
+        random_state: random.Random,
+        heartbeat: datetime.timedelta = datetime.timedelta(seconds=1),
+        suspect_after: datetime.timedelta = datetime.timedelta(seconds=3),
+        dead_after: datetime.timedelta = datetime.timedelta(seconds=10),
+        hubs_per_zone: int = 2,
+        full_mesh_nodes: int = FULL_MESH_NODES,
+        dialer: Dialer | None = None,
+    ) -> None:
+        self._keys = keys
+        self._clock = clock
+        self._random = random_state
+        self._beat = heartbeat.total_seconds()
+        self._silence = suspect_after
+        self._hubs_per_zone = hubs_per_zone
+        self._full_mesh_nodes = full_mesh_nodes
+        self._dialer = dialer or WebsocketDialer()
+        own = Heartbeat(
+            node=node,
+            incarnation=first_incarnation(clock.now()),
+            zone=zone,
+            region=region,
+            address=address,
+        )
+        self._table = Table(own, suspect_after=suspect_after, dead_after=dead_after)
+        self._node = node
+        self._links: dict[str, Link] = {}
+        self._relays = Relays(node, self._links, random_state)
+        self._handlers: dict[type[Message], Handler] = {}
+        self._watchers: list[Callable[[NodeInfo], None]] = []
+        self._addresses: dict[str, None] = {}
+        self._own_addresses = {address}
+        self._peers: dict[str, asyncio.Task[None]] = {}
+        self._explorers: set[asyncio.Task[None]] = set()
+        self._exploring = 0
+        self._full_mesh = True
+        self._ticks = 0
+        self.add_addresses(seeds)
+
+    @property
+    def identity(self) -> Identity:
+        """Identity for the hello messages of this process."""
+        own = self._table.own
+        return Identity(
+            node=NodeId(own.node),
+            role=Role.CONTROL,
+            incarnation=own.incarnation,  # type: ignore[arg-type]
+            zone=ZoneId(own.zone),
+            region=RegionId(own.region),
+            address=own.address,
+        )
+
+    @property
+    def is_hub(self) -> bool:
+        """Whether this node relays for others."""
+        return self._node in self._hubs()
+
+    @property
+    def connected(self) -> tuple[NodeId, ...]:
+        """Nodes with a direct connection, sorted."""
+        return tuple(NodeId(node) for node in sorted(self._links))
+
+    def alive(self) -> tuple[NodeInfo, ...]:
+        """Return the live nodes, this one included, sorted by name."""
+        return tuple(n for n in self.nodes() if n.state is NodeState.ALIVE)
+
+    def nodes(self) -> tuple[NodeInfo, ...]:
+        """Return all known nodes in whatever state, sorted by name."""
+        members = sorted(self._table, key=lambda member: member.beat.node)
+        return tuple(member.info() for member in members)
+
+    def on(self, kind: type[Message], handler: Handler) -> None:
+        """Have `handler` called with node and message of each such message.
+
+        The handler must not wait for the network: the connection's later
+        messages wait for it.
+        """
+        self._handlers[kind] = handler
+
+    def on_change(self, watcher: Callable[[NodeInfo], None]) -> None:
+        """Have `watcher` called whenever the state of a node changes."""
+        self._watchers.append(watcher)
+
+    def set_versions(self, *, config_version: int, groups_offset: int) -> None:
+        """Set the versions that this node tells of itself."""
+        self._table.set_versions(config_version, groups_offset)
+
+    def add_addresses(self, addresses: Iterable[str]) -> None:
+        """Add addresses at which control processes may be reached."""
+        for address in addresses:
+            if len(self._addresses) < MAX_ADDRESSES:
+                self._addresses.setdefault(address)
+
+    def send(self, node: str, message: Message, *, key: str | None = None) -> bool:
+        """Send `message` to `node`, by way of a hub if need be.
+
+        Returns
+        -------
+        bool
+            Whether it was queued on a connection; no proof of delivery.
+        """
+        return self._relays.send(node, message, key=key)
+
+    def broadcast(self, message: Message, *, key: str | None = None) -> int:
+        """Send `message` to all nodes but this one, once each.
+
+        Returns
+        -------
+        int
+            Number of connections that took it; no proof of delivery.
+        """
+        return self._relays.broadcast(message, key=key)
+
+    async def run(self) -> None:
+        """Send digests and keep the connections until cancelled."""
+        try:
+            while True:
+                before = self._clock.monotonic()
+                await self._clock.sleep(self._jittered(1.0))
+                elapsed = self._clock.monotonic() - before
+                # More than two periods mean that this process was paused.
+                self._table.awake += min(elapsed, 2 * self._beat)
+                self._tick()
+        finally:
+            tasks = [*self._peers.values(), *self._explorers]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def serve(self, connection: Connection) -> None:
+        """Run an authenticated connection of a control process to its end."""
+        node = connection.peer.node
+        if node == self._node:
+            self._own_addresses.add(connection.peer.address)
+            connection.close("own node")
+        elif not self._admit(connection):
+            REFUSALS.labels(reason="duplicate_connection").inc()
+            connection.close("duplicate")
+        else:
+            link = self._links[node] = Link(connection, self._table)
+            self._renew()
+            link.set_hub(node in self._hubs())
+            link.send_digest()
+        try:
+            await connection.run(self._receive)
+        finally:
+            link_now = self._links.get(node)
+            if link_now is not None and link_now.connection is connection:
+                del self._links[node]
+
+    def _admit(self, connection: Connection) -> bool:
+        link = self._links.get(connection.peer.node)
+        if link is None:
+            return True
+        old = link.connection
+        dialed_by_lower = (connection.side is Side.DIALER) is (
+            self._node < connection.peer.node
+        )
+        # When both ends dial at once, both keep the one that the lower name
+        # dialled. A quiet one always gives way to a new one.
+        quiet = self._table.awake - link.last_digest > 2 * self._beat
+        restarted = connection.peer.incarnation > old.peer.incarnation
+        if old.side is connection.side or dialed_by_lower or quiet or restarted:
+            old.close("replaced")
+            return True
+        return False
+
+    async def _receive(self, connection: Connection, message: Message) -> None:
+        node = connection.peer.node
+        link = self._links.get(node)
+        if link is None or link.connection is not connection:
+            return
+        if isinstance(message, Digest):
+            link.receive(message)
+            return
+        origin: str = node
+        if isinstance(message, Relay):
+            origin = message.origin
+            inner = self._relays.receive(link, message, MESSAGE_KINDS, self.is_hub)
+            if inner is None or isinstance(inner, Digest | Relay):
+                return
+            message = inner
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            REFUSALS.labels(reason="no_handler").inc()
+        else:
+            await handler(origin, message)
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        self._renew()
+        hubs = self._hubs()
+        for link in list(self._links.values()):
+            link.set_hub(link.node in hubs)
+            link.send_digest()
+        self._keep_peers(hubs)
+        if self._ticks % EXPLORE_BEATS == 1 or len(self._links) == 0:
+            self._explore()
+
+    def _renew(self) -> None:
+        heard: dict[str, float] = defaultdict(float)
+        distances: dict[str, int] = {}
+        for link in self._links.values():
+            fresh = self._table.awake - link.last_digest < self._table.suspect_after
+            for node, distance in link.vouched().items():
+                heard[node] = max(heard[node], link.last_digest)
+                if fresh:
+                    distances[node] = min(distance, distances.get(node, distance))
+        for member in self._table.renew(heard, distances):
+            self._report(member)
+
+    def _report(self, member: Member) -> None:
+        info = member.info()
+        _log.info("node_state", node=info.node, state=info.state.value)
+        for watcher in self._watchers:
+            watcher(info)
+
+    def _hubs(self) -> frozenset[str]:
+        zones: dict[str, list[str]] = defaultdict(list)
+        count = 0
+        for member in self._table:
+            if member.state is NodeState.ALIVE:
+                zones[member.beat.zone].append(member.beat.node)
+                count += 1
+        limit = FULL_MESH_AGAIN if not self._full_mesh else self._full_mesh_nodes
+        self._full_mesh = count <= min(limit, self._full_mesh_nodes)
+        if self._full_mesh:
+            return frozenset(node for nodes in zones.values() for node in nodes)
+        return frozenset(
+            node
+            for zone, nodes in zones.items()
+            for node in rendezvous(f"hub {zone}", nodes, self._hubs_per_zone)
+        )
+
+    def _wanted(self, hubs: frozenset[str]) -> set[str]:
+        if self._node in hubs:
+            return set(hubs) - {self._node}
+        own_zone = self._table.own.zone
+        return {
+            node
+            for node in hubs
+            if (member := self._table.get(node)) and member.beat.zone == own_zone
+        }
+
+    def _keep_peers(self, hubs: frozenset[str]) -> None:
+        wanted = self._wanted(hubs)
+        for node in wanted - self._links.keys() - self._peers.keys():
+            self._peers[node] = asyncio.create_task(self._keep(node))
+        for node, link in list(self._links.items()):
+            # Only the dialling end gives a connection up: the accepting end
+            # cannot know what the other wants it for.
+            unwanted = node not in wanted and link.connection.side is Side.DIALER
+            link.unwanted_for = link.unwanted_for + 1 if unwanted else 0
+            if link.unwanted_for > LINGER_BEATS:
+                link.connection.close("not wanted")
+
+    async def _keep(self, node: str) -> None:
+        """Dial `node` until it is connected or not wanted, then serve it."""
+        try:
+            if node < self._node:
+                # The lower name dials first, so that duplicates are rare.
+                await self._clock.sleep(self._jittered(1.5))
+            backoff = 1.0
+            while node not in self._links and node in self._wanted(self._hubs()):
+                member = self._table.get(node)
+                address = member.beat.address if member is not None else ""
+                connection = await self._dial(address)
+                if connection is not None:
+                    await self.serve(connection)
+                    return
+                await self._clock.sleep(self._jittered(backoff))
+                backoff = min(2 * backoff, MAX_BACKOFF_BEATS)
+        finally:
+            self._peers.pop(node, None)
+
+    async def _dial(self, address: str) -> Connection | None:
+        try:
+            transport = await self._dialer.dial(address, timeout=self._silence)
+            connection = await open_connection(
+                transport,
+                Side.DIALER,
+                self.identity,
+                self._keys,
+                clock=self._clock,
+                timeout=self._silence,
+                silence=self._silence,
+            )
+        except PeerError as error:
+            DIALS.labels(result=error.code.value).inc()
+            return None
+        DIALS.labels(result="connected").inc()
+        if connection.peer.node == self._node:
+            self._own_addresses.add(address)
+        return connection
+
+    def _explore(self) -> None:
+        known = {
+            member.beat.address
+            for member in self._table
+            if member.state is NodeState.ALIVE
+        }
+        candidates = [
+            address
+            for address in [*self._addresses, *self._silent_addresses()]
+            if address not in known and address not in self._own_addresses
+        ]
+        if candidates and self._exploring < MAX_EXPLORING:
+            task = asyncio.create_task(
+                self._explore_one(self._random.choice(candidates))
+            )
+            self._explorers.add(task)
+            task.add_done_callback(self._explorers.discard)
+
+    async def _explore_one(self, address: str) -> None:
+        self._exploring += 1
+        try:
+            connection = await self._dial(address)
+        finally:
+            self._exploring -= 1
+        if connection is not None:
+            await self.serve(connection)
+
+    def _silent_addresses(self) -> list[str]:
+        return [
+            member.beat.address
+            for member in self._table
+            if member.state is NodeState.DEAD and member.beat.address
+        ]
+
+    def _jittered(self, beats: float) -> datetime.timedelta:
+        factor = 1 + JITTER * (2 * self._random.random() - 1)
+        return datetime.timedelta(seconds=self._beat * beats * factor)
--- /dev/null
+++ b/pomelolug/membership/_queue.py
@@ -0,0 +1,106 @@
+"""Bounded send queue of one connection."""
+
+import collections
+import enum
+
+from pomelolug.membership._metrics import DROPPED
+from pomelolug.messages import DemandReport, GroupStatus, Message, encode
+
+__all__ = ["Queued", "SendQueue", "status_key"]
+
+
+class Queued(enum.Enum):
+    """What became of a message that was given to the queue."""
+
+    ADDED = "added"
+    REPLACED = "replaced"
+    REFUSED = "refused"
+
+
+def status_key(message: Message) -> str | None:
+    """Return what a status message is about; None if it is not a status.
+
+    A waiting status is worthless once a newer one about the same thing exists.
+
+    Examples
+    --------
+    >>> from pomelolug.messages import DemandReport
+    >>> status_key(DemandReport(gateway="g", admitted=1, queued=0, in_flight=0))
+    'demand g'
+    """
+    if isinstance(message, GroupStatus):
+        return f"group {message.group} {message.watcher}"
+    if isinstance(message, DemandReport):
+        return f"demand {message.gateway}"
+    return None
+
+
+class SendQueue:
+    """Encoded messages that wait for the connection.
+
+    When the queue is full, the oldest status makes room; if there is none, the
+    new message is refused, so that the sender learns of it.
+
+    Parameters
+    ----------
+    size : int
+        Most messages that wait.
+    """
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._serial = 0
+        self._frames: collections.OrderedDict[str, bytes] = collections.OrderedDict()
+        self._statuses: collections.OrderedDict[str, None] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._frames)
+
+    def put(self, message: Message, *, key: str | None = None) -> Queued:
+        """Add `message`.
+
+        Parameters
+        ----------
+        message : Message
+            The message; encoded here.
+        key : str, optional
+            What it is a status about; by default `status_key` decides.
+        """
+        frame = encode(message)
+        key = key or status_key(message)
+        if key is not None and key in self._frames:
+            # The place in the queue is kept, so that frequent updates do not
+            # push a status back forever.
+            self._frames[key] = frame
+            DROPPED.labels(reason="replaced").inc()
+            return Queued.REPLACED
+        if len(self._frames) >= self._size and not self._make_room():
+            DROPPED.labels(reason="overflow").inc()
+            return Queued.REFUSED
+        if key is not None:
+            self._statuses[key] = None
+        else:
+            self._serial += 1
+            key = f"\0{self._serial}"
+        self._frames[key] = frame
+        return Queued.ADDED
+
+    def _make_room(self) -> bool:
+        if not self._statuses:
+            return False
+        key, _ = self._statuses.popitem(last=False)
+        del self._frames[key]
+        DROPPED.labels(reason="stale_status").inc()
+        return True
+
+    def pop(self) -> bytes:
+        """Remove and return the oldest frame.
+
+        Raises
+        ------
+        KeyError
+            If the queue is empty.
+        """
+        key, frame = self._frames.popitem(last=False)
+        self._statuses.pop(key, None)
+        return frame
--- /dev/null
+++ b/pomelolug/membership/_relay.py
@@ -0,0 +1,150 @@
+"""Messages to nodes without a direct connection, and to all nodes."""
+
+import collections
+import random
+from collections.abc import Mapping
+
+from pomelolug.membership._link import Link
+from pomelolug.membership._metrics import DROPPED, RELAYED
+from pomelolug.membership._queue import status_key
+from pomelolug.messages import Message, Relay, decode, encode
+
+__all__ = ["Relays"]
+
+MAX_HOPS = 4
+MAX_SEEN = 8192
+FIRST_SERIAL_BITS = 48
+
+
+class Relays:
+    """Sends, forwards and recognises relayed messages.
+
+    Parameters
+    ----------
+    node : str
+        This node.
+    links : mapping of str to Link
+        The open links by node; kept up to date by the caller.
+    random_state : random.Random
+        Draws the first serial number, so that a restarted node does not repeat
+        numbers that its peers have seen.
+    """
+
+    def __init__(
+        self, node: str, links: Mapping[str, Link], random_state: random.Random
+    ) -> None:
+        self._node = node
+        self._links = links
+        self._serial = random_state.getrandbits(FIRST_SERIAL_BITS)
+        self._seen: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
+
+    def send(self, target: str, message: Message, *, key: str | None = None) -> bool:
+        """Send `message` to `target`, directly or by way of other nodes.
+
+        Returns
+        -------
+        bool
+            Whether it was queued on a connection; no proof of delivery.
+        """
+        link = self._links.get(target)
+        if link is not None:
+            return link.connection.send(message, key=key)
+        relay = self._wrap(target, message)
+        return self._forward(relay, came_from=None)
+
+    def broadcast(self, message: Message, *, key: str | None = None) -> int:
+        """Send `message` to all nodes; return the number of connections used."""
+        if not self._links:
+            return 0
+        relay = self._wrap("", message)
+        key = key or status_key(message)
+        return sum(
+            link.connection.send(relay, key=f"{key} of {self._node}" if key else None)
+            for link in self._links.values()
+        )
+
+    def _wrap(self, target: str, message: Message) -> Relay:
+        self._serial += 1
+        self._remember((self._node, self._serial))
+        return Relay(
+            origin=self._node,
+            target=target,
+            serial=self._serial,
+            hops=MAX_HOPS,
+            payload=encode(message),
+        )
+
+    def receive(
+        self, link: Link, relay: Relay, kinds: tuple[type[Message], ...], is_hub: bool
+    ) -> Message | None:
+        """Forward `relay` if that is due; return its message if it is for us.
+
+        Raises
+        ------
+        PeerError
+            If the message is malformed.
+        """
+        key = (relay.origin, relay.serial)
+        if key in self._seen or relay.origin == self._node:
+            RELAYED.labels(result="duplicate").inc()
+            return None
+        self._remember(key)
+        if relay.target and relay.target != self._node:
+            sent = self._forward(relay, came_from=link.node)
+            RELAYED.labels(result="forwarded" if sent else "no_route").inc()
+            return None
+        if not relay.target and is_hub:
+            self._spread(relay, link)
+        RELAYED.labels(result="delivered").inc()
+        return decode(relay.payload, *kinds)
+
+    def _forward(self, relay: Relay, *, came_from: str | None) -> bool:
+        onward = self._next(relay)
+        if onward is None:
+            return False
+        for link in self._routes(relay.target):
+            if link.node != came_from and link.connection.send(onward):
+                return True
+        DROPPED.labels(reason="no_route").inc()
+        return False
+
+    def _routes(self, target: str) -> list[Link]:
+        direct = self._links.get(target)
+        if direct is not None:
+            return [direct]
+        found = [
+            (distance, link.node, link)
+            for link in self._links.values()
+            if (distance := link.vouched().get(target)) is not None
+        ]
+        return [link for _, _, link in sorted(found, key=lambda item: item[:2])]
+
+    def _spread(self, relay: Relay, source: Link) -> None:
+        onward = self._next(relay)
+        if onward is None:
+            return
+        # Hubs are connected to each other, so what comes from a hub goes to the
+        # other nodes only.
+        for link in self._links.values():
+            if link is not source and not (source.to_hub and link.to_hub):
+                link.connection.send(onward)
+
+    @staticmethod
+    def _next(relay: Relay) -> Relay | None:
+        if relay.hops <= 0:
+            RELAYED.labels(result="hop_limit").inc()
+            return None
+        return Relay(
+            origin=relay.origin,
+            target=relay.target,
+            serial=relay.serial,
+            hops=relay.hops - 1,
+            payload=relay.payload,
+        )
+
+    def _remember(self, key: tuple[str, int]) -> None:
+        self._seen[key] = None
+        if len(self._seen) > MAX_SEEN:
+            self._seen.popitem(last=False)
--- /dev/null
+++ b/pomelolug/membership/_rendezvous.py
@@ -0,0 +1,48 @@
+"""Highest random weight choice of nodes."""
+
+import hashlib
+from collections.abc import Iterable
+
+__all__ = ["rendezvous"]
+
+
+def rendezvous(key: str, nodes: Iterable[str], count: int) -> tuple[str, ...]:
+    """Return the `count` nodes with the highest weight for `key`.
+
+    When a node leaves, only the keys that it was chosen for move.
+
+    Parameters
+    ----------
+    key : str
+        What the nodes are chosen for.
+    nodes : iterable of str
+        Candidates; their order does not matter, duplicates count once.
+    count : int
+        How many nodes are wanted.
+
+    Returns
+    -------
+    tuple of str
+        At most `count` nodes, the highest weight first.
+
+    References
+    ----------
+    Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
+    IEEE/ACM Transactions on Networking 6(1), 1998.
+
+    Examples
+    --------
+    >>> rendezvous("partition-1", ["a", "b", "c"], 2)
+    ('c', 'a')
+    >>> rendezvous("partition-1", ["b", "a"], 1)
+    ('a',)
+    """
+    prefix = key.encode() + b"\0"
+    weights = sorted(
+        ((_weight(prefix, node), node) for node in set(nodes)), reverse=True
+    )
+    return tuple(node for _, node in weights[:count])
+
+
+def _weight(prefix: bytes, node: str) -> bytes:
+    return hashlib.blake2b(prefix + node.encode(), digest_size=8).digest()
--- /dev/null
+++ b/pomelolug/membership/tests/test_mesh.py
@@ -0,0 +1,61 @@
+"""Guards against a mesh that does not find its nodes or loses messages."""
+
+import datetime
+
+import pytest
+
+from pomelolug.membership.tests.fleet import ALIVE, DEAD, SUSPECT, Fleet
+from pomelolug.messages import RecordsRequest
+
+pytestmark = pytest.mark.looptime
+
+
+async def test_nine_nodes_form_a_full_mesh():
+    fleet = Fleet(9, zones=3)
+    await fleet.until(fleet.converged, 15)
+    await fleet.until(
+        lambda: all(len(m.connected) == 8 for m in fleet.meshes.values()), 15
+    )
+    await fleet.close()
+
+
+async def test_lost_node_is_suspected_after_3_s_and_dead_after_10_s():
+    fleet = Fleet(5)
+    await fleet.until(fleet.converged, 15)
+    await fleet.stop("n004")
+    suspected = await fleet.until(lambda: fleet.state("n000", "n004") is SUSPECT, 6)
+    assert 2 < suspected < 5
+    dead = await fleet.until(lambda: fleet.state("n000", "n004") is DEAD, 12)
+    assert 8.5 < suspected + dead < 13
+    await fleet.close()
+
+
+async def test_message_reaches_every_node_once_over_hubs():
+    fleet = Fleet(24, zones=3)
+    await fleet.until(fleet.converged, 30)
+    await fleet.until(lambda: sum(m.is_hub for m in fleet.meshes.values()) == 6, 10)
+    import asyncio
+
+    await asyncio.sleep(20)
+    spokes = [m for m in fleet.meshes.values() if not m.is_hub]
+    assert all(len(m.connected) == 2 for m in spokes)
+    got = []
+    for name, mesh in fleet.meshes.items():
+
+        async def handler(node, message, name=name):
+            got.append((name, node, message.from_offset))
+
+        mesh.on(RecordsRequest, handler)
+    sender = spokes[0].identity.node
+    spokes[0].broadcast(RecordsRequest(stream="s", from_offset=7))
+    await asyncio.sleep(1)
+    others = sorted(set(fleet.meshes) - {sender})
+    assert sorted(got) == [(name, sender, 7) for name in others]
+    got.clear()
+    target = spokes[-1].identity.node
+    assert spokes[0].send(target, RecordsRequest(stream="s", from_offset=8))
+    await asyncio.sleep(1)
+    assert got == [(target, sender, 8)]
+    assert fleet.state(target, sender) is ALIVE
+    assert datetime.timedelta(0) == datetime.timedelta()
+    await fleet.close()
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -14,11 +14,16 @@
     encode,
 )
 from pomelolug.messages._peer_generated import (
+    Digest,
     Heartbeat,
     Hello,
+    KeepAlive,
     LossReport,
+    Proof,
     RecordsRequest,
+    Relay,
     StreamRecords,
+    VersionUpdate,
 )
 from pomelolug.messages._routing_generated import (
     DemandReport,
@@ -34,16 +39,21 @@
     "ClaimUpdate",
     "ClaimVerdict",
     "DemandReport",
+    "Digest",
     "GroupStatus",
     "Heartbeat",
     "Hello",
+    "KeepAlive",
     "LossReport",
     "MAX_MESSAGE_BYTES",
     "Message",
+    "Proof",
     "RecordsRequest",
+    "Relay",
     "RoutingTable",
     "ServiceStatus",
     "StreamRecords",
+    "VersionUpdate",
     "decode",
     "encode",
 ]
--- a/pomelolug/messages/_peer_generated.py
+++ b/pomelolug/messages/_peer_generated.py
@@ -5,11 +5,22 @@
 
 from pomelolug.messages._codec import Message
 
-__all__ = ["Heartbeat", "Hello", "LossReport", "RecordsRequest", "StreamRecords"]
+__all__ = [
+    "Digest",
+    "Heartbeat",
+    "Hello",
+    "KeepAlive",
+    "LossReport",
+    "Proof",
+    "RecordsRequest",
+    "Relay",
+    "StreamRecords",
+    "VersionUpdate",
+]
 
 
 class Hello(Message, frozen=True, kw_only=True):
-    """First message of a connection; proves knowledge of a named key."""
+    """First message in each direction of a connection."""
 
     protocol: int
     """Protocol version."""
@@ -22,30 +33,82 @@
     zone: str
     """Availability zone of the sender."""
     key_name: str
-    """Which shared key the proof uses."""
+    """Which shared key the sender's proof uses."""
     challenge: bytes
-    """16 random bytes that the other side has to sign."""
-    proof: bytes = b""
-    """HMAC-SHA256 over the other side's challenge and the sender's identity."""
+    """16 random bytes that enter both proofs."""
+    region: str = ""
+    """Region of the sender."""
+    address: str = ""
+    """IP and port of the sender's control process."""
+
+
+class Proof(Message, frozen=True, kw_only=True):
+    """Second message in each direction; proves knowledge of the named key."""
+
+    mac: bytes
+    """HMAC-SHA256 over the sender's side and both hello messages."""
+
+
+class KeepAlive(Message, frozen=True, kw_only=True):
+    """Sent on a connection that has nothing else to send."""
 
 
 class Heartbeat(Message, frozen=True, kw_only=True):
-    """Sign of life, once a second on each peer connection."""
+    """What is known of one node; the sender's own entry or a relayed one."""
 
     node: str
-    """Identifier of the sender."""
+    """The node."""
     incarnation: int
-    """Incarnation of the sender."""
+    """Incarnation of the node."""
     zone: str
-    """Availability zone of the sender."""
+    """Availability zone of the node."""
+    region: str = ""
+    """Region of the node."""
     address: str = ""
-    """IP and port of the sender's control process."""
+    """IP and port of the node's control process."""
     config_version: int = -1
     """Configuration version in force; -1 if none."""
     groups_offset: int = -1
     """Last applied offset of the groups stream."""
-    suspects: tuple[str, ...] = ()
-    """Nodes that the sender suspects."""
+    distance: int = 0
+    """Connections between sender and node; -1 if the node is silent."""
+    age_ms: int = 0
+    """Milliseconds since the node was heard, if it is silent."""
+
+
+class VersionUpdate(Message, frozen=True, kw_only=True):
+    """Nodes whose versions changed to the same values."""
+
+    config_version: int
+    """Configuration version in force."""
+    groups_offset: int
+    """Last applied offset of the groups stream."""
+    nodes: tuple[int, ...]
+    """Numbers of the nodes, in order of their first entry on the connection."""
+
+
+class Digest(Message, frozen=True, kw_only=True):
+    """Sign of life; renews each entry last sent with a distance from 0 on."""
+
+    entries: tuple[Heartbeat, ...] = ()
+    """Entries that changed since the last digest on the connection."""
+    updates: tuple[VersionUpdate, ...] = ()
+    """Changes of the versions alone."""
+
+
+class Relay(Message, frozen=True, kw_only=True):
+    """A message to a node without a direct connection, or to all nodes."""
+
+    origin: str
+    """Node that sent the message."""
+    target: str = ""
+    """Node that gets the message; empty for all."""
+    serial: int
+    """Number of the message at its origin, for duplicate suppression."""
+    hops: int
+    """How many more nodes may forward the message."""
+    payload: bytes
+    """Encoded message."""
 
 
 class StreamRecords(Message, frozen=True, kw_only=True):
