--- /dev/null
+++ b/pomelolug/control/_claims.py
@@ -0,0 +1,245 @@
+"""Claims on their way to the relay of their partition, and the own relays."""
+
+import asyncio
+import contextlib
+import datetime
+import random
+from collections.abc import AsyncIterator, Callable
+
+import structlog
+
+from pomelolug.claims import (
+    ClaimRelay,
+    ClaimsFold,
+    Verdict,
+    partition_of,
+    relay_of,
+)
+from pomelolug.clock import Clock
+from pomelolug.ids import NodeId, RegionId
+from pomelolug.membership import Mesh, NodeInfo, NodeState
+from pomelolug.messages import (
+    Claim,
+    ClaimRequest,
+    ClaimUpdate,
+    ClaimVerdict,
+    Message,
+)
+from pomelolug.state import Appender, RecordKind, StreamReader
+
+__all__ = ["ClaimRouter"]
+
+_log = structlog.get_logger()
+_MANAGE_EVERY = datetime.timedelta(seconds=1)
+_VERDICT_TIMEOUT = datetime.timedelta(milliseconds=2500)
+# A relay that is no longer chosen is kept for a while, so that a node that is
+# suspected for a moment does not make its partitions move twice.
+_KEEP_IDLE = datetime.timedelta(seconds=60)
+_MAX_UNSENT = 16384
+
+
+class _Partition:
+    """Reader, fold and relay of one partition, with their tasks."""
+
+    def __init__(self, reader: StreamReader, relay: ClaimRelay, now: float) -> None:
+        self.relay = relay
+        self.used_at = now
+        self._tasks = (
+            asyncio.create_task(reader.run()),
+            asyncio.create_task(relay.run()),
+        )
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class ClaimRouter:
+    """Takes claims to the node that relays their partition.
+
+    Parameters
+    ----------
+    node, region : str
+        This node.
+    mesh : Mesh
+        Peers.
+    appender : Appender
+        Appends to the log.
+    make_reader : callable
+        Returns a reader for a partition's stream and fold.
+    partitions : int
+        Number of partitions.
+    window, batch : datetime.timedelta
+        How long a key is remembered, and how long claims are collected.
+    clock : Clock
+        Time source.
+    random_state : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        region: str,
+        mesh: Mesh,
+        appender: Appender,
+        make_reader: Callable[[str, ClaimsFold], StreamReader],
+        partitions: int,
+        window: datetime.timedelta,
+        batch: datetime.timedelta,
+        clock: Clock,
+        random_state: random.Random,
+    ) -> None:
+        self._node = NodeId(node)
+        self._region = RegionId(region)
+        self._mesh = mesh
+        self._appender = appender
+        self._make_reader = make_reader
+        self._count = partitions
+        self._window = window
+        self._batch = batch
+        self._clock = clock
+        self._random = random_state
+        self._partitions: dict[int, _Partition] = {}
+        self._serial = 0
+        self._answers: dict[int, asyncio.Future[Verdict]] = {}
+        self._deciding: set[asyncio.Task[None]] = set()
+        self._unsent: list[ClaimUpdate] = []
+        mesh.on(ClaimRequest, self._on_request)
+        mesh.on(ClaimVerdict, self._on_verdict)
+        mesh.on(ClaimUpdate, self._on_update)
+        mesh.on_change(self._on_node)
+
+    @property
+    def partitions(self) -> tuple[int, ...]:
+        """Partitions that this node relays."""
+        return tuple(sorted(self._partitions))
+
+    async def run(self) -> None:
+        """Start and stop the own relays until cancelled."""
+        async with self._stopping():
+            while True:
+                await self._manage()
+                self._resend()
+                await self._clock.sleep(_MANAGE_EVERY)
+
+    @contextlib.asynccontextmanager
+    async def _stopping(self) -> AsyncIterator[None]:
+        try:
+            yield
+        finally:
+            for task in self._deciding:
+                task.cancel()
+            for partition in self._partitions.values():
+                await partition.stop()
+
+    async def _manage(self) -> None:
+        now = self._clock.monotonic()
+        for number in range(self._count):
+            if self._relay(number) == self._node:
+                self._own(number).used_at = now
+        for number, partition in list(self._partitions.items()):
+            idle = now - partition.used_at > _KEEP_IDLE.total_seconds()
+            if idle and not partition.relay.backlog:
+                del self._partitions[number]
+                await partition.stop()
+
+    def _relay(self, number: int) -> NodeId | None:
+        return relay_of(number, self._mesh.alive(), self._region)
+
+    def _own(self, number: int) -> _Partition:
+        partition = self._partitions.get(number)
+        if partition is None:
+            stream = f"claims.{number}"
+            fold = ClaimsFold(window=self._window)
+
+            async def append(kind: RecordKind, message: Message) -> int:
+                return await self._appender.append(stream, kind, message)
+
+            relay = ClaimRelay(
+                partition=number,
+                fold=fold,
+                append=append,  # type: ignore[arg-type]
+                clock=self._clock,
+                batch=self._batch,
+                random_state=self._random,
+            )
+            reader = self._make_reader(stream, fold)
+            partition = _Partition(reader, relay, self._clock.monotonic())
+            self._partitions[number] = partition
+            _log.info("claim_relay_started", partition=number)
+        return partition
+
+    async def decide(self, claim: Claim) -> Verdict:
+        """Return the verdict on a claim of this VM's gateway."""
+        number = partition_of(claim.key, self._count)
+        relay = self._relay(number)
+        if relay is None or relay == self._node:
+            return await self._own(number).relay.decide(claim)
+        self._serial += 1
+        serial = self._serial
+        answer: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+        self._answers[serial] = answer
+        try:
+            if not self._mesh.send(relay, ClaimRequest(serial=serial, claim=claim)):
+                return Verdict.UNAVAILABLE
+            async with asyncio.timeout(_VERDICT_TIMEOUT.total_seconds()):
+                return await answer
+        except TimeoutError:
+            return Verdict.UNAVAILABLE
+        finally:
+            del self._answers[serial]
+
+    def update(self, update: ClaimUpdate) -> None:
+        """Pass an update to the relay; kept until a connection takes it."""
+        if len(self._unsent) < _MAX_UNSENT:
+            self._unsent.append(update)
+        self._resend()
+
+    def _resend(self) -> None:
+        waiting, self._unsent = self._unsent, []
+        for update in waiting:
+            number = partition_of(update.key, self._count)
+            relay = self._relay(number)
+            if relay is None or relay == self._node:
+                self._start(self._own(number).relay.update(update))
+            elif not self._mesh.send(relay, update):
+                self._unsent.append(update)
+
+    def _start(self, work: "asyncio._CoroutineLike[None]") -> None:
+        task = asyncio.create_task(work)
+        self._deciding.add(task)
+        task.add_done_callback(self._deciding.discard)
+
+    async def _on_request(self, node: str, message: Message) -> None:
+        assert isinstance(message, ClaimRequest)
+        self._start(self._answer(node, message))
+
+    async def _answer(self, node: str, request: ClaimRequest) -> None:
+        # A peer's belief decides: if it is wrong, two relays append and the
+        # fold decides between them.
+        number = partition_of(request.claim.key, self._count)
+        partition = self._own(number)
+        partition.used_at = self._clock.monotonic()
+        verdict = await partition.relay.decide(request.claim)
+        self._mesh.send(
+            node, ClaimVerdict(serial=request.serial, verdict=verdict.value)
+        )
+
+    async def _on_verdict(self, node: str, message: Message) -> None:
+        assert isinstance(message, ClaimVerdict)
+        answer = self._answers.get(message.serial)
+        if answer is not None and not answer.done():
+            answer.set_result(Verdict(message.verdict))
+
+    async def _on_update(self, node: str, message: Message) -> None:
+        assert isinstance(message, ClaimUpdate)
+        number = partition_of(message.key, self._count)
+        await self._own(number).relay.update(message)
+
+    def _on_node(self, info: NodeInfo) -> None:
+        if info.state is NodeState.DEAD:
+            for partition in self._partitions.values():
+                partition.relay.node_lost(info.node)
--- /dev/null
+++ b/pomelolug/control/_gateways.py
@@ -0,0 +1,163 @@
+"""The gateways of this VM: tables out; claims, losses and demand in."""
+
+import asyncio
+import collections
+import datetime
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from pomelolug.admission import CapacityShare
+from pomelolug.clock import Clock
+from pomelolug.control._claims import ClaimRouter
+from pomelolug.control._tables import TableBuilder
+from pomelolug.ids import NodeId
+from pomelolug.membership import Connection, Mesh
+from pomelolug.messages import (
+    ClaimRequest,
+    ClaimUpdate,
+    ClaimVerdict,
+    DemandReport,
+    Explanation,
+    LossReport,
+    Message,
+    TablePull,
+)
+
+__all__ = ["GatewayHub"]
+
+_log = structlog.get_logger()
+_MAX_EXPLANATIONS = 2000
+_DEMAND_LIFE = datetime.timedelta(seconds=5)
+
+
+class GatewayHub:
+    """Serves the connections of gateways.
+
+    Parameters
+    ----------
+    tables : TableBuilder
+        Builds the routing tables.
+    claims : ClaimRouter
+        Decides claims.
+    mesh : Mesh
+        Peers, which get demand and losses.
+    on_loss : callable
+        Takes each `LossReport` of an own gateway.
+    losses : callable
+        Returns the known losses, for a gateway that has just connected.
+    clock : Clock
+        Time source.
+    """
+
+    def __init__(
+        self,
+        *,
+        tables: TableBuilder,
+        claims: ClaimRouter,
+        mesh: Mesh,
+        on_loss: Callable[[LossReport], None],
+        losses: Callable[[], tuple[LossReport, ...]],
+        clock: Clock,
+    ) -> None:
+        self._tables = tables
+        self._claims = claims
+        self._mesh = mesh
+        self._on_loss = on_loss
+        self._losses = losses
+        self._clock = clock
+        self._connections: dict[Connection, TablePull | None] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._explanations: collections.OrderedDict[str, tuple[str, ...]] = (
+            collections.OrderedDict()
+        )
+        self._demand: dict[str, tuple[float, DemandReport]] = {}
+        self._share = CapacityShare()
+        mesh.on(DemandReport, self._on_peer_demand)
+
+    @property
+    def connected(self) -> int:
+        """Gateways that are connected."""
+        return len(self._connections)
+
+    def explain(self, request_id: str) -> tuple[str, ...]:
+        """Return what a gateway of this VM decided for a request."""
+        return self._explanations.get(request_id, ())
+
+    async def serve(self, connection: Connection) -> None:
+        """Run the connection of a gateway to its end."""
+        self._connections[connection] = None
+        _log.info("gateway_connected", gateway=connection.peer.node)
+        for loss in self._losses():
+            connection.send(loss)
+        try:
+            await connection.run(self._receive)
+        finally:
+            del self._connections[connection]
+            _log.info("gateway_disconnected", gateway=connection.peer.node)
+
+    def broadcast(self, message: Message) -> None:
+        """Send `message` to every connected gateway."""
+        for connection in self._connections:
+            connection.send(message)
+
+    def push(self) -> None:
+        """Send the table of now to every gateway that has pulled one."""
+        for connection, pull in self._connections.items():
+            if pull is not None:
+                self._send_table(connection, pull)
+
+    async def _receive(self, connection: Connection, message: Message) -> None:
+        match message:
+            case TablePull():
+                self._connections[connection] = message
+                self._send_table(connection, message)
+            case ClaimRequest():
+                self._start(connection, message)
+            case ClaimUpdate():
+                self._claims.update(message)
+            case LossReport():
+                self._on_loss(message)
+            case Explanation():
+                self._keep(message)
+            case DemandReport():
+                self._note_demand(message)
+                self._mesh.broadcast(message, key=f"demand {message.gateway}")
+
+    def _send_table(self, connection: Connection, pull: TablePull) -> None:
+        table = self._tables.table(known_version=pull.config_version)
+        share = self._share.share(NodeId(connection.peer.node))
+        table = msgspec.structs.replace(table, echo_s=pull.sent_at_s, share=share)
+        connection.send(table, key="table")
+
+    def _start(self, connection: Connection, request: ClaimRequest) -> None:
+        task = asyncio.create_task(self._decide(connection, request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _decide(self, connection: Connection, request: ClaimRequest) -> None:
+        verdict = await self._claims.decide(request.claim)
+        connection.send(ClaimVerdict(serial=request.serial, verdict=verdict.value))
+
+    def _keep(self, message: Explanation) -> None:
+        self._explanations[message.request_id] = message.steps
+        if len(self._explanations) > _MAX_EXPLANATIONS:
+            self._explanations.popitem(last=False)
+
+    async def _on_peer_demand(self, node: str, message: Message) -> None:
+        assert isinstance(message, DemandReport)
+        self._note_demand(message)
+
+    def _note_demand(self, report: DemandReport) -> None:
+        now = self._clock.monotonic()
+        self._demand[report.gateway] = (now, report)
+        oldest = now - _DEMAND_LIFE.total_seconds()
+        self._demand = {
+            gateway: entry
+            for gateway, entry in self._demand.items()
+            if entry[0] >= oldest
+        }
+        if report.gateway == min(self._demand):
+            # One update a second, whoever reports: the smoothing counts updates.
+            self._share.update(entry[1] for entry in self._demand.values())
--- /dev/null
+++ b/pomelolug/control/_http.py
@@ -0,0 +1,48 @@
+"""Plain HTTP GET interface of the control process, for operators."""
+
+import urllib.parse
+from collections.abc import Callable, Mapping
+
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client.registry import CollectorRegistry
+
+from pomelolug.membership import HttpReply
+
+__all__ = ["OperatorPages", "Page"]
+
+Page = Callable[[Mapping[str, str]], object]
+_JSON = "application/json"
+
+
+class OperatorPages:
+    """Answers GET requests from the pages it is given.
+
+    Parameters
+    ----------
+    pages : mapping of str to callable
+        Page for each path; takes the query and returns what is shown as JSON.
+    registries : tuple of CollectorRegistry
+        What ``/metrics`` shows.
+    """
+
+    def __init__(
+        self, pages: Mapping[str, Page], registries: tuple[CollectorRegistry, ...]
+    ) -> None:
+        self._pages = pages
+        self._registries = registries
+
+    def __call__(self, path: str) -> HttpReply | None:
+        """Return the reply for `path`, None if there is no such page."""
+        parts = urllib.parse.urlsplit(path)
+        if parts.path == "/healthz":
+            return HttpReply(body=b"ok\n")
+        if parts.path == "/metrics":
+            body = b"".join(generate_latest(r) for r in self._registries)
+            return HttpReply(content_type=CONTENT_TYPE_LATEST, body=body)
+        page = self._pages.get(parts.path)
+        if page is None:
+            return None
+        query = dict(urllib.parse.parse_qsl(parts.query, max_num_fields=10))
+        body = msgspec.json.encode(page(query))
+        return HttpReply(content_type=_JSON, body=body + b"\n")
--- a/pomelolug/control/_statuses.py
+++ b/pomelolug/control/_statuses.py
@@ -95,8 +95,8 @@
         if batch.echo_s > now:
             return
         if batch.statuses or not batch.brief:
-            full = {status.token: status for status in batch.statuses}
-            self._by_peer[peer] = (batch.version, full)
+            by_token = {status.token: status for status in batch.statuses}
+            self._by_peer[peer] = (batch.version, by_token)
             for status in batch.statuses:
                 self._take(status, batch.echo_s - status.verified_age_s, now)
             return
@@ -104,9 +104,9 @@
         if known is None or known[0] != batch.version:
             return
         for token, age_ms, load in batch.brief:
-            status = known[1].get(token)
-            if status is not None:
-                status = msgspec.structs.replace(status, load=load)
+            full = known[1].get(token)
+            if full is not None:
+                status = msgspec.structs.replace(full, load=load)
                 self._take(status, batch.echo_s - age_ms / 1000, now)
 
     def forget_peer(self, peer: str) -> None:
--- a/pomelolug/engines/_base.py
+++ b/pomelolug/engines/_base.py
@@ -3,7 +3,7 @@
 import abc
 import datetime
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Any
 
 import msgspec
@@ -210,7 +210,7 @@
     @abc.abstractmethod
     def generate(
         self, address: str, request: EngineRequest
-    ) -> AsyncIterator[TokenEvent | StreamEnd]:
+    ) -> AsyncGenerator[TokenEvent | StreamEnd, None]:
         """Yield the tokens and, if the answer is complete, the end marker.
 
         Closing the iterator cancels the request and closes its connection.
--- a/pomelolug/engines/_http.py
+++ b/pomelolug/engines/_http.py
@@ -7,7 +7,7 @@
 """
 
 import datetime
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any
 
 import aiohttp
@@ -122,7 +122,7 @@
 
     async def generate(
         self, address: str, request: EngineRequest
-    ) -> AsyncIterator[TokenEvent | StreamEnd]:
+    ) -> AsyncGenerator[TokenEvent | StreamEnd, None]:
         """Yield the tokens and, if the answer is complete, the end marker."""
         headers = {
             "X-Request-Id": request.request_id,
--- a/pomelolug/gateway/_application.py
+++ b/pomelolug/gateway/_application.py
@@ -5,14 +5,13 @@
 import uuid
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-import msgspec
 import structlog
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
-from starlette.types import Receive, Scope, Send
+from starlette.types import Message, Receive, Scope, Send
 
 from pomelolug.errors import ErrorCode, Outcome, PomelolugError, RequestError
 from pomelolug.gateway._authentication import Authenticator
@@ -52,7 +51,7 @@
         "x-request-id",
     }
 )
-Handler = Callable[[Request, str, Send], Awaitable[str]]
+Handler = Callable[[Request, str, Send], Awaitable[None]]
 
 
 class GatewayApplication:
@@ -132,9 +131,7 @@
 
     async def _metrics_page(self, request: Request) -> Response:
         self._metrics.table_age.set(self._table.age_s)
-        return Response(
-            generate_latest(self._registry), media_type=CONTENT_TYPE_LATEST
-        )
+        return Response(generate_latest(self._registry), media_type=CONTENT_TYPE_LATEST)
 
     async def _models(self, request: Request) -> Response:
         configuration = self._table.configuration
@@ -142,7 +139,9 @@
         data = [{"id": name, "object": "model"} for name in _unique(pools)]
         return JSONResponse({"object": "list", "data": data})
 
-    def _endpoint(self, handler: Handler) -> Callable[[Scope, Receive, Send], Awaitable]:
+    def _endpoint(
+        self, handler: Handler
+    ) -> Callable[[Scope, Receive, Send], Awaitable]:
         async def endpoint(scope: Scope, receive: Receive, send: Send) -> None:
             await self._handle(handler, scope, receive, send)
 
@@ -154,7 +153,7 @@
         request_id = uuid.uuid4().hex
         started = False
 
-        async def tracked(message: msgspec.Struct | dict) -> None:
+        async def tracked(message: Message) -> None:
             nonlocal started
             started = True
             await send(message)
@@ -182,9 +181,7 @@
             outcome = Outcome.UNKNOWN
             ending = f"{outcome.value} ({error.code.value})"
             self._metrics.refusals.labels(error.code.value).inc()
-            _log.warning(
-                "request_cut", request_id=request_id, code=error.code.value
-            )
+            _log.warning("request_cut", request_id=request_id, code=error.code.value)
             if started:
                 raise
             failure = RequestError(
@@ -192,9 +189,7 @@
             )
             await error_response(failure, request_id)(scope, receive, send)
         finally:
-            self._metrics.requests.labels(
-                scope["pomelolug.class"], outcome.value
-            ).inc()
+            self._metrics.requests.labels(scope["pomelolug.class"], outcome.value).inc()
             self._decisions.end(request_id, ending)
 
     async def _completion(self, request: Request, request_id: str, send: Send) -> None:
--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -19,6 +19,7 @@
 from pomelolug.gateway._application import GatewayApplication
 from pomelolug.gateway._authentication import Authenticator
 from pomelolug.gateway._capacity import CapacityView
+from pomelolug.gateway._claiming import Claimant
 from pomelolug.gateway._decisions import DecisionLog
 from pomelolug.gateway._direct import keep_verified
 from pomelolug.gateway._lifecycle import Lifecycle
@@ -32,7 +33,7 @@
 from pomelolug.gateway._table import TableHolder
 from pomelolug.ids import ZoneId
 from pomelolug.invariants import Invariants
-from pomelolug.membership import Keys, WebsocketDialer
+from pomelolug.membership import Keys, WebsocketDialer, first_incarnation
 from pomelolug.messages import LossReport
 from pomelolug.retries import Containment, RetryBudget, RunMode
 from pomelolug.routing import RoutingView
@@ -148,7 +149,9 @@
     authenticator = Authenticator()
 
     def report_loss(report: LossReport) -> None:
-        _log.warning("group_lost", group=report.group, requests=len(report.fingerprints))
+        _log.warning(
+            "group_lost", group=report.group, requests=len(report.fingerprints)
+        )
         containment.on_loss(report)
         link.send(report)
 
@@ -175,23 +178,29 @@
             lambda update: queue.notify(),
         ],
     )
-    claims = ClaimClient(
+    incarnation = first_incarnation(clock.now())
+    client = ClaimClient(
         node=settings.node.name,
+        incarnation=incarnation,
         send=lambda message: link.send(message),
         clock=clock,
-        random_state=random_state,
+        random_state=random.SystemRandom(),
     )
+    claims = Claimant(client=client, clock=clock, window=settings.claims.window)
     link = ControlLink(
         node=settings.node.name,
         zone=settings.node.zone,
+        incarnation=incarnation,
         address=str(settings.control.address),
-        keys=Keys.from_options(settings.control.keys),
+        keys=Keys(settings.control.keys),
         dialer=WebsocketDialer(),
         clock=clock,
         random_state=random_state,
         on_table=table.receive,
         on_loss=containment.on_loss,
-        on_verdict=claims.on_verdict,
+        on_verdict=client.on_verdict,
+        on_connected=client.on_connected,
+        on_disconnected=client.on_disconnected,
         demand=lambda: capacity.demand(settings.node.name, queue, lifecycle),
         config_version=lambda: (
             table.configuration.version if table.configuration else -1
@@ -287,7 +296,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         with gateway.background():
-            drainer = asyncio.create_task(_drain(stop, gateway, server, settings, clock))
+            drainer = asyncio.create_task(
+                _drain(stop, gateway, server, settings, clock)
+            )
             try:
                 await server.serve()
             finally:
--- a/pomelolug/gateway/_endings.py
+++ b/pomelolug/gateway/_endings.py
@@ -21,7 +21,7 @@
 
 
 def no_backend(what: str) -> RequestError:
-    """Nothing can take the request now, and nothing was sent."""
+    """Return the error for a request that nothing can take now."""
     return RequestError(
         ErrorCode.NO_GROUP,
         f"no {what} is available now",
@@ -31,7 +31,7 @@
 
 
 def stream_cut(reason: str) -> RequestError:
-    """The answer has begun and cannot be completed."""
+    """Return the error for an answer that cannot be completed."""
     return RequestError(
         ErrorCode.STREAM_CUT,
         f"the answer broke off: {reason}",
@@ -42,7 +42,7 @@
 
 
 def quarantined(*, maybe_ran: bool) -> RequestError:
-    """The request crashed the groups that ran it."""
+    """Return the error for a request that crashed its groups."""
     return RequestError(
         ErrorCode.QUARANTINED,
         "this request crashed the replica groups that ran it",
@@ -52,7 +52,7 @@
 
 
 def outcome_unknown(reason: str) -> RequestError:
-    """A non-idempotent request may have run and is not tried again."""
+    """Return the error for a non-idempotent request that may have run."""
     return RequestError(
         ErrorCode.OUTCOME_UNKNOWN,
         f"the request may have run: {reason}; it will not be run again",
@@ -64,7 +64,7 @@
 def backend_lost(
     reason: str, *, maybe_ran: bool, code: ErrorCode = ErrorCode.BACKEND_LOST
 ) -> RequestError:
-    """No attempt succeeded and no further one is made."""
+    """Return the error for a request that gets no further attempt."""
     return RequestError(
         code,
         f"no backend server completed the request: {reason}",
@@ -75,7 +75,7 @@
 
 
 def deadline_exceeded(*, maybe_ran: bool) -> RequestError:
-    """The class's deadline passed before an answer."""
+    """Return the error for a request whose deadline passed."""
     return RequestError(
         ErrorCode.DEADLINE_EXCEEDED,
         "the deadline of the class passed",
--- a/pomelolug/gateway/_link.py
+++ b/pomelolug/gateway/_link.py
@@ -48,6 +48,8 @@
     ----------
     node, zone : str
         Identity of the gateway's node.
+    incarnation : Incarnation
+        Incarnation of the gateway process.
     address : str
         IP and port of the control process.
     keys : Keys
@@ -64,6 +66,8 @@
         Called with each `LossReport` of another gateway.
     on_verdict : callable
         Called with each `ClaimVerdict`.
+    on_connected, on_disconnected : callable
+        Called when the connection is up and when it is lost.
     demand : callable
         Returns the current `DemandReport`.
     config_version : callable
@@ -75,6 +79,7 @@
         *,
         node: str,
         zone: str,
+        incarnation: Incarnation,
         address: str,
         keys: Keys,
         dialer: Dialer,
@@ -83,13 +88,15 @@
         on_table: Callable[[RoutingTable], None],
         on_loss: Callable[[LossReport], None],
         on_verdict: Callable[[ClaimVerdict], None],
+        on_connected: Callable[[], None],
+        on_disconnected: Callable[[], None],
         demand: Callable[[], DemandReport],
         config_version: Callable[[], int],
     ) -> None:
         self._identity = Identity(
             node=NodeId(node),
             role=Role.GATEWAY,
-            incarnation=Incarnation(int(clock.now().timestamp() * 1000)),
+            incarnation=incarnation,
             zone=ZoneId(zone),
             region=RegionId(""),
             address="",
@@ -102,6 +109,8 @@
         self._on_table = on_table
         self._on_loss = on_loss
         self._on_verdict = on_verdict
+        self._on_connected = on_connected
+        self._on_disconnected = on_disconnected
         self._demand = demand
         self._config_version = config_version
         self._connection: Connection | None = None
@@ -144,12 +153,14 @@
     async def _serve(self, connection: Connection) -> None:
         self._connection = connection
         _log.info("control_connected", address=self._address)
+        self._on_connected()
         puller = asyncio.create_task(self._pull())
         try:
             await connection.run(self._receive)
         finally:
             self._connection = None
             puller.cancel()
+            self._on_disconnected()
             _log.warning("control_lost", reason=connection.close_reason)
 
     async def _receive(self, connection: Connection, message: Message) -> None:
--- a/pomelolug/gateway/_losses.py
+++ b/pomelolug/gateway/_losses.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator
 
 from pomelolug.clock import Clock
+from pomelolug.ids import GroupId
 from pomelolug.messages import GroupStatus, LossReport, RoutingTable
 
 __all__ = ["LossReporter"]
@@ -77,10 +78,10 @@
             if not running:
                 self._in_flight.pop(group.group, None)
 
-    def groups_with_suspect(self) -> frozenset[str]:
+    def groups_with_suspect(self) -> frozenset[GroupId]:
         """Return the groups on which a struck request runs."""
         return frozenset(
-            group
+            GroupId(group)
             for group, running in self._in_flight.items()
             if any(self._is_struck(fingerprint) for fingerprint in running.values())
         )
--- a/pomelolug/gateway/_model_flow.py
+++ b/pomelolug/gateway/_model_flow.py
@@ -6,18 +6,19 @@
 from collections.abc import AsyncIterator, Iterator
 
 from pomelolug.admission import AdmissionQueue, AdmissionRequest, Permit
-from pomelolug.claims import ClaimClient, ClaimTicket
+from pomelolug.claims import ClaimTicket
 from pomelolug.clock import Clock
 from pomelolug.engines import Engine, EngineRequest
 from pomelolug.errors import ErrorCode, RequestError
 from pomelolug.gateway import _endings as endings
 from pomelolug.gateway._attempt import AttemptResult, Progress, run_attempt
+from pomelolug.gateway._claiming import Claimant
 from pomelolug.gateway._decisions import DecisionLog
 from pomelolug.gateway._losses import LossReporter
 from pomelolug.gateway._metrics import GatewayMetrics
 from pomelolug.gateway._parsing import DEFAULT_MAX_TOKENS, CallerRequest
 from pomelolug.gateway._sinks import AnswerSink
-from pomelolug.ids import AccountId, ClassName, GroupId, PoolId, RequestId
+from pomelolug.ids import AccountId, ClassName, FencingToken, GroupId, PoolId, RequestId
 from pomelolug.invariants import Invariants
 from pomelolug.messages import GroupStatus
 from pomelolug.retries import Containment, RetryBudget, RunMode
@@ -63,7 +64,7 @@
         Replica groups that this gateway may use.
     queue : AdmissionQueue
         Admission control of this gateway.
-    claims : ClaimClient
+    claims : Claimant
         Decides who may dispatch a non-idempotent request.
     budget : RetryBudget
         Bounds further attempts.
@@ -89,7 +90,7 @@
         engine: Engine,
         view: RoutingView,
         queue: AdmissionQueue,
-        claims: ClaimClient,
+        claims: Claimant,
         budget: RetryBudget,
         containment: Containment,
         losses: LossReporter,
@@ -158,18 +159,14 @@
         if request.idempotent:
             yield None
             return
-        async with self._claims.claim(
-            account=request.account.name,
-            idempotency_key=request.idempotency_key,
-            body=request.body,
-        ) as ticket:
+        async with self._claims.claimed(request, request.body) as ticket:
             yield ticket
 
     async def _run_attempts(self, job: _Job) -> None:
         while True:
             group = await self._choose(job)
-            if job.ticket is not None:
-                job.ticket.dispatch()
+            if job.ticket is not None and not job.ticket.dispatch():
+                raise endings.backend_lost("the claim is too old", maybe_ran=False)
             job.attempts += 1
             result = await self._attempt(job, group)
             self._decisions.note(job.request.request_id, group.group, result.value)
@@ -196,7 +193,7 @@
     ) -> None:
         """Allow a further attempt only with proof that nothing ran."""
         if result in _HARMLESS and not job.progress.maybe_ran:
-            ticket.not_dispatched()
+            ticket.refused()
             return
         ticket.unknown()
         raise endings.outcome_unknown(result.value)
@@ -212,13 +209,15 @@
             if mode is RunMode.QUARANTINED:
                 raise endings.quarantined(maybe_ran=job.progress.maybe_ran)
             solo = mode is RunMode.SOLO
-            exclude = self._losses.groups_with_suspect() if solo else frozenset()
+            exclude: frozenset[GroupId] = frozenset()
+            if solo:
+                exclude = self._losses.groups_with_suspect()
             group = self._view.choose(pool, exclude=exclude | job.tried, solo=solo)
             if group is None and job.tried:
                 group = self._view.choose(pool, exclude=exclude, solo=solo)
             # Nothing may be awaited between this check and the dispatch.
             if group is not None and self._view.is_dispatchable(
-                GroupId(group.group), group.token
+                GroupId(group.group), FencingToken(group.token)
             ):
                 return group
             if self._clock.monotonic() >= give_up:
--- a/pomelolug/gateway/_service_flow.py
+++ b/pomelolug/gateway/_service_flow.py
@@ -6,12 +6,13 @@
 from starlette.types import Send
 
 from pomelolug.admission import AdmissionQueue, AdmissionRequest, Permit
-from pomelolug.claims import ClaimClient, ClaimTicket
+from pomelolug.claims import ClaimTicket
 from pomelolug.clock import Clock
 from pomelolug.configuration import Service
 from pomelolug.engines import EngineUnavailableError
 from pomelolug.errors import ErrorCode, RequestError
 from pomelolug.gateway import _endings as endings
+from pomelolug.gateway._claiming import Claimant
 from pomelolug.gateway._decisions import DecisionLog
 from pomelolug.gateway._metrics import GatewayMetrics
 from pomelolug.gateway._parsing import CallerRequest
@@ -48,7 +49,7 @@
         Backend servers of each service.
     queue : AdmissionQueue
         Admission control of this gateway.
-    claims : ClaimClient
+    claims : Claimant
         Decides who may dispatch a non-idempotent call.
     budget : RetryBudget
         Bounds further attempts.
@@ -66,7 +67,7 @@
         plain: PlainService,
         view: ServiceView,
         queue: AdmissionQueue,
-        claims: ClaimClient,
+        claims: Claimant,
         budget: RetryBudget,
         metrics: GatewayMetrics,
         decisions: DecisionLog,
@@ -122,11 +123,7 @@
         digest_input = b"\0".join(
             (target.method.encode(), target.path.encode(), request.body)
         )
-        async with self._claims.claim(
-            account=request.account.name,
-            idempotency_key=request.idempotency_key,
-            body=digest_input,
-        ) as ticket:
+        async with self._claims.claimed(request, digest_input) as ticket:
             await self._attempts(job, ticket)
 
     async def _attempts(self, job: "_ServiceJob", ticket: ClaimTicket | None) -> None:
@@ -139,8 +136,8 @@
             left = deadline_left(job, self._clock)
             if left <= datetime.timedelta(0):
                 raise endings.deadline_exceeded(maybe_ran=job.maybe_ran)
-            if ticket is not None:
-                ticket.dispatch()
+            if ticket is not None and not ticket.dispatch():
+                raise endings.backend_lost("the claim is too old", maybe_ran=False)
             try:
                 await self._attempt(job, server, left, ticket)
                 return
@@ -203,7 +200,7 @@
             ticket.unknown()
             raise endings.outcome_unknown("the backend server broke off") from error
         if ticket is not None:
-            ticket.not_dispatched()
+            ticket.refused()
         reason = "cut" if error.maybe_run else "not_reached"
         if attempt == _MAX_ATTEMPTS:
             raise endings.backend_lost(reason, maybe_ran=job.maybe_ran) from error
--- a/pomelolug/gateway/_service_view.py
+++ b/pomelolug/gateway/_service_view.py
@@ -31,9 +31,7 @@
         Breaks ties, so that gateways do not choose alike.
     """
 
-    def __init__(
-        self, *, zone: str, clock: Clock, random_state: random.Random
-    ) -> None:
+    def __init__(self, *, zone: str, clock: Clock, random_state: random.Random) -> None:
         self._zone = zone
         self._clock = clock
         self._random = random_state
--- a/pomelolug/membership/__init__.py
+++ b/pomelolug/membership/__init__.py
@@ -6,7 +6,7 @@
 from pomelolug.membership._mesh import Mesh
 from pomelolug.membership._rendezvous import rendezvous
 from pomelolug.membership._server import HttpReply, PeerServer
-from pomelolug.membership._table import NodeInfo, NodeState, start_of
+from pomelolug.membership._table import NodeInfo, NodeState, first_incarnation, start_of
 from pomelolug.membership._transport import (
     Dialer,
     Transport,
@@ -30,6 +30,7 @@
     "Transport",
     "WebsocketDialer",
     "WebsocketTransport",
+    "first_incarnation",
     "handshake",
     "open_connection",
     "rendezvous",
--- a/pomelolug/membership/_connection.py
+++ b/pomelolug/membership/_connection.py
@@ -20,6 +20,7 @@
     ClaimVerdict,
     DemandReport,
     Digest,
+    Explanation,
     GroupStatus,
     KeepAlive,
     LossReport,
@@ -27,7 +28,10 @@
     RecordsRequest,
     Relay,
     RoutingTable,
+    StatusBatch,
+    StatusPull,
     StreamRecords,
+    TablePull,
     decode,
 )
 
@@ -39,13 +43,17 @@
     ClaimVerdict,
     DemandReport,
     Digest,
+    Explanation,
     GroupStatus,
     KeepAlive,
     LossReport,
     RecordsRequest,
     Relay,
     RoutingTable,
+    StatusBatch,
+    StatusPull,
     StreamRecords,
+    TablePull,
 )
 QUEUE_SIZE = 512
 SILENCE = datetime.timedelta(seconds=3)
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -36,6 +36,7 @@
     VersionUpdate,
 )
 from pomelolug.messages._routing_generated import (
+    DemandReport,
     Explanation,
     GroupStatus,
     RoutingTable,
@@ -54,6 +55,7 @@
     "ClaimUpdate",
     "ClaimVerdict",
     "ConfigurationChange",
+    "DemandReport",
     "Digest",
     "Dissolution",
     "Drain",
--- a/pomelolug/messages/_routing_generated.py
+++ b/pomelolug/messages/_routing_generated.py
@@ -6,6 +6,7 @@
 from pomelolug.messages._codec import Message
 
 __all__ = [
+    "DemandReport",
     "Explanation",
     "GroupStatus",
     "RoutingTable",
@@ -40,7 +41,7 @@
     addresses: tuple[str, ...] = ()
     """IP and port of each member, in the order of ``members``."""
     verified_age_s: float
-    """Age when sent, seconds: of the oldest member verification if the group serves, else of the evidence against it."""
+    """Age when sent, seconds: of the oldest verification, or of the evidence."""
     contradicted: bool = False
     """Whether a member's own answer speaks against the group, not only its silence."""
     capacity: int
@@ -94,16 +95,21 @@
 
 
 class TablePull(Message, frozen=True, kw_only=True):
-    """Asks control for the routing table; reports the gateway's demand."""
+    """Asks control for the routing table."""
 
     sent_at_s: float
     """Gateway's monotonic clock when sent, seconds."""
     config_version: int
     """Configuration version that the gateway has; -1 if none."""
+
+
+class DemandReport(Message, frozen=True, kw_only=True):
+    """What a gateway asks of the groups."""
+
     gateway: str
     """Identifier of the gateway's node."""
     admitted: int
-    """Requests admitted."""
+    """Requests admitted since the last report."""
     queued: int
     """Requests waiting now."""
     in_flight: int
--- a/pomelolug/settings/_gateway_generated.py
+++ b/pomelolug/settings/_gateway_generated.py
@@ -52,6 +52,13 @@
     """How long a verification of a group allows dispatch; as in control."""
 
 
+class GatewayClaims(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``[claims]``."""
+
+    window: datetime.timedelta
+    """How long an idempotency key is remembered; as in control."""
+
+
 class GatewayDrain(msgspec.Struct, frozen=True, kw_only=True):
     """Section ``[drain]``."""
 
@@ -82,6 +89,7 @@
     listen: GatewayListen
     control: GatewayControl
     routing: GatewayRouting
+    claims: GatewayClaims
     drain: GatewayDrain
     log: GatewayLog
     random: GatewayRandom
@@ -153,6 +161,14 @@
         minimum=0.2,
         maximum=30.0,
     ),
+    OptionSpec(
+        section="claims",
+        key="window",
+        kind="duration",
+        doc="How long an idempotency key is remembered; as in control.",
+        default="1h",
+        minimum=1.0,
+    ),
     OptionSpec(
         section="drain",
         key="grace",
--- a/pomelolug/state/_reader.py
+++ b/pomelolug/state/_reader.py
@@ -1,6 +1,7 @@
 """Follows one stream of the log and keeps its fold up to date."""
 
 import datetime
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 
@@ -57,6 +58,8 @@
         needed. By default the fold needs the whole stream.
     relay_bytes : int
         Bound on the raw records kept for peers.
+    long_poll : datetime.timedelta
+        Longest wait of the log for the next record.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         author: str = "",
         window: datetime.timedelta | None = None,
         relay_bytes: int = _RELAY_BYTES,
+        long_poll: datetime.timedelta = _LONG_POLL,
     ) -> None:
         self._log = log
         self._stream = stream
@@ -81,6 +85,8 @@
         self._expected_log_id = expected_log_id
         self._random = random_state or random.Random()
         self._window = window
+        self._long_poll = long_poll
+        self._proved_at = -math.inf
         self._intake = Intake(
             stream=stream, fold=fold, keyring=keyring, digests=window is None
         )
@@ -148,6 +154,14 @@
             return ReaderState.STALE
         return self._state
 
+    @property
+    def proved_at(self) -> float:
+        """Monotonic time before the newest read that reached the end was sent.
+
+        Minus infinity if there was none. A lease counts from it.
+        """
+        return self._proved_at
+
     @property
     def can_checkpoint(self) -> bool:
         """Whether the fold holds all that its prefix says.
@@ -225,11 +239,12 @@
         needed = Offset(self.offset + 1)
         first = Offset(max(needed - 1, 0)) if self._verify_last else needed
         caught_up = self._state is ReaderState.FOLLOWING and first == needed
+        asked_at = self._clock.monotonic()
         page = await self._log.read(
             self._stream,
             first,
             limit=PAGE_RECORDS,
-            wait=_LONG_POLL if caught_up else _NO_WAIT,
+            wait=self._long_poll if caught_up else _NO_WAIT,
             timeout=READ_TIMEOUT,
         )
         if self._state is ReaderState.REGRESSED:
@@ -242,6 +257,8 @@
         self._log_id = page.log_id
         self._log_seen = True
         await self._take_page(page)
+        if self._state is ReaderState.FOLLOWING and self.offset + 1 >= page.end:
+            self._proved_at = asked_at
 
     def _has_regressed(self, page: LogPage, needed: Offset) -> bool:
         if self._log_id and page.log_id != self._log_id:
--- a/pomelolug/testing/_engine_fleet.py
+++ b/pomelolug/testing/_engine_fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import datetime
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Sequence
 
 from pomelolug.clock import Clock
 from pomelolug.engines import (
@@ -338,7 +338,7 @@
 
     async def generate(
         self, address: str, request: EngineRequest
-    ) -> AsyncIterator[TokenEvent | StreamEnd]:
+    ) -> AsyncGenerator[TokenEvent | StreamEnd, None]:
         """Yield ``max_tokens`` numbered tokens and the end marker."""
         timeout = datetime.timedelta(seconds=request.deadline_s)
         state = await self._reach(address, timeout)
