Add trace runner of the experiments

Cause: the demo and the replay need one way to start a deployment, make calls, apply faults and compare callers with the ledger.

Not run against a gateway yet.

--- /dev/null
+++ b/pomelolug/experiments/_caller.py
@@ -0,0 +1,283 @@
+"""Callers and the balancer in front of the gateways."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+import aiohttp
+import msgspec
+import structlog
+
+from pomelolug.experiments._calls import CallPlan, CallRecord, Ending
+from pomelolug.testing._tokens import AnswerCheck, check_answer
+
+__all__ = ["Balancer", "Caller"]
+
+_READY_INTERVAL_S = 0.25
+_READY_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+# A caller waits this much longer than its deadline before it gives up.
+_PATIENCE_S = 10.0
+_REPEAT_WAIT_S = 0.3
+_DONE = b"[DONE]"
+
+_log = structlog.get_logger()
+
+
+class Balancer:
+    """Knows which gateways are ready, like the platform's balancer.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Client of the experiment.
+    gateways : sequence of str
+        IP and port of each gateway.
+    source : random.Random
+        Chooses among the ready gateways.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        gateways: Sequence[str],
+        source: random.Random,
+    ) -> None:
+        self._session = session
+        self._gateways = tuple(gateways)
+        self._ready: set[str] = set()
+        self._source = source
+
+    @property
+    def ready(self) -> frozenset[str]:
+        """Gateways that were ready at the last look."""
+        return frozenset(self._ready)
+
+    def order(self) -> list[str]:
+        """Return the ready gateways in random order."""
+        ready = sorted(self._ready)
+        self._source.shuffle(ready)
+        return ready
+
+    def failed(self, gateway: str) -> None:
+        """Skip `gateway` until it is ready again."""
+        self._ready.discard(gateway)
+
+    async def watch(self) -> None:
+        """Ask every gateway for readiness until cancelled."""
+        while True:
+            await asyncio.gather(*(self._look(item) for item in self._gateways))
+            await asyncio.sleep(_READY_INTERVAL_S)
+
+    async def _look(self, gateway: str) -> None:
+        try:
+            async with self._session.get(
+                f"http://{gateway}/readyz", timeout=_READY_TIMEOUT
+            ) as response:
+                is_ready = response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            is_ready = False
+        if is_ready:
+            self._ready.add(gateway)
+        else:
+            self._ready.discard(gateway)
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+    delta: dict[str, Any] = {}
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: tuple[_Choice, ...] = ()
+
+
+class _Error(msgspec.Struct):
+    code: str = ""
+    outcome: str = ""
+    request_id: str = ""
+
+
+class _ErrorBody(msgspec.Struct):
+    error: _Error = msgspec.field(default_factory=_Error)
+
+
+_decode_chunk = msgspec.json.Decoder(_Chunk).decode
+_decode_error = msgspec.json.Decoder(_ErrorBody).decode
+
+
+class Caller:
+    """Makes planned calls and records what it saw.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Client of the experiment, without a limit on connections.
+    balancer : Balancer
+        Source of ready gateways.
+    keys : dict
+        Key of each account.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        balancer: Balancer,
+        keys: dict[str, str],
+    ) -> None:
+        self._session = session
+        self._balancer = balancer
+        self._keys = keys
+        self._records: list[CallRecord] = []
+
+    @property
+    def records(self) -> list[CallRecord]:
+        """Every call in order of sending."""
+        return self._records
+
+    async def make(self, plan: CallPlan) -> None:
+        """Make the call, its copies, and its repeats."""
+        order = self._balancer.order()
+        copies = [
+            self._with_repeats(plan, order[index % len(order) :] if order else [])
+            for index in range(plan.load.copies)
+        ]
+        await asyncio.gather(*copies)
+
+    async def _with_repeats(self, plan: CallPlan, gateways: list[str]) -> None:
+        for _ in range(plan.load.repeats + 1):
+            record = await self._call(plan, gateways)
+            if record.ending in (Ending.ANSWERED, Ending.LOST):
+                return
+            await asyncio.sleep(_REPEAT_WAIT_S)
+            gateways = self._balancer.order()
+
+    async def _call(self, plan: CallPlan, gateways: list[str]) -> CallRecord:
+        loop = asyncio.get_running_loop()
+        record = CallRecord(plan=plan, gateway="", sent=loop.time())
+        self._records.append(record)
+        try:
+            async with asyncio.timeout(plan.deadline_s + _PATIENCE_S):
+                await self._through_first_open(record, gateways)
+        except TimeoutError:
+            record.code = "caller_timeout"
+        except (aiohttp.ClientError, ConnectionError) as error:
+            record.code = type(error).__name__
+        record.ended = loop.time()
+        if record.ending is Ending.LOST:
+            _log.warning(
+                "call_lost",
+                call=plan.call_id,
+                gateway=record.gateway,
+                code=record.code,
+                status=record.status,
+            )
+        return record
+
+    async def _through_first_open(
+        self, record: CallRecord, gateways: list[str]
+    ) -> None:
+        # Like the balancer, go on to the next gateway only if the connection
+        # was refused; after that the request may have been received.
+        for gateway in gateways or self._balancer.order():
+            record.gateway = gateway
+            try:
+                return await self._send(record)
+            except aiohttp.ClientConnectorError:
+                self._balancer.failed(gateway)
+        record.ending = Ending.NOT_RUN
+        record.code = "no_gateway"
+
+    async def _send(self, record: CallRecord) -> None:
+        plan = record.plan
+        headers = {
+            "Authorization": f"Bearer {self._keys[plan.load.account]}",
+            "X-Work-Class": plan.load.work_class,
+            "Content-Type": "application/json",
+        }
+        if plan.key:
+            headers["Idempotency-Key"] = plan.key
+            headers["X-Idempotent"] = "no"
+        async with self._session.post(
+            f"http://{record.gateway}{plan.path}",
+            data=plan.body,
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=None),
+        ) as response:
+            record.status = response.status
+            record.request_id = response.headers.get("X-Request-Id", "")
+            if response.status != 200:
+                _note_error(record, await response.read())
+            elif plan.is_service:
+                _note_echo(record, await response.read())
+            else:
+                await _read_stream(record, response.content)
+
+
+async def _read_stream(record: CallRecord, content: aiohttp.StreamReader) -> None:
+    loop = asyncio.get_running_loop()
+    texts: list[str] = []
+    last = 0.0
+    is_error = False
+    async for line in content:
+        line = line.rstrip(b"\r\n")
+        if line.startswith(b"event: "):
+            is_error = line == b"event: error"
+        elif line.startswith(b"data: ") and is_error:
+            _note_error(record, line[6:])
+            break
+        elif line == b"data: " + _DONE:
+            record.ending = Ending.ANSWERED
+            break
+        elif line.startswith(b"data: "):
+            now = loop.time()
+            for text in _texts(line[6:]):
+                texts.append(text)
+                if record.first is None:
+                    record.first = now
+                else:
+                    record.gaps.append(now - last)
+                last = now
+    plan = record.plan
+    record.check = check_answer("".join(texts), plan.digest, plan.tokens)
+
+
+def _texts(data: bytes) -> Iterator[str]:
+    for choice in _decode_chunk(data).choices:
+        text = choice.text or choice.delta.get("content") or ""
+        if text:
+            yield text
+
+
+def _note_error(record: CallRecord, data: bytes) -> None:
+    error = _Error()
+    with contextlib.suppress(msgspec.DecodeError):
+        error = _decode_error(data).error
+    record.code = error.code or f"status_{record.status}"
+    record.request_id = error.request_id or record.request_id
+    if error.outcome in (Ending.NOT_RUN.value, Ending.UNKNOWN.value):
+        record.ending = Ending(error.outcome)
+
+
+def _note_echo(record: CallRecord, data: bytes) -> None:
+    plan = record.plan
+    record.first = asyncio.get_running_loop().time()
+    record.ending = Ending.ANSWERED
+    try:
+        reply = msgspec.json.decode(data, type=dict)
+    except msgspec.DecodeError:
+        reply = None
+    own = (
+        reply is not None
+        and reply.get("body") == plan.body.decode()
+        and plan.path.endswith(str(reply.get("path")))
+    )
+    record.check = AnswerCheck(
+        tokens=int(own),
+        crossed=int(reply is not None and not own),
+        repeated=0,
+        missing=int(reply is None),
+        garbage=0,
+    )
--- /dev/null
+++ b/pomelolug/experiments/_declaration.py
@@ -0,0 +1,88 @@
+"""Settings files and the declared configuration of an experiment."""
+
+import configparser
+import hashlib
+import pathlib
+
+from pomelolug.experiments._trace import Trace
+
+__all__ = ["AccountKeys", "write_declaration", "write_ini"]
+
+_SALT = b"experiment-salt!"
+
+
+class AccountKeys:
+    """Keys of the client accounts; fixed, since everything runs on loopback."""
+
+    def __init__(self, accounts: list[str]) -> None:
+        self._keys = {name: f"key-of-{name}" for name in accounts}
+
+    @property
+    def keys(self) -> dict[str, str]:
+        """Key of each account."""
+        return self._keys
+
+    def stored(self, account: str) -> str:
+        """Return the salted hash that the configuration holds."""
+        digest = hashlib.sha256(_SALT + self._keys[account].encode()).hexdigest()
+        return f"{_SALT.hex()}:{digest}"
+
+
+def write_ini(path: pathlib.Path, sections: dict[str, dict[str, object]]) -> None:
+    """Write `sections` as an INI file."""
+    parser = configparser.ConfigParser(interpolation=None)
+    for section, options in sections.items():
+        parser[section] = {key: str(value) for key, value in options.items()}
+    with path.open("w", encoding="utf-8") as file:
+        parser.write(file)
+
+
+def write_declaration(
+    path: pathlib.Path,
+    trace: Trace,
+    keys: AccountKeys,
+    *,
+    ttft_targets_s: dict[str, float] | None = None,
+) -> None:
+    """Write the configuration that `trace` declares.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        File to write.
+    trace : Trace
+        Source of pools, services, classes and accounts.
+    keys : AccountKeys
+        Keys of the accounts.
+    ttft_targets_s : dict, optional
+        Targets in seconds that replace those of the trace, by class.
+    """
+    plan = trace.deployment
+    changed = ttft_targets_s or {}
+    sections: dict[str, dict[str, object]] = {
+        "deployment": {"objective": plan.objective}
+    }
+    for pool in plan.pools:
+        sections[f"pool {pool}"] = {
+            "model": pool,
+            "members": plan.members,
+            "accelerators": plan.accelerators,
+        }
+    for service in plan.services:
+        sections[f"service {service}"] = {"timeout": "5s"}
+    for item in trace.classes:
+        sections[f"class {item.name}"] = {
+            "priority": item.priority,
+            "ttft_target": f"{changed.get(item.name, item.ttft_target_s)}s",
+            "gap_target": f"{item.gap_target_s}s",
+            "deadline": f"{item.deadline_s}s",
+            "pool": item.pool,
+            "service": item.service,
+            "idempotent": "yes" if item.idempotent else "no",
+        }
+    for account in trace.accounts:
+        sections[f"account {account.name}"] = {
+            "keys": keys.stored(account.name),
+            "weight": account.weight,
+        }
+    write_ini(path, sections)
--- /dev/null
+++ b/pomelolug/experiments/_deployment.py
@@ -0,0 +1,375 @@
+"""A whole deployment on loopback: stand-ins and entry VMs as processes."""
+
+import asyncio
+import dataclasses
+import pathlib
+import re
+import signal
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import structlog
+
+from pomelolug.experiments._declaration import (
+    AccountKeys,
+    write_declaration,
+    write_ini,
+)
+from pomelolug.experiments._monitor import count_groups
+from pomelolug.experiments._processes import ChildProcess, ProcessGroup, free_ports
+from pomelolug.experiments._stand_ins import StandIns
+from pomelolug.experiments._trace import Trace
+
+__all__ = ["Deployment", "EntryVm"]
+
+_HOST = "127.0.0.1"
+_REGION = "region-1"
+# Fixed keys: everything runs on loopback for the length of one experiment.
+_PEER_KEY = "peer=" + "ab" * 32
+_OPERATOR_KEY = "cd" * 32
+_START_TIMEOUT_S = 10.0
+_POLL_S = 0.1
+_ANSWER_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+# Bound on the time until an accepted configuration is in force everywhere.
+_IN_FORCE_TIMEOUT_S = 16.0
+_VERSION_METRIC = re.compile(r"^\S*config_version\S* (\S+)$", re.MULTILINE)
+_PUBLISH_TIMEOUT_S = 20.0
+_OPERATORS = ("alice", "bob")
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(kw_only=True)
+class EntryVm:
+    """Gateway and control process of one entry VM."""
+
+    name: str
+    zone: str
+    gateway_address: str
+    control_address: str
+    gateway: ChildProcess | None = None
+    control: ChildProcess | None = None
+
+    @property
+    def processes(self) -> tuple[ChildProcess, ...]:
+        """The processes that were started."""
+        return tuple(item for item in (self.gateway, self.control) if item)
+
+
+class Deployment:
+    """Processes of one experiment.
+
+    Parameters
+    ----------
+    trace : Trace
+        What to start.
+    folder : pathlib.Path
+        Empty folder for settings and logs.
+    session : aiohttp.ClientSession
+        Client of the experiment.
+    """
+
+    def __init__(
+        self, trace: Trace, folder: pathlib.Path, session: aiohttp.ClientSession
+    ) -> None:
+        plan = trace.deployment
+        self._trace = trace
+        self._plan = plan
+        self._folder = folder
+        self._session = session
+        self._processes = ProcessGroup(folder)
+        self._keys = AccountKeys([account.name for account in trace.accounts])
+        count = 1 + len(plan.zones) + 1 + plan.engines + plan.service_vms
+        count += 2 * len(plan.entry_zones)
+        self._base = free_ports(count)
+        self._backend_port = self._base + 1 + len(plan.zones)
+        entry_port = self._backend_port + 1 + plan.engines + plan.service_vms
+        self._entries = tuple(
+            EntryVm(
+                name=f"entry-{index}",
+                zone=zone,
+                gateway_address=f"{_HOST}:{entry_port + 2 * index}",
+                control_address=f"{_HOST}:{entry_port + 2 * index + 1}",
+            )
+            for index, zone in enumerate(plan.entry_zones)
+        )
+        self._stand_ins = StandIns(
+            session,
+            platform=f"{_HOST}:{self._base}",
+            backends=f"{_HOST}:{self._backend_port}",
+        )
+        self._ttft_targets_s: dict[str, float] = {}
+        self._publications = 0
+        self._stopped: list[ChildProcess] = []
+
+    @property
+    def entries(self) -> tuple[EntryVm, ...]:
+        """Entry VMs."""
+        return self._entries
+
+    @property
+    def keys(self) -> dict[str, str]:
+        """Key of each client account."""
+        return self._keys.keys
+
+    @property
+    def stand_ins(self) -> StandIns:
+        """Fault and ledger interfaces."""
+        return self._stand_ins
+
+    async def start(self) -> None:
+        """Start every process and wait until the stand-ins answer."""
+        await self._start_platform()
+        await self._wait("platform", self._platform_answers)
+        await self._start_backends()
+        await self._wait("backends", self._stand_ins.answers)
+        await asyncio.gather(*(self._start_entry(entry) for entry in self._entries))
+
+    async def close(self) -> None:
+        """End every process."""
+        await self._processes.close()
+
+    async def wait_ready(self, timeout_s: float) -> None:
+        """Wait until every gateway is ready."""
+
+        async def all_ready() -> bool:
+            ready = [await self._is_ready(entry) for entry in self._entries]
+            return all(ready)
+
+        await self._wait("gateways", all_ready, timeout_s=timeout_s)
+
+    async def wait_groups(self, timeout_s: float) -> None:
+        """Wait until every group that could serve is complete and loaded."""
+
+        async def all_serving() -> bool:
+            vms = await self._stand_ins.vms()
+            possible, serving, _ = count_groups(vms, self._plan.members)
+            return serving >= possible
+
+        await self._wait("groups", all_serving, timeout_s=timeout_s)
+
+    async def wait_version(self, version: int) -> None:
+        """Wait until every running entry VM has at least `version` in force."""
+
+        async def all_current() -> bool:
+            return all(item >= version for item in (await self.versions()).values())
+
+        await self._wait(
+            f"version {version}", all_current, timeout_s=_IN_FORCE_TIMEOUT_S
+        )
+
+    async def versions(self) -> dict[str, int]:
+        """Return the configuration version of each entry VM that answers."""
+        versions = {}
+        for entry in self._entries:
+            text = await self._metrics(entry)
+            if text is not None:
+                found = _VERSION_METRIC.search(text)
+                versions[entry.name] = int(float(found[1])) if found else -1
+        return versions
+
+    async def _metrics(self, entry: EntryVm) -> str | None:
+        try:
+            url = f"http://{entry.gateway_address}/metrics"
+            async with self._session.get(url, timeout=_ANSWER_TIMEOUT) as response:
+                return await response.text()
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+
+    def stop_entry(self, index: int) -> list[ChildProcess]:
+        """Stop an entry VM in the planned way; return its processes."""
+        processes = list(self._entries[index].processes)
+        self._stopped += processes
+        for process in processes:
+            process.send(signal.SIGTERM)
+        return processes
+
+    def kill_entry(self, index: int) -> None:
+        """Kill both processes of an entry VM."""
+        self._stopped += self._entries[index].processes
+        for process in self._entries[index].processes:
+            process.send(signal.SIGKILL)
+
+    def pids(self, zone: str, *, inside: bool) -> list[int]:
+        """Return the process ids of the entry VMs inside or outside `zone`."""
+        return [
+            process.pid
+            for entry in self._entries
+            if (entry.zone == zone) is inside
+            for process in entry.processes
+            if process.returncode is None
+        ]
+
+    async def publish(
+        self,
+        *,
+        base: int,
+        operator: str = _OPERATORS[0],
+        work_class: str = "",
+        ttft_target_s: float = 0.0,
+    ) -> int | None:
+        """Publish the trace's configuration, with one target changed.
+
+        Returns
+        -------
+        int or None
+            The version, or None if the change did not win.
+        """
+        targets = dict(self._ttft_targets_s)
+        if work_class:
+            targets[work_class] = ttft_target_s
+        self._publications += 1
+        path = self._folder / f"configuration-{self._publications}.ini"
+        write_declaration(path, self._trace, self._keys, ttft_targets_s=targets)
+        version = await self._run_publish(path, base, operator)
+        if version is not None:
+            self._ttft_targets_s = targets
+        return version
+
+    async def _run_publish(
+        self, path: pathlib.Path, base: int, operator: str
+    ) -> int | None:
+        settings = self._folder / f"operator-{operator}.ini"
+        write_ini(settings, self._operator_settings(operator))
+        arguments = ["publish", str(path), "--base", str(base)]
+        arguments += ["--settings", str(settings)]
+        status, output, errors = await self._processes.run(
+            "pomelolug.operator", arguments, timeout_s=_PUBLISH_TIMEOUT_S
+        )
+        _log.info(
+            "published",
+            operator=operator,
+            base=base,
+            status=status,
+            output=output.strip()[-300:],
+            errors=errors.strip()[-300:],
+        )
+        found = re.search(r"version\D*(\d+)", output)
+        return int(found[1]) if status == 0 and found else None
+
+    def _operator_settings(self, operator: str) -> dict[str, dict[str, object]]:
+        return {
+            "operator": {"name": operator, "key": f"{operator}={_OPERATOR_KEY}"},
+            "platform": {"log": f"{_HOST}:{self._base}"},
+            "control": {
+                "address": self._entries[0].control_address,
+                "keys": _PEER_KEY,
+            },
+        }
+
+    async def _start_platform(self) -> None:
+        plan = self._plan
+        arguments = [f"--port={self._base}", f"--zones={','.join(plan.zones)}"]
+        arguments += [f"--models={','.join(plan.pools)}"]
+        arguments += [f"--model_bytes={plan.model_bytes}"]
+        arguments += [f"--rate_bytes_per_s={plan.rate_bytes_per_s}"]
+        module = "pomelolug.testing.platform_server"
+        await self._processes.start("platform", module, arguments)
+
+    async def _start_backends(self) -> None:
+        plan = self._plan
+        options = {
+            "base_port": self._backend_port,
+            "engines": plan.engines,
+            "services": plan.service_vms,
+            "service_names": ",".join(plan.services),
+            "zones": ",".join(plan.zones),
+            "region": _REGION,
+            "domain_size": plan.domain_size,
+            "capacity": plan.capacity,
+            "model_bytes": plan.model_bytes,
+            "rate_bytes_per_s": plan.rate_bytes_per_s,
+            "first_token_ms": plan.first_token_ms,
+            "first_token_cached_ms": plan.first_token_cached_ms,
+            "step_ms": plan.step_ms,
+            "service_ms": plan.service_ms,
+            "fencing": plan.fencing,
+            "platform": f"{_HOST}:{self._base}",
+        }
+        arguments = [f"--{name}={value}" for name, value in options.items()]
+        module = "pomelolug.testing.backend_server"
+        await self._processes.start("backends", module, arguments)
+
+    async def _start_entry(self, entry: EntryVm) -> None:
+        control_file = self._folder / f"{entry.name}-control.ini"
+        gateway_file = self._folder / f"{entry.name}-gateway.ini"
+        write_ini(control_file, self._control_settings(entry))
+        write_ini(gateway_file, self._gateway_settings(entry))
+        entry.control = await self._processes.start(
+            f"{entry.name}-control", "pomelolug.control", [str(control_file)]
+        )
+        entry.gateway = await self._processes.start(
+            f"{entry.name}-gateway", "pomelolug.gateway", [str(gateway_file)]
+        )
+
+    def _control_settings(self, entry: EntryVm) -> dict[str, dict[str, object]]:
+        plan = self._plan
+        port = self._base + 1 + plan.zones.index(entry.zone)
+        platform = f"{_HOST}:{port}"
+        keys = ", ".join(f"{name}={_OPERATOR_KEY}" for name in _OPERATORS)
+        seeds = ", ".join(item.control_address for item in self._entries)
+        return {
+            "node": {
+                "name": entry.name,
+                "zone": entry.zone,
+                "region": _REGION,
+                "gateway": entry.gateway_address,
+            },
+            "listen": {"address": entry.control_address},
+            "peers": {"seeds": seeds, "keys": _PEER_KEY},
+            "platform": {
+                "log": platform,
+                "vms": platform,
+                "weights": platform,
+                "operators": keys,
+            },
+            "groups": {
+                "verify_every": f"{plan.verify_every_s}s",
+                "lease": f"{plan.lease_s}s",
+            },
+        }
+
+    def _gateway_settings(self, entry: EntryVm) -> dict[str, dict[str, object]]:
+        return {
+            "node": {"name": entry.name, "zone": entry.zone},
+            "listen": {"address": entry.gateway_address},
+            "control": {"address": entry.control_address, "keys": _PEER_KEY},
+        }
+
+    async def _platform_answers(self) -> bool:
+        try:
+            async with self._session.get(f"http://{_HOST}:{self._base}/vms") as reply:
+                return reply.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def _is_ready(self, entry: EntryVm) -> bool:
+        try:
+            url = f"http://{entry.gateway_address}/readyz"
+            async with self._session.get(url, timeout=_ANSWER_TIMEOUT) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def _wait(
+        self,
+        what: str,
+        check: Callable[[], Awaitable[bool]],
+        *,
+        timeout_s: float = _START_TIMEOUT_S,
+    ) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not await check():
+                    self._raise_if_ended()
+                    await asyncio.sleep(_POLL_S)
+        except TimeoutError:
+            raise TimeoutError(f"{what} not ready after {timeout_s} s") from None
+
+    def _raise_if_ended(self) -> None:
+        stopped = {item.name for item in self._stopped}
+        for child in self._processes.children:
+            if child.returncode is not None and child.name not in stopped:
+                path = self._folder / f"{child.name}.log"
+                text = path.read_text(errors="replace")[-1500:]
+                raise RuntimeError(f"{child.name} ended: {text}")
--- /dev/null
+++ b/pomelolug/experiments/_stand_ins.py
@@ -0,0 +1,104 @@
+"""Client of the stand-ins' fault and ledger interfaces."""
+
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from pomelolug.engines import MemberStatus
+from pomelolug.testing._ledger import Execution, Violation
+
+__all__ = ["LedgerCopy", "StandIns", "VmView"]
+
+_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
+
+
+class LedgerCopy(msgspec.Struct, frozen=True, kw_only=True):
+    """The ledger of the backend servers."""
+
+    executions: tuple[Execution, ...]
+    violations: tuple[Violation, ...]
+    refusals: dict[str, int]
+    now: float
+
+
+class VmView(msgspec.Struct, frozen=True, kw_only=True):
+    """True state of one backend server; `status` is what it reports."""
+
+    address: str
+    zone: str
+    domain: str
+    service: str
+    alive: bool
+    reachable: bool
+    members: tuple[str, ...]
+    rank: int
+    status: MemberStatus
+
+
+class _VmViews(msgspec.Struct, frozen=True):
+    vms: tuple[VmView, ...]
+
+
+class StandIns:
+    """The simulated platform and backend servers of one experiment.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Client of the experiment.
+    platform, backends : str
+        IP and port of each control interface.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, *, platform: str, backends: str
+    ) -> None:
+        self._session = session
+        self._platform = platform
+        self._backends = backends
+
+    async def platform_fault(self, **fields: Any) -> None:
+        """Set fields of the platform's faults."""
+        await self._call(self._platform, "/faults", fields)
+
+    async def backend_fault(self, **fields: Any) -> list[str]:
+        """Apply one fault to backend servers; return the VMs."""
+        data = await self._call(self._backends, "/faults", fields)
+        return msgspec.json.decode(data)["vms"]
+
+    async def ledger(self) -> LedgerCopy:
+        """Return what the backend servers executed."""
+        return msgspec.json.decode(
+            await self._call(self._backends, "/ledger"), type=LedgerCopy
+        )
+
+    async def vms(self) -> tuple[VmView, ...]:
+        """Return the true state of every backend server."""
+        data = await self._call(self._backends, "/vms")
+        return msgspec.json.decode(data, type=_VmViews).vms
+
+    async def appends(self) -> int:
+        """Return the number of records appended to the log."""
+        data = await self._call(self._platform, "/streams")
+        return msgspec.json.decode(data)["appends"]
+
+    async def answers(self) -> bool:
+        """Return whether both control interfaces answer."""
+        try:
+            await self._call(self._platform, "/faults")
+            await self._call(self._backends, "/vms")
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+        return True
+
+    async def _call(
+        self, address: str, path: str, body: dict[str, Any] | None = None
+    ) -> bytes:
+        method = "GET" if body is None else "POST"
+        data = None if body is None else msgspec.json.encode(body)
+        async with self._session.request(
+            method, f"http://{address}{path}", data=data, timeout=_TIMEOUT
+        ) as response:
+            response.raise_for_status()
+            return await response.read()
--- /dev/null
+++ b/pomelolug/experiments/_trace.py
@@ -0,0 +1,199 @@
+"""Typed form of a replay trace; docs/trace-format.md describes each field."""
+
+import enum
+import pathlib
+import tomllib
+from typing import Any
+
+import msgspec
+
+from pomelolug.errors import ErrorCode, Finding, FindingsError
+
+__all__ = [
+    "TRACE_VERSION",
+    "AccountSpec",
+    "ClassSpec",
+    "DeploymentSpec",
+    "FaultSpec",
+    "LoadSpec",
+    "OutcomeSpec",
+    "Trace",
+    "TraceFault",
+    "load_trace",
+]
+
+TRACE_VERSION = 1
+"""Version of the trace format that this module reads."""
+
+
+class TraceFault(enum.Enum):
+    """What a trace does at a stated time."""
+
+    BACKEND = "backend"
+    GROUP_MEMBER = "group_member"
+    PLATFORM = "platform"
+    ENTRY_STOP = "entry_stop"
+    ENTRY_KILL = "entry_kill"
+    CONTROL_PAUSE = "control_pause"
+    GATEWAY_PAUSE = "gateway_pause"
+    ZONE_CUT = "zone_cut"
+    PUBLISH = "publish"
+
+
+class _Strict(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Struct that rejects unknown fields."""
+
+
+class DeploymentSpec(_Strict, frozen=True, kw_only=True):
+    """Processes and VMs of a trace; times are in milliseconds where named so."""
+
+    entry_zones: tuple[str, ...] = ("zone-a", "zone-a", "zone-b")
+    zones: tuple[str, ...] = ("zone-a", "zone-b")
+    engines: int = 16
+    domain_size: int = 8
+    members: int = 4
+    accelerators: int = 8
+    capacity: int = 16
+    pools: tuple[str, ...] = ("mesh", "drafting")
+    services: tuple[str, ...] = ("jobs", "messaging")
+    service_vms: int = 2
+    objective: str = "group_downtime"
+    fencing: str = "refuses"
+    first_token_ms: float = 60.0
+    first_token_cached_ms: float = 20.0
+    step_ms: float = 20.0
+    service_ms: float = 5.0
+    model_bytes: int = 100_000_000
+    rate_bytes_per_s: float = 400e6
+    verify_every_s: float = 0.5
+    lease_s: float = 3.0
+
+
+class ClassSpec(_Strict, frozen=True, kw_only=True):
+    """One declared class of work; one of `pool` and `service` is empty."""
+
+    name: str
+    priority: int
+    ttft_target_s: float
+    gap_target_s: float = 1.0
+    deadline_s: float = 10.0
+    pool: str = ""
+    service: str = ""
+    idempotent: bool = True
+
+
+class AccountSpec(_Strict, frozen=True, kw_only=True):
+    """One client account."""
+
+    name: str
+    weight: float = 1.0
+
+
+class LoadSpec(_Strict, frozen=True, kw_only=True):
+    """Calls of one kind with exponential gaps between arrivals.
+
+    `copies` above 1 sends each call with one key through that many gateways at
+    the same moment. `repeats` sends the call again after each answer that says
+    `outcome_unknown` or `not_run`, at most that many times.
+    """
+
+    work_class: str
+    account: str
+    rate_per_s: float
+    path: str = "/v1/completions"
+    start_s: float = 0.0
+    end_s: float | None = None
+    tokens: tuple[int, int] = (10, 40)
+    prompt_chars: int = 200
+    prompt: str = ""
+    non_idempotent: bool = False
+    copies: int = 1
+    repeats: int = 0
+
+
+class FaultSpec(_Strict, frozen=True, kw_only=True):
+    """One fault: `at_s` after the start, undone after `for_s` if that is set."""
+
+    at_s: float
+    kind: TraceFault
+    for_s: float | None = None
+    entry: int = 0
+    zone: str = ""
+    fields: dict[str, Any] = {}
+    work_class: str = ""
+    ttft_target_s: float = 0.0
+    operators: int = 1
+
+
+class OutcomeSpec(_Strict, frozen=True, kw_only=True):
+    """A stated outcome: the figure named `figure` lies within the bounds."""
+
+    figure: str
+    at_most: float | None = None
+    at_least: float | None = None
+    promise: str = ""
+
+
+class Trace(_Strict, frozen=True, kw_only=True):
+    """A whole trace."""
+
+    version: int
+    name: str
+    duration_s: float
+    random_state: int = 0
+    deployment: DeploymentSpec = DeploymentSpec()
+    classes: tuple[ClassSpec, ...]
+    accounts: tuple[AccountSpec, ...]
+    loads: tuple[LoadSpec, ...]
+    faults: tuple[FaultSpec, ...] = ()
+    outcomes: tuple[OutcomeSpec, ...] = ()
+
+    def work_class(self, name: str) -> ClassSpec:
+        """Return the class `name`."""
+        return next(item for item in self.classes if item.name == name)
+
+
+def load_trace(path: pathlib.Path) -> Trace:
+    """Return the trace in the TOML file `path`.
+
+    Raises
+    ------
+    FindingsError
+        If the file is malformed, of another version, or names a class or
+        account that it does not declare.
+    """
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+        trace = msgspec.convert(raw, Trace)
+    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        finding = Finding(place=str(path), value="", problem=str(error))
+        raise FindingsError(ErrorCode.SETTINGS_INVALID, [finding]) from error
+    findings = list(_findings(path, trace))
+    if findings:
+        raise FindingsError(ErrorCode.SETTINGS_INVALID, findings)
+    return trace
+
+
+def _findings(path: pathlib.Path, trace: Trace) -> list[Finding]:
+    findings = []
+    if trace.version != TRACE_VERSION:
+        findings.append(
+            Finding(
+                place=f"{path} version",
+                value=str(trace.version),
+                problem=f"only version {TRACE_VERSION} is known",
+            )
+        )
+    classes = {item.name for item in trace.classes}
+    accounts = {item.name for item in trace.accounts}
+    for index, load in enumerate(trace.loads):
+        for value, known, field in (
+            (load.work_class, classes, "work_class"),
+            (load.account, accounts, "account"),
+        ):
+            if value not in known:
+                place = f"{path} loads[{index}].{field}"
+                findings.append(
+                    Finding(place=place, value=value, problem="not declared")
+                )
+    return findings
--- a/pomelolug/testing/backend_server.py
+++ b/pomelolug/testing/backend_server.py
@@ -36,8 +36,9 @@
     """Size, places and times of the simulated backend servers.
 
     `domain_size` is the number of engines in a fabric domain, `capacity` the
-    requests that an engine runs at once. `base_port` 0 lets the system choose
-    every port.
+    requests that an engine runs at once. `services` counts the VMs of plain
+    services, which are dealt to `service_names` in turn. `base_port` 0 lets the
+    system choose every port.
     """
 
     base_port: int = 0
@@ -47,7 +48,7 @@
     zones: tuple[str, ...] = ("zone-a",)
     region: str = "region-1"
     domain_size: int = 8
-    service_name: str = "service"
+    service_names: tuple[str, ...] = ("service",)
     capacity: int = 16
     model_bytes: int = 100_000_000
     rate_bytes_per_s: float = 1e9
@@ -133,6 +134,7 @@
                 "domain": member.vm.domain,
                 "service": member.vm.service,
                 "alive": member.vm.alive,
+                "reachable": member.vm.reachable,
                 "members": member.vm.members,
                 "rank": member.vm.rank,
                 "status": member.vm.status(),
@@ -173,17 +175,19 @@
 
 
 def _service(plan: FleetPlan, index: int, clock: Clock) -> Member:
+    name = plan.service_names[index % len(plan.service_names)]
+    serial = index // len(plan.service_names)
     vm = EngineVm(
-        vm=f"{plan.service_name}-{index}",
+        vm=f"{name}-{serial}",
         address="",
-        zone=plan.zones[index % len(plan.zones)],
+        zone=plan.zones[serial % len(plan.zones)],
         region=plan.region,
-        domain=f"{plan.service_name}-domain",
+        domain=f"{name}-domain",
         clock=clock,
         times=plan.times,
         capacity=_SERVICE_CAPACITY,
         model_bytes=0,
-        service=plan.service_name,
+        service=name,
     )
     return _member(plan, vm, plan.engines + index)
 
@@ -201,7 +205,7 @@
     zones: str = "zone-a",
     region: str = "region-1",
     domain_size: int = 8,
-    service_name: str = "service",
+    service_names: str = "service",
     capacity: int = 16,
     model_bytes: int = 100_000_000,
     rate_bytes_per_s: float = 1e9,
@@ -222,7 +226,7 @@
         zones=names(zones),
         region=region,
         domain_size=domain_size,
-        service_name=service_name,
+        service_names=names(service_names),
         capacity=capacity,
         model_bytes=model_bytes,
         rate_bytes_per_s=rate_bytes_per_s,
