Add demo, trace replay and gateway benchmark

Cause: promises of the design page need a whole-path run that compares the callers' view with the backend servers' ledger.

Bounds of the traces follow from section 1 of the design page.

The commands have not been run against a gateway.

--- /dev/null
+++ b/pomelolug/experiments/_bench_client.py
@@ -0,0 +1,66 @@
+"""Streams through the gateway or directly to a group's leader."""
+
+import asyncio
+import dataclasses
+from collections.abc import Mapping
+
+import aiohttp
+import msgspec
+
+__all__ = ["StreamTimes", "Target", "read_stream"]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Target:
+    """Where a stream is asked for: URL and headers."""
+
+    name: str
+    url: str
+    headers: Mapping[str, str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StreamTimes:
+    """Tokens of one stream and its times in seconds.
+
+    `first_s` is the time to the first token, `total_s` that to the end marker.
+    """
+
+    tokens: int
+    first_s: float
+    total_s: float
+
+
+async def read_stream(
+    session: aiohttp.ClientSession, target: Target, *, prompt: str, tokens: int
+) -> StreamTimes:
+    """Read one completion to its end marker.
+
+    Raises
+    ------
+    RuntimeError
+        If the answer is an error or ends early.
+    """
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    first = 0.0
+    count = 0
+    body = {"model": "mesh", "prompt": prompt, "max_tokens": tokens, "stream": True}
+    async with session.post(
+        target.url, data=msgspec.json.encode(body), headers=target.headers
+    ) as response:
+        if response.status != 200:
+            text = await response.text()
+            raise RuntimeError(f"{target.name} answered {response.status}: {text}")
+        async for line in response.content:
+            if line.startswith(b"data: [DONE]"):
+                break
+            if line.startswith(b"data: "):
+                first = first or loop.time()
+                count += 1
+    # Both sides end with one event that holds the finish reason and no token.
+    if not tokens <= count <= tokens + 1:
+        raise RuntimeError(f"{target.name}: {count} events for {tokens} tokens")
+    return StreamTimes(
+        tokens=tokens, first_s=first - began, total_s=loop.time() - began
+    )
--- /dev/null
+++ b/pomelolug/experiments/_outcomes.py
@@ -0,0 +1,72 @@
+"""Stated outcomes of a trace and their verdicts."""
+
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from pomelolug.experiments._trace import OutcomeSpec
+
+__all__ = ["INVARIANTS", "OutcomeVerdict", "verdicts"]
+
+INVARIANTS = (
+    OutcomeSpec(figure="lost", at_most=0, promise="1.2 no. 3"),
+    OutcomeSpec(figure="crossed", at_most=0, promise="1.2 no. 3"),
+    OutcomeSpec(figure="truncated", at_most=0, promise="1.2 no. 3"),
+    OutcomeSpec(figure="not_run_but_executed", at_most=0, promise="1.2 no. 4"),
+    OutcomeSpec(figure="doubled", at_most=0, promise="1.2 no. 5"),
+    OutcomeSpec(figure="groups_served_incomplete", at_most=0, promise="1.2 no. 1"),
+    OutcomeSpec(figure="vms_in_two_groups", at_most=0, promise="1.2 no. 2"),
+    OutcomeSpec(figure="work_after_leaving", at_most=0, promise="1.2 no. 6"),
+    OutcomeSpec(figure="config_versions", at_most=1, promise="1.2 no. 8"),
+)
+"""Outcomes that every trace states; section 1.2 of the design page."""
+
+
+class OutcomeVerdict(msgspec.Struct, frozen=True, kw_only=True):
+    """One stated outcome with its bounds, the measured figure and the verdict.
+
+    `value` is None if the run gave no such figure, which is not a pass.
+    """
+
+    figure: str
+    promise: str
+    at_least: float | None
+    at_most: float | None
+    value: float | None
+    passed: bool
+
+
+def verdicts(
+    outcomes: Sequence[OutcomeSpec], figures: Mapping[str, float | None]
+) -> list[OutcomeVerdict]:
+    """Compare `figures` with the invariants and with `outcomes`.
+
+    Examples
+    --------
+    >>> from pomelolug.experiments._trace import OutcomeSpec
+    >>> spec = OutcomeSpec(figure="answered_share", at_least=0.9)
+    >>> verdicts([spec], {"answered_share": 0.5})[-1].passed
+    False
+    """
+    return [_verdict(item, figures) for item in (*INVARIANTS, *outcomes)]
+
+
+def _verdict(
+    outcome: OutcomeSpec, figures: Mapping[str, float | None]
+) -> OutcomeVerdict:
+    # A code that no call was told is absent from the figures and counts 0.
+    default = 0.0 if outcome.figure.startswith("code.") else None
+    value = figures.get(outcome.figure, default)
+    passed = value is not None
+    if value is not None and outcome.at_most is not None:
+        passed = passed and value <= outcome.at_most
+    if value is not None and outcome.at_least is not None:
+        passed = passed and value >= outcome.at_least
+    return OutcomeVerdict(
+        figure=outcome.figure,
+        promise=outcome.promise,
+        at_least=outcome.at_least,
+        at_most=outcome.at_most,
+        value=value,
+        passed=passed,
+    )
--- a/pomelolug/experiments/_runner.py
+++ b/pomelolug/experiments/_runner.py
@@ -21,6 +21,7 @@
     ClassFigures,
     Promises,
     class_figures,
+    fixed_prompt_executions,
     judge,
 )
 
@@ -92,12 +93,15 @@
         await asyncio.gather(*watchers, return_exceptions=True)
     promises = judge(caller.records, ledger, killed=driver.killed)
     classes = class_figures(trace, caller.records)
+    codes = _codes(caller)
+    figures = _figures(promises, classes, codes, monitor, driver, versions)
+    figures["fixed_prompt_executions"] = fixed_prompt_executions(trace, ledger)
     return RunResult(
         promises=promises,
         classes=classes,
-        codes=_codes(caller),
+        codes=codes,
         config_versions_in_force=tuple(sorted(set(versions.values()))),
-        figures=_figures(promises, classes, monitor, driver, versions),
+        figures=figures,
     )
 
 
@@ -135,6 +139,7 @@
 def _figures(
     promises: Promises,
     classes: Mapping[str, ClassFigures],
+    codes: Mapping[str, int],
     monitor: GroupMonitor,
     driver: FaultDriver,
     versions: Mapping[str, int],
@@ -150,6 +155,8 @@
     values["config_in_force_s"] = round(max(driver.in_force_s, default=0.0), 2)
     values["operators_won"] = max(driver.races_won, default=0)
     values["planned_stop_s"] = round(max(driver.stop_s, default=0.0), 2)
+    for code, count in codes.items():
+        values[f"code.{code}"] = count
     for name, item in classes.items():
         values[f"{name}.answered"] = item.answered
         values[f"{name}.ttft_p95_s"] = item.ttft_p95_s
--- /dev/null
+++ b/pomelolug/experiments/demo.py
@@ -0,0 +1,59 @@
+"""Demo: a deployment on loopback under load and under faults.
+
+Run ``python -m pomelolug.experiments.demo``. It starts the simulated platform,
+backend servers and three entry VMs, drives the trace ``traces/demo.toml`` and
+prints one JSON object as the last line of standard output. The exit status is
+1 if a promise of the design was broken.
+"""
+
+import pathlib
+import sys
+
+import fire
+import msgspec
+
+from pomelolug.experiments._command import TRACES, run_in_folder, run_interruptible
+from pomelolug.experiments._runner import RunResult
+from pomelolug.experiments._trace import load_trace
+
+__all__ = ["main", "summary"]
+
+
+def summary(result: RunResult) -> dict[str, object]:
+    """Return the demo's JSON object."""
+    promises = result.promises
+    names = (
+        "sent answered not_run outcome_unknown lost doubled crossed truncated "
+        "not_run_but_executed work_after_leaving groups_served_incomplete "
+        "vms_in_two_groups"
+    )
+    counts = {name: getattr(promises, name) for name in names.split()}
+    return {
+        **counts,
+        "config_versions_in_force": list(result.config_versions_in_force),
+        "group_downtime_s": result.figures["group_downtime_s"],
+        "stranded_accelerator_s": result.figures["stranded_accelerator_s"],
+        "codes": dict(result.codes),
+        "classes": msgspec.to_builtins(result.classes),
+    }
+
+
+def main(trace: str = str(TRACES / "demo.toml"), logs: str = "") -> None:
+    """Run the demo.
+
+    Parameters
+    ----------
+    trace : str
+        Trace to drive.
+    logs : str
+        Folder that keeps settings and logs; empty for a temporary one.
+    """
+    loaded = load_trace(pathlib.Path(trace))
+    result = run_interruptible(run_in_folder(loaded, logs))
+    print(msgspec.json.encode(summary(result)).decode(), flush=True)
+    in_force = len(result.config_versions_in_force)
+    sys.exit(1 if result.promises.broken or in_force != 1 else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/pomelolug/experiments/replay.py
@@ -0,0 +1,92 @@
+"""Replay traces and compare each stated outcome with its bound.
+
+Run ``python -m pomelolug.experiments.replay traces/NAME.toml ...``; without
+arguments it replays every trace. The last line of standard output is one JSON
+object with the stated outcomes, bounds, figures and verdicts of all traces. The
+exit status is 1 if an outcome missed its bound or a trace could not be run.
+docs/trace-format.md describes the format.
+"""
+
+import asyncio
+import pathlib
+import sys
+from typing import Any
+
+import fire
+import msgspec
+import structlog
+
+from pomelolug.experiments._command import TRACES, run_in_folder, run_interruptible
+from pomelolug.experiments._outcomes import verdicts
+from pomelolug.experiments._trace import Trace, load_trace
+
+__all__ = ["main", "replay"]
+
+_log = structlog.get_logger()
+
+
+async def replay(trace: Trace, logs: str = "") -> dict[str, Any]:
+    """Run `trace` and return its verdicts.
+
+    A run that fails is a failed trace with its error, so that the remaining
+    traces still run.
+    """
+    try:
+        result = await run_in_folder(trace, logs)
+    except (OSError, RuntimeError, TimeoutError) as error:
+        _log.error("trace_failed", trace=trace.name, error=str(error)[-2000:])
+        return {
+            "trace": trace.name,
+            "passed": False,
+            "error": str(error)[-500:],
+            "outcomes": [],
+        }
+    outcomes = verdicts(trace.outcomes, result.figures)
+    return {
+        "trace": trace.name,
+        "passed": all(item.passed for item in outcomes),
+        "outcomes": msgspec.to_builtins(outcomes),
+        "figures": dict(result.figures),
+    }
+
+
+async def _replay_all(traces: list[Trace], logs: str) -> list[dict[str, Any]]:
+    results = []
+    for trace in traces:
+        result = await replay(trace, logs)
+        print(msgspec.json.encode(result).decode(), flush=True)
+        results.append(result)
+        await asyncio.sleep(0)
+    return results
+
+
+def main(*paths: str, logs: str = "") -> None:
+    """Replay the traces in `paths`, or every trace.
+
+    Parameters
+    ----------
+    *paths : str
+        Trace files.
+    logs : str
+        Folder that keeps settings and logs; empty for a temporary one.
+    """
+    files = [pathlib.Path(path) for path in paths] or sorted(TRACES.glob("*.toml"))
+    traces = [load_trace(path) for path in files]
+    results = run_interruptible(_replay_all(traces, logs))
+    total = {
+        "passed": all(result["passed"] for result in results),
+        "traces": {
+            result["trace"]: {
+                key: result[key]
+                for key in ("passed", "error", "outcomes")
+                if key in result
+            }
+            for result in results
+        },
+    }
+    print(msgspec.json.encode(total).decode(), flush=True)
+    sys.exit(0 if total["passed"] else 1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/pomelolug/experiments/tests/test_processes.py
@@ -0,0 +1,17 @@
+import os
+
+import pytest
+
+from pomelolug.experiments._processes import ProcessGroup, free_ports
+
+
+async def test_close_ends_every_process(tmp_path):
+    """Guards against processes that outlive the experiment."""
+    group = ProcessGroup(tmp_path)
+    port = free_ports(1)
+    module = "pomelolug.testing.platform_server"
+    child = await group.start("platform", module, [f"--port={port}"])
+    await group.close()
+    assert child.returncode is not None
+    with pytest.raises(ProcessLookupError):
+        os.kill(child.pid, 0)
