--- /dev/null
+++ b/pomelolug/gateway/_link.py
@@ -0,0 +1,176 @@
+"""Connection of the gateway to the control process of its VM."""
+
+import asyncio
+import datetime
+import random
+from collections.abc import Callable
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.errors import PeerError
+from pomelolug.ids import Incarnation, NodeId, RegionId, ZoneId
+from pomelolug.membership import (
+    Connection,
+    Dialer,
+    Identity,
+    Keys,
+    Role,
+    Side,
+    open_connection,
+)
+from pomelolug.messages import (
+    ClaimVerdict,
+    DemandReport,
+    LossReport,
+    Message,
+    RoutingTable,
+    TablePull,
+)
+
+__all__ = ["ControlLink"]
+
+_log = structlog.get_logger()
+_RETRY_MIN = datetime.timedelta(milliseconds=100)
+_RETRY_MAX = datetime.timedelta(seconds=2)
+_PULL_EVERY = datetime.timedelta(milliseconds=250)
+_DEMAND_EVERY_PULLS = 4
+_HANDSHAKE_TIMEOUT = datetime.timedelta(seconds=2)
+
+
+class ControlLink:
+    """Keeps one connection to the control process and reconnects.
+
+    The routing table is pulled: it answers a message of this process, so that a
+    table that was delayed on its way is known to be old.
+
+    Parameters
+    ----------
+    node, zone : str
+        Identity of the gateway's node.
+    address : str
+        IP and port of the control process.
+    keys : Keys
+        Shared keys for authentication.
+    dialer : Dialer
+        Opens the connection.
+    clock : Clock
+        Time source.
+    random_state : random.Random
+        Source of the reconnect jitter.
+    on_table : callable
+        Called with each `RoutingTable`.
+    on_loss : callable
+        Called with each `LossReport` of another gateway.
+    on_verdict : callable
+        Called with each `ClaimVerdict`.
+    demand : callable
+        Returns the current `DemandReport`.
+    config_version : callable
+        Returns the configuration version in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        zone: str,
+        address: str,
+        keys: Keys,
+        dialer: Dialer,
+        clock: Clock,
+        random_state: random.Random,
+        on_table: Callable[[RoutingTable], None],
+        on_loss: Callable[[LossReport], None],
+        on_verdict: Callable[[ClaimVerdict], None],
+        demand: Callable[[], DemandReport],
+        config_version: Callable[[], int],
+    ) -> None:
+        self._identity = Identity(
+            node=NodeId(node),
+            role=Role.GATEWAY,
+            incarnation=Incarnation(int(clock.now().timestamp() * 1000)),
+            zone=ZoneId(zone),
+            region=RegionId(""),
+            address="",
+        )
+        self._address = address
+        self._keys = keys
+        self._dialer = dialer
+        self._clock = clock
+        self._random = random_state
+        self._on_table = on_table
+        self._on_loss = on_loss
+        self._on_verdict = on_verdict
+        self._demand = demand
+        self._config_version = config_version
+        self._connection: Connection | None = None
+
+    @property
+    def connected(self) -> bool:
+        """Whether the control process is connected."""
+        return self._connection is not None
+
+    def send(self, message: Message) -> bool:
+        """Queue `message`; return False if there is no connection."""
+        if self._connection is None:
+            return False
+        return self._connection.send(message)
+
+    async def run(self) -> None:
+        """Connect, receive and reconnect until cancelled."""
+        delay = _RETRY_MIN
+        while True:
+            try:
+                transport = await self._dialer.dial(
+                    self._address, timeout=_HANDSHAKE_TIMEOUT
+                )
+                connection = await open_connection(
+                    transport,
+                    Side.DIALER,
+                    self._identity,
+                    self._keys,
+                    clock=self._clock,
+                    timeout=_HANDSHAKE_TIMEOUT,
+                )
+                delay = _RETRY_MIN
+                await self._serve(connection)
+            except (PeerError, OSError) as error:
+                _log.warning("control_unreachable", error=str(error))
+            jitter = self._random.uniform(0.5, 1.0)
+            await self._clock.sleep(delay * jitter)
+            delay = min(delay * 2, _RETRY_MAX)
+
+    async def _serve(self, connection: Connection) -> None:
+        self._connection = connection
+        _log.info("control_connected", address=self._address)
+        puller = asyncio.create_task(self._pull())
+        try:
+            await connection.run(self._receive)
+        finally:
+            self._connection = None
+            puller.cancel()
+            _log.warning("control_lost", reason=connection.close_reason)
+
+    async def _receive(self, connection: Connection, message: Message) -> None:
+        match message:
+            case RoutingTable():
+                self._on_table(message)
+            case ClaimVerdict():
+                self._on_verdict(message)
+            case LossReport():
+                self._on_loss(message)
+
+    async def _pull(self) -> None:
+        count = 0
+        while True:
+            if count % _DEMAND_EVERY_PULLS == 0:
+                self.send(self._demand())
+            count += 1
+            self.send(
+                TablePull(
+                    sent_at_s=self._clock.monotonic(),
+                    config_version=self._config_version(),
+                )
+            )
+            await self._clock.sleep(_PULL_EVERY)
--- /dev/null
+++ b/pomelolug/gateway/_model_flow.py
@@ -0,0 +1,347 @@
+"""A model request from admission to its last token."""
+
+import contextlib
+import dataclasses
+import datetime
+from collections.abc import AsyncIterator, Iterator
+
+from pomelolug.admission import AdmissionQueue, AdmissionRequest, Permit
+from pomelolug.claims import ClaimClient, ClaimTicket
+from pomelolug.clock import Clock
+from pomelolug.engines import Engine, EngineRequest
+from pomelolug.errors import ErrorCode, RequestError
+from pomelolug.gateway import _endings as endings
+from pomelolug.gateway._attempt import AttemptResult, Progress, run_attempt
+from pomelolug.gateway._decisions import DecisionLog
+from pomelolug.gateway._losses import LossReporter
+from pomelolug.gateway._metrics import GatewayMetrics
+from pomelolug.gateway._parsing import DEFAULT_MAX_TOKENS, CallerRequest
+from pomelolug.gateway._sinks import AnswerSink
+from pomelolug.ids import AccountId, ClassName, GroupId, PoolId, RequestId
+from pomelolug.invariants import Invariants
+from pomelolug.messages import GroupStatus
+from pomelolug.retries import Containment, RetryBudget, RunMode
+from pomelolug.routing import RoutingView
+
+__all__ = ["ModelFlow"]
+
+_GAP_FACTOR = 4
+_MIN_GAP = datetime.timedelta(seconds=1)
+_MIN_FIRST = datetime.timedelta(seconds=2)
+_MAX_ATTEMPTS = 4
+_GROUP_POLL = datetime.timedelta(milliseconds=50)
+# Longest wait of an admitted request whose groups have just been lost; a repair
+# takes longer, so that waiting on would only delay the refusal.
+_GROUP_PATIENCE = datetime.timedelta(seconds=5)
+_RESOLVE_LIMIT = datetime.timedelta(seconds=3)
+_REFUSED_PAUSE = datetime.timedelta(milliseconds=20)
+_HARMLESS = frozenset({AttemptResult.REFUSED, AttemptResult.NOT_REACHED})
+
+
+@dataclasses.dataclass(slots=True)
+class _Job:
+    """One request on its way; `tried` holds the groups that failed it."""
+
+    request: CallerRequest
+    sink: AnswerSink
+    progress: Progress
+    deadline: float
+    permit: Permit
+    ticket: ClaimTicket | None
+    tried: set[GroupId] = dataclasses.field(default_factory=set)
+    attempts: int = 0
+
+
+class ModelFlow:
+    """Runs model requests: admit, claim, choose, dispatch, resume, account.
+
+    Parameters
+    ----------
+    engine : Engine
+        Adapter of the engines.
+    view : RoutingView
+        Replica groups that this gateway may use.
+    queue : AdmissionQueue
+        Admission control of this gateway.
+    claims : ClaimClient
+        Decides who may dispatch a non-idempotent request.
+    budget : RetryBudget
+        Bounds further attempts.
+    containment : Containment
+        Knows the requests that crash their groups.
+    losses : LossReporter
+        Tracks requests in flight on each group.
+    invariants : Invariants
+        Run-time assertions.
+    metrics : GatewayMetrics
+        Counters.
+    decisions : DecisionLog
+        Keeps recent decisions for operators.
+    clock : Clock
+        Time source.
+    write_timeout : datetime.timedelta
+        How long a caller may leave data unread.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: Engine,
+        view: RoutingView,
+        queue: AdmissionQueue,
+        claims: ClaimClient,
+        budget: RetryBudget,
+        containment: Containment,
+        losses: LossReporter,
+        invariants: Invariants,
+        metrics: GatewayMetrics,
+        decisions: DecisionLog,
+        clock: Clock,
+        write_timeout: datetime.timedelta,
+    ) -> None:
+        self._engine = engine
+        self._view = view
+        self._queue = queue
+        self._claims = claims
+        self._budget = budget
+        self._containment = containment
+        self._losses = losses
+        self._invariants = invariants
+        self._metrics = metrics
+        self._decisions = decisions
+        self._clock = clock
+        self._write_timeout = write_timeout
+
+    async def run(self, request: CallerRequest, sink: AnswerSink) -> None:
+        """Serve `request`; the tokens go to `sink`.
+
+        Raises
+        ------
+        RequestError
+            If the request ends without a complete answer.
+        """
+        started = self._clock.monotonic()
+        if self._containment.may_run(request.fingerprint) is RunMode.QUARANTINED:
+            raise endings.quarantined(maybe_ran=False)
+        deadline = started + request.work_class.deadline.total_seconds()
+        progress = Progress(request.request_id, started)
+        async with self._permit(request, deadline) as permit:
+            async with self._ticket(request) as ticket:
+                job = _Job(request, sink, progress, deadline, permit, ticket)
+                await self._run_attempts(job)
+        self._record_latency(request, progress)
+
+    @contextlib.asynccontextmanager
+    async def _permit(
+        self, request: CallerRequest, deadline: float
+    ) -> AsyncIterator[Permit]:
+        permit = await self._queue.admit(
+            AdmissionRequest(
+                request_id=RequestId(request.request_id),
+                work_class=request.work_class,
+                account=AccountId(request.account.name),
+                weight=request.account.weight,
+                deadline_s=deadline - self._clock.monotonic(),
+                cost=request.completion["max_tokens"] / DEFAULT_MAX_TOKENS,
+                max_in_flight=request.account.max_in_flight,
+            )
+        )
+        try:
+            yield permit
+        finally:
+            permit.release()
+
+    @contextlib.asynccontextmanager
+    async def _ticket(
+        self, request: CallerRequest
+    ) -> AsyncIterator[ClaimTicket | None]:
+        if request.idempotent:
+            yield None
+            return
+        async with self._claims.claim(
+            account=request.account.name,
+            idempotency_key=request.idempotency_key,
+            body=request.body,
+        ) as ticket:
+            yield ticket
+
+    async def _run_attempts(self, job: _Job) -> None:
+        while True:
+            group = await self._choose(job)
+            if job.ticket is not None:
+                job.ticket.dispatch()
+            job.attempts += 1
+            result = await self._attempt(job, group)
+            self._decisions.note(job.request.request_id, group.group, result.value)
+            if result is AttemptResult.COMPLETE:
+                self._complete(job, group)
+                return
+            if job.ticket is not None:
+                self._settle_ticket(job, job.ticket, result)
+            job.tried.add(GroupId(group.group))
+            await self._before_retry(job, group, result)
+
+    def _complete(self, job: _Job, group: GroupStatus) -> None:
+        if job.ticket is not None:
+            job.ticket.answered()
+        self._containment.on_success(job.request.fingerprint)
+        self._budget.on_success(
+            ClassName(job.request.work_class.name),
+            AccountId(job.request.account.name),
+            PoolId(group.pool),
+        )
+
+    def _settle_ticket(
+        self, job: _Job, ticket: ClaimTicket, result: AttemptResult
+    ) -> None:
+        """Allow a further attempt only with proof that nothing ran."""
+        if result in _HARMLESS and not job.progress.maybe_ran:
+            ticket.not_dispatched()
+            return
+        ticket.unknown()
+        raise endings.outcome_unknown(result.value)
+
+    async def _choose(self, job: _Job) -> GroupStatus:
+        pool = PoolId(job.request.work_class.pool)
+        now = self._clock.monotonic()
+        give_up = job.deadline
+        if not job.progress.position:
+            give_up = min(give_up, now + _GROUP_PATIENCE.total_seconds())
+        while True:
+            mode = self._containment.may_run(job.request.fingerprint)
+            if mode is RunMode.QUARANTINED:
+                raise endings.quarantined(maybe_ran=job.progress.maybe_ran)
+            solo = mode is RunMode.SOLO
+            exclude = self._losses.groups_with_suspect() if solo else frozenset()
+            group = self._view.choose(pool, exclude=exclude | job.tried, solo=solo)
+            if group is None and job.tried:
+                group = self._view.choose(pool, exclude=exclude, solo=solo)
+            # Nothing may be awaited between this check and the dispatch.
+            if group is not None and self._view.is_dispatchable(
+                GroupId(group.group), group.token
+            ):
+                return group
+            if self._clock.monotonic() >= give_up:
+                raise self._without_group(job)
+            await self._clock.sleep(_GROUP_POLL)
+
+    def _without_group(self, job: _Job) -> RequestError:
+        if job.progress.position:
+            return endings.stream_cut("no replica group could continue it")
+        if job.progress.maybe_ran:
+            return endings.backend_lost("no replica group is left", maybe_ran=True)
+        return endings.no_backend("replica group")
+
+    async def _attempt(self, job: _Job, group: GroupStatus) -> AttemptResult:
+        request, progress = job.request, job.progress
+        work_class = request.work_class
+        order = EngineRequest(
+            request_id=request.request_id,
+            group=group.group,
+            token=group.token,
+            body=request.completion,
+            priority=work_class.priority,
+            resume_from=progress.position,
+            deadline_s=max(0.0, job.deadline - self._clock.monotonic()),
+        )
+        self._invariants.check_dispatch(group)
+        with self._counted(job, group) as ended:
+            ended.result = await run_attempt(
+                self._engine,
+                group.leader,
+                order,
+                job.sink,
+                progress,
+                clock=self._clock,
+                metrics=self._metrics,
+                first_timeout=max(_MIN_FIRST, _GAP_FACTOR * work_class.ttft_target),
+                gap_timeout=max(_MIN_GAP, _GAP_FACTOR * work_class.gap_target),
+                write_timeout=self._write_timeout,
+            )
+        if ended.result in (AttemptResult.CUT, AttemptResult.SILENT):
+            progress.maybe_ran = True
+            self._losses.on_broken_stream(group, request.fingerprint)
+        if ended.result is AttemptResult.REFUSED:
+            self._view.on_refused(GroupId(group.group), progress.refusal)
+        return ended.result
+
+    @contextlib.contextmanager
+    def _counted(self, job: _Job, group: GroupStatus) -> Iterator["_Ended"]:
+        """Count the request as in flight on `group` inside the context."""
+        group_id = GroupId(group.group)
+        request_id = RequestId(job.request.request_id)
+        fingerprint = job.request.fingerprint
+        solo = self._containment.may_run(fingerprint) is RunMode.SOLO
+        self._view.on_dispatch(group_id, request_id, solo=solo)
+        job.permit.dispatched()
+        before = self._clock.monotonic()
+        ended = _Ended()
+        try:
+            with self._losses.in_flight(group, fingerprint, request_id):
+                yield ended
+        finally:
+            # A caller that leaves or does not read is no failure of the group.
+            failed = ended.result not in (None, AttemptResult.COMPLETE)
+            self._view.on_finish(
+                group_id,
+                request_id,
+                ok=not failed,
+                service_time_s=self._clock.monotonic() - before,
+            )
+
+    async def _before_retry(
+        self, job: _Job, group: GroupStatus, result: AttemptResult
+    ) -> None:
+        progress = job.progress
+        if progress.refusal == "bad_request":
+            raise RequestError(
+                ErrorCode.BAD_REQUEST, "the engine refused the request", status=400
+            )
+        if self._clock.monotonic() >= job.deadline or job.attempts >= _MAX_ATTEMPTS:
+            raise self._gave_up(job, result)
+        self._metrics.retries.labels(result.value).inc()
+        if result is AttemptResult.REFUSED:
+            # The group refused because the table is behind; the pause lets the
+            # next table arrive. Nothing ran, so no budget is spent.
+            await self._clock.sleep(_REFUSED_PAUSE)
+            return
+        allowed = self._budget.try_spend(
+            ClassName(job.request.work_class.name),
+            AccountId(job.request.account.name),
+            PoolId(group.pool),
+        )
+        if not allowed:
+            raise self._gave_up(job, result, ErrorCode.RETRY_BUDGET_EXHAUSTED)
+        if job.attempts > 1 and result is not AttemptResult.NOT_REACHED:
+            # A request that broke two groups must not reach a third before it
+            # is known whether they were lost.
+            await self._losses.resolved(group, _RESOLVE_LIMIT)
+
+    def _gave_up(
+        self,
+        job: _Job,
+        result: AttemptResult,
+        code: ErrorCode = ErrorCode.BACKEND_LOST,
+    ) -> RequestError:
+        if job.progress.position:
+            return endings.stream_cut(result.value)
+        return endings.backend_lost(
+            result.value, maybe_ran=job.progress.maybe_ran, code=code
+        )
+
+    def _record_latency(self, request: CallerRequest, progress: Progress) -> None:
+        if progress.first_token_at is None or progress.last_token_at is None:
+            return
+        name = request.work_class.name
+        ttft = progress.first_token_at - progress.started
+        self._metrics.ttft.labels(name).observe(ttft)
+        if progress.position > 1:
+            span = progress.last_token_at - progress.first_token_at
+            self._metrics.gap.labels(name).observe(span / (progress.position - 1))
+
+
+@dataclasses.dataclass(slots=True)
+class _Ended:
+    """How an attempt ended; None if it was cancelled or the caller failed."""
+
+    result: AttemptResult | None = None
