Add stragglers, planned changes and fault tests of group control

Cause: a leave, a drain or a new version must not cut requests, a slow group must not be judged by one report, and old answers of a member that is no longer read were taken for present ones.

--- a/pomelolug/groups/_controller.py
+++ b/pomelolug/groups/_controller.py
@@ -4,6 +4,7 @@
 import datetime
 import math
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import structlog
@@ -28,6 +29,7 @@
     RepairInPlace,
 )
 from pomelolug.groups._rollout import draining_groups
+from pomelolug.groups._stragglers import StragglerDetector
 from pomelolug.ids import DomainId, FencingToken, GroupId, Offset, VmId
 from pomelolug.messages import (
     Dissolution,
@@ -132,6 +134,7 @@
         self._policies = policies
         self._counted = counted
         self._violated = violated
+        self._detector = StragglerDetector()
         self._draining: frozenset[GroupId] = frozenset()
         self._draining_since: dict[FencingToken, float] = {}
         self._loads = LoadQueue(weights=weights, clock=clock, slots=limits.load_slots)
@@ -164,6 +167,11 @@
         """
         return self._draining
 
+    @property
+    def stragglers(self) -> frozenset[GroupId]:
+        """Groups of the whole fleet that are slower than their peers."""
+        return self._detector.stragglers
+
     async def run(self) -> None:
         """Step until cancelled."""
         while True:
@@ -180,6 +188,7 @@
         owned = frozenset(vm for g in self._fold.groups.values() for vm in g.vms)
         self._inventory.update(self._directory(), owned)
         self._update_draining()
+        self._detector.update(self._statuses().values())
         await self._inventory.read(self._vms_to_read())
         await self._loads.refresh()
         if not self._is_exclusive():
@@ -222,13 +231,16 @@
         return [vm for vm in self._my_vms() if vm not in serving]
 
     def _update_draining(self) -> None:
-        leaving = {vm for vm in self._inventory.entries if self._leaves(vm)}
+        leaving = {
+            vm for vm in self._inventory.entries if self._inventory.is_leaving(vm)
+        }
         self._draining = draining_groups(
             self._fold.groups.values(),
             pools=self._pools(),
             leaving=leaving,
             drained=self._fold.drained,
             statuses=self._statuses(),
+            free=self._free_counts(),
         )
         now = self._clock.monotonic()
         self._draining_since = {
@@ -237,16 +249,19 @@
             if self._phase(group) == GroupPhase.DRAINING.value
         }
 
-    def _leaves(self, vm: VmId) -> bool:
-        return self._inventory.is_leaving(vm)
+    def _free_counts(self) -> Counter[DomainId]:
+        fold = self._fold
+        return Counter(
+            entry.domain
+            for vm, entry in self._inventory.entries.items()
+            if fold.owner(vm) is None and vm not in fold.drained and not entry.leaving
+        )
 
     def _is_broken(self, group: Group) -> bool:
         """Return whether the group cannot serve again without a new formation."""
         if self._phase(group) == GroupPhase.SERVING.value:
             return False
-        return self._is_idle(group) or any(
-            self._is_lost(member.vm, member.incarnation) for member in group.members
-        )
+        return any(self._is_lost(m.vm, m.incarnation) for m in group.members)
 
     def _is_lost(self, vm: VmId, incarnation: int) -> bool:
         """Return whether a member is dead, restarted or has another identity."""
@@ -275,13 +290,16 @@
 
     async def _propose(self) -> None:
         groups = self._my_groups()
+        retired = frozenset(g.id for g in groups if self._is_idle(g))
+        broken = frozenset(g.id for g in groups if self._is_broken(g))
         snapshot = FormationSnapshot(
             vms=[
                 self._inventory.view(vm, drained=vm in self._fold.drained)
                 for vm in self._my_vms()
             ],
             groups=groups,
-            broken=frozenset(g.id for g in groups if self._is_broken(g)),
+            broken=broken | retired,
+            retired=retired,
             pools=self._pools(),
         )
         base = self._fold.offset
--- a/pomelolug/groups/_inventory.py
+++ b/pomelolug/groups/_inventory.py
@@ -107,13 +107,16 @@
             self._counted("vm_list_contradiction")
         kept = {vm: e for vm, e in self._kept.items() if vm in owned}
         self._kept = {**kept, **self._list.entries}
-        self._readings = {
-            vm: reading for vm, reading in self._readings.items() if vm in self._kept
-        }
 
     async def read(self, vms: Iterable[VmId]) -> None:
-        """Read the given VMs back at the same time."""
-        await asyncio.gather(*(self._read(vm) for vm in vms if vm in self._kept))
+        """Read the given VMs back at the same time and forget all others.
+
+        An older answer of a VM that is no longer read would be taken for a
+        present one.
+        """
+        wanted = {vm for vm in vms if vm in self._kept}
+        self._readings = {v: r for v, r in self._readings.items() if v in wanted}
+        await asyncio.gather(*(self._read(vm) for vm in sorted(wanted)))
 
     async def _read(self, vm: VmId) -> None:
         sent = self._clock.monotonic()
--- a/pomelolug/groups/_policy.py
+++ b/pomelolug/groups/_policy.py
@@ -49,15 +49,19 @@
     groups : sequence of Group
         Live groups in these domains.
     broken : frozenset of GroupId
-        Groups that lost a member and cannot serve again unchanged.
+        Groups that lost a member and cannot serve again unchanged, and those
+        of `retired`.
     pools : sequence of Pool
         Declared pools.
+    retired : frozenset of GroupId
+        Groups that have drained for a planned change and are idle.
     """
 
     vms: Sequence[VmView]
     groups: Sequence[Group]
     broken: frozenset[GroupId]
     pools: Sequence[Pool]
+    retired: frozenset[GroupId] = frozenset()
 
     def domains(self) -> list[DomainId]:
         """Return the fabric domains in a fixed order."""
@@ -225,7 +229,9 @@
 def _can_wait(snapshot: FormationSnapshot, group: Group) -> bool:
     """Return whether a later repair could still complete the group."""
     declared = any(pool.name == group.pool for pool in snapshot.pools)
-    return declared and bool(snapshot.survivors(group))
+    if not declared or group.id in snapshot.retired:
+        return False
+    return bool(snapshot.survivors(group))
 
 
 def _dissolve(group: Group) -> DissolveProposal:
--- a/pomelolug/groups/_rollout.py
+++ b/pomelolug/groups/_rollout.py
@@ -4,33 +4,39 @@
 
 from pomelolug.configuration import Pool
 from pomelolug.groups._group import Group, GroupPhase
-from pomelolug.ids import GroupId, VmId
+from pomelolug.ids import DomainId, GroupId, VmId
 from pomelolug.messages import GroupStatus
 
 __all__ = ["draining_groups", "spare_groups"]
 
+_FORMING = GroupPhase.FORMING.value
+_LOADING = GroupPhase.LOADING.value
 _SERVING = GroupPhase.SERVING.value
 _DRAINING = GroupPhase.DRAINING.value
-_COMING = (GroupPhase.FORMING.value, GroupPhase.LOADING.value)
+
+# Part of a pool that planned changes stop at once. Loads follow one another on
+# the shared weight store, so stopping more groups would only make them wait.
+_MAX_SHARE = 0.25
 
 
 def spare_groups(
-    groups: Sequence[Group], statuses: Mapping[GroupId, GroupStatus]
+    groups: Sequence[Group],
+    statuses: Mapping[GroupId, GroupStatus],
+    *,
+    replaceable: bool,
 ) -> int:
     """Return how many serving groups of a pool its load does not need.
 
-    A group counts as needed for each full or started share of capacity. One
-    group of an idle pool of a single group counts as spare, because a rolling
-    change could otherwise never start.
+    A group counts as needed for each full or started share of capacity, and at
+    least one does. The only group of a pool is spare when it is idle and no
+    replacement is coming, because a planned change could otherwise never start.
     """
     serving = [statuses[g.id] for g in groups if _phase(g, statuses) == _SERVING]
-    if not serving:
-        return 0
     load = sum(status.load for status in serving)
     if len(groups) == 1:
-        return 1 if load == 0 else 0
-    size = max(max(status.capacity for status in serving), 1)
-    needed = max(-(-load // size), 1)
+        return int(bool(serving) and load == 0 and not replaceable)
+    size = max([status.capacity for status in serving], default=1)
+    needed = max(-(-load // max(size, 1)), 1)
     return max(len(serving) - needed, 0)
 
 
@@ -41,6 +47,7 @@
     leaving: Set[VmId],
     drained: Set[VmId],
     statuses: Mapping[GroupId, GroupStatus],
+    free: Mapping[DomainId, int],
 ) -> frozenset[GroupId]:
     """Return the groups that are to get no new work.
 
@@ -60,6 +67,8 @@
         VMs under an operator's drain.
     statuses : mapping of GroupId to GroupStatus
         Observed groups.
+    free : mapping of DomainId to int
+        VMs of each fabric domain that could join a new group.
     """
     by_pool: dict[str, list[Group]] = {}
     for group in sorted(groups, key=lambda g: g.token):
@@ -77,7 +86,8 @@
             and g.id not in result
             and (drained & set(g.vms) or not g.matches(pool))
         ]
-        result |= _allowed(members, wanted, statuses)
+        replaceable = pool is not None and pool.members <= max(free.values(), default=0)
+        result |= _allowed(members, wanted, statuses, replaceable)
     return frozenset(result)
 
 
@@ -85,19 +95,21 @@
     members: Sequence[Group],
     wanted: Sequence[Group],
     statuses: Mapping[GroupId, GroupStatus],
+    replaceable: bool,
 ) -> set[GroupId]:
     """Return the groups of `wanted` that may stop now, oldest token first."""
     started = [g for g in wanted if _phase(g, statuses) == _DRAINING]
-    coming = [g for g in members if _phase(g, statuses) in _COMING]
-    idle = [g for g in wanted if _phase(g, statuses) == _SERVING]
-    if coming:
-        return {g.id for g in started}
-    room = spare_groups(members, statuses) - len(started)
-    return {g.id for g in [*started, *idle[: max(room, 0)]]}
+    serving = [g for g in wanted if _phase(g, statuses) == _SERVING]
+    stopped = [g for g in wanted if g not in started and g not in serving]
+    loading = [g for g in members if _phase(g, statuses) == _LOADING]
+    limit = max(int(len(members) * _MAX_SHARE), 1) - len(started) - len(loading)
+    spare = spare_groups(members, statuses, replaceable=replaceable)
+    room = max(min(limit, spare), 0)
+    return {g.id for g in [*started, *stopped, *serving[:room]]}
 
 
 def _phase(group: Group, statuses: Mapping[GroupId, GroupStatus]) -> str:
     status = statuses.get(group.id)
     if status is None or status.token != group.token:
-        return GroupPhase.FORMING.value
+        return _FORMING
     return status.phase
--- a/pomelolug/testing/_group_world.py
+++ b/pomelolug/testing/_group_world.py
@@ -199,6 +199,7 @@
             publish=self._publish,
             limits=self.limits,
             draining=lambda: group.id in self.nodes[0].controller.draining,
+            straggler=lambda: group.id in self.nodes[0].controller.stragglers,
             violated=lambda what: self.violations.update([what]),
         )
 
