Guard the peer port: handshake, limits, silence

Cause: a port that strangers can reach needs proofs that hold in one place only, and bounds on every kind of input. Change: hub choice in a module of its own and cached; broadcast goes round a broken connection; HolderLost; the limit on connections counts handshakes too, as the first version counted only those that had finished one. Tests for reflection, replay, forged identity, key rotation, oversize, slow handshake.

--- a/pomelolug/claims/_client.py
+++ b/pomelolug/claims/_client.py
@@ -272,10 +272,9 @@
             self._unsent.popleft()
 
     def _report(self, update: ClaimUpdate) -> None:
-        if not self._unsent and self._send(update):
-            return
         if len(self._unsent) >= MAX_UNSENT:
             # The claim stays held until the window has passed, which is safe.
             UNSENT_UPDATES.labels(side="gateway").inc()
-            return
-        self._unsent.append(update)
+        else:
+            self._unsent.append(update)
+        self.on_connected()
--- a/pomelolug/claims/_fold.py
+++ b/pomelolug/claims/_fold.py
@@ -200,6 +200,14 @@
             if holding.node == node and holding.state is ClaimState.HELD:
                 yield key, holding
 
+    def holders(self) -> frozenset[tuple[str, int]]:
+        """Return node and incarnation of each process with an undecided claim."""
+        return frozenset(
+            (holding.node, holding.incarnation)
+            for holding in self._held.values()
+            if holding.state is ClaimState.HELD
+        )
+
     def verdict(self, claim: Claim) -> Verdict:
         """Return what the records say about a claim that is on the log."""
         holding = self._held.get(claim.key)
--- a/pomelolug/membership/_connection.py
+++ b/pomelolug/membership/_connection.py
@@ -12,7 +12,7 @@
 from pomelolug.membership._handshake import Identity, handshake
 from pomelolug.membership._keys import Keys, Side
 from pomelolug.membership._metrics import BYTES, HANDLER_ERRORS, REFUSALS
-from pomelolug.membership._queue import Queued, SendQueue
+from pomelolug.membership._queue import Queued, SendQueue, status_key
 from pomelolug.membership._transport import Transport
 from pomelolug.messages import (
     ClaimRequest,
@@ -21,6 +21,7 @@
     DemandReport,
     Digest,
     GroupStatus,
+    HolderLost,
     KeepAlive,
     LossReport,
     Message,
@@ -29,6 +30,7 @@
     RoutingTable,
     StreamRecords,
     decode,
+    encode,
 )
 
 __all__ = ["MESSAGE_KINDS", "Connection", "open_connection"]
@@ -40,6 +42,7 @@
     DemandReport,
     Digest,
     GroupStatus,
+    HolderLost,
     KeepAlive,
     LossReport,
     RecordsRequest,
@@ -48,6 +51,7 @@
     StreamRecords,
 )
 QUEUE_SIZE = 512
+KEEP_ALIVE = encode(KeepAlive())
 SILENCE = datetime.timedelta(seconds=3)
 # The writer wakes this often within the silence limit.
 TICKS_PER_SILENCE = 4
@@ -94,6 +98,7 @@
         self._wake = asyncio.Event()
         self._closed = asyncio.Event()
         self._quiet = 0.0
+        self._handling = False
         self._reason = ""
 
     @property
@@ -132,7 +137,11 @@
         PeerError
             If the encoded message is too large.
         """
-        if self.closed or self._queue.put(message, key=key) is Queued.REFUSED:
+        return self.send_encoded(encode(message), key=key or status_key(message))
+
+    def send_encoded(self, frame: bytes, *, key: str | None = None) -> bool:
+        """Queue an encoded message; see `send`."""
+        if self.closed or self._queue.put(frame, key=key) is Queued.REFUSED:
             return False
         self._wake.set()
         return True
@@ -193,6 +202,7 @@
         message: Message,
     ) -> None:
         kind = type(message).__name__
+        self._handling = True
         try:
             await handler(self, message)
         except PomelolugError as error:
@@ -201,6 +211,8 @@
         except Exception:
             HANDLER_ERRORS.labels(kind=kind).inc()
             _log.exception("message_handler_failed", kind=kind)
+        finally:
+            self._handling = False
 
     async def _write(self) -> None:
         tick = self._silence / TICKS_PER_SILENCE
@@ -211,16 +223,16 @@
                 async with asyncio.timeout(tick):
                     await self._wake.wait()
             # Time in which this process itself was paused does not count as
-            # silence of the other end.
+            # silence of the other end, nor does time spent in the own handler.
             waited = min(self._clock.monotonic() - before, 2 * tick)
-            self._quiet += waited
+            self._quiet += 0.0 if self._handling else waited
             unsent_for += waited
             if self._quiet >= self._silence:
                 REFUSALS.labels(reason="silent").inc()
                 self.close("silent")
                 return
             if unsent_for >= tick and not len(self._queue):
-                self._queue.put(KeepAlive())
+                self._queue.put(KEEP_ALIVE)
             if len(self._queue):
                 unsent_for = 0.0
             await self._flush()
--- /dev/null
+++ b/pomelolug/membership/_hubs.py
@@ -0,0 +1,73 @@
+"""Choice of the hubs and of the connections that a node wants."""
+
+from collections import defaultdict
+
+from pomelolug.membership._rendezvous import rendezvous
+from pomelolug.membership._table import NodeState, Table
+
+__all__ = ["FULL_MESH_NODES", "Hubs"]
+
+FULL_MESH_NODES = 16
+# Hysteresis keeps a fleet at the limit from rebuilding its connections on every
+# restart.
+HYSTERESIS_NODES = 2
+
+
+class Hubs:
+    """The hubs that follow from a table.
+
+    Parameters
+    ----------
+    table : Table
+        The node's table.
+    per_zone : int
+        Hubs of each zone when there are too many nodes for a full mesh.
+    full_mesh_nodes : int
+        Up to this many live nodes every node is a hub.
+    """
+
+    def __init__(self, table: Table, *, per_zone: int, full_mesh_nodes: int) -> None:
+        self._table = table
+        self._per_zone = per_zone
+        self._full_mesh_nodes = full_mesh_nodes
+        self._full_mesh = True
+        self._chosen_at = 0
+        self._chosen: frozenset[str] = frozenset()
+
+    def current(self) -> frozenset[str]:
+        """Return the hubs of all zones."""
+        if self._chosen_at != self._table.events:
+            self._chosen_at = self._table.events
+            self._chosen = self._choose()
+        return self._chosen
+
+    def wanted(self) -> set[str]:
+        """Return the nodes that this node should be connected to."""
+        own = self._table.own
+        hubs = self.current()
+        if own.node in hubs:
+            return set(hubs) - {own.node}
+        return {
+            node
+            for node in hubs
+            if (member := self._table.get(node)) and member.beat.zone == own.zone
+        }
+
+    def _choose(self) -> frozenset[str]:
+        zones: dict[str, list[str]] = defaultdict(list)
+        count = 0
+        for member in self._table:
+            if member.state is NodeState.ALIVE:
+                zones[member.beat.zone].append(member.beat.node)
+                count += 1
+        limit = self._full_mesh_nodes
+        if not self._full_mesh:
+            limit -= HYSTERESIS_NODES
+        self._full_mesh = count <= limit
+        if self._full_mesh:
+            return frozenset(node for nodes in zones.values() for node in nodes)
+        return frozenset(
+            node
+            for zone, nodes in zones.items()
+            for node in rendezvous(f"hub {zone}", nodes, self._per_zone)
+        )
--- a/pomelolug/membership/_link.py
+++ b/pomelolug/membership/_link.py
@@ -6,7 +6,7 @@
 
 from pomelolug.membership._connection import Connection
 from pomelolug.membership._table import FAR, Member, NodeState, Table, start_of
-from pomelolug.messages import Digest, Heartbeat, VersionUpdate
+from pomelolug.messages import Digest, Heartbeat, VersionUpdate, encode
 
 __all__ = ["Link"]
 
@@ -15,6 +15,7 @@
 # nodes from vouching for a dead third one in a circle.
 MAX_DISTANCE_TO_HUB = 1
 MAX_DISTANCE = 2
+EMPTY_DIGEST = encode(Digest())
 MAX_ENTRIES = 500
 SILENT = -1
 
@@ -79,7 +80,8 @@
         for part in _parts(entries, grouped):
             # Within the queue a digest must not be lost: what it renews depends
             # on all digests before it.
-            if not self.connection.send(part):
+            frame = encode(part) if part.entries or part.updates else EMPTY_DIGEST
+            if not self.connection.send_encoded(frame):
                 self.connection.close("digest refused by the send queue")
                 return
         self._sent_version = version
--- a/pomelolug/membership/_mesh.py
+++ b/pomelolug/membership/_mesh.py
@@ -17,11 +17,11 @@
     open_connection,
 )
 from pomelolug.membership._handshake import Identity, Role
+from pomelolug.membership._hubs import FULL_MESH_NODES, Hubs
 from pomelolug.membership._keys import Keys, Side
 from pomelolug.membership._link import Link
 from pomelolug.membership._metrics import DIALS, REFUSALS
 from pomelolug.membership._relay import Relays
-from pomelolug.membership._rendezvous import rendezvous
 from pomelolug.membership._table import (
     Member,
     NodeInfo,
@@ -32,12 +32,8 @@
 from pomelolug.membership._transport import Dialer, WebsocketDialer
 from pomelolug.messages import Digest, Heartbeat, Message, Relay
 
-__all__ = ["FULL_MESH_NODES", "Handler", "Mesh"]
+__all__ = ["Handler", "Mesh"]
 
-FULL_MESH_NODES = 16
-# Hysteresis keeps a fleet at the limit from rebuilding its connections on every
-# restart.
-FULL_MESH_AGAIN = 14
 MAX_ADDRESSES = 2048
 # A connection that is not wanted any more is kept for this many heartbeats, in
 # which the other end may come to want it.
@@ -103,8 +99,6 @@
         self._random = random_state
         self._beat = heartbeat.total_seconds()
         self._silence = suspect_after
-        self._hubs_per_zone = hubs_per_zone
-        self._full_mesh_nodes = full_mesh_nodes
         self._dialer = dialer or WebsocketDialer()
         own = Heartbeat(
             node=node,
@@ -115,8 +109,11 @@
         )
         self._table = Table(own, suspect_after=suspect_after, dead_after=dead_after)
         self._node = node
+        self._hubs = Hubs(
+            self._table, per_zone=hubs_per_zone, full_mesh_nodes=full_mesh_nodes
+        )
         self._links: dict[str, Link] = {}
-        self._relays = Relays(node, self._links, random_state)
+        self._relays = Relays(node, self._links, random_state, self._missing)
         self._handlers: dict[type[Message], Handler] = {}
         self._watchers: list[Callable[[NodeInfo], None]] = []
         self._addresses: dict[str, None] = {}
@@ -124,7 +121,6 @@
         self._peers: dict[str, asyncio.Task[None]] = {}
         self._explorers: set[asyncio.Task[None]] = set()
         self._exploring = 0
-        self._full_mesh = True
         self._ticks = 0
         self.add_addresses(seeds)
 
@@ -144,7 +140,7 @@
     @property
     def is_hub(self) -> bool:
         """Whether this node relays for others."""
-        return self._node in self._hubs()
+        return self._node in self._hubs.current()
 
     @property
     def connected(self) -> tuple[NodeId, ...]:
@@ -221,7 +217,10 @@
     async def serve(self, connection: Connection) -> None:
         """Run an authenticated connection of a control process to its end."""
         node = connection.peer.node
-        if node == self._node:
+        if connection.peer.role is not Role.CONTROL:
+            REFUSALS.labels(reason="role").inc()
+            connection.close("not a control process")
+        elif node == self._node:
             self._own_addresses.add(connection.peer.address)
             connection.close("own node")
         elif not self._admit(connection):
@@ -230,7 +229,7 @@
         else:
             link = self._links[node] = Link(connection, self._table)
             self._renew()
-            link.set_hub(node in self._hubs())
+            link.set_hub(node in self._hubs.current())
             link.send_digest()
         try:
             await connection.run(self._receive)
@@ -280,11 +279,11 @@
     def _tick(self) -> None:
         self._ticks += 1
         self._renew()
-        hubs = self._hubs()
+        hubs = self._hubs.current()
         for link in list(self._links.values()):
             link.set_hub(link.node in hubs)
             link.send_digest()
-        self._keep_peers(hubs)
+        self._keep_peers()
         if self._ticks % EXPLORE_BEATS == 1 or len(self._links) == 0:
             self._explore()
 
@@ -306,35 +305,11 @@
         for watcher in self._watchers:
             watcher(info)
 
-    def _hubs(self) -> frozenset[str]:
-        zones: dict[str, list[str]] = defaultdict(list)
-        count = 0
-        for member in self._table:
-            if member.state is NodeState.ALIVE:
-                zones[member.beat.zone].append(member.beat.node)
-                count += 1
-        limit = FULL_MESH_AGAIN if not self._full_mesh else self._full_mesh_nodes
-        self._full_mesh = count <= min(limit, self._full_mesh_nodes)
-        if self._full_mesh:
-            return frozenset(node for nodes in zones.values() for node in nodes)
-        return frozenset(
-            node
-            for zone, nodes in zones.items()
-            for node in rendezvous(f"hub {zone}", nodes, self._hubs_per_zone)
-        )
-
-    def _wanted(self, hubs: frozenset[str]) -> set[str]:
-        if self._node in hubs:
-            return set(hubs) - {self._node}
-        own_zone = self._table.own.zone
-        return {
-            node
-            for node in hubs
-            if (member := self._table.get(node)) and member.beat.zone == own_zone
-        }
+    def _missing(self) -> set[str]:
+        return self._hubs.wanted() - self._links.keys()
 
-    def _keep_peers(self, hubs: frozenset[str]) -> None:
-        wanted = self._wanted(hubs)
+    def _keep_peers(self) -> None:
+        wanted = self._hubs.wanted()
         for node in wanted - self._links.keys() - self._peers.keys():
             self._peers[node] = asyncio.create_task(self._keep(node))
         for node, link in list(self._links.items()):
@@ -352,7 +327,7 @@
                 # The lower name dials first, so that duplicates are rare.
                 await self._clock.sleep(self._jittered(1.5))
             backoff = 1.0
-            while node not in self._links and node in self._wanted(self._hubs()):
+            while node not in self._links and node in self._hubs.wanted():
                 member = self._table.get(node)
                 address = member.beat.address if member is not None else ""
                 connection = await self._dial(address)
--- a/pomelolug/membership/_queue.py
+++ b/pomelolug/membership/_queue.py
@@ -4,7 +4,7 @@
 import enum
 
 from pomelolug.membership._metrics import DROPPED
-from pomelolug.messages import DemandReport, GroupStatus, Message, encode
+from pomelolug.messages import DemandReport, GroupStatus, Message
 
 __all__ = ["Queued", "SendQueue", "status_key"]
 
@@ -56,18 +56,16 @@
     def __len__(self) -> int:
         return len(self._frames)
 
-    def put(self, message: Message, *, key: str | None = None) -> Queued:
-        """Add `message`.
+    def put(self, frame: bytes, *, key: str | None = None) -> Queued:
+        """Add an encoded message.
 
         Parameters
         ----------
-        message : Message
-            The message; encoded here.
+        frame : bytes
+            The encoded message.
         key : str, optional
-            What it is a status about; by default `status_key` decides.
+            What it is a status about; None if it is no status.
         """
-        frame = encode(message)
-        key = key or status_key(message)
         if key is not None and key in self._frames:
             # The place in the queue is kept, so that frequent updates do not
             # push a status back forever.
--- a/pomelolug/membership/_relay.py
+++ b/pomelolug/membership/_relay.py
@@ -2,7 +2,7 @@
 
 import collections
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from pomelolug.membership._link import Link
 from pomelolug.membership._metrics import DROPPED, RELAYED
@@ -28,13 +28,20 @@
     random_state : random.Random
         Draws the first serial number, so that a restarted node does not repeat
         numbers that its peers have seen.
+    missing : callable
+        Returns the nodes that should have a direct connection and have none.
     """
 
     def __init__(
-        self, node: str, links: Mapping[str, Link], random_state: random.Random
+        self,
+        node: str,
+        links: Mapping[str, Link],
+        random_state: random.Random,
+        missing: Callable[[], Iterable[str]],
     ) -> None:
         self._node = node
         self._links = links
+        self._missing = missing
         self._serial = random_state.getrandbits(FIRST_SERIAL_BITS)
         self._seen: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
@@ -60,10 +67,15 @@
             return 0
         relay = self._wrap("", message)
         key = key or status_key(message)
-        return sum(
-            link.connection.send(relay, key=f"{key} of {self._node}" if key else None)
+        frame = encode(relay)
+        sent = sum(
+            link.connection.send_encoded(frame, key=key)
             for link in self._links.values()
         )
+        # Other hubs count on a direct connection; a broken one is gone round.
+        for target in self._missing():
+            sent += self._forward(self._wrap(target, message), came_from=None)
+        return sent
 
     def _wrap(self, target: str, message: Message) -> Relay:
         self._serial += 1
@@ -127,9 +139,10 @@
             return
         # Hubs are connected to each other, so what comes from a hub goes to the
         # other nodes only.
+        frame = encode(onward)
         for link in self._links.values():
             if link is not source and not (source.to_hub and link.to_hub):
-                link.connection.send(onward)
+                link.connection.send_encoded(frame)
 
     @staticmethod
     def _next(relay: Relay) -> Relay | None:
--- a/pomelolug/membership/_server.py
+++ b/pomelolug/membership/_server.py
@@ -142,7 +142,7 @@
     def _process_request(
         self, websocket: ServerConnection, request: Request
     ) -> Response | None:
-        if self._server and len(self._server.all_connections) > self._max_connections:
+        if self._server and len(self._server.handler_tasks) > self._max_connections:
             REFUSALS.labels(reason="too_many_connections").inc()
             return _response(HttpReply(status=503, body=b"too many connections\n"))
         if request.headers.get("Upgrade", "").lower() == "websocket":
--- a/pomelolug/membership/_table.py
+++ b/pomelolug/membership/_table.py
@@ -131,6 +131,7 @@
         self._dead_after = dead_after.total_seconds()
         self._name = own.node
         self.version = 1
+        self.events = 1
         self.awake = 0.0
         self._members = {own.node: Member(own, 0.0, self.version)}
         self._members[own.node].distance = 0
@@ -189,9 +190,9 @@
             too_old = self.awake - heard > DEAD_KEPT.total_seconds() / 2
             if too_old or len(self._members) >= MAX_MEMBERS:
                 return None
-            self.version += 1
             member = self._members[entry.node] = Member(entry, heard, self.version)
             member.state = self._state(heard)
+            self._touch(member, event=True)
             return member
         if start_of(entry.incarnation) < start_of(member.beat.incarnation):
             return None
@@ -259,6 +260,7 @@
                 self._touch(member, event=False)
             if self.awake - member.heard > DEAD_KEPT.total_seconds():
                 del self._members[node]
+                self.events = self.version = self.version + 1
         return changed
 
     def _state(self, heard: float) -> NodeState:
@@ -272,3 +274,4 @@
         member.changed = self.version
         if event:
             member.event = self.version
+            self.events = self.version
--- /dev/null
+++ b/pomelolug/membership/tests/test_handshake.py
@@ -0,0 +1,120 @@
+"""Guards against proofs that pass in another place than the one they are for."""
+
+import asyncio
+
+import pytest
+
+from pomelolug.errors import ErrorCode, PeerError
+from pomelolug.membership import Identity, Keys, Role, Side, Transport, handshake
+from pomelolug.membership._handshake import _hello
+from pomelolug.messages import Hello, Proof, decode, encode
+
+KEYS = Keys(["k=" + "0a" * 16])
+
+
+class Pipe(Transport):
+    """One end of a connection whose frames are kept."""
+
+    def __init__(self):
+        self.sent = []
+        self.inbox = asyncio.Queue()
+        self.other = None
+
+    async def send(self, frame):
+        self.sent.append(frame)
+        if self.other is not None:
+            self.other.inbox.put_nowait(frame)
+
+    async def receive(self):
+        return await self.inbox.get()
+
+    async def close(self):
+        pass
+
+
+def identity(node, role=Role.CONTROL):
+    return Identity(node=node, role=role, incarnation=1, zone="z")
+
+
+def refused(results):
+    errors = [r for r in results if isinstance(r, PeerError)]
+    return [e.code for e in errors] == [ErrorCode.PEER_UNAUTHENTICATED] * len(results)
+
+
+async def shake(left, right, names=("a", "b")):
+    return await asyncio.gather(
+        handshake(left, Side.DIALER, identity(names[0]), KEYS),
+        handshake(right, Side.ACCEPTOR, identity(names[1]), KEYS),
+        return_exceptions=True,
+    )
+
+
+async def test_honest_ends_accept_each_other():
+    left, right = Pipe(), Pipe()
+    left.other, right.other = right, left
+    peers = await shake(left, right)
+    assert [peer.node for peer in peers] == ["b", "a"]
+
+
+async def test_reflected_hello_and_proof_are_refused():
+    # An attacker without a key sends back whatever it receives.
+    pipe = Pipe()
+    pipe.other = pipe
+    result = await asyncio.gather(
+        handshake(pipe, Side.DIALER, identity("a"), KEYS), return_exceptions=True
+    )
+    assert refused(result)
+
+
+async def test_proof_of_one_side_does_not_pass_for_the_other():
+    # The attacker forwards the hello of its own choice and reflects the proof.
+    victim = Pipe()
+    task = asyncio.create_task(handshake(victim, Side.ACCEPTOR, identity("a"), KEYS))
+    hello = encode(_hello(identity("b"), KEYS))
+    victim.inbox.put_nowait(hello)
+    for _ in range(5):
+        await asyncio.sleep(0)
+    victim.inbox.put_nowait(victim.sent[1])
+    assert refused(await asyncio.gather(task, return_exceptions=True))
+
+
+async def test_two_acceptors_do_not_authenticate_each_other():
+    # An attacker dials two nodes and passes the frames of one to the other.
+    left, right = Pipe(), Pipe()
+    left.other, right.other = right, left
+    results = await asyncio.gather(
+        handshake(left, Side.ACCEPTOR, identity("a"), KEYS),
+        handshake(right, Side.ACCEPTOR, identity("b"), KEYS),
+        return_exceptions=True,
+    )
+    assert refused(results)
+
+
+async def test_replayed_conversation_is_refused():
+    left, right = Pipe(), Pipe()
+    left.other, right.other = right, left
+    await shake(left, right)
+    again = Pipe()
+    for frame in left.sent:
+        again.inbox.put_nowait(frame)
+    result = await asyncio.gather(
+        handshake(again, Side.ACCEPTOR, identity("b"), KEYS), return_exceptions=True
+    )
+    assert refused(result)
+
+
+@pytest.mark.parametrize("field", ["node", "role", "incarnation", "zone"])
+async def test_identity_changed_on_the_way_is_refused(field):
+    left, right = Pipe(), Pipe()
+    left.other = right
+
+    async def forge(frame):
+        hello = decode(frame, Hello, Proof)
+        if isinstance(hello, Hello):
+            new = {"role": "gateway", "incarnation": 9}.get(field, "x")
+            data = {f: getattr(hello, f) for f in hello.__struct_fields__}
+            frame = encode(Hello(**(data | {field: new})))
+        left.inbox.put_nowait(frame)
+
+    right.send = forge
+    assert refused(await shake(left, right))
--- /dev/null
+++ b/pomelolug/membership/tests/test_server.py
@@ -0,0 +1,204 @@
+"""Guards against strangers, oversized input and silent connections on a port."""
+
+import asyncio
+import datetime
+
+import pytest
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
+from pomelolug.clock import SystemClock
+from pomelolug.errors import ErrorCode, PeerError
+from pomelolug.membership import (
+    HttpReply,
+    Identity,
+    Keys,
+    PeerServer,
+    Role,
+    Side,
+    WebsocketDialer,
+    open_connection,
+)
+from pomelolug.messages import ClaimUpdate, RecordsRequest, encode
+
+OLD, NEW, OTHER = "old=" + "0a" * 16, "new=" + "0b" * 16, "old=" + "0c" * 16
+SECOND = datetime.timedelta(seconds=1)
+SHORT = datetime.timedelta(milliseconds=200)
+
+
+def identity(node, **changes):
+    values = dict(node=node, role=Role.CONTROL, incarnation=1, zone="z")
+    return Identity(**(values | changes))
+
+
+class Port:
+    """A server that keeps its connections and what it received."""
+
+    def __init__(self, keys=(OLD,), **options):
+        self.connections = []
+        self.got = []
+        self.server = PeerServer(
+            address="127.0.0.1:0",
+            identity=lambda: identity("server"),
+            keys=Keys(keys),
+            on_connection=self.serve,
+            clock=SystemClock(),
+            http=lambda path: HttpReply(body=b"ok") if path == "/ready" else None,
+            **options,
+        )
+
+    async def serve(self, connection):
+        self.connections.append(connection)
+        await connection.run(self.take)
+
+    async def take(self, connection, message):
+        self.got.append(message)
+
+    async def __aenter__(self):
+        await self.server.start()
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.server.close()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.port}"
+
+    async def dial(self, keys=(OLD,), timeout=SECOND, silence=SECOND, **changes):
+        transport = await WebsocketDialer().dial(self.address, timeout=SECOND)
+        return await open_connection(
+            transport,
+            Side.DIALER,
+            identity("client", **changes),
+            Keys(keys),
+            clock=SystemClock(),
+            timeout=timeout,
+            silence=silence,
+        )
+
+    async def until(self, condition):
+        for _ in range(90):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("not within 0.9 s")
+
+
+async def ignore(connection, message):
+    pass
+
+
+async def test_both_ends_learn_each_other_and_messages_arrive_in_order():
+    async with Port() as port:
+        connection = await port.dial(role=Role.GATEWAY)
+        task = asyncio.create_task(connection.run(ignore))
+        assert connection.peer.node == "server"
+        for offset in range(100):
+            assert connection.send(RecordsRequest(stream="s", from_offset=offset))
+        await port.until(lambda: len(port.got) == 100)
+        assert [m.from_offset for m in port.got] == list(range(100))
+        assert port.connections[0].peer.role is Role.GATEWAY
+        task.cancel()
+
+
+async def test_wrong_key_of_the_right_name_is_refused():
+    async with Port() as port:
+        with pytest.raises(PeerError):
+            await port.dial(keys=[OTHER])
+        assert port.connections == []
+
+
+async def test_each_round_of_a_key_rotation_is_accepted():
+    rounds = [(OLD,), (OLD, NEW), (NEW, OLD), (NEW,)]
+    for before, after in zip(rounds, rounds[1:], strict=False):
+        async with Port(keys=before) as port:
+            assert (await port.dial(keys=after)).peer.node == "server"
+    async with Port(keys=(OLD,)) as port:
+        with pytest.raises(PeerError):
+            await port.dial(keys=[NEW])
+
+
+async def test_older_protocol_version_is_refused_and_a_later_one_is_spoken_down():
+    async with Port() as port:
+        with pytest.raises(PeerError):
+            await port.dial(protocol=0)
+        await port.dial(protocol=7)
+        await port.until(lambda: port.connections)
+        assert [c.peer.protocol for c in port.connections] == [1]
+
+
+async def test_slow_handshake_is_ended():
+    async with Port(handshake_timeout=SHORT) as port:
+        async with connect(f"ws://{port.address}/", proxy=None) as websocket:
+            await websocket.recv()
+            with pytest.raises(ConnectionClosed):
+                await asyncio.wait_for(websocket.recv(), 0.9)
+
+
+async def test_oversized_frame_ends_the_connection_alone():
+    async with Port() as port:
+        bad, good = await port.dial(), await port.dial()
+        with pytest.raises(PeerError) as caught:
+            bad.send(RecordsRequest(stream="s" * 300_000, from_offset=0))
+        assert caught.value.code is ErrorCode.MESSAGE_TOO_LARGE
+        await bad._transport.send(b"\0" * 300_000)
+        with pytest.raises(PeerError):
+            for _ in range(3):
+                await bad._transport.receive()
+        task = asyncio.create_task(good.run(ignore))
+        good.send(RecordsRequest(stream="s", from_offset=1))
+        await port.until(lambda: port.got)
+        task.cancel()
+
+
+async def test_malformed_and_unknown_messages_are_passed_over():
+    async with Port() as port:
+        connection = await port.dial()
+        await connection._transport.send(b"\xff\xff")
+        await connection._transport.send(b"\xa1dtypegFutureX")
+        update = ClaimUpdate(key=b"k", nonce=b"n", state="released")
+        await connection._transport.send(encode(update))
+        await port.until(lambda: port.got)
+        assert port.got == [update]
+
+
+async def test_connection_gone_silent_is_closed_and_an_idle_one_is_not():
+    async with Port(silence=SHORT) as port:
+        silent = await port.dial(silence=SECOND)
+        idle = await port.dial(silence=SHORT)
+        task = asyncio.create_task(idle.run(ignore))
+        await port.until(lambda: any(c.closed for c in port.connections))
+        await asyncio.sleep(0.3)
+        reasons = sorted(c.close_reason for c in port.connections)
+        assert reasons == ["", "silent"]
+        assert not task.done()
+        task.cancel()
+        await silent._transport.close()
+
+
+async def test_plain_get_is_answered_and_connections_are_limited():
+    async with Port(max_connections=2) as port:
+
+        async def get(path):
+            reader, writer = await asyncio.open_connection(*port.address.split(":"))
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            reply = await reader.read()
+            writer.close()
+            return reply.split(b" ")[1], reply.rsplit(b"\n", 1)[-1]
+
+        assert await get("/ready") == (b"200", b"ok")
+        assert (await get("/other"))[0] == b"404"
+        kept = [await port.dial(), await port.dial()]
+        with pytest.raises(PeerError):
+            await port.dial()
+        assert len(kept) == len(port.connections) == 2
+        for connection in kept:
+            await connection._transport.close()
+
+
+def test_text_of_a_key_is_in_no_error():
+    with pytest.raises(Exception) as caught:
+        Keys(["a=" + "0g" * 16, "b=" + "0a" * 8])
+    assert "0g" not in str(caught.value) and "0a" not in str(caught.value)
+    assert len(caught.value.findings) == 2
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -6,6 +6,7 @@
     ClaimRequest,
     ClaimUpdate,
     ClaimVerdict,
+    HolderLost,
 )
 from pomelolug.messages._codec import (
     MAX_MESSAGE_BYTES,
@@ -43,6 +44,7 @@
     "GroupStatus",
     "Heartbeat",
     "Hello",
+    "HolderLost",
     "KeepAlive",
     "LossReport",
     "MAX_MESSAGE_BYTES",
--- a/pomelolug/messages/_claims_generated.py
+++ b/pomelolug/messages/_claims_generated.py
@@ -5,7 +5,14 @@
 
 from pomelolug.messages._codec import Message
 
-__all__ = ["Claim", "ClaimBatch", "ClaimRequest", "ClaimUpdate", "ClaimVerdict"]
+__all__ = [
+    "Claim",
+    "ClaimBatch",
+    "ClaimRequest",
+    "ClaimUpdate",
+    "ClaimVerdict",
+    "HolderLost",
+]
 
 
 class Claim(Message, frozen=True, kw_only=True):
@@ -52,6 +59,15 @@
     """The claim."""
 
 
+class HolderLost(Message, frozen=True, kw_only=True):
+    """The process that held claims is gone; their outcome is unknown."""
+
+    node: str
+    """Node of the lost process."""
+    before: int = -1
+    """Incarnation of the process that took its place; -1 if none did."""
+
+
 class ClaimVerdict(Message, frozen=True, kw_only=True):
     """Answer to a claim request."""
 
