--- a/pomelolug/testing/_engine_fleet.py
+++ b/pomelolug/testing/_engine_fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import datetime
-from collections.abc import AsyncGenerator, AsyncIterator, Callable, Sequence
+from collections.abc import AsyncGenerator, Callable, Sequence
 
 from pomelolug.clock import Clock
 from pomelolug.engines import (
