Serve the first whole path: configuration, groups, streams, claims, services

Cause: bearer keys never matched because salts were compared as text; an unlabelled model request fell into a class that needs a key; a plain service that does not echo the identifier was taken for a broken one. Change: one function verifies keys; idempotent classes go first as default; a missing echo is accepted from plain services, a wrong one is not. Before: 401 on every call.

--- a/pomelolug/gateway/_authentication.py
+++ b/pomelolug/gateway/_authentication.py
@@ -2,9 +2,8 @@
 
 import collections
 import hashlib
-import hmac
 
-from pomelolug.configuration import Account, Configuration
+from pomelolug.configuration import Account, Configuration, verify_key
 from pomelolug.errors import ErrorCode, RequestError
 
 __all__ = ["Authenticator"]
@@ -58,9 +57,7 @@
     def _search(self, key: str) -> Account | None:
         for account in self._accounts:
             for entry in account.keys:
-                salt, _, expected = entry.partition(":")
-                actual = hashlib.sha256((salt + key).encode()).hexdigest()
-                if hmac.compare_digest(actual, expected):
+                if verify_key(key, entry):
                     return account
         return None
 
--- a/pomelolug/gateway/_parsing.py
+++ b/pomelolug/gateway/_parsing.py
@@ -137,7 +137,8 @@
 
     The class is the one named by ``X-Work-Class``, else the lowest-priority
     class that the account may use for the target, so that an unlabelled request
-    cannot displace a labelled one.
+    cannot displace a labelled one. Idempotent classes go first in that choice,
+    because the others need a key.
 
     Raises
     ------
@@ -155,7 +156,7 @@
     else:
         found = [
             c
-            for c in sorted(configuration.classes, key=lambda c: (c.priority, c.name))
+            for c in sorted(configuration.classes, key=_default_order)
             if (c.pool == pool_of_model if service is None else c.service == service)
             and (not account.classes or c.name in account.classes)
         ]
@@ -198,6 +199,10 @@
     return work_class, idempotent, key
 
 
+def _default_order(work_class: WorkClass) -> tuple[bool, int, str]:
+    return (not work_class.idempotent, work_class.priority, work_class.name)
+
+
 def _says_idempotent(request: Request) -> bool:
     word = request.headers.get("x-idempotent", "yes").lower()
     if word in _TRUE_WORDS:
--- a/pomelolug/services/_http.py
+++ b/pomelolug/services/_http.py
@@ -65,7 +65,9 @@
             raise EngineUnavailableError(
                 f"{address}: {type(error).__name__}", maybe_run=True
             ) from error
-        echoed = response.headers.get(_REQUEST_ID)
+        # A service need not echo the identifier: the connection carries one call
+        # at a time. One that does echo it must echo the right one.
+        echoed = response.headers.get(_REQUEST_ID, call.request_id)
         if echoed != call.request_id:
             response.close()
             raise EngineUnavailableError(
