Test the request path: streams, outcomes, claims, bad input

Cause: the promises on outcomes, resumption and single execution had no test. Conclusion: every refusal before dispatch leaves the engines untouched; no broken stream looks like an end.

--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import datetime
 import random
 import signal
@@ -15,7 +16,7 @@
 from pomelolug.admission import AdmissionQueue
 from pomelolug.claims import ClaimClient
 from pomelolug.clock import Clock, SystemClock
-from pomelolug.engines import HttpEngine
+from pomelolug.engines import Engine, HttpEngine
 from pomelolug.gateway._application import GatewayApplication
 from pomelolug.gateway._authentication import Authenticator
 from pomelolug.gateway._capacity import CapacityView
@@ -33,15 +34,20 @@
 from pomelolug.gateway._table import TableHolder
 from pomelolug.ids import ZoneId
 from pomelolug.invariants import Invariants
-from pomelolug.membership import Keys, WebsocketDialer, first_incarnation
+from pomelolug.membership import (
+    Dialer,
+    Keys,
+    WebsocketDialer,
+    first_incarnation,
+)
 from pomelolug.messages import LossReport
 from pomelolug.retries import Containment, RetryBudget, RunMode
 from pomelolug.routing import RoutingView
-from pomelolug.services import HttpPlainService
+from pomelolug.services import HttpPlainService, PlainService
 from pomelolug.settings._gateway_generated import GatewaySettings
 from pomelolug.telemetry import configure_logging
 
-__all__ = ["Gateway", "compose", "run_gateway"]
+__all__ = ["Backends", "Gateway", "compose", "run_gateway"]
 
 _log = structlog.get_logger()
 _KEEP_ALIVE_S = 20
@@ -61,7 +67,7 @@
         Configuration and routing table in force.
     lifecycle : Lifecycle
         Readiness and drain.
-    engine : HttpEngine
+    engine : Engine
         Adapter of the engines.
     clock : Clock
         Time source.
@@ -76,7 +82,7 @@
         link: ControlLink,
         table: TableHolder,
         lifecycle: Lifecycle,
-        engine: HttpEngine,
+        engine: Engine,
         clock: Clock,
         lease: datetime.timedelta,
     ) -> None:
@@ -106,8 +112,22 @@
                 task.cancel()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Backends:
+    """Adapters of everything outside of the gateway."""
+
+    engine: Engine
+    plain: PlainService
+    dialer: Dialer
+
+
 def compose(
-    settings: GatewaySettings, session: aiohttp.ClientSession, clock: Clock
+    settings: GatewaySettings,
+    backends: Backends,
+    *,
+    clock: Clock,
+    random_state: random.Random,
+    nonce_source: random.Random,
 ) -> Gateway:
     """Return the wired gateway.
 
@@ -115,21 +135,24 @@
     ----------
     settings : GatewaySettings
         Checked settings.
-    session : aiohttp.ClientSession
-        Client for engines and services.
+    backends : Backends
+        Adapters of engines, services and the control process.
     clock : Clock
         Time source.
+    random_state : random.Random
+        Source of jitter and choices.
+    nonce_source : random.Random
+        Source of claim nonces; must not repeat after a restart.
 
     Returns
     -------
     Gateway
         Ready to run.
     """
-    random_state = random.Random(settings.random.state or None)
     registry = CollectorRegistry()
     metrics = GatewayMetrics(registry)
     invariants = Invariants(lambda which: metrics.violations.labels(which.value).inc())
-    engine = HttpEngine(session)
+    engine = backends.engine
     decisions = DecisionLog(lambda explanation: link.send(explanation))
     view = RoutingView(
         zone=ZoneId(settings.node.zone),
@@ -184,7 +207,7 @@
         incarnation=incarnation,
         send=lambda message: link.send(message),
         clock=clock,
-        random_state=random.SystemRandom(),
+        random_state=nonce_source,
     )
     claims = Claimant(client=client, clock=clock, window=settings.claims.window)
     link = ControlLink(
@@ -193,7 +216,7 @@
         incarnation=incarnation,
         address=str(settings.control.address),
         keys=Keys(settings.control.keys),
-        dialer=WebsocketDialer(),
+        dialer=backends.dialer,
         clock=clock,
         random_state=random_state,
         on_table=table.receive,
@@ -222,7 +245,7 @@
         write_timeout=settings.listen.write_timeout,
     )
     service_flow = ServiceFlow(
-        plain=HttpPlainService(session),
+        plain=backends.plain,
         view=services,
         queue=queue,
         claims=claims,
@@ -278,7 +301,17 @@
     clock = SystemClock()
     connector = aiohttp.TCPConnector(limit=_POOL_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
-        gateway = compose(settings, session, clock)
+        gateway = compose(
+            settings,
+            Backends(
+                engine=HttpEngine(session),
+                plain=HttpPlainService(session),
+                dialer=WebsocketDialer(),
+            ),
+            clock=clock,
+            random_state=random.Random(settings.random.state or None),
+            nonce_source=random.SystemRandom(),
+        )
         config = uvicorn.Config(
             gateway.application.build(),
             host=settings.listen.address.host,
--- /dev/null
+++ b/pomelolug/gateway/tests/flow_bench.py
@@ -0,0 +1,180 @@
+"""A model flow on a scripted engine, and the claims that it makes."""
+
+import asyncio
+import dataclasses
+import datetime
+import random
+
+from prometheus_client import CollectorRegistry
+
+from pomelolug.admission import AdmissionQueue
+from pomelolug.claims import ClaimClient
+from pomelolug.configuration import Account, WorkClass
+from pomelolug.gateway._claiming import Claimant
+from pomelolug.gateway._decisions import DecisionLog
+from pomelolug.gateway._losses import LossReporter
+from pomelolug.gateway._metrics import GatewayMetrics
+from pomelolug.gateway._model_flow import ModelFlow
+from pomelolug.gateway._parsing import CallerRequest
+from pomelolug.gateway._sinks import AnswerSink
+from pomelolug.invariants import Invariants
+from pomelolug.messages import (
+    ClaimRequest,
+    ClaimUpdate,
+    ClaimVerdict,
+    GroupStatus,
+    RoutingTable,
+)
+from pomelolug.retries import Containment, RetryBudget, RunMode
+from pomelolug.routing import RoutingView
+from pomelolug.testing import LoopClock
+
+LEASE = datetime.timedelta(seconds=3)
+WRITE_TIMEOUT = datetime.timedelta(seconds=5)
+
+
+def status(group="g1", *, token=1, phase="serving", domain="d1", age_s=0.0):
+    return GroupStatus(
+        group=group,
+        pool="p",
+        model="m",
+        zone="z1",
+        domain=domain,
+        token=token,
+        phase=phase,
+        leader=f"{group}-leader",
+        members=(f"{group}-a", f"{group}-b"),
+        verified_age_s=age_s,
+        capacity=8,
+        load=0,
+    )
+
+
+def table(*groups, condemned=()):
+    return RoutingTable(
+        config_version=1, config=b"", groups=groups, condemned=condemned
+    )
+
+
+def request(*, idempotent=True, key="", body=b"{}", max_tokens=4, deadline_s=30):
+    return CallerRequest(
+        request_id="r1",
+        account=Account(name="acme", keys=()),
+        work_class=WorkClass(
+            name="c",
+            priority=1,
+            pool="p",
+            ttft_target=datetime.timedelta(seconds=0.99),
+            gap_target=datetime.timedelta(milliseconds=44),
+            deadline=datetime.timedelta(seconds=deadline_s),
+            idempotent=idempotent,
+        ),
+        idempotent=idempotent,
+        idempotency_key=key,
+        body=body,
+        completion={"model": "m", "prompt": "x", "max_tokens": max_tokens},
+    )
+
+
+class ListSink(AnswerSink):
+    def __init__(self, *, write_delay_s=0.0):
+        self.texts = []
+        self.ended = None
+        self.error = None
+        self._write_delay_s = write_delay_s
+
+    @property
+    def started(self):
+        return bool(self.texts)
+
+    async def token(self, position, text):
+        if self._write_delay_s:
+            await asyncio.sleep(self._write_delay_s)
+        self.texts.append((position, text))
+
+    async def end(self, tokens, reason):
+        self.ended = tokens
+
+    async def fail(self, error):
+        self.error = error
+
+
+@dataclasses.dataclass
+class Claims:
+    """Control process that answers each claim with `verdict`."""
+
+    verdict: str = "granted"
+    updates: list = dataclasses.field(default_factory=list)
+    asked: int = 0
+    client: ClaimClient | None = None
+
+    def send(self, message):
+        match message:
+            case ClaimRequest():
+                self.asked += 1
+                answer = ClaimVerdict(serial=message.serial, verdict=self.verdict)
+                asyncio.get_running_loop().call_soon(self.client.on_verdict, answer)
+            case ClaimUpdate():
+                self.updates.append(message.state)
+        return True
+
+
+class FlowBench:
+    """A model flow with its surroundings."""
+
+    def __init__(self, engine, *, verdict="granted", budget=None):
+        clock = LoopClock()
+        self.clock = clock
+        self.claims = Claims(verdict)
+        self.claims.client = ClaimClient(
+            node="n1",
+            incarnation=1,
+            send=self.claims.send,
+            clock=clock,
+            random_state=random.Random(1),
+        )
+        self.view = RoutingView(
+            zone="z1", lease=LEASE, clock=clock, random_state=random.Random(1)
+        )
+        self.queue = AdmissionQueue(
+            clock=clock, free_slots=self.view.free_slots, random_state=random.Random(1)
+        )
+        self.containment = Containment(clock=clock)
+        self.reports = []
+        self.losses = LossReporter(
+            node="n1",
+            clock=clock,
+            is_struck=lambda p: self.containment.may_run(p) is not RunMode.NORMAL,
+            report=self._report,
+        )
+        self.violations = []
+        self.registry = CollectorRegistry()
+        self.metrics = GatewayMetrics(self.registry)
+        self.flow = ModelFlow(
+            engine=engine,
+            view=self.view,
+            queue=self.queue,
+            claims=Claimant(
+                client=self.claims.client,
+                clock=clock,
+                window=datetime.timedelta(hours=1),
+            ),
+            budget=budget or RetryBudget(clock=clock),
+            containment=self.containment,
+            losses=self.losses,
+            invariants=Invariants(self.violations.append),
+            metrics=self.metrics,
+            decisions=DecisionLog(lambda explanation: None),
+            clock=clock,
+            write_timeout=WRITE_TIMEOUT,
+        )
+
+    def _report(self, report):
+        self.reports.append(report)
+        self.containment.on_loss(report)
+
+    def update(self, *groups):
+        new = table(*groups)
+        self.view.update(new)
+        self.losses.on_table(new)
+        self.queue.notify()
--- /dev/null
+++ b/pomelolug/gateway/tests/server.py
@@ -0,0 +1,160 @@
+"""A gateway on a loopback port, with a table given by the test."""
+
+import asyncio
+import contextlib
+import datetime
+import pathlib
+import random
+
+import aiohttp
+import msgspec
+import uvicorn
+
+from pomelolug.clock import SystemClock
+from pomelolug.configuration import (
+    Account,
+    Configuration,
+    Pool,
+    Service,
+    WorkClass,
+    hash_key,
+)
+from pomelolug.engines import EngineUnavailableError
+from pomelolug.gateway._compose import Backends, compose
+from pomelolug.gateway._protocol import BoundedHttpProtocol
+from pomelolug.gateway.tests.flow_bench import status
+from pomelolug.membership import WebsocketDialer
+from pomelolug.messages import RoutingTable, ServiceStatus
+from pomelolug.services import PlainService, ServiceReply
+from pomelolug.settings import load_settings
+from pomelolug.settings._gateway_generated import GATEWAY_SPEC, GatewaySettings
+
+SECOND = datetime.timedelta(seconds=1)
+AUTH = {"Authorization": "Bearer secret"}
+
+
+def configuration():
+    def work_class(name, **options):
+        return WorkClass(
+            name=name,
+            ttft_target=SECOND,
+            gap_target=SECOND,
+            deadline=5 * SECOND,
+            **options,
+        )
+
+    return Configuration(
+        version=3,
+        pools=(Pool(name="p", model="m"),),
+        services=(Service(name="jobs", timeout=SECOND, max_body_bytes=1000),),
+        classes=(
+            work_class("chat", priority=5, pool="p"),
+            work_class("billed", priority=1, pool="p", idempotent=False),
+            work_class("pull", priority=1, service="jobs"),
+        ),
+        accounts=(
+            Account(name="acme", keys=(hash_key("secret", b"12345678"),)),
+            Account(
+                name="small",
+                keys=(hash_key("other", b"12345678"),),
+                classes=("pull",),
+            ),
+        ),
+    )
+
+
+class FakeService(PlainService):
+    """Echoes the body, or fails as many times as the test says."""
+
+    def __init__(self):
+        self.calls = []
+        self.failures = []
+        self.chunks = None
+
+    async def call(self, address, call):
+        self.calls.append((address, call))
+        if self.failures:
+            raise EngineUnavailableError("down", maybe_run=self.failures.pop(0))
+        return ServiceReply(status=200, headers=(("x-a", "b"),), body=self._body(call))
+
+    async def _body(self, call):
+        for chunk in self.chunks or [call.body]:
+            if isinstance(chunk, Exception):
+                raise chunk
+            yield chunk
+
+
+class Running:
+    def __init__(self, gateway, server, session, port):
+        self.gateway = gateway
+        self.server = server
+        self.session = session
+        self.port = port
+
+    def url(self, path):
+        return f"http://127.0.0.1:{self.port}{path}"
+
+    def post(self, path, body, **headers):
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        return self.session.post(self.url(path), data=body, headers=AUTH | names)
+
+
+@contextlib.asynccontextmanager
+async def running_gateway(tmp_path: pathlib.Path, engine, *, service=None, extra=""):
+    path = tmp_path / "gateway.ini"
+    path.write_text(
+        "[node]\nname=n\nzone=z1\n[listen]\naddress=127.0.0.1:0\n"
+        "max_body_bytes=2000\nbody_timeout=300ms\n"
+        "[control]\naddress=127.0.0.1:1\nkeys=a=" + "00" * 16 + "\n" + extra
+    )
+    settings = load_settings(path, GatewaySettings, GATEWAY_SPEC)
+    gateway = compose(
+        settings,
+        Backends(
+            engine=engine, plain=service or FakeService(), dialer=WebsocketDialer()
+        ),
+        clock=SystemClock(),
+        random_state=random.Random(1),
+        nonce_source=random.Random(2),
+    )
+    receive(gateway)
+    config = uvicorn.Config(
+        gateway.application.build(),
+        port=0,
+        http=BoundedHttpProtocol,
+        log_config=None,
+        lifespan="off",
+    )
+    server = uvicorn.Server(config)
+    server.capture_signals = contextlib.nullcontext
+    task = asyncio.create_task(server.serve())
+    while not server.started:  # noqa: ASYNC110 - the library sets no event
+        await asyncio.sleep(0.01)
+    port = server.servers[0].sockets[0].getsockname()[1]
+    async with aiohttp.ClientSession() as session:
+        yield Running(gateway, server, session, port)
+    server.should_exit = True
+    server.force_exit = True
+    await task
+
+
+def receive(gateway, *, groups=None, services=None):
+    groups = (status("g1"),) if groups is None else groups
+    if services is None:
+        services = (
+            ServiceStatus(
+                service="jobs", vm="v1", zone="z1", address="a:1", leaving=False
+            ),
+            ServiceStatus(
+                service="jobs", vm="v2", zone="z2", address="b:1", leaving=False
+            ),
+        )
+    gateway.table.receive(
+        RoutingTable(
+            config_version=3,
+            config=msgspec.json.encode(configuration()),
+            groups=groups,
+            services=services,
+            echo_s=asyncio.get_running_loop().time(),
+        )
+    )
--- /dev/null
+++ b/pomelolug/gateway/tests/test_application.py
@@ -0,0 +1,246 @@
+"""Guards the callers' interface against bad input and dishonest replies."""
+
+import asyncio
+import json
+
+import msgspec
+import pytest
+
+from pomelolug.engines import (
+    EngineRequest,
+    EngineUnavailableError,
+    StreamEnd,
+    TokenEvent,
+)
+from pomelolug.gateway.tests.flow_bench import status
+from pomelolug.gateway.tests.server import FakeService, receive, running_gateway
+from pomelolug.testing._scripted_engine import ScriptedEngine, Silence
+
+
+def whole(order: EngineRequest):
+    events = [TokenEvent(order.request_id, n, f"t{n} ") for n in range(3)]
+    return [*events, StreamEnd(order.request_id, 3, "stop")]
+
+
+def cut(order: EngineRequest):
+    lost = EngineUnavailableError("lost", maybe_run=True)
+    return [TokenEvent(order.request_id, 0, "t0 "), lost]
+
+
+BODY = json.dumps({"model": "m", "prompt": "x"})
+STREAM = json.dumps({"model": "m", "prompt": "x", "stream": True})
+
+
+async def refused(response, status, code):
+    body = await response.json()
+    assert response.status == status, body
+    assert body["error"]["code"] == code
+    assert body["error"]["outcome"] == response.headers["X-Outcome"]
+    assert body["error"]["request_id"] == response.headers["X-Request-Id"]
+    return body["error"]
+
+
+async def test_completion_and_stream_have_the_openai_form(tmp_path):
+    async with running_gateway(tmp_path, ScriptedEngine([whole])) as gateway:
+        async with gateway.post("/v1/completions", BODY) as response:
+            body = await response.json()
+            assert body["choices"][0]["text"] == "t0 t1 t2 "
+        async with gateway.post("/v1/completions", STREAM) as response:
+            text = await response.text()
+            assert response.headers["content-type"].startswith("text/event-stream")
+        events = [line[6:] for line in text.split("\n") if line.startswith("data: ")]
+        assert events[-1] == "[DONE]"
+        assert json.loads(events[-2])["choices"][0]["finish_reason"] == "stop"
+
+
+async def test_cut_stream_has_an_error_event_and_no_end_marker(tmp_path):
+    async with running_gateway(tmp_path, ScriptedEngine([cut])) as gateway:
+        async with gateway.post("/v1/completions", STREAM) as response:
+            text = await response.text()
+    assert "event: error" in text
+    assert "[DONE]" not in text
+    assert "outcome_unknown" in text
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "headers", "status", "code"),
+    [
+        ("/v1/completions", "{", {}, 400, "bad_request"),
+        ("/v1/completions", "[]", {}, 400, "bad_request"),
+        ("/v1/completions", '{"model": "m"}', {}, 400, "bad_request"),
+        ("/v1/completions", '{"model": 1, "prompt": ""}', {}, 400, "bad_request"),
+        (
+            "/v1/completions",
+            '{"model": "m", "prompt": "x", "max_tokens": -1}',
+            {},
+            400,
+            "bad_request",
+        ),
+        (
+            "/v1/chat/completions",
+            '{"model": "m", "messages": [1]}',
+            {},
+            400,
+            "bad_request",
+        ),
+        (
+            "/v1/completions",
+            '{"model": "q", "prompt": "x"}',
+            {},
+            404,
+            "unknown_model",
+        ),
+        ("/v1/completions", "x" * 3000, {}, 413, "body_too_large"),
+        ("/v1/completions", BODY, {"X_Work_Class": "no"}, 400, "unknown_class"),
+        ("/v1/completions", BODY, {"X_Work_Class": "pull"}, 400, "unknown_class"),
+        ("/v1/completions", BODY, {"X_Work_Class": "billed"}, 400, "key_required"),
+        ("/v1/completions", BODY, {"X_Idempotent": "no"}, 400, "key_required"),
+        ("/v1/completions", BODY, {"X_Idempotent": "?"}, 400, "bad_request"),
+        ("/v1/completions", BODY, {"Idempotency_Key": "a b"}, 400, "key_malformed"),
+        (
+            "/v1/completions",
+            BODY,
+            {"Idempotency_Key": "x" * 201},
+            400,
+            "key_malformed",
+        ),
+        ("/services/no/x", "", {}, 404, "unknown_service"),
+        (
+            "/v1/completions",
+            BODY,
+            {"X_Idempotent": "no", "Idempotency_Key": "k"},
+            503,
+            "claims_unavailable",
+        ),
+    ],
+)
+async def test_bad_request_is_refused_before_anything_runs(
+    tmp_path, path, body, headers, status, code
+):
+    engine = ScriptedEngine([whole])
+    async with running_gateway(tmp_path, engine) as gateway:
+        async with gateway.post(path, body, **headers) as response:
+            error = await refused(response, status, code)
+    assert error["outcome"] == "not_run"
+    assert engine.requests == []
+
+
+async def test_key_of_no_account_and_class_of_another_are_refused(tmp_path):
+    async with running_gateway(tmp_path, ScriptedEngine([whole])) as gateway:
+        url = gateway.url("/v1/completions")
+        async with gateway.session.post(url, data=BODY) as response:
+            await refused(response, 401, "unauthenticated")
+        other = {"Authorization": "Bearer other", "X-Work-Class": "chat"}
+        async with gateway.session.post(url, data=BODY, headers=other) as response:
+            await refused(response, 403, "class_not_allowed")
+
+
+async def raw(port, data, *, then=None):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    if then is not None:
+        await then(writer)
+    reply = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return reply
+
+
+async def test_header_flood_is_refused(tmp_path):
+    async with running_gateway(tmp_path, ScriptedEngine([whole])) as gateway:
+        many = b"".join(b"x-%d: 1\r\n" % n for n in range(200))
+        reply = await raw(gateway.port, b"GET /healthz HTTP/1.1\r\n" + many + b"\r\n")
+        assert reply.startswith(b"HTTP/1.1 431")
+        large = b"x: " + b"y" * 40_000 + b"\r\n\r\n"
+        reply = await raw(gateway.port, b"GET /healthz HTTP/1.1\r\n" + large)
+        assert reply.startswith(b"HTTP/1.1 431")
+        assert b"headers_too_large" in reply
+
+
+async def test_slow_sender_is_refused_in_bounded_time(tmp_path):
+    head = (
+        b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n"
+        b"authorization: Bearer secret\r\ncontent-length: 50\r\n\r\n{"
+    )
+    async with running_gateway(tmp_path, ScriptedEngine([whole])) as gateway:
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+        writer.write(head)
+        reply = await asyncio.wait_for(reader.readuntil(b"}}"), 3)
+        writer.close()
+    assert reply.startswith(b"HTTP/1.1 408")
+    assert b"body_too_slow" in reply
+
+
+async def test_caller_that_leaves_cancels_the_work(tmp_path):
+    engine = ScriptedEngine([lambda order: [*whole(order)[:1], Silence(30.0)]])
+    async with running_gateway(tmp_path, engine) as gateway:
+        response = await gateway.post("/v1/completions", STREAM)
+        await response.content.readline()
+        assert engine.closed == 0
+        response.close()
+        for _ in range(100):
+            if engine.closed:
+                break
+            await asyncio.sleep(0.01)
+        assert engine.closed == 1
+        assert gateway.gateway.lifecycle.in_flight == 0
+
+
+async def test_readiness_fails_when_draining_and_requests_are_still_served(tmp_path):
+    async with running_gateway(tmp_path, ScriptedEngine([whole])) as gateway:
+        async with gateway.session.get(gateway.url("/readyz")) as response:
+            assert response.status == 200
+        gateway.gateway.lifecycle.drain()
+        async with gateway.session.get(gateway.url("/readyz")) as response:
+            assert response.status == 503
+            assert await response.text() == "draining\n"
+        async with gateway.post("/v1/completions", BODY) as response:
+            assert response.status == 200
+
+
+async def test_service_call_passes_body_and_headers_but_not_the_key(tmp_path):
+    service = FakeService()
+    async with running_gateway(tmp_path, ScriptedEngine([]), service=service) as g:
+        async with g.post("/services/jobs/a/b?c=1", "hello", X_Own="v") as response:
+            assert await response.text() == "hello"
+            assert response.headers["x-a"] == "b"
+    address, call = service.calls[0]
+    assert address == "a:1"
+    assert (call.path, call.query) == ("/a/b", "c=1")
+    names = {name for name, _ in call.headers}
+    assert "x-own" in names
+    assert "authorization" not in names
+
+
+async def test_service_call_moves_on_only_while_that_is_safe(tmp_path):
+    service = FakeService()
+    async with running_gateway(tmp_path, ScriptedEngine([]), service=service) as g:
+        service.failures = [True]
+        async with g.post("/services/jobs/x", "1") as response:
+            assert response.status == 200
+        assert [address for address, _ in service.calls] == ["a:1", "b:1"]
+        service.failures = [False, False, False]
+        async with g.post("/services/jobs/x", "1") as response:
+            error = await refused(response, 503, "no_group")
+            assert error["outcome"] == "not_run"
+
+
+async def test_service_reply_that_breaks_off_cannot_pass_for_whole(tmp_path):
+    service = FakeService()
+    service.chunks = [b"part", EngineUnavailableError("x", maybe_run=True)]
+    async with running_gateway(tmp_path, ScriptedEngine([]), service=service) as g:
+        with pytest.raises(Exception):  # noqa: B017 - any broken transfer will do
+            async with g.post("/services/jobs/x", "1") as response:
+                await response.read()
+
+
+async def test_groups_that_share_a_vm_get_no_work(tmp_path):
+    engine = ScriptedEngine([whole])
+    twin = msgspec.structs.replace(status("g2", token=2), members=("g1-a", "g2-b"))
+    async with running_gateway(tmp_path, engine) as gateway:
+        receive(gateway.gateway, groups=(status("g1"), twin))
+        async with gateway.post("/v1/completions", BODY) as response:
+            await refused(response, 503, "deadline_exceeded")
+        async with gateway.session.get(gateway.url("/metrics")) as response:
+            metrics = await response.text()
+    assert engine.requests == []
+    assert 'invariant="one_group_per_vm"} 1.0' in metrics
--- /dev/null
+++ b/pomelolug/gateway/tests/test_attempt.py
@@ -0,0 +1,114 @@
+"""Guards against answers that are crossed, cut, doubled or end too early."""
+
+import datetime
+
+import pytest
+from prometheus_client import CollectorRegistry
+
+from pomelolug.engines import (
+    EngineRefusedError,
+    EngineRequest,
+    EngineUnavailableError,
+    StreamEnd,
+    TokenEvent,
+)
+from pomelolug.errors import ErrorCode, RequestError
+from pomelolug.gateway._attempt import AttemptResult, Progress, run_attempt
+from pomelolug.gateway._metrics import GatewayMetrics
+from pomelolug.gateway.tests.flow_bench import ListSink
+from pomelolug.testing import LoopClock
+from pomelolug.testing._scripted_engine import ScriptedEngine, Silence, tokens
+
+pytestmark = pytest.mark.looptime
+
+END = StreamEnd("r1", 4, "stop")
+
+
+async def attempt(steps, *, sink=None, position=0):
+    engine = ScriptedEngine([lambda request: steps])
+    sink = sink or ListSink()
+    progress = Progress("r1", 0.0)
+    progress.position = position
+    registry = CollectorRegistry()
+    order = EngineRequest(request_id="r1", group="g", token=1, body={})
+    result = await run_attempt(
+        engine,
+        "leader",
+        order,
+        sink,
+        progress,
+        clock=LoopClock(),
+        metrics=GatewayMetrics(registry),
+        first_timeout=datetime.timedelta(seconds=2),
+        gap_timeout=datetime.timedelta(seconds=1),
+        write_timeout=datetime.timedelta(seconds=5),
+    )
+    assert engine.closed == 1
+    return result, sink, progress
+
+
+async def test_whole_answer_is_complete():
+    result, sink, _ = await attempt([*tokens("r1", 0, 4), END])
+    assert result is AttemptResult.COMPLETE
+    assert [position for position, _ in sink.texts] == [0, 1, 2, 3]
+    assert sink.ended == 4
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        # An event of another request on the connection.
+        [*tokens("r1", 0, 2), TokenEvent("r2", 2, "x"), END],
+        # A missing token.
+        [*tokens("r1", 0, 2), *tokens("r1", 3, 4), END],
+        # An end marker that claims more tokens than arrived.
+        [*tokens("r1", 0, 3), END],
+        # An end marker of another request.
+        [*tokens("r1", 0, 4), StreamEnd("r2", 4, "stop")],
+        # A connection that ends without an end marker.
+        [*tokens("r1", 0, 4), EngineUnavailableError("lost", maybe_run=True)],
+    ],
+)
+async def test_broken_stream_never_looks_like_an_end(steps):
+    result, sink, progress = await attempt(steps)
+    assert result is AttemptResult.CUT
+    assert sink.ended is None
+    assert progress.position == len(sink.texts) <= 4
+
+
+async def test_repeated_tokens_are_dropped():
+    steps = [*tokens("r1", 0, 3), *tokens("r1", 1, 4), END]
+    result, sink, _ = await attempt(steps)
+    assert result is AttemptResult.COMPLETE
+    assert [position for position, _ in sink.texts] == [0, 1, 2, 3]
+
+
+async def test_silent_connection_is_found_by_the_token_gap():
+    steps = [*tokens("r1", 0, 2), Silence(60.0), *tokens("r1", 2, 4), END]
+    clock = LoopClock()
+    before = clock.monotonic()
+    result, _, progress = await attempt(steps)
+    assert result is AttemptResult.SILENT
+    assert progress.position == 2
+    assert clock.monotonic() - before == pytest.approx(1.0, abs=0.1)
+
+
+async def test_caller_that_does_not_read_is_given_up():
+    sink = ListSink(write_delay_s=60.0)
+    with pytest.raises(RequestError) as caught:
+        await attempt([*tokens("r1", 0, 4), END], sink=sink)
+    assert caught.value.code is ErrorCode.CALLER_TOO_SLOW
+
+
+async def test_slow_caller_is_no_silence_of_the_engine():
+    sink = ListSink(write_delay_s=3.0)
+    result, _, _ = await attempt([*tokens("r1", 0, 4), END], sink=sink)
+    assert result is AttemptResult.COMPLETE
+
+
+async def test_refusal_and_unreachable_engine_are_told_apart_from_a_cut():
+    result, _, progress = await attempt([EngineRefusedError("stale_token")])
+    assert result is AttemptResult.REFUSED
+    assert progress.refusal == "stale_token"
+    result, _, _ = await attempt([EngineUnavailableError("x", maybe_run=False)])
+    assert result is AttemptResult.NOT_REACHED
--- /dev/null
+++ b/pomelolug/testing/_scripted_engine.py
@@ -0,0 +1,101 @@
+"""Engine whose streams follow a script, for tests of the gateway."""
+
+import asyncio
+import dataclasses
+import datetime
+from collections.abc import AsyncGenerator, Callable, Iterable
+
+from pomelolug.engines import (
+    AssignOrder,
+    CachePage,
+    Engine,
+    EngineRequest,
+    MemberStatus,
+    ReleaseOrder,
+    StreamEnd,
+    TokenEvent,
+)
+
+__all__ = ["ScriptedEngine", "Silence", "tokens"]
+
+Step = TokenEvent | StreamEnd | Exception
+
+
+@dataclasses.dataclass(frozen=True)
+class Silence:
+    """Script step: send nothing for `seconds`."""
+
+    seconds: float
+
+
+def tokens(request_id: str, first: int, last: int) -> list[TokenEvent]:
+    """Return the events of token positions `first` to `last` - 1."""
+    return [TokenEvent(request_id, n, f"t{n} ") for n in range(first, last)]
+
+
+class ScriptedEngine(Engine):
+    """Plays one script for each call of `generate`, in order.
+
+    Parameters
+    ----------
+    scripts : iterable of callable
+        Each takes the `EngineRequest` and returns the steps of one attempt: an
+        event is yielded, an exception raised, a `Silence` waited for.
+    """
+
+    def __init__(
+        self,
+        scripts: Iterable[Callable[[EngineRequest], list[Step | Silence]]],
+    ) -> None:
+        self._scripts = list(scripts)
+        self._requests: list[tuple[str, EngineRequest]] = []
+        self._closed = 0
+
+    @property
+    def requests(self) -> list[tuple[str, EngineRequest]]:
+        """Address and request of each attempt."""
+        return self._requests
+
+    @property
+    def closed(self) -> int:
+        """Streams that were closed or have ended."""
+        return self._closed
+
+    async def generate(
+        self, address: str, request: EngineRequest
+    ) -> AsyncGenerator[TokenEvent | StreamEnd, None]:
+        """Play the next script; the last one repeats."""
+        index = min(len(self._requests), len(self._scripts) - 1)
+        self._requests.append((address, request))
+        try:
+            for step in self._scripts[index](request):
+                if isinstance(step, Silence):
+                    await asyncio.sleep(step.seconds)
+                elif isinstance(step, Exception):
+                    raise step
+                else:
+                    yield step
+        finally:
+            self._closed += 1
+
+    async def status(
+        self, address: str, *, timeout: datetime.timedelta
+    ) -> MemberStatus:
+        """Report a member without a group."""
+        return MemberStatus(vm=address, incarnation=1)
+
+    async def assign(
+        self, address: str, order: AssignOrder, *, timeout: datetime.timedelta
+    ) -> None:
+        """Accept the order."""
+
+    async def release(
+        self, address: str, order: ReleaseOrder, *, timeout: datetime.timedelta
+    ) -> None:
+        """Accept the order."""
+
+    async def cache_events(
+        self, address: str, after: int, *, timeout: datetime.timedelta
+    ) -> CachePage:
+        """Return no events."""
+        return CachePage(oldest=0, events=())
