Open a connection for each call of the experiments

Cause: a pooled connection that the server closes while it is being reused would count as a lost call. Change: the callers' connector does not keep connections.

--- a/pomelolug/experiments/_runner.py
+++ b/pomelolug/experiments/_runner.py
@@ -52,7 +52,9 @@
 
     Every process is ended before the function returns or raises.
     """
-    connector = aiohttp.TCPConnector(limit=0)
+    # A pooled connection that the gateway closes while it is being reused would
+    # look like a lost call.
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
     async with aiohttp.ClientSession(connector=connector) as session:
         deployment = Deployment(trace, folder, session)
         try:
