Add the soak: whole nodes on virtual time with faults and a checker

Cause: promises about several nodes under several faults had no randomised run. Conclusion: the soak finds regressions of whole nodes; its speed is to be raised.

--- a/pomelolug/control/_compose.py
+++ b/pomelolug/control/_compose.py
@@ -14,6 +14,7 @@
 from pomelolug.control._claims import ClaimRouter
 from pomelolug.control._containment import CONTAINMENT_STREAM, ContainmentFold
 from pomelolug.control._directory import DirectoryPoller
+from pomelolug.control._duties import Duties
 from pomelolug.control._events import EventLog
 from pomelolug.control._gateways import GatewayHub
 from pomelolug.control._http import OperatorPages
@@ -25,9 +26,9 @@
 from pomelolug.control._watching import WatcherSet
 from pomelolug.engines import Engine, HttpEngine
 from pomelolug.groups import GroupController, GroupLimits, GroupsFold
-from pomelolug.ids import DomainId, GroupId, VmId
+from pomelolug.ids import GroupId, VmId
 from pomelolug.invariants import Invariants
-from pomelolug.membership import Dialer, Keys, Mesh, PeerServer, rendezvous
+from pomelolug.membership import Dialer, Keys, Mesh, PeerServer
 from pomelolug.messages import GroupStatus, Message
 from pomelolug.platform import (
     HttpLogService,
@@ -203,12 +204,12 @@
     def statuses() -> Mapping[GroupId, GroupStatus]:
         return {GroupId(s.group): s for s in tables.groups()}
 
-    def is_mine(domain: DomainId) -> bool:
-        zones = {e.domain: e.zone for e in directory.entries}
-        alive = mesh.alive()
-        near = [info.node for info in alive if info.zone == zones.get(domain)]
-        nodes = near or [info.node for info in alive]
-        return rendezvous(f"control {domain}", nodes, 1) == (node,)
+    duties = Duties(
+        node=node,
+        alive=mesh.alive,
+        entries=lambda: directory.entries,
+        clock=clock,
+    )
 
     async def append_group(kind: RecordKind, message: Message) -> int:
         return await appender.append(GROUPS_STREAM, kind, message)
@@ -220,7 +221,7 @@
         weights=platform.weights,
         directory=lambda: directory.entries,
         pools=lambda: config_fold.current.pools if config_fold.current else (),
-        is_mine=is_mine,
+        is_mine=duties.controls,
         objective=lambda: (
             config_fold.current.objective
             if config_fold.current
@@ -236,7 +237,7 @@
     )
     watchers = WatcherSet(
         node=node,
-        mesh=mesh,
+        duties=duties,
         fold=groups_fold,
         engine=platform.engine,
         addresses=addresses,
--- /dev/null
+++ b/pomelolug/control/_duties.py
@@ -0,0 +1,92 @@
+"""Which node watches a group and which controls a fabric domain."""
+
+import collections
+from collections.abc import Callable, Mapping, Sequence
+
+from pomelolug.clock import Clock
+from pomelolug.ids import DomainId, GroupId, ZoneId
+from pomelolug.membership import NodeInfo, rendezvous
+from pomelolug.platform import VmEntry
+
+__all__ = ["Duties"]
+
+WATCHERS_PER_GROUP = 2
+# A view that is this old costs speed only: no duty rests on being exclusive.
+_REFRESH_S = 0.25
+
+
+class Duties:
+    """Duties by rendezvous hash over the live nodes, nearest zone first.
+
+    The answers are kept for a short time, because a controller asks for each of
+    its VMs.
+
+    Parameters
+    ----------
+    node : str
+        This node.
+    alive : callable
+        Returns the live nodes.
+    entries : callable
+        Returns the VM list.
+    clock : Clock
+        Time source.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        alive: Callable[[], Sequence[NodeInfo]],
+        entries: Callable[[], Sequence[VmEntry]],
+        clock: Clock,
+    ) -> None:
+        self._node = node
+        self._alive = alive
+        self._entries = entries
+        self._clock = clock
+        self._refreshed_at = float("-inf")
+        self._nodes: list[str] = []
+        self._by_zone: Mapping[str, list[str]] = {}
+        self._domain_zones: dict[DomainId, ZoneId] = {}
+        self._controls: dict[DomainId, bool] = {}
+        self._watches: dict[GroupId, bool] = {}
+
+    def controls(self, domain: DomainId) -> bool:
+        """Return whether this node controls `domain`."""
+        self._refresh()
+        known = self._controls.get(domain)
+        if known is None:
+            nodes = self._near(self._domain_zones.get(domain))
+            known = rendezvous(f"control {domain}", nodes, 1) == (self._node,)
+            self._controls[domain] = known
+        return known
+
+    def watches(self, group: GroupId, zone: ZoneId) -> bool:
+        """Return whether this node watches `group` in `zone`."""
+        self._refresh()
+        known = self._watches.get(group)
+        if known is None:
+            nodes = self._near(zone)
+            chosen = rendezvous(f"watch {group}", nodes, WATCHERS_PER_GROUP)
+            known = self._node in chosen
+            self._watches[group] = known
+        return known
+
+    def _near(self, zone: ZoneId | None) -> list[str]:
+        return self._by_zone.get(zone or "") or self._nodes
+
+    def _refresh(self) -> None:
+        now = self._clock.monotonic()
+        if now - self._refreshed_at < _REFRESH_S:
+            return
+        self._refreshed_at = now
+        by_zone = collections.defaultdict(list)
+        alive = self._alive()
+        for info in alive:
+            by_zone[str(info.zone)].append(str(info.node))
+        self._by_zone = dict(by_zone)
+        self._nodes = [str(info.node) for info in alive]
+        self._domain_zones = {e.domain: e.zone for e in self._entries()}
+        self._controls.clear()
+        self._watches.clear()
--- a/pomelolug/control/_watching.py
+++ b/pomelolug/control/_watching.py
@@ -6,15 +6,14 @@
 from collections.abc import Callable, Mapping
 
 from pomelolug.clock import Clock
+from pomelolug.control._duties import Duties
 from pomelolug.engines import Engine
 from pomelolug.groups import Group, GroupLimits, GroupsFold, GroupWatcher
 from pomelolug.ids import GroupId, VmId
-from pomelolug.membership import Mesh, rendezvous
 from pomelolug.messages import GroupStatus
 
 __all__ = ["WatcherSet"]
 
-WATCHERS_PER_GROUP = 2
 _REVIEW_EVERY = datetime.timedelta(milliseconds=250)
 
 
@@ -29,8 +28,8 @@
     ----------
     node : str
         This node.
-    mesh : Mesh
-        Live nodes.
+    duties : Duties
+        Which groups this node watches.
     fold : GroupsFold
         Live groups.
     engine : Engine
@@ -55,7 +54,7 @@
         self,
         *,
         node: str,
-        mesh: Mesh,
+        duties: Duties,
         fold: GroupsFold,
         engine: Engine,
         addresses: Callable[[], Mapping[VmId, str]],
@@ -67,7 +66,7 @@
         clock: Clock,
     ) -> None:
         self._node = node
-        self._mesh = mesh
+        self._duties = duties
         self._fold = fold
         self._engine = engine
         self._addresses = addresses
@@ -101,7 +100,7 @@
         mine = {
             group.token: group
             for group in self._fold.groups.values()
-            if self._is_mine(group)
+            if self._duties.watches(group.id, group.zone)
         }
         for token in list(self._running):
             if token not in mine:
@@ -110,13 +109,6 @@
             if token not in self._running:
                 self._running[token] = asyncio.create_task(self._watch(group))
 
-    def _is_mine(self, group: Group) -> bool:
-        alive = self._mesh.alive()
-        near = [info.node for info in alive if info.zone == group.zone]
-        nodes = near or [info.node for info in alive]
-        chosen = rendezvous(f"watch {group.id}", nodes, WATCHERS_PER_GROUP)
-        return self._node in chosen
-
     async def _watch(self, group: Group) -> None:
         watcher = GroupWatcher(
             engine=self._engine,
--- /dev/null
+++ b/pomelolug/experiments/soak/_caller.py
@@ -0,0 +1,293 @@
+"""Callers of a soak: they send, check what they get, and send again."""
+
+import asyncio
+import dataclasses
+import json
+import random
+from collections.abc import Sequence
+
+from starlette.types import Message
+
+from pomelolug.experiments.soak._entry import EntryVm
+from pomelolug.experiments.soak._fleet import CRASH, expected
+from pomelolug.experiments.soak._journal import Journal
+
+__all__ = ["Callers", "Reply"]
+
+_KEY = "Bearer secret"
+_PATIENCE_S = 45.0
+_MAX_SENDS = 3
+
+
+@dataclasses.dataclass(kw_only=True)
+class Reply:
+    """What a caller has received of one answer."""
+
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    finished: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """Identifier that the gateway gave the request."""
+        return self.headers.get("x-request-id", "")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Job:
+    """One piece of work of a caller; all its copies have the same body."""
+
+    number: int
+    path: str
+    work_class: str
+    prompt: str
+    tokens: int = 0
+    key: str = ""
+    stream: bool = False
+    copies: int = 1
+
+
+async def asgi_call(entry: EntryVm, job: Job) -> Reply:
+    """Send `job` to the gateway of `entry` without a socket."""
+    assert entry.application is not None
+    headers = {"authorization": _KEY, "x-work-class": job.work_class}
+    if job.key:
+        headers["idempotency-key"] = job.key
+    body = job.prompt.encode()
+    if job.tokens:
+        parts = {"model": "m", "prompt": job.prompt, "max_tokens": job.tokens}
+        body = json.dumps({**parts, "stream": job.stream}).encode()
+    scope = {
+        "type": "http",
+        "asgi": {"version": "3.0"},
+        "http_version": "1.1",
+        "method": "POST",
+        "path": job.path,
+        "raw_path": job.path.encode(),
+        "query_string": b"",
+        "headers": [(k.encode(), v.encode()) for k, v in headers.items()],
+        "client": ("127.0.0.1", 1),
+        "server": ("127.0.0.1", 80),
+        "scheme": "http",
+        "root_path": "",
+    }
+    reply = Reply()
+    inbox: asyncio.Queue[Message] = asyncio.Queue()
+    inbox.put_nowait({"type": "http.request", "body": body, "more_body": False})
+
+    async def send(message: Message) -> None:
+        if message["type"] == "http.response.start":
+            reply.status = message["status"]
+            reply.headers = {
+                k.decode().lower(): v.decode() for k, v in message["headers"]
+            }
+        else:
+            reply.body += message.get("body", b"")
+            reply.finished = not message.get("more_body", False)
+
+    try:
+        await entry.application(scope, inbox.get, send)
+    finally:
+        inbox.put_nowait({"type": "http.disconnect"})
+    return reply
+
+
+class Callers:
+    """Draws work and sends it through the balancer.
+
+    Parameters
+    ----------
+    entries : sequence of EntryVm
+        Entry VMs behind the balancer.
+    journal : Journal
+        Takes events and violations.
+    random_state : random.Random
+        Draws arrivals and kinds of work.
+    rate : float
+        Pieces of work a virtual second.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: Sequence[EntryVm],
+        journal: Journal,
+        random_state: random.Random,
+        rate: float,
+    ) -> None:
+        self._entries = entries
+        self._journal = journal
+        self._random = random_state
+        self._rate = rate
+        self._count = 0
+        self._open: set[asyncio.Task[None]] = set()
+        self.not_run: list[tuple[str, Job]] = []
+        self.answered: list[Job] = []
+        self.ttft: list[float] = []
+
+    @property
+    def open(self) -> int:
+        """Pieces of work that are not finished."""
+        return len(self._open)
+
+    async def run(self) -> None:
+        """Send work until cancelled."""
+        while True:
+            await asyncio.sleep(self._random.expovariate(self._rate))
+            self.start(self._draw())
+
+    def start(self, job: Job) -> None:
+        """Send `job` and its copies in the background."""
+        for copy in range(job.copies):
+            delay = 0.0 if copy == 0 else self._random.uniform(0.0, 2.0)
+            task = asyncio.create_task(self._work(job, delay))
+            self._open.add(task)
+            task.add_done_callback(self._open.discard)
+
+    def crashing(self) -> Job:
+        """Return work that crashes every group that runs it."""
+        self._count += 1
+        return Job(
+            number=self._count,
+            path="/v1/completions",
+            work_class="chat",
+            prompt=f"{CRASH}-{self._count}",
+            tokens=20,
+        )
+
+    def _draw(self) -> Job:
+        self._count += 1
+        number = self._count
+        kind = self._random.random()
+        copies = 2 if self._random.random() < 0.3 else 1
+        if kind < 0.5:
+            return Job(
+                number=number,
+                path="/v1/completions",
+                work_class="chat",
+                prompt=f"chat-{number}",
+                tokens=self._random.choice((10, 20, 60)),
+                stream=self._random.random() < 0.7,
+            )
+        if kind < 0.75:
+            return Job(
+                number=number,
+                path="/v1/completions",
+                work_class="billed",
+                prompt=f"billed-{number}",
+                tokens=20,
+                key=f"key-{number}",
+                copies=copies,
+            )
+        if kind < 0.9:
+            return Job(
+                number=number,
+                path="/services/jobs/status",
+                work_class="pull",
+                prompt=f"pull-{number}",
+            )
+        return Job(
+            number=number,
+            path="/services/jobs/confirm",
+            work_class="confirm",
+            prompt=f"confirm-{number}",
+            key=f"key-{number}",
+            copies=copies,
+        )
+
+    async def _work(self, job: Job, delay: float) -> None:
+        await asyncio.sleep(delay)
+        for _ in range(_MAX_SENDS):
+            outcome = await self._send(job)
+            if outcome in ("answered", "refused"):
+                return
+            await asyncio.sleep(self._random.uniform(0.5, 3.0))
+
+    async def _send(self, job: Job) -> str:
+        entry = self._balance()
+        if entry is None:
+            self._journal.outcomes["no_entry"] += 1
+            return "no_entry"
+        self._journal.requests += 1
+        task = asyncio.create_task(asgi_call(entry, job))
+        entry.callers.add(task)  # type: ignore[arg-type]
+        try:
+            async with asyncio.timeout(_PATIENCE_S):
+                reply = await task
+        except TimeoutError:
+            self._journal.violation(f"lost: {job.prompt} through {entry.name}")
+            return "refused"
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():  # type: ignore[union-attr]
+                raise
+            return self._cut(job)
+        except Exception as error:
+            # The gateway cuts the connection of a reply that it cannot finish.
+            self._journal.note(f"cut {job.prompt}: {type(error).__name__}")
+            return self._cut(job)
+        finally:
+            entry.callers.discard(task)  # type: ignore[arg-type]
+        return self._judge(job, reply)
+
+    def _cut(self, job: Job) -> str:
+        self._journal.outcomes["cut"] += 1
+        self._journal.note(f"cut {job.prompt}")
+        return "cut"
+
+    def _balance(self) -> EntryVm | None:
+        ready = [entry for entry in self._entries if entry.ready]
+        return self._random.choice(ready) if ready else None
+
+    def _judge(self, job: Job, reply: Reply) -> str:
+        if not reply.finished:
+            self._journal.violation(f"unfinished reply to {job.prompt}")
+            return "refused"
+        if reply.status == 200 and b"event: error" not in reply.body:
+            self._check_answer(job, reply)
+            self._journal.outcomes["answered"] += 1
+            self._journal.note(f"answer {job.prompt}")
+            self.answered.append(job)
+            return "answered"
+        text = reply.body
+        if reply.status == 200:
+            if b"[DONE]" in text:
+                self._journal.violation(f"end marker after an error: {job.prompt}")
+            text = text[text.index(b"event: error") :].split(b"data: ")[1]
+        error = json.loads(text)["error"]
+        self._journal.outcomes[error["outcome"]] += 1
+        self._journal.codes[error["code"]] += 1
+        self._journal.note(f"refused {job.prompt} {error['code']} {error['outcome']}")
+        if error["outcome"] == "not_run":
+            self.not_run.append((error["request_id"], job))
+        final = error["code"] in ("quarantined", "already_answered", "key_reused")
+        return "refused" if final and not job.prompt.startswith(CRASH) else "again"
+
+    def _check_answer(self, job: Job, reply: Reply) -> None:
+        if not job.tokens:
+            if reply.body != job.prompt.encode():
+                self._journal.violation(f"crossed: {job.prompt} got {reply.body!r}")
+            return
+        wanted = "".join(expected(job.prompt, n) for n in range(job.tokens))
+        got = _text(reply.body) if job.stream else _json_text(reply.body)
+        if got != wanted:
+            self._journal.violation(
+                f"crossed or truncated: {job.prompt} got {got[:60]!r} of "
+                f"{len(got)} characters, expected {len(wanted)}"
+            )
+        if job.stream and not reply.body.endswith(b"data: [DONE]\n\n"):
+            self._journal.violation(f"clean end without marker: {job.prompt}")
+
+
+def _json_text(body: bytes) -> str:
+    return str(json.loads(body)["choices"][0]["text"])
+
+
+def _text(body: bytes) -> str:
+    events = body.decode().split("\n\n")
+    chunks = [
+        json.loads(event[6:])
+        for event in events
+        if event.startswith("data: ") and not event.endswith("[DONE]")
+    ]
+    return "".join(chunk["choices"][0]["text"] for chunk in chunks)
