Start from checkpoints, publish them in turn, fail closed on a damaged log

Cause: with limited retention a fresh node cannot fold from the first record, and a replaced or shortened log would move fencing tokens back.

A log that is replaced, shortened or rewritten makes the reader REGRESSED; missing records make it INCOMPLETE. Empty prefixes have no checkpoint.

--- a/pomelolug/state/_intake.py
+++ b/pomelolug/state/_intake.py
@@ -1,6 +1,7 @@
 """Applies records, counts the refused ones and compares checkpoints."""
 
 import collections
+import datetime
 import hashlib
 from collections.abc import Mapping
 from typing import Any
@@ -51,8 +52,8 @@
         self._digests = digests
         self._refusals: collections.Counter[RefusalReason] = collections.Counter()
         self._last_raw: tuple[Offset, bytes] | None = None
-        self._last_checkpoint: LogRecord | None = None
         self._checkpoint_covers = Offset(-1)
+        self._checkpoint_stamp: datetime.datetime | None = None
         self._logger = structlog.get_logger(__name__).bind(stream=stream)
 
     @property
@@ -65,16 +66,16 @@
         """Records that were not applied, by reason."""
         return self._refusals
 
-    @property
-    def last_checkpoint(self) -> LogRecord | None:
-        """Latest accepted checkpoint record of the stream."""
-        return self._last_checkpoint
-
     @property
     def checkpoint_covers(self) -> Offset:
         """Offset that the latest checkpoint covers, -1 without one."""
         return self._checkpoint_covers
 
+    @property
+    def checkpoint_stamp(self) -> datetime.datetime | None:
+        """Log time of the latest checkpoint, else of the first record read."""
+        return self._checkpoint_stamp
+
     def skip_to(self, offset: Offset) -> None:
         """Leave out all records before `offset`."""
         self._prefix.skip_to(offset)
@@ -98,18 +99,23 @@
 
     def apply(self, record: LogRecord, log_id: str, end: Offset) -> None:
         """Apply the next record; `end` is the end of the stream as known."""
+        if self._checkpoint_stamp is None:
+            self._checkpoint_stamp = record.stamp
         self._last_raw = record.offset, hashlib.sha256(record.data).digest()
         try:
             decoded = self._prefix.apply(record)
             if decoded.kind is RecordKind.CHECKPOINT:
-                self._compare(record, decoded, log_id)
+                self._compare(decoded, log_id)
         except RecordRefusedError as error:
             self.count(error.reason, record.offset, str(error))
+        if RefusalReason.LATER_VERSION in self._refusals:
+            # This node's state lacks a record, so its digests prove nothing.
+            self._prefix.forget_digests()
         # Digests further back than the history are dropped before their use.
-        if self._digests and record.offset + 2 * DIGEST_HISTORY >= end:
+        elif self._digests and record.offset + 2 * DIGEST_HISTORY >= end:
             self._prefix.note_digest()
 
-    def _compare(self, raw: LogRecord, record: Record, log_id: str) -> None:
+    def _compare(self, record: Record, log_id: str) -> None:
         checkpoint = decode_checkpoint(record, stream=self._stream, log_id=log_id)
         covered = Offset(checkpoint.covered)
         if covered >= record.offset:
@@ -129,8 +135,9 @@
                 RefusalReason.CHECKPOINT_MISMATCH,
                 f"{record.author} folded another state at {covered}",
             )
-        self._last_checkpoint = raw
-        self._checkpoint_covers = covered
+        if covered > self._checkpoint_covers:
+            self._checkpoint_covers = covered
+            self._checkpoint_stamp = record.stamp
 
     def contradicts(self, record: LogRecord) -> bool:
         """Return whether another record was applied at the same offset."""
--- a/pomelolug/state/_observers.py
+++ b/pomelolug/state/_observers.py
@@ -4,8 +4,12 @@
 import datetime
 from collections.abc import Callable
 
+import structlog
+
 __all__ = ["Observers"]
 
+_logger = structlog.get_logger(__name__)
+
 
 class Observers:
     """Calls subscribers and wakes tasks that wait for a condition."""
@@ -32,7 +36,11 @@
             if not waiter.done():
                 waiter.set_result(None)
         for callback in tuple(self._callbacks.values()):
-            callback()
+            try:
+                callback()
+            except Exception:
+                # A fault of one subscriber must not end the reader.
+                _logger.exception("subscriber_failed")
 
     async def wait_until(
         self, condition: Callable[[], bool], timeout: datetime.timedelta
--- a/pomelolug/state/_prefix.py
+++ b/pomelolug/state/_prefix.py
@@ -116,7 +116,15 @@
             raise RecordRefusedError(RefusalReason.FOLD_FAULT, message) from error
 
     def checkpoint(self, log_id: str) -> Checkpoint:
-        """Return the checkpoint of the prefix as it is now."""
+        """Return the checkpoint of the prefix as it is now.
+
+        Raises
+        ------
+        ValueError
+            If the prefix is empty.
+        """
+        if self._offset < 0:
+            raise ValueError("an empty prefix has no checkpoint")
         return make_checkpoint(
             stream=self._stream,
             log_id=log_id,
@@ -141,6 +149,10 @@
         if len(self._digests) > DIGEST_HISTORY:
             self._digests.popitem(last=False)
 
+    def forget_digests(self) -> None:
+        """Drop the digests kept so far."""
+        self._digests.clear()
+
     def digest_at(self, offset: Offset) -> bytes | None:
         """Return the digest at `offset` if it is kept."""
         return self._digests.get(offset)
--- /dev/null
+++ b/pomelolug/state/_publisher.py
@@ -0,0 +1,149 @@
+"""Publishes checkpoints often enough for a node to start from them."""
+
+import datetime
+import hashlib
+import random
+from collections.abc import Callable, Collection
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.errors import PomelolugError
+from pomelolug.ids import NodeId
+from pomelolug.state._append import Appender
+from pomelolug.state._fold import RecordKind
+from pomelolug.state._reader import StreamReader
+
+__all__ = ["CheckpointPublisher", "publisher_rank"]
+
+_RECORDS_DUE = 1000
+_RETENTION_SHARE = 4
+_CHECK_EVERY = datetime.timedelta(seconds=5)
+_TURN = datetime.timedelta(seconds=10)
+
+
+def publisher_rank(node: NodeId, nodes: Collection[NodeId], key: str) -> int:
+    """Return how many nodes come before `node` by rendezvous hash.
+
+    Examples
+    --------
+    >>> nodes = [NodeId("a"), NodeId("b"), NodeId("c")]
+    >>> sorted(publisher_rank(node, nodes, "config|7") for node in nodes)
+    [0, 1, 2]
+    """
+    own = _weight(node, key)
+    return sum(_weight(other, key) > own for other in nodes if other != node)
+
+
+def _weight(node: NodeId, key: str) -> bytes:
+    return hashlib.sha256(f"{key}|{node}".encode()).digest()
+
+
+class CheckpointPublisher:
+    """Publishes the checkpoints of one stream in turn with the other nodes.
+
+    One is due after 1,000 records or a quarter of the retention. The node that
+    the rendezvous hash puts first publishes at once; each further one waits
+    10 s longer, so that a dead node does not keep the checkpoint from coming.
+    Two nodes that both publish cost one record.
+
+    Parameters
+    ----------
+    reader : StreamReader
+        Reader of the stream.
+    appender : Appender
+        Signs as this node.
+    clock : Clock
+        Source of time.
+    random_state : random.Random
+        Source of jitter.
+    retention : datetime.timedelta
+        How long the log keeps a record.
+    node : NodeId
+        This node.
+    live_nodes : callable
+        Returns the nodes that are alive as far as known.
+    records_due : int
+        Records after which a checkpoint is due.
+    """
+
+    def __init__(
+        self,
+        *,
+        reader: StreamReader,
+        appender: Appender,
+        clock: Clock,
+        random_state: random.Random,
+        retention: datetime.timedelta,
+        node: NodeId,
+        live_nodes: Callable[[], Collection[NodeId]],
+        records_due: int = _RECORDS_DUE,
+    ) -> None:
+        self._reader = reader
+        self._appender = appender
+        self._clock = clock
+        self._random = random_state
+        self._interval = retention / _RETENTION_SHARE
+        self._check_every = min(_CHECK_EVERY, self._interval / _RETENTION_SHARE)
+        self._turn = min(_TURN, self._interval / _RETENTION_SHARE)
+        self._node = node
+        self._live_nodes = live_nodes
+        self._records_due = records_due
+        self._due_since: float | None = None
+        self._published = 0
+        self._logger = structlog.get_logger(__name__).bind(stream=reader.stream)
+
+    @property
+    def published(self) -> int:
+        """Checkpoints that this node has appended."""
+        return self._published
+
+    async def run(self) -> None:
+        """Publish when it is this node's turn, until cancelled."""
+        while True:
+            await self._clock.sleep(self._check_every * self._random.uniform(0.5, 1.0))
+            if self._is_turn():
+                await self._publish()
+
+    def _is_turn(self) -> bool:
+        if not self._reader.can_checkpoint or not self._is_due():
+            self._due_since = None
+            return False
+        now = self._clock.monotonic()
+        if self._due_since is None:
+            self._due_since = now
+        key = f"{self._reader.stream}|{self._reader.checkpoint_covers}"
+        rank = publisher_rank(self._node, self._live_nodes(), key)
+        return now - self._due_since >= rank * self._turn.total_seconds()
+
+    def _is_due(self) -> bool:
+        covered = self._reader.checkpoint_covers
+        if self._reader.offset - covered >= self._records_due:
+            return True
+        since = self._reader.checkpoint_stamp
+        return since is not None and self._clock.now() - since >= self._interval
+
+    async def _publish(self) -> None:
+        try:
+            checkpoint = self._reader.checkpoint()
+            offset = await self._appender.append(
+                self._reader.stream, RecordKind.CHECKPOINT, checkpoint
+            )
+        except PomelolugError as error:
+            # The next check tries again; a record that is there is a duplicate.
+            self._logger.warning("checkpoint_failed", code=error.code.value)
+            return
+        self._published += 1
+        self._logger.info(
+            "checkpoint_published", offset=offset, covered=checkpoint.covered
+        )
+        await self._wait_applied(offset)
+
+    async def _wait_applied(self, offset: int) -> None:
+        """Wait for the own record, so that it is not published again."""
+        try:
+            await self._reader.wait_until(
+                lambda: self._reader.offset >= offset, self._turn
+            )
+        except TimeoutError:
+            self._logger.warning("checkpoint_not_read_back", offset=offset)
--- a/pomelolug/state/_reader.py
+++ b/pomelolug/state/_reader.py
@@ -10,6 +10,7 @@
 from pomelolug.messages import Checkpoint, StreamRecords
 from pomelolug.platform import LogPage, LogRecord, LogService
 from pomelolug.state._fold import Fold
+from pomelolug.state._identity import LogIdentity, PeerLog
 from pomelolug.state._intake import Intake
 from pomelolug.state._keys import KeyRing
 from pomelolug.state._observers import Observers
@@ -78,7 +79,6 @@
         self._fold = fold
         self._keyring = keyring
         self._clock = clock
-        self._expected_log_id = expected_log_id
         self._random = random_state or random.Random()
         self._window = window
         self._intake = Intake(
@@ -89,8 +89,7 @@
         )
         self._observers = Observers()
         self._state = ReaderState.STARTING
-        self._log_id = expected_log_id
-        self._log_seen = False
+        self._identity = LogIdentity(expected_log_id)
         self._last_answer = 0.0
         self._finder = StartFinder(
             log=log, stream=stream, keyring=keyring, clock=clock, window=window
@@ -117,7 +116,7 @@
     @property
     def log_id(self) -> str:
         """Identity of the log that the applied records belong to."""
-        return self._log_id
+        return self._identity.log_id
 
     @property
     def from_peer(self) -> bool:
@@ -129,16 +128,16 @@
         """Records that were not applied, by reason."""
         return self._intake.refusals
 
-    @property
-    def last_checkpoint(self) -> LogRecord | None:
-        """Latest accepted checkpoint record of the stream."""
-        return self._intake.last_checkpoint
-
     @property
     def checkpoint_covers(self) -> Offset:
         """Offset that the latest checkpoint covers, -1 without one."""
         return self._intake.checkpoint_covers
 
+    @property
+    def checkpoint_stamp(self) -> datetime.datetime | None:
+        """Log time of the latest checkpoint, else of the first record read."""
+        return self._intake.checkpoint_stamp
+
     @property
     def state(self) -> ReaderState:
         """How far the fold can be relied on."""
@@ -203,8 +202,14 @@
         await self._observers.wait_until(condition, timeout)
 
     def checkpoint(self) -> Checkpoint:
-        """Return a checkpoint of the state at the present offset."""
-        return self._intake.checkpoint(self._log_id)
+        """Return a checkpoint of the state at the present offset.
+
+        Raises
+        ------
+        ValueError
+            If nothing has been applied.
+        """
+        return self._intake.checkpoint(self.log_id)
 
     async def run(self) -> None:
         """Follow the stream until cancelled; return if it has regressed."""
@@ -235,21 +240,13 @@
         if self._state is ReaderState.REGRESSED:
             return
         self._last_answer = self._clock.monotonic()
-        if self._has_regressed(page, needed):
+        same = self._identity.accepts(page, needed)
+        if not same or any(map(self._intake.contradicts, page.records[:1])):
             self._regress(page.log_id, page.end)
             return
         self._verify_last = False
-        self._log_id = page.log_id
-        self._log_seen = True
         await self._take_page(page)
 
-    def _has_regressed(self, page: LogPage, needed: Offset) -> bool:
-        if self._log_id and page.log_id != self._log_id:
-            return True
-        if page.end < needed:
-            return True
-        return any(self._intake.contradicts(record) for record in page.records[:1])
-
     def _regress(self, log_id: str, end: int) -> None:
         self._intake.report("log_regressed", log_id=log_id, end=end)
         self._set_state(ReaderState.REGRESSED)
@@ -258,30 +255,41 @@
         before = self.offset
         if not self._placed:
             self._placed = await self._find_start(page)
-        if not self._placed:
-            await self._wait_incomplete()
-        elif before < 0 <= self.offset:
-            # The start is not where the page begins; read on from there.
+            if not self._placed:
+                await self._wait_incomplete(page.oldest, "no usable checkpoint")
+                return
+            if self.offset > before:
+                # The page does not begin at the start; read on from there.
+                return
+        if page.oldest > self.offset + 1:
+            await self._wait_incomplete(page.oldest, "records expired")
+            return
+        gap = self._apply(page.records, page.end)
+        caught_up = self.offset + 1 >= page.end
+        if gap is not None or (self.offset == before and not caught_up):
+            await self._wait_incomplete(gap or page.end, "records are missing")
             return
-        elif page.oldest > self.offset + 1:
-            self._intake.count(RefusalReason.GAP, page.oldest, "records expired")
-            await self._wait_incomplete()
-        elif not self._apply(page.records, page.end):
-            await self._wait_incomplete()
-        else:
-            self._note_progress(page)
-
-    def _note_progress(self, page: LogPage) -> None:
         self._from_peer = False
-        if self.offset + 1 >= page.end:
-            self._set_state(ReaderState.FOLLOWING)
-        elif self._state is ReaderState.INCOMPLETE:
-            self._set_state(ReaderState.STARTING)
-        elif page.records:
+        self._note_progress(caught_up, self.offset > before)
+        if self.offset == before:
+            # A log that does not wait must not be asked in a tight loop.
+            await self._clock.sleep(retry_delay(1, self._random))
+
+    def _note_progress(self, caught_up: bool, advanced: bool) -> None:
+        state = self._state
+        if caught_up:
+            state = ReaderState.FOLLOWING
+        elif state is ReaderState.INCOMPLETE:
+            state = ReaderState.STARTING
+        if state is not self._state:
+            self._set_state(state)
+        elif advanced:
             self._observers.notify()
 
-    async def _wait_incomplete(self) -> None:
-        self._set_state(ReaderState.INCOMPLETE)
+    async def _wait_incomplete(self, offset: Offset, detail: str) -> None:
+        if self._state is not ReaderState.INCOMPLETE:
+            self._intake.count(RefusalReason.GAP, offset, detail)
+            self._set_state(ReaderState.INCOMPLETE)
         await self._clock.sleep(_INCOMPLETE_PAUSE)
 
     async def _find_start(self, page: LogPage) -> bool:
@@ -296,19 +304,16 @@
             self._intake.skip_to(start)
         return start is not None
 
-    def _apply(self, records: Sequence[LogRecord], end: Offset) -> bool:
-        """Apply what is new; return whether the records were consecutive."""
+    def _apply(self, records: Sequence[LogRecord], end: Offset) -> Offset | None:
+        """Apply what is new; return the offset that is out of order, if any."""
         for record in records:
             if record.offset <= self.offset:
                 continue
             if record.offset > self.offset + 1:
-                self._intake.count(
-                    RefusalReason.GAP, record.offset, f"follows {self.offset}"
-                )
-                return False
-            self._intake.apply(record, self._log_id, end)
+                return record.offset
+            self._intake.apply(record, self.log_id, end)
             self._outbox.add(record)
-        return True
+        return None
 
     def _set_state(self, state: ReaderState) -> None:
         self._state = state
@@ -353,20 +358,22 @@
             return False
         if message.stream != self._stream:
             raise RecordRefusedError(RefusalReason.OTHER_STREAM, message.stream[:40])
-        if self._log_id and message.log_id != self._log_id:
-            if self._log_seen and not self._expected_log_id:
-                # Peers know another log and nobody has declared this one.
-                self._regress(message.log_id, message.end)
+        comparison = self._identity.compare(message.log_id)
+        if comparison is PeerLog.CONTRADICTS:
+            self._regress(message.log_id, message.end)
+        if comparison is not PeerLog.SAME:
             raise RecordRefusedError(RefusalReason.OTHER_LOG, message.log_id[:40])
         return True
 
     def _feed(self, message: StreamRecords) -> None:
         records = unpack_records(message)
-        self._log_id = message.log_id
         if message.checkpoint and not self._placed:
             checkpoint = open_checkpoint(message, self._keyring)
             if not self._intake.restore(checkpoint):
                 return
+        if message.first_offset > self.offset + 1:
+            raise RecordRefusedError(RefusalReason.GAP, f"follows {self.offset}")
+        self._identity.adopt(message.log_id)
         self._apply(records, Offset(message.end))
 
     def records_from(self, offset: Offset) -> StreamRecords | None:
@@ -379,11 +386,11 @@
             the stream is not held, a checkpoint and the records after it. None
             if there is nothing to send.
         """
-        if offset > self.offset or not self._log_id:
+        if offset > self.offset or not self.log_id:
             return None
         end = Offset(self.offset + 1)
-        held = self._outbox.records(offset, end, self._log_id)
+        held = self._outbox.records(offset, end, self.log_id)
         lacks_state = self._window is not None or self._carried_later()
         if held is not None or offset > 0 or lacks_state:
             return held
-        return self._outbox.checkpoint(end, self._log_id, self.checkpoint)
+        return self._outbox.checkpoint(end, self.log_id, self.checkpoint)
--- a/pomelolug/testing/_memory_log.py
+++ b/pomelolug/testing/_memory_log.py
@@ -13,6 +13,7 @@
 __all__ = ["LogFaults", "MemoryLog"]
 
 _LONGEST_POLL = datetime.timedelta(seconds=1)
+_RESOLUTION_S = 0.001
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -166,7 +167,8 @@
         until = self._clock.monotonic() + wait.total_seconds()
         while self._ends.get(stream, 0) <= first:
             left = until - self._clock.monotonic()
-            if left <= 0 or self._faults.down or self._faults.silent:
+            # Below the resolution of a loop on virtual time, nothing would pass.
+            if left < _RESOLUTION_S or self._faults.down or self._faults.silent:
                 break
             await self._wait_growth(min(left, _LONGEST_POLL.total_seconds()))
         await self._travel(timeout)
