--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -6,6 +6,7 @@
     ClaimRequest,
     ClaimUpdate,
     ClaimVerdict,
+    HolderLost,
 )
 from pomelolug.messages._codec import (
     MAX_MESSAGE_BYTES,
@@ -14,18 +15,36 @@
     encode,
 )
 from pomelolug.messages._configuration_generated import ConfigurationChange
+from pomelolug.messages._groups_generated import (
+    Dissolution,
+    Drain,
+    Formation,
+    GroupMember,
+    GroupsCheckpoint,
+    GroupState,
+    VmChange,
+)
 from pomelolug.messages._peer_generated import (
+    Digest,
     Heartbeat,
     Hello,
+    KeepAlive,
     LossReport,
+    Proof,
     RecordsRequest,
+    Relay,
     StreamRecords,
+    VersionUpdate,
 )
 from pomelolug.messages._routing_generated import (
     DemandReport,
+    Explanation,
     GroupStatus,
     RoutingTable,
     ServiceStatus,
+    StatusBatch,
+    StatusPull,
+    TablePull,
 )
 from pomelolug.messages._state_generated import Checkpoint, Envelope, RecordPayload
 
@@ -38,18 +57,35 @@
     "ClaimVerdict",
     "ConfigurationChange",
     "DemandReport",
+    "Digest",
+    "Dissolution",
+    "Drain",
     "Envelope",
+    "Explanation",
+    "Formation",
+    "GroupMember",
+    "GroupState",
     "GroupStatus",
+    "GroupsCheckpoint",
     "Heartbeat",
     "Hello",
+    "HolderLost",
+    "KeepAlive",
     "LossReport",
     "MAX_MESSAGE_BYTES",
     "Message",
+    "Proof",
     "RecordPayload",
     "RecordsRequest",
+    "Relay",
     "RoutingTable",
     "ServiceStatus",
+    "StatusBatch",
+    "StatusPull",
     "StreamRecords",
+    "TablePull",
+    "VersionUpdate",
+    "VmChange",
     "decode",
     "encode",
 ]
--- /dev/null
+++ b/pomelolug/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- a/pomelolug/state/_reader.py
+++ b/pomelolug/state/_reader.py
@@ -1,6 +1,7 @@
 """Follows one stream of the log and keeps its fold up to date."""
 
 import datetime
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 
@@ -58,6 +59,8 @@
         needed. By default the fold needs the whole stream.
     relay_bytes : int
         Bound on the raw records kept for peers.
+    long_poll : datetime.timedelta
+        Longest wait of the log for the next record.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         author: str = "",
         window: datetime.timedelta | None = None,
         relay_bytes: int = _RELAY_BYTES,
+        long_poll: datetime.timedelta = _LONG_POLL,
     ) -> None:
         self._log = log
         self._stream = stream
@@ -81,6 +85,8 @@
         self._clock = clock
         self._random = random_state or random.Random()
         self._window = window
+        self._long_poll = long_poll
+        self._proved_at = -math.inf
         self._intake = Intake(
             stream=stream, fold=fold, keyring=keyring, digests=window is None
         )
@@ -147,6 +153,14 @@
             return ReaderState.STALE
         return self._state
 
+    @property
+    def proved_at(self) -> float:
+        """Monotonic time before the newest read that reached the end was sent.
+
+        Minus infinity if there was none. A lease counts from it.
+        """
+        return self._proved_at
+
     @property
     def can_checkpoint(self) -> bool:
         """Whether the fold holds all that its prefix says.
@@ -230,11 +244,12 @@
         needed = Offset(self.offset + 1)
         first = Offset(max(needed - 1, 0)) if self._verify_last else needed
         caught_up = self._state is ReaderState.FOLLOWING and first == needed
+        asked_at = self._clock.monotonic()
         page = await self._log.read(
             self._stream,
             first,
             limit=PAGE_RECORDS,
-            wait=_LONG_POLL if caught_up else _NO_WAIT,
+            wait=self._long_poll if caught_up else _NO_WAIT,
             timeout=READ_TIMEOUT,
         )
         if self._state is ReaderState.REGRESSED:
@@ -246,6 +261,8 @@
             return
         self._verify_last = False
         await self._take_page(page)
+        if self._state is ReaderState.FOLLOWING and self.offset + 1 >= page.end:
+            self._proved_at = asked_at
 
     def _regress(self, log_id: str, end: int) -> None:
         self._intake.report("log_regressed", log_id=log_id, end=end)
