Split the reader's view from its reading, report fold differences

Change: StreamView and Freshness hold what users see; StreamReader takes `violated`, called with "folds_agree"; test modules have unique names.

--- a/pomelolug/state/_intake.py
+++ b/pomelolug/state/_intake.py
@@ -3,7 +3,7 @@
 import collections
 import datetime
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import structlog
@@ -25,6 +25,7 @@
     "Log records that were not applied, by stream family and reason.",
     ["stream", "reason"],
 )
+_FOLDS_AGREE = "folds_agree"
 # Void and duplicate records are the normal outcome of a race.
 _EXPECTED = frozenset({RefusalReason.VOID, RefusalReason.DUPLICATE})
 
@@ -42,20 +43,40 @@
         Accepted keys.
     digests : bool
         Whether digests are kept for comparison with checkpoints.
+    violated : callable, optional
+        Called with the name of an invariant that was found violated.
     """
 
     def __init__(
-        self, *, stream: str, fold: Fold, keyring: KeyRing, digests: bool
+        self,
+        *,
+        stream: str,
+        fold: Fold,
+        keyring: KeyRing,
+        digests: bool,
+        violated: Callable[[str], None] | None = None,
     ) -> None:
         self._stream = stream
+        self._fold = fold
         self._prefix = Prefix(stream=stream, fold=fold, keyring=keyring)
         self._digests = digests
+        self._violated = violated
         self._refusals: collections.Counter[RefusalReason] = collections.Counter()
         self._last_raw: tuple[Offset, bytes] | None = None
         self._checkpoint_covers = Offset(-1)
         self._checkpoint_stamp: datetime.datetime | None = None
         self._logger = structlog.get_logger(__name__).bind(stream=stream)
 
+    @property
+    def stream(self) -> str:
+        """Name of the stream."""
+        return self._stream
+
+    @property
+    def fold(self) -> Fold:
+        """The fold that the records are applied to."""
+        return self._fold
+
     @property
     def offset(self) -> Offset:
         """Last applied offset, -1 before."""
@@ -126,11 +147,13 @@
         if known is not None and known != checkpoint.digest:
             self._logger.error(
                 "invariant_violated",
-                invariant="checkpoint_digest",
+                invariant=_FOLDS_AGREE,
                 offset=record.offset,
                 covered=covered,
                 author=record.author,
             )
+            if self._violated is not None:
+                self._violated(_FOLDS_AGREE)
             raise RecordRefusedError(
                 RefusalReason.CHECKPOINT_MISMATCH,
                 f"{record.author} folded another state at {covered}",
--- a/pomelolug/state/_reader.py
+++ b/pomelolug/state/_reader.py
@@ -1,39 +1,37 @@
 """Follows one stream of the log and keeps its fold up to date."""
 
 import datetime
-import math
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 
 from pomelolug.clock import Clock
-from pomelolug.errors import ErrorCode, LogRegressedError, PlatformError
+from pomelolug.errors import PlatformError
 from pomelolug.ids import Offset
 from pomelolug.messages import Checkpoint, StreamRecords
 from pomelolug.platform import LogPage, LogRecord, LogService
 from pomelolug.state._fold import Fold
+from pomelolug.state._freshness import Freshness
 from pomelolug.state._identity import LogIdentity, PeerLog
 from pomelolug.state._intake import Intake
 from pomelolug.state._keys import KeyRing
-from pomelolug.state._observers import Observers
 from pomelolug.state._outbox import Outbox
 from pomelolug.state._reader_state import ReaderState
 from pomelolug.state._refusal import RecordRefusedError, RefusalReason
 from pomelolug.state._relay import open_checkpoint, unpack_records
 from pomelolug.state._retry import retry_delay
 from pomelolug.state._startup import PAGE_RECORDS, READ_TIMEOUT, StartFinder
+from pomelolug.state._view import StreamView
 
 __all__ = ["StreamReader"]
 
 _LONG_POLL = datetime.timedelta(seconds=10)
-# Longer than one long poll with its timeout, so that a quiet stream is not stale.
-_STALE_AFTER = datetime.timedelta(seconds=15)
 _INCOMPLETE_PAUSE = datetime.timedelta(seconds=2)
 _RELAY_BYTES = 512 * 1024
 _NO_WAIT = datetime.timedelta(0)
 _NOT_COMPLETE = (ReaderState.STARTING, ReaderState.INCOMPLETE)
 
 
-class StreamReader:
+class StreamReader(StreamView):
     """Reads a stream with long polls and applies its records to a fold.
 
     Parameters
@@ -61,6 +59,8 @@
         Bound on the raw records kept for peers.
     long_poll : datetime.timedelta
         Longest wait of the log for the next record.
+    violated : callable, optional
+        Called with the name of an invariant that was found violated.
     """
 
     def __init__(
@@ -77,143 +77,33 @@
         window: datetime.timedelta | None = None,
         relay_bytes: int = _RELAY_BYTES,
         long_poll: datetime.timedelta = _LONG_POLL,
+        violated: Callable[[str], None] | None = None,
     ) -> None:
         self._log = log
-        self._stream = stream
-        self._fold = fold
+        super().__init__(
+            intake=Intake(
+                stream=stream,
+                fold=fold,
+                keyring=keyring,
+                digests=window is None,
+                violated=violated,
+            ),
+            identity=LogIdentity(expected_log_id),
+            freshness=Freshness(clock),
+        )
         self._keyring = keyring
         self._clock = clock
         self._random = random_state or random.Random()
         self._window = window
         self._long_poll = long_poll
-        self._proved_at = -math.inf
-        self._intake = Intake(
-            stream=stream, fold=fold, keyring=keyring, digests=window is None
-        )
         self._outbox = Outbox(
             stream=stream, author=author, keyring=keyring, limit_bytes=relay_bytes
         )
-        self._observers = Observers()
-        self._state = ReaderState.STARTING
-        self._identity = LogIdentity(expected_log_id)
-        self._last_answer = 0.0
         self._finder = StartFinder(
             log=log, stream=stream, keyring=keyring, clock=clock, window=window
         )
         self._placed = False
         self._verify_last = False
-        self._from_peer = False
-
-    @property
-    def stream(self) -> str:
-        """Name of the stream."""
-        return self._stream
-
-    @property
-    def fold(self) -> Fold:
-        """The fold that the records are applied to."""
-        return self._fold
-
-    @property
-    def offset(self) -> Offset:
-        """Last applied offset, -1 before."""
-        return self._intake.offset
-
-    @property
-    def log_id(self) -> str:
-        """Identity of the log that the applied records belong to."""
-        return self._identity.log_id
-
-    @property
-    def from_peer(self) -> bool:
-        """Whether the last records came from a peer and not from the log."""
-        return self._from_peer
-
-    @property
-    def refusals(self) -> Mapping[RefusalReason, int]:
-        """Records that were not applied, by reason."""
-        return self._intake.refusals
-
-    @property
-    def checkpoint_covers(self) -> Offset:
-        """Offset that the latest checkpoint covers, -1 without one."""
-        return self._intake.checkpoint_covers
-
-    @property
-    def checkpoint_stamp(self) -> datetime.datetime | None:
-        """Log time of the latest checkpoint, else of the first record read."""
-        return self._intake.checkpoint_stamp
-
-    @property
-    def state(self) -> ReaderState:
-        """How far the fold can be relied on."""
-        silence = self._clock.monotonic() - self._last_answer
-        silent = silence > _STALE_AFTER.total_seconds()
-        if self._state is ReaderState.FOLLOWING and silent:
-            return ReaderState.STALE
-        return self._state
-
-    @property
-    def proved_at(self) -> float:
-        """Monotonic time before the newest read that reached the end was sent.
-
-        Minus infinity if there was none. A lease counts from it.
-        """
-        return self._proved_at
-
-    @property
-    def can_checkpoint(self) -> bool:
-        """Whether the fold holds all that its prefix says.
-
-        It does not if a record of a later schema version was carried.
-        """
-        following = self.state is ReaderState.FOLLOWING
-        return following and not self._carried_later() and self.offset >= 0
-
-    def _carried_later(self) -> bool:
-        return self._intake.refusals.get(RefusalReason.LATER_VERSION, 0) > 0
-
-    def subscribe(self, callback: Callable[[], None]) -> Callable[[], None]:
-        """Call `callback` after records were applied or the state changed.
-
-        Returns
-        -------
-        callable
-            Ends the subscription.
-        """
-        return self._observers.subscribe(callback)
-
-    async def wait_for(self, offset: Offset, timeout: datetime.timedelta) -> None:
-        """Wait until the record at `offset` has been applied.
-
-        Raises
-        ------
-        LogRegressedError
-            If the stream has regressed.
-        TimeoutError
-            If the record is not applied in time.
-        """
-
-        def applied() -> bool:
-            if self._state is ReaderState.REGRESSED:
-                raise LogRegressedError(
-                    ErrorCode.LOG_REGRESSED, f"stream {self._stream} has regressed"
-                )
-            return self.offset >= offset
-
-        await self._observers.wait_until(applied, timeout)
-
-    async def wait_until(
-        self, condition: Callable[[], bool], timeout: datetime.timedelta
-    ) -> None:
-        """Wait until `condition` holds after a change of the stream.
-
-        Raises
-        ------
-        TimeoutError
-            If it does not within `timeout`.
-        """
-        await self._observers.wait_until(condition, timeout)
 
     def checkpoint(self) -> Checkpoint:
         """Return a checkpoint of the state at the present offset.
@@ -244,9 +134,9 @@
         needed = Offset(self.offset + 1)
         first = Offset(max(needed - 1, 0)) if self._verify_last else needed
         caught_up = self._state is ReaderState.FOLLOWING and first == needed
-        asked_at = self._clock.monotonic()
+        self._freshness.asked()
         page = await self._log.read(
-            self._stream,
+            self.stream,
             first,
             limit=PAGE_RECORDS,
             wait=self._long_poll if caught_up else _NO_WAIT,
@@ -254,7 +144,7 @@
         )
         if self._state is ReaderState.REGRESSED:
             return
-        self._last_answer = self._clock.monotonic()
+        self._freshness.answered()
         same = self._identity.accepts(page, needed)
         if not same or any(map(self._intake.contradicts, page.records[:1])):
             self._regress(page.log_id, page.end)
@@ -262,7 +152,7 @@
         self._verify_last = False
         await self._take_page(page)
         if self._state is ReaderState.FOLLOWING and self.offset + 1 >= page.end:
-            self._proved_at = asked_at
+            self._freshness.proved()
 
     def _regress(self, log_id: str, end: int) -> None:
         self._intake.report("log_regressed", log_id=log_id, end=end)
@@ -332,10 +222,6 @@
             self._outbox.add(record)
         return None
 
-    def _set_state(self, state: ReaderState) -> None:
-        self._state = state
-        self._observers.notify()
-
     def feed(self, message: StreamRecords) -> int:
         """Apply records that a peer has relayed.
 
@@ -373,7 +259,7 @@
     def _may_feed(self, message: StreamRecords) -> bool:
         if self._state is ReaderState.REGRESSED:
             return False
-        if message.stream != self._stream:
+        if message.stream != self.stream:
             raise RecordRefusedError(RefusalReason.OTHER_STREAM, message.stream[:40])
         comparison = self._identity.compare(message.log_id)
         if comparison is PeerLog.CONTRADICTS:
--- /dev/null
+++ b/pomelolug/state/_view.py
@@ -0,0 +1,153 @@
+"""What the users of a stream see of its reader."""
+
+import datetime
+from collections.abc import Callable, Mapping
+
+from pomelolug.errors import ErrorCode, LogRegressedError
+from pomelolug.ids import Offset
+from pomelolug.state._fold import Fold
+from pomelolug.state._freshness import Freshness
+from pomelolug.state._identity import LogIdentity
+from pomelolug.state._intake import Intake
+from pomelolug.state._observers import Observers
+from pomelolug.state._reader_state import ReaderState
+from pomelolug.state._refusal import RefusalReason
+
+__all__ = ["StreamView"]
+
+
+class StreamView:
+    """State, position and changes of one stream.
+
+    Parameters
+    ----------
+    intake : Intake
+        Applies the records.
+    identity : LogIdentity
+        Which log they belong to.
+    freshness : Freshness
+        When the log has answered.
+    """
+
+    def __init__(
+        self, *, intake: Intake, identity: LogIdentity, freshness: Freshness
+    ) -> None:
+        self._intake = intake
+        self._identity = identity
+        self._freshness = freshness
+        self._observers = Observers()
+        self._state = ReaderState.STARTING
+        self._from_peer = False
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream."""
+        return self._intake.stream
+
+    @property
+    def fold(self) -> Fold:
+        """The fold that the records are applied to."""
+        return self._intake.fold
+
+    @property
+    def offset(self) -> Offset:
+        """Last applied offset, -1 before."""
+        return self._intake.offset
+
+    @property
+    def log_id(self) -> str:
+        """Identity of the log that the applied records belong to."""
+        return self._identity.log_id
+
+    @property
+    def from_peer(self) -> bool:
+        """Whether the last records came from a peer and not from the log."""
+        return self._from_peer
+
+    @property
+    def refusals(self) -> Mapping[RefusalReason, int]:
+        """Records that were not applied, by reason."""
+        return self._intake.refusals
+
+    @property
+    def checkpoint_covers(self) -> Offset:
+        """Offset that the latest checkpoint covers, -1 without one."""
+        return self._intake.checkpoint_covers
+
+    @property
+    def checkpoint_stamp(self) -> datetime.datetime | None:
+        """Log time of the latest checkpoint, else of the first record read."""
+        return self._intake.checkpoint_stamp
+
+    @property
+    def state(self) -> ReaderState:
+        """How far the fold can be relied on."""
+        if self._state is ReaderState.FOLLOWING and self._freshness.is_silent:
+            return ReaderState.STALE
+        return self._state
+
+    @property
+    def proved_at(self) -> float:
+        """Monotonic time before the newest read that reached the end was sent.
+
+        Minus infinity if there was none. A lease counts from it.
+        """
+        return self._freshness.proved_at
+
+    @property
+    def can_checkpoint(self) -> bool:
+        """Whether the fold holds all that its prefix says.
+
+        It does not if a record of a later schema version was carried.
+        """
+        following = self.state is ReaderState.FOLLOWING
+        return following and not self._carried_later() and self.offset >= 0
+
+    def _carried_later(self) -> bool:
+        return self._intake.refusals.get(RefusalReason.LATER_VERSION, 0) > 0
+
+    def subscribe(self, callback: Callable[[], None]) -> Callable[[], None]:
+        """Call `callback` after records were applied or the state changed.
+
+        Returns
+        -------
+        callable
+            Ends the subscription.
+        """
+        return self._observers.subscribe(callback)
+
+    async def wait_for(self, offset: Offset, timeout: datetime.timedelta) -> None:
+        """Wait until the record at `offset` has been applied.
+
+        Raises
+        ------
+        LogRegressedError
+            If the stream has regressed.
+        TimeoutError
+            If the record is not applied in time.
+        """
+
+        def applied() -> bool:
+            if self._state is ReaderState.REGRESSED:
+                raise LogRegressedError(
+                    ErrorCode.LOG_REGRESSED, f"stream {self.stream} has regressed"
+                )
+            return self.offset >= offset
+
+        await self._observers.wait_until(applied, timeout)
+
+    async def wait_until(
+        self, condition: Callable[[], bool], timeout: datetime.timedelta
+    ) -> None:
+        """Wait until `condition` holds after a change of the stream.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not within `timeout`.
+        """
+        await self._observers.wait_until(condition, timeout)
+
+    def _set_state(self, state: ReaderState) -> None:
+        self._state = state
+        self._observers.notify()
--- a/pomelolug/state/tests/test_checkpoint.py
+++ b/pomelolug/state/tests/test_state_checkpoint.py
@@ -147,7 +147,8 @@
 
 @pytest.mark.looptime
 async def test_other_state_at_the_covered_offset_is_a_violation(bench):
-    reader = bench.reader()
+    violations = []
+    reader = bench.reader(violated=violations.append)
     async with running(reader):
         bench.put(1, 2)
         await applied(reader, 1)
@@ -163,6 +164,7 @@
         bench.put_checkpoint(reader)
         await applied(reader, 4)
     assert reader.checkpoint_covers == 3
+    assert violations == ["folds_agree"]
     assert reader.refusals == {RefusalReason.CHECKPOINT_MISMATCH: 1}
 
 
