Write the operator's commands with verdicts and exit statuses

Cause: the provisional publish command verified records with the operator's own key only. The record of another operator was refused as unauthorised, so that both operators of a race were told that they won.

Change: without the keys of all operators, the verdict comes from a control process: once it has applied the record, the versions are followed backwards by their bases. Settings gain platform.log_id, platform.operators and control.timeout.

--- a/pomelolug/configuration/_parse.py
+++ b/pomelolug/configuration/_parse.py
@@ -103,7 +103,8 @@
     except configparser.Error as error:
         line = getattr(error, "lineno", None)
         place = "document" if line is None else f"document line {line}"
-        _raise([Finding(place=place, value="", problem=str(error))])
+        problem = " ".join(str(error).split())
+        _raise([Finding(place=place, value="", problem=problem)])
     if len(parser.sections()) > _MAX_SECTIONS:
         problem = f"more than {_MAX_SECTIONS} sections"
         _raise([Finding(place="document", value="", problem=problem)])
--- a/pomelolug/operator/__init__.py
+++ b/pomelolug/operator/__init__.py
@@ -1,1 +1,6 @@
-"""The operator's command line."""
+"""The operators' command line."""
+
+from pomelolug.operator._commands import Commands
+from pomelolug.operator._exit import ExitStatus
+
+__all__ = ["Commands", "ExitStatus"]
--- a/pomelolug/operator/__main__.py
+++ b/pomelolug/operator/__main__.py
@@ -1,80 +1,49 @@
 """Command ``pomelolug``."""
 
-import asyncio
-import pathlib
-import random
+import json
 import sys
+from collections.abc import Sequence
 
-import aiohttp
 import fire
 
-from pomelolug.clock import SystemClock
-from pomelolug.configuration import (
-    CONFIG_STREAM,
-    ConfigurationFold,
-    Publication,
-    publish,
-)
-from pomelolug.errors import FindingsError
-from pomelolug.platform import HttpLogService
-from pomelolug.settings import load_settings
-from pomelolug.settings._operator_generated import OPERATOR_SPEC, OperatorSettings
-from pomelolug.state import Appender, KeyRing, StreamReader
+from pomelolug.operator._commands import Commands
+from pomelolug.operator._exit import run_and_exit
+from pomelolug.telemetry import configure_logging
 
-__all__ = ["main"]
+__all__ = ["main", "quoted"]
 
-EXIT_INVALID = 2
-EXIT_RACED = 3
 
+def quoted(arguments: Sequence[str]) -> list[str]:
+    """Return `arguments` with quotes around every value after the command.
 
-class Commands:
-    """Commands of an operator."""
+    Fire reads values as Python literals: without quotes, the request 12e4 would
+    become the number 120000.0.
 
-    def publish(self, document: str, *, base: int, settings: str) -> None:
-        """Check a configuration and publish it against version `base`."""
-        try:
-            loaded = load_settings(
-                pathlib.Path(settings), OperatorSettings, OPERATOR_SPEC
-            )
-            text = pathlib.Path(document).read_text(encoding="utf-8")
-            result = asyncio.run(_publish(text, base, loaded))
-        except FindingsError as error:
-            print(error, file=sys.stderr)
-            sys.exit(EXIT_INVALID)
-        if not result.won:
-            print(f"lost to version {result.current}", file=sys.stderr)
-            sys.exit(EXIT_RACED)
-        print(f"version {result.offset}")
-
-
-async def _publish(text: str, base: int, settings: OperatorSettings) -> Publication:
-    clock = SystemClock()
-    keyring = KeyRing.from_options(settings.control.keys, (settings.operator.key,))
-    fold = ConfigurationFold()
-    async with aiohttp.ClientSession() as session:
-        log = HttpLogService(session, str(settings.platform.log))
-        reader = StreamReader(
-            log=log, stream=CONFIG_STREAM, fold=fold, keyring=keyring, clock=clock
-        )
-        appender = Appender(
-            log=log,
-            keyring=keyring,
-            author=f"operator:{settings.operator.name}",
-            clock=clock,
-            random_state=random.SystemRandom(),
-        )
-        following = asyncio.create_task(reader.run())
-        try:
-            return await publish(
-                text, base=base, appender=appender, reader=reader, fold=fold
-            )
-        finally:
-            following.cancel()
+    Examples
+    --------
+    >>> quoted(["explain", "12e4", "--settings=7", "--undo"])
+    ['explain', '"12e4"', '--settings="7"', '--undo']
+    """
+    values = []
+    for argument in arguments[1:]:
+        flag, equals, value = argument.partition("=")
+        if argument.startswith("-"):
+            values.append(flag + equals + (json.dumps(value) if equals else ""))
+        else:
+            values.append(json.dumps(argument))
+    return [*arguments[:1], *values]
 
 
 def main() -> None:
     """Entry point of the command."""
-    fire.Fire(Commands, name="pomelolug")
+    # Findings and results are the output; log lines only add to it on errors.
+    configure_logging("error")
+    arguments = sys.argv[1:]
+    if arguments == ["--version"]:
+        arguments = ["version"]
+    run_and_exit(
+        lambda: fire.Fire(Commands(), command=quoted(arguments), name="pomelolug")
+    )
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/pomelolug/operator/_exit.py
@@ -0,0 +1,76 @@
+"""Exit statuses of the command."""
+
+import enum
+import sys
+from collections.abc import Callable
+
+from pomelolug.errors import (
+    ErrorCode,
+    FindingsError,
+    LogRegressedError,
+    PlatformError,
+    PomelolugError,
+)
+
+__all__ = ["ExitStatus", "run_and_exit", "status_of"]
+
+
+class ExitStatus(enum.IntEnum):
+    """What the exit status of the command says.
+
+    ``FAILED``: another fault than the ones below.
+    ``INVALID``: arguments, settings or document are at fault; nothing was
+    appended.
+    ``RACED``: another change came first.
+    ``UNAVAILABLE``: the log or the control process does not answer; nothing was
+    appended.
+    ``UNKNOWN``: the record may be on the log, or is there without a verdict.
+    ``LOG_DAMAGED``: the log was replaced, shortened or lacks records.
+    """
+
+    DONE = 0
+    FAILED = 1
+    INVALID = 2
+    RACED = 3
+    UNAVAILABLE = 4
+    UNKNOWN = 5
+    LOG_DAMAGED = 6
+
+
+_BY_CODE = {
+    ErrorCode.APPEND_UNKNOWN: ExitStatus.UNKNOWN,
+    ErrorCode.CONFIGURATION_RACED: ExitStatus.RACED,
+    ErrorCode.BAD_REQUEST: ExitStatus.INVALID,
+    ErrorCode.LOG_INCOMPLETE: ExitStatus.LOG_DAMAGED,
+}
+
+
+def status_of(error: PomelolugError) -> ExitStatus:
+    """Return the exit status that `error` stands for.
+
+    Examples
+    --------
+    >>> status_of(PlatformError(ErrorCode.APPEND_UNKNOWN, "no answer")).name
+    'UNKNOWN'
+    """
+    if error.code in _BY_CODE:
+        return _BY_CODE[error.code]
+    if isinstance(error, FindingsError):
+        return ExitStatus.INVALID
+    if isinstance(error, LogRegressedError):
+        return ExitStatus.LOG_DAMAGED
+    if isinstance(error, PlatformError):
+        return ExitStatus.UNAVAILABLE
+    return ExitStatus.FAILED
+
+
+def run_and_exit(command: Callable[[], object]) -> None:
+    """Run `command`; errors go to standard error and into the exit status."""
+    try:
+        command()
+    except PomelolugError as error:
+        print(error, file=sys.stderr)
+        sys.exit(status_of(error))
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{type(error).__name__}: {error}", file=sys.stderr)
+        sys.exit(ExitStatus.INVALID)
--- /dev/null
+++ b/pomelolug/operator/_site.py
@@ -0,0 +1,177 @@
+"""Connections of one command: the log, a control process, the own key."""
+
+import asyncio
+import contextlib
+import datetime
+import pathlib
+import random
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from pomelolug.clock import Clock, SystemClock
+from pomelolug.configuration import CONFIG_STREAM, ConfigurationFold
+from pomelolug.errors import (
+    ErrorCode,
+    Finding,
+    FindingsError,
+    LogRegressedError,
+    PlatformError,
+)
+from pomelolug.operator._control import ControlClient
+from pomelolug.platform import HttpLogService, LogService
+from pomelolug.settings import load_settings
+from pomelolug.settings._operator_generated import OPERATOR_SPEC, OperatorSettings
+from pomelolug.state import Appender, KeyRing, ReaderState, StreamReader
+
+__all__ = ["Site", "open_site"]
+
+_FOLD_TIMEOUT = datetime.timedelta(seconds=30)
+
+
+class Site:
+    """What a command works with.
+
+    Parameters
+    ----------
+    settings : OperatorSettings
+        Checked settings.
+    log : LogService
+        The platform's log.
+    control : ControlClient
+        A control process.
+    clock : Clock
+        Source of time.
+    random_state : random.Random
+        Source of nonces and jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: OperatorSettings,
+        log: LogService,
+        control: ControlClient,
+        clock: Clock,
+        random_state: random.Random,
+    ) -> None:
+        own = (settings.operator.key,)
+        self._settings = settings
+        self._log = log
+        self._control = control
+        self._clock = clock
+        self._random = random_state
+        self._own_ring = KeyRing.from_options((), own)
+        self._full_ring = KeyRing.from_options(
+            settings.control.keys, settings.platform.operators
+        )
+
+    @property
+    def log(self) -> LogService:
+        """The platform's log."""
+        return self._log
+
+    @property
+    def control(self) -> ControlClient:
+        """A control process."""
+        return self._control
+
+    @property
+    def clock(self) -> Clock:
+        """Source of time."""
+        return self._clock
+
+    @property
+    def has_all_keys(self) -> bool:
+        """Whether the settings hold the keys of all operators."""
+        return bool(self._settings.platform.operators)
+
+    def appender(self) -> Appender:
+        """Return an appender that signs as the operator.
+
+        Raises
+        ------
+        FindingsError
+            If the key does not belong to the operator.
+        """
+        author = f"operator:{self._settings.operator.name}"
+        try:
+            self._own_ring.signing_key(author)
+        except KeyError as error:
+            problem = f"the key's name is not {self._settings.operator.name!r}"
+            finding = Finding(place="[operator] key", value="***", problem=problem)
+            raise FindingsError(ErrorCode.SETTINGS_INVALID, [finding]) from error
+        return Appender(
+            log=self._log,
+            keyring=self._own_ring,
+            author=author,
+            clock=self._clock,
+            random_state=self._random,
+        )
+
+    @contextlib.asynccontextmanager
+    async def configuration(self) -> AsyncIterator[StreamReader]:
+        """Follow the configuration stream on the log, caught up with its end.
+
+        Raises
+        ------
+        PlatformError
+            If the log does not answer.
+        LogRegressedError
+            If the log is not the declared one or lacks records.
+        """
+        reader = StreamReader(
+            log=self._log,
+            stream=CONFIG_STREAM,
+            fold=ConfigurationFold(),
+            keyring=self._full_ring,
+            clock=self._clock,
+            expected_log_id=self._settings.platform.log_id,
+            random_state=self._random,
+        )
+        following = asyncio.create_task(reader.run())
+        try:
+            await _caught_up(reader)
+            yield reader
+        finally:
+            following.cancel()
+
+
+async def _caught_up(reader: StreamReader) -> None:
+    starting = ReaderState.STARTING
+    try:
+        await reader.wait_until(lambda: reader.state is not starting, _FOLD_TIMEOUT)
+    except TimeoutError as error:
+        raise PlatformError(
+            ErrorCode.PLATFORM_UNAVAILABLE, "the log does not answer"
+        ) from error
+    if reader.state is ReaderState.REGRESSED:
+        raise LogRegressedError(
+            ErrorCode.LOG_REGRESSED, f"the log is another one: {reader.log_id}"
+        )
+    if reader.state is ReaderState.INCOMPLETE:
+        raise LogRegressedError(
+            ErrorCode.LOG_INCOMPLETE, "records have expired and no checkpoint is usable"
+        )
+
+
+@contextlib.asynccontextmanager
+async def open_site(path: str) -> AsyncIterator[Site]:
+    """Open the connections that the settings at `path` name.
+
+    Raises
+    ------
+    FindingsError
+        With every fault of the settings.
+    """
+    settings = load_settings(pathlib.Path(path), OperatorSettings, OPERATOR_SPEC)
+    async with aiohttp.ClientSession() as session:
+        yield Site(
+            settings=settings,
+            log=HttpLogService(session, str(settings.platform.log)),
+            control=ControlClient(
+                session, settings.control.address, settings.control.timeout
+            ),
+            clock=SystemClock(),
+            random_state=random.SystemRandom(),
+        )
--- a/pomelolug/settings/_operator_generated.py
+++ b/pomelolug/settings/_operator_generated.py
@@ -26,6 +26,10 @@
 
     log: Address
     """Address of the platform's log service."""
+    log_id: str
+    """Identity of the log, to be set after the platform has replaced it."""
+    operators: tuple[str, ...]
+    """Keys of all operators as name=hex, to read the log oneself."""
 
 
 class OperatorControl(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,6 +39,8 @@
     """Control process that answers queries."""
     keys: tuple[str, ...]
     """Named keys of the nodes as name=hex, to verify checkpoints."""
+    timeout: datetime.timedelta
+    """Longest time for one answer."""
 
 
 class OperatorSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -61,6 +67,20 @@
         kind="address",
         doc="Address of the platform's log service.",
     ),
+    OptionSpec(
+        section="platform",
+        key="log_id",
+        kind="str",
+        doc="Identity of the log, to be set after the platform has replaced it.",
+        default="",
+    ),
+    OptionSpec(
+        section="platform",
+        key="operators",
+        kind="list",
+        doc="Keys of all operators as name=hex, to read the log oneself.",
+        default="",
+    ),
     OptionSpec(
         section="control",
         key="address",
@@ -74,6 +94,15 @@
         doc="Named keys of the nodes as name=hex, to verify checkpoints.",
         default="",
     ),
+    OptionSpec(
+        section="control",
+        key="timeout",
+        kind="duration",
+        doc="Longest time for one answer.",
+        default="5s",
+        minimum=0.1,
+        maximum=300.0,
+    ),
 )
 
 _ = (datetime, Address)
