--- a/pomelolug/state/_intake.py
+++ b/pomelolug/state/_intake.py
@@ -1,8 +1,9 @@
 """Applies records, counts the refused ones and compares checkpoints."""
 
 import collections
+import datetime
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import structlog
@@ -24,6 +25,7 @@
     "Log records that were not applied, by stream family and reason.",
     ["stream", "reason"],
 )
+_FOLDS_AGREE = "folds_agree"
 # Void and duplicate records are the normal outcome of a race.
 _EXPECTED = frozenset({RefusalReason.VOID, RefusalReason.DUPLICATE})
 
@@ -41,20 +43,40 @@
         Accepted keys.
     digests : bool
         Whether digests are kept for comparison with checkpoints.
+    violated : callable, optional
+        Called with the name of an invariant that was found violated.
     """
 
     def __init__(
-        self, *, stream: str, fold: Fold, keyring: KeyRing, digests: bool
+        self,
+        *,
+        stream: str,
+        fold: Fold,
+        keyring: KeyRing,
+        digests: bool,
+        violated: Callable[[str], None] | None = None,
     ) -> None:
         self._stream = stream
+        self._fold = fold
         self._prefix = Prefix(stream=stream, fold=fold, keyring=keyring)
         self._digests = digests
+        self._violated = violated
         self._refusals: collections.Counter[RefusalReason] = collections.Counter()
         self._last_raw: tuple[Offset, bytes] | None = None
-        self._last_checkpoint: LogRecord | None = None
         self._checkpoint_covers = Offset(-1)
+        self._checkpoint_stamp: datetime.datetime | None = None
         self._logger = structlog.get_logger(__name__).bind(stream=stream)
 
+    @property
+    def stream(self) -> str:
+        """Name of the stream."""
+        return self._stream
+
+    @property
+    def fold(self) -> Fold:
+        """The fold that the records are applied to."""
+        return self._fold
+
     @property
     def offset(self) -> Offset:
         """Last applied offset, -1 before."""
@@ -65,16 +87,16 @@
         """Records that were not applied, by reason."""
         return self._refusals
 
-    @property
-    def last_checkpoint(self) -> LogRecord | None:
-        """Latest accepted checkpoint record of the stream."""
-        return self._last_checkpoint
-
     @property
     def checkpoint_covers(self) -> Offset:
         """Offset that the latest checkpoint covers, -1 without one."""
         return self._checkpoint_covers
 
+    @property
+    def checkpoint_stamp(self) -> datetime.datetime | None:
+        """Log time of the latest checkpoint, else of the first record read."""
+        return self._checkpoint_stamp
+
     def skip_to(self, offset: Offset) -> None:
         """Leave out all records before `offset`."""
         self._prefix.skip_to(offset)
@@ -98,18 +120,23 @@
 
     def apply(self, record: LogRecord, log_id: str, end: Offset) -> None:
         """Apply the next record; `end` is the end of the stream as known."""
+        if self._checkpoint_stamp is None:
+            self._checkpoint_stamp = record.stamp
         self._last_raw = record.offset, hashlib.sha256(record.data).digest()
         try:
             decoded = self._prefix.apply(record)
             if decoded.kind is RecordKind.CHECKPOINT:
-                self._compare(record, decoded, log_id)
+                self._compare(decoded, log_id)
         except RecordRefusedError as error:
             self.count(error.reason, record.offset, str(error))
+        if RefusalReason.LATER_VERSION in self._refusals:
+            # This node's state lacks a record, so its digests prove nothing.
+            self._prefix.forget_digests()
         # Digests further back than the history are dropped before their use.
-        if self._digests and record.offset + 2 * DIGEST_HISTORY >= end:
+        elif self._digests and record.offset + 2 * DIGEST_HISTORY >= end:
             self._prefix.note_digest()
 
-    def _compare(self, raw: LogRecord, record: Record, log_id: str) -> None:
+    def _compare(self, record: Record, log_id: str) -> None:
         checkpoint = decode_checkpoint(record, stream=self._stream, log_id=log_id)
         covered = Offset(checkpoint.covered)
         if covered >= record.offset:
@@ -120,17 +147,20 @@
         if known is not None and known != checkpoint.digest:
             self._logger.error(
                 "invariant_violated",
-                invariant="checkpoint_digest",
+                invariant=_FOLDS_AGREE,
                 offset=record.offset,
                 covered=covered,
                 author=record.author,
             )
+            if self._violated is not None:
+                self._violated(_FOLDS_AGREE)
             raise RecordRefusedError(
                 RefusalReason.CHECKPOINT_MISMATCH,
                 f"{record.author} folded another state at {covered}",
             )
-        self._last_checkpoint = raw
-        self._checkpoint_covers = covered
+        if covered > self._checkpoint_covers:
+            self._checkpoint_covers = covered
+            self._checkpoint_stamp = record.stamp
 
     def contradicts(self, record: LogRecord) -> bool:
         """Return whether another record was applied at the same offset."""
