--- /dev/null
+++ b/pomelolug/groups/tests/fleets.py
@@ -0,0 +1,17 @@
+"""Fleets that the tests of this package share."""
+
+import asyncio
+
+
+def fill(world, count, *, domain="d1", **options):
+    for number in range(count):
+        world.fleet.add(f"{domain}-{number:02}", domain=domain, **options)
+
+
+async def settled(world, count, *, nodes=("a",), **options):
+    fill(world, count, **options)
+    for name in nodes:
+        world.add_node(name)
+    await world.start()
+    await asyncio.sleep(30 * (count // 4))
+    return world.nodes[0]
--- a/pomelolug/groups/tests/test_controller.py
+++ b/pomelolug/groups/tests/test_group_controller.py
@@ -7,15 +7,11 @@
 import pytest
 
 from pomelolug.engines import AssignOrder, FencingKind
+from pomelolug.groups.tests.fleets import fill, settled
 
 pytestmark = pytest.mark.looptime
 
 
-def fill(world, count, *, domain="d1", **options):
-    for number in range(count):
-        world.fleet.add(f"{domain}-{number:02}", domain=domain, **options)
-
-
 async def test_two_groups_form_one_after_the_other(world):
     fill(world, 9)
     world.add_node("a")
@@ -46,15 +42,6 @@
     await world.stop()
 
 
-async def settled(world, count, *, nodes=("a",), **options):
-    fill(world, count, **options)
-    for name in nodes:
-        world.add_node(name)
-    await world.start()
-    await asyncio.sleep(30 * (count // 4))
-    return world.nodes[0]
-
-
 async def test_short_pause_reopens_at_the_same_token(world):
     node = await settled(world, 5)
     (group,) = node.fold.groups.values()
--- a/pomelolug/groups/tests/test_planned.py
+++ b/pomelolug/groups/tests/test_group_plans.py
@@ -6,7 +6,7 @@
 
 from pomelolug.configuration import Pool
 from pomelolug.engines import EngineRequest, EngineUnavailableError, StreamEnd
-from pomelolug.groups.tests.test_controller import settled
+from pomelolug.groups.tests.fleets import settled
 from pomelolug.messages import Drain
 from pomelolug.state import RecordKind
 
