Order loads fleet-wide and measure the formation policies

Cause: controllers that waited for the weight store all started a load when it became free, and then shared its rate; a dark domain's groups were dissolved although its members return with their weights. Change: a controller ranks the ready groups of other controllers with its own and gives each a turn of 3 s; a group whose members are still listed waits for them; an experiment on virtual time with a seeded fault script.

--- /dev/null
+++ b/pomelolug/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, measurements and replays."""
--- /dev/null
+++ b/pomelolug/experiments/formation.py
@@ -0,0 +1,174 @@
+"""Group downtime and stranded accelerators of the formation policies.
+
+``python -m pomelolug.experiments.formation`` runs every policy on every shape
+and seed, on virtual time, and prints one line for each shape and policy: the
+mean over the seeds and, in brackets, the least and the greatest value. Downtime
+is in group-seconds, stranded time in thousands of accelerator-seconds; the
+floor is the stranded time that no policy can avoid. Closed and back are the
+median and the greatest time from a member's death until its group is no longer
+published as serving, and until its domain has as many serving groups again.
+"""
+
+import concurrent.futures
+import dataclasses
+import datetime
+import logging
+import statistics
+from collections.abc import Callable, Mapping, Sequence
+
+import fire
+import looptime
+import structlog
+
+from pomelolug.experiments._formation_run import (
+    FormationResult,
+    Shape,
+    run_formation,
+)
+from pomelolug.groups import (
+    BestFitWithSpare,
+    DissolveProposal,
+    FirstFit,
+    FormationPolicy,
+    FormationSnapshot,
+    GroupLimits,
+    RepairInPlace,
+)
+
+__all__ = ["POLICIES", "SHAPES", "ReformAll", "main"]
+
+SHAPES = (
+    Shape("65 VMs in 6 domains, groups of 4", (11, 11, 11, 11, 11, 10), 4),
+    Shape("65 VMs in 4 domains, groups of 8", (16, 16, 17, 16), 8),
+)
+
+
+class ReformAll(FormationPolicy):
+    """Baseline: a loss ends all groups, which are then formed again first fit."""
+
+    def propose(self, snapshot: FormationSnapshot) -> list:
+        """Return dissolutions of every group if one is broken."""
+        if not snapshot.broken:
+            return FirstFit().propose(snapshot)
+        return [
+            DissolveProposal(group=group, reason="re-formation")
+            for group in snapshot.groups
+        ]
+
+
+POLICIES: Mapping[str, Callable[[], FormationPolicy]] = {
+    "ReformAll": ReformAll,
+    "FirstFit": FirstFit,
+    "BestFitWithSpare(0)": lambda: BestFitWithSpare(spares=0),
+    "BestFitWithSpare(1)": BestFitWithSpare,
+    "RepairInPlace": RepairInPlace,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Case:
+    shape: Shape
+    policy: str
+    seed: int
+    duration: float
+    limits: GroupLimits
+
+
+def _run(case: _Case) -> FormationResult:
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    loop = looptime.new_event_loop(start=0)
+    try:
+        return loop.run_until_complete(
+            run_formation(
+                case.shape,
+                POLICIES[case.policy](),
+                seed=case.seed,
+                duration=case.duration,
+                limits=case.limits,
+            )
+        )
+    finally:
+        loop.close()
+
+
+def _spread(values: Sequence[float], scale: float = 1.0) -> str:
+    scaled = [value / scale for value in values]
+    mean = statistics.fmean(scaled)
+    return f"{mean:8.1f} [{min(scaled):.1f}, {max(scaled):.1f}]"
+
+
+def _times(values: Sequence[float]) -> str:
+    if not values:
+        return "none"
+    return f"{statistics.median(values):.1f} / {max(values):.1f}"
+
+
+def _line(policy: str, results: Sequence[FormationResult]) -> str:
+    closed = [time for result in results for time in result.closed]
+    back = [time for result in results for time in result.back]
+    return " | ".join(
+        [
+            f"{policy:20}",
+            _spread([r.downtime for r in results]),
+            _spread([r.stranded for r in results], 1000),
+            f"{statistics.fmean(r.floor for r in results) / 1000:.1f}",
+            _times(closed),
+            _times(back),
+            f"{sum(r.not_back for r in results)}",
+            f"{max(r.stale for r in results):.1f}",
+            f"{sum(r.shared_vms for r in results)}",
+            f"{sum(r.violations for r in results)}",
+            f"{statistics.fmean(r.records for r in results):.0f}",
+        ]
+    )
+
+
+def main(
+    *,
+    seeds: int = 5,
+    duration: float = 3600.0,
+    workers: int = 4,
+    load_slots: int = 1,
+    dead_after: float = 5.0,
+    policies: str = "",
+) -> None:
+    """Run all cases and print the table.
+
+    Parameters
+    ----------
+    seeds : int
+        Fault scripts, with the seeds 1 to `seeds`.
+    duration : float
+        Virtual seconds with faults.
+    workers : int
+        Runs at the same time.
+    load_slots : int
+        Groups that load at once.
+    dead_after : float
+        Silence in seconds after which a member is replaced.
+    policies : str
+        Names separated by spaces; all if empty.
+    """
+    limits = GroupLimits(
+        load_slots=load_slots, dead_after=datetime.timedelta(seconds=dead_after)
+    )
+    names = policies.split() or list(POLICIES)
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+        for shape in SHAPES:
+            print(f"{shape.name}; {duration:.0f} s, seeds 1 to {seeds}")
+            print(
+                "policy | downtime | stranded/1000 | floor/1000 | closed | back | "
+                "not back | stale | shared VMs | violations | records"
+            )
+            for name in names:
+                cases = [
+                    _Case(shape, name, seed, duration, limits)
+                    for seed in range(1, seeds + 1)
+                ]
+                print(_line(name, list(pool.map(_run, cases))), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/pomelolug/groups/_controller.py
+++ b/pomelolug/groups/_controller.py
@@ -24,17 +24,15 @@
     DissolveProposal,
     FormationPolicy,
     FormationSnapshot,
-    FormProposal,
     Proposal,
     RepairInPlace,
 )
+from pomelolug.groups._records import formation_record
 from pomelolug.groups._rollout import draining_groups
 from pomelolug.groups._stragglers import StragglerDetector
 from pomelolug.ids import DomainId, FencingToken, GroupId, Offset, VmId
 from pomelolug.messages import (
     Dissolution,
-    Formation,
-    GroupMember,
     GroupStatus,
     Message,
 )
@@ -193,7 +191,7 @@
         await self._loads.refresh()
         if not self._is_exclusive():
             return
-        self._establisher.observe(self._my_groups())
+        self._establisher.observe([*self._my_groups(), *self._rivals()])
         if self._orders.has_lease:
             await self._propose()
         await self._establish()
@@ -220,6 +218,15 @@
             return GroupPhase.FORMING.value
         return status.phase
 
+    def _rivals(self) -> list[Group]:
+        """Return groups of other controllers that may want to load."""
+        return [
+            group
+            for group in self._fold.groups.values()
+            if not self._is_mine(group.domain)
+            and self._phase(group) == GroupPhase.FORMING.value
+        ]
+
     def _vms_to_read(self) -> list[VmId]:
         """Return VMs that no watcher reports as verified members."""
         serving = {
@@ -228,7 +235,12 @@
             if self._phase(group) == GroupPhase.SERVING.value
             for vm in group.vms
         }
-        return [vm for vm in self._my_vms() if vm not in serving]
+        vms = [vm for vm in self._my_vms() if vm not in serving]
+        phases = {self._phase(group) for group in self._my_groups()}
+        if GroupPhase.FORMING.value in phases:
+            # The queue of the weight store is that of the whole fleet.
+            vms += [vm for group in self._rivals() for vm in group.vms]
+        return vms
 
     def _update_draining(self) -> None:
         leaving = {
@@ -309,7 +321,7 @@
             last = await self._append_proposal(proposal, base)
         if last >= 0:
             await self._wait_for_fold(last)
-            self._establisher.observe(self._my_groups())
+            self._establisher.observe([*self._my_groups(), *self._rivals()])
 
     async def _append_proposal(self, proposal: Proposal, base: Offset) -> Offset:
         if isinstance(proposal, DissolveProposal):
@@ -318,7 +330,9 @@
                 RecordKind.DISSOLUTION,
                 Dissolution(group=group.id, token=group.token, reason=proposal.reason),
             )
-        return await self._append(RecordKind.FORMATION, _formation(proposal, base))
+        return await self._append(
+            RecordKind.FORMATION, formation_record(proposal, base)
+        )
 
     async def _wait_for_fold(self, offset: Offset) -> None:
         """Wait until the fold has decided; without that no order is sent."""
@@ -331,15 +345,18 @@
 
     async def _establish(self) -> None:
         groups = [g for g in self._my_groups() if self._needs_orders(g)]
+        rivals = [g for g in self._rivals() if self._needs_orders(g)]
         accelerators = {pool.name: pool.accelerators for pool in self._pools()}
         waiting = [g for g in groups if self._establisher.waits(g)]
         granted = self._loads.granted(
             [g for g in groups if g not in waiting],
             inventory=self._inventory,
             accelerators={
-                g.id: accelerators.get(g.pool, 1) * len(g.members) for g in groups
+                g.id: accelerators.get(g.pool, 1) * len(g.members)
+                for g in [*groups, *rivals]
             },
             statuses=self._statuses(),
+            rivals=[g for g in rivals if not self._establisher.waits(g)],
         )
         ready = [g for g in groups if g.id in granted]
         await asyncio.gather(*(self._establisher.advance(g) for g in ready + waiting))
@@ -364,22 +381,3 @@
                     self._orders.release_free(status, self._inventory.entries)
                 )
         await asyncio.gather(*orders)
-
-
-def _formation(proposal: FormProposal, base: Offset) -> Formation:
-    pool = proposal.pool
-    return Formation(
-        group=proposal.group,
-        pool=pool.name,
-        model=pool.model,
-        version=pool.version,
-        members=tuple(
-            GroupMember(vm=m.vm, incarnation=m.incarnation) for m in proposal.members
-        ),
-        zone=proposal.zone,
-        domain=proposal.domain,
-        base=base,
-        replaces=proposal.replaces,
-        adapters=pool.adapters,
-        role=pool.role,
-    )
--- a/pomelolug/groups/_inventory.py
+++ b/pomelolug/groups/_inventory.py
@@ -179,4 +179,5 @@
             incarnation=Incarnation(status.incarnation if status else -1),
             usable=usable,
             held=frozenset(status.held) if status else frozenset(),
+            listed=vm in self._list.entries,
         )
--- a/pomelolug/groups/_loads.py
+++ b/pomelolug/groups/_loads.py
@@ -19,6 +19,8 @@
 # reserve, has stalled and no longer keeps others from loading.
 _PATIENCE = 2.0
 _RESERVE_S = 15.0
+# Two steps of the other controller and the delay of its group's status.
+_TURN_S = 3.0
 
 
 class LoadQueue:
@@ -52,6 +54,7 @@
         self._until: dict[FencingToken, float] = {}
         self._tries: dict[FencingToken, int] = {}
         self._elsewhere: dict[int, float] = {}
+        self._turns: dict[FencingToken, float] = {}
 
     async def refresh(self) -> None:
         """Read the rate and the sizes again when they are due.
@@ -93,8 +96,9 @@
         inventory: Inventory,
         accelerators: Mapping[GroupId, int],
         statuses: Mapping[GroupId, GroupStatus],
+        rivals: Iterable[Group] = (),
     ) -> frozenset[GroupId]:
-        """Return the groups that may load now.
+        """Return the groups of `waiting` that may load now.
 
         Parameters
         ----------
@@ -108,6 +112,10 @@
             Accelerators that the group returns.
         statuses : mapping of GroupId to GroupStatus
             Observed groups of the whole fleet.
+        rivals : iterable of Group
+            Groups of other controllers that are ready to load as well. Each
+            may be ahead of the own ones for a few seconds only, because its
+            controller may have ended.
         """
         now = self._clock.monotonic()
         left = {group: self.bytes_left(group, inventory) for group in waiting}
@@ -117,15 +125,35 @@
         running = [g for g in left if self._until.get(g.token, -1.0) > now]
         busy = [g for g in running if left[g]]
         room = self._slots - len(busy) - self._loading_elsewhere(statuses, tokens)
-        queue = [g for g in left if 0 < left[g] < float("inf") and g not in running]
-        queue.sort(key=lambda g: self._rank(g, left[g], accelerators.get(g.id, 1)))
-        started = queue[: max(room, 0)]
+        ahead = {g: self.bytes_left(g, inventory) for g in rivals}
+        size = {**ahead, **left}
+        queue = [g for g in size if 0 < size[g] < float("inf") and g not in running]
+        queue.sort(key=lambda g: self._rank(g, size[g], accelerators.get(g.id, 1)))
+        queue = self._without_absent(queue, set(ahead), max(room, 0))
+        started = [g for g in queue[: max(room, 0)] if g in left]
         for group in started:
             self._until[group.token] = now + self._patience(left[group])
             self._tries[group.token] = self._tries.get(group.token, 0) + 1
         held = [g for g in left if left[g] == 0]
         return frozenset(group.id for group in [*held, *running, *started])
 
+    def _without_absent(
+        self, queue: list[Group], rivals: set[Group], room: int
+    ) -> list[Group]:
+        """Return the queue without rivals that did not take their turn."""
+        now = self._clock.monotonic()
+        turns: dict[FencingToken, float] = {}
+        kept: list[Group] = []
+        for group in queue:
+            if group in rivals and len(kept) < room:
+                since = self._turns.get(group.token, now)
+                turns[group.token] = since
+                if now - since >= _TURN_S:
+                    continue
+            kept.append(group)
+        self._turns = turns
+        return kept
+
     def _rank(
         self, group: Group, left: float, accelerators: int
     ) -> tuple[int, float, FencingToken]:
--- a/pomelolug/groups/_policy.py
+++ b/pomelolug/groups/_policy.py
@@ -27,7 +27,8 @@
 
     `usable` is whether the VM may join a group now: it answers, is neither
     leaving nor under drain, and the VM list does not contradict itself on it.
-    `held` names the models whose weights it has.
+    `held` names the models whose weights it has. `listed` is whether the
+    platform's list still has it.
     """
 
     vm: VmId
@@ -36,6 +37,7 @@
     incarnation: Incarnation
     usable: bool
     held: frozenset[str] = frozenset()
+    listed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -227,11 +229,15 @@
 
 
 def _can_wait(snapshot: FormationSnapshot, group: Group) -> bool:
-    """Return whether a later repair could still complete the group."""
+    """Return whether a later repair, or its members' return, may complete it.
+
+    The members of a dark domain all return with their weights and their token.
+    """
     declared = any(pool.name == group.pool for pool in snapshot.pools)
     if not declared or group.id in snapshot.retired:
         return False
-    return bool(snapshot.survivors(group))
+    listed = {view.vm for view in snapshot.vms if view.listed}
+    return any(vm in listed for vm in group.vms)
 
 
 def _dissolve(group: Group) -> DissolveProposal:
