Divide slots of each group among gateways and simulate overload

Cause: with a share of the pool's slots only, groups filled unevenly on stale reports; urgent requests waited in engines while other groups had free slots. A gateway without queued work also reported no held slots, because an empty queue is falsy. Simulation of gateways, groups and callers on virtual time.

--- a/pomelolug/admission/__init__.py
+++ b/pomelolug/admission/__init__.py
@@ -3,12 +3,13 @@
 from pomelolug.admission._estimate import WaitEstimator
 from pomelolug.admission._queue import AdmissionQueue, Permit, Ticket
 from pomelolug.admission._request import AdmissionRequest
-from pomelolug.admission._share import CapacityShare
+from pomelolug.admission._share import CapacityShare, DemandMeter
 
 __all__ = [
     "AdmissionQueue",
     "AdmissionRequest",
     "CapacityShare",
+    "DemandMeter",
     "Permit",
     "Ticket",
     "WaitEstimator",
--- a/pomelolug/admission/_queue.py
+++ b/pomelolug/admission/_queue.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import math
 import random
 from collections.abc import Callable
 
@@ -18,8 +17,11 @@
 # A waiter is refused early only if its forecast exceeds the time left by half,
 # since the forecast of a single moment is noisy.
 _FORECAST_TOLERANCE = 1.5
+# The rest of the target is for dispatch and for the prompt's prefill.
+_QUEUE_PART_OF_TARGET = 0.6
 _SHORTEST_RETRY_S = 1.0
-_LONGEST_RETRY_S = 30.0
+# A longer pause would carry the load of an overload into the time after it.
+_LONGEST_RETRY_S = 2.0
 _TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
 
@@ -125,12 +127,12 @@
     def waiting(self, pool: str) -> int:
         """Return how many requests wait for `pool`."""
         queue = self._pools.get(pool)
-        return len(queue) if queue else 0
+        return 0 if queue is None else len(queue)
 
     def held(self, pool: str) -> int:
         """Return how many permits for `pool` are not released."""
         queue = self._pools.get(pool)
-        return queue.estimator.held if queue else 0
+        return 0 if queue is None else queue.estimator.held
 
     async def admit(self, request: AdmissionRequest) -> Permit:
         """Wait for a slot.
@@ -294,7 +296,7 @@
         longest_s = request.deadline_s - service_s
         if self._hold_to_target:
             target_s = request.work_class.ttft_target.total_seconds()
-            longest_s = min(longest_s, target_s)
+            longest_s = min(longest_s, target_s * _QUEUE_PART_OF_TARGET)
         if request.deadline_s <= 0:
             raise self._refusal(ErrorCode.DEADLINE_EXCEEDED, 0.0)
         wait_s = pool.wait(request, now)
@@ -353,7 +355,7 @@
             code,
             _MESSAGES[code],
             status=_TOO_MANY_REQUESTS if limited else _UNAVAILABLE,
-            retry_after=datetime.timedelta(seconds=math.ceil(retry_s)),
+            retry_after=datetime.timedelta(seconds=retry_s),
         )
 
 
--- a/pomelolug/admission/_share.py
+++ b/pomelolug/admission/_share.py
@@ -1,21 +1,76 @@
 """Shares of the groups' slots among gateways, without a shared counter."""
 
+import itertools
+import math
 from collections.abc import Iterable
 
 from pomelolug.ids import NodeId
 from pomelolug.messages import DemandReport
 
-__all__ = ["CapacityShare"]
+__all__ = ["CapacityShare", "DemandMeter"]
 
-_SMOOTHING = 0.3
+_LARGEST_FALL = 0.02
+_LARGEST_RISE = 0.05
+_SMALLEST_RISE = 1.0
+
+
+class DemandMeter:
+    """Turns a gateway's demand into reports that change slowly.
+
+    A share that shrinks faster than requests end leaves more requests on the
+    groups than slots, because the gateways that gain use their slots at once.
+    The reported demand therefore falls by at most 2% and rises by at most 5% (or
+    one slot) in a report. A gateway that needs slots sooner borrows free ones.
+
+    Parameters
+    ----------
+    gateway : NodeId
+        Node of the gateway.
+    """
+
+    def __init__(self, gateway: NodeId) -> None:
+        self._gateway = gateway
+        self._demand: float | None = None
+
+    def report(self, *, admitted: int, queued: int, in_flight: int) -> DemandReport:
+        """Return the report for the last second.
+
+        Parameters
+        ----------
+        admitted : int
+            Requests admitted since the last report.
+        queued : int
+            Requests waiting now.
+        in_flight : int
+            Requests in flight now.
+
+        Returns
+        -------
+        DemandReport
+            Its `queued` and `in_flight` add up to the smoothed demand.
+        """
+        wanted = float(queued + in_flight)
+        if self._demand is None:
+            self._demand = wanted
+        lowest = self._demand * (1.0 - _LARGEST_FALL)
+        highest = self._demand + max(self._demand * _LARGEST_RISE, _SMALLEST_RISE)
+        self._demand = min(max(wanted, lowest), highest)
+        demand = math.ceil(self._demand)
+        shown = min(queued, demand)
+        return DemandReport(
+            gateway=self._gateway,
+            admitted=admitted,
+            queued=shown,
+            in_flight=demand - shown,
+        )
 
 
 class CapacityShare:
     """Each gateway's share of the slots, from the demand that gateways report.
 
     A part `floor` of all slots is divided equally, the rest in proportion to
-    smoothed demand. Every process that has the same reports computes the same
-    shares; they always add up to one.
+    the demand. The shares are a function of the latest reports alone, so every
+    process that has the same reports computes the same ones; they add up to one.
 
     Parameters
     ----------
@@ -27,50 +82,47 @@
     --------
     >>> shares = CapacityShare(floor=0.2)
     >>> shares.update([
-    ...     DemandReport(gateway="a", admitted=30, queued=0, in_flight=0),
-    ...     DemandReport(gateway="b", admitted=10, queued=0, in_flight=0),
+    ...     DemandReport(gateway="a", admitted=9, queued=0, in_flight=30),
+    ...     DemandReport(gateway="b", admitted=3, queued=0, in_flight=10),
     ... ])
-    >>> round(shares.share("a"), 3), round(shares.share("b"), 3)
-    (0.7, 0.3)
+    >>> round(shares.share("a"), 3), round(shares.begin("b"), 3)
+    (0.7, 0.7)
     """
 
     def __init__(self, *, floor: float = 0.2) -> None:
         if not 0.0 <= floor <= 1.0:
             raise ValueError(f"floor must be from 0 to 1, not {floor}")
         self._floor = floor
-        self._demand: dict[NodeId, float] = {}
+        self._shares: dict[NodeId, float] = {}
+        self._begins: dict[NodeId, float] = {}
 
     def update(self, reports: Iterable[DemandReport]) -> None:
         """Take the latest report of every live gateway.
 
         A gateway without a report in `reports` no longer has a share.
         """
-        demand: dict[NodeId, float] = {}
-        for report in reports:
-            gateway = NodeId(report.gateway)
-            wanted = float(max(report.queued, 0) + max(report.in_flight, 0))
-            wanted = max(wanted, float(report.admitted))
-            old = self._demand.get(gateway, wanted)
-            demand[gateway] = old + _SMOOTHING * (wanted - old)
-        self._demand = demand
+        demand = {
+            NodeId(report.gateway): max(report.queued, 0) + max(report.in_flight, 0)
+            for report in sorted(reports, key=lambda report: report.gateway)
+        }
+        total = sum(demand.values())
+        equal = 1.0 / max(len(demand), 1)
+        self._shares = {
+            gateway: self._floor * equal
+            + (1.0 - self._floor) * (wanted / total if total else equal)
+            for gateway, wanted in demand.items()
+        }
+        ends = itertools.accumulate(self._shares.values(), initial=0.0)
+        self._begins = dict(zip(self._shares, ends, strict=False))
 
     def share(self, gateway: NodeId) -> float:
         """Return the share of `gateway`, 0 to 1; 0 if it has not reported."""
-        if gateway not in self._demand:
-            return 0.0
-        equal = 1.0 / len(self._demand)
-        total = sum(self._demand.values())
-        part = self._demand[gateway] / total if total > 0 else equal
-        return self._floor * equal + (1.0 - self._floor) * part
-
-    def slots(self, gateway: NodeId, capacity: int) -> int:
-        """Return the slots of `gateway` out of `capacity`.
-
-        The whole numbers of all gateways add up to `capacity` exactly: each
-        takes the span of its share on a common line of all gateways by name.
+        return self._shares.get(gateway, 0.0)
+
+    def begin(self, gateway: NodeId) -> float:
+        """Return where the span of `gateway` starts on the line of all gateways.
+
+        The spans of all gateways, in the order of their names, tile the line
+        from 0 to 1.
         """
-        if gateway not in self._demand:
-            return 0
-        before = sum(self.share(other) for other in self._demand if other < gateway)
-        end = before + self.share(gateway)
-        return round(end * capacity) - round(before * capacity)
+        return self._begins.get(gateway, 0.0)
--- /dev/null
+++ b/pomelolug/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, bench, soak, replay and measurements of single parts."""
--- /dev/null
+++ b/pomelolug/experiments/_fleet.py
@@ -0,0 +1,279 @@
+"""Groups, gateways, reports and callers of one simulated run."""
+
+import dataclasses
+import datetime
+import math
+import random
+from collections.abc import Callable
+
+from pomelolug.admission import CapacityShare, DemandMeter
+from pomelolug.configuration import WorkClass
+from pomelolug.experiments._gateways import (
+    POOL,
+    Call,
+    DirectGateway,
+    FifoGateway,
+    PolicyGateway,
+    SimulatedGateway,
+    least_loaded,
+    round_robin,
+)
+from pomelolug.experiments._simulation import SimulatedGroup, Simulation
+from pomelolug.ids import AccountId, NodeId
+from pomelolug.messages import RoutingTable
+
+__all__ = ["CLASSES", "SYSTEMS", "Fleet", "FleetSize", "Outcome", "Workload"]
+
+SYSTEMS = ("policy", "fifo", "round_robin", "least_loaded")
+_REPORT_PERIOD_S = 1.0
+_PREFILL_S = 0.3
+_SERVICE_SIGMA = 0.5
+_CALLS_BY_CALLER = 3
+
+
+def _work_class(
+    name: str, priority: int, ttft_s: float, deadline_s: float
+) -> WorkClass:
+    return WorkClass(
+        name=name,
+        priority=priority,
+        ttft_target=datetime.timedelta(seconds=ttft_s),
+        gap_target=datetime.timedelta(milliseconds=44),
+        deadline=datetime.timedelta(seconds=deadline_s),
+        pool=POOL,
+        queue_limit=1000,
+    )
+
+
+CLASSES = (
+    _work_class("urgent", 10, 0.99, 60.0),
+    _work_class("normal", 5, 5.0, 90.0),
+    _work_class("bulk", 1, 20.0, 120.0),
+)
+_CLASS_PARTS = (0.2, 0.4, 0.4)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetSize:
+    """Size of a simulated deployment; `service_s` is the mean time in a slot."""
+
+    gateways: int = 9
+    groups: int = 10
+    slots: int = 100
+    service_s: float = 18.0
+
+    @property
+    def capacity(self) -> float:
+        """Requests a second that the groups can complete."""
+        return self.groups * self.slots / self.service_s
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Workload:
+    """Offered load over time.
+
+    Parameters
+    ----------
+    load : callable
+        Offered requests over capacity at a time in seconds.
+    accounts : tuple of float
+        Relative demand of each account.
+    failure : callable
+        Part of the runs that a group loses, at a time in seconds.
+    """
+
+    load: Callable[[float], float]
+    accounts: tuple[float, ...] = (4.0, 3.0, 2.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0)
+    failure: Callable[[float], float] = lambda at_s: 0.01
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """End of one call; `reason` is empty if it was answered in time.
+
+    Times are in seconds; `ttft_s` is nan unless the request started.
+    """
+
+    work_class: str
+    account: int
+    arrived_at: float
+    ended_at: float
+    ttft_s: float
+    attempts: int
+    reason: str
+
+
+class Fleet:
+    """One run.
+
+    Parameters
+    ----------
+    size : FleetSize
+        Groups and gateways.
+    workload : Workload
+        What the callers ask for.
+    system : str
+        One of `SYSTEMS`.
+    seed : int
+        Seed of every random source.
+    """
+
+    def __init__(
+        self, *, size: FleetSize, workload: Workload, system: str, seed: int
+    ) -> None:
+        self.simulation = Simulation()
+        self.outcomes: list[Outcome] = []
+        self._size = size
+        self._workload = workload
+        self._random = random.Random(seed)
+        self._groups = [
+            SimulatedGroup(
+                self.simulation, name=f"g{i:02}", zone=f"z{i % 3}", capacity=size.slots
+            )
+            for i in range(size.groups)
+        ]
+        self._gateways = [self._gateway(system, i) for i in range(size.gateways)]
+        self._shares = CapacityShare()
+        self._meters = [DemandMeter(NodeId(f"{i:04}")) for i in range(size.gateways)]
+        self._numbers = 0
+
+    @property
+    def dispatches(self) -> int:
+        """Runs sent to groups."""
+        return sum(gateway.dispatches for gateway in self._gateways)
+
+    def run(self, until_s: float) -> None:
+        """Run to the virtual time `until_s`."""
+        self.simulation.every(_REPORT_PERIOD_S, self._report)
+        self._arrive()
+        self.simulation.run(until_s)
+
+    def _gateway(self, system: str, index: int) -> SimulatedGateway:
+        source = random.Random(self._random.random())
+        groups = self._groups
+        if system == "policy":
+            return PolicyGateway(
+                self.simulation, groups, zone=f"z{index % 3}", random_state=source
+            )
+        if system == "fifo":
+            slots = self._size.groups * self._size.slots // self._size.gateways
+            return FifoGateway(
+                self.simulation, groups, slots=slots, random_state=source
+            )
+        rule = {"round_robin": round_robin, "least_loaded": least_loaded}[system]
+        return DirectGateway(self.simulation, groups, choose=rule(groups, source))
+
+    def _report(self) -> None:
+        """Measure all loads now and deliver them half a second later."""
+        age_s = _REPORT_PERIOD_S / 2
+        table = RoutingTable(
+            config_version=1,
+            config=b"",
+            groups=tuple(
+                group.status(pool=POOL, load=group.load, age_s=age_s)
+                for group in self._groups
+            ),
+            nodes_alive=len(self._gateways),
+        )
+        demand = [
+            meter.report(
+                admitted=0,
+                queued=gateway.queued(),
+                in_flight=gateway.admission.held(POOL),
+            )
+            for meter, gateway in zip(self._meters, self._gateways, strict=True)
+            if isinstance(gateway, PolicyGateway)
+        ]
+
+        def deliver() -> None:
+            self._shares.update(demand)
+            for index, gateway in enumerate(self._gateways):
+                if isinstance(gateway, PolicyGateway):
+                    node = NodeId(f"{index:04}")
+                    gateway.view.set_share(
+                        self._shares.share(node), begin=self._shares.begin(node)
+                    )
+                gateway.on_table(table)
+
+        self.simulation.call_later(age_s, deliver)
+
+    def _arrive(self) -> None:
+        now = self.simulation.monotonic()
+        if now > 0:
+            self._new_request()
+        rate = self._workload.load(now) * self._size.capacity
+        self.simulation.call_later(self._random.expovariate(rate), self._arrive)
+
+    def _new_request(self) -> None:
+        work_class = self._random.choices(CLASSES, _CLASS_PARTS)[0]
+        weights = self._workload.accounts
+        account = self._random.choices(range(len(weights)), weights)[0]
+        mean = math.log(self._size.service_s) - _SERVICE_SIGMA**2 / 2
+        service_s = self._random.lognormvariate(mean, _SERVICE_SIGMA)
+        # An answer that no run could complete in time is not asked for.
+        service_s = min(service_s, work_class.deadline.total_seconds() * 0.9)
+        self._call(work_class, account, service_s, calls_left=_CALLS_BY_CALLER)
+
+    def _call(
+        self, work_class: WorkClass, account: int, service_s: float, *, calls_left: int
+    ) -> None:
+        self._numbers += 1
+        now = self.simulation.monotonic()
+        deadline_s = work_class.deadline.total_seconds()
+        gateway = self._random.choice(self._gateways)
+        failure = self._workload.failure
+
+        def on_done(call: Call, reason: str, retry_s: float) -> None:
+            self._record(call, account, reason)
+            if reason and calls_left > 1:
+                self._retry(work_class, account, service_s, calls_left - 1, retry_s)
+
+        call = Call(
+            number=f"r{self._numbers}",
+            work_class=work_class,
+            account=AccountId(f"account{account}"),
+            service_s=service_s,
+            deadline_s=deadline_s,
+            arrived_at=now,
+            fails=lambda: self._random.random() < failure(self.simulation.monotonic()),
+            on_done=on_done,
+        )
+
+        def on_deadline() -> None:
+            if not call.done:
+                call.finish("caller_gave_up")
+                gateway.on_abandoned(call)
+
+        self.simulation.call_later(deadline_s, on_deadline)
+        gateway.offer(call)
+
+    def _retry(
+        self,
+        work_class: WorkClass,
+        account: int,
+        service_s: float,
+        calls_left: int,
+        retry_s: float,
+    ) -> None:
+        """Call again; half of the callers ignore ``Retry-After``."""
+        pause_s = retry_s if self._random.random() < 0.5 else self._random.uniform(0, 2)
+        self.simulation.call_later(
+            pause_s,
+            lambda: self._call(work_class, account, service_s, calls_left=calls_left),
+        )
+
+    def _record(self, call: Call, account: int, reason: str) -> None:
+        ttft_s = math.nan
+        if call.started_at is not None:
+            ttft_s = call.started_at - call.arrived_at + _PREFILL_S
+        self.outcomes.append(
+            Outcome(
+                work_class=call.work_class.name,
+                account=account,
+                arrived_at=call.arrived_at,
+                ended_at=self.simulation.monotonic(),
+                ttft_s=ttft_s,
+                attempts=call.attempts,
+                reason=reason,
+            )
+        )
--- /dev/null
+++ b/pomelolug/experiments/_simulation.py
@@ -0,0 +1,189 @@
+"""Discrete-event simulation of groups with slots, on virtual time."""
+
+import datetime
+import heapq
+import itertools
+import math
+from collections.abc import Callable, Sequence
+
+from pomelolug.clock import Clock
+from pomelolug.messages import GroupStatus
+
+__all__ = ["SimulatedGroup", "Simulation", "Task", "quantile"]
+
+_EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+class Simulation(Clock):
+    """Event heap that is also the clock of the code under measurement."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def monotonic(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._now
+
+    def now(self) -> datetime.datetime:
+        """Return a fixed start plus the virtual time."""
+        return _EPOCH + datetime.timedelta(seconds=self._now)
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Not available: the simulation runs callbacks only."""
+        raise NotImplementedError
+
+    def call_later(self, delay_s: float, function: Callable[[], None]) -> None:
+        """Run `function` after `delay_s` seconds of virtual time."""
+        entry = (self._now + max(delay_s, 0.0), next(self._numbers), function)
+        heapq.heappush(self._events, entry)
+
+    def every(self, period_s: float, function: Callable[[], None]) -> None:
+        """Run `function` now and then once in each period."""
+
+        def step() -> None:
+            function()
+            self.call_later(period_s, step)
+
+        step()
+
+    def run(self, until_s: float) -> None:
+        """Run all events up to the virtual time `until_s`."""
+        while self._events and self._events[0][0] <= until_s:
+            self._now, _, function = heapq.heappop(self._events)
+            function()
+        self._now = until_s
+
+
+class Task:
+    """One run of a request on a group.
+
+    Parameters
+    ----------
+    service_s : float
+        Time in a slot, in seconds.
+    fails : bool
+        Whether the connection is lost half way.
+    on_start, on_end : callable
+        Called when the task gets a slot, and when it ends with True if complete.
+    priority : int
+        Tasks with a higher priority get a slot first.
+    """
+
+    __slots__ = (
+        "cancelled",
+        "fails",
+        "on_end",
+        "on_start",
+        "priority",
+        "running",
+        "service_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        service_s: float,
+        fails: bool,
+        on_start: Callable[[], None],
+        on_end: Callable[[bool], None],
+        priority: int = 0,
+    ) -> None:
+        self.service_s = service_s
+        self.fails = fails
+        self.on_start = on_start
+        self.on_end = on_end
+        self.priority = priority
+        self.running = False
+        self.cancelled = False
+
+
+class SimulatedGroup:
+    """A group with slots and a priority queue in front of them."""
+
+    def __init__(
+        self, simulation: Simulation, *, name: str, zone: str, capacity: int
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.capacity = capacity
+        self.running = 0
+        self.started = 0
+        self._simulation = simulation
+        self._queue: list[tuple[int, int, Task]] = []
+        self._numbers = itertools.count()
+        self._waiting = 0
+
+    @property
+    def load(self) -> int:
+        """Tasks running and waiting."""
+        return self.running + self._waiting
+
+    def status(self, *, pool: str, load: int, age_s: float) -> GroupStatus:
+        """Return a report whose load was measured `age_s` seconds ago."""
+        return GroupStatus(
+            group=self.name,
+            pool=pool,
+            model="model",
+            zone=self.zone,
+            domain=self.name,
+            token=1,
+            phase="serving",
+            leader="",
+            members=(),
+            verified_age_s=age_s,
+            capacity=self.capacity,
+            load=load,
+            load_age_s=age_s,
+        )
+
+    def submit(self, task: Task) -> None:
+        """Run a task, or queue it."""
+        if self.running < self.capacity:
+            self._start(task)
+        else:
+            entry = (-task.priority, next(self._numbers), task)
+            heapq.heappush(self._queue, entry)
+            self._waiting += 1
+
+    def cancel(self, task: Task) -> None:
+        """End a task without calling back; its slot is free at once."""
+        if task.cancelled:
+            return
+        task.cancelled = True
+        if task.running:
+            self._free()
+        else:
+            self._waiting -= 1
+
+    def _start(self, task: Task) -> None:
+        self.running += 1
+        self.started += 1
+        task.running = True
+        task.on_start()
+        held_s = task.service_s / 2 if task.fails else task.service_s
+        self._simulation.call_later(held_s, lambda: self._end(task))
+
+    def _end(self, task: Task) -> None:
+        if task.cancelled:
+            return
+        task.cancelled = True
+        self._free()
+        task.on_end(not task.fails)
+
+    def _free(self) -> None:
+        self.running -= 1
+        while self._queue and self.running < self.capacity:
+            _, _, task = heapq.heappop(self._queue)
+            if not task.cancelled:
+                self._waiting -= 1
+                self._start(task)
+
+
+def quantile(values: Sequence[float], part: float) -> float:
+    """Return the value below which `part` of `values` lie, nan if empty."""
+    if not values:
+        return math.nan
+    ordered = sorted(values)
+    return ordered[min(math.ceil(part * len(ordered)), len(ordered)) - 1]
--- a/pomelolug/routing/_breaker.py
+++ b/pomelolug/routing/_breaker.py
@@ -76,6 +76,10 @@
         self._retry_at = None
         self._probing = False
 
+    def on_cancel(self) -> None:
+        """Record a request that was cancelled; it proves nothing."""
+        self._probing = False
+
     def on_failure(self, now: float) -> None:
         """Record a request that the group lost at the monotonic time `now`."""
         self._failures += 1
--- a/pomelolug/routing/_group.py
+++ b/pomelolug/routing/_group.py
@@ -3,6 +3,7 @@
 import collections
 import math
 import random
+import zlib
 
 from pomelolug.ids import RequestId
 from pomelolug.messages import GroupStatus
@@ -16,6 +17,7 @@
 _MAX_CHANGES = 4096
 _SERVICE_TIME_WEIGHT = 0.1
 _MAX_LOAD_AGE_S = 60.0
+_RESERVE = 0.05
 
 
 class GroupState:
@@ -41,9 +43,11 @@
         "_measured_at",
         "_refused_at",
         "_service_time_s",
+        "_shift",
         "breaker",
         "capacity",
         "in_flight",
+        "limit",
         "load",
         "serving",
         "solo",
@@ -67,7 +71,9 @@
         self._lease_s = lease_s
         self._service_time_s: float | None = None
         self._refused_at = -math.inf
+        self._shift = zlib.crc32(status.group.encode()) / 2**32
         self.load: int = 0
+        self.limit: int = 0
         self.update(status, arrived_at=arrived_at)
 
     def update(self, status: GroupStatus, *, arrived_at: float) -> None:
@@ -86,6 +92,35 @@
         self._correction = sum(change for _, change in self._changes)
         self._set_load()
 
+    def set_limit(self, *, begin: float, share: float, draw: float) -> None:
+        """Set how many requests this gateway may have on the group.
+
+        The group's slots are points on a line from 0 to 1, shifted by a hash of
+        its name; a gateway owns those from `begin` to `begin + share`. Gateways
+        whose spans tile the line thus own every slot exactly once, and the parts
+        of a slot are rounded differently in each group. Beyond its own slots, a
+        gateway may take its share of those that were free in the last report,
+        less a reserve for their owners.
+
+        Parameters
+        ----------
+        begin, share : float
+            Start and length of this gateway's span, 0 to 1.
+        draw : float
+            Uniform random number from 0 to 1 that rounds the borrowed slots.
+        """
+        first = math.ceil(begin * self.capacity - self._shift)
+        last = math.ceil((begin + share) * self.capacity - self._shift)
+        spare = self.capacity * (1.0 - _RESERVE) - self.load
+        borrowed = math.floor(share * max(spare, 0.0) + draw)
+        self.limit = last - first
+        if borrowed > 0:
+            self.limit = max(self.limit, len(self.in_flight) + borrowed)
+
+    def slots_left(self) -> int:
+        """Return how many more requests this gateway may send; may be negative."""
+        return self.limit - len(self.in_flight)
+
     def is_current(self, now: float) -> bool:
         """Return whether the proof of membership holds at `now`."""
         return self.serving and self._refused_at == -math.inf and now < self._expires_at
@@ -98,10 +133,13 @@
         """Return the mean service time in seconds, or `default_s` if unknown."""
         return default_s if self._service_time_s is None else self._service_time_s
 
-    def wait(self, default_service_s: float) -> float:
+    def wait(self, default_service_s: float, now: float) -> float:
         """Return the expected wait for a slot in seconds."""
         return expected_wait(
-            self.load, self.capacity, self.service_time(default_service_s)
+            self.load,
+            self.capacity,
+            self.service_time(default_service_s),
+            min(max(now - self._measured_at, 0.0), _MAX_LOAD_AGE_S),
         )
 
     def on_dispatch(self, request: RequestId, *, now: float, solo: bool) -> None:
@@ -115,7 +153,12 @@
         self._change(now, 1)
 
     def on_finish(
-        self, request: RequestId, *, now: float, ok: bool, service_time_s: float
+        self,
+        request: RequestId,
+        *,
+        now: float,
+        ok: bool,
+        service_time_s: float | None,
     ) -> None:
         """Count a request that left the group."""
         if request in self.in_flight:
@@ -125,6 +168,9 @@
         if not ok:
             self.breaker.on_failure(now)
             return
+        if service_time_s is None:
+            self.breaker.on_cancel()
+            return
         self.breaker.on_success()
         old = self.service_time(service_time_s)
         self._service_time_s = old + _SERVICE_TIME_WEIGHT * (service_time_s - old)
--- a/pomelolug/routing/_score.py
+++ b/pomelolug/routing/_score.py
@@ -3,6 +3,8 @@
 A score is a time in seconds; the lower one is better.
 """
 
+import math
+
 __all__ = [
     "LOAD_COST",
     "STRAGGLER_COST",
@@ -11,6 +13,9 @@
     "sampling_weight",
 ]
 
+_SQRT_2 = math.sqrt(2.0)
+_SQRT_2_PI = math.sqrt(2.0 * math.pi)
+
 ZONE_COST_S = 0.005
 """Expected wait, in seconds, that must be saved to leave the zone.
 
@@ -25,9 +30,16 @@
 """Part of the service time that a straggler adds; it is set at 1.5 times."""
 
 
-def expected_wait(load: float, capacity: int, service_time_s: float) -> float:
+def expected_wait(
+    load: float, capacity: int, service_time_s: float, age_s: float = 0.0
+) -> float:
     """Return the expected wait for a slot of a group, in seconds.
 
+    Since the load was measured, requests have ended and other gateways have
+    sent some. At a steady load both are Poisson with the rate of slots coming
+    free, so the load now is taken as normal around the measured one with twice
+    this rate times the age as its variance.
+
     Parameters
     ----------
     load : float
@@ -36,15 +48,24 @@
         Requests that run at once.
     service_time_s : float
         Mean time that a request holds a slot, in seconds.
+    age_s : float
+        Age of the load, in seconds.
 
     Examples
     --------
     >>> expected_wait(3, 4, 8.0), expected_wait(5, 4, 8.0)
     (0.0, 4.0)
+    >>> round(expected_wait(3, 4, 8.0, age_s=1.0), 2)
+    0.69
     """
-    if load < capacity:
-        return 0.0
-    return (load - capacity + 1) * service_time_s / max(capacity, 1)
+    over = load - capacity + 1
+    running = min(load, capacity)
+    deviation = math.sqrt(2.0 * running * age_s / max(service_time_s, 1e-6))
+    if deviation > 0.0 and abs(over) < 4.0 * deviation:
+        z = over / deviation
+        density = math.exp(-z * z / 2.0) / _SQRT_2_PI
+        over = deviation * density + over * 0.5 * (1.0 + math.erf(z / _SQRT_2))
+    return max(over, 0.0) * service_time_s / max(capacity, 1)
 
 
 def sampling_weight(load: float, capacity: int, *, straggler: bool) -> float:
--- a/pomelolug/routing/_view.py
+++ b/pomelolug/routing/_view.py
@@ -57,6 +57,8 @@
         self._placed: dict[tuple[GroupId, RequestId], PoolId] = {}
         self._service_time_s: dict[PoolId, float] = {}
         self._share = 1.0
+        # Without a position from the shares, a random one spreads the rounding.
+        self._begin = random_state.random()
         self._has_share = False
 
     @property
@@ -64,9 +66,20 @@
         """Part of every group's slots that this gateway may use, 0 to 1."""
         return self._share
 
-    def set_share(self, share: float) -> None:
-        """Set the part of every group's slots that this gateway may use."""
+    def set_share(self, share: float, *, begin: float) -> None:
+        """Set the part of every group's slots that this gateway owns.
+
+        It takes effect with the next table.
+
+        Parameters
+        ----------
+        share : float
+            Length of the gateway's span on the line of all gateways, 0 to 1.
+        begin : float
+            Start of the span, 0 to 1.
+        """
         self._share = min(max(share, 0.0), 1.0)
+        self._begin = begin
         self._has_share = True
 
     def update(self, table: RoutingTable) -> None:
@@ -86,6 +99,7 @@
             self._pools.setdefault(PoolId(state.status.pool), []).append(state)
         if not self._has_share:
             self._share = 1.0 / max(table.nodes_alive, 1)
+        self._set_limits()
 
     def candidates(self, pool: PoolId) -> tuple[GroupStatus, ...]:
         """Return the groups of `pool` that a request may be sent to now."""
@@ -130,11 +144,12 @@
             if solo and state.solo:
                 continue
             (local if state.status.zone == self._zone else remote).append(state)
+        local, remote = _with_slots(local, remote)
         default_s = self._service_time_s.get(pool, _DEFAULT_SERVICE_TIME_S)
-        chosen = self._draw(local, prefix, default_s)
-        if remote and (chosen is None or chosen.wait(default_s) > ZONE_COST_S):
-            other = self._draw(remote, prefix, default_s)
-            if chosen is None or self._saves_zone_cost(other, chosen, default_s):
+        chosen = self._draw(local, prefix, default_s, now)
+        if remote and (chosen is None or chosen.wait(default_s, now) > ZONE_COST_S):
+            other = self._draw(remote, prefix, default_s, now)
+            if chosen is None or self._saves_zone_cost(other, chosen, default_s, now):
                 chosen = other
         return None if chosen is None else chosen.status
 
@@ -151,19 +166,21 @@
     def free_slots(self, pool: PoolId) -> int:
         """Return how many more requests this gateway may have in flight.
 
-        It is this gateway's share of the usable groups' slots, at least one if
-        any group is usable, less its own requests in flight.
+        It counts the slots that this gateway owns or may borrow on the usable
+        groups. A gateway that owns none still has one if any group is usable.
         """
         now = self._clock.monotonic()
-        slots = sum(
-            state.capacity
-            for state in self._pools.get(pool, ())
-            if state.is_usable(now)
-        )
-        if slots == 0:
-            return 0
-        share = max(int(slots * self._share), 1)
-        return max(share - self._in_flight.get(pool, 0), 0)
+        free = 0
+        usable = False
+        for state in self._pools.get(pool, ()):
+            if state.is_usable(now):
+                usable = True
+                # A group above its limit, for example after retries, counts
+                # against the others: its surplus would wait in the engine.
+                free += state.slots_left()
+        if usable and free <= 0 and self._in_flight.get(pool, 0) == 0:
+            return 1
+        return max(free, 0)
 
     def on_dispatch(
         self, group_id: GroupId, request_id: RequestId, *, solo: bool = False
@@ -184,7 +201,7 @@
         request_id: RequestId,
         *,
         ok: bool,
-        service_time_s: float,
+        service_time_s: float | None,
     ) -> None:
         """Count the end of a request on the group.
 
@@ -197,14 +214,15 @@
         ok : bool
             Whether the group completed it. A request that its caller cancelled
             is no failure of the group.
-        service_time_s : float
-            Time on the group in seconds; used only if `ok`.
+        service_time_s : float or None
+            Time on the group in seconds; None if the request did not run to its
+            end. Used only if `ok`.
         """
         pool = self._placed.pop((group_id, request_id), None)
         if pool is None:
             return
         self._in_flight[pool] -= 1
-        if ok:
+        if ok and service_time_s is not None:
             old = self._service_time_s.get(pool, service_time_s)
             self._service_time_s[pool] = old + 0.05 * (service_time_s - old)
         state = self._groups.get(group_id)
@@ -230,6 +248,12 @@
         else:
             state.on_stale(self._clock.monotonic())
 
+    def _set_limits(self) -> None:
+        for state in self._groups.values():
+            state.set_limit(
+                begin=self._begin, share=self._share, draw=self._random.random()
+            )
+
     def _merge(
         self, known: GroupState | None, status: GroupStatus, now: float
     ) -> GroupState:
@@ -245,7 +269,11 @@
         return known
 
     def _draw(
-        self, states: list[GroupState], prefix: Sequence[str], default_s: float
+        self,
+        states: list[GroupState],
+        prefix: Sequence[str],
+        default_s: float,
+        now: float,
     ) -> GroupState | None:
         """Draw two candidates by free slots and return the better one."""
         if not states:
@@ -269,21 +297,36 @@
             ]
             for _ in range(_DRAWS)
         ]
-        return min(drawn, key=lambda state: self._score(state, prefix, default_s))
+        return min(drawn, key=lambda state: self._score(state, prefix, default_s, now))
 
     def _score(
-        self, state: GroupState, prefix: Sequence[str], default_s: float
+        self, state: GroupState, prefix: Sequence[str], default_s: float, now: float
     ) -> float:
         service_s = state.service_time(default_s)
-        score = state.wait(default_s)
+        score = state.wait(default_s, now)
         score += LOAD_COST * service_s * state.load / state.capacity
         if state.status.straggler:
             score += STRAGGLER_COST * service_s
         return score
 
     def _saves_zone_cost(
-        self, other: GroupState | None, chosen: GroupState, default_s: float
+        self,
+        other: GroupState | None,
+        chosen: GroupState,
+        default_s: float,
+        now: float,
     ) -> bool:
         if other is None:
             return False
-        return other.wait(default_s) + ZONE_COST_S < chosen.wait(default_s)
+        return other.wait(default_s, now) + ZONE_COST_S < chosen.wait(default_s, now)
+
+
+def _with_slots(
+    local: list[GroupState], remote: list[GroupState]
+) -> tuple[list[GroupState], list[GroupState]]:
+    """Keep the groups on which this gateway has slots left, if there are any."""
+    local_left = [state for state in local if state.slots_left() > 0]
+    remote_left = [state for state in remote if state.slots_left() > 0]
+    if local_left or remote_left:
+        return local_left, remote_left
+    return local, remote
