Add the prefix index and keep the list of usable groups

Cause: the choice of a group ignored prefix caches, and each call checked every group's lease and breaker anew.

--- /dev/null
+++ b/pomelolug/experiments/prefix_index.py
@@ -0,0 +1,187 @@
+"""Recovery of the prefix index after lost cache events.
+
+Run with ``python -m pomelolug.experiments.prefix_index``. One group with a cache
+in least-recently-used order stores and removes blocks of prompts that share
+prefixes. Its events reach the real index in pages once a second; some pages are
+lost, and the group keeps only its latest events.
+"""
+
+import collections
+import concurrent.futures
+import dataclasses
+import random
+
+import fire
+
+from pomelolug.engines import CacheEvent, CachePage
+from pomelolug.ids import FencingToken, GroupId
+from pomelolug.routing import PrefixIndex
+
+__all__ = ["Accuracy", "main", "run"]
+
+RECOVERIES = ("snapshot", "replay", "ignore")
+_GROUP = GroupId("g")
+_TOKEN = FencingToken(1)
+_CACHE_BLOCKS = 2048
+_RETAINED_EVENTS = 256
+_PROMPTS_PER_S = 32
+_SNAPSHOT_DELAY_S = 2
+_WORKERS = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Accuracy:
+    """Predicted against cached blocks, as parts of all prompt blocks.
+
+    `false` is predicted but not cached, `missed` cached but not predicted.
+    `sent` is the mean number of block hashes sent in a second.
+    """
+
+    false: float
+    missed: float
+    sent: float
+
+
+class Cache:
+    """Prefix cache of a group, and the events that it still keeps."""
+
+    def __init__(self) -> None:
+        self._blocks: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._sequence = 0
+        self.events: collections.deque[CacheEvent] = collections.deque(
+            maxlen=_RETAINED_EVENTS
+        )
+
+    @property
+    def sequence(self) -> int:
+        """Sequence number of the last event."""
+        return self._sequence
+
+    def blocks(self) -> tuple[str, ...]:
+        """Return all cached blocks, the one used longest ago first."""
+        return tuple(self._blocks)
+
+    def matched(self, prompt: tuple[str, ...]) -> int:
+        """Return how many leading blocks are cached."""
+        count = 0
+        for block in prompt:
+            if block not in self._blocks:
+                break
+            count += 1
+        return count
+
+    def use(self, prompt: tuple[str, ...]) -> None:
+        """Run a prompt: its blocks are cached, and the oldest ones removed."""
+        new = tuple(block for block in prompt if block not in self._blocks)
+        for block in reversed(prompt):
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        if new:
+            self._emit("stored", new)
+        removed = []
+        while len(self._blocks) > _CACHE_BLOCKS:
+            removed.append(self._blocks.popitem(last=False)[0])
+        if removed:
+            self._emit("removed", tuple(removed))
+
+    def page(self, after: int) -> CachePage:
+        """Return the kept events after a sequence number."""
+        oldest = self.events[0].sequence if self.events else self._sequence + 1
+        events = tuple(event for event in self.events if event.sequence > after)
+        return CachePage(oldest=oldest, events=events)
+
+    def _emit(self, action: str, blocks: tuple[str, ...]) -> None:
+        self._sequence += 1
+        event = CacheEvent(sequence=self._sequence, action=action, blocks=blocks)
+        self.events.append(event)
+
+
+def _prompt(random_state: random.Random, number: int) -> tuple[str, ...]:
+    """Return a prompt: a shared start, a conversation, and new blocks."""
+    shared = int(random_state.paretovariate(0.8)) % 200
+    turns = int(random_state.paretovariate(0.8)) % 20
+    start = tuple(f"s{shared}.{i}" for i in range(8))
+    talk = tuple(f"s{shared}.t{turns}.{i}" for i in range(8))
+    return start + talk + tuple(f"n{number}.{i}" for i in range(4))
+
+
+def run(recovery: str, loss: float, outage_s: int, seed: int) -> Accuracy:
+    """Run ten minutes.
+
+    Parameters
+    ----------
+    recovery : str
+        One of `RECOVERIES`: ask again for the events, and for a snapshot where
+        they are gone; ask again only; or apply what arrives, ignoring gaps.
+    loss : float
+        Part of the pages that are lost.
+    outage_s : int
+        Seconds in each minute in which no page arrives.
+    seed : int
+        Seed of the prompts and losses.
+    """
+    source = random.Random(seed)
+    cache = Cache()
+    index = PrefixIndex()
+    number = false = missed = total = sent = after = 0
+    snapshots: list[tuple[int, int, tuple[str, ...]]] = []
+    for second in range(600):
+        for _ in range(_PROMPTS_PER_S):
+            number += 1
+            prompt = _prompt(source, number)
+            held = cache.matched(prompt)
+            guess = index.matched(_GROUP, _TOKEN, prompt)
+            false += max(guess - held, 0)
+            missed += max(held - guess, 0)
+            total += len(prompt)
+            cache.use(prompt)
+        if source.random() < loss or second % 60 < outage_s:
+            # Without recovery the group sends each event once.
+            after = cache.sequence if recovery == "ignore" else after
+            continue
+        page = cache.page(after)
+        sent += sum(len(event.blocks) for event in page.events)
+        if recovery == "ignore":
+            page = _renumbered(page, index.position(_GROUP, _TOKEN))
+        elif recovery == "snapshot" and page.oldest > after + 1 and not snapshots:
+            snapshots.append((second, cache.sequence, cache.blocks()))
+            sent += len(cache.blocks())
+        index.apply(_GROUP, _TOKEN, page)
+        after = cache.sequence
+        if snapshots and second >= snapshots[0][0] + _SNAPSHOT_DELAY_S:
+            _, watermark, blocks = snapshots.pop(0)
+            index.on_snapshot(_GROUP, _TOKEN, watermark=watermark, blocks=blocks)
+    return Accuracy(false=false / total, missed=missed / total, sent=sent / 600)
+
+
+def _renumbered(page: CachePage, position: int) -> CachePage:
+    """Return the events numbered as if none had been lost."""
+    events = tuple(
+        CacheEvent(
+            sequence=position + 1 + place, action=event.action, blocks=event.blocks
+        )
+        for place, event in enumerate(page.events)
+    )
+    return CachePage(oldest=position + 1, events=events)
+
+
+def main(*, seeds: int = 5) -> None:
+    """Print the accuracy of each recovery; the worst seed in brackets."""
+    print("recovery loss outage_s false(max) missed(max) hashes/s")
+    for loss, outage_s in ((0.0, 0), (0.01, 0), (0.1, 0), (0.01, 10)):
+        for recovery in RECOVERIES:
+            cases = [(recovery, loss, outage_s, seed) for seed in range(seeds)]
+            with concurrent.futures.ProcessPoolExecutor(_WORKERS) as pool:
+                runs = list(pool.map(run, *zip(*cases, strict=True)))
+            false = [one.false for one in runs]
+            missed = [one.missed for one in runs]
+            print(
+                f"{recovery} {loss} {outage_s}",
+                f"{sum(false) / seeds:.4f} ({max(false):.4f})",
+                f"{sum(missed) / seeds:.4f} ({max(missed):.4f})",
+                f"{sum(one.sent for one in runs) / seeds:.0f}",
+            )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/pomelolug/routing/_breaker.py
+++ b/pomelolug/routing/_breaker.py
@@ -58,6 +58,11 @@
             return BreakerState.OPEN
         return BreakerState.HALF_OPEN
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether requests pass without condition."""
+        return self._retry_at is None
+
     def allows(self, now: float) -> bool:
         """Return whether a request may be sent at the monotonic time `now`."""
         if self._retry_at is None:
--- a/pomelolug/routing/_group.py
+++ b/pomelolug/routing/_group.py
@@ -8,7 +8,7 @@
 from pomelolug.ids import RequestId
 from pomelolug.messages import GroupStatus
 from pomelolug.routing._breaker import CircuitBreaker
-from pomelolug.routing._score import expected_wait
+from pomelolug.routing._score import expected_wait, sampling_weight
 
 __all__ = ["GroupState"]
 
@@ -33,6 +33,15 @@
         Age of the verification, in seconds, from which on nothing is sent.
     random_state : random.Random
         Source of the breaker's jitter.
+    is_local : bool
+        Whether the group is in the gateway's zone.
+
+    Attributes
+    ----------
+    slots_left : int
+        Requests that this gateway may still send; may be negative.
+    weight : float
+        Weight with which the group is drawn as a candidate.
     """
 
     __slots__ = (
@@ -47,11 +56,14 @@
         "breaker",
         "capacity",
         "in_flight",
+        "is_local",
         "limit",
         "load",
         "serving",
+        "slots_left",
         "solo",
         "status",
+        "weight",
     )
 
     def __init__(
@@ -61,7 +73,9 @@
         arrived_at: float,
         lease_s: float,
         random_state: random.Random,
+        is_local: bool = True,
     ) -> None:
+        self.is_local = is_local
         self.breaker = CircuitBreaker(random_state=random_state)
         self.in_flight: set[RequestId] = set()
         self.solo: set[RequestId] = set()
@@ -74,6 +88,8 @@
         self._shift = zlib.crc32(status.group.encode()) / 2**32
         self.load: int = 0
         self.limit: int = 0
+        self.slots_left: int = 0
+        self.weight: float = 0.0
         self.update(status, arrived_at=arrived_at)
 
     def update(self, status: GroupStatus, *, arrived_at: float) -> None:
@@ -117,14 +133,17 @@
         if borrowed > 0:
             self.limit = max(self.limit, len(self.in_flight) + borrowed)
 
-    def slots_left(self) -> int:
-        """Return how many more requests this gateway may send; may be negative."""
-        return self.limit - len(self.in_flight)
+        self._set_load()
 
     def is_current(self, now: float) -> bool:
         """Return whether the proof of membership holds at `now`."""
         return self.serving and self._refused_at == -math.inf and now < self._expires_at
 
+    @property
+    def expires_at(self) -> float:
+        """Monotonic time in seconds from which on the verification is too old."""
+        return self._expires_at
+
     def is_usable(self, now: float) -> bool:
         """Return whether a request may be sent at `now`."""
         return self.is_current(now) and self.breaker.allows(now)
@@ -178,6 +197,7 @@
     def on_full(self) -> None:
         """Treat the group as full until the next report."""
         self.load = max(self.load, self.capacity)
+        self._set_weight()
 
     def on_stale(self, now: float) -> None:
         """Close the group until a verification newer than `now` arrives."""
@@ -191,6 +211,13 @@
     def _set_load(self) -> None:
         corrected = self.status.load + self._correction
         self.load = max(corrected, len(self.in_flight), 0)
+        self.slots_left = self.limit - len(self.in_flight)
+        self._set_weight()
+
+    def _set_weight(self) -> None:
+        self.weight = sampling_weight(
+            self.load, self.capacity, straggler=self.status.straggler
+        )
 
 
 def _age(reported_s: float) -> float:
--- a/pomelolug/routing/_score.py
+++ b/pomelolug/routing/_score.py
@@ -10,6 +10,7 @@
     "STRAGGLER_COST",
     "ZONE_COST_S",
     "expected_wait",
+    "prefix_saving",
     "sampling_weight",
 ]
 
@@ -30,6 +31,23 @@
 """Part of the service time that a straggler adds; it is set at 1.5 times."""
 
 
+_SAVING_BY_BLOCK_S = 0.001
+_LARGEST_SAVING_S = 0.3
+
+
+def prefix_saving(blocks: int) -> float:
+    """Return the prefill time in seconds that cached blocks save.
+
+    It is bounded, so that a popular prefix cannot outweigh a full group.
+
+    Examples
+    --------
+    >>> prefix_saving(20), prefix_saving(1000)
+    (0.02, 0.3)
+    """
+    return min(blocks * _SAVING_BY_BLOCK_S, _LARGEST_SAVING_S)
+
+
 def expected_wait(
     load: float, capacity: int, service_time_s: float, age_s: float = 0.0
 ) -> float:
--- a/pomelolug/routing/_view.py
+++ b/pomelolug/routing/_view.py
@@ -3,6 +3,7 @@
 import bisect
 import datetime
 import itertools
+import math
 import random
 from collections.abc import Sequence
 
@@ -10,11 +11,12 @@
 from pomelolug.ids import FencingToken, GroupId, PoolId, RequestId, ZoneId
 from pomelolug.messages import GroupStatus, RoutingTable
 from pomelolug.routing._group import GroupState
+from pomelolug.routing._prefix import PrefixIndex
 from pomelolug.routing._score import (
     LOAD_COST,
     STRAGGLER_COST,
     ZONE_COST_S,
-    sampling_weight,
+    prefix_saving,
 )
 
 __all__ = ["RoutingView"]
@@ -37,6 +39,8 @@
         Source of monotonic time.
     random_state : random.Random
         Source of the candidate draws and of the breakers' jitter.
+    prefix_index : PrefixIndex, optional
+        What the groups hold in their prefix caches, by default a new one.
     """
 
     def __init__(
@@ -46,13 +50,16 @@
         lease: datetime.timedelta,
         clock: Clock,
         random_state: random.Random,
+        prefix_index: PrefixIndex | None = None,
     ) -> None:
+        self._prefixes = prefix_index or PrefixIndex()
         self._zone = zone
         self._lease_s = lease.total_seconds()
         self._clock = clock
         self._random = random_state
         self._groups: dict[GroupId, GroupState] = {}
         self._pools: dict[PoolId, list[GroupState]] = {}
+        self._usable_groups: dict[PoolId, tuple[float, list[GroupState]]] = {}
         self._in_flight: dict[PoolId, int] = {}
         self._placed: dict[tuple[GroupId, RequestId], PoolId] = {}
         self._service_time_s: dict[PoolId, float] = {}
@@ -61,6 +68,11 @@
         self._begin = random_state.random()
         self._has_share = False
 
+    @property
+    def prefix_index(self) -> PrefixIndex:
+        """What the groups hold in their prefix caches."""
+        return self._prefixes
+
     @property
     def share(self) -> float:
         """Part of every group's slots that this gateway may use, 0 to 1."""
@@ -94,6 +106,8 @@
             group = GroupId(status.group)
             groups[group] = self._merge(self._groups.get(group), status, now)
         self._groups = groups
+        self._prefixes.keep_only(groups)
+        self._usable_groups.clear()
         self._pools = {}
         for state in groups.values():
             self._pools.setdefault(PoolId(state.status.pool), []).append(state)
@@ -104,9 +118,7 @@
     def candidates(self, pool: PoolId) -> tuple[GroupStatus, ...]:
         """Return the groups of `pool` that a request may be sent to now."""
         now = self._clock.monotonic()
-        return tuple(
-            state.status for state in self._pools.get(pool, ()) if state.is_usable(now)
-        )
+        return tuple(state.status for state in self._usable(pool, now))
 
     def choose(
         self,
@@ -136,15 +148,15 @@
             None if no group is usable.
         """
         now = self._clock.monotonic()
-        local: list[GroupState] = []
-        remote: list[GroupState] = []
-        for state in self._pools.get(pool, ()):
-            if not state.is_usable(now) or state.status.group in exclude:
-                continue
-            if solo and state.solo:
-                continue
-            (local if state.status.zone == self._zone else remote).append(state)
-        local, remote = _with_slots(local, remote)
+        states = self._usable(pool, now)
+        if exclude:
+            states = [state for state in states if state.status.group not in exclude]
+        if solo:
+            states = [state for state in states if not state.solo]
+        # Groups on which this gateway has slots left go first, if there are any.
+        states = [state for state in states if state.slots_left > 0] or states
+        local = [state for state in states if state.is_local]
+        remote = [state for state in states if not state.is_local]
         default_s = self._service_time_s.get(pool, _DEFAULT_SERVICE_TIME_S)
         chosen = self._draw(local, prefix, default_s, now)
         if remote and (chosen is None or chosen.wait(default_s, now) > ZONE_COST_S):
@@ -170,14 +182,10 @@
         groups. A gateway that owns none still has one if any group is usable.
         """
         now = self._clock.monotonic()
-        free = 0
-        usable = False
-        for state in self._pools.get(pool, ()):
-            if state.is_usable(now):
-                usable = True
-                # A group above its limit, for example after retries, counts
-                # against the others: its surplus would wait in the engine.
-                free += state.slots_left()
+        usable = self._usable(pool, now)
+        # A group above its limit, for example after retries, counts against the
+        # others: its surplus would wait in the engine.
+        free = sum([state.slots_left for state in usable])
         if usable and free <= 0 and self._in_flight.get(pool, 0) == 0:
             return 1
         return max(free, 0)
@@ -227,6 +235,8 @@
             self._service_time_s[pool] = old + 0.05 * (service_time_s - old)
         state = self._groups.get(group_id)
         if state is not None:
+            if not ok:
+                self._usable_groups.clear()
             state.on_finish(
                 request_id,
                 now=self._clock.monotonic(),
@@ -243,11 +253,25 @@
         state = self._groups.get(group_id)
         if state is None:
             return
+        self._usable_groups.clear()
         if reason in _TEMPORARY_REFUSALS:
             state.on_full()
         else:
             state.on_stale(self._clock.monotonic())
 
+    def _usable(self, pool: PoolId, now: float) -> list[GroupState]:
+        """Return the usable groups; kept until one of them may have changed."""
+        valid_until, usable = self._usable_groups.get(pool, (-math.inf, []))
+        if now < valid_until:
+            return usable
+        states = self._pools.get(pool, [])
+        usable = [state for state in states if state.is_usable(now)]
+        # A breaker that is not closed changes with time, so nothing is kept.
+        if usable and all(state.breaker.is_closed for state in states):
+            valid_until = min(state.expires_at for state in usable)
+            self._usable_groups[pool] = (valid_until, usable)
+        return usable
+
     def _set_limits(self) -> None:
         for state in self._groups.values():
             state.set_limit(
@@ -263,6 +287,7 @@
                 arrived_at=now,
                 lease_s=self._lease_s,
                 random_state=self._random,
+                is_local=status.zone == self._zone,
             )
         if status.token == known.status.token:
             known.update(status, arrived_at=now)
@@ -275,19 +300,15 @@
         default_s: float,
         now: float,
     ) -> GroupState | None:
-        """Draw two candidates by free slots and return the better one."""
+        """Draw two candidates by free slots and return the better one.
+
+        A third candidate is the group that holds most of the prompt's prefix.
+        """
         if not states:
             return None
         if len(states) == 1:
             return states[0]
-        bounds = list(
-            itertools.accumulate(
-                sampling_weight(
-                    state.load, state.capacity, straggler=state.status.straggler
-                )
-                for state in states
-            )
-        )
+        bounds = list(itertools.accumulate([state.weight for state in states]))
         drawn = [
             states[
                 min(
@@ -297,6 +318,8 @@
             ]
             for _ in range(_DRAWS)
         ]
+        if prefix:
+            drawn.append(max(states, key=lambda state: self._matched(state, prefix)))
         return min(drawn, key=lambda state: self._score(state, prefix, default_s, now))
 
     def _score(
@@ -307,7 +330,15 @@
         score += LOAD_COST * service_s * state.load / state.capacity
         if state.status.straggler:
             score += STRAGGLER_COST * service_s
-        return score
+        return score - prefix_saving(self._matched(state, prefix))
+
+    def _matched(self, state: GroupState, prefix: Sequence[str]) -> int:
+        if not prefix:
+            return 0
+        status = state.status
+        return self._prefixes.matched(
+            GroupId(status.group), FencingToken(status.token), prefix
+        )
 
     def _saves_zone_cost(
         self,
@@ -319,14 +350,3 @@
         if other is None:
             return False
         return other.wait(default_s, now) + ZONE_COST_S < chosen.wait(default_s, now)
-
-
-def _with_slots(
-    local: list[GroupState], remote: list[GroupState]
-) -> tuple[list[GroupState], list[GroupState]]:
-    """Keep the groups on which this gateway has slots left, if there are any."""
-    local_left = [state for state in local if state.slots_left() > 0]
-    remote_left = [state for state in remote if state.slots_left() > 0]
-    if local_left or remote_left:
-        return local_left, remote_left
-    return local, remote
