--- a/pomelolug/routing/_breaker.py
+++ b/pomelolug/routing/_breaker.py
@@ -58,6 +58,11 @@
             return BreakerState.OPEN
         return BreakerState.HALF_OPEN
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether requests pass without condition."""
+        return self._retry_at is None
+
     def allows(self, now: float) -> bool:
         """Return whether a request may be sent at the monotonic time `now`."""
         if self._retry_at is None:
@@ -76,6 +81,10 @@
         self._retry_at = None
         self._probing = False
 
+    def on_cancel(self) -> None:
+        """Record a request that was cancelled; it proves nothing."""
+        self._probing = False
+
     def on_failure(self, now: float) -> None:
         """Record a request that the group lost at the monotonic time `now`."""
         self._failures += 1
