Measure group downtime from the first complete set of groups

Cause: the first loads counted as downtime. Change: the monitor starts once every group that could serve is complete, and logs each change of the counts.

--- a/pomelolug/experiments/_monitor.py
+++ b/pomelolug/experiments/_monitor.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 import aiohttp
+import structlog
 
 from pomelolug.experiments._stand_ins import StandIns, VmView
 
@@ -12,6 +13,8 @@
 
 _INTERVAL_S = 0.2
 
+_log = structlog.get_logger()
+
 
 class GroupMonitor:
     """Integrates group downtime and stranded accelerators over time.
@@ -47,6 +50,7 @@
         """Sample until cancelled."""
         loop = asyncio.get_running_loop()
         last = loop.time()
+        before: tuple[int, int, int] | None = None
         while True:
             await asyncio.sleep(_INTERVAL_S)
             try:
@@ -54,7 +58,13 @@
             except (aiohttp.ClientError, TimeoutError):
                 continue
             now = loop.time()
-            possible, serving, free = count_groups(vms, self._members)
+            counts = count_groups(vms, self._members)
+            if counts != before:
+                _log.info(
+                    "groups", possible=counts[0], serving=counts[1], free=counts[2]
+                )
+                before = counts
+            possible, serving, free = counts
             self._downtime_s += max(0, possible - serving) * (now - last)
             self._stranded_s += free * self._accelerators * (now - last)
             last = now
--- a/pomelolug/experiments/_runner.py
+++ b/pomelolug/experiments/_runner.py
@@ -83,9 +83,10 @@
     )
     driver = FaultDriver(deployment, version)
     watchers = [asyncio.create_task(balancer.watch())]
-    watchers.append(asyncio.create_task(monitor.watch()))
     try:
         await deployment.wait_groups(_READY_TIMEOUT_S)
+        # The first loads are no downtime.
+        watchers.append(asyncio.create_task(monitor.watch()))
         await _drive(trace, caller, driver)
         versions = await deployment.versions()
         ledger = await deployment.stand_ins.ledger()
