Send the end marker with the last token in the simulated engine

Cause: the engine waited one step after the last token, so that short requests measured that step and not the gateway.

Change: no step after the last token; both stream phases of the benchmark use 100 streams that carry 2,540 tokens a second together; load averages are printed.

--- a/pomelolug/experiments/gateway_bench.py
+++ b/pomelolug/experiments/gateway_bench.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import random
 import statistics
@@ -35,9 +36,8 @@
 
 _READY_TIMEOUT_S = 20.0
 _CLIENTS = 16
-_OPEN_STREAMS = 100
 _RATE_PER_S = 7.0
-_STREAMS = 60
+_STREAMS = 100
 # Tokens a second on a node at the planned size.
 _TOKENS_PER_S = 2540
 _STEP_S = _STREAMS / _TOKENS_PER_S
@@ -113,8 +113,7 @@
         """Time short requests at a low rate beside open streams."""
         tokens = round(self._seconds * 2 / _STEP_S)
         streams = [
-            asyncio.create_task(self._read(target, tokens))
-            for _ in range(_OPEN_STREAMS)
+            asyncio.create_task(self._read(target, tokens)) for _ in range(_STREAMS)
         ]
         loop = asyncio.get_running_loop()
         next_at = loop.time() + 0.5
@@ -232,6 +231,7 @@
     async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
         with tempfile.TemporaryDirectory(prefix="pomelolug-") as temporary:
             folder = pathlib.Path(logs or temporary)
+            folder.mkdir(parents=True, exist_ok=True)
             deployment = Deployment(_trace(), folder, session)
             try:
                 await _measure(deployment, session, runs, seconds, random_state)
@@ -258,9 +258,17 @@
         session, psutil.Process(gateway.pid), random.Random(random_state), seconds
     )
     await read_stream(session, through, prompt="first", tokens=1)
+    _print_load("load_average_before")
     for phase in (bench.requests, bench.latency, bench.tokens):
         for line in await _alternate(phase, through, direct, runs):
             print(msgspec.json.encode(line).decode(), flush=True)
+    _print_load("load_average_after")
+
+
+def _print_load(name: str) -> None:
+    """Print the load of the VM, without which the figures mean little."""
+    line = {"figure": name, "load": os.getloadavg()[0], "cores": os.cpu_count()}
+    print(msgspec.json.encode(line).decode(), flush=True)
 
 
 def main(
@@ -277,7 +285,7 @@
     random_state : int
         Seed of the arrival times.
     logs : str
-        Existing folder for settings and logs; empty for a temporary one.
+        Folder for settings and logs; empty for a temporary one.
     """
     run_interruptible(_bench(runs, seconds, random_state, logs))
 
--- a/pomelolug/testing/_engine_app.py
+++ b/pomelolug/testing/_engine_app.py
@@ -155,6 +155,9 @@
         loop = asyncio.get_running_loop()
         next_at = loop.time()
         for position in range(execution.first_position, total):
+            if position > execution.first_position:
+                next_at = max(next_at + self._step_s(stream), loop.time())
+                await asyncio.sleep(next_at - loop.time())
             await self._wait_members(request, stream)
             text = token(execution.digest, position)
             await response.write(
@@ -162,8 +165,6 @@
                 % (start, position, text.encode())
             )
             execution.tokens += 1
-            next_at = max(next_at + self._step_s(stream), loop.time())
-            await asyncio.sleep(next_at - loop.time())
         await self._wait_members(request, stream)
         await response.write(
             b'%b,"position":%d,"choices":[{"text":"","finish_reason":"length"}]}\n\n'
