Divide the slots of each group among gateways by their spans

Cause: the share of a gateway alone does not say which slots of a group are its. Change: control sends share and start of the span; gateways report smoothed demand. Conclusion: the shares of all gateways tile every group's slots.

--- a/pomelolug/control/_gateways.py
+++ b/pomelolug/control/_gateways.py
@@ -127,8 +127,13 @@
 
     def _send_table(self, connection: Connection, pull: TablePull) -> None:
         table = self._tables.table(known_version=pull.config_version)
-        share = self._share.share(NodeId(connection.peer.node))
-        table = msgspec.structs.replace(table, echo_s=pull.sent_at_s, share=share)
+        gateway = NodeId(connection.peer.node)
+        table = msgspec.structs.replace(
+            table,
+            echo_s=pull.sent_at_s,
+            share=self._share.share(gateway),
+            share_begin=self._share.begin(gateway),
+        )
         connection.send(table, key="table")
 
     def _start(self, connection: Connection, request: ClaimRequest) -> None:
@@ -158,6 +163,4 @@
             for gateway, entry in self._demand.items()
             if entry[0] >= oldest
         }
-        if report.gateway == min(self._demand):
-            # One update a second, whoever reports: the smoothing counts updates.
-            self._share.update(entry[1] for entry in self._demand.values())
+        self._share.update(entry[1] for entry in self._demand.values())
--- a/pomelolug/experiments/gateway_bench.py
+++ b/pomelolug/experiments/gateway_bench.py
@@ -231,7 +231,7 @@
     async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
         with tempfile.TemporaryDirectory(prefix="pomelolug-") as temporary:
             folder = pathlib.Path(logs or temporary)
-            folder.mkdir(parents=True, exist_ok=True)
+            folder.mkdir(parents=True, exist_ok=True)  # noqa: ASYNC240
             deployment = Deployment(_trace(), folder, session)
             try:
                 await _measure(deployment, session, runs, seconds, random_state)
--- a/pomelolug/gateway/_capacity.py
+++ b/pomelolug/gateway/_capacity.py
@@ -1,11 +1,10 @@
 """Slots that admission may grant, for pools and for plain services."""
 
-from pomelolug.admission import AdmissionQueue
+from pomelolug.admission import AdmissionQueue, DemandMeter
 from pomelolug.configuration import Configuration
-from pomelolug.gateway._lifecycle import Lifecycle
 from pomelolug.gateway._service_view import ServiceView
-from pomelolug.ids import PoolId
-from pomelolug.messages import DemandReport
+from pomelolug.ids import NodeId, PoolId
+from pomelolug.messages import DemandReport, RoutingTable
 from pomelolug.routing import RoutingView
 
 __all__ = ["CapacityView"]
@@ -19,13 +18,18 @@
 
     Parameters
     ----------
+    gateway : str
+        Node of the gateway.
     view : RoutingView
         Replica groups.
     services : ServiceView
         Backend servers of the plain services.
     """
 
-    def __init__(self, *, view: RoutingView, services: ServiceView) -> None:
+    def __init__(
+        self, *, gateway: str, view: RoutingView, services: ServiceView
+    ) -> None:
+        self._meter = DemandMeter(NodeId(gateway))
         self._view = view
         self._services = services
         self._service_names: frozenset[str] = frozenset()
@@ -42,13 +46,15 @@
             return self._services.free_slots(name, SERVICE_SLOTS_PER_SERVER)
         return self._view.free_slots(PoolId(name))
 
-    def demand(
-        self, gateway: str, queue: AdmissionQueue, lifecycle: Lifecycle
-    ) -> DemandReport:
+    def take_share(self, table: RoutingTable) -> None:
+        """Use the share in `table`, if control knows one."""
+        if table.share > 0:
+            self._view.set_share(table.share, begin=table.share_begin)
+
+    def demand(self, queue: AdmissionQueue) -> DemandReport:
         """Return what this gateway asks of the groups now."""
-        return DemandReport(
-            gateway=gateway,
+        return self._meter.report(
             admitted=0,
             queued=sum(queue.waiting(pool) for pool in self._pool_names),
-            in_flight=lifecycle.in_flight,
+            in_flight=sum(queue.held(pool) for pool in self._pool_names),
         )
--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -163,7 +163,7 @@
     services = ServiceView(
         zone=settings.node.zone, clock=clock, random_state=random_state
     )
-    capacity = CapacityView(view=view, services=services)
+    capacity = CapacityView(gateway=settings.node.name, view=view, services=services)
     queue = AdmissionQueue(
         clock=clock, free_slots=capacity.free_slots, random_state=random_state
     )
@@ -193,8 +193,8 @@
             lambda configuration: metrics.config_version.set(configuration.version),
         ],
         on_table=[
+            capacity.take_share,
             view.update,
-            lambda update: view.set_share(update.share) if update.share else None,
             services.update,
             losses.on_table,
             lambda update: containment.set_condemned(frozenset(update.condemned)),
@@ -224,7 +224,7 @@
         on_verdict=client.on_verdict,
         on_connected=client.on_connected,
         on_disconnected=client.on_disconnected,
-        demand=lambda: capacity.demand(settings.node.name, queue, lifecycle),
+        demand=lambda: capacity.demand(queue),
         config_version=lambda: (
             table.configuration.version if table.configuration else -1
         ),
--- a/pomelolug/messages/_routing_generated.py
+++ b/pomelolug/messages/_routing_generated.py
@@ -88,6 +88,8 @@
     """Gateways that share the capacity."""
     share: float = 0.0
     """This gateway's part of every group's slots, 0 to 1; 0 if not known."""
+    share_begin: float = 0.0
+    """Start of that part on the line of all gateways, 0 to 1."""
     condemned: tuple[bytes, ...] = ()
     """Fingerprints of quarantined requests."""
     echo_s: float = 0.0
