Share suspicions as soon as a stream breaks

Change: broken streams are told to all gateways at once; a request that broke two groups waits until the losses are decided; losses on the log reach connected gateways as well; struck requests share groups after 1 s, so that bystanders are not served in turn. Conclusion: the bound of two losses no longer rests on the watchers' delay.

--- a/pomelolug/control/_gateways.py
+++ b/pomelolug/control/_gateways.py
@@ -22,6 +22,7 @@
     Explanation,
     LossReport,
     Message,
+    Suspicion,
     TablePull,
 )
 
@@ -75,6 +76,7 @@
         self._demand: dict[str, tuple[float, DemandReport]] = {}
         self._share = CapacityShare()
         mesh.on(DemandReport, self._on_peer_demand)
+        mesh.on(Suspicion, self._on_peer_suspicion)
 
     @property
     def connected(self) -> int:
@@ -97,10 +99,11 @@
             del self._connections[connection]
             _log.info("gateway_disconnected", gateway=connection.peer.node)
 
-    def broadcast(self, message: Message) -> None:
-        """Send `message` to every connected gateway."""
+    def broadcast(self, message: Message, *, but: Connection | None = None) -> None:
+        """Send `message` to every connected gateway, except `but`."""
         for connection in self._connections:
-            connection.send(message)
+            if connection is not but:
+                connection.send(message)
 
     def push(self) -> None:
         """Send the table of now to every gateway that has pulled one."""
@@ -119,6 +122,9 @@
                 self._claims.update(message)
             case LossReport():
                 self._on_loss(message)
+            case Suspicion():
+                self._mesh.broadcast(message)
+                self.broadcast(message, but=connection)
             case Explanation():
                 self._keep(message)
             case DemandReport():
@@ -150,6 +156,9 @@
         if len(self._explanations) > _MAX_EXPLANATIONS:
             self._explanations.popitem(last=False)
 
+    async def _on_peer_suspicion(self, node: str, message: Message) -> None:
+        self.broadcast(message)
+
     async def _on_peer_demand(self, node: str, message: Message) -> None:
         assert isinstance(message, DemandReport)
         self._note_demand(message)
--- a/pomelolug/control/_node.py
+++ b/pomelolug/control/_node.py
@@ -34,6 +34,7 @@
 
 _log = structlog.get_logger()
 _PULL_EVERY = datetime.timedelta(milliseconds=500)
+_MAX_KNOWN_LOSSES = 2048
 _HOUSEKEEPING_EVERY = datetime.timedelta(seconds=1)
 
 
@@ -76,6 +77,7 @@
         self._parts = parts
         self._appending: set[asyncio.Task[None]] = set()
         self._version = -1
+        self._known_losses: dict[str, None] = {}
         mesh = parts.mesh
         mesh.on(StatusPull, self._on_status_pull)
         mesh.on(StatusBatch, self._on_status_batch)
@@ -83,6 +85,7 @@
         mesh.on_change(self._on_node)
         parts.config.subscribe(self._on_configuration)
         parts.groups.subscribe(self._on_groups)
+        parts.containment.subscribe(self._on_containment)
 
     @property
     def identity(self) -> Identity:
@@ -178,6 +181,16 @@
         self._parts.watchers.review()
         self._parts.gateways.push()
 
+    def _on_containment(self) -> None:
+        # A node that was paused or cut off learns from the log what its peers
+        # have told each other meanwhile.
+        for report in self._parts.containment_fold.losses:
+            if report.loss_id not in self._known_losses:
+                self._known_losses[report.loss_id] = None
+                self._parts.gateways.broadcast(report)
+        while len(self._known_losses) > _MAX_KNOWN_LOSSES:
+            del self._known_losses[next(iter(self._known_losses))]
+
     def _announce(self) -> None:
         parts = self._parts
         parts.mesh.set_versions(
--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -31,6 +31,7 @@
 from pomelolug.gateway._protocol import BoundedHttpProtocol
 from pomelolug.gateway._service_flow import ServiceFlow
 from pomelolug.gateway._service_view import ServiceView
+from pomelolug.gateway._suspicions import Suspicions
 from pomelolug.gateway._table import TableHolder
 from pomelolug.ids import ZoneId
 from pomelolug.invariants import Invariants
@@ -40,7 +41,7 @@
     WebsocketDialer,
     first_incarnation,
 )
-from pomelolug.messages import LossReport
+from pomelolug.messages import LossReport, Suspicion
 from pomelolug.retries import Containment, RetryBudget, RunMode
 from pomelolug.routing import RoutingView
 from pomelolug.services import HttpPlainService, PlainService
@@ -171,18 +172,33 @@
     lifecycle = Lifecycle()
     authenticator = Authenticator()
 
+    suspicions = Suspicions(clock=clock)
+
+    def take_loss(report: LossReport) -> None:
+        containment.on_loss(report)
+        suspicions.on_loss(report)
+
+    def take_suspicion(report: Suspicion) -> None:
+        suspicions.add(report)
+        link.send(report)
+
+    def is_struck(fingerprint: bytes) -> bool:
+        struck = containment.may_run(fingerprint) is not RunMode.NORMAL
+        return struck or suspicions.count(fingerprint) > 0
+
     def report_loss(report: LossReport) -> None:
         _log.warning(
             "group_lost", group=report.group, requests=len(report.fingerprints)
         )
-        containment.on_loss(report)
+        take_loss(report)
         link.send(report)
 
     losses = LossReporter(
         node=settings.node.name,
         clock=clock,
-        is_struck=lambda print_: containment.may_run(print_) is not RunMode.NORMAL,
+        is_struck=is_struck,
         report=report_loss,
+        suspect=take_suspicion,
     )
     table = TableHolder(
         clock=clock,
@@ -197,6 +213,7 @@
             view.update,
             services.update,
             losses.on_table,
+            suspicions.on_table,
             lambda update: containment.set_condemned(frozenset(update.condemned)),
             lambda update: queue.notify(),
         ],
@@ -220,7 +237,8 @@
         clock=clock,
         random_state=random_state,
         on_table=table.receive,
-        on_loss=containment.on_loss,
+        on_loss=take_loss,
+        on_suspicion=suspicions.add,
         on_verdict=client.on_verdict,
         on_connected=client.on_connected,
         on_disconnected=client.on_disconnected,
@@ -238,6 +256,7 @@
         budget=budget,
         containment=containment,
         losses=losses,
+        suspicions=suspicions,
         invariants=invariants,
         metrics=metrics,
         decisions=decisions,
--- a/pomelolug/gateway/_link.py
+++ b/pomelolug/gateway/_link.py
@@ -25,6 +25,7 @@
     LossReport,
     Message,
     RoutingTable,
+    Suspicion,
     TablePull,
 )
 
@@ -64,6 +65,8 @@
         Called with each `RoutingTable`.
     on_loss : callable
         Called with each `LossReport` of another gateway.
+    on_suspicion : callable
+        Called with each `Suspicion` of another gateway.
     on_verdict : callable
         Called with each `ClaimVerdict`.
     on_connected, on_disconnected : callable
@@ -87,6 +90,7 @@
         random_state: random.Random,
         on_table: Callable[[RoutingTable], None],
         on_loss: Callable[[LossReport], None],
+        on_suspicion: Callable[[Suspicion], None],
         on_verdict: Callable[[ClaimVerdict], None],
         on_connected: Callable[[], None],
         on_disconnected: Callable[[], None],
@@ -108,6 +112,7 @@
         self._random = random_state
         self._on_table = on_table
         self._on_loss = on_loss
+        self._on_suspicion = on_suspicion
         self._on_verdict = on_verdict
         self._on_connected = on_connected
         self._on_disconnected = on_disconnected
@@ -171,6 +176,8 @@
                 self._on_verdict(message)
             case LossReport():
                 self._on_loss(message)
+            case Suspicion():
+                self._on_suspicion(message)
 
     async def _pull(self) -> None:
         count = 0
--- a/pomelolug/gateway/_losses.py
+++ b/pomelolug/gateway/_losses.py
@@ -8,14 +8,12 @@
 
 from pomelolug.clock import Clock
 from pomelolug.ids import GroupId
-from pomelolug.messages import GroupStatus, LossReport, RoutingTable
+from pomelolug.messages import GroupStatus, LossReport, RoutingTable, Suspicion
 
 __all__ = ["LossReporter"]
 
 _REMEMBER = datetime.timedelta(seconds=10)
 _MAX_FINGERPRINTS = 256
-_POLL = datetime.timedelta(milliseconds=50)
-_SERVING = "serving"
 _LOST_PHASES = frozenset({"broken", "dissolved"})
 
 
@@ -43,6 +41,8 @@
         Whether a fingerprint has a strike.
     report : callable
         Called with the `LossReport` of a lost group.
+    suspect : callable
+        Called with the `Suspicion` of a stream that broke.
     """
 
     def __init__(
@@ -52,11 +52,13 @@
         clock: Clock,
         is_struck: Callable[[bytes], bool],
         report: Callable[[LossReport], None],
+        suspect: Callable[[Suspicion], None],
     ) -> None:
         self._node = node
         self._clock = clock
         self._is_struck = is_struck
         self._report = report
+        self._suspect = suspect
         self._in_flight: dict[str, dict[str, bytes]] = collections.defaultdict(dict)
         self._cuts: collections.deque[_Cut] = collections.deque()
         self._seen: dict[str, tuple[float, GroupStatus]] = {}
@@ -88,6 +90,14 @@
 
     def on_broken_stream(self, group: GroupStatus, fingerprint: bytes) -> None:
         """Remember a broken stream until its group's state is known."""
+        self._suspect(
+            Suspicion(
+                node=self._node,
+                group=group.group,
+                token=group.token,
+                fingerprints=(fingerprint,),
+            )
+        )
         now = self._clock.monotonic()
         self._cuts.append(_Cut(now, group.group, group.token, fingerprint))
         while self._cuts and self._cuts[0].at < now - _REMEMBER.total_seconds():
@@ -137,20 +147,3 @@
                 solo=len(struck) == 1,
             )
         )
-
-    async def resolved(self, group: GroupStatus, timeout: datetime.timedelta) -> None:
-        """Wait until it is known whether `group` was lost.
-
-        Returns when a status newer than the call says that the group is lost,
-        superseded, or verified again, at the latest after `timeout`.
-        """
-        asked = self._clock.monotonic()
-        end = asked + timeout.total_seconds()
-        while self._clock.monotonic() < end:
-            seen = self._seen.get(group.group)
-            if seen is None or seen[1].token != group.token:
-                return
-            at, status = seen
-            if status.phase != _SERVING or at - status.verified_age_s > asked:
-                return
-            await self._clock.sleep(_POLL)
--- a/pomelolug/gateway/_model_flow.py
+++ b/pomelolug/gateway/_model_flow.py
@@ -18,6 +18,7 @@
 from pomelolug.gateway._metrics import GatewayMetrics
 from pomelolug.gateway._parsing import DEFAULT_MAX_TOKENS, CallerRequest
 from pomelolug.gateway._sinks import AnswerSink
+from pomelolug.gateway._suspicions import Suspicions
 from pomelolug.ids import AccountId, ClassName, FencingToken, GroupId, PoolId, RequestId
 from pomelolug.invariants import Invariants
 from pomelolug.messages import GroupStatus
@@ -30,11 +31,16 @@
 _MIN_GAP = datetime.timedelta(seconds=1)
 _MIN_FIRST = datetime.timedelta(seconds=2)
 _MAX_ATTEMPTS = 4
+# A request that broke two groups must not reach a third before it is known
+# whether they were lost.
+_MAX_STRIKES = 2
 _GROUP_POLL = datetime.timedelta(milliseconds=50)
 # Longest wait of an admitted request whose groups have just been lost; a repair
 # takes longer, so that waiting on would only delay the refusal.
 _GROUP_PATIENCE = datetime.timedelta(seconds=5)
-_RESOLVE_LIMIT = datetime.timedelta(seconds=3)
+# After a loss there may be more struck requests than groups: they share groups
+# after this time, since a bystander must not wait for all the others in turn.
+_SOLO_PATIENCE = datetime.timedelta(seconds=1)
 _REFUSED_PAUSE = datetime.timedelta(milliseconds=20)
 _HARMLESS = frozenset({AttemptResult.REFUSED, AttemptResult.NOT_REACHED})
 
@@ -72,6 +78,8 @@
         Knows the requests that crash their groups.
     losses : LossReporter
         Tracks requests in flight on each group.
+    suspicions : Suspicions
+        Knows the broken streams whose groups are not decided yet.
     invariants : Invariants
         Run-time assertions.
     metrics : GatewayMetrics
@@ -94,6 +102,7 @@
         budget: RetryBudget,
         containment: Containment,
         losses: LossReporter,
+        suspicions: Suspicions,
         invariants: Invariants,
         metrics: GatewayMetrics,
         decisions: DecisionLog,
@@ -107,6 +116,7 @@
         self._budget = budget
         self._containment = containment
         self._losses = losses
+        self._suspicions = suspicions
         self._invariants = invariants
         self._metrics = metrics
         self._decisions = decisions
@@ -204,26 +214,49 @@
         give_up = job.deadline
         if not job.progress.position:
             give_up = min(give_up, now + _GROUP_PATIENCE.total_seconds())
+        solo_until = now + _SOLO_PATIENCE.total_seconds()
         while True:
-            mode = self._containment.may_run(job.request.fingerprint)
-            if mode is RunMode.QUARANTINED:
-                raise endings.quarantined(maybe_ran=job.progress.maybe_ran)
-            solo = mode is RunMode.SOLO
-            exclude: frozenset[GroupId] = frozenset()
-            if solo:
-                exclude = self._losses.groups_with_suspect()
-            group = self._view.choose(pool, exclude=exclude | job.tried, solo=solo)
-            if group is None and job.tried:
-                group = self._view.choose(pool, exclude=exclude, solo=solo)
-            # Nothing may be awaited between this check and the dispatch.
-            if group is not None and self._view.is_dispatchable(
-                GroupId(group.group), FencingToken(group.token)
-            ):
+            strikes = self._strikes(job)
+            # Nothing may be awaited between this choice and the dispatch.
+            group = None
+            if strikes < _MAX_STRIKES:
+                alone = strikes > 0 and self._clock.monotonic() < solo_until
+                group = self._pick(pool, job, alone=alone)
+            if group is not None:
                 return group
             if self._clock.monotonic() >= give_up:
                 raise self._without_group(job)
             await self._clock.sleep(_GROUP_POLL)
 
+    def _strikes(self, job: _Job) -> int:
+        """Return on how many groups the request broke, undecided ones included.
+
+        Raises
+        ------
+        RequestError
+            ``quarantined`` if the losses are confirmed and name this request.
+        """
+        fingerprint = job.request.fingerprint
+        mode = self._containment.may_run(fingerprint)
+        if mode is RunMode.QUARANTINED:
+            raise endings.quarantined(maybe_ran=job.progress.maybe_ran)
+        confirmed = 1 if mode is RunMode.SOLO else 0
+        return confirmed + self._suspicions.count(fingerprint)
+
+    def _pick(self, pool: PoolId, job: _Job, *, alone: bool) -> GroupStatus | None:
+        exclude: frozenset[GroupId] = frozenset()
+        if alone:
+            exclude = self._losses.groups_with_suspect()
+        group = self._view.choose(pool, exclude=exclude | job.tried, solo=alone)
+        if group is None and job.tried:
+            group = self._view.choose(pool, exclude=exclude, solo=alone)
+        if group is None:
+            return None
+        token = FencingToken(group.token)
+        if not self._view.is_dispatchable(GroupId(group.group), token):
+            return None
+        return group
+
     def _without_group(self, job: _Job) -> RequestError:
         if job.progress.position:
             return endings.stream_cut("no replica group could continue it")
@@ -270,7 +303,7 @@
         group_id = GroupId(group.group)
         request_id = RequestId(job.request.request_id)
         fingerprint = job.request.fingerprint
-        solo = self._containment.may_run(fingerprint) is RunMode.SOLO
+        solo = self._is_struck(fingerprint)
         self._view.on_dispatch(group_id, request_id, solo=solo)
         job.permit.dispatched()
         before = self._clock.monotonic()
@@ -288,6 +321,10 @@
                 service_time_s=self._clock.monotonic() - before,
             )
 
+    def _is_struck(self, fingerprint: bytes) -> bool:
+        struck = self._containment.may_run(fingerprint) is not RunMode.NORMAL
+        return struck or self._suspicions.count(fingerprint) > 0
+
     async def _before_retry(
         self, job: _Job, group: GroupStatus, result: AttemptResult
     ) -> None:
@@ -311,10 +348,6 @@
         )
         if not allowed:
             raise self._gave_up(job, result, ErrorCode.RETRY_BUDGET_EXHAUSTED)
-        if job.attempts > 1 and result is not AttemptResult.NOT_REACHED:
-            # A request that broke two groups must not reach a third before it
-            # is known whether they were lost.
-            await self._losses.resolved(group, _RESOLVE_LIMIT)
 
     def _gave_up(
         self,
--- a/pomelolug/gateway/tests/flow_bench.py
+++ b/pomelolug/gateway/tests/flow_bench.py
@@ -17,6 +17,7 @@
 from pomelolug.gateway._model_flow import ModelFlow
 from pomelolug.gateway._parsing import CallerRequest
 from pomelolug.gateway._sinks import AnswerSink
+from pomelolug.gateway._suspicions import Suspicions
 from pomelolug.invariants import Invariants
 from pomelolug.messages import (
     ClaimRequest,
@@ -140,12 +141,14 @@
             clock=clock, free_slots=self.view.free_slots, random_state=random.Random(1)
         )
         self.containment = Containment(clock=clock)
+        self.suspicions = Suspicions(clock=clock)
         self.reports = []
         self.losses = LossReporter(
             node="n1",
             clock=clock,
             is_struck=lambda p: self.containment.may_run(p) is not RunMode.NORMAL,
             report=self._report,
+            suspect=self.suspicions.add,
         )
         self.violations = []
         self.registry = CollectorRegistry()
@@ -162,6 +165,7 @@
             budget=budget or RetryBudget(clock=clock),
             containment=self.containment,
             losses=self.losses,
+            suspicions=self.suspicions,
             invariants=Invariants(self.violations.append),
             metrics=self.metrics,
             decisions=DecisionLog(lambda explanation: None),
@@ -172,9 +176,11 @@
     def _report(self, report):
         self.reports.append(report)
         self.containment.on_loss(report)
+        self.suspicions.on_loss(report)
 
     def update(self, *groups):
         new = table(*groups)
         self.view.update(new)
         self.losses.on_table(new)
+        self.suspicions.on_table(new)
         self.queue.notify()
--- a/pomelolug/gateway/tests/test_model_flow.py
+++ b/pomelolug/gateway/tests/test_model_flow.py
@@ -11,6 +11,7 @@
 )
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.gateway.tests.flow_bench import FlowBench, ListSink, request, status
+from pomelolug.messages import Suspicion
 from pomelolug.testing._scripted_engine import ScriptedEngine, Silence, tokens
 
 pytestmark = pytest.mark.looptime
@@ -193,3 +194,25 @@
         await failing(bench, request())
     # A retry needs a success or a part of the reserve of 3.
     assert len(engine.requests) <= requests * 1.1 + 3
+
+
+async def test_request_sent_again_elsewhere_is_held_until_losses_are_decided():
+    # Two gateways saw the request break; neither loss is reported yet. A third
+    # group must not be risked meanwhile.
+    engine = ScriptedEngine([answer])
+    bench = FlowBench(engine)
+    bench.update(status("g1"), status("g2", token=2), status("g3", token=3))
+    call = request()
+    for group, token in (("g1", 1), ("g2", 2)):
+        bench.suspicions.add(
+            Suspicion(
+                node="n2", group=group, token=token, fingerprints=(call.fingerprint,)
+            )
+        )
+    running = asyncio.create_task(bench.flow.run(call, ListSink()))
+    await asyncio.sleep(1.0)
+    assert engine.requests == []
+    # Both groups are verified after the break: the request was not to blame.
+    bench.update(status("g1"), status("g2", token=2), status("g3", token=3))
+    await running
+    assert len(engine.requests) == 1
--- a/pomelolug/membership/_connection.py
+++ b/pomelolug/membership/_connection.py
@@ -32,6 +32,7 @@
     StatusBatch,
     StatusPull,
     StreamRecords,
+    Suspicion,
     TablePull,
     decode,
     encode,
@@ -56,6 +57,7 @@
     StatusBatch,
     StatusPull,
     StreamRecords,
+    Suspicion,
     TablePull,
 )
 QUEUE_SIZE = 512
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -34,6 +34,7 @@
     RecordsRequest,
     Relay,
     StreamRecords,
+    Suspicion,
     VersionUpdate,
 )
 from pomelolug.messages._routing_generated import (
@@ -83,6 +84,7 @@
     "StatusBatch",
     "StatusPull",
     "StreamRecords",
+    "Suspicion",
     "TablePull",
     "VersionUpdate",
     "VmChange",
--- a/pomelolug/messages/_peer_generated.py
+++ b/pomelolug/messages/_peer_generated.py
@@ -15,6 +15,7 @@
     "RecordsRequest",
     "Relay",
     "StreamRecords",
+    "Suspicion",
     "VersionUpdate",
 ]
 
@@ -156,3 +157,16 @@
     """Fingerprints of the requests in flight, at most 256."""
     solo: bool = False
     """Whether exactly one struck request was in flight."""
+
+
+class Suspicion(Message, frozen=True, kw_only=True):
+    """Streams broke on a group; it is not known yet whether the group is lost."""
+
+    node: str
+    """Reporting node."""
+    group: str
+    """Group on which the streams broke."""
+    token: int
+    """Fencing token of the group."""
+    fingerprints: tuple[bytes, ...]
+    """Fingerprints of the requests whose streams broke, at most 256."""
