Quarantine a request at its third loss in any case

Ruled out: agreeing on isolated groups beforehand (a round trip between all gateways before each resumption), and making struck requests wait for isolation without bound (bystanders of an ordinary member death would be served in turn).

--- a/pomelolug/retries/_losses.py
+++ b/pomelolug/retries/_losses.py
@@ -4,6 +4,7 @@
 the same losses reach the same verdicts in whatever order they learned of them.
 """
 
+import collections
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -20,6 +21,10 @@
     "judge",
 ]
 
+# Gateways do not agree on isolated groups beforehand, so that the second run of
+# a request may share its group with another struck one and prove nothing. The
+# third loss in a row ends it in any case: no request may cost more groups.
+MOST_LOSSES_OF_A_REQUEST = 3
 DOMAIN_WINDOW_S = 5.0
 """Losses in one fabric domain closer than this belong to one event, seconds."""
 
@@ -88,6 +93,7 @@
     """
     struck: set[bytes] = set()
     struck_at: dict[bytes, float] = {}
+    strikes: collections.Counter[bytes] = collections.Counter()
     quarantined: set[bytes] = set()
     ordered = sorted(state.losses.items(), key=lambda item: (item[1].at_s, item[0]))
     for key, loss in ordered:
@@ -102,6 +108,10 @@
         if loss.solo and len(suspects) == 1:
             quarantined |= suspects
         for fingerprint in loss.fingerprints:
+            earlier = strikes[fingerprint] if fingerprint in suspects else 0
+            strikes[fingerprint] = earlier + 1
+            if strikes[fingerprint] >= MOST_LOSSES_OF_A_REQUEST:
+                quarantined.add(fingerprint)
             struck_at[fingerprint] = loss.at_s
     for fingerprint, at_s in struck_at.items():
         if at_s > state.cleared.get(fingerprint, float("-inf")):
