--- a/pomelolug/admission/_fair.py
+++ b/pomelolug/admission/_fair.py
@@ -43,11 +43,17 @@
         Monotonic time after which starting it would be useless.
     on_settled : callable
         Called with None when a slot is granted, otherwise with the error.
+
+    Attributes
+    ----------
+    number : int
+        Position in the order of arrival at the pool.
     """
 
     __slots__ = (
         "arrived_at",
         "finish_tag",
+        "number",
         "on_settled",
         "request",
         "start_by",
@@ -68,6 +74,7 @@
         self.start_by = start_by
         self.on_settled = on_settled
         self.state = WaiterState.WAITING
+        self.number = 0
         self.start_tag = 0.0
         self.finish_tag = 0.0
 
--- a/pomelolug/admission/_pool.py
+++ b/pomelolug/admission/_pool.py
@@ -34,6 +34,7 @@
         self._lines: dict[ClassName, ClassLine] = {}
         self._by_priority: list[ClassLine] = []
         self._size = 0
+        self._pushed = 0
 
     def __len__(self) -> int:
         return self._size
@@ -53,6 +54,8 @@
 
     def push(self, waiter: Waiter) -> None:
         """Append a waiter to the line of its class."""
+        self._pushed += 1
+        waiter.number = self._pushed
         self.line(waiter.request.work_class).queue.push(waiter)
         self._size += 1
 
@@ -126,6 +129,6 @@
         self._sort()
 
 
-def _arrival(line: ClassLine) -> float:
-    """Return when the next waiter of a line that is not empty arrived."""
-    return line.queue.first().arrived_at
+def _arrival(line: ClassLine) -> int:
+    """Return the arrival number of the next waiter of a line that is not empty."""
+    return line.queue.first().number
--- /dev/null
+++ b/pomelolug/admission/tests/test_share.py
@@ -0,0 +1,45 @@
+"""Guards against slots that two gateways own or that none owns."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pomelolug.admission import CapacityShare, DemandMeter
+from pomelolug.messages import DemandReport
+
+
+def report(name, demand):
+    return DemandReport(gateway=name, admitted=0, queued=0, in_flight=demand)
+
+
+@given(st.lists(st.integers(0, 1000), min_size=1, max_size=50))
+def test_spans_tile_the_line_and_respect_the_floor(demands):
+    shares = CapacityShare(floor=0.2)
+    reports = [report(f"n{i:03}", demand) for i, demand in enumerate(demands)]
+    shares.update(reversed(reports))
+    end = 0.0
+    for one in reports:
+        assert shares.begin(one.gateway) == pytest.approx(end)
+        assert shares.share(one.gateway) >= 0.2 / len(demands) - 1e-9
+        end += shares.share(one.gateway)
+    assert end == pytest.approx(1.0)
+
+
+def test_gateway_without_a_report_has_no_share():
+    shares = CapacityShare()
+    shares.update([report("a", 1), report("b", 1)])
+    shares.update([report("a", 1)])
+    assert shares.share("b") == 0.0
+    assert shares.share("a") == pytest.approx(1.0)
+
+
+def test_reported_demand_moves_slowly_and_ignores_noise():
+    meter = DemandMeter("a")
+    meter.report(admitted=0, queued=0, in_flight=100)
+    noisy = meter.report(admitted=0, queued=0, in_flight=108)
+    assert noisy.in_flight == 100
+    gone = meter.report(admitted=0, queued=0, in_flight=0)
+    assert gone.in_flight >= 99
+    for _ in range(400):
+        more = meter.report(admitted=0, queued=50, in_flight=300)
+    assert more.queued + more.in_flight > 300
