Take groups in turn by weight and spill to other zones only from full groups

Spill on a predicted wait of a few milliseconds moved whole zones back and forth. Change: each gateway takes the groups in turn by weight; the weight is the slots that come free until the next report plus a quarter of the distance from the mean load; another zone is considered only if the chosen group has no free slot.

--- a/pomelolug/routing/_group.py
+++ b/pomelolug/routing/_group.py
@@ -8,7 +8,7 @@
 from pomelolug.ids import RequestId
 from pomelolug.messages import GroupStatus
 from pomelolug.routing._breaker import CircuitBreaker
-from pomelolug.routing._score import expected_wait, sampling_weight
+from pomelolug.routing._score import STRAGGLER_PART, expected_wait, turn_weight
 
 __all__ = ["GroupState"]
 
@@ -41,7 +41,9 @@
     slots_left : int
         Requests that this gateway may still send; may be negative.
     weight : float
-        Weight with which the group is drawn as a candidate.
+        How often it is the group's turn, relative to the others.
+    credit : float
+        Turns that the group is ahead of its weight.
     """
 
     __slots__ = (
@@ -52,9 +54,12 @@
         "_measured_at",
         "_refused_at",
         "_service_time_s",
+        "_pool_service_s",
         "_shift",
+        "_used",
         "breaker",
         "capacity",
+        "credit",
         "in_flight",
         "is_local",
         "limit",
@@ -90,6 +95,10 @@
         self.limit: int = 0
         self.slots_left: int = 0
         self.weight: float = 0.0
+        # A random start keeps gateways from taking the groups in step.
+        self.credit: float = random_state.random()
+        self._used: float = 1.0
+        self._pool_service_s: float = 1.0
         self.update(status, arrived_at=arrived_at)
 
     def update(self, status: GroupStatus, *, arrived_at: float) -> None:
@@ -108,6 +117,11 @@
         self._correction = sum(change for _, change in self._changes)
         self._set_load()
 
+    def set_mean(self, used: float, service_s: float) -> None:
+        """Set the used part of the pool's slots and its mean service time."""
+        self._used = used
+        self._pool_service_s = service_s
+
     def set_limit(self, *, begin: float, share: float, draw: float) -> None:
         """Set how many requests this gateway may have on the group.
 
@@ -215,9 +229,12 @@
         self._set_weight()
 
     def _set_weight(self) -> None:
-        self.weight = sampling_weight(
-            self.load, self.capacity, straggler=self.status.straggler
+        mean_load = self._used * self.capacity
+        self.weight = turn_weight(
+            self.load, mean_load, self.service_time(self._pool_service_s)
         )
+        if self.status.straggler:
+            self.weight *= STRAGGLER_PART
 
 
 def _age(reported_s: float) -> float:
--- a/pomelolug/routing/_score.py
+++ b/pomelolug/routing/_score.py
@@ -8,10 +8,11 @@
 __all__ = [
     "LOAD_COST",
     "STRAGGLER_COST",
+    "STRAGGLER_PART",
     "ZONE_COST_S",
     "expected_wait",
     "prefix_saving",
-    "sampling_weight",
+    "turn_weight",
 ]
 
 _SQRT_2 = math.sqrt(2.0)
@@ -31,6 +32,15 @@
 """Part of the service time that a straggler adds; it is set at 1.5 times."""
 
 
+STRAGGLER_PART = 0.25
+"""Part of the turns that a straggler keeps."""
+
+HORIZON_S = 1.5
+"""Time until a request sent now shows in the reports, in seconds."""
+
+GAIN = 0.25
+LEAST_PART = 0.05
+
 _SAVING_BY_BLOCK_S = 0.001
 _LARGEST_SAVING_S = 0.3
 
@@ -86,19 +96,26 @@
     return max(over, 0.0) * service_time_s / max(capacity, 1)
 
 
-def sampling_weight(load: float, capacity: int, *, straggler: bool) -> float:
-    """Return the weight with which a group is drawn as a candidate.
+def turn_weight(load: float, mean_load: float, service_time_s: float) -> float:
+    """Return how many requests a group should get until loads are known again.
 
-    It is the number of free slots; without a free slot it falls with the length
-    of the group's queue and never reaches zero.
+    These are the slots that come free until then plus the group's distance from
+    the mean load. All gateways see the same report: with a weight that follows
+    the load more strongly, they would overfill the emptiest groups together.
+
+    Parameters
+    ----------
+    load : float
+        Requests running and waiting.
+    mean_load : float
+        Load of the group if the pool's load were spread by capacity.
+    service_time_s : float
+        Mean time that a request holds a slot, in seconds.
 
     Examples
     --------
-    >>> sampling_weight(2, 6, straggler=False)
-    4.0
-    >>> sampling_weight(6, 6, straggler=False)
-    0.5
+    >>> turn_weight(50, 60, 18.0), turn_weight(50, 60, 1.5)
+    (15.0, 70.0)
     """
-    free = capacity - load
-    weight = float(free) if free >= 1 else 1.0 / (2.0 - free)
-    return weight * 0.25 if straggler else weight
+    turnover = max(mean_load, 1.0) * HORIZON_S / max(service_time_s, HORIZON_S)
+    return max(turnover + GAIN * (mean_load - load), LEAST_PART * turnover)
--- a/pomelolug/routing/_view.py
+++ b/pomelolug/routing/_view.py
@@ -1,8 +1,6 @@
 """A gateway's view of the groups, and the choice among them."""
 
-import bisect
 import datetime
-import itertools
 import math
 import random
 from collections.abc import Sequence
@@ -22,7 +20,6 @@
 __all__ = ["RoutingView"]
 
 _DEFAULT_SERVICE_TIME_S = 1.0
-_DRAWS = 2
 _TEMPORARY_REFUSALS = frozenset({"busy"})
 
 
@@ -158,9 +155,9 @@
         local = [state for state in states if state.is_local]
         remote = [state for state in states if not state.is_local]
         default_s = self._service_time_s.get(pool, _DEFAULT_SERVICE_TIME_S)
-        chosen = self._draw(local, prefix, default_s, now)
-        if remote and (chosen is None or chosen.wait(default_s, now) > ZONE_COST_S):
-            other = self._draw(remote, prefix, default_s, now)
+        chosen = self._take(local, prefix, default_s, now)
+        if remote and (chosen is None or chosen.load >= chosen.capacity):
+            other = self._take(remote, prefix, default_s, now)
             if chosen is None or self._saves_zone_cost(other, chosen, default_s, now):
                 chosen = other
         return None if chosen is None else chosen.status
@@ -273,10 +270,16 @@
         return usable
 
     def _set_limits(self) -> None:
-        for state in self._groups.values():
-            state.set_limit(
-                begin=self._begin, share=self._share, draw=self._random.random()
-            )
+        for pool, states in self._pools.items():
+            serving = [state for state in states if state.serving]
+            slots = sum(state.capacity for state in serving)
+            used = sum(state.load for state in serving) / max(slots, 1)
+            service_s = self._service_time_s.get(pool, _DEFAULT_SERVICE_TIME_S)
+            for state in states:
+                state.set_mean(used, service_s)
+                state.set_limit(
+                    begin=self._begin, share=self._share, draw=self._random.random()
+                )
 
     def _merge(
         self, known: GroupState | None, status: GroupStatus, now: float
@@ -293,33 +296,34 @@
             known.update(status, arrived_at=now)
         return known
 
-    def _draw(
+    def _take(
         self,
         states: list[GroupState],
         prefix: Sequence[str],
         default_s: float,
         now: float,
     ) -> GroupState | None:
-        """Draw two candidates by free slots and return the better one.
+        """Take the group whose turn it is, by weight.
 
-        A third candidate is the group that holds most of the prompt's prefix.
+        Each group gains credit in proportion to its weight and pays one for its
+        turn, which spreads requests more evenly than independent draws. The
+        alternative is the group that holds most of the prompt's prefix.
         """
         if not states:
             return None
-        if len(states) == 1:
-            return states[0]
-        bounds = list(itertools.accumulate([state.weight for state in states]))
-        drawn = [
-            states[
-                min(
-                    bisect.bisect(bounds, self._random.random() * bounds[-1]),
-                    len(states) - 1,
-                )
-            ]
-            for _ in range(_DRAWS)
-        ]
+        total = sum([state.weight for state in states])
+        best = states[0]
+        most = -math.inf
+        for state in states:
+            credit = state.credit = state.credit + state.weight / total
+            if credit > most:
+                best, most = state, credit
+        best.credit -= 1.0
+        drawn = [best]
         if prefix:
             drawn.append(max(states, key=lambda state: self._matched(state, prefix)))
+        if len(drawn) == 1:
+            return best
         return min(drawn, key=lambda state: self._score(state, prefix, default_s, now))
 
     def _score(
--- a/pomelolug/routing/tests/test_view.py
+++ b/pomelolug/routing/tests/test_view.py
@@ -98,6 +98,18 @@
     assert {view.choose("p").group for _ in range(50)} == {"b"}
 
 
+def test_own_dispatches_are_added_to_the_load_of_others():
+    view, clock = view_of(status("a", load=5))
+    for number in range(4):
+        view.on_dispatch("a", f"r{number}")
+    assert view._groups["a"].load == 9
+    view.on_finish("a", "r0", ok=True, service_time_s=0.1)
+    assert view._groups["a"].load == 8
+    clock.time += 1.0
+    view.update(table(status("a", load=8, load_age_s=0.5)))
+    assert view._groups["a"].load == 8
+
+
 def test_finish_before_the_measurement_is_not_subtracted_twice():
     view, clock = view_of(status("a", load=0))
     view.on_dispatch("a", "r")
