--- a/pomelolug/claims/_relay.py
+++ b/pomelolug/claims/_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import datetime
 import math
 import random
@@ -30,8 +31,13 @@
 MAX_UPDATES = 16384
 # 16 partitions take at most 320 appends a second at this interval.
 INTERVAL = datetime.timedelta(milliseconds=50)
+# Callers wait for claims and not for updates. Half a second lets most updates
+# share an append and is below the shortest ``Retry-After``.
+UPDATE_WAIT = datetime.timedelta(milliseconds=500)
 DECIDE_WITHIN = datetime.timedelta(seconds=2)
 FIRST_BACKOFF = datetime.timedelta(milliseconds=100)
+# A wait below the resolution of the timers would not end by itself.
+TIMER_SECONDS = 1e-4
 MAX_BACKOFF = datetime.timedelta(seconds=5)
 
 _log = structlog.get_logger(__name__)
@@ -79,6 +85,8 @@
         Draws the jitter of retries.
     interval : datetime.timedelta
         Least time between the starts of two appends.
+    update_wait : datetime.timedelta
+        How long updates wait for a claim whose append they can share.
     decide_within : datetime.timedelta
         Bound on the time to a verdict; the claim is then unavailable and
         released.
@@ -94,6 +102,7 @@
         batch: datetime.timedelta,
         random_state: random.Random,
         interval: datetime.timedelta = INTERVAL,
+        update_wait: datetime.timedelta = UPDATE_WAIT,
         decide_within: datetime.timedelta = DECIDE_WITHIN,
     ) -> None:
         self._partition = partition
@@ -102,12 +111,14 @@
         self._clock = clock
         self._batch = batch.total_seconds()
         self._interval = interval.total_seconds()
+        self._update_wait = update_wait.total_seconds()
         self._random = random_state
         self._decide_within = decide_within.total_seconds()
         self._waiting: collections.deque[_Pending] = collections.deque()
         self._appended: dict[bytes, _Pending] = {}
         self._updates: collections.deque[ClaimUpdate] = collections.deque()
         self._wake = asyncio.Event()
+        self._updates_since = 0.0
         self._refusing = False
         self._last_append = -math.inf
         fold.watch(self._settle)
@@ -193,6 +204,8 @@
             # caller gets no second try before.
             UNSENT_UPDATES.labels(side="relay").inc()
             return
+        if not self._updates:
+            self._updates_since = self._clock.monotonic()
         self._updates.append(update)
         self._wake.set()
 
@@ -229,9 +242,7 @@
         backoff = FIRST_BACKOFF
         try:
             while True:
-                await self._wake.wait()
-                self._wake.clear()
-                await self._clock.sleep(self._until_due())
+                await self._wait_until_due()
                 if await self._append_batch():
                     backoff = FIRST_BACKOFF
                 else:
@@ -241,17 +252,29 @@
                     await self._clock.sleep(backoff * factor)
                     backoff = min(2 * backoff, MAX_BACKOFF)
                     self._refusing = False
-                if self._waiting or self._updates:
-                    self._wake.set()
         finally:
             for pending in [*self._waiting, *self._appended.values()]:
                 pending.resolve(Verdict.UNAVAILABLE)
 
-    def _until_due(self) -> datetime.timedelta:
-        now = self._clock.monotonic()
-        first = self._waiting[0].arrived if self._waiting else now
-        due = max(first + self._batch, self._last_append + self._interval)
-        return datetime.timedelta(seconds=max(0.0, due - now))
+    async def _wait_until_due(self) -> None:
+        while True:
+            self._wake.clear()
+            due = self._due()
+            left = None if due is None else due - self._clock.monotonic()
+            if left is not None and left <= TIMER_SECONDS:
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await self._wake.wait()
+
+    def _due(self) -> float | None:
+        if self._waiting:
+            due = self._waiting[0].arrived + self._batch
+        elif self._updates:
+            due = self._updates_since + self._update_wait
+        else:
+            return None
+        return max(due, self._last_append + self._interval)
 
     def _take(self) -> tuple[list[_Pending], list[ClaimUpdate]]:
         claims = [
--- /dev/null
+++ b/pomelolug/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstrations and measurements."""
--- a/pomelolug/membership/_connection.py
+++ b/pomelolug/membership/_connection.py
@@ -53,9 +53,12 @@
 QUEUE_SIZE = 512
 KEEP_ALIVE = encode(KeepAlive())
 SILENCE = datetime.timedelta(seconds=3)
-# The writer wakes this often within the silence limit.
-TICKS_PER_SILENCE = 4
+# The writer wakes at least this often within the silence limit. A process that
+# sends once per heartbeat is then hardly ever woken by the timer.
+TICKS_PER_SILENCE = 2
 
+_RECEIVED = BYTES.labels(direction="received")
+_SENT = BYTES.labels(direction="sent")
 _log = structlog.get_logger(__name__)
 
 
@@ -186,7 +189,7 @@
                 self.close(str(error))
                 return
             self._quiet = 0.0
-            BYTES.labels(direction="received").inc(len(frame))
+            _RECEIVED.inc(len(frame))
             try:
                 message = decode(frame, *MESSAGE_KINDS)
             except PeerError as error:
@@ -224,7 +227,7 @@
                     await self._wake.wait()
             # Time in which this process itself was paused does not count as
             # silence of the other end, nor does time spent in the own handler.
-            waited = min(self._clock.monotonic() - before, 2 * tick)
+            waited = min(self._clock.monotonic() - before, tick)
             self._quiet += 0.0 if self._handling else waited
             unsent_for += waited
             if self._quiet >= self._silence:
@@ -244,7 +247,7 @@
                 frame = self._queue.pop()
                 async with asyncio.timeout(self._silence):
                     await self._transport.send(frame)
-                BYTES.labels(direction="sent").inc(len(frame))
+                _SENT.inc(len(frame))
         except PeerError as error:
             self.close(str(error))
         except TimeoutError:
--- a/pomelolug/membership/_link.py
+++ b/pomelolug/membership/_link.py
@@ -46,6 +46,8 @@
         self._named: set[str] = set()
         self._vouched: dict[str, tuple[int, int]] = {}
         self._silent: dict[str, float] = {}
+        self._checked: dict[str, int] = {}
+        self._checked_at = 0
 
     @property
     def node(self) -> str:
@@ -62,14 +64,17 @@
         """Return when nodes were last heard that the other end does not hear."""
         return self._silent
 
-    def vouched(self) -> dict[str, int]:
+    def vouched(self) -> Mapping[str, int]:
         """Return the distance of each node that the other end vouches for."""
-        found = {}
-        for node, (distance, start) in self._vouched.items():
-            member = self._table.get(node)
-            if member and start_of(member.beat.incarnation) == start:
-                found[node] = distance + 1
-        return found
+        if self._checked_at != self._table.events:
+            self._checked_at = self._table.events
+            self._checked = {
+                node: distance + 1
+                for node, (distance, start) in self._vouched.items()
+                if (member := self._table.get(node))
+                and start_of(member.beat.incarnation) == start
+            }
+        return self._checked
 
     def send_digest(self) -> None:
         """Send a digest with all that changed since the last one."""
@@ -178,6 +183,7 @@
         heard = awake - max(0, entry.age_ms) / 1000 if silent else awake
         plain = msgspec.structs.replace(entry, distance=0, age_ms=0)
         member = self._table.learn(plain, heard)
+        self._checked_at = 0
         if member is None or silent:
             self._vouched.pop(entry.node, None)
             if member is not None:
--- a/pomelolug/membership/_mesh.py
+++ b/pomelolug/membership/_mesh.py
@@ -24,6 +24,7 @@
 from pomelolug.membership._metrics import DIALS, REFUSALS
 from pomelolug.membership._relay import Relays
 from pomelolug.membership._table import (
+    FAR,
     Member,
     NodeInfo,
     NodeState,
@@ -307,12 +308,15 @@
             member = self._table.get(link.node)
             if member is not None:
                 member.direct = link.last_digest
+            last = link.last_digest
             for node, distance in link.vouched().items():
-                heard[node] = max(heard[node], link.last_digest)
-                if fresh:
-                    distances[node] = min(distance, distances.get(node, distance))
+                if last > heard[node]:
+                    heard[node] = last
+                if fresh and distance < distances.get(node, FAR):
+                    distances[node] = distance
             for node, when in link.silent().items():
-                heard[node] = max(heard[node], when)
+                if when > heard[node]:
+                    heard[node] = when
         for member in self._table.renew(heard, distances):
             self._report(member)
 
