--- a/pomelolug/membership/tests/test_faults.py
+++ b/pomelolug/membership/tests/test_faults.py
@@ -55,6 +55,18 @@
     await fleet.close()
 
 
+async def test_time_of_an_own_pause_is_not_counted_as_silence_of_others():
+    fleet = await formed(2)
+    table = fleet.meshes["n000"]._table
+    before = table.awake
+    fleet.clocks["n000"].pause()
+    await asyncio.sleep(60)
+    fleet.clocks["n000"].resume()
+    await asyncio.sleep(1.5)
+    assert table.awake - before < 6
+    await fleet.close()
+
+
 @pytest.mark.parametrize("count", [6, 24])
 async def test_one_way_loss_between_two_nodes_makes_neither_suspect(count):
     fleet = await formed(count, zones=3)
