Wait for the control processes before the first publication

Change: the deployment waits until every control process answers, and names a running one in the operator's settings.

--- a/pomelolug/experiments/_deployment.py
+++ b/pomelolug/experiments/_deployment.py
@@ -124,6 +124,7 @@
         await self._start_backends()
         await self._wait("backends", self._stand_ins.answers)
         await asyncio.gather(*(self._start_entry(entry) for entry in self._entries))
+        await self._wait("control processes", self._controls_answer)
 
     async def close(self) -> None:
         """End every process."""
@@ -247,12 +248,19 @@
         found = re.search(r"version\D*(\d+)", output)
         return int(found[1]) if status == 0 and found else None
 
+    def _running_entry(self) -> EntryVm:
+        stopped = {process.pid for process in self._stopped}
+        for entry in self._entries:
+            if entry.control is not None and entry.control.pid not in stopped:
+                return entry
+        return self._entries[0]
+
     def _operator_settings(self, operator: str) -> dict[str, dict[str, object]]:
         return {
             "operator": {"name": operator, "key": f"{operator}={_OPERATOR_KEY}"},
             "platform": {"log": f"{_HOST}:{self._base}"},
             "control": {
-                "address": self._entries[0].control_address,
+                "address": self._running_entry().control_address,
                 "keys": _PEER_KEY,
             },
         }
@@ -343,6 +351,16 @@
         except aiohttp.ClientError:
             return False
 
+    async def _controls_answer(self) -> bool:
+        for entry in self._entries:
+            try:
+                url = f"http://{entry.control_address}/"
+                async with self._session.get(url, timeout=_ANSWER_TIMEOUT):
+                    pass
+            except (aiohttp.ClientError, TimeoutError):
+                return False
+        return True
+
     async def _is_ready(self, entry: EntryVm) -> bool:
         try:
             url = f"http://{entry.gateway_address}/readyz"
