--- a/pomelolug/configuration/_parse.py
+++ b/pomelolug/configuration/_parse.py
@@ -139,7 +139,7 @@
     spec: Sequence[OptionSpec],
     findings: list[Finding],
 ) -> dict[str, Any]:
-    given = parser[section]
+    given = dict(parser.items(section))
     known = [option.key for option in spec]
     for key in given:
         if key not in known:
--- a/pomelolug/state/_reader.py
+++ b/pomelolug/state/_reader.py
@@ -1,5 +1,6 @@
 """Follows one stream of the log and keeps its fold up to date."""
 
+import asyncio
 import datetime
 import random
 from collections.abc import Callable, Sequence
@@ -26,6 +27,7 @@
 
 _LONG_POLL = datetime.timedelta(seconds=10)
 _INCOMPLETE_PAUSE = datetime.timedelta(seconds=2)
+_SLICE_RECORDS = 10
 _RELAY_BYTES = 512 * 1024
 _NO_WAIT = datetime.timedelta(0)
 _NOT_COMPLETE = (ReaderState.STARTING, ReaderState.INCOMPLETE)
@@ -171,7 +173,7 @@
         if page.oldest > self.offset + 1:
             await self._wait_incomplete(page.oldest, "records expired")
             return
-        gap = self._apply(page.records, page.end)
+        gap = await self._apply_page(page)
         caught_up = self.offset + 1 >= page.end
         if gap is not None or (self.offset == before and not caught_up):
             await self._wait_incomplete(gap or page.end, "records are missing")
@@ -211,6 +213,16 @@
             self._intake.skip_to(start)
         return start is not None
 
+    async def _apply_page(self, page: LogPage) -> Offset | None:
+        """Apply a page in slices, so that no heartbeat waits for all of it."""
+        for start in range(0, len(page.records), _SLICE_RECORDS):
+            part = page.records[start : start + _SLICE_RECORDS]
+            gap = self._apply(part, page.end)
+            if gap is not None or self._state is ReaderState.REGRESSED:
+                return gap
+            await asyncio.sleep(0)
+        return None
+
     def _apply(self, records: Sequence[LogRecord], end: Offset) -> Offset | None:
         """Apply what is new; return the offset that is out of order, if any."""
         for record in records:
--- a/pomelolug/state/_view.py
+++ b/pomelolug/state/_view.py
@@ -149,5 +149,8 @@
         await self._observers.wait_until(condition, timeout)
 
     def _set_state(self, state: ReaderState) -> None:
+        if self._state is ReaderState.REGRESSED:
+            # Only a restart with a declared log ends this state.
+            return
         self._state = state
         self._observers.notify()
--- a/pomelolug/state/tests/test_state_relay.py
+++ b/pomelolug/state/tests/test_state_relay.py
@@ -111,6 +111,24 @@
     assert declared.refusals == {RefusalReason.OTHER_LOG: 1}
 
 
+async def test_reader_stopped_by_a_peer_in_the_middle_of_a_page_stays_stopped(bench):
+    peer = await _peer(bench, 1, 2)
+    bench.log.replace("log-2")
+    bench.put(*[3] * 400)
+    reader = bench.reader()
+    apply = reader.fold.apply
+
+    def apply_and_hear_of_the_other_log(record):
+        apply(record)
+        asyncio.get_running_loop().call_soon(reader.feed, peer.records_from(0))
+
+    reader.fold.apply = apply_and_hear_of_the_other_log
+    async with running(reader):
+        await asyncio.sleep(60)
+    assert reader.state is ReaderState.REGRESSED
+    assert 0 < len(reader.fold.numbers) < 400
+
+
 async def test_message_with_missing_stamps_is_refused(bench):
     peer = await _peer(bench, 1, 2)
     message = msgspec.structs.replace(peer.records_from(0), stamps_ms=(0,))
--- a/pomelolug/testing/_memory_log.py
+++ b/pomelolug/testing/_memory_log.py
@@ -12,7 +12,7 @@
 
 __all__ = ["LogFaults", "MemoryLog"]
 
-_LONGEST_POLL = datetime.timedelta(seconds=1)
+_LONGEST_POLL = datetime.timedelta(seconds=5)
 _RESOLUTION_S = 0.001
 
 
