Keep tests from depending on each other's logging set-up

Cause: tests that read log events failed when another test in the same process had configured structlog before (5 failures in one full run, none alone).

--- a/pomelolug/telemetry/_logging.py
+++ b/pomelolug/telemetry/_logging.py
@@ -30,6 +30,5 @@
             logging.getLevelNamesMapping()[level.upper()]
         ),
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
-        cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**context)
