--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,15 @@
 demo: $(VENV)/.installed
 	@$(RUN) -m pomelolug.experiments.demo
 
+bench: $(VENV)/.installed
+	$(RUN) -m pomelolug.experiments.bench --only "$(ONLY)"
+
+soak: $(VENV)/.installed
+	@$(RUN) -m pomelolug.experiments.soak --seed $(or $(SEED),1) --virtual_s $(or $(VIRTUAL_S),600)
+
+replay: $(VENV)/.installed
+	@$(RUN) -m pomelolug.experiments.replay $(TRACE)
+
 format: $(VENV)/.installed
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
