Start windows by log time, bound the chain of versions

Cause: the start of a window was reckoned from the local clock; a node whose clock is ahead would leave out claims that are still valid. The walk along the versions had no bound, and a checkpoint that is too large for a message raised out of records_from.

Change: the newest record's stamp ends the window; at most 1,000 versions are followed; a too large checkpoint is logged and not offered.

Conclusion: claims are read from the window's start whatever the clock.

--- a/pomelolug/operator/_chain.py
+++ b/pomelolug/operator/_chain.py
@@ -17,6 +17,7 @@
 
 __all__ = ["VersionLine", "versions_before", "was_in_force"]
 
+_MAX_VERSIONS = 1000
 _READ_TIMEOUT = datetime.timedelta(seconds=2)
 
 
@@ -31,16 +32,29 @@
     document: str
 
 
-async def versions_before(log: LogService, current: int) -> AsyncIterator[VersionLine]:
+async def versions_before(
+    log: LogService, current: int, *, limit: int = _MAX_VERSIONS
+) -> AsyncIterator[VersionLine]:
     """Yield `current` and the versions before it, as far as the log has them.
 
+    Parameters
+    ----------
+    log : LogService
+        The platform's log.
+    current : int
+        Version in force.
+    limit : int
+        Largest number of versions.
+
     Raises
     ------
     PlatformError
         If the log does not answer.
     """
     version = current
-    while version >= 0:
+    for _ in range(limit):
+        if version < 0:
+            return
         page = await log.read(
             CONFIG_STREAM,
             Offset(version),
@@ -70,7 +84,8 @@
     Returns
     -------
     bool or None
-        None if the records that would tell have expired.
+        None if the records that would tell have expired, or more than 1,000
+        versions came after.
     """
     if current <= offset:
         return current == offset
--- a/pomelolug/operator/_commands.py
+++ b/pomelolug/operator/_commands.py
@@ -30,6 +30,7 @@
 N = TypeVar("N", int, float)
 _GROUPS_STREAM = "groups"
 _SALT_BYTES = 16
+_SHOWN_VERSIONS = 64
 _DEFAULT_SETTINGS = "operator.ini"
 
 
@@ -226,7 +227,7 @@
     page = await site.control.page("/v1/configuration", ConfigurationPage)
     return [
         _version_line(line.version, line.base, line.author, line.stamp)
-        async for line in versions_before(site.log, page.version)
+        async for line in versions_before(site.log, page.version, limit=_SHOWN_VERSIONS)
     ]
 
 
--- a/pomelolug/state/_outbox.py
+++ b/pomelolug/state/_outbox.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Callable
 
+import structlog
+
+from pomelolug.errors import PeerError
 from pomelolug.ids import Offset
 from pomelolug.messages import Checkpoint, StreamRecords
 from pomelolug.platform import LogRecord
@@ -11,6 +14,8 @@
 
 __all__ = ["Outbox"]
 
+_logger = structlog.get_logger(__name__)
+
 
 class Outbox:
     """The last raw records of a stream, and a signed checkpoint on demand.
@@ -54,7 +59,15 @@
         if not self._author:
             return None
         if self._signed is None or self._signed[0] != end:
-            signed = sign_checkpoint(make(), author=self._author, keyring=self._keyring)
+            try:
+                signed = sign_checkpoint(
+                    make(), author=self._author, keyring=self._keyring
+                )
+            except PeerError as error:
+                _logger.warning(
+                    "checkpoint_too_large", stream=self._stream, detail=str(error)
+                )
+                return None
             self._signed = end, signed
         return self._pack(end, end, log_id, self._signed[1])
 
--- a/pomelolug/state/_reader.py
+++ b/pomelolug/state/_reader.py
@@ -102,7 +102,7 @@
             stream=stream, author=author, keyring=keyring, limit_bytes=relay_bytes
         )
         self._finder = StartFinder(
-            log=log, stream=stream, keyring=keyring, clock=clock, window=window
+            log=log, stream=stream, keyring=keyring, window=window
         )
         self._placed = False
         self._verify_last = False
--- a/pomelolug/state/_startup.py
+++ b/pomelolug/state/_startup.py
@@ -2,7 +2,6 @@
 
 import datetime
 
-from pomelolug.clock import Clock
 from pomelolug.ids import Offset
 from pomelolug.messages import Checkpoint
 from pomelolug.platform import LogPage, LogRecord, LogService
@@ -30,8 +29,6 @@
         Name of the stream.
     keyring : KeyRing
         Accepted keys.
-    clock : Clock
-        Source of time.
     window : datetime.timedelta, optional
         Age of the oldest record that is needed; by default all are.
     """
@@ -42,13 +39,11 @@
         log: LogService,
         stream: str,
         keyring: KeyRing,
-        clock: Clock,
         window: datetime.timedelta | None,
     ) -> None:
         self._log = log
         self._stream = stream
         self._keyring = keyring
-        self._clock = clock
         self._window = window
         self._scanned = Offset(0)
 
@@ -123,17 +118,27 @@
     ) -> Offset:
         """Return the first offset inside `window`.
 
-        Bisects by the log's stamps, one record a read.
+        The newest record's stamp ends the window: unlike the local clock it
+        cannot be ahead of the log's time. Bisects by stamps, one record a read.
         """
-        since = self._clock.now() - window
+        newest = await self._stamp_at(Offset(page.end - 1))
+        if newest is None:
+            return page.oldest
+        since = newest - window
         low, high = page.oldest, page.end
         while low < high:
             middle = Offset((low + high) // 2)
-            answer = await self._read(middle, 1)
-            if not answer.records or answer.records[0].offset != middle:
-                low = max(Offset(middle + 1), answer.oldest)
-            elif answer.records[0].stamp >= since:
+            stamp = await self._stamp_at(middle)
+            if stamp is not None and stamp >= since:
                 high = middle
             else:
                 low = Offset(middle + 1)
         return low
+
+    async def _stamp_at(self, offset: Offset) -> datetime.datetime | None:
+        """Return the stamp of one record, None if it is not kept."""
+        if offset < 0:
+            return None
+        answer = await self._read(offset, 1)
+        found = [r.stamp for r in answer.records if r.offset == offset]
+        return found[0] if found else None
