Keep the log set-up of the command out of the tests

Cause: the command's tests configured structlog with the captured standard error; later tests in the same worker then wrote to a closed file, and 9 tests of state failed in a run of the whole tree.

Change: the tests of the command replace configure_logging.

Conclusion: a fault of the tests only.

--- a/pomelolug/operator/tests/test_operator_command.py
+++ b/pomelolug/operator/tests/test_operator_command.py
@@ -22,6 +22,11 @@
 
 @pytest.fixture
 def run(monkeypatch, capsys):
+    # Loggers would keep the captured standard error beyond this test.
+    monkeypatch.setattr(
+        "pomelolug.operator.__main__.configure_logging", lambda level: None
+    )
+
     def run(*arguments):
         monkeypatch.setattr("sys.argv", ["pomelolug", *arguments])
         try:
