--- a/pomelolug/testing/tests/test_backend_server.py
+++ b/pomelolug/testing/tests/test_backend_server.py
@@ -1,5 +1,6 @@
 import asyncio
 import datetime
+import os
 
 import pytest
 
@@ -233,11 +234,17 @@
 
 async def test_cut_towards_a_process_heals(backends, engine, session):
     """Guards against a partition that never ends or never begins."""
-    import os
-
     address = backends.fleet.members[0].vm.address
     await apply(backends, FaultKind.CUT, "engine-0", pids=(os.getpid(),))
     with pytest.raises(EngineUnavailableError):
         await engine.status(address, timeout=datetime.timedelta(seconds=0.1))
     await apply(backends, FaultKind.HEAL, "engine-0")
     assert (await engine.status(address, timeout=TIMEOUT)).vm == "engine-0"
+
+
+async def test_cut_leaves_other_processes_alone(backends, engine):
+    """Guards against a partition that silences the wrong callers."""
+    address = backends.fleet.members[0].vm.address
+    await engine.status(address, timeout=TIMEOUT)
+    await apply(backends, FaultKind.CUT, "engine-0", pids=(os.getppid(),))
+    assert (await engine.status(address, timeout=TIMEOUT)).vm == "engine-0"
--- a/pomelolug/testing/tests/test_platform_server.py
+++ b/pomelolug/testing/tests/test_platform_server.py
@@ -1,3 +1,4 @@
+import asyncio
 import datetime
 
 import aiohttp
@@ -49,8 +50,6 @@
 
 async def test_long_poll_returns_on_append(platform):
     """Guards against readers that learn of a record only after the wait."""
-    import asyncio
-
     reader = asyncio.create_task(platform.read(0, datetime.timedelta(seconds=5)))
     await asyncio.sleep(0.02)
     await platform.append(b"x")
