Cut the cost of a token in the gateway

Cause: 98 us of processor time a token, above the 78 us that a fifth of a core allows at 2,540 tokens a second; a profile of the path showed two timers set for each token, three middleware calls for each event, and one JSON object encoded for each event. Change: one timer looks at the time of the last event; model calls pass by the Starlette middleware; the constant part of an event is encoded once; proxy headers are off.

--- a/pomelolug/experiments/soak/_entry.py
+++ b/pomelolug/experiments/soak/_entry.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from prometheus_client import CollectorRegistry
-from starlette.applications import Starlette
+from starlette.types import ASGIApp
 
 from pomelolug.clock import Clock
 from pomelolug.control._compose import Platform
@@ -125,7 +125,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.control: ControlNode | None = None
         self.gateway: Gateway | None = None
-        self.application: Starlette | None = None
+        self.application: ASGIApp | None = None
         self.callers: set[asyncio.Task[None]] = set()
         self.clock = PausableClock(clock)
         self.versions: list[int] = []
--- a/pomelolug/gateway/_application.py
+++ b/pomelolug/gateway/_application.py
@@ -11,7 +11,7 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
-from starlette.types import Message, Receive, Scope, Send
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from pomelolug.errors import ErrorCode, Outcome, PomelolugError, RequestError
 from pomelolug.gateway._authentication import Authenticator
@@ -102,16 +102,34 @@
         self._decisions = decisions
         self._listen = listen
 
-    def build(self) -> Starlette:
-        """Return the ASGI application."""
+    def build(self) -> ASGIApp:
+        """Return the ASGI application.
+
+        The two model calls do not pass through the Starlette application: its
+        middleware adds three calls to each event that is sent.
+        """
+        direct = {
+            "/v1/completions": self._endpoint(self._completion),
+            "/v1/chat/completions": self._endpoint(self._chat),
+        }
+        others = self._routes()
+
+        async def application(scope: Scope, receive: Receive, send: Send) -> None:
+            endpoint = direct.get(scope.get("path", ""))
+            if endpoint is not None and scope.get("method") == "POST":
+                await endpoint(scope, receive, send)
+            else:
+                await others(scope, receive, send)
+
+        return application
+
+    def _routes(self) -> Starlette:
         any_method = ["GET", "POST", "PUT", "PATCH", "DELETE"]
         routes = [
             Route("/healthz", self._healthz),
             Route("/readyz", self._readyz),
             Route("/metrics", self._metrics_page),
             Route("/v1/models", self._models),
-            _AsgiRoute("/v1/completions", ["POST"], self._endpoint(self._completion)),
-            _AsgiRoute("/v1/chat/completions", ["POST"], self._endpoint(self._chat)),
             _AsgiRoute(
                 "/services/{service}/{path:path}",
                 any_method,
--- a/pomelolug/gateway/_attempt.py
+++ b/pomelolug/gateway/_attempt.py
@@ -19,6 +19,9 @@
 
 __all__ = ["AttemptResult", "Progress", "run_attempt"]
 
+_LOOKS_PER_GAP = 4
+_SHORTEST_LOOK_S = 0.001
+
 
 class AttemptResult(enum.Enum):
     """How an attempt ended."""
@@ -60,36 +63,67 @@
         """Monotonic reading at which the request arrived, in seconds."""
         return self._started
 
+    def on_token(self, now: float) -> None:
+        """Count a token that the caller has got at `now`."""
+        self.position += 1
+        self.last_token_at = now
+        if self.first_token_at is None:
+            self.first_token_at = now
+
 
 class _Watch:
-    """Rearms one timeout between waiting for the engine and for the caller.
+    """Finds an engine that says nothing and a caller that does not read.
 
-    A timeout object for each token would cost more than the rest of the token's
-    handling, so that one object is rescheduled.
+    A timer that is set again for each token costs more than the rest of the
+    token's handling. The time of the last event is noted instead, and a timer
+    looks at it several times within the limit.
     """
 
     def __init__(
         self,
         timeout: asyncio.Timeout,
         clock: Clock,
+        *,
+        first: datetime.timedelta,
         gap: datetime.timedelta,
         write: datetime.timedelta,
     ) -> None:
         self._timeout = timeout
         self._clock = clock
         self._gap_s = gap.total_seconds()
+        self._limit_s = first.total_seconds()
         self._write_s = write.total_seconds()
+        self._since = clock.monotonic()
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
         self.writing = False
-
-    def engine(self) -> None:
-        """Allow one token gap from now on."""
-        self.writing = False
-        self._timeout.reschedule(self._clock.monotonic() + self._gap_s)
+        self._look_again()
 
     def caller(self) -> None:
-        """Allow one write timeout from now on."""
+        """Note that the caller has to read now."""
         self.writing = True
-        self._timeout.reschedule(self._clock.monotonic() + self._write_s)
+        self._since = self._clock.monotonic()
+
+    def engine(self) -> float:
+        """Note that the engine has to send now; return the time."""
+        self.writing = False
+        self._limit_s = self._gap_s
+        self._since = self._clock.monotonic()
+        return self._since
+
+    def stop(self) -> None:
+        """Look no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _look_again(self) -> None:
+        limit_s = self._write_s if self.writing else self._limit_s
+        left_s = self._since + limit_s - self._clock.monotonic()
+        if left_s <= 0:
+            self._timeout.reschedule(self._loop.time())
+            return
+        delay_s = min(max(left_s, _SHORTEST_LOOK_S), self._gap_s / _LOOKS_PER_GAP)
+        self._timer = self._loop.call_later(delay_s, self._look_again)
 
 
 async def run_attempt(
@@ -142,9 +176,13 @@
     watch: _Watch | None = None
     try:
         async with asyncio.timeout(None) as timeout, contextlib.aclosing(stream):
-            first = _Watch(timeout, clock, first_timeout, write_timeout)
-            watch = _Watch(timeout, clock, gap_timeout, write_timeout)
-            first.engine()
+            watch = _Watch(
+                timeout,
+                clock,
+                first=first_timeout,
+                gap=gap_timeout,
+                write=write_timeout,
+            )
             async for event in stream:
                 if event.request_id != progress.request_id:
                     # An event of another request on this connection: nothing
@@ -158,19 +196,15 @@
                     watch.caller()
                     await sink.end(event.tokens, event.finish_reason)
                     return AttemptResult.COMPLETE
-                if event.position < progress.position:
+                if event.position != progress.position:
+                    if event.position > progress.position:
+                        metrics.dropped_events.labels("gap").inc()
+                        return AttemptResult.CUT
                     metrics.dropped_events.labels("repeated").inc()
                     continue
-                if event.position > progress.position:
-                    metrics.dropped_events.labels("gap").inc()
-                    return AttemptResult.CUT
                 watch.caller()
                 await sink.token(event.position, event.text)
-                progress.position += 1
-                progress.last_token_at = clock.monotonic()
-                if progress.first_token_at is None:
-                    progress.first_token_at = progress.last_token_at
-                watch.engine()
+                progress.on_token(watch.engine())
     except TimeoutError:
         if watch is not None and watch.writing:
             raise RequestError(
@@ -185,4 +219,7 @@
         return AttemptResult.REFUSED
     except EngineUnavailableError as error:
         return AttemptResult.CUT if error.maybe_run else AttemptResult.NOT_REACHED
+    finally:
+        if watch is not None:
+            watch.stop()
     return AttemptResult.CUT
--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -339,6 +339,10 @@
             log_config=None,
             access_log=False,
             lifespan="off",
+            interface="asgi3",
+            # The balancer's headers are not used, and the wrapper that reads
+            # them would be passed for each event.
+            proxy_headers=False,
             timeout_keep_alive=_KEEP_ALIVE_S,
             timeout_graceful_shutdown=round(settings.drain.limit.total_seconds()),
         )
--- a/pomelolug/gateway/_replies.py
+++ b/pomelolug/gateway/_replies.py
@@ -9,42 +9,48 @@
 
 __all__ = [
     "DONE_EVENT",
+    "TokenFormat",
     "answer_body",
     "end_event",
     "error_body",
     "error_event",
     "error_response",
-    "token_event",
 ]
 
 DONE_EVENT = b"data: [DONE]\n\n"
 _encode = msgspec.json.Encoder().encode
 
 
-def token_event(
-    request_id: str, model: str, position: int, text: str, chat: bool
-) -> bytes:
-    """Return one token as a server-sent event.
+class TokenFormat:
+    """Formats the token events of one answer.
+
+    All but position and text is the same for each token, so that it is encoded
+    once.
 
-    Returns
-    -------
-    bytes
-        The event with its blank line.
+    Examples
+    --------
+    >>> TokenFormat("r1", "m", chat=False).event(0, "a")[:24]
+    b'data: {"id":"r1","object'
     """
-    choice: dict[str, Any] = {"index": 0, "finish_reason": None}
-    if chat:
-        choice["delta"] = {"content": text}
-    else:
-        choice["text"] = text
-    return b"data: %b\n\n" % _encode(
-        {
-            "id": request_id,
-            "object": "chat.completion.chunk" if chat else "text_completion",
-            "model": model,
-            "position": position,
-            "choices": [choice],
-        }
-    )
+
+    def __init__(self, request_id: str, model: str, *, chat: bool) -> None:
+        kind = "chat.completion.chunk" if chat else "text_completion"
+        head = _encode({"id": request_id, "object": kind, "model": model})
+        self._head = b"data: " + head[:-1] + b',"position":'
+        self._middle = b',"choices":[{"index":0,"finish_reason":null,' + (
+            b'"delta":{"content":' if chat else b'"text":'
+        )
+        self._tail = b"}}]}\n\n" if chat else b"}]}\n\n"
+
+    def event(self, position: int, text: str) -> bytes:
+        """Return one token as a server-sent event with its blank line."""
+        return b"%b%d%b%b%b" % (
+            self._head,
+            position,
+            self._middle,
+            _encode(text),
+            self._tail,
+        )
 
 
 def end_event(
--- a/pomelolug/gateway/_sinks.py
+++ b/pomelolug/gateway/_sinks.py
@@ -6,11 +6,11 @@
 
 from pomelolug.errors import RequestError
 from pomelolug.gateway._replies import (
+    TokenFormat,
     answer_body,
     end_event,
     error_event,
     error_response,
-    token_event,
 )
 
 __all__ = ["AnswerSink", "BufferSink", "EventSink"]
@@ -89,12 +89,21 @@
     and a queue hop for each token.
     """
 
+    def __init__(self, send: Send, request_id: str, model: str, chat: bool) -> None:
+        super().__init__(send, request_id, model, chat)
+        self._format = TokenFormat(request_id, model, chat=chat)
+
     async def token(self, position: int, text: str) -> None:
         """Pass one token on."""
         if not self._started:
             await self._start(b"text/event-stream")
-        event = token_event(self._request_id, self._model, position, text, self._chat)
-        await self._body(event, more=True)
+        await self._send(
+            {
+                "type": "http.response.body",
+                "body": self._format.event(position, text),
+                "more_body": True,
+            }
+        )
 
     async def end(self, tokens: int, reason: str) -> None:
         """Finish a complete answer with the end marker."""
