--- a/pomelolug/state/_reader.py
+++ b/pomelolug/state/_reader.py
@@ -208,7 +208,10 @@
             # A peer has provided the state meanwhile.
             return True
         if isinstance(start, Checkpoint):
-            return self._intake.restore(start)
+            restored = self._intake.restore(start)
+            if not restored:
+                self._finder.reject(start)
+            return restored
         if start is not None:
             self._intake.skip_to(start)
         return start is not None
--- a/pomelolug/state/_startup.py
+++ b/pomelolug/state/_startup.py
@@ -46,6 +46,11 @@
         self._keyring = keyring
         self._window = window
         self._scanned = Offset(0)
+        self._rejected: set[bytes] = set()
+
+    def reject(self, checkpoint: Checkpoint) -> None:
+        """Leave out a checkpoint that could not be restored from now on."""
+        self._rejected.add(checkpoint.digest)
 
     async def find(self, page: LogPage) -> Checkpoint | Offset | None:
         """Return a checkpoint, the offset to begin at, or None.
@@ -111,7 +116,8 @@
             return None
         follows = checkpoint.covered < record.offset
         complete = checkpoint.covered + 1 >= page.oldest
-        return checkpoint if follows and complete else None
+        usable = follows and complete and checkpoint.digest not in self._rejected
+        return checkpoint if usable else None
 
     async def _find_window_start(
         self, page: LogPage, window: datetime.timedelta
--- a/pomelolug/state/tests/test_state_checkpoint.py
+++ b/pomelolug/state/tests/test_state_checkpoint.py
@@ -18,6 +18,7 @@
     RefusalReason,
     publisher_rank,
 )
+from pomelolug.state._checkpoint import make_checkpoint
 from pomelolug.state._prefix import Prefix
 from pomelolug.state.tests.bench import (
     SECONDS,
@@ -183,6 +184,21 @@
     assert reader.fold.numbers == []
 
 
+@pytest.mark.looptime
+async def test_checkpoint_that_cannot_be_restored_gives_way_to_an_older_one(bench):
+    writer = await _writer_at(bench, 1, 2)
+    bench.put_checkpoint(writer)
+    unreadable = make_checkpoint(
+        stream=STREAM, log_id="log-1", covered=2, nonces=(), state=b"\xff"
+    )
+    bench.put_checkpoint(writer, message=unreadable)
+    bench.log.expire_before(STREAM, 2)
+    reader = bench.reader()
+    async with running(reader):
+        await settle(reader, ReaderState.FOLLOWING)
+    assert reader.fold.numbers == [1, 2]
+
+
 @pytest.mark.looptime
 async def test_operator_cannot_write_a_checkpoint(bench):
     writer = await _writer_at(bench, 1, 2)
