Stop applying at once when a peer has shown another log

Change: the state is checked before each slice. MemoryLog decides on a page before its answer travels, as a real log does, and the tests name the node in turn and stop the reader at the first and the last record.

Conclusion: nothing of an undeclared log is applied after a peer contradicts it.

--- a/pomelolug/state/_reader.py
+++ b/pomelolug/state/_reader.py
@@ -219,9 +219,11 @@
     async def _apply_page(self, page: LogPage) -> Offset | None:
         """Apply a page in slices, so that no heartbeat waits for all of it."""
         for start in range(0, len(page.records), _SLICE_RECORDS):
+            if self._state is ReaderState.REGRESSED:
+                break
             part = page.records[start : start + _SLICE_RECORDS]
             gap = self._apply(part, page.end)
-            if gap is not None or self._state is ReaderState.REGRESSED:
+            if gap is not None:
                 return gap
             await asyncio.sleep(0)
         return None
--- a/pomelolug/state/tests/test_state_checkpoint.py
+++ b/pomelolug/state/tests/test_state_checkpoint.py
@@ -244,14 +244,20 @@
 
 
 @pytest.mark.looptime
-async def test_one_node_publishes_after_enough_records(bench):
+async def test_node_whose_turn_it_is_publishes_after_enough_records(bench):
     nodes = [NodeId(name) for name in "abc"]
     parts = [_publisher(bench, node, nodes, records_due=100) for node in nodes]
+    expected = dict.fromkeys(nodes, 0)
     async with running(*sum(parts, ())):
-        bench.put(*range(100))
-        await asyncio.sleep(120)
-    assert sorted(publisher.published for _, publisher in parts) == [0, 0, 1]
-    assert all(reader.checkpoint_covers == 99 for reader, _ in parts)
+        for _ in range(6):
+            key = f"{STREAM}|{parts[0][0].checkpoint_covers}"
+            first = min(nodes, key=lambda n: publisher_rank(n, nodes, key))
+            expected[first] += 1
+            bench.put(*[1] * 100)
+            await asyncio.sleep(60)
+            published = [publisher.published for _, publisher in parts]
+            assert published == list(expected.values())
+    assert {reader.checkpoint_covers for reader, _ in parts} == {604}
 
 
 @pytest.mark.looptime
--- a/pomelolug/state/tests/test_state_relay.py
+++ b/pomelolug/state/tests/test_state_relay.py
@@ -111,7 +111,8 @@
     assert declared.refusals == {RefusalReason.OTHER_LOG: 1}
 
 
-async def test_reader_stopped_by_a_peer_in_the_middle_of_a_page_stays_stopped(bench):
+@pytest.mark.parametrize("at", [1, 400])
+async def test_reader_stopped_by_a_peer_within_a_page_stays_stopped(bench, at):
     peer = await _peer(bench, 1, 2)
     bench.log.replace("log-2")
     bench.put(*[3] * 400)
@@ -120,13 +121,14 @@
 
     def apply_and_hear_of_the_other_log(record):
         apply(record)
-        asyncio.get_running_loop().call_soon(reader.feed, peer.records_from(0))
+        if len(reader.fold.numbers) == at:
+            asyncio.get_running_loop().call_soon(reader.feed, peer.records_from(0))
 
     reader.fold.apply = apply_and_hear_of_the_other_log
     async with running(reader):
         await asyncio.sleep(60)
     assert reader.state is ReaderState.REGRESSED
-    assert 0 < len(reader.fold.numbers) < 400
+    assert at <= len(reader.fold.numbers) < at + 10
 
 
 async def test_message_with_missing_stamps_is_refused(bench):
--- a/pomelolug/testing/_memory_log.py
+++ b/pomelolug/testing/_memory_log.py
@@ -171,9 +171,11 @@
             if left < _RESOLUTION_S or self._faults.down or self._faults.silent:
                 break
             await self._wait_growth(min(left, _LONGEST_POLL.total_seconds()))
+        page = self._page(stream, first, limit)
+        # The answer is on its way while the log goes on.
         await self._travel(timeout)
         self._reads += 1
-        return self._page(stream, first, limit)
+        return page
 
     def _page(self, stream: str, first: Offset, limit: int) -> LogPage:
         records = self.records(stream)
