Keep a group serving while the VM list contradicts itself on a member

Change: a VM is leaving only if an entry says so; the test also covers a list that becomes contradictory while the group serves. Conclusion: a fault of the list no longer stops a healthy group.

--- a/pomelolug/groups/_inventory.py
+++ b/pomelolug/groups/_inventory.py
@@ -51,10 +51,10 @@
         if other != entry.vm:
             disputed |= {other, entry.vm}
         previous = known.setdefault(entry.vm, entry)
-        if previous != entry:
-            if dataclasses.replace(previous, leaving=entry.leaving) != entry:
-                disputed.add(entry.vm)
-            known[entry.vm] = dataclasses.replace(previous, leaving=True)
+        if dataclasses.replace(previous, leaving=entry.leaving) != entry:
+            disputed.add(entry.vm)
+        leaving = previous.leaving or entry.leaving
+        known[entry.vm] = dataclasses.replace(previous, leaving=leaving)
     return VmList(entries=known, disputed=frozenset(disputed))
 
 
--- a/pomelolug/groups/tests/test_group_controller.py
+++ b/pomelolug/groups/tests/test_group_controller.py
@@ -132,6 +132,9 @@
     world.extra_entries = []
     await asyncio.sleep(15)
     assert len(world.serving()) == 1
+    world.extra_entries = [dataclasses.replace(entry, domain="d9")]
+    await asyncio.sleep(15)
+    assert [s.token for s in world.serving()] == [0]
     await world.stop()
 
 
--- a/pomelolug/groups/tests/test_group_plans.py
+++ b/pomelolug/groups/tests/test_group_plans.py
@@ -105,3 +105,17 @@
     assert not node.fold.groups
     assert all(vm.order is None for vm in world.fleet.vms.values())
     await world.stop()
+
+
+async def test_slow_group_is_published_as_straggler_and_cleared(world):
+    node = await settled(world, 12)
+    (slow, *_) = node.fold.groups.values()
+    for vm in slow.vms:
+        world.fleet.vms[vm].step_time_s = 0.04
+    await asyncio.sleep(10)
+    assert [s.group for s in world.statuses.values() if s.straggler] == [slow.id]
+    for vm in slow.vms:
+        world.fleet.vms[vm].step_time_s = 0.02
+    await asyncio.sleep(5)
+    assert not any(s.straggler for s in world.statuses.values())
+    await world.stop()
