--- a/pomelolug/experiments/membership.py
+++ b/pomelolug/experiments/membership.py
@@ -1,11 +1,11 @@
 """Detection time, convergence and cost of the mesh.
 
 Usage: ``python -m pomelolug.experiments.membership PART`` with PART one of
-``detection``, ``heal``, ``memory-transport`` and ``loopback``.
+``detection``, ``heal``, ``memory-transport``, ``changes`` and ``loopback``.
 
-``detection``, ``heal`` and ``memory-transport`` run the real mesh under virtual
-time on the in-memory network: bytes are message payloads, processor time is that
-of the mesh without the websockets library. ``loopback`` runs all nodes in one
+All but ``loopback`` run the real mesh under virtual time on the in-memory
+network: bytes are message payloads, processor time is that of the mesh without
+the websockets library. ``loopback`` runs all nodes in one
 process in real time over websockets on 127.0.0.1: processor time and memory
 include the library and both ends of each connection.
 """
@@ -20,131 +20,30 @@
 import random
 import statistics
 import time
-from collections.abc import Coroutine
-from typing import Any, TypeVar
 
-import looptime
 import numpy as np
 import psutil
 import structlog
 
 from pomelolug.clock import Clock, SystemClock
-from pomelolug.membership import Keys, Mesh, NodeInfo, NodeState, PeerServer
-from pomelolug.membership._memory import MemoryNetwork, PausableClock
+from pomelolug.experiments._mesh_fleet import KEYS, Fleet, PlainMesh, virtual
+from pomelolug.membership import Mesh, NodeInfo, NodeState, PeerServer
 from pomelolug.membership._metrics import BYTES
-from pomelolug.testing import LoopClock
 
-__all__ = ["Fleet", "PlainMesh", "main"]
+__all__ = ["main"]
 
-KEYS = Keys(["k=" + "0a" * 16])
-SUSPECT_AFTER = datetime.timedelta(seconds=3)
 ZONES = 7
 SIZES = (4, 8, 16, 32, 64, 128, 390)
-LOOPBACK_SIZES = (4, 8, 16, 32, 64)
+LOOPBACK_SIZES = (4, 8, 16, 32, 64, 128)
+LOOPBACK_FULL_MESH = 32
 ALL = 10_000
-PARTS = ("detection", "heal", "memory-transport", "loopback")
-POLL_SECONDS = 0.1
+PARTS = ("detection", "heal", "memory-transport", "changes", "loopback")
+# 2,600 changes a day; a node adopts one within a few seconds.
+CHANGE_SECONDS = 33.2
+ADOPT_SECONDS = 3.0
 DETECTION_SECONDS = 200
 # A full mesh of more nodes takes too long to simulate.
 FULL_MESH_MEASURED = 64
-T = TypeVar("T")
-
-
-class PlainMesh(Mesh):
-    """Baseline: plain timeout on what each node hears itself.
-
-    Time in which the own process was paused counts, and nobody vouches.
-    """
-
-    def _advance(self) -> None:
-        now = self._clock.monotonic()
-        self._table.awake += max(0.0, now - self._read_at)
-        self._read_at = now
-
-    def _renew(self) -> None:
-        heard = {node: link.last_digest for node, link in self._links.items()}
-        for member in self._table.renew(heard, dict.fromkeys(heard, 1)):
-            self._report(member)
-
-
-class Fleet:
-    """Meshes on an in-memory network."""
-
-    def __init__(
-        self,
-        count: int,
-        *,
-        seed: int,
-        zones: int,
-        kind: type[Mesh] = Mesh,
-        **options: Any,
-    ) -> None:
-        self.network = MemoryNetwork(KEYS)
-        self.meshes: dict[str, Mesh] = {}
-        self.clocks: dict[str, PausableClock] = {}
-        self.tasks: dict[str, asyncio.Task[None]] = {}
-        silence = options.get("suspect_after", SUSPECT_AFTER)
-        for number in range(count):
-            name = f"node-{number:03}"
-            clock = PausableClock(LoopClock())
-            mesh = kind(
-                node=name,
-                zone=f"zone-{number % zones}",
-                region="region-1",
-                address=name,
-                seeds=["node-000", "node-001"],
-                keys=KEYS,
-                clock=clock,
-                random_state=random.Random(seed * 1000 + number),
-                dialer=self.network.dialer(name),
-                **options,
-            )
-            self.network.clocks[name] = clock
-            self.network.listen(name, mesh, clock, silence)
-            self.meshes[name], self.clocks[name] = mesh, clock
-            self.tasks[name] = asyncio.create_task(mesh.run())
-
-    def converged(self, names: set[str]) -> bool:
-        """Return whether each of `names` sees exactly `names` alive."""
-        return all(
-            {info.node for info in self.meshes[name].alive()} == names for name in names
-        )
-
-    async def until_converged(self, names: set[str], limit: float) -> float:
-        """Wait for convergence and return the seconds it took."""
-        loop = asyncio.get_running_loop()
-        start = loop.time()
-        for _ in range(int(limit / POLL_SECONDS)):
-            if self.converged(names):
-                break
-            await asyncio.sleep(POLL_SECONDS)
-        return loop.time() - start
-
-    async def stop(self, name: str) -> None:
-        """End a process without a word."""
-        self.network.unlisten(name)
-        for other in self.meshes:
-            self.network.cut(name, other)
-            self.network.cut(other, name)
-        self.tasks[name].cancel()
-        await asyncio.gather(self.tasks[name], return_exceptions=True)
-
-    async def close(self) -> None:
-        """End all."""
-        for task in self.tasks.values():
-            task.cancel()
-        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
-        await self.network.close()
-
-
-def _virtual(work: Coroutine[Any, Any, T]) -> T:
-    loop: Any = asyncio.new_event_loop()
-    # Nothing here waits for input, so time advances without idle cycles.
-    patched = looptime.patch_event_loop(loop, noop_cycles=1)
-    try:
-        return patched.run_until_complete(work)
-    finally:
-        patched.close()
 
 
 def _spread(values: list[float]) -> str:
@@ -215,7 +114,7 @@
         for suspect, beat in ((1.0, 0.3), (2.0, 0.5), (3.0, 1.0), (5.0, 1.0)):
             rates, found = [], []
             for seed in range(3):
-                rate, times = _virtual(_detection(kind, suspect, beat, seed))
+                rate, times = virtual(_detection(kind, suspect, beat, seed))
                 rates.append(rate)
                 found += times
             p50, p99 = np.percentile(found or [np.nan], [50, 99])
@@ -247,7 +146,7 @@
 def heal() -> None:
     """Print how long views take to agree after a partition of a minute."""
     for count in (9, 16, 32):
-        times = [_virtual(_heal(count, seed)) for seed in range(5)]
+        times = [virtual(_heal(count, seed)) for seed in range(5)]
         print(
             f"{count} nodes, one zone of three cut off for a minute: all agree after"
             f" {_spread(times)} s, worst {max(times):.1f} s of 5 seeds",
@@ -255,11 +154,28 @@
         )
 
 
-async def _cost(count: int, limit: int, seconds: float) -> tuple[float, float, float]:
+async def _change_versions(fleet: Fleet) -> None:
+    source = random.Random(1)
+    version = 0
+
+    async def adopt(mesh: Mesh, version: int) -> None:
+        await asyncio.sleep(source.random() * ADOPT_SECONDS)
+        mesh.set_versions(config_version=version, groups_offset=version)
+
+    while True:
+        version += 1
+        await asyncio.gather(*(adopt(m, version) for m in fleet.meshes.values()))
+        await asyncio.sleep(CHANGE_SECONDS - ADOPT_SECONDS)
+
+
+async def _cost(
+    count: int, limit: int, seconds: float, changing: bool = False
+) -> tuple[float, float, float]:
     fleet = Fleet(count, seed=1, zones=ZONES, full_mesh_nodes=limit)
     names = set(fleet.meshes)
     await fleet.until_converged(names, 120)
     await asyncio.sleep(20)
+    changes = asyncio.create_task(_change_versions(fleet)) if changing else None
     gc.collect()
     before = dict(fleet.network.sent_bytes)
     started = time.process_time()
@@ -269,6 +185,8 @@
         (total - before.get(name, 0)) / seconds
         for name, total in fleet.network.sent_bytes.items()
     ]
+    if changes is not None:
+        changes.cancel()
     await fleet.close()
     # What one node receives is, on average, what one node sends.
     return statistics.mean(sent), max(sent), used / seconds / count
@@ -281,7 +199,7 @@
         for count in SIZES:
             if limit == ALL and count > FULL_MESH_MEASURED:
                 continue
-            sent, worst, cpu = _virtual(_cost(count, limit, seconds))
+            sent, worst, cpu = virtual(_cost(count, limit, seconds))
             sizes.append(count)
             sent_means.append(sent)
             cpus.append(cpu * 100)
@@ -294,6 +212,18 @@
         print(f"{name:9} slope: {_slope(sizes, cpus)} % of a core per node added")
 
 
+def version_changes() -> None:
+    """Print the cost while the configuration changes at the planned rate."""
+    for count in (9, 390):
+        seconds = 2 * CHANGE_SECONDS
+        sent, worst, cpu = virtual(_cost(count, 16, seconds, changing=True))
+        print(
+            f"{count:4} nodes, a change each {CHANGE_SECONDS} s: sent {sent:.0f} B/s a"
+            f" node (most {worst:.0f}), {cpu * 100:.3f}% of a core a node",
+            flush=True,
+        )
+
+
 def _slope(sizes: list[int], values: list[float]) -> str:
     coefficients, covariance = np.polyfit(sizes, values, 1, cov=True)
     return f"{coefficients[0]:.5f} +- {np.sqrt(covariance[0][0]):.5f}"
@@ -372,7 +302,9 @@
     for name, limit in (("full mesh", ALL), ("hubs", 16)):
         sizes, cpus = [], []
         for count in LOOPBACK_SIZES:
-            if limit == 16 and count < 32:
+            if limit == ALL and count > LOOPBACK_FULL_MESH:
+                continue
+            if limit != ALL and count < LOOPBACK_FULL_MESH:
                 continue
             sent, cpu, memory, links, alive = asyncio.run(
                 _loopback(count, limit, seconds)
@@ -402,6 +334,8 @@
         detection()
     elif options.part == "heal":
         heal()
+    elif options.part == "changes":
+        version_changes()
     elif options.part == "memory-transport":
         memory_transport(options.seconds)
     else:
--- a/pomelolug/membership/__init__.py
+++ b/pomelolug/membership/__init__.py
@@ -3,6 +3,11 @@
 from pomelolug.membership._connection import Connection, open_connection
 from pomelolug.membership._handshake import PROTOCOL, Identity, Role, handshake
 from pomelolug.membership._keys import Keys, Side
+from pomelolug.membership._memory import (
+    MemoryNetwork,
+    MemoryTransport,
+    PausableClock,
+)
 from pomelolug.membership._mesh import Mesh
 from pomelolug.membership._rendezvous import rendezvous
 from pomelolug.membership._server import HttpReply, PeerServer
@@ -21,9 +26,12 @@
     "HttpReply",
     "Identity",
     "Keys",
+    "MemoryNetwork",
+    "MemoryTransport",
     "Mesh",
     "NodeInfo",
     "NodeState",
+    "PausableClock",
     "PeerServer",
     "Role",
     "Side",
--- a/pomelolug/membership/_link.py
+++ b/pomelolug/membership/_link.py
@@ -2,7 +2,7 @@
 
 import collections
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -10,7 +10,7 @@
 from pomelolug.membership._table import FAR, Member, NodeState, Table, start_of
 from pomelolug.messages import Digest, Heartbeat, VersionUpdate, encode
 
-__all__ = ["Link"]
+__all__ = ["Link", "combine"]
 
 # A hub vouches only for nodes that it hears itself, towards other hubs, and for
 # those that another hub hears, towards the rest. Bounded distances keep two
@@ -202,3 +202,45 @@
         for start in range(0, len(entries), MAX_ENTRIES)
     ]
     return [*parts, Digest(updates=updates)] if updates or not parts else parts
+
+
+def combine(
+    links: Iterable[Link], table: Table, *, fresh_for: float
+) -> tuple[dict[str, float], dict[str, int]]:
+    """Return what all connections together tell of the nodes.
+
+    Parameters
+    ----------
+    links : iterable of Link
+        The open connections.
+    table : Table
+        The node's table; when it heard its peers itself is noted in it.
+    fresh_for : float
+        How long after a digest its sender still vouches, in seconds. A late
+        digest ends the vouching before the suspicion, so that the true age is
+        known everywhere by then.
+
+    Returns
+    -------
+    heard : dict
+        Awake time at which each node was last heard.
+    distances : dict
+        Distance of each node that is vouched for.
+    """
+    heard: dict[str, float] = collections.defaultdict(lambda: -math.inf)
+    distances: dict[str, int] = {}
+    for link in links:
+        last = link.last_digest
+        fresh = table.awake - last < fresh_for
+        member = table.get(link.node)
+        if member is not None:
+            member.direct = last
+        for node, distance in link.vouched().items():
+            if last > heard[node]:
+                heard[node] = last
+            if fresh and distance < distances.get(node, FAR):
+                distances[node] = distance
+        for node, when in link.silent().items():
+            if when > heard[node]:
+                heard[node] = when
+    return heard, distances
--- a/pomelolug/membership/_mesh.py
+++ b/pomelolug/membership/_mesh.py
@@ -4,7 +4,6 @@
 import datetime
 import math
 import random
-from collections import defaultdict
 from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
@@ -20,11 +19,10 @@
 from pomelolug.membership._handshake import Identity, Role
 from pomelolug.membership._hubs import FULL_MESH_NODES, Hubs
 from pomelolug.membership._keys import Keys, Side
-from pomelolug.membership._link import Link
+from pomelolug.membership._link import Link, combine
 from pomelolug.membership._metrics import DIALS, REFUSALS
 from pomelolug.membership._relay import Relays
 from pomelolug.membership._table import (
-    FAR,
     Member,
     NodeInfo,
     NodeState,
@@ -157,8 +155,8 @@
 
     def nodes(self) -> tuple[NodeInfo, ...]:
         """Return all known nodes in whatever state, sorted by name."""
-        members = sorted(self._table, key=lambda member: member.beat.node)
-        return tuple(member.info() for member in members)
+        infos = [member.info() for member in self._table]
+        return tuple(sorted(infos, key=lambda info: info.node))
 
     def on(self, kind: type[Message], handler: Handler) -> None:
         """Have `handler` called with node and message of each such message.
@@ -299,32 +297,16 @@
             self._explore()
 
     def _renew(self) -> None:
-        heard: dict[str, float] = defaultdict(lambda: -math.inf)
-        distances: dict[str, int] = {}
-        for link in self._links.values():
-            # A late digest ends the vouching before the suspicion, so that the
-            # true age is known everywhere by then.
-            fresh = self._table.awake - link.last_digest < FRESH_BEATS * self._beat
-            member = self._table.get(link.node)
-            if member is not None:
-                member.direct = link.last_digest
-            last = link.last_digest
-            for node, distance in link.vouched().items():
-                if last > heard[node]:
-                    heard[node] = last
-                if fresh and distance < distances.get(node, FAR):
-                    distances[node] = distance
-            for node, when in link.silent().items():
-                if when > heard[node]:
-                    heard[node] = when
+        heard, distances = combine(
+            self._links.values(), self._table, fresh_for=FRESH_BEATS * self._beat
+        )
         for member in self._table.renew(heard, distances):
             self._report(member)
 
     def _report(self, member: Member) -> None:
-        info = member.info()
-        _log.info("node_state", node=info.node, state=info.state.value)
+        _log.info("node_state", node=member.beat.node, state=member.state.value)
         for watcher in self._watchers:
-            watcher(info)
+            watcher(member.info())
 
     def _missing(self) -> set[str]:
         return self._hubs.wanted() - self._links.keys()
@@ -386,11 +368,9 @@
             for member in self._table
             if member.state is NodeState.ALIVE
         }
-        candidates = [
-            address
-            for address in [*self._addresses, *self._silent_addresses()]
-            if address not in known and address not in self._own_addresses
-        ]
+        known |= self._own_addresses
+        everywhere = [*self._addresses, *self._silent_addresses()]
+        candidates = [address for address in everywhere if address not in known]
         if candidates and self._exploring < MAX_EXPLORING:
             task = asyncio.create_task(
                 self._explore_one(self._random.choice(candidates))
--- a/pomelolug/membership/tests/fleet.py
+++ b/pomelolug/membership/tests/fleet.py
@@ -4,8 +4,13 @@
 import datetime
 import random
 
-from pomelolug.membership import Keys, Mesh, NodeState
-from pomelolug.membership._memory import MemoryNetwork, PausableClock
+from pomelolug.membership import (
+    Keys,
+    MemoryNetwork,
+    Mesh,
+    NodeState,
+    PausableClock,
+)
 from pomelolug.testing import LoopClock
 
 KEY = "k1=" + "0a" * 16
