Keep a node that returns from a pause from reviving dead ones

Cause: digests that lay in the buffers of a paused node were taken as fresh, so that it told others a node was alive that had died during the pause; the others took the dead node for alive and then suspected it again. Conclusion: a dead node stays dead in the tested combination of two faults.

--- a/pomelolug/membership/_link.py
+++ b/pomelolug/membership/_link.py
@@ -83,7 +83,8 @@
         updates: dict[tuple[int, int], list[int]] = collections.defaultdict(list)
         if version > self._sent_version:
             for member in self._table:
-                if member.changed > self._sent_version:
+                mute = self._table.is_mute and member.distance > 0
+                if member.changed > self._sent_version and not mute:
                     self._collect(member, entries, updates)
         grouped = tuple(
             VersionUpdate(config_version=c, groups_offset=g, nodes=tuple(numbers))
@@ -96,7 +97,8 @@
             if not self.connection.send_encoded(frame):
                 self.connection.close("digest refused by the send queue")
                 return
-        self._sent_version = version
+        if not self._table.is_mute:
+            self._sent_version = version
 
     def _collect(
         self,
@@ -145,7 +147,7 @@
         # each would repeat the other's estimate and all would be late.
         told = member.direct if self.to_hub else member.heard
         heard = member.heard if told == -math.inf else told
-        age = max(0.0, self._table.awake - heard)
+        age = self._table.true_age(heard)
         return msgspec.structs.replace(
             member.beat, distance=SILENT, age_ms=int(age * 1000)
         )
@@ -233,7 +235,7 @@
         last = link.last_digest
         fresh = table.awake - last < fresh_for
         member = table.get(link.node)
-        if member is not None:
+        if member is not None and not table.is_mute:
             member.direct = last
         for node, distance in link.vouched().items():
             if last > heard[node]:
--- a/pomelolug/membership/_mesh.py
+++ b/pomelolug/membership/_mesh.py
@@ -218,8 +218,7 @@
         now = self._clock.monotonic()
         # More than two periods without a reading mean that this process itself
         # was paused.
-        elapsed = min(now - self._read_at, 2 * self._beat)
-        self._table.awake += max(0.0, elapsed)
+        self._table.advance(now - self._read_at, 2 * self._beat)
         self._read_at = now
 
     async def serve(self, connection: Connection) -> None:
--- a/pomelolug/membership/_table.py
+++ b/pomelolug/membership/_table.py
@@ -1,5 +1,6 @@
 """What a node knows of all nodes."""
 
+import collections
 import dataclasses
 import datetime
 import enum
@@ -26,6 +27,8 @@
 # Low bits of an incarnation count the refuted suspicions of one process.
 REFUTATION_BITS = 16
 MAX_MEMBERS = 2048
+# Earlier pauses than the last ones matter to no age that is still told.
+MAX_SKIPPED = 16
 # Longer than a partition between regions lasts, so that the addresses of the
 # other side are still known when it heals.
 DEAD_KEPT = datetime.timedelta(hours=2)
@@ -144,9 +147,37 @@
         self.version = 1
         self.events = 1
         self.awake = 0.0
+        self._mute_until = -math.inf
+        self._skipped: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=MAX_SKIPPED
+        )
         self._members = {own.node: Member(own, 0.0, self.version)}
         self._members[own.node].distance = 0
 
+    def advance(self, elapsed: float, bound: float) -> None:
+        """Let `elapsed` seconds pass, of which at most `bound` count as awake.
+
+        After a pause in which others may have died, what lies in the buffers is
+        of unknown age. The node then tells nothing of others until its
+        connections have had time to show which are still heard.
+        """
+        counted = max(0.0, min(elapsed, bound))
+        self.awake += counted
+        if elapsed > bound:
+            self._skipped.append((self.awake, elapsed - counted))
+        if elapsed >= self._suspect_after:
+            self._mute_until = self.awake + self._suspect_after + bound
+
+    @property
+    def is_mute(self) -> bool:
+        """Whether nothing may be told of other nodes now."""
+        return self.awake < self._mute_until
+
+    def true_age(self, heard: float) -> float:
+        """Return the age of an awake time with the own pauses counted, seconds."""
+        paused = sum(amount for at, amount in self._skipped if at > heard)
+        return max(0.0, self.awake - heard + paused)
+
     def __iter__(self) -> Iterator[Member]:
         return iter(self._members.values())
 
--- a/pomelolug/membership/tests/test_faults.py
+++ b/pomelolug/membership/tests/test_faults.py
@@ -219,3 +219,20 @@
     assert fleet.alive("n003") == {"n003"}
     assert "n003" not in fleet.alive("n000")
     await fleet.close()
+
+
+@pytest.mark.parametrize("count", [6, 24])
+async def test_node_back_from_a_pause_does_not_revive_one_that_died_meanwhile(count):
+    fleet = await formed(count, zones=3)
+    hubs = [name for name, mesh in fleet.meshes.items() if mesh.is_hub]
+    paused, lost, witness = hubs[:3]
+    changes = watch(fleet, witness)
+    fleet.clocks[paused].pause()
+    await asyncio.sleep(2)
+    await fleet.stop(lost)
+    await asyncio.sleep(25)
+    fleet.clocks[paused].resume()
+    await asyncio.sleep(30)
+    states = [state for node, state in changes if node == lost]
+    assert states == [SUSPECT, DEAD]
+    await fleet.close()
