--- a/pomelolug/membership/_link.py
+++ b/pomelolug/membership/_link.py
@@ -2,7 +2,7 @@
 
 import collections
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -10,7 +10,7 @@
 from pomelolug.membership._table import FAR, Member, NodeState, Table, start_of
 from pomelolug.messages import Digest, Heartbeat, VersionUpdate, encode
 
-__all__ = ["Link"]
+__all__ = ["Link", "combine"]
 
 # A hub vouches only for nodes that it hears itself, towards other hubs, and for
 # those that another hub hears, towards the rest. Bounded distances keep two
@@ -83,7 +83,8 @@
         updates: dict[tuple[int, int], list[int]] = collections.defaultdict(list)
         if version > self._sent_version:
             for member in self._table:
-                if member.changed > self._sent_version:
+                mute = self._table.is_mute and member.distance > 0
+                if member.changed > self._sent_version and not mute:
                     self._collect(member, entries, updates)
         grouped = tuple(
             VersionUpdate(config_version=c, groups_offset=g, nodes=tuple(numbers))
@@ -96,7 +97,8 @@
             if not self.connection.send_encoded(frame):
                 self.connection.close("digest refused by the send queue")
                 return
-        self._sent_version = version
+        if not self._table.is_mute:
+            self._sent_version = version
 
     def _collect(
         self,
@@ -145,7 +147,7 @@
         # each would repeat the other's estimate and all would be late.
         told = member.direct if self.to_hub else member.heard
         heard = member.heard if told == -math.inf else told
-        age = max(0.0, self._table.awake - heard)
+        age = self._table.true_age(heard)
         return msgspec.structs.replace(
             member.beat, distance=SILENT, age_ms=int(age * 1000)
         )
@@ -202,3 +204,45 @@
         for start in range(0, len(entries), MAX_ENTRIES)
     ]
     return [*parts, Digest(updates=updates)] if updates or not parts else parts
+
+
+def combine(
+    links: Iterable[Link], table: Table, *, fresh_for: float
+) -> tuple[dict[str, float], dict[str, int]]:
+    """Return what all connections together tell of the nodes.
+
+    Parameters
+    ----------
+    links : iterable of Link
+        The open connections.
+    table : Table
+        The node's table; when it heard its peers itself is noted in it.
+    fresh_for : float
+        How long after a digest its sender still vouches, in seconds. A late
+        digest ends the vouching before the suspicion, so that the true age is
+        known everywhere by then.
+
+    Returns
+    -------
+    heard : dict
+        Awake time at which each node was last heard.
+    distances : dict
+        Distance of each node that is vouched for.
+    """
+    heard: dict[str, float] = collections.defaultdict(lambda: -math.inf)
+    distances: dict[str, int] = {}
+    for link in links:
+        last = link.last_digest
+        fresh = table.awake - last < fresh_for
+        member = table.get(link.node)
+        if member is not None and not table.is_mute:
+            member.direct = last
+        for node, distance in link.vouched().items():
+            if last > heard[node]:
+                heard[node] = last
+            if fresh and distance < distances.get(node, FAR):
+                distances[node] = distance
+        for node, when in link.silent().items():
+            if when > heard[node]:
+                heard[node] = when
+    return heard, distances
