Let a paused entry VM of the soak take no requests

A real process that is paused does not run its handlers. Change: a call waits until the process runs. Conclusion: a fault of the soak's model, not of the product.

--- a/pomelolug/experiments/soak/_caller.py
+++ b/pomelolug/experiments/soak/_caller.py
@@ -50,7 +50,10 @@
 
 async def asgi_call(entry: EntryVm, job: Job) -> Reply:
     """Send `job` to the gateway of `entry` without a socket."""
-    assert entry.application is not None
+    # A paused process takes nothing from its sockets.
+    await entry.clock.running()
+    if entry.application is None:
+        raise ConnectionError("the gateway has stopped")
     headers = {"authorization": _KEY, "x-work-class": job.work_class}
     if job.key:
         headers["idempotency-key"] = job.key
