Make runs repeatable under any hash seed

Change: names are sorted, futures kept in order of arrival. Conclusion: digests can be compared between machines.

--- a/pomelolug/membership/_mesh.py
+++ b/pomelolug/membership/_mesh.py
@@ -311,7 +311,9 @@
         return self._hubs.wanted() - self._links.keys()
 
     def _keep_peers(self) -> None:
-        for node in self._missing() - self._peers.keys():
+        # In the order of names: the tasks draw from one random source, and a run
+        # has to be repeatable whatever the hash seed of the process is.
+        for node in sorted(self._missing() - self._peers.keys()):
             self._peers[node] = asyncio.create_task(self._keep(node))
         for node, link in list(self._links.items()):
             # Only the dialling end gives a connection up: the accepting end
--- a/pomelolug/state/_observers.py
+++ b/pomelolug/state/_observers.py
@@ -17,7 +17,7 @@
     def __init__(self) -> None:
         self._callbacks: dict[int, Callable[[], None]] = {}
         self._next_id = 0
-        self._waiters: set[asyncio.Future[None]] = set()
+        self._waiters: dict[asyncio.Future[None], None] = {}
 
     def subscribe(self, callback: Callable[[], None]) -> Callable[[], None]:
         """Add `callback` and return the function that removes it."""
@@ -32,7 +32,7 @@
 
     def notify(self) -> None:
         """Call the subscribers and let the waiting tasks check again."""
-        for waiter in self._waiters:
+        for waiter in tuple(self._waiters):
             if not waiter.done():
                 waiter.set_result(None)
         for callback in tuple(self._callbacks.values()):
@@ -55,8 +55,8 @@
         async with asyncio.timeout(timeout.total_seconds()):
             while not condition():
                 waiter = asyncio.get_running_loop().create_future()
-                self._waiters.add(waiter)
+                self._waiters[waiter] = None
                 try:
                     await waiter
                 finally:
-                    self._waiters.discard(waiter)
+                    self._waiters.pop(waiter, None)
