Let soak servers of all three kinds take part, add deliberate faults

Cause: every simulated engine refused old tokens and incomplete groups, so that the checker could not see whether the product keeps these promises by itself. Change: a third of the fabric domains each refuses, ignores and does not check; absence of a member counts as violation after lease and pause bound. A list of deliberate faults of the product with the violation that each has to cause.

--- a/pomelolug/experiments/soak/_world.py
+++ b/pomelolug/experiments/soak/_world.py
@@ -13,6 +13,7 @@
     hash_key,
     publish,
 )
+from pomelolug.engines import FencingKind
 from pomelolug.experiments.soak._caller import Callers
 from pomelolug.experiments.soak._entry import OPERATOR_KEYS, PEER_KEY, EntryVm
 from pomelolug.experiments.soak._fleet import NodeEngine, SoakFleet, SoakService
@@ -32,6 +33,7 @@
 ZONES = ("z1", "z2", "z3")
 REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2"}
 _DOMAINS = 6
+_KINDS = (FencingKind.REFUSES, FencingKind.IGNORES, FencingKind.UNCHECKED)
 _MODEL_BYTES = 8_000_000_000
 _RATE = 2e9
 _RETENTION = datetime.timedelta(seconds=400)
@@ -149,6 +151,7 @@
                 f"vm{number:02}",
                 zone=ZONES[domain % len(ZONES)],
                 domain=f"d{domain}",
+                fencing=_KINDS[domain % len(_KINDS)],
             )
 
     def is_cut(self, one: str, other: str) -> bool:
@@ -179,7 +182,10 @@
             )
             for index, name in enumerate(("alice", "bob"))
         ]
-        self._operator_tasks.append(asyncio.create_task(self._reader.run()))
+        self._operator_tasks = [
+            asyncio.create_task(self._reader.run()),
+            asyncio.create_task(self.fleet.watch_absence()),
+        ]
 
     async def publish(self, *, operator: int = 0, base: int | None = None) -> bool:
         """Publish a changed configuration; return whether it won."""
--- /dev/null
+++ b/pomelolug/experiments/soak/tests/faults.py
@@ -0,0 +1,250 @@
+"""Deliberate faults of the product, each of which a soak has to find.
+
+``python -m pomelolug.experiments.soak.tests.faults [--only NAME]`` runs each
+with its seed and prints what was found; the status is 1 if one was not found.
+"""
+
+import dataclasses
+import sys
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+
+import fire
+import msgspec
+
+from pomelolug.claims import ClaimClient, ClaimState, ClaimTicket, Verdict
+from pomelolug.claims._fold import ClaimsFold
+from pomelolug.claims._relay import ClaimRelay
+from pomelolug.configuration import ConfigurationFold
+from pomelolug.control._node import ControlNode
+from pomelolug.control._statuses import StatusBoard
+from pomelolug.control._streams import StreamSet
+from pomelolug.control._tables import TableBuilder
+from pomelolug.engines import StreamEnd
+from pomelolug.errors import Outcome
+from pomelolug.experiments.soak._run import run_soak
+from pomelolug.gateway import _attempt, _endings, _model_flow
+from pomelolug.gateway._attempt import AttemptResult
+from pomelolug.gateway._suspicions import Suspicions
+from pomelolug.gateway._table import TableHolder
+from pomelolug.groups import GroupController, GroupsFold, GroupWatcher
+from pomelolug.groups import _watcher as watcher_module
+from pomelolug.groups._group import GroupLimits
+from pomelolug.messages import Claim
+from pomelolug.retries import Containment, RunMode
+from pomelolug.routing import RoutingView
+from pomelolug.routing._group import GroupState
+
+SECONDS = 120.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault, how it is switched on, and the seed that finds it."""
+
+    apply: Callable[[], None]
+    seed: int
+    finding: str
+
+
+def claim_skipped():
+    async def claim(self, key, body):
+        return ClaimTicket(
+            Claim(key=key, body=body, node="", incarnation=0, nonce=b"x"),
+            Verdict.GRANTED,
+            valid_until=float("inf"),
+            clock=self._clock,
+            report=lambda update: None,
+        )
+
+    ClaimClient.claim = claim
+
+
+def cut_taken_for_end():
+    original = _attempt.run_attempt
+
+    async def run_attempt(engine, address, request, sink, progress, **options):
+        result = await original(engine, address, request, sink, progress, **options)
+        if result is AttemptResult.CUT and progress.position:
+            await sink.end(progress.position, "stop")
+            return AttemptResult.COMPLETE
+        return result
+
+    _model_flow.run_attempt = run_attempt
+
+
+def not_run_always_said():
+    _endings._outcome = lambda maybe_ran: Outcome.NOT_RUN
+
+
+def resumed_from_the_start():
+    original = _model_flow.EngineRequest
+
+    def request(**fields):
+        return original(**{**fields, "resume_from": 0})
+
+    _model_flow.EngineRequest = request
+
+    # Positions are not compared either: what arrives is passed on.
+    async def run_attempt(engine, address, request, sink, progress, **options):
+        try:
+            async for event in engine.generate(address, request):
+                if isinstance(event, StreamEnd):
+                    await sink.end(event.tokens, event.finish_reason)
+                    return AttemptResult.COMPLETE
+                await sink.token(event.position, event.text)
+                progress.on_token(options["clock"].monotonic())
+        except Exception:
+            return AttemptResult.CUT
+        return AttemptResult.CUT
+
+    _model_flow.run_attempt = run_attempt
+
+
+def lease_ignored():
+    RoutingView.is_dispatchable = lambda self, group_id, token: True
+    GroupState.is_current = lambda self, now: True
+    GroupState.is_usable = lambda self, now: self.status.phase == "serving"
+    TableHolder.receive_original = TableHolder.receive
+
+    def learn(self, peer, batch):
+        batch = msgspec.structs.replace(batch, echo_s=self._clock.monotonic())
+        return learn_original(self, peer, batch)
+
+    learn_original = StatusBoard.learn
+    StatusBoard.learn = learn
+
+
+def evidence_ignored():
+    watcher_module.evidence_against = lambda group, member, status: ""
+    GroupWatcher._note_silence = lambda self, known, reason: None
+    GroupWatcher._age = lambda self: 0.0
+    GroupWatcher._checked = lambda self, phase: phase
+
+
+def ownership_unchecked():
+    GroupsFold.owner = lambda self, vm: None
+    GroupsFold.last_change = lambda self, vm: -1
+    GroupController._is_exclusive = lambda self: True
+
+
+def base_version_ignored():
+    original = ConfigurationFold.apply
+
+    def apply(self, record):
+        version = ConfigurationFold.version
+        try:
+            ConfigurationFold.version = property(lambda fold: _base_of(record))
+            original(self, record)
+        finally:
+            ConfigurationFold.version = version
+
+    ConfigurationFold.apply = apply
+
+
+def _base_of(record):
+    from pomelolug.messages import ConfigurationChange, decode
+
+    return decode(record.body, ConfigurationChange).base_version
+
+
+def peers_not_asked():
+    StreamSet._ask_peers = lambda self: None
+
+
+def leaving_ignored():
+    TableBuilder._leaving = lambda self: frozenset()
+    GroupController._leaves = lambda self, vm: False
+    original = GroupWatcher._next_phase
+
+    def next_phase(self):
+        for known in self._evidence.values():
+            if known.status is not None and known.status.leaving:
+                known.status = msgspec.structs.replace(known.status, leaving=False)
+        return original(self)
+
+    GroupWatcher._next_phase = next_phase
+
+
+def containment_off():
+    Containment.may_run = lambda self, fingerprint: RunMode.NORMAL
+    Suspicions.count = lambda self, fingerprint: 0
+
+
+def lost_claims_released():
+    def node_lost(self, node, *, before=None):
+        for key, held in list(self._fold.holdings_of(node)):
+            self._queue(ClaimRelay_update(key=key, nonce=held.nonce, state="released"))
+        return 0
+
+    from pomelolug.messages import ClaimUpdate as ClaimRelay_update
+
+    ClaimRelay.node_lost = node_lost
+
+
+def answered_claims_forgotten():
+    original = ClaimsFold._update
+
+    def update(self, message):
+        if message.state == ClaimState.ANSWERED.value:
+            self._held.pop(message.key, None)
+            return
+        original(self, message)
+
+    ClaimsFold._update = update
+
+
+def successor_wait_skipped():
+    import datetime
+
+    GroupLimits.successor_wait = property(lambda self: datetime.timedelta(0))
+
+
+def configuration_not_pushed():
+    ControlNode._on_configuration = lambda self: None
+    TableBuilder._encode = lambda self, configuration: b""
+
+
+FAULTS = {
+    "claim_skipped": Fault(claim_skipped, 1, "doubled"),
+    "cut_taken_for_end": Fault(cut_taken_for_end, 1, "crossed or truncated"),
+    "not_run_always_said": Fault(not_run_always_said, 1, "not run was said"),
+    "resumed_from_the_start": Fault(resumed_from_the_start, 1, "crossed or truncated"),
+    "lease_ignored": Fault(lease_ignored, 1, "serves without"),
+    "evidence_ignored": Fault(evidence_ignored, 1, "serves without"),
+    "ownership_unchecked": Fault(ownership_unchecked, 1, "is in"),
+    "base_version_ignored": Fault(base_version_ignored, 1, "racing operators"),
+    "peers_not_asked": Fault(peers_not_asked, 1, "has version"),
+    "leaving_ignored": Fault(leaving_ignored, 1, "after leaving"),
+    "containment_off": Fault(containment_off, 1, "crashed"),
+    "lost_claims_released": Fault(lost_claims_released, 1, "doubled"),
+    "answered_claims_forgotten": Fault(answered_claims_forgotten, 1, "doubled"),
+    "successor_wait_skipped": Fault(successor_wait_skipped, 1, "is in"),
+    "configuration_not_pushed": Fault(configuration_not_pushed, 1, "has version"),
+}
+
+
+def find(name: str, seed: int = 0, seconds: float = SECONDS) -> tuple[str, int, str]:
+    """Run a fault and return its name, seed and first matching violation."""
+    fault = FAULTS[name]
+    fault.apply()
+    seed = seed or fault.seed
+    report = run_soak(seed=seed, virtual_s=seconds)
+    matching = [line for line in report.violations if fault.finding in line]
+    other = f"(other: {report.violations[0]})" if report.violations else ""
+    return name, seed, matching[0] if matching else other
+
+
+def main(only: str = "", seed: int = 0, workers: int = 3) -> None:
+    """Run the faults and print what was found."""
+    names = only.split(",") if only else list(FAULTS)
+    missed = 0
+    with ProcessPoolExecutor(workers, max_tasks_per_child=1) as pool:
+        for name, used, line in pool.map(find, names, [seed] * len(names)):
+            missed += FAULTS[name].finding not in line
+            print(f"{name} seed {used}: {line or 'not found'}", flush=True)
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
