Test each restart of the successor wait

Change: the test covers a release lost for longer than the wait and a slow one, with steps of 0.2 s; a slow group is tested through its published status.

--- a/pomelolug/groups/tests/test_group_controller.py
+++ b/pomelolug/groups/tests/test_group_controller.py
@@ -181,11 +181,13 @@
     await world.stop()
 
 
-@pytest.mark.parametrize("lost_s", [0.0, 9.0])
+@pytest.mark.parametrize(("lost_s", "slow_s"), [(0.0, 0.0), (20.0, 0.0), (0.0, 0.9)])
 async def test_successor_waits_until_former_leases_have_ended(
-    world, monkeypatch, lost_s
+    world, monkeypatch, lost_s, slow_s
 ):
     """Guards against a wait that starts while a lease can still be renewed."""
+    step = datetime.timedelta(seconds=0.2)
+    world.limits = dataclasses.replace(world.limits, step_every=step)
     node = await settled(world, 5, fencing=FencingKind.IGNORES)
     (group,) = node.fold.groups.values()
     world.fleet.kill(group.vms[0])
@@ -195,10 +197,11 @@
     async def lossy_release(address, order, *, timeout):
         if world.clock.monotonic() < killed + lost_s:
             raise EngineUnavailableError("lost", maybe_run=False)
+        await asyncio.sleep(slow_s)
         await release(address, order, timeout=timeout)
 
     monkeypatch.setattr(world.fleet, "release", lossy_release)
-    await asyncio.sleep(50)
+    await asyncio.sleep(60)
     (status,) = world.serving()
     released = [e.at for e in world.fleet.ledger if e.at > killed and not e.group]
     joined = [e.at for e in world.fleet.ledger if e.token == status.token]
