Allow the time of the shared weight rate before the load starts

Cause: bayou-peak needs 14 s at the shared rate to load 56 VMs and missed the 20 s limit on a busy VM. Change: the wait for complete groups is 20 s plus the time of all loads.

--- a/pomelolug/experiments/_runner.py
+++ b/pomelolug/experiments/_runner.py
@@ -83,7 +83,7 @@
     driver = FaultDriver(deployment, version)
     watchers = [asyncio.create_task(balancer.watch())]
     try:
-        await deployment.wait_groups(_READY_TIMEOUT_S)
+        await deployment.wait_groups(_READY_TIMEOUT_S + _load_s(trace))
         # The first loads are no downtime.
         watchers.append(asyncio.create_task(monitor.watch()))
         failures = await _drive(trace, caller, driver)
@@ -108,6 +108,12 @@
     )
 
 
+def _load_s(trace: Trace) -> float:
+    """Return the time that the shared rate needs for every VM's weights."""
+    plan = trace.deployment
+    return plan.engines * plan.model_bytes / plan.rate_bytes_per_s
+
+
 async def _drive(trace: Trace, caller: Caller, driver: FaultDriver) -> list[str]:
     """Make the calls and apply the faults; return the faults that failed."""
     loop = asyncio.get_running_loop()
