Assert outcomes and single dispatch in the running gateway

Cause: two of the declared assertions were not called. Change: an error that says not run is compared with the request's history; a non-idempotent request that may have run is not dispatched again.

--- a/pomelolug/errors/_family.py
+++ b/pomelolug/errors/_family.py
@@ -84,6 +84,16 @@
         """Time after which a new try is worth making."""
         return self._retry_after
 
+    def with_outcome(self, outcome: Outcome) -> "RequestError":
+        """Return the same error with another outcome."""
+        return RequestError(
+            self.code,
+            str(self),
+            status=self._status,
+            outcome=outcome,
+            retry_after=self._retry_after,
+        )
+
 
 class PlatformError(PomelolugError):
     """The platform did not answer, or refused.
--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -269,6 +269,7 @@
         queue=queue,
         claims=claims,
         budget=budget,
+        invariants=invariants,
         metrics=metrics,
         decisions=decisions,
         clock=clock,
--- a/pomelolug/gateway/_model_flow.py
+++ b/pomelolug/gateway/_model_flow.py
@@ -136,10 +136,15 @@
             raise endings.quarantined(maybe_ran=False)
         deadline = started + request.work_class.deadline.total_seconds()
         progress = Progress(request.request_id, started)
-        async with self._permit(request, deadline) as permit:
-            async with self._ticket(request) as ticket:
-                job = _Job(request, sink, progress, deadline, permit, ticket)
-                await self._run_attempts(job)
+        try:
+            async with self._permit(request, deadline) as permit:
+                async with self._ticket(request) as ticket:
+                    job = _Job(request, sink, progress, deadline, permit, ticket)
+                    await self._run_attempts(job)
+        except RequestError as error:
+            raise self._invariants.check_outcome(
+                error, maybe_ran=progress.maybe_ran, request_id=request.request_id
+            ) from error
         self._record_latency(request, progress)
 
     @contextlib.asynccontextmanager
@@ -175,6 +180,11 @@
     async def _run_attempts(self, job: _Job) -> None:
         while True:
             group = await self._choose(job)
+            if job.ticket is not None:
+                self._invariants.check_single_dispatch(
+                    maybe_ran=job.progress.maybe_ran,
+                    request_id=job.request.request_id,
+                )
             if job.ticket is not None and not job.ticket.dispatch():
                 raise endings.backend_lost("the claim is too old", maybe_ran=False)
             job.attempts += 1
--- a/pomelolug/gateway/_service_flow.py
+++ b/pomelolug/gateway/_service_flow.py
@@ -18,6 +18,7 @@
 from pomelolug.gateway._parsing import CallerRequest
 from pomelolug.gateway._service_view import ServiceView
 from pomelolug.ids import AccountId, ClassName, PoolId, RequestId
+from pomelolug.invariants import Invariants
 from pomelolug.messages import ServiceStatus
 from pomelolug.retries import RetryBudget
 from pomelolug.services import PlainService, ServiceCall, ServiceReply
@@ -53,6 +54,8 @@
         Decides who may dispatch a non-idempotent call.
     budget : RetryBudget
         Bounds further attempts.
+    invariants : Invariants
+        Run-time assertions.
     metrics : GatewayMetrics
         Counters.
     decisions : DecisionLog
@@ -69,6 +72,7 @@
         queue: AdmissionQueue,
         claims: Claimant,
         budget: RetryBudget,
+        invariants: Invariants,
         metrics: GatewayMetrics,
         decisions: DecisionLog,
         clock: Clock,
@@ -78,6 +82,7 @@
         self._queue = queue
         self._claims = claims
         self._budget = budget
+        self._invariants = invariants
         self._metrics = metrics
         self._decisions = decisions
         self._clock = clock
@@ -106,12 +111,16 @@
                 max_in_flight=request.account.max_in_flight,
             )
         )
+        job = _ServiceJob(request, target, send, deadline, permit)
         try:
-            job = _ServiceJob(request, target, send, deadline, permit)
             if request.idempotent:
                 await self._attempts(job, None)
             else:
                 await self._run_claimed(job)
+        except RequestError as error:
+            raise self._invariants.check_outcome(
+                error, maybe_ran=job.maybe_ran, request_id=request.request_id
+            ) from error
         finally:
             permit.release()
         self._metrics.ttft.labels(request.work_class.name).observe(
@@ -136,6 +145,10 @@
             left = deadline_left(job, self._clock)
             if left <= datetime.timedelta(0):
                 raise endings.deadline_exceeded(maybe_ran=job.maybe_ran)
+            if ticket is not None:
+                self._invariants.check_single_dispatch(
+                    maybe_ran=job.maybe_ran, request_id=job.request.request_id
+                )
             if ticket is not None and not ticket.dispatch():
                 raise endings.backend_lost("the claim is too old", maybe_ran=False)
             try:
--- a/pomelolug/invariants/_checks.py
+++ b/pomelolug/invariants/_checks.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from pomelolug.errors import ErrorCode, Outcome, PomelolugError
+from pomelolug.errors import ErrorCode, Outcome, PomelolugError, RequestError
 from pomelolug.messages import GroupStatus
 
 __all__ = ["Invariant", "InvariantError", "Invariants"]
@@ -118,25 +118,25 @@
         return frozenset(stopped)
 
     def check_outcome(
-        self, outcome: Outcome, *, maybe_ran: bool, request_id: str
-    ) -> Outcome:
-        """Return the outcome to tell the caller.
+        self, error: RequestError, *, maybe_ran: bool, request_id: str
+    ) -> RequestError:
+        """Return the error to tell the caller.
 
         A "not run" about a request that may have run is replaced by "outcome
         unknown" and counted.
         """
-        if outcome is Outcome.NOT_RUN and maybe_ran:
+        if error.outcome is Outcome.NOT_RUN and maybe_ran:
             self.violated(Invariant.NOT_RUN_IS_TRUE, request_id=request_id)
-            return Outcome.UNKNOWN
-        return outcome
+            return error.with_outcome(Outcome.UNKNOWN)
+        return error
 
-    def check_single_dispatch(self, dispatches: int, *, request_id: str) -> None:
-        """Check that a non-idempotent request leaves at most once.
+    def check_single_dispatch(self, *, maybe_ran: bool, request_id: str) -> None:
+        """Check before the dispatch of a non-idempotent request.
 
         Raises
         ------
         InvariantError
-            If `dispatches` that may have run exceed one.
+            If an earlier dispatch of the request may have run.
         """
-        if dispatches > 1:
+        if maybe_ran:
             self._fail(Invariant.AT_MOST_ONCE, request_id=request_id)
