Publish checkpoints from every control process

Cause: nobody published checkpoints, so that a node that starts after the first records have expired could only ask peers. Change: a publisher for each of the three streams; violations that a reader finds reach the invariant counter; the readers of claims keep no records for peers. Conclusion: start-up from an expired log no longer rests on peers.

--- a/pomelolug/control/_compose.py
+++ b/pomelolug/control/_compose.py
@@ -26,7 +26,7 @@
 from pomelolug.control._watching import WatcherSet
 from pomelolug.engines import Engine, HttpEngine
 from pomelolug.groups import GroupController, GroupLimits, GroupsFold
-from pomelolug.ids import GroupId, VmId
+from pomelolug.ids import GroupId, NodeId, VmId
 from pomelolug.invariants import Invariants
 from pomelolug.membership import Dialer, Keys, Mesh, PeerServer
 from pomelolug.messages import GroupStatus, Message
@@ -39,7 +39,14 @@
     WeightStore,
 )
 from pomelolug.settings._control_generated import ControlSettings
-from pomelolug.state import Appender, Fold, KeyRing, RecordKind, StreamReader
+from pomelolug.state import (
+    Appender,
+    CheckpointPublisher,
+    Fold,
+    KeyRing,
+    RecordKind,
+    StreamReader,
+)
 from pomelolug.telemetry import configure_logging
 
 __all__ = ["GROUPS_STREAM", "Platform", "compose", "run_control"]
@@ -139,6 +146,7 @@
             expected_log_id=settings.platform.log_id,
             random_state=random_state,
             author=f"node:{node}",
+            violated=violated,
             # The controllers' lease counts from a read, so that a read must not
             # take much longer than a part of the lease.
             long_poll=settings.groups.lease / 3,
@@ -154,6 +162,9 @@
             expected_log_id=settings.platform.log_id,
             random_state=random_state,
             window=settings.claims.window,
+            # Peers read the claims of a partition from the log alone.
+            relay_bytes=0,
+            violated=violated,
         )
 
     config_fold, groups_fold = ConfigurationFold(), GroupsFold()
@@ -190,6 +201,18 @@
         clock=clock,
         random_state=random_state,
     )
+    checkpoints = tuple(
+        CheckpointPublisher(
+            reader=followed,
+            appender=appender,
+            clock=clock,
+            random_state=random_state,
+            retention=settings.platform.retention,
+            node=NodeId(node),
+            live_nodes=lambda: [info.node for info in mesh.alive()],
+        )
+        for followed in (config, groups, containment)
+    )
     directory = DirectoryPoller(
         directory=platform.directory,
         clock=clock,
@@ -290,6 +313,7 @@
             containment_fold=containment_fold,
             appender=appender,
             streams=streams,
+            checkpoints=checkpoints,
             directory=directory,
             board=board,
             watchers=watchers,
--- a/pomelolug/control/_node.py
+++ b/pomelolug/control/_node.py
@@ -28,7 +28,13 @@
 from pomelolug.membership import Connection, Identity, Mesh, NodeInfo, Role
 from pomelolug.messages import LossReport, Message, StatusBatch, StatusPull
 from pomelolug.platform import VmRole
-from pomelolug.state import Appender, ReaderState, RecordKind, StreamReader
+from pomelolug.state import (
+    Appender,
+    CheckpointPublisher,
+    ReaderState,
+    RecordKind,
+    StreamReader,
+)
 
 __all__ = ["ControlNode", "ControlParts"]
 
@@ -51,6 +57,7 @@
     containment_fold: ContainmentFold
     appender: Appender
     streams: StreamSet
+    checkpoints: tuple[CheckpointPublisher, ...]
     directory: DirectoryPoller
     board: StatusBoard
     watchers: WatcherSet
@@ -107,6 +114,7 @@
         work: tuple[Coroutine[Any, Any, None], ...] = (
             parts.mesh.run(),
             parts.streams.run(),
+            *(publisher.run() for publisher in parts.checkpoints),
             parts.directory.run(),
             parts.watchers.run(),
             parts.controller.run(),
--- a/pomelolug/experiments/soak/_entry.py
+++ b/pomelolug/experiments/soak/_entry.py
@@ -24,10 +24,11 @@
 from pomelolug.settings._control_generated import CONTROL_SPEC, ControlSettings
 from pomelolug.settings._gateway_generated import GATEWAY_SPEC, GatewaySettings
 
-__all__ = ["EntryVm", "PEER_KEY", "OPERATOR_KEYS"]
+__all__ = ["EntryVm", "PEER_KEY", "OPERATOR_KEYS", "RETENTION_S"]
 
 PEER_KEY = "peer=" + "0b" * 16
 OPERATOR_KEYS = ("alice=" + "0c" * 16, "bob=" + "0d" * 16)
+RETENTION_S = 400
 _CONTROL = """
 [node]
 name = {name}
@@ -43,6 +44,7 @@
 vms = 127.0.0.1:1
 weights = 127.0.0.1:1
 operators = {operators}
+retention = {retention}s
 [claims]
 partitions = 4
 [random]
@@ -210,6 +212,7 @@
             "seeds": self._seeds,
             "operators": ",".join(OPERATOR_KEYS),
             "state": self._starts,
+            "retention": RETENTION_S,
         }
         control = self._folder / f"{self.name}-control.ini"
         control.write_text(_CONTROL.format(**values))
--- a/pomelolug/experiments/soak/_world.py
+++ b/pomelolug/experiments/soak/_world.py
@@ -15,7 +15,12 @@
 )
 from pomelolug.engines import FencingKind
 from pomelolug.experiments.soak._caller import Callers
-from pomelolug.experiments.soak._entry import OPERATOR_KEYS, PEER_KEY, EntryVm
+from pomelolug.experiments.soak._entry import (
+    OPERATOR_KEYS,
+    PEER_KEY,
+    RETENTION_S,
+    EntryVm,
+)
 from pomelolug.experiments.soak._fleet import NodeEngine, SoakFleet, SoakService
 from pomelolug.experiments.soak._journal import Journal
 from pomelolug.experiments.soak._network import SoakNetwork
@@ -36,7 +41,6 @@
 _KINDS = (FencingKind.REFUSES, FencingKind.IGNORES, FencingKind.UNCHECKED)
 _MODEL_BYTES = 8_000_000_000
 _RATE = 2e9
-_RETENTION = datetime.timedelta(seconds=400)
 _DOCUMENT = """
 [deployment]
 objective = {objective}
@@ -98,7 +102,9 @@
         self.random = random.Random(seed)
         self.journal = Journal(clock)
         self.log = MemoryLog(
-            clock=clock, random_state=random.Random(seed + 1), retention=_RETENTION
+            clock=clock,
+            random_state=random.Random(seed + 1),
+            retention=datetime.timedelta(seconds=RETENTION_S),
         )
         self.store = FakeWeightStore(
             clock=clock,
