--- a/pomelolug/admission/_queue.py
+++ b/pomelolug/admission/_queue.py
@@ -237,7 +237,7 @@
 
     def notify(self) -> None:
         """Grant slots that may have come free."""
-        for name, pool in self._pools.items():
+        for name, pool in list(self._pools.items()):
             self._fill(pool, name)
 
     def _pool(self, name: str) -> PoolQueue:
@@ -343,7 +343,7 @@
         """Refuse waiters that can no longer be served in time."""
         self._sweep_due = False
         now = self._clock.monotonic()
-        for name, pool in self._pools.items():
+        for name, pool in list(self._pools.items()):
             self._fill(pool, name)
             for waiter in pool.late(now):
                 if waiter.state is WaiterState.WAITING:
--- a/pomelolug/admission/_request.py
+++ b/pomelolug/admission/_request.py
@@ -14,7 +14,8 @@
     `weight` is the account's share relative to the others. `deadline_s` is the
     time in seconds from now until the answer has to be complete. `cost` is the
     expected work relative to a mean request. `max_in_flight` bounds the
-    account's requests that wait or run on this gateway; 0 means no bound.
+    account's requests on this gateway that wait in the class or run in its pool;
+    0 means no bound.
     """
 
     request_id: RequestId
