--- a/pomelolug/admission/_queue.py
+++ b/pomelolug/admission/_queue.py
@@ -21,7 +21,7 @@
 _LONGEST_PART_OF_TARGET = 0.7
 # A longer queue would keep no more slots busy, and its rest would delay and refuse
 # requests for many seconds after the end of an overload.
-_LONGEST_EXPECTED_WAIT_S = 4.0
+_LONGEST_EXPECTED_WAIT_S = 2.0
 _SHORTEST_RETRY_S = 1.0
 # A longer pause would carry the load of an overload into the time after it.
 _LONGEST_RETRY_S = 1.5
@@ -237,7 +237,7 @@
 
     def notify(self) -> None:
         """Grant slots that may have come free."""
-        for name, pool in self._pools.items():
+        for name, pool in list(self._pools.items()):
             self._fill(pool, name)
 
     def _pool(self, name: str) -> PoolQueue:
@@ -343,7 +343,7 @@
         """Refuse waiters that can no longer be served in time."""
         self._sweep_due = False
         now = self._clock.monotonic()
-        for name, pool in self._pools.items():
+        for name, pool in list(self._pools.items()):
             self._fill(pool, name)
             for waiter in pool.late(now):
                 if waiter.state is WaiterState.WAITING:
