Measure VM list and read-back, cut peers apart in the soak

Cause: the cost of the VM list and of a read-back was not in the capacity figures; no fault of the soak left backend servers in reach of gateways whose statuses are old, which is what the lease guards against. Change: two measurements; a fault that separates the entry VMs of a zone from the others.

--- a/pomelolug/experiments/capacity.py
+++ b/pomelolug/experiments/capacity.py
@@ -19,12 +19,17 @@
 import tracemalloc
 from collections.abc import Callable, Sequence
 
+import aiohttp
 import fire
+import msgspec
 import numpy as np
 
 from pomelolug.claims import ClaimsFold
 from pomelolug.clock import SystemClock
+from pomelolug.control._directory import contradictions
 from pomelolug.control._statuses import StatusBoard
+from pomelolug.engines import HttpEngine
+from pomelolug.errors import Finding
 from pomelolug.groups import GroupsFold
 from pomelolug.ids import Offset
 from pomelolug.messages import (
@@ -38,6 +43,7 @@
     decode,
     encode,
 )
+from pomelolug.platform._http import _vm_entry, _VmListReply
 from pomelolug.routing import RoutingView
 from pomelolug.state import Record, RecordKind
 
@@ -338,8 +344,72 @@
     ]
 
 
+def _vm_list() -> list[Slope]:
+    # Engines, service servers and entry VMs are all on the list.
+    target = SERVERS + NODES
+    sizes = (75, 150, 300, 600)
+    bytes_, spent = [], []
+    for size in sizes:
+        entries = [
+            {
+                "vm": f"vm-{number:04}",
+                "role": "engine",
+                "address": f"10.0.{number // 250}.{number % 250}:9000",
+                "zone": f"zone-{number % 7}",
+                "region": "region-1",
+                "domain": f"domain-{number // 8:03}",
+                "leaving": False,
+                "service": "",
+            }
+            for number in range(size)
+        ]
+        data = msgspec.json.encode({"vms": entries})
+        bytes_.append(len(data) / 1024)
+        spent.append(_seconds(lambda data=data: _read_list(data)) * 1e3)  # type: ignore[misc]
+    return [
+        fit("vm_list_size", "KiB", "VM", sizes, bytes_, target),
+        fit("vm_list_read", "ms", "VM", sizes, spent, target),
+    ]
+
+
+def _read_list(data: bytes) -> list[Finding]:
+    reply = msgspec.json.decode(data, type=_VmListReply)
+    return contradictions([_vm_entry(vm) for vm in reply.vms])
+
+
+async def _read_back() -> dict[str, object]:
+    """Measure the processor time of one read-back over HTTP, without the server."""
+    plan = ["--base_port=19400", "--engines=8", "--services=0"]
+    command = [sys.executable, "-m", "pomelolug.testing.backend_server", *plan]
+    server = await asyncio.create_subprocess_exec(*command)
+    try:
+        await asyncio.sleep(2.0)
+        async with aiohttp.ClientSession() as session:
+            engine = HttpEngine(session)
+            second = datetime.timedelta(seconds=1)
+            addresses = [f"127.0.0.1:{port}" for port in range(19401, 19409)]
+            rounds = []
+            for _ in range(5):
+                started = time.process_time()
+                for _ in range(_REPEATS):
+                    for address in addresses:
+                        await engine.status(address, timeout=second)
+                calls = _REPEATS * len(addresses)
+                rounds.append((time.process_time() - started) / calls)
+    finally:
+        server.terminate()
+        await server.wait()
+    return {
+        "name": "read_back",
+        "unit": "us",
+        "figure": round(min(rounds) * 1e6, 1),
+        "rounds": [round(value * 1e6, 1) for value in rounds],
+    }
+
+
 async def _measure() -> list[Slope]:
     return [
+        *_vm_list(),
         *await _tables(),
         *await _statuses(),
         *_groups_fold(),
@@ -351,6 +421,7 @@
     """Print every slope as a JSON line."""
     for slope in asyncio.run(_measure()):
         print(json.dumps(dataclasses.asdict(slope)))
+    print(json.dumps(asyncio.run(_read_back())))
     for figure in _imports():
         print(json.dumps(figure))
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
--- a/pomelolug/experiments/soak/_faults.py
+++ b/pomelolug/experiments/soak/_faults.py
@@ -54,6 +54,7 @@
             "log_cut_off_zone": self._log_cut_off_zone,
             "retention_passes": self._retention_passes,
             "partition": self._partition,
+            "peers_apart": self._peers_apart,
             "one_way_loss": self._one_way_loss,
             "regions_apart": self._regions_apart,
             "node_pause": self._node_pause,
@@ -211,10 +212,17 @@
         zone = self._random.choice(ZONES)
         await self._cut_off({zone}, log=self._random.random() < 0.5)
 
+    async def _peers_apart(self) -> None:
+        # Entry VMs cannot reach each other, backend servers can be reached.
+        zone = self._random.choice(ZONES)
+        await self._cut_off({zone}, log=False, engines=False)
+
     async def _regions_apart(self) -> None:
         await self._cut_off({"z3"}, log=True)
 
-    async def _cut_off(self, zones: set[str], *, log: bool) -> None:
+    async def _cut_off(
+        self, zones: set[str], *, log: bool, engines: bool = True
+    ) -> None:
         world = self._world
         inside = [entry for entry in world.entries if entry.zone in zones]
         outside = [entry for entry in world.entries if entry.zone not in zones]
@@ -231,7 +239,7 @@
         ]
         cuts = {(a, b) for a in zones for b in set(ZONES) - zones}
         cuts |= {(b, a) for a, b in cuts}
-        cuts -= world.cut_zones
+        cuts = cuts - world.cut_zones if engines else set()
         log_cuts = zones - world.log_cut if log else set()
         for pair in pairs:
             world.network.cut(*pair)
