--- a/pomelolug/experiments/_mesh_fleet.py
+++ b/pomelolug/experiments/_mesh_fleet.py
@@ -27,7 +27,7 @@
 
     def _advance(self) -> None:
         now = self._clock.monotonic()
-        self._table.advance(now - self._read_at, float("inf"))
+        self._table.awake += max(0.0, now - self._read_at)
         self._read_at = now
 
     def _renew(self) -> None:
--- a/pomelolug/membership/_connection.py
+++ b/pomelolug/membership/_connection.py
@@ -56,6 +56,8 @@
 # The writer wakes at least this often within the silence limit. A process that
 # sends once per heartbeat is then hardly ever woken by the timer.
 TICKS_PER_SILENCE = 2
+# A timer that fires later than this means that the process was paused.
+PAUSED_TICKS = 1.3
 
 _RECEIVED = BYTES.labels(direction="received")
 _SENT = BYTES.labels(direction="sent")
@@ -101,6 +103,7 @@
         self._wake = asyncio.Event()
         self._closed = asyncio.Event()
         self._quiet = 0.0
+        self._wait_began = 0.0
         self._handling = False
         self._reason = ""
 
@@ -188,7 +191,10 @@
                     REFUSALS.labels(reason=error.code.value).inc()
                 self.close(str(error))
                 return
-            self._quiet = 0.0
+            # The writer will add the whole of its current wait; the part before
+            # this message is taken off.
+            waiting = self._clock.monotonic() - self._wait_began
+            self._quiet = -min(waiting, self._silence / TICKS_PER_SILENCE)
             _RECEIVED.inc(len(frame))
             try:
                 message = decode(frame, *MESSAGE_KINDS)
@@ -220,13 +226,15 @@
     async def _write(self) -> None:
         tick = self._silence / TICKS_PER_SILENCE
         while not self.closed:
-            before = self._clock.monotonic()
+            self._wait_began = self._clock.monotonic()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(tick):
                     await self._wake.wait()
-            # Time in which this process itself was paused does not count as
-            # silence of the other end, nor does time spent in the own handler.
-            waited = min(self._clock.monotonic() - before, tick)
+            # Time in which this process itself was paused hardly counts as silence
+            # of the other end, nor does time spent in the own handler.
+            waited = self._clock.monotonic() - self._wait_began
+            if waited > PAUSED_TICKS * tick:
+                waited = tick / TICKS_PER_SILENCE**2
             self._quiet += 0.0 if self._handling else waited
             if not self._wake.is_set() and waited > 0:
                 self._queue.put(KEEP_ALIVE)
--- a/pomelolug/membership/tests/test_server.py
+++ b/pomelolug/membership/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import time
 
 import pytest
 from websockets.asyncio.client import connect
@@ -128,6 +129,18 @@
         assert [c.peer.protocol for c in port.connections] == [1]
 
 
+async def test_stall_of_the_own_process_does_not_look_like_silence():
+    limit = datetime.timedelta(milliseconds=200)
+    async with Port(silence=limit) as port:
+        connection = await port.dial(silence=limit)
+        task = asyncio.create_task(connection.run(ignore))
+        for _ in range(4):
+            await asyncio.sleep(0.03)
+            time.sleep(0.16)  # noqa: ASYNC251
+        assert [c.close_reason for c in [connection, *port.connections]] == ["", ""]
+        task.cancel()
+
+
 async def test_slow_handshake_is_ended():
     async with Port(handshake_timeout=SHORT) as port:
         async with connect(f"ws://{port.address}/", proxy=None) as websocket:
@@ -172,7 +185,7 @@
         await port.until(lambda: any(c.closed for c in port.connections))
         await asyncio.sleep(0.3)
         reasons = sorted(c.close_reason for c in port.connections)
-        assert reasons == ["", "silent"]
+        assert (reasons, idle.close_reason) == (["", "silent"], "")
         assert not task.done()
         task.cancel()
         await silent._transport.close()
