Record the claims of lost gateways as unknown

Cause: a claim whose gateway had died or restarted stayed in progress for the whole window, so that copies were told to wait for nothing. Conclusion: a copy gets a final answer within about 10 s of the loss.

--- a/pomelolug/control/_claims.py
+++ b/pomelolug/control/_claims.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import datetime
+import itertools
 import random
 from collections.abc import AsyncIterator, Callable
 
@@ -23,6 +24,7 @@
     ClaimRequest,
     ClaimUpdate,
     ClaimVerdict,
+    HolderLost,
     Message,
 )
 from pomelolug.state import Appender, RecordKind, StreamReader
@@ -31,6 +33,7 @@
 
 _log = structlog.get_logger()
 _MANAGE_EVERY = datetime.timedelta(seconds=1)
+_REVIEW_TURNS = 10
 _VERDICT_TIMEOUT = datetime.timedelta(milliseconds=2500)
 # A relay that is no longer chosen is kept for a while, so that a node that is
 # suspected for a moment does not make its partitions move twice.
@@ -41,7 +44,10 @@
 class _Partition:
     """Reader, fold and relay of one partition, with their tasks."""
 
-    def __init__(self, reader: StreamReader, relay: ClaimRelay, now: float) -> None:
+    def __init__(
+        self, reader: StreamReader, fold: ClaimsFold, relay: ClaimRelay, now: float
+    ) -> None:
+        self.fold = fold
         self.relay = relay
         self.used_at = now
         self._tasks = (
@@ -110,6 +116,7 @@
         mesh.on(ClaimRequest, self._on_request)
         mesh.on(ClaimVerdict, self._on_verdict)
         mesh.on(ClaimUpdate, self._on_update)
+        mesh.on(HolderLost, self._on_holder_lost)
         mesh.on_change(self._on_node)
 
     @property
@@ -120,9 +127,11 @@
     async def run(self) -> None:
         """Start and stop the own relays until cancelled."""
         async with self._stopping():
-            while True:
+            for turn in itertools.count():
                 await self._manage()
                 self._resend()
+                if turn % _REVIEW_TURNS == 0:
+                    self._review_holders()
                 await self._clock.sleep(_MANAGE_EVERY)
 
     @contextlib.asynccontextmanager
@@ -146,6 +155,39 @@
                 del self._partitions[number]
                 await partition.stop()
 
+    def _review_holders(self) -> None:
+        """Record the claims of dead nodes as unknown.
+
+        A relay that takes a partition over was not there when the node died.
+        """
+        dead = {i.node for i in self._mesh.nodes() if i.state is NodeState.DEAD}
+        for partition in self._partitions.values():
+            for node, _ in sorted(partition.fold.holders()):
+                if node in dead:
+                    partition.relay.node_lost(node)
+
+    def holder_lost(self, node: str, *, before: int) -> None:
+        """Record that a new process has taken the place of a claims' holder.
+
+        Parameters
+        ----------
+        node : str
+            Node of the gateway.
+        before : int
+            Incarnation of the new gateway process.
+        """
+        lost = HolderLost(node=node, before=before)
+        self._lose(lost)
+        self._mesh.broadcast(lost)
+
+    def _lose(self, lost: HolderLost) -> None:
+        for partition in self._partitions.values():
+            partition.relay.node_lost(lost.node, before=lost.before)
+
+    async def _on_holder_lost(self, node: str, message: Message) -> None:
+        assert isinstance(message, HolderLost)
+        self._lose(message)
+
     def _relay(self, number: int) -> NodeId | None:
         return relay_of(number, self._mesh.alive(), self._region)
 
@@ -167,7 +209,7 @@
                 random_state=self._random,
             )
             reader = self._make_reader(stream, fold)
-            partition = _Partition(reader, relay, self._clock.monotonic())
+            partition = _Partition(reader, fold, relay, self._clock.monotonic())
             self._partitions[number] = partition
             _log.info("claim_relay_started", partition=number)
         return partition
--- a/pomelolug/control/_gateways.py
+++ b/pomelolug/control/_gateways.py
@@ -75,6 +75,7 @@
         )
         self._demand: dict[str, tuple[float, DemandReport]] = {}
         self._share = CapacityShare()
+        self._incarnations: dict[str, int] = {}
         mesh.on(DemandReport, self._on_peer_demand)
         mesh.on(Suspicion, self._on_peer_suspicion)
 
@@ -91,6 +92,10 @@
         """Run the connection of a gateway to its end."""
         self._connections[connection] = None
         _log.info("gateway_connected", gateway=connection.peer.node)
+        peer = connection.peer
+        if peer.incarnation != self._incarnations.get(peer.node):
+            self._incarnations[peer.node] = peer.incarnation
+            self._claims.holder_lost(peer.node, before=peer.incarnation)
         for loss in self._losses():
             connection.send(loss)
         try:
--- a/pomelolug/settings/_control_generated.py
+++ b/pomelolug/settings/_control_generated.py
@@ -282,7 +282,7 @@
         key="batch",
         kind="duration",
         doc="How long a relay collects claims before it appends them.",
-        default="20ms",
+        default="5ms",
         minimum=0.0,
         maximum=1.0,
     ),
