--- a/pomelolug/experiments/_command.py
+++ b/pomelolug/experiments/_command.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import signal
+import sys
 import tempfile
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -14,13 +15,17 @@
 __all__ = ["TRACES", "run_interruptible", "run_in_folder"]
 
 T = TypeVar("T")
+_INTERRUPTED = 130
 
 TRACES = pathlib.Path(__file__).parents[2] / "traces"
 """Folder of the traces."""
 
 
 def run_interruptible(work: Coroutine[Any, Any, T]) -> T:
-    """Run `work`; SIGTERM and SIGINT cancel it, so that it can clean up."""
+    """Run `work`; SIGTERM and SIGINT cancel it, so that it can clean up.
+
+    The process then ends with exit status 130, as after an interrupt.
+    """
 
     async def main() -> T:
         task = asyncio.ensure_future(work)
@@ -30,7 +35,10 @@
         return await task
 
     configure_logging("info")
-    return asyncio.run(main())
+    try:
+        return asyncio.run(main())
+    except asyncio.CancelledError:
+        sys.exit(_INTERRUPTED)
 
 
 async def run_in_folder(trace: Trace, logs: str) -> RunResult:
