Keep a group that lost its leader's VM from cutting streams

Change: addresses of dropped VMs are kept; a group without a leader is no candidate; every internal error ends a stream with an error event; a group that broke a connection gets nothing until it is verified again; relays pause for 1 s at most and look for an append for 2 s.

--- a/pomelolug/claims/_relay.py
+++ b/pomelolug/claims/_relay.py
@@ -38,7 +38,8 @@
 FIRST_BACKOFF = datetime.timedelta(milliseconds=100)
 # A wait below the resolution of the timers would not end by itself.
 TIMER_SECONDS = 1e-4
-MAX_BACKOFF = datetime.timedelta(seconds=5)
+# While it lasts claims are refused, also when the log has come back.
+MAX_BACKOFF = datetime.timedelta(seconds=1)
 
 _log = structlog.get_logger(__name__)
 
--- a/pomelolug/control/_compose.py
+++ b/pomelolug/control/_compose.py
@@ -1,6 +1,7 @@
 """Composition root of the control process."""
 
 import asyncio
+import datetime
 import random
 import signal
 from collections.abc import Mapping
@@ -26,7 +27,7 @@
 from pomelolug.control._watching import WatcherSet
 from pomelolug.engines import Engine, HttpEngine
 from pomelolug.groups import GroupController, GroupLimits, GroupsFold
-from pomelolug.ids import GroupId, NodeId, VmId
+from pomelolug.ids import GroupId, NodeId
 from pomelolug.invariants import Invariants
 from pomelolug.membership import Dialer, Keys, Mesh, PeerServer
 from pomelolug.messages import GroupStatus, Message
@@ -52,6 +53,7 @@
 __all__ = ["GROUPS_STREAM", "Platform", "compose", "run_control"]
 
 GROUPS_STREAM = "groups"
+_CLAIM_APPEND_DEADLINE = datetime.timedelta(seconds=2)
 _log = structlog.get_logger()
 
 
@@ -179,6 +181,16 @@
         clock=clock,
         random_state=random_state,
     )
+    # A claim is given up after 2 s, so that its append need not be looked for any
+    # longer; the relay's next batch waits for it.
+    claims_appender = Appender(
+        log=platform.log,
+        keyring=keyring,
+        author=f"node:{node}",
+        clock=clock,
+        random_state=random_state,
+        deadline=_CLAIM_APPEND_DEADLINE,
+    )
     mesh = Mesh(
         node=node,
         zone=zone,
@@ -221,9 +233,6 @@
     )
     board = StatusBoard(node=node, clock=clock, on_change=lambda: gateways.push())
 
-    def addresses() -> Mapping[VmId, str]:
-        return {entry.vm: entry.address for entry in directory.entries}
-
     def statuses() -> Mapping[GroupId, GroupStatus]:
         return {GroupId(s.group): s for s in tables.groups()}
 
@@ -263,7 +272,7 @@
         duties=duties,
         fold=groups_fold,
         engine=platform.engine,
-        addresses=addresses,
+        addresses=lambda: directory.addresses,
         draining=lambda: controller.draining,
         stragglers=frozenset,
         publish=board.observe,
@@ -275,7 +284,7 @@
         node=node,
         region=settings.node.region,
         mesh=mesh,
-        appender=appender,
+        appender=claims_appender,
         make_reader=claims_reader,
         partitions=settings.claims.partitions,
         window=settings.claims.window,
--- a/pomelolug/control/_directory.py
+++ b/pomelolug/control/_directory.py
@@ -3,18 +3,20 @@
 import collections
 import datetime
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import structlog
 
 from pomelolug.clock import Clock
 from pomelolug.errors import Finding, PlatformError
+from pomelolug.ids import VmId
 from pomelolug.platform import VmDirectory, VmEntry, VmRole
 
 __all__ = ["DirectoryPoller", "contradictions"]
 
 _log = structlog.get_logger()
 _POLL = datetime.timedelta(seconds=1)
+_MAX_DROPPED = 1000
 _TIMEOUT = datetime.timedelta(seconds=2)
 
 
@@ -80,12 +82,22 @@
         self._on_findings = on_findings
         self._entries: tuple[VmEntry, ...] = ()
         self._read_at: float | None = None
+        self._addresses: dict[VmId, str] = {}
 
     @property
     def entries(self) -> tuple[VmEntry, ...]:
         """Entries of the last list without contradictory ones."""
         return self._entries
 
+    @property
+    def addresses(self) -> Mapping[VmId, str]:
+        """IP and port of each VM, also of those that the list has dropped.
+
+        A group may still serve on a VM after the list has dropped it, and its
+        members have to be read back until the group ends.
+        """
+        return self._addresses
+
     @property
     def age_s(self) -> float:
         """Seconds since the last successful read; -1 before the first."""
@@ -129,3 +141,8 @@
             if entry.vm not in bad_vms and entry.address not in bad_addresses
         )
         self._read_at = self._clock.monotonic()
+        for entry in self._entries:
+            self._addresses.pop(entry.vm, None)
+            self._addresses[entry.vm] = entry.address
+        while len(self._addresses) > len(self._entries) + _MAX_DROPPED:
+            del self._addresses[next(iter(self._addresses))]
--- a/pomelolug/gateway/_application.py
+++ b/pomelolug/gateway/_application.py
@@ -255,6 +255,13 @@
         except RequestError as error:
             await sink.fail(error)
             raise
+        except PomelolugError as error:
+            # The caller must learn that its answer is not whole.
+            failure = RequestError(
+                error.code, "internal error", status=500, outcome=Outcome.UNKNOWN
+            )
+            await sink.fail(failure)
+            raise failure from error
 
     async def _service(self, request: Request, request_id: str, send: Send) -> None:
         configuration = self._table.require_configuration()
--- a/pomelolug/gateway/_model_flow.py
+++ b/pomelolug/gateway/_model_flow.py
@@ -42,6 +42,7 @@
 # after this time, since a bystander must not wait for all the others in turn.
 _SOLO_PATIENCE = datetime.timedelta(seconds=1)
 _REFUSED_PAUSE = datetime.timedelta(milliseconds=20)
+_LOST = "lost"
 _HARMLESS = frozenset({AttemptResult.REFUSED, AttemptResult.NOT_REACHED})
 
 
@@ -260,7 +261,7 @@
         group = self._view.choose(pool, exclude=exclude | job.tried, solo=alone)
         if group is None and job.tried:
             group = self._view.choose(pool, exclude=exclude, solo=alone)
-        if group is None:
+        if group is None or not group.leader:
             return None
         token = FencingToken(group.token)
         if not self._view.is_dispatchable(GroupId(group.group), token):
@@ -305,6 +306,9 @@
             self._losses.on_broken_stream(group, request.fingerprint)
         if ended.result is AttemptResult.REFUSED:
             self._view.on_refused(GroupId(group.group), progress.refusal)
+        elif ended.result is not AttemptResult.COMPLETE:
+            # Nothing more is sent there until the group is verified again.
+            self._view.on_refused(GroupId(group.group), _LOST)
         return ended.result
 
     @contextlib.contextmanager
@@ -322,13 +326,15 @@
             with self._losses.in_flight(group, fingerprint, request_id):
                 yield ended
         finally:
-            # A caller that leaves or does not read is no failure of the group.
-            failed = ended.result not in (None, AttemptResult.COMPLETE)
+            # A caller that leaves or does not read is no failure of the group,
+            # and its time there says nothing about others.
+            complete = ended.result is AttemptResult.COMPLETE
+            spent_s = self._clock.monotonic() - before
             self._view.on_finish(
                 group_id,
                 request_id,
-                ok=not failed,
-                service_time_s=self._clock.monotonic() - before,
+                ok=complete or ended.result is None,
+                service_time_s=spent_s if complete else None,
             )
 
     def _is_struck(self, fingerprint: bytes) -> bool:
