Run copies of a struck request one at a time

Ruled out: refusing a struck request while the log is away (an ordinary member death strikes bystanders, whose new tries must not rest on the log).

--- a/pomelolug/gateway/_claiming.py
+++ b/pomelolug/gateway/_claiming.py
@@ -3,7 +3,7 @@
 import contextlib
 import datetime
 import hashlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from pomelolug.claims import (
     ClaimClient,
@@ -21,6 +21,8 @@
 
 _RETRY_AFTER = datetime.timedelta(seconds=2)
 _CONFLICT = 409
+_ALONE = b"isolated run\0"
+_ALONE_PAUSE = datetime.timedelta(milliseconds=250)
 _REFUSALS = {
     Verdict.IN_PROGRESS: (
         ErrorCode.IN_PROGRESS,
@@ -93,6 +95,51 @@
             elif ticket.state is TicketState.GRANTED:
                 ticket.release()
 
+    @contextlib.asynccontextmanager
+    async def alone(
+        self, fingerprint: bytes, *, until: float, check: Callable[[], None]
+    ) -> AsyncIterator[None]:
+        """Hold the only run of a struck request in the fleet inside the context.
+
+        Copies of a request that crashes its groups arrive through several entry
+        VMs at once; each would cost a group if they ran side by side. Without
+        an answer from the log the request runs all the same: idempotent work
+        does not rest on the log.
+
+        Parameters
+        ----------
+        fingerprint : bytes
+            Digest of the request.
+        until : float
+            Monotonic time at which waiting for another copy ends.
+        check : callable
+            Called before each try; raises if the request may not run any more.
+
+        Raises
+        ------
+        RequestError
+            ``in_progress`` if another copy ran until `until`.
+        """
+        key = hashlib.sha256(_ALONE + fingerprint).digest()
+        ticket = await self._claim_alone(key, until, check)
+        try:
+            yield
+        finally:
+            if ticket.state is TicketState.GRANTED:
+                ticket.release()
+
+    async def _claim_alone(
+        self, key: bytes, until: float, check: Callable[[], None]
+    ) -> ClaimTicket:
+        while True:
+            check()
+            ticket = await self._client.claim(key, key)
+            if ticket.verdict is not Verdict.IN_PROGRESS:
+                return ticket
+            if self._clock.monotonic() >= until:
+                raise _refusal(Verdict.IN_PROGRESS)
+            await self._clock.sleep(_ALONE_PAUSE)
+
     def _check_age(self, key: str) -> None:
         made = key_time(key)
         if made is not None and self._clock.now() - made > self._window:
--- a/pomelolug/gateway/_model_flow.py
+++ b/pomelolug/gateway/_model_flow.py
@@ -133,8 +133,7 @@
             If the request ends without a complete answer.
         """
         started = self._clock.monotonic()
-        if self._containment.may_run(request.fingerprint) is RunMode.QUARANTINED:
-            raise endings.quarantined(maybe_ran=False)
+        self._check_quarantine(request)
         deadline = started + request.work_class.deadline.total_seconds()
         progress = Progress(request.request_id, started)
         try:
@@ -148,6 +147,10 @@
             ) from error
         self._record_latency(request, progress)
 
+    def _check_quarantine(self, request: CallerRequest) -> None:
+        if self._containment.may_run(request.fingerprint) is RunMode.QUARANTINED:
+            raise endings.quarantined(maybe_ran=False)
+
     @contextlib.asynccontextmanager
     async def _permit(
         self, request: CallerRequest, deadline: float
@@ -172,9 +175,18 @@
     async def _ticket(
         self, request: CallerRequest
     ) -> AsyncIterator[ClaimTicket | None]:
-        if request.idempotent:
+        if request.idempotent and not self._is_struck(request.fingerprint):
             yield None
             return
+        if request.idempotent:
+            until = self._clock.monotonic() + _GROUP_PATIENCE.total_seconds()
+            async with self._claims.alone(
+                request.fingerprint,
+                until=until,
+                check=lambda: self._check_quarantine(request),
+            ):
+                yield None
+            return
         async with self._claims.claimed(request, request.body) as ticket:
             yield ticket
 
--- a/pomelolug/gateway/tests/test_model_flow.py
+++ b/pomelolug/gateway/tests/test_model_flow.py
@@ -216,3 +216,30 @@
     bench.update(status("g1"), status("g2", token=2), status("g3", token=3))
     await running
     assert len(engine.requests) == 1
+
+
+async def test_copies_of_a_struck_request_run_one_at_a_time():
+    # Two copies side by side would cost a group each.
+    engine = ScriptedEngine([answer])
+    bench = FlowBench(engine, verdict="in_progress")
+    bench.update(status("g1"), status("g2", token=2))
+    call = request()
+    bench.suspicions.add(
+        Suspicion(node="n2", group="g9", token=9, fingerprints=(call.fingerprint,))
+    )
+    error = await failing(bench, call)
+    assert error.code is ErrorCode.IN_PROGRESS
+    assert engine.requests == []
+
+
+async def test_struck_request_runs_without_an_answer_from_the_log():
+    engine = ScriptedEngine([answer])
+    bench = FlowBench(engine, verdict="unavailable")
+    bench.update(status("g1"))
+    call = request()
+    bench.suspicions.add(
+        Suspicion(node="n2", group="g9", token=9, fingerprints=(call.fingerprint,))
+    )
+    sink = ListSink()
+    await bench.flow.run(call, sink)
+    assert sink.ended == 4
