--- a/pomelolug/groups/_policy.py
+++ b/pomelolug/groups/_policy.py
@@ -16,6 +16,7 @@
     "FormProposal",
     "FormationPolicy",
     "FormationSnapshot",
+    "Proposal",
     "RepairInPlace",
     "VmView",
 ]
