Set stragglers aside in the control process

Cause: the watchers were not told which groups are slower than their peers. Conclusion: straggler detection takes effect.

--- a/pomelolug/control/_compose.py
+++ b/pomelolug/control/_compose.py
@@ -274,7 +274,7 @@
         engine=platform.engine,
         addresses=lambda: directory.addresses,
         draining=lambda: controller.draining,
-        stragglers=frozenset,
+        stragglers=lambda: controller.stragglers,
         publish=board.observe,
         violated=violated,
         limits=limits,
