Let a killed VM of the stand-in answer on no connection

Cause: in the demo a killed member was found only when it came back 5 s later, with the evidence 'other incarnation': the stand-in aborted connections that are instances of the asyncio transport, which those of uvloop are not, so that kept connections were answered on. Ruled out: the watcher (a closed port is found in 1 ms, two silent reads close the group).

--- a/pomelolug/testing/_vm_server.py
+++ b/pomelolug/testing/_vm_server.py
@@ -121,7 +121,8 @@
         if self._runner is None or self._runner.server is None:
             return []
         transports = (item.transport for item in self._runner.server.connections)
-        return [item for item in transports if isinstance(item, asyncio.Transport)]
+        # The transports of uvloop are no instances of the asyncio class.
+        return [item for item in transports if item is not None]
 
     @web.middleware
     async def _gate(
