--- a/pomelolug/control/_gateways.py
+++ b/pomelolug/control/_gateways.py
@@ -30,7 +30,8 @@
 
 _log = structlog.get_logger()
 _MAX_EXPLANATIONS = 2000
-_DEMAND_LIFE = datetime.timedelta(seconds=5)
+_DEMAND_REFRESH = datetime.timedelta(seconds=4)
+_DEMAND_LIFE = datetime.timedelta(seconds=12)
 
 
 class GatewayHub:
@@ -74,6 +75,7 @@
             collections.OrderedDict()
         )
         self._demand: dict[str, tuple[float, DemandReport]] = {}
+        self._told: dict[str, tuple[float, DemandReport]] = {}
         self._share = CapacityShare()
         self._incarnations: dict[str, int] = {}
         mesh.on(DemandReport, self._on_peer_demand)
@@ -134,7 +136,15 @@
                 self._keep(message)
             case DemandReport():
                 self._note_demand(message)
-                self._mesh.broadcast(message, key=f"demand {message.gateway}")
+                self._tell_demand(message)
+
+    def _tell_demand(self, report: DemandReport) -> None:
+        """Tell the peers a demand that has changed, else only now and then."""
+        now = self._clock.monotonic()
+        told_at, told = self._told.get(report.gateway, (float("-inf"), None))
+        if report != told or now - told_at >= _DEMAND_REFRESH.total_seconds():
+            self._told[report.gateway] = (now, report)
+            self._mesh.broadcast(report, key=f"demand {report.gateway}")
 
     def _send_table(self, connection: Connection, pull: TablePull) -> None:
         table = self._tables.table(known_version=pull.config_version)
