Tidy: one command function, placement apart from the model flow

Change: run_command serves both processes; Placement chooses groups and keeps struck requests apart; slopes have a module of their own.

--- a/pomelolug/control/__main__.py
+++ b/pomelolug/control/__main__.py
@@ -1,51 +1,15 @@
 """Command ``pomelolug-control``."""
 
-import asyncio
-import pathlib
-import sys
-
-import fire
-import uvloop
-
-from pomelolug import __version__
 from pomelolug.control._compose import run_control
-from pomelolug.errors import FindingsError
-from pomelolug.settings import load_settings
+from pomelolug.settings._command import run_command
 from pomelolug.settings._control_generated import CONTROL_SPEC, ControlSettings
 
 __all__ = ["main"]
 
-EXIT_SETTINGS = 2
-
-
-def serve(settings: str = "", *, version: bool = False, check: bool = False) -> None:
-    """Run the control process of an entry VM.
-
-    Parameters
-    ----------
-    settings : str
-        INI file.
-    version : bool
-        Print the version and exit.
-    check : bool
-        Check the settings and exit.
-    """
-    if version:
-        print(__version__)
-        return
-    try:
-        loaded = load_settings(pathlib.Path(settings), ControlSettings, CONTROL_SPEC)
-    except FindingsError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    if not check:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run_control(loaded))
-
 
 def main() -> None:
     """Entry point of the command."""
-    fire.Fire(serve, name="pomelolug-control")
+    run_command("pomelolug-control", ControlSettings, CONTROL_SPEC, run_control)
 
 
 if __name__ == "__main__":
--- a/pomelolug/experiments/_simulation.py
+++ b/pomelolug/experiments/_simulation.py
@@ -31,8 +31,14 @@
         return _EPOCH + datetime.timedelta(seconds=self._now)
 
     async def sleep(self, duration: datetime.timedelta) -> None:
-        """Not available: the simulation runs callbacks only."""
-        raise NotImplementedError
+        """Refuse to wait: the simulation runs callbacks only.
+
+        Raises
+        ------
+        RuntimeError
+            Always.
+        """
+        raise RuntimeError("the simulation has no tasks that could wait")
 
     def call_later(self, delay_s: float, function: Callable[[], None]) -> None:
         """Run `function` after `delay_s` seconds of virtual time."""
--- a/pomelolug/experiments/capacity.py
+++ b/pomelolug/experiments/capacity.py
@@ -9,20 +9,16 @@
 import asyncio
 import dataclasses
 import datetime
-import gc
 import json
 import random
 import resource
 import subprocess
 import sys
 import time
-import tracemalloc
-from collections.abc import Callable, Sequence
 
 import aiohttp
 import fire
 import msgspec
-import numpy as np
 
 from pomelolug.claims import ClaimsFold
 from pomelolug.clock import SystemClock
@@ -30,6 +26,7 @@
 from pomelolug.control._statuses import StatusBoard
 from pomelolug.engines import HttpEngine
 from pomelolug.errors import Finding
+from pomelolug.experiments._slopes import REPEATS, Slope, fit, kilobytes, seconds
 from pomelolug.groups import GroupsFold
 from pomelolug.ids import Offset
 from pomelolug.messages import (
@@ -47,75 +44,15 @@
 from pomelolug.routing import RoutingView
 from pomelolug.state import Record, RecordKind
 
-__all__ = ["Slope", "fit", "main"]
+__all__ = ["main"]
 
 GROUPS = 75
 SERVERS = 600
 MEMBERS = 8
 NODES = 390
-_REPEATS = 50
 _STAMP = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Slope:
-    """A fitted line.
-
-    Parameters
-    ----------
-    name, unit, per : str
-        What was measured, its unit, and what the size counts.
-    sizes, figures : tuple of float
-        The measurements.
-    slope, intercept, error : float
-        The line and the root mean square error of the fit, in `unit`.
-    target, at_target : float
-        Planned size and the line's value there.
-    """
-
-    name: str
-    unit: str
-    per: str
-    sizes: tuple[float, ...]
-    figures: tuple[float, ...]
-    slope: float
-    intercept: float
-    error: float
-    target: float
-    at_target: float
-
-
-def fit(
-    name: str,
-    unit: str,
-    per: str,
-    sizes: Sequence[float],
-    figures: Sequence[float],
-    target: float,
-) -> Slope:
-    """Fit a line by least squares and evaluate it at `target`.
-
-    Examples
-    --------
-    >>> round(fit("x", "ms", "group", [1, 2, 4], [3, 5, 9], 10).at_target, 6)
-    21.0
-    """
-    slope, intercept = np.polyfit(sizes, figures, 1)
-    errors = np.asarray(figures) - (slope * np.asarray(sizes) + intercept)
-    return Slope(
-        name=name,
-        unit=unit,
-        per=per,
-        sizes=tuple(map(float, sizes)),
-        figures=tuple(round(float(figure), 4) for figure in figures),
-        slope=float(slope),
-        intercept=float(intercept),
-        error=float(np.sqrt(np.mean(errors**2))),
-        target=target,
-        at_target=float(slope * target + intercept),
-    )
-
-
 def _status(number: int) -> GroupStatus:
     vms = tuple(f"vm-{number:03}-{member}" for member in range(MEMBERS))
     return GroupStatus(
@@ -136,29 +73,6 @@
     )
 
 
-def _seconds(work: Callable[[], object]) -> float:
-    """Return the processor time of one call, the least of several rounds."""
-    rounds = []
-    for _ in range(5):
-        started = time.process_time()
-        for _ in range(_REPEATS):
-            work()
-        rounds.append((time.process_time() - started) / _REPEATS)
-    return min(rounds)
-
-
-def _kilobytes(make: Callable[[], object]) -> float:
-    """Return the memory that the result of `make` holds, in KiB."""
-    gc.collect()
-    tracemalloc.start()
-    kept = make()
-    gc.collect()
-    size, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    del kept
-    return size / 1024
-
-
 async def _tables() -> list[Slope]:
     sizes = (8, 16, 32, 75, 150)
     clock = SystemClock()
@@ -174,9 +88,9 @@
             clock=clock,
             random_state=random.Random(1),
         )
-        made.append(_seconds(lambda table=table: encode(table)) * 1e3)  # type: ignore[misc]
+        made.append(seconds(lambda table=table: encode(table)) * 1e3)  # type: ignore[misc]
         read.append(
-            _seconds(
+            seconds(
                 lambda data=data, view=view: view.update(decode(data, RoutingTable))  # type: ignore[misc]
             )
             * 1e3
@@ -208,9 +122,9 @@
         second = here.answer(pull)
         full.append(len(encode(first)) / 1024)
         brief.append(len(encode(second)) / 1024)
-        answer.append(_seconds(lambda h=here, p=pull: encode(h.answer(p))) * 1e3)  # type: ignore[misc]
-        learn.append(_seconds(lambda t=there, s=second: t.learn("a", s)) * 1e3)  # type: ignore[misc]
-        memory.append(_kilobytes(board))
+        answer.append(seconds(lambda h=here, p=pull: encode(h.answer(p))) * 1e3)  # type: ignore[misc]
+        learn.append(seconds(lambda t=there, s=second: t.learn("a", s)) * 1e3)  # type: ignore[misc]
+        memory.append(kilobytes(board))
     return [
         fit("status_batch_full", "KiB", "group", sizes, full, GROUPS),
         fit("status_batch_brief", "KiB", "group", sizes, brief, GROUPS),
@@ -258,8 +172,8 @@
                 fold.apply(record)
             return fold
 
-        memory.append(_kilobytes(replay))
-        spent.append(_seconds(replay) * 1e3)
+        memory.append(kilobytes(replay))
+        spent.append(seconds(replay) * 1e3)
     return [
         fit("groups_fold_memory", "KiB", "group", sizes, memory, GROUPS),
         fit("groups_fold_replay", "ms", "group", sizes, spent, GROUPS),
@@ -280,7 +194,7 @@
                 fold.apply(record)
             return fold
 
-        memory.append(_kilobytes(replay))
+        memory.append(kilobytes(replay))
         started = time.process_time()
         replay()
         spent.append((time.process_time() - started) * 1e3)
@@ -365,7 +279,7 @@
         ]
         data = msgspec.json.encode({"vms": entries})
         bytes_.append(len(data) / 1024)
-        spent.append(_seconds(lambda data=data: _read_list(data)) * 1e3)  # type: ignore[misc]
+        spent.append(seconds(lambda data=data: _read_list(data)) * 1e3)  # type: ignore[misc]
     return [
         fit("vm_list_size", "KiB", "VM", sizes, bytes_, target),
         fit("vm_list_read", "ms", "VM", sizes, spent, target),
@@ -391,10 +305,10 @@
             rounds = []
             for _ in range(5):
                 started = time.process_time()
-                for _ in range(_REPEATS):
+                for _ in range(REPEATS):
                     for address in addresses:
                         await engine.status(address, timeout=second)
-                calls = _REPEATS * len(addresses)
+                calls = REPEATS * len(addresses)
                 rounds.append((time.process_time() - started) / calls)
     finally:
         server.terminate()
--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -28,6 +28,7 @@
 from pomelolug.gateway._losses import LossReporter
 from pomelolug.gateway._metrics import GatewayMetrics
 from pomelolug.gateway._model_flow import ModelFlow
+from pomelolug.gateway._placement import Placement
 from pomelolug.gateway._protocol import BoundedHttpProtocol
 from pomelolug.gateway._service_flow import ServiceFlow
 from pomelolug.gateway._service_view import ServiceView
@@ -42,7 +43,7 @@
     first_incarnation,
 )
 from pomelolug.messages import LossReport, Suspicion
-from pomelolug.retries import Containment, RetryBudget, RunMode
+from pomelolug.retries import Containment, RetryBudget
 from pomelolug.routing import RoutingView
 from pomelolug.services import HttpPlainService, PlainService
 from pomelolug.settings._gateway_generated import GatewaySettings
@@ -182,10 +183,6 @@
         suspicions.add(report)
         link.send(report)
 
-    def is_struck(fingerprint: bytes) -> bool:
-        struck = containment.may_run(fingerprint) is not RunMode.NORMAL
-        return struck or suspicions.count(fingerprint) > 0
-
     def report_loss(report: LossReport) -> None:
         _log.warning(
             "group_lost", group=report.group, requests=len(report.fingerprints)
@@ -196,10 +193,17 @@
     losses = LossReporter(
         node=settings.node.name,
         clock=clock,
-        is_struck=is_struck,
+        is_struck=lambda fingerprint: placement.is_struck(fingerprint),
         report=report_loss,
         suspect=take_suspicion,
     )
+    placement = Placement(
+        view=view,
+        containment=containment,
+        suspicions=suspicions,
+        losses=losses,
+        clock=clock,
+    )
     table = TableHolder(
         clock=clock,
         invariants=invariants,
@@ -256,7 +260,7 @@
         budget=budget,
         containment=containment,
         losses=losses,
-        suspicions=suspicions,
+        placement=placement,
         invariants=invariants,
         metrics=metrics,
         decisions=decisions,
--- a/pomelolug/gateway/_model_flow.py
+++ b/pomelolug/gateway/_model_flow.py
@@ -17,12 +17,12 @@
 from pomelolug.gateway._losses import LossReporter
 from pomelolug.gateway._metrics import GatewayMetrics
 from pomelolug.gateway._parsing import DEFAULT_MAX_TOKENS, CallerRequest
+from pomelolug.gateway._placement import Placement
 from pomelolug.gateway._sinks import AnswerSink
-from pomelolug.gateway._suspicions import Suspicions
-from pomelolug.ids import AccountId, ClassName, FencingToken, GroupId, PoolId, RequestId
+from pomelolug.ids import AccountId, ClassName, GroupId, PoolId, RequestId
 from pomelolug.invariants import Invariants
 from pomelolug.messages import GroupStatus
-from pomelolug.retries import Containment, RetryBudget, RunMode
+from pomelolug.retries import Containment, RetryBudget
 from pomelolug.routing import RoutingView
 
 __all__ = ["ModelFlow"]
@@ -31,16 +31,9 @@
 _MIN_GAP = datetime.timedelta(seconds=1)
 _MIN_FIRST = datetime.timedelta(seconds=2)
 _MAX_ATTEMPTS = 4
-# A request that broke two groups must not reach a third before it is known
-# whether they were lost.
-_MAX_STRIKES = 2
-_GROUP_POLL = datetime.timedelta(milliseconds=50)
 # Longest wait of an admitted request whose groups have just been lost; a repair
 # takes longer, so that waiting on would only delay the refusal.
 _GROUP_PATIENCE = datetime.timedelta(seconds=5)
-# After a loss there may be more struck requests than groups: they share groups
-# after this time, since a bystander must not wait for all the others in turn.
-_SOLO_PATIENCE = datetime.timedelta(seconds=1)
 _REFUSED_PAUSE = datetime.timedelta(milliseconds=20)
 _LOST = "lost"
 _HARMLESS = frozenset({AttemptResult.REFUSED, AttemptResult.NOT_REACHED})
@@ -79,8 +72,8 @@
         Knows the requests that crash their groups.
     losses : LossReporter
         Tracks requests in flight on each group.
-    suspicions : Suspicions
-        Knows the broken streams whose groups are not decided yet.
+    placement : Placement
+        Chooses the group of each attempt.
     invariants : Invariants
         Run-time assertions.
     metrics : GatewayMetrics
@@ -103,7 +96,7 @@
         budget: RetryBudget,
         containment: Containment,
         losses: LossReporter,
-        suspicions: Suspicions,
+        placement: Placement,
         invariants: Invariants,
         metrics: GatewayMetrics,
         decisions: DecisionLog,
@@ -117,7 +110,7 @@
         self._budget = budget
         self._containment = containment
         self._losses = losses
-        self._suspicions = suspicions
+        self._placement = placement
         self._invariants = invariants
         self._metrics = metrics
         self._decisions = decisions
@@ -133,7 +126,7 @@
             If the request ends without a complete answer.
         """
         started = self._clock.monotonic()
-        self._check_quarantine(request)
+        self._placement.check(request.fingerprint, maybe_ran=False)
         deadline = started + request.work_class.deadline.total_seconds()
         progress = Progress(request.request_id, started)
         try:
@@ -147,10 +140,6 @@
             ) from error
         self._record_latency(request, progress)
 
-    def _check_quarantine(self, request: CallerRequest) -> None:
-        if self._containment.may_run(request.fingerprint) is RunMode.QUARANTINED:
-            raise endings.quarantined(maybe_ran=False)
-
     @contextlib.asynccontextmanager
     async def _permit(
         self, request: CallerRequest, deadline: float
@@ -175,7 +164,7 @@
     async def _ticket(
         self, request: CallerRequest
     ) -> AsyncIterator[ClaimTicket | None]:
-        if request.idempotent and not self._is_struck(request.fingerprint):
+        if request.idempotent and not self._placement.is_struck(request.fingerprint):
             yield None
             return
         if request.idempotent:
@@ -183,7 +172,9 @@
             async with self._claims.alone(
                 request.fingerprint,
                 until=until,
-                check=lambda: self._check_quarantine(request),
+                check=lambda: self._placement.check(
+                    request.fingerprint, maybe_ran=False
+                ),
             ):
                 yield None
             return
@@ -232,52 +223,19 @@
         raise endings.outcome_unknown(result.value)
 
     async def _choose(self, job: _Job) -> GroupStatus:
-        pool = PoolId(job.request.work_class.pool)
-        now = self._clock.monotonic()
-        give_up = job.deadline
+        until = job.deadline
         if not job.progress.position:
-            give_up = min(give_up, now + _GROUP_PATIENCE.total_seconds())
-        solo_until = now + _SOLO_PATIENCE.total_seconds()
-        while True:
-            strikes = self._strikes(job)
-            # Nothing may be awaited between this choice and the dispatch.
-            group = None
-            if strikes < _MAX_STRIKES:
-                alone = strikes > 0 and self._clock.monotonic() < solo_until
-                group = self._pick(pool, job, alone=alone)
-            if group is not None:
-                return group
-            if self._clock.monotonic() >= give_up:
-                raise self._without_group(job)
-            await self._clock.sleep(_GROUP_POLL)
-
-    def _strikes(self, job: _Job) -> int:
-        """Return on how many groups the request broke, undecided ones included.
-
-        Raises
-        ------
-        RequestError
-            ``quarantined`` if the losses are confirmed and name this request.
-        """
-        fingerprint = job.request.fingerprint
-        mode = self._containment.may_run(fingerprint)
-        if mode is RunMode.QUARANTINED:
-            raise endings.quarantined(maybe_ran=job.progress.maybe_ran)
-        confirmed = 1 if mode is RunMode.SOLO else 0
-        return confirmed + self._suspicions.count(fingerprint)
-
-    def _pick(self, pool: PoolId, job: _Job, *, alone: bool) -> GroupStatus | None:
-        exclude: frozenset[GroupId] = frozenset()
-        if alone:
-            exclude = self._losses.groups_with_suspect()
-        group = self._view.choose(pool, exclude=exclude | job.tried, solo=alone)
-        if group is None and job.tried:
-            group = self._view.choose(pool, exclude=exclude, solo=alone)
-        if group is None or not group.leader:
-            return None
-        token = FencingToken(group.token)
-        if not self._view.is_dispatchable(GroupId(group.group), token):
-            return None
+            patience_s = _GROUP_PATIENCE.total_seconds()
+            until = min(until, self._clock.monotonic() + patience_s)
+        group = await self._placement.choose(
+            PoolId(job.request.work_class.pool),
+            job.request.fingerprint,
+            tried=job.tried,
+            until=until,
+            maybe_ran=job.progress.maybe_ran,
+        )
+        if group is None:
+            raise self._without_group(job)
         return group
 
     def _without_group(self, job: _Job) -> RequestError:
@@ -329,7 +287,7 @@
         group_id = GroupId(group.group)
         request_id = RequestId(job.request.request_id)
         fingerprint = job.request.fingerprint
-        solo = self._is_struck(fingerprint)
+        solo = self._placement.is_struck(fingerprint)
         self._view.on_dispatch(group_id, request_id, solo=solo)
         job.permit.dispatched()
         before = self._clock.monotonic()
@@ -349,10 +307,6 @@
                 service_time_s=spent_s if complete else None,
             )
 
-    def _is_struck(self, fingerprint: bytes) -> bool:
-        struck = self._containment.may_run(fingerprint) is not RunMode.NORMAL
-        return struck or self._suspicions.count(fingerprint) > 0
-
     async def _before_retry(
         self, job: _Job, group: GroupStatus, result: AttemptResult
     ) -> None:
--- a/pomelolug/gateway/tests/flow_bench.py
+++ b/pomelolug/gateway/tests/flow_bench.py
@@ -16,6 +16,7 @@
 from pomelolug.gateway._metrics import GatewayMetrics
 from pomelolug.gateway._model_flow import ModelFlow
 from pomelolug.gateway._parsing import CallerRequest
+from pomelolug.gateway._placement import Placement
 from pomelolug.gateway._sinks import AnswerSink
 from pomelolug.gateway._suspicions import Suspicions
 from pomelolug.invariants import Invariants
@@ -150,6 +151,13 @@
             report=self._report,
             suspect=self.suspicions.add,
         )
+        self.placement = Placement(
+            view=self.view,
+            containment=self.containment,
+            suspicions=self.suspicions,
+            losses=self.losses,
+            clock=clock,
+        )
         self.violations = []
         self.registry = CollectorRegistry()
         self.metrics = GatewayMetrics(self.registry)
@@ -165,7 +173,7 @@
             budget=budget or RetryBudget(clock=clock),
             containment=self.containment,
             losses=self.losses,
-            suspicions=self.suspicions,
+            placement=self.placement,
             invariants=Invariants(self.violations.append),
             metrics=self.metrics,
             decisions=DecisionLog(lambda explanation: None),
