Lose control processes alone in the soak, send late copies

Change: a fault that ends the control process only; a copy 25 s after a cut; the deliberate fault of the successor wait is left to the tests of groups, where late orders are certain to meet it. Conclusion: static stability is now under test as well.

--- a/pomelolug/experiments/soak/_caller.py
+++ b/pomelolug/experiments/soak/_caller.py
@@ -17,6 +17,7 @@
 _KEY = "Bearer secret"
 _PATIENCE_S = 45.0
 _MAX_SENDS = 3
+_LATE_COPY_S = 25.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -201,11 +202,17 @@
 
     async def _work(self, job: Job, delay: float) -> None:
         await asyncio.sleep(delay)
+        cut = False
         for _ in range(_MAX_SENDS):
             outcome = await self._send(job)
+            cut = cut or outcome == "cut"
             if outcome in ("answered", "refused"):
                 return
             await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        if cut and job.key:
+            # Long enough for the lost entry VM to be considered dead.
+            await asyncio.sleep(_LATE_COPY_S)
+            await self._send(job)
 
     async def _send(self, job: Job) -> str:
         entry = self._balance()
--- a/pomelolug/experiments/soak/_faults.py
+++ b/pomelolug/experiments/soak/_faults.py
@@ -59,6 +59,7 @@
             "regions_apart": self._regions_apart,
             "node_pause": self._node_pause,
             "node_restart": self._node_restart,
+            "control_lost": self._control_lost,
             "entry_vm_lost": self._entry_vm_lost,
             "planned_stop": self._planned_stop,
             "configuration_change": self._configuration_change,
@@ -280,6 +281,17 @@
         if entry is not None:
             await self._stop_and_start(entry, self._duration(0.2, 5))
 
+    async def _control_lost(self) -> None:
+        entry = self._running_entry()
+        if entry is None or entry.control is None:
+            return
+        seconds = self._duration(1, 25)
+        self._impair([entry], seconds)
+        await entry.stop_control()
+        await asyncio.sleep(seconds)
+        if entry.running and entry.control is None:
+            entry.start_control()
+
     async def _entry_vm_lost(self) -> None:
         entry = self._running_entry()
         if entry is not None:
