--- a/pomelolug/experiments/soak/tests/faults.py
+++ b/pomelolug/experiments/soak/tests/faults.py
@@ -213,9 +213,9 @@
 FAULTS = {
     "claim_skipped": Fault(claim_skipped, 1, "doubled"),
     "cut_taken_for_end": Fault(cut_taken_for_end, 1, "crossed or truncated", DEATHS),
-    "not_run_always_said": Fault(not_run_always_said, 1, "not run was said", DEATHS),
+    "not_run_always_said": Fault(not_run_always_said, 2, "not run was said", DEATHS),
     "resumed_from_the_start": Fault(
-        resumed_from_the_start, 1, "crossed or truncated", DEATHS
+        resumed_from_the_start, 2, "crossed or truncated", DEATHS
     ),
     "old_table_trusted": Fault(old_table_trusted, 1, "serves without", ALONE),
     "evidence_ignored": Fault(evidence_ignored, 1, "serves without", DEATHS),
@@ -224,7 +224,7 @@
     "peers_not_asked": Fault(peers_not_asked, 2, "has version", ZONE_WITHOUT_LOG),
     "leaving_ignored": Fault(leaving_ignored, 1, "after leaving", LEAVING),
     "containment_off": Fault(containment_off, 1, "crashed", CRASHES),
-    "lost_claims_released": Fault(lost_claims_released, 1, "doubled", LOST_NODES),
+    "lost_claims_released": Fault(lost_claims_released, 2, "doubled", LOST_NODES),
     "answered_claims_forgotten": Fault(answered_claims_forgotten, 1, "doubled"),
     "configuration_not_pushed": Fault(
         configuration_not_pushed, 1, "has version", CHANGES
--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -17,6 +17,7 @@
 from pomelolug.claims import ClaimClient
 from pomelolug.clock import Clock, SystemClock
 from pomelolug.engines import Engine, HttpEngine
+from pomelolug.errors import ErrorCode
 from pomelolug.gateway._application import GatewayApplication
 from pomelolug.gateway._authentication import Authenticator
 from pomelolug.gateway._capacity import CapacityView
@@ -29,7 +30,7 @@
 from pomelolug.gateway._metrics import GatewayMetrics
 from pomelolug.gateway._model_flow import ModelFlow
 from pomelolug.gateway._placement import Placement
-from pomelolug.gateway._protocol import BoundedHttpProtocol
+from pomelolug.gateway._protocol import BoundedHttpProtocol, bounded_protocol
 from pomelolug.gateway._service_flow import ServiceFlow
 from pomelolug.gateway._service_view import ServiceView
 from pomelolug.gateway._suspicions import Suspicions
@@ -75,6 +76,8 @@
         Time source.
     lease : datetime.timedelta
         Time for which a verification allows dispatch.
+    protocol : type
+        Protocol class for the HTTP server.
     """
 
     def __init__(
@@ -87,8 +90,10 @@
         engine: Engine,
         clock: Clock,
         lease: datetime.timedelta,
+        protocol: type[BoundedHttpProtocol],
     ) -> None:
         self.application = application
+        self.protocol = protocol
         self.link = link
         self.table = table
         self.lifecycle = lifecycle
@@ -297,6 +302,9 @@
         engine=engine,
         clock=clock,
         lease=settings.routing.lease,
+        protocol=bounded_protocol(
+            metrics.refusals.labels(ErrorCode.HEADERS_TOO_LARGE.value).inc
+        ),
     )
 
 
@@ -340,7 +348,7 @@
             gateway.application.build(),
             host=settings.listen.address.host,
             port=settings.listen.address.port,
-            http=BoundedHttpProtocol,
+            http=gateway.protocol,
             log_config=None,
             access_log=False,
             lifespan="off",
--- a/pomelolug/gateway/_protocol.py
+++ b/pomelolug/gateway/_protocol.py
@@ -1,11 +1,12 @@
 """HTTP protocol of the gateway's server, with bounds on request headers."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["BoundedHttpProtocol"]
+__all__ = ["BoundedHttpProtocol", "bounded_protocol"]
 
 MAX_HEADER_BYTES = 32 * 1024
 MAX_HEADERS = 100
@@ -28,6 +29,8 @@
     may take.
     """
 
+    on_refused: Callable[[], None] = staticmethod(lambda: None)
+
     def connection_made(self, transport: Any) -> None:
         """Start the header timer of a new connection."""
         super().connection_made(transport)
@@ -68,6 +71,7 @@
         too_many = len(getattr(self, "headers", ())) >= MAX_HEADERS
         if not self._refused and (self._header_bytes > MAX_HEADER_BYTES or too_many):
             self._refused = True
+            type(self).on_refused()
             self.transport.write(_TOO_LARGE % (len(_TOO_LARGE_BODY), _TOO_LARGE_BODY))
             self.transport.close()
 
@@ -86,3 +90,16 @@
         """Stop the header timer."""
         self._cancel_timer()
         super().connection_lost(exc)
+
+
+def bounded_protocol(on_refused: Callable[[], None]) -> type[BoundedHttpProtocol]:
+    """Return the protocol class that calls `on_refused` for each refusal.
+
+    The server makes the protocol objects itself and takes only a class.
+    """
+
+    class Counted(BoundedHttpProtocol):
+        """Bounded protocol that counts its refusals."""
+
+    Counted.on_refused = staticmethod(on_refused)
+    return Counted
--- a/pomelolug/gateway/tests/server.py
+++ b/pomelolug/gateway/tests/server.py
@@ -21,7 +21,6 @@
 )
 from pomelolug.engines import EngineUnavailableError
 from pomelolug.gateway._compose import Backends, compose
-from pomelolug.gateway._protocol import BoundedHttpProtocol
 from pomelolug.gateway.tests.flow_bench import status
 from pomelolug.membership import WebsocketDialer
 from pomelolug.messages import RoutingTable, ServiceStatus
@@ -121,7 +120,7 @@
     config = uvicorn.Config(
         gateway.application.build(),
         port=0,
-        http=BoundedHttpProtocol,
+        http=gateway.protocol,
         log_config=None,
         lifespan="off",
     )
--- a/pomelolug/gateway/tests/test_application.py
+++ b/pomelolug/gateway/tests/test_application.py
@@ -154,6 +154,9 @@
         reply = await raw(gateway.port, b"GET /healthz HTTP/1.1\r\n" + large)
         assert reply.startswith(b"HTTP/1.1 431")
         assert b"headers_too_large" in reply
+        async with gateway.session.get(gateway.url("/metrics")) as response:
+            metrics = await response.text()
+    assert 'pomelolug_refusals_total{code="headers_too_large"} 2.0' in metrics
 
 
 async def test_slow_sender_is_refused_in_bounded_time(tmp_path):
