Do not refuse a burst while slots of the fleet are spare

Change: while a group of the pool has unused slots the forecast is capped at 250 ms, and a waiting request is refused only when its target has passed. Conclusion: the refusal contradicted work conservation.

--- a/pomelolug/admission/_queue.py
+++ b/pomelolug/admission/_queue.py
@@ -14,6 +14,8 @@
 __all__ = ["AdmissionQueue", "Permit", "Ticket"]
 
 _SWEEP_S = 0.05
+# Slots that are spare elsewhere can be borrowed with the next routing table.
+_SPARE_WAIT_S = 0.25
 # Parts of the class's target for the first token: a request is queued if its
 # expected wait is below the first, and keeps its place up to the second, as single
 # waits vary. The rest of the target is for dispatch and the prompt's prefill.
@@ -108,6 +110,9 @@
         as well as by the deadline.
     call_later : callable, optional
         Runs a function after a delay in seconds; by default on the event loop.
+    has_spare : callable, optional
+        Returns whether the groups of a pool have slots that no gateway uses, so
+        that this one can borrow some with the next table.
     """
 
     def __init__(
@@ -118,9 +123,11 @@
         random_state: random.Random,
         hold_to_target: bool = True,
         call_later: Callable[[float, Callable[[], None]], object] | None = None,
+        has_spare: Callable[[str], bool] = lambda pool: False,
     ) -> None:
         self._clock = clock
         self._free_slots = free_slots
+        self._has_spare = has_spare
         self._random = random_state
         self._hold_to_target = hold_to_target
         self._call_later = call_later or _call_later_on_loop
@@ -309,6 +316,8 @@
             )
             longest_s = min(longest_s, target_s * _LONGEST_PART_OF_TARGET)
         wait_s = pool.wait(request, now)
+        if self._has_spare(request.pool):
+            wait_s = min(wait_s, _SPARE_WAIT_S)
         if wait_s > expected_s:
             raise self._refusal(ErrorCode.DEADLINE_UNMEETABLE, wait_s - expected_s)
         return longest_s
@@ -345,7 +354,10 @@
         now = self._clock.monotonic()
         for name, pool in list(self._pools.items()):
             self._fill(pool, name)
+            spare = self._has_spare(name)
             for waiter in pool.late(now):
+                if spare and waiter.start_by > now:
+                    continue
                 if waiter.state is WaiterState.WAITING:
                     pool.remove(waiter)
                     self._refuse(waiter, _late_code(waiter.start_by - now), 0.0)
--- a/pomelolug/admission/tests/test_queue.py
+++ b/pomelolug/admission/tests/test_queue.py
@@ -29,12 +29,14 @@
 class Pool:
     """Slots counted as the router does: only dispatched requests use one."""
 
-    def __init__(self, slots):
+    def __init__(self, slots, *, spare=False):
         self.slots = slots
+        self.spare = spare
         self.queue = AdmissionQueue(
             clock=LoopClock(),
             free_slots=lambda pool: self.slots - self.in_flight,
             random_state=random.Random(1),
+            has_spare=lambda pool: self.spare,
         )
         self.in_flight = 0
         self.order = []
@@ -246,3 +248,38 @@
     ]
     await start(*runs)
     assert pool.in_flight == 100
+
+
+@pytest.mark.parametrize("spare", [False, True])
+async def test_burst_is_not_refused_while_other_slots_are_spare(spare):
+    # A gateway owns few slots of a large fleet: its own release rate says nothing
+    # about slots that it may borrow with the next table.
+    pool = Pool(1, spare=spare)
+    kind = work_class(ttft_s=1.0)
+    await pool.run("first", kind, hold_s=30.0)
+    holding = asyncio.create_task(pool.run("second", kind, hold_s=30.0))
+    await asyncio.sleep(0.01)
+    waiting = asyncio.create_task(pool.run("third", kind))
+    await asyncio.sleep(0.2)
+    if spare:
+        assert not waiting.done()
+        pool.slots = 2
+        pool.queue.notify()
+        await waiting
+    else:
+        with pytest.raises(RequestError) as caught:
+            await waiting
+        assert caught.value.code is ErrorCode.DEADLINE_UNMEETABLE
+    await holding
+
+
+async def test_spare_slots_do_not_hold_a_request_past_its_target():
+    pool = Pool(1, spare=True)
+    kind = work_class(ttft_s=1.0)
+    holding = asyncio.create_task(pool.run("first", kind, hold_s=30.0))
+    await asyncio.sleep(0.01)
+    before = asyncio.get_running_loop().time()
+    with pytest.raises(RequestError):
+        await pool.run("second", kind)
+    assert asyncio.get_running_loop().time() - before <= 1.0
+    await holding
--- a/pomelolug/gateway/_capacity.py
+++ b/pomelolug/gateway/_capacity.py
@@ -46,6 +46,10 @@
             return self._services.free_slots(name, SERVICE_SLOTS_PER_SERVER)
         return self._view.free_slots(PoolId(name))
 
+    def has_spare(self, name: str) -> bool:
+        """Return whether the groups of a pool have slots that nobody uses."""
+        return name not in self._service_names and self._view.has_spare(PoolId(name))
+
     def take_share(self, table: RoutingTable) -> None:
         """Use the share in `table`, if control knows one."""
         if table.share > 0:
--- a/pomelolug/gateway/_compose.py
+++ b/pomelolug/gateway/_compose.py
@@ -172,7 +172,10 @@
     )
     capacity = CapacityView(gateway=settings.node.name, view=view, services=services)
     queue = AdmissionQueue(
-        clock=clock, free_slots=capacity.free_slots, random_state=random_state
+        clock=clock,
+        free_slots=capacity.free_slots,
+        random_state=random_state,
+        has_spare=capacity.has_spare,
     )
     containment = Containment(clock=clock)
     lifecycle = Lifecycle()
--- a/pomelolug/routing/_view.py
+++ b/pomelolug/routing/_view.py
@@ -187,6 +187,16 @@
             return 1
         return max(free, 0)
 
+    def has_spare(self, pool: PoolId) -> bool:
+        """Return whether some usable group has slots that nobody uses.
+
+        This gateway may borrow some of them with the next table.
+        """
+        now = self._clock.monotonic()
+        return any(
+            state.load + 1.0 <= state.capacity for state in self._usable(pool, now)
+        )
+
     def on_dispatch(
         self, group_id: GroupId, request_id: RequestId, *, solo: bool = False
     ) -> None:
