--- a/pomelolug/control/_compose.py
+++ b/pomelolug/control/_compose.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import functools
 import random
 import signal
 from collections.abc import Mapping
@@ -138,35 +139,30 @@
         order_bound=settings.groups.order_bound,
     )
 
+    make_reader = functools.partial(
+        StreamReader,
+        log=platform.log,
+        keyring=keyring,
+        clock=clock,
+        expected_log_id=settings.platform.log_id,
+        random_state=random_state,
+        violated=violated,
+    )
+
     def reader(stream: str, fold: Fold) -> StreamReader:
-        return StreamReader(
-            log=platform.log,
+        return make_reader(
             stream=stream,
             fold=fold,
-            keyring=keyring,
-            clock=clock,
-            expected_log_id=settings.platform.log_id,
-            random_state=random_state,
             author=f"node:{node}",
-            violated=violated,
             # The controllers' lease counts from a read, so that a read must not
             # take much longer than a part of the lease.
             long_poll=settings.groups.lease / 3,
         )
 
     def claims_reader(stream: str, fold: Fold) -> StreamReader:
-        return StreamReader(
-            log=platform.log,
-            stream=stream,
-            fold=fold,
-            keyring=keyring,
-            clock=clock,
-            expected_log_id=settings.platform.log_id,
-            random_state=random_state,
-            window=settings.claims.window,
-            # Peers read the claims of a partition from the log alone.
-            relay_bytes=0,
-            violated=violated,
+        # Peers read the claims of a partition from the log alone.
+        return make_reader(
+            stream=stream, fold=fold, window=settings.claims.window, relay_bytes=0
         )
 
     config_fold, groups_fold = ConfigurationFold(), GroupsFold()
@@ -174,23 +170,18 @@
     config = reader(CONFIG_STREAM, config_fold)
     groups = reader(GROUPS_STREAM, groups_fold)
     containment = reader(CONTAINMENT_STREAM, containment_fold)
-    appender = Appender(
+    make_appender = functools.partial(
+        Appender,
         log=platform.log,
         keyring=keyring,
         author=f"node:{node}",
         clock=clock,
         random_state=random_state,
     )
+    appender = make_appender()
     # A claim is given up after 2 s, so that its append need not be looked for any
     # longer; the relay's next batch waits for it.
-    claims_appender = Appender(
-        log=platform.log,
-        keyring=keyring,
-        author=f"node:{node}",
-        clock=clock,
-        random_state=random_state,
-        deadline=_CLAIM_APPEND_DEADLINE,
-    )
+    claims_appender = make_appender(deadline=_CLAIM_APPEND_DEADLINE)
     mesh = Mesh(
         node=node,
         zone=zone,
