--- a/pomelolug/control/_compose.py
+++ b/pomelolug/control/_compose.py
@@ -29,10 +29,7 @@
 from pomelolug.engines import Engine, HttpEngine
 from pomelolug.groups import GroupController, GroupLimits, GroupsFold
 from pomelolug.ids import GroupId, NodeId
-from pomelolug.invariants import Invariants
-from pomelolug.membership import Dialer, Keys, Mesh, PeerServer
-from pomelolug.messages import GroupStatus, Message
-from pomelolug.platform import (
+from pomelolug.infrastructure import (
     HttpLogService,
     HttpVmDirectory,
     HttpWeightStore,
@@ -40,6 +37,9 @@
     VmDirectory,
     WeightStore,
 )
+from pomelolug.invariants import Invariants
+from pomelolug.membership import Dialer, Keys, Mesh, PeerServer
+from pomelolug.messages import GroupStatus, Message
 from pomelolug.settings._control_generated import ControlSettings
 from pomelolug.state import (
     Appender,
--- a/pomelolug/control/_directory.py
+++ b/pomelolug/control/_directory.py
@@ -10,7 +10,7 @@
 from pomelolug.clock import Clock
 from pomelolug.errors import Finding, PlatformError
 from pomelolug.ids import VmId
-from pomelolug.platform import VmDirectory, VmEntry, VmRole
+from pomelolug.infrastructure import VmDirectory, VmEntry, VmRole
 
 __all__ = ["DirectoryPoller", "contradictions"]
 
--- a/pomelolug/control/_duties.py
+++ b/pomelolug/control/_duties.py
@@ -5,8 +5,8 @@
 
 from pomelolug.clock import Clock
 from pomelolug.ids import DomainId, GroupId, ZoneId
+from pomelolug.infrastructure import VmEntry
 from pomelolug.membership import NodeInfo, rendezvous
-from pomelolug.platform import VmEntry
 
 __all__ = ["Duties"]
 
--- a/pomelolug/control/_node.py
+++ b/pomelolug/control/_node.py
@@ -24,10 +24,10 @@
 from pomelolug.control._watching import WatcherSet
 from pomelolug.errors import PomelolugError
 from pomelolug.groups import GroupController, GroupPhase, GroupsFold
+from pomelolug.infrastructure import VmRole
 from pomelolug.invariants import Invariants
 from pomelolug.membership import Connection, Identity, Mesh, NodeInfo, Role
 from pomelolug.messages import LossReport, Message, StatusBatch, StatusPull
-from pomelolug.platform import VmRole
 from pomelolug.state import (
     Appender,
     CheckpointPublisher,
--- a/pomelolug/control/_tables.py
+++ b/pomelolug/control/_tables.py
@@ -10,8 +10,8 @@
 from pomelolug.control._statuses import StatusBoard
 from pomelolug.groups import GroupPhase, GroupsFold
 from pomelolug.ids import GroupId, VmId
+from pomelolug.infrastructure import VmRole
 from pomelolug.messages import GroupStatus, RoutingTable, ServiceStatus
-from pomelolug.platform import VmRole
 
 __all__ = ["TableBuilder"]
 
--- /dev/null
+++ b/pomelolug/deployment/_registry.py
@@ -0,0 +1,143 @@
+"""Servers known to a node, folded from the store's records."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from pomelolug.clock import Clock
+from pomelolug.deployment._servers import BackendServer
+from pomelolug.ids import Offset, VmId
+
+__all__ = ["RegistryChange", "ServerRegistry"]
+
+RETURN_GRACE_S = 2.0
+"""Time after the store's return in which lapsed entries of live servers reappear.
+
+The platform's pages state about two seconds.
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RegistryChange:
+    """Effect of a batch of records."""
+
+    added: tuple[BackendServer, ...] = ()
+    changed: tuple[BackendServer, ...] = ()
+    removed: tuple[BackendServer, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.added or self.changed or self.removed)
+
+
+class ServerRegistry:
+    """Newest description of each server.
+
+    An entry that disappears while the store is unavailable, or shortly after
+    its return, is kept until the grace period is over: the server could not
+    renew it.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._servers: dict[VmId, BackendServer] = {}
+        self._offsets: dict[VmId, int] = {}
+        self._renewed: dict[VmId, float] = {}
+        self._lapsed: dict[VmId, float] = {}
+        self._unavailable = False
+        self._returned_at: float | None = None
+
+    @property
+    def servers(self) -> Mapping[VmId, BackendServer]:
+        """Known servers by id, including lapsed ones in their grace period."""
+        return self._servers
+
+    def lapsed(self, vm: VmId) -> bool:
+        """Return whether the entry of a server is missing from the store."""
+        return vm in self._lapsed
+
+    def silent(self, longer_than_s: float) -> list[VmId]:
+        """Return the servers whose entries were not renewed for some seconds.
+
+        While the store does not answer, silence says nothing and the list is
+        empty.
+        """
+        if self._unavailable:
+            return []
+        oldest = self._clock.monotonic() - longer_than_s
+        since = self._returned_at
+        if since is not None and since > oldest:
+            return []
+        return [vm for vm in self._servers if self._renewed[vm] < oldest]
+
+    def store_failed(self) -> None:
+        """Note that the store did not answer."""
+        self._unavailable = True
+
+    def store_answered(self) -> None:
+        """Note that the store answers; starts the grace period after a failure."""
+        if self._unavailable:
+            self._unavailable = False
+            self._returned_at = self._clock.monotonic()
+
+    def apply(
+        self, records: Iterable[tuple[VmId, Offset, BackendServer | None]]
+    ) -> RegistryChange:
+        """Apply records; None as a server removes the entry.
+
+        Records at or below the offset already applied for a server are ignored.
+        """
+        added: list[BackendServer] = []
+        changed: list[BackendServer] = []
+        removed: list[BackendServer] = []
+        for vm, offset, server in records:
+            if offset <= self._offsets.get(vm, -1):
+                continue
+            self._offsets[vm] = offset
+            known = self._servers.get(vm)
+            if server is None:
+                removed += self._remove(vm)
+                continue
+            self._lapsed.pop(vm, None)
+            self._renewed[vm] = self._clock.monotonic()
+            self._servers[vm] = server
+            if known is None:
+                added.append(server)
+            elif known != server:
+                changed.append(server)
+        return RegistryChange(tuple(added), tuple(changed), tuple(removed))
+
+    def expire(self) -> RegistryChange:
+        """Remove lapsed servers whose grace period is over."""
+        if self._unavailable or not self._lapsed:
+            return RegistryChange()
+        now = self._clock.monotonic()
+        since = self._returned_at if self._returned_at is not None else now
+        if now - since < RETURN_GRACE_S:
+            return RegistryChange()
+        for vm in self._lapsed:
+            self._renewed.pop(vm, None)
+        gone = [self._servers.pop(vm) for vm in self._lapsed if vm in self._servers]
+        self._lapsed.clear()
+        return RegistryChange(removed=tuple(gone))
+
+    def _remove(self, vm: VmId) -> list[BackendServer]:
+        server = self._servers.get(vm)
+        if server is None:
+            return []
+        if self._in_grace():
+            self._lapsed[vm] = self._clock.monotonic()
+            return []
+        del self._servers[vm]
+        self._renewed.pop(vm, None)
+        return [server]
+
+    def _in_grace(self) -> bool:
+        if self._unavailable:
+            return True
+        if self._returned_at is None:
+            return False
+        return self._clock.monotonic() - self._returned_at < RETURN_GRACE_S
--- /dev/null
+++ b/pomelolug/entry/__init__.py
@@ -0,0 +1,9 @@
+"""Process of an entry VM on the users' platform.
+
+It takes callers' requests, forwards them to backend servers, and takes part in
+the duty of forming replica groups.
+"""
+
+from pomelolug.entry._compose import run_entry
+
+__all__ = ["run_entry"]
--- /dev/null
+++ b/pomelolug/entry/__main__.py
@@ -0,0 +1,44 @@
+"""Command ``pomelolug-entry``."""
+
+import os
+import pathlib
+import sys
+
+from pomelolug.errors import FindingsError
+from pomelolug.platform import SETTINGS_VARIABLE, load_settings
+
+
+def main() -> None:
+    """Run the entry process with the settings file that the variable names."""
+    if "--help" in sys.argv[1:] or "--version" in sys.argv[1:]:
+        _describe()
+        return
+    from pomelolug.entry import run_entry
+
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = load_settings(path)
+    except FindingsError as error:
+        print(f"pomelolug-entry: {error}", file=sys.stderr)
+        raise SystemExit(2) from error
+    run_entry(settings)
+
+
+def _describe() -> None:
+    """Print the usage or the version."""
+    if "--version" in sys.argv[1:]:
+        import importlib.metadata
+
+        try:
+            print(importlib.metadata.version("pomelolug"))
+        except importlib.metadata.PackageNotFoundError:
+            print("unknown (not installed)")
+        return
+    print(
+        "usage: pomelolug-entry\n\n"
+        f"Serves callers on this VM. {SETTINGS_VARIABLE} names the settings file."
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pomelolug/entry/_board.py
@@ -0,0 +1,173 @@
+"""What this node knows of the servers that take requests."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from pomelolug.clock import Clock
+from pomelolug.deployment import (
+    BackendServer,
+    GroupState,
+    ServerRegistry,
+    ServerState,
+)
+from pomelolug.ids import ModelName, ServiceName, VmId
+from pomelolug.messages import NodeStatus
+from pomelolug.replicas import GroupKey, group_views
+
+__all__ = ["ServerBoard", "ServerLoad"]
+
+_SUSPECT_S = 6.0
+"""Longest suspicion of a head: a stalled one reports within its stall time."""
+_PEER_SUSPECT_S = 0.6
+_FAILURE_DECAY_S = 3.0
+_PROGRESS_S = 1.0
+"""Age up to which progress of a stream shows that all members work."""
+
+
+@dataclasses.dataclass(slots=True)
+class ServerLoad:
+    """Requests of this node at one server, and what became of recent ones."""
+
+    in_flight: int = 0
+    suspect_until: float = float("-inf")
+    progress_at: float = float("-inf")
+    failures: float = 0.0
+    failures_at: float = 0.0
+
+
+class ServerBoard:
+    """Open groups and ready servers with their load.
+
+    Parameters
+    ----------
+    registry : ServerRegistry
+        Servers, read from the store.
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, *, registry: ServerRegistry, clock: Clock) -> None:
+        self._registry = registry
+        self._clock = clock
+        self._loads: dict[VmId, ServerLoad] = {}
+        self._peer_loads: dict[VmId, int] = {}
+        self._peer_suspects: dict[VmId, float] = {}
+        self._complete: set[GroupKey] = set()
+        self._heads: dict[ModelName, list[BackendServer]] = {}
+        self._doubtful: set[VmId] = set()
+        self._by_service: dict[ServiceName, list[BackendServer]] = {}
+
+    def load(self, vm: VmId) -> ServerLoad:
+        """Return the load of a server, which callers change in place."""
+        return self._loads.setdefault(vm, ServerLoad())
+
+    def own_loads(self) -> dict[str, int]:
+        """Return the requests of this node by server."""
+        return {vm: ld.in_flight for vm, ld in self._loads.items() if ld.in_flight}
+
+    def suspects(self) -> tuple[str, ...]:
+        """Return the heads whose streams stand still here."""
+        now = self._clock.monotonic()
+        return tuple(vm for vm, ld in self._loads.items() if ld.suspect_until > now)
+
+    def in_flight(self, vm: VmId) -> int:
+        """Return the requests of all nodes at a server, as far as known."""
+        return self.load(vm).in_flight + self._peer_loads.get(vm, 0)
+
+    def suspect(self, vm: VmId) -> None:
+        """Keep requests away from a head until it is known to work."""
+        self.load(vm).suspect_until = self._clock.monotonic() + _SUSPECT_S
+
+    def progressed(self, vm: VmId) -> None:
+        """Note that a server sent a part of an answer."""
+        load = self.load(vm)
+        load.progress_at = self._clock.monotonic()
+        load.suspect_until = float("-inf")
+
+    def failed(self, vm: VmId) -> None:
+        """Note a failure that is the server's."""
+        load = self.load(vm)
+        load.failures = self.failures(vm) + 1.0
+        load.failures_at = self._clock.monotonic()
+
+    def failures(self, vm: VmId) -> float:
+        """Return the recent failures of a server, fading with time."""
+        load = self.load(vm)
+        age_s = self._clock.monotonic() - load.failures_at
+        return load.failures * 0.5 ** (age_s / _FAILURE_DECAY_S)
+
+    def take_peers(self, statuses: Iterable[NodeStatus]) -> None:
+        """Replace the load and suspicions that peers report."""
+        loads: dict[VmId, int] = {}
+        now = self._clock.monotonic()
+        for status in statuses:
+            for vm, count in status.load.items():
+                loads[VmId(vm)] = loads.get(VmId(vm), 0) + count
+            for head in status.suspects:
+                self._peer_suspects[VmId(head)] = now + _PEER_SUSPECT_S
+        self._peer_loads = loads
+
+    def update(self, sizes: Mapping[ModelName, int]) -> None:
+        """Work the open groups and ready servers out again.
+
+        Parameters
+        ----------
+        sizes : mapping of ModelName to int
+            Members of a group of each model.
+        """
+        servers = self._registry.servers
+        views = group_views(servers.values())
+        heads: dict[ModelName, list[BackendServer]] = {}
+        self._doubtful.clear()
+        complete = set()
+        for key, view in views.items():
+            size = sizes.get(view.model) if view.model is not None else None
+            if size is not None and view.all_ready(size):
+                complete.add(key)
+            elif key in self._complete:
+                complete.add(key)
+            head = view.head
+            if head is None or key not in complete or view.model is None:
+                continue
+            if view.head_state is GroupState.OPEN and _takes_work(head):
+                heads.setdefault(view.model, []).append(head)
+                if len(view.members) != size:
+                    self._doubtful.add(head.vm)
+        self._complete = complete
+        self._heads = heads
+        by_service: dict[ServiceName, list[BackendServer]] = {}
+        for server in servers.values():
+            if server.membership is None and _takes_work(server):
+                by_service.setdefault(server.service, []).append(server)
+        self._by_service = by_service
+        for vm in [v for v in self._loads if v not in servers]:
+            if not self._loads[vm].in_flight:
+                del self._loads[vm]
+
+    def heads(self, model: ModelName) -> list[BackendServer]:
+        """Return the heads of the open groups of a model that seem to work."""
+        now = self._clock.monotonic()
+        return [h for h in self._heads.get(model, ()) if self._works(h.vm, now)]
+
+    def open_groups(self) -> int:
+        """Return the number of open groups."""
+        return sum(len(heads) for heads in self._heads.values())
+
+    def servers(self, service: ServiceName) -> list[BackendServer]:
+        """Return the ready servers of a plain service."""
+        return self._by_service.get(service, [])
+
+    def _works(self, vm: VmId, now: float) -> bool:
+        load = self._loads.get(vm)
+        if load is not None:
+            if load.suspect_until > now:
+                return False
+            if now - load.progress_at < _PROGRESS_S:
+                return True
+        if self._peer_suspects.get(vm, 0.0) > now:
+            return False
+        return vm not in self._doubtful
+
+
+def _takes_work(server: BackendServer) -> bool:
+    return server.state is ServerState.READY
--- /dev/null
+++ b/pomelolug/entry/_call.py
@@ -0,0 +1,83 @@
+"""A caller's request on its way through this node."""
+
+import dataclasses
+
+import msgspec
+
+from pomelolug.deployment import Declaration, Route, Service
+from pomelolug.entry._record import RequestRecord
+from pomelolug.errors import ErrorCode, Outcome, RequestError
+from pomelolug.ids import AccountId, VmId
+from pomelolug.platform import CallerHead, forwarded_headers, refusal_headers
+from pomelolug.transport import Exchange, encode_request
+
+__all__ = ["Call", "not_run", "reply_error", "unknown"]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Call:
+    """One request with what the declaration says of it.
+
+    `deadline` is the loop time, in seconds, after which the caller has left or the
+    route's time-out has passed.
+    """
+
+    exchange: Exchange
+    head: CallerHead
+    declaration: Declaration
+    route: Route
+    service: Service
+    account: AccountId | None
+    urgency: int
+    arrived_at: float
+    deadline: float
+    record: RequestRecord
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server was tried that did not refuse the request."""
+        return any(attempt.may_have_run for attempt in self.record.attempts)
+
+    def encode(self, server: VmId, *, now: float, last_event: int | None) -> bytes:
+        """Return the request for a server."""
+        headers = forwarded_headers(
+            self.exchange.headers,
+            server=server,
+            remaining_s=self.deadline - now,
+            account=self.account,
+            last_event=last_event,
+            urgency=self.urgency if self.route.on_model else None,
+        )
+        return encode_request(
+            self.exchange.method, self.exchange.target, headers, self.exchange.body
+        )
+
+
+def reply_error(
+    exchange: Exchange,
+    error: RequestError,
+    head: CallerHead,
+    retry_after_s: float | None = None,
+) -> None:
+    """Send an error response with a JSON body."""
+    body = msgspec.json.encode(
+        {
+            "error": {
+                "code": error.code.value,
+                "message": str(error),
+                "outcome": error.outcome.value,
+                "request_id": head.request,
+            }
+        }
+    )
+    exchange.reply(error.status, refusal_headers(head.request, retry_after_s), body)
+
+
+def not_run(code: ErrorCode, message: str) -> RequestError:
+    """Return a refusal that promises that the request did not run."""
+    return RequestError(code, message, status=503, outcome=Outcome.NOT_RUN)
+
+
+def unknown(code: ErrorCode, message: str, *, status: int = 502) -> RequestError:
+    """Return an error after which the request may have run."""
+    return RequestError(code, message, status=status, outcome=Outcome.UNKNOWN)
--- /dev/null
+++ b/pomelolug/entry/_compose.py
@@ -0,0 +1,318 @@
+"""Composition root of the entry process."""
+
+import asyncio
+import datetime
+import functools
+import os
+import random
+import signal
+import sys
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+import structlog
+import uvloop
+
+from pomelolug.clock import Clock, SystemClock
+from pomelolug.deployment import Declaration, RegistryChange, ServerRegistry
+from pomelolug.entry._application import Application
+from pomelolug.entry._board import ServerBoard
+from pomelolug.entry._feeds import DeclarationFeed, RegistryFeed
+from pomelolug.entry._metrics import EntryMetrics
+from pomelolug.entry._peering import Peering
+from pomelolug.entry._plain import PlainFlow
+from pomelolug.entry._repeats import Repeats
+from pomelolug.entry._side import SideHandlers
+from pomelolug.entry._stop import Lifecycle
+from pomelolug.entry._stream import StreamFlow
+from pomelolug.entry._watch import StallWatch
+from pomelolug.ids import ModelName, VmId
+from pomelolug.platform import (
+    MetadataStore,
+    NodeSettings,
+    ServerOrders,
+    StoreDutySource,
+)
+from pomelolug.replicas import DutyHolder, GroupController, ServerHealth
+from pomelolug.telemetry import BoundedWriter, configure_logging
+from pomelolug.transport import (
+    ConnectionPool,
+    Handler,
+    ServerConnection,
+    WireLimits,
+)
+
+__all__ = ["run_entry"]
+
+_log = structlog.get_logger(__name__)
+
+_STORE_TIMEOUT = datetime.timedelta(milliseconds=1000)
+_CONNECT_TIMEOUT = datetime.timedelta(milliseconds=300)
+_ORDER_TIMEOUT = datetime.timedelta(milliseconds=450)
+_IDLE = datetime.timedelta(milliseconds=900)
+"""Age of a kept connection up to which it is used; servers close idle ones."""
+_HOUSEKEEPING = datetime.timedelta(milliseconds=50)
+_SWEEP_ROUNDS = 20
+_LEASE_FACTOR = 1.5
+_METRICS_PORT = 9464
+_BACKLOG = 1024
+
+
+class _SuspendAwareClock(SystemClock):
+    """Clock whose monotonic time goes on while the VM is suspended."""
+
+    def monotonic(self) -> float:
+        """Return seconds since the start of the VM."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def run_entry(settings: NodeSettings) -> None:
+    """Run the entry process until it is told to stop."""
+    writer = BoundedWriter(sys.stdout.fileno())
+    configure_logging("info", file=writer, node=settings.node)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_Entry(settings, writer).run())
+    writer.pump()
+
+
+class _Entry:
+    """The parts of the process and their tasks."""
+
+    def __init__(self, settings: NodeSettings, writer: BoundedWriter) -> None:
+        self._settings = settings
+        self._writer = writer
+        self._clock: Clock = SystemClock()
+        self._rng = random.Random()
+        self._metrics = EntryMetrics()
+        self._limits = WireLimits()
+        self._connections: set[ServerConnection] = set()
+        self._sizes: dict[ModelName, int] = {}
+
+    async def run(self) -> None:
+        """Start all parts, wait for the stop, and end them in order."""
+        self._build()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._lifecycle.request_stop)
+        loop.add_signal_handler(signal.SIGINT, self._lifecycle.request_stop)
+        loop.add_signal_handler(
+            signal.SIGHUP, functools.partial(_log.info, "reload_requested")
+        )
+        callers = await self._listen(
+            self._settings.caller_address, self._application.handle
+        )
+        await self._listen_aside()
+        await self._peering.open(loop)
+        tasks = [loop.create_task(work) for work in self._work()]
+        _log.info("started", pid=os.getpid(), zone=self._settings.zone)
+        await self._lifecycle.wait()
+        await self._duty.stop()
+        await self._lifecycle.drain(
+            callers, self._connections, lambda: self._application.in_flight
+        )
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _build(self) -> None:
+        settings, clock = self._settings, self._clock
+        store = MetadataStore(address=settings.store_address, timeout=_STORE_TIMEOUT)
+        self._store = store
+        self._registry = ServerRegistry(clock=clock)
+        self._board = ServerBoard(registry=self._registry, clock=clock)
+        self._declarations = DeclarationFeed(
+            store=store, clock=clock, on_change=self._declared
+        )
+        self._feed = RegistryFeed(
+            store=store,
+            registry=self._registry,
+            clock=clock,
+            busy=lambda: self._duty.held,
+            on_change=self._servers_changed,
+        )
+        self._pool = ConnectionPool(idle=_IDLE, connect_timeout=_CONNECT_TIMEOUT)
+        self._watch = StallWatch(clock=clock, on_stall=self._stalled)
+        self._build_flows()
+        self._build_groups()
+        self._lifecycle = Lifecycle(
+            clock=clock, grace=settings.stop_grace, ready=self._not_ready
+        )
+        self._peering = Peering(
+            settings=settings,
+            clock=clock,
+            rng=self._rng,
+            declarations=self._declarations,
+            board=self._board,
+            store=store,
+            stopping=lambda: self._lifecycle.stopping,
+            serving=lambda: self._application.serving,
+            on_suspect=self._controller.suspect,
+        )
+        self._side = SideHandlers(
+            lifecycle=self._lifecycle,
+            declarations=self._declarations,
+            board=self._board,
+            registry=self._registry,
+            duty=self._duty,
+            metrics=self._metrics,
+            peering=self._peering,
+        )
+
+    def _build_flows(self) -> None:
+        settings, clock = self._settings, self._clock
+        repeats = Repeats(
+            clock=clock,
+            ratio=settings.retry_ratio,
+            reserve=settings.retry_reserve,
+            nodes=max(len(settings.peer_seeds), 1) * 3,
+            on_denied=self._metrics.repeats_denied.inc,
+        )
+        plain = PlainFlow(
+            board=self._board,
+            pool=self._pool,
+            repeats=repeats,
+            clock=clock,
+            zone=settings.zone,
+            rng=self._rng,
+        )
+        streams = StreamFlow(
+            board=self._board,
+            pool=self._pool,
+            repeats=repeats,
+            watch=self._watch,
+            clock=clock,
+            zone=settings.zone,
+            rng=self._rng,
+        )
+        self._application = Application(
+            declarations=self._declarations,
+            registry=self._feed,
+            plain=plain,
+            streams=streams,
+            metrics=self._metrics,
+            clock=clock,
+            rng=self._rng,
+        )
+
+    def _build_groups(self) -> None:
+        settings, clock = self._settings, self._clock
+        member = f"{settings.node}.{os.getpid()}.{self._rng.getrandbits(48):x}"
+        lease = settings.least_lease * _LEASE_FACTOR
+        self._duty = DutyHolder(
+            source=StoreDutySource(store=self._store, member=member, lease=lease),
+            clock=_SuspendAwareClock(),
+            lease=lease,
+        )
+        orders = ServerOrders(
+            pool=ConnectionPool(idle=_IDLE, connect_timeout=_CONNECT_TIMEOUT),
+            timeout=_ORDER_TIMEOUT,
+        )
+        self._controller = GroupController(
+            duty=self._duty,
+            registry=self._registry,
+            control=orders,
+            health=ServerHealth(control=orders, clock=clock),
+            clock=clock,
+            declaration=lambda: self._declarations.current,
+            stall=settings.stall,
+            heartbeat=settings.server_heartbeat,
+            serving=lambda: self._application.serving or self._peering.serving,
+            on_event=lambda event, result: self._metrics.group_events.labels(
+                event, result
+            ).inc(),
+        )
+
+    def _work(self) -> list[Coroutine[Any, Any, None]]:
+        return [
+            self._declarations.run(),
+            self._feed.run(),
+            self._duty.run(),
+            self._controller.run(),
+            self._watch.run(),
+            self._peering.run(),
+            self._keep_house(),
+        ]
+
+    async def _keep_house(self) -> None:
+        """Write the log and close idle connections."""
+        rounds = 0
+        while True:
+            await self._clock.sleep(_HOUSEKEEPING)
+            self._writer.pump()
+            rounds += 1
+            if rounds % _SWEEP_ROUNDS == 0:
+                self._pool.sweep()
+                self._metrics.in_flight.set(self._application.in_flight)
+                self._metrics.version.set(self._declarations.version)
+                self._metrics.open_groups.set(self._board.open_groups())
+                self._metrics.log_lines_dropped.set(self._writer.dropped)
+
+    async def _listen(self, address: str, handler: Handler) -> asyncio.Server:
+        host, _, port = address.rpartition(":")
+        return await asyncio.get_running_loop().create_server(
+            lambda: ServerConnection(
+                handler, self._limits, self._connections, self._refused
+            ),
+            host,
+            int(port),
+            backlog=_BACKLOG,
+        )
+
+    async def _listen_aside(self) -> None:
+        """Serve readiness, peers and metrics on their own addresses."""
+        settings = self._settings
+        aside: set[ServerConnection] = set()
+        limits = WireLimits()
+        loop = asyncio.get_running_loop()
+        addresses = {
+            settings.readiness_address: self._side.readiness,
+            settings.peer_address: self._side.peer,
+            f"{settings.ip}:{_METRICS_PORT}": self._side.metrics,
+        }
+        for address, handler in addresses.items():
+            if not address:
+                continue
+            host, _, port = address.rpartition(":")
+            await loop.create_server(
+                functools.partial(
+                    ServerConnection, handler, limits, aside, lambda status: None
+                ),
+                host,
+                int(port),
+            )
+
+    def _refused(self, status: int) -> None:
+        self._metrics.answers.labels(str(status), "unreadable").inc()
+
+    def _declared(self, declaration: Declaration) -> None:
+        self._limits.max_header_bytes = declaration.max_header_bytes
+        self._limits.max_body_bytes = declaration.max_body_bytes
+        self._limits.header_timeout_s = declaration.header_timeout.total_seconds()
+        self._limits.idle_timeout_s = declaration.idle_timeout.total_seconds()
+        self._sizes = {
+            model.name: model.size
+            for service in declaration.engine_services()
+            if service.engine is not None
+            for model in service.engine.models
+        }
+        self._board.update(self._sizes)
+        self._peering.announce()
+
+    def _servers_changed(self, change: RegistryChange) -> None:
+        self._board.update(self._sizes)
+        for server in change.removed:
+            self._pool.drop(server.address)
+
+    def _stalled(self, head: VmId) -> None:
+        self._metrics.stalls.inc()
+        _log.warning("group_stalled", head=head, in_flight=self._board.in_flight(head))
+        self._board.suspect(head)
+        self._controller.suspect(head)
+        self._peering.announce()
+
+    def _not_ready(self) -> str:
+        if self._declarations.current is None:
+            return "no_declaration"
+        if not self._registry.servers:
+            return "no_servers"
+        return ""
--- /dev/null
+++ b/pomelolug/entry/_metrics.py
@@ -0,0 +1,84 @@
+"""Metrics of the entry process."""
+
+import prometheus_client
+
+__all__ = ["EntryMetrics"]
+
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+
+
+class EntryMetrics:
+    """Counters and histograms; label values come from closed sets.
+
+    Route names are labels, and their number is bounded by the declaration.
+    """
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        name = "pomelolug_entry"
+        self.answers = prometheus_client.Counter(
+            f"{name}_answers",
+            "Answers to callers by status and code.",
+            ["status", "code"],
+            registry=self._registry,
+        )
+        self.attempts = prometheus_client.Counter(
+            f"{name}_attempts",
+            "Requests at servers by result.",
+            ["result"],
+            registry=self._registry,
+        )
+        self.repeats = prometheus_client.Counter(
+            f"{name}_repeats",
+            "Requests sent to a further server, by the reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        self.repeats_denied = prometheus_client.Counter(
+            f"{name}_repeats_denied",
+            "Repeats that the budget denied.",
+            registry=self._registry,
+        )
+        self.stalls = prometheus_client.Counter(
+            f"{name}_stalls",
+            "Groups whose streams stood still.",
+            registry=self._registry,
+        )
+        self.group_events = prometheus_client.Counter(
+            f"{name}_group_events",
+            "Decisions and orders on replica groups.",
+            ["event", "result"],
+            registry=self._registry,
+        )
+        self.first_event = prometheus_client.Histogram(
+            f"{name}_first_event_seconds",
+            "Time to the first event of a stream.",
+            buckets=_SECONDS,
+            registry=self._registry,
+        )
+        self.whole = prometheus_client.Histogram(
+            f"{name}_whole_seconds",
+            "Time to the end of an answer.",
+            buckets=_SECONDS,
+            registry=self._registry,
+        )
+        self.in_flight = prometheus_client.Gauge(
+            f"{name}_in_flight", "Requests in flight.", registry=self._registry
+        )
+        self.version = prometheus_client.Gauge(
+            f"{name}_declaration_version",
+            "Declaration in force, -1 before the first one.",
+            registry=self._registry,
+        )
+        self.open_groups = prometheus_client.Gauge(
+            f"{name}_open_groups", "Open replica groups.", registry=self._registry
+        )
+        self.log_lines_dropped = prometheus_client.Gauge(
+            f"{name}_log_lines_dropped",
+            "Log lines dropped because their reader was slow.",
+            registry=self._registry,
+        )
+
+    def render(self) -> bytes:
+        """Return the metrics as text."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/pomelolug/entry/_peers.py
@@ -0,0 +1,163 @@
+"""Datagrams between entry VMs: load, suspicions and declaration versions.
+
+Each node tells its peers what it knows a few times a second. A lost message
+costs nothing, since the next one replaces it, and there is no connection that
+could go silent.
+"""
+
+import asyncio
+import dataclasses
+import datetime
+import random
+from collections.abc import Callable, Iterable
+from typing import cast
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.errors import PeerError
+from pomelolug.messages import NodeStatus, decode, encode
+
+__all__ = ["PeerMesh", "PeerView"]
+
+_log = structlog.get_logger(__name__)
+
+_INTERVAL_S = 0.25
+_INTERVAL_BY_PEER_S = 0.025
+"""Added for each peer, so that a node's messages stay below 40 a second."""
+_SILENT_S = 3.0
+"""Silence after which a peer's load no longer counts."""
+_FORGET_S = 30.0
+_MOST_PEERS = 1024
+_MOST_NAMED = 12
+"""Other peers named in a message, so that it fits one packet."""
+
+
+@dataclasses.dataclass(slots=True)
+class PeerView:
+    """Newest message of a peer and when it arrived."""
+
+    status: NodeStatus
+    heard_at: float
+
+
+class PeerMesh(asyncio.DatagramProtocol):
+    """Sends this node's status and keeps those of its peers.
+
+    Parameters
+    ----------
+    own : callable
+        Returns the node's status, given serial and peers to name.
+    address : str
+        Datagram address of this node.
+    clock : Clock
+        Source of monotonic time.
+    rng : random.Random
+        Chooses the peers that a message names.
+    on_status : callable
+        Called with each new status of a peer.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Callable[[int, tuple[str, ...]], NodeStatus],
+        address: str,
+        clock: Clock,
+        rng: random.Random,
+        on_status: Callable[[NodeStatus], None],
+    ) -> None:
+        self._own = own
+        self._address = address
+        self._clock = clock
+        self._rng = rng
+        self._on_status = on_status
+        self._transport: asyncio.DatagramTransport | None = None
+        self._views: dict[str, PeerView] = {}
+        self._targets: dict[str, float] = {}
+        self._serial = 0
+        self._soon = asyncio.Event()
+
+    @property
+    def live(self) -> list[NodeStatus]:
+        """Statuses of the peers heard in the last seconds."""
+        oldest = self._clock.monotonic() - _SILENT_S
+        return [v.status for v in self._views.values() if v.heard_at >= oldest]
+
+    def add_targets(self, addresses: Iterable[str]) -> None:
+        """Send to these datagram addresses from now on."""
+        now = self._clock.monotonic()
+        for address in addresses:
+            if address != self._address and len(self._targets) < _MOST_PEERS:
+                self._targets.setdefault(address, now)
+
+    def send_soon(self) -> None:
+        """Send a message without waiting for the interval."""
+        self._soon.set()
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        while True:
+            self._send()
+            peers = len(self._targets)
+            interval_s = _INTERVAL_S + _INTERVAL_BY_PEER_S * peers
+            self._soon.clear()
+            try:
+                async with asyncio.timeout(interval_s):
+                    await self._soon.wait()
+                    await self._clock.sleep(datetime.timedelta(milliseconds=20))
+            except TimeoutError:
+                pass
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        # uvloop's transports do not derive from asyncio's classes.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a peer's status unless it is malformed or late."""
+        try:
+            status = decode(data, NodeStatus)
+        except PeerError as error:
+            _log.warning("peer_message_refused", peer=addr[0], reason=str(error))
+            return
+        if status.datagram == self._address:
+            return
+        known = self._views.get(status.datagram)
+        order = (status.started_ms, status.serial)
+        if known and order <= (known.status.started_ms, known.status.serial):
+            return
+        now = self._clock.monotonic()
+        if known is None:
+            _log.info("peer_found", peer=status.node, zone=status.zone)
+        self._views[status.datagram] = PeerView(status, now)
+        self._targets[status.datagram] = now
+        self.add_targets(status.peers[:_MOST_NAMED])
+        self._on_status(status)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore a port without a listener; the peer may start later."""
+
+    def _send(self) -> None:
+        if self._transport is None:
+            return
+        self._forget()
+        live = list(self._views)
+        named = self._rng.sample(live, min(len(live), _MOST_NAMED))
+        self._serial += 1
+        try:
+            data = encode(self._own(self._serial, tuple(named)))
+        except PeerError as error:
+            _log.error("peer_message_too_large", reason=str(error))
+            return
+        for address in self._targets:
+            host, _, port = address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
+
+    def _forget(self) -> None:
+        oldest = self._clock.monotonic() - _FORGET_S
+        for address in [a for a, at in self._targets.items() if at < oldest]:
+            del self._targets[address]
+            view = self._views.pop(address, None)
+            if view is not None:
+                _log.info("peer_gone", peer=view.status.node)
--- /dev/null
+++ b/pomelolug/entry/_record.py
@@ -0,0 +1,60 @@
+"""What was decided for one request, for its log line and the metrics."""
+
+import dataclasses
+from typing import Any
+
+from pomelolug.errors import ErrorCode
+from pomelolug.ids import AccountId, RequestId, VmId
+
+__all__ = ["AttemptRecord", "RequestRecord"]
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptRecord:
+    """One server that was chosen, and what came of it."""
+
+    server: VmId
+    in_flight: int
+    candidates: int
+    result: str = "running"
+    may_have_run: bool = False
+
+    def fields(self) -> dict[str, Any]:
+        """Return the fields of the log line."""
+        return {
+            "server": self.server,
+            "in_flight": self.in_flight,
+            "candidates": self.candidates,
+            "result": self.result,
+        }
+
+
+@dataclasses.dataclass(slots=True)
+class RequestRecord:
+    """Decisions on one request, in order."""
+
+    request: RequestId
+    route: str = ""
+    account: AccountId | None = None
+    version: int = -1
+    registry_age_s: float = 0.0
+    status: int = 0
+    code: ErrorCode | None = None
+    first_s: float | None = None
+    events: int = 0
+    attempts: list[AttemptRecord] = dataclasses.field(default_factory=list)
+
+    def fields(self) -> dict[str, Any]:
+        """Return the fields of the log line."""
+        return {
+            "request": self.request,
+            "route": self.route,
+            "account": self.account,
+            "version": self.version,
+            "registry_age_s": round(self.registry_age_s, 3),
+            "status": self.status,
+            "code": self.code.value if self.code is not None else "",
+            "first_s": round(self.first_s, 4) if self.first_s is not None else None,
+            "events": self.events,
+            "attempts": [attempt.fields() for attempt in self.attempts],
+        }
--- /dev/null
+++ b/pomelolug/entry/_stop.py
@@ -0,0 +1,91 @@
+"""Readiness and the planned stop."""
+
+import asyncio
+import datetime
+from collections.abc import Callable
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.transport import ServerConnection
+
+__all__ = ["Lifecycle"]
+
+_log = structlog.get_logger(__name__)
+
+_ROTATION_S = 2.5
+"""Time in which the balancer takes a node that is not ready out of rotation.
+
+It asks once a second and two misses count.
+"""
+_STOP_MARGIN_S = 0.5
+"""Part of the grace that is left unused before the kill."""
+_POLL = datetime.timedelta(milliseconds=50)
+
+
+class Lifecycle:
+    """Whether the node takes callers, and its orderly end.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    grace : datetime.timedelta
+        Time between the request to stop and the kill.
+    ready : callable
+        Returns why the node is not ready, empty if it is.
+    """
+
+    def __init__(
+        self, *, clock: Clock, grace: datetime.timedelta, ready: Callable[[], str]
+    ) -> None:
+        self._clock = clock
+        self._grace_s = grace.total_seconds()
+        self._ready = ready
+        self._stop = asyncio.Event()
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._stop.is_set()
+
+    def reason(self) -> str:
+        """Return why the node is not ready, empty if it is."""
+        return "stopping" if self.stopping else self._ready()
+
+    def request_stop(self) -> None:
+        """Begin the planned stop."""
+        if not self.stopping:
+            _log.info("stop_requested")
+            self._stop.set()
+
+    async def wait(self) -> None:
+        """Wait for the request to stop."""
+        await self._stop.wait()
+
+    async def drain(
+        self,
+        server: asyncio.Server,
+        connections: set[ServerConnection],
+        in_flight: Callable[[], int],
+    ) -> None:
+        """Answer what was read, then return.
+
+        Kept connections are told to close with their next answer. New ones are
+        accepted until the balancer has noticed.
+        """
+        started = self._clock.monotonic()
+        for connection in list(connections):
+            connection.retire()
+        while self._clock.monotonic() - started < _ROTATION_S:
+            for connection in list(connections):
+                connection.retire()
+            await self._clock.sleep(_POLL)
+        server.close()
+        while self._clock.monotonic() - started < self._grace_s - _STOP_MARGIN_S:
+            for connection in list(connections):
+                connection.close_if_idle()
+            if not in_flight() and not connections:
+                break
+            await self._clock.sleep(_POLL)
+        _log.info("stopped", in_flight=in_flight())
--- a/pomelolug/experiments/_state_bench.py
+++ b/pomelolug/experiments/_state_bench.py
@@ -21,7 +21,7 @@
 )
 from pomelolug.errors import ErrorCode, PlatformError
 from pomelolug.ids import Offset
-from pomelolug.platform import LogPage, LogService
+from pomelolug.infrastructure import LogPage, LogService
 from pomelolug.state import Appender, KeyRing, StreamReader
 from pomelolug.testing import LoopClock, MemoryLog
 
--- a/pomelolug/experiments/capacity.py
+++ b/pomelolug/experiments/capacity.py
@@ -29,6 +29,7 @@
 from pomelolug.experiments._slopes import REPEATS, Slope, fit, kilobytes, seconds
 from pomelolug.groups import GroupsFold
 from pomelolug.ids import Offset
+from pomelolug.infrastructure._http import _vm_entry, _VmListReply
 from pomelolug.messages import (
     Claim,
     ClaimBatch,
@@ -40,7 +41,6 @@
     decode,
     encode,
 )
-from pomelolug.platform._http import _vm_entry, _VmListReply
 from pomelolug.routing import RoutingView
 from pomelolug.state import Record, RecordKind
 
--- a/pomelolug/experiments/soak/_entry.py
+++ b/pomelolug/experiments/soak/_entry.py
@@ -15,9 +15,9 @@
 from pomelolug.experiments.soak._network import SoakNetwork
 from pomelolug.gateway._compose import Backends, Gateway
 from pomelolug.gateway._compose import compose as compose_gateway
+from pomelolug.infrastructure import VmDirectory, WeightStore
 from pomelolug.membership import Keys
 from pomelolug.membership._memory import PausableClock
-from pomelolug.platform import VmDirectory, WeightStore
 from pomelolug.services import PlainService
 from pomelolug.settings import load_settings
 from pomelolug.settings._control_generated import CONTROL_SPEC, ControlSettings
--- a/pomelolug/experiments/soak/_platform.py
+++ b/pomelolug/experiments/soak/_platform.py
@@ -7,14 +7,14 @@
 from pomelolug.clock import Clock
 from pomelolug.errors import ErrorCode, PlatformError
 from pomelolug.ids import DomainId, Offset, RegionId, VmId, ZoneId
-from pomelolug.membership._memory import PausableClock
-from pomelolug.platform import (
+from pomelolug.infrastructure import (
     LogPage,
     LogService,
     VmDirectory,
     VmEntry,
     VmRole,
 )
+from pomelolug.membership._memory import PausableClock
 from pomelolug.testing import FakeEngineFleet
 
 __all__ = ["SoakDirectory", "ZonedLog"]
--- a/pomelolug/groups/_controller.py
+++ b/pomelolug/groups/_controller.py
@@ -30,12 +30,12 @@
 from pomelolug.groups._rollout import draining_groups
 from pomelolug.groups._stragglers import StragglerDetector
 from pomelolug.ids import DomainId, FencingToken, GroupId, Offset, VmId
+from pomelolug.infrastructure import VmEntry, WeightStore
 from pomelolug.messages import (
     Dissolution,
     GroupStatus,
     Message,
 )
-from pomelolug.platform import VmEntry, WeightStore
 from pomelolug.state import RecordKind
 
 __all__ = ["DEFAULT_POLICIES", "Append", "GroupController"]
--- a/pomelolug/groups/_inventory.py
+++ b/pomelolug/groups/_inventory.py
@@ -14,7 +14,7 @@
 )
 from pomelolug.groups._policy import VmView
 from pomelolug.ids import Incarnation, VmId
-from pomelolug.platform import VmEntry, VmRole
+from pomelolug.infrastructure import VmEntry, VmRole
 
 __all__ = ["Inventory", "VmList", "reconcile"]
 
--- a/pomelolug/groups/_loads.py
+++ b/pomelolug/groups/_loads.py
@@ -8,8 +8,8 @@
 from pomelolug.groups._group import Group, GroupPhase
 from pomelolug.groups._inventory import Inventory
 from pomelolug.ids import FencingToken, GroupId
+from pomelolug.infrastructure import WeightStore, WeightStoreInfo
 from pomelolug.messages import GroupStatus
-from pomelolug.platform import WeightStore, WeightStoreInfo
 
 __all__ = ["LoadQueue"]
 
--- a/pomelolug/groups/_orders.py
+++ b/pomelolug/groups/_orders.py
@@ -17,7 +17,7 @@
 from pomelolug.groups._fold import GroupsFold
 from pomelolug.groups._group import Group, GroupLimits
 from pomelolug.ids import VmId
-from pomelolug.platform import VmEntry
+from pomelolug.infrastructure import VmEntry
 
 __all__ = ["OrderSender"]
 
--- a/pomelolug/platform/_http.py
+++ b/pomelolug/infrastructure/_http.py
@@ -18,7 +18,7 @@
 
 from pomelolug.errors import ErrorCode, PlatformError
 from pomelolug.ids import DomainId, ModelName, Offset, RegionId, VmId, ZoneId
-from pomelolug.platform._base import (
+from pomelolug.infrastructure._base import (
     LogPage,
     LogRecord,
     LogService,
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -15,6 +15,7 @@
     encode,
 )
 from pomelolug.messages._configuration_generated import ConfigurationChange
+from pomelolug.messages._entry_generated import NodeStatus
 from pomelolug.messages._groups_generated import (
     Dissolution,
     Drain,
@@ -75,6 +76,7 @@
     "LossReport",
     "MAX_MESSAGE_BYTES",
     "Message",
+    "NodeStatus",
     "Proof",
     "RecordPayload",
     "RecordsRequest",
--- a/pomelolug/operator/_chain.py
+++ b/pomelolug/operator/_chain.py
@@ -12,8 +12,8 @@
 from pomelolug.configuration import CONFIG_STREAM
 from pomelolug.errors import PeerError
 from pomelolug.ids import Offset
+from pomelolug.infrastructure import LogRecord, LogService
 from pomelolug.messages import ConfigurationChange, Envelope, RecordPayload, decode
-from pomelolug.platform import LogRecord, LogService
 
 __all__ = ["VersionLine", "versions_before", "was_in_force"]
 
--- a/pomelolug/operator/_site.py
+++ b/pomelolug/operator/_site.py
@@ -18,8 +18,8 @@
     LogRegressedError,
     PlatformError,
 )
+from pomelolug.infrastructure import HttpLogService, LogService
 from pomelolug.operator._control import ControlClient
-from pomelolug.platform import HttpLogService, LogService
 from pomelolug.settings import load_settings
 from pomelolug.settings._operator_generated import OPERATOR_SPEC, OperatorSettings
 from pomelolug.state import Appender, KeyRing, ReaderState, StreamReader
--- a/pomelolug/platform/__init__.py
+++ b/pomelolug/platform/__init__.py
@@ -1,31 +1,62 @@
-"""The platform's services as interfaces, with one HTTP adapter each."""
+"""Adapter of the users' platform: names on the wire, formats and calls.
 
-from pomelolug.platform._base import (
-    LogPage,
-    LogRecord,
-    LogService,
-    VmDirectory,
-    VmEntry,
-    VmRole,
-    WeightStore,
-    WeightStoreInfo,
+Decisions live elsewhere; nothing outside this package knows these names.
+"""
+
+from pomelolug.platform._declaration import decode_declaration
+from pomelolug.platform._orders import ServerOrders
+from pomelolug.platform._requests import (
+    CallerHead,
+    ServerReply,
+    decode_caller_head,
+    decode_server_reply,
+    forwarded_headers,
+    refusal_headers,
+    response_headers,
+)
+from pomelolug.platform._servers import decode_server
+from pomelolug.platform._settings import NodeSettings, load_settings
+from pomelolug.platform._store import (
+    DutyLease,
+    HistoryLostError,
+    LogBatch,
+    MetadataStore,
+    StoreDutySource,
+    StoreUnavailableError,
 )
-from pomelolug.platform._http import (
-    HttpLogService,
-    HttpVmDirectory,
-    HttpWeightStore,
+from pomelolug.platform._streams import EventSplitter, StreamEvent
+from pomelolug.platform._words import (
+    KEY_DECLARATION,
+    READY_PATH,
+    SETTINGS_VARIABLE,
+    TOPIC_DECLARATION,
+    TOPIC_SERVERS,
 )
 
 __all__ = [
-    "HttpLogService",
-    "HttpVmDirectory",
-    "HttpWeightStore",
-    "LogPage",
-    "LogRecord",
-    "LogService",
-    "VmDirectory",
-    "VmEntry",
-    "VmRole",
-    "WeightStore",
-    "WeightStoreInfo",
+    "CallerHead",
+    "DutyLease",
+    "EventSplitter",
+    "HistoryLostError",
+    "KEY_DECLARATION",
+    "LogBatch",
+    "MetadataStore",
+    "NodeSettings",
+    "READY_PATH",
+    "SETTINGS_VARIABLE",
+    "ServerOrders",
+    "ServerReply",
+    "StoreDutySource",
+    "StoreUnavailableError",
+    "StreamEvent",
+    "TOPIC_DECLARATION",
+    "TOPIC_SERVERS",
+    "decode_caller_head",
+    "decode_declaration",
+    "decode_server",
+    "decode_server_reply",
+    "forwarded_headers",
+    "load_settings",
+    "refusal_headers",
+    "response_headers",
 ]
--- /dev/null
+++ b/pomelolug/platform/_declaration.py
@@ -0,0 +1,213 @@
+"""Decoding of the configuration that the operator writes to the store."""
+
+import datetime
+from collections.abc import Sequence
+
+import msgspec
+
+from pomelolug.deployment import (
+    Declaration,
+    EngineProfile,
+    ModelProfile,
+    Repeatability,
+    Route,
+    Service,
+    ServiceShare,
+    Tenant,
+)
+from pomelolug.errors import ErrorCode, Finding, FindingsError
+from pomelolug.ids import AccountId, ModelName, ServiceName
+
+__all__ = ["decode_declaration"]
+
+# `unsafe` means "may run at most once"; `keyed` is not open here and is
+# treated alike.
+_REPEATABILITY = {
+    "safe": Repeatability.IDEMPOTENT,
+    "unsafe": Repeatability.ONCE,
+    "keyed": Repeatability.ONCE,
+    "streaming": Repeatability.STREAM,
+}
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    service: str = ""
+    split: tuple[_Split, ...] = ()
+    max_attempts: int = 1
+    public: bool = False
+    # Set on routes whose requests name a model; nothing is pinned to a server.
+    sticky: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+    size: int
+    pace: float = 1.0
+    share: float = 1.0
+    load_s: float = 0.0
+    # Time of a join when the weights are on the VM's host.
+    warm_s: float = 0.0
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    # Milliseconds for each thousand tokens of context.
+    context_per_k: float = 0.0
+    read_per_s: float = 1000.0
+    # Decode steps between two events of a stream.
+    stride: int = 1
+    loads_per_s: float = 1.0
+    loads_at_once: int = 1
+    # Models that stay staged on a host.
+    retain_count: int = 1
+    form_ms: float = 0.0
+    usual: dict[str, float] = {}
+    models: tuple[_Model, ...] = ()
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    health_path: str = "/health"
+    # Of all callers together.
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+def decode_declaration(data: bytes) -> Declaration:
+    """Return the declaration in a record of the store.
+
+    Raises
+    ------
+    FindingsError
+        If it cannot be read; nothing of it may be applied.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Configuration, strict=False)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        message, _, place = str(error).partition(" - at ")
+        finding = Finding(place=place.strip("`"), value="", problem=message)
+        raise FindingsError(ErrorCode.CONFIGURATION_INVALID, [finding]) from error
+    return Declaration(
+        version=raw.version,
+        routes=tuple(_route(route) for route in raw.routes),
+        services={ServiceName(s.name): _service(s) for s in raw.services},
+        tenants=_tenants(raw.tenants),
+        max_header_bytes=raw.limits.max_header_bytes,
+        max_body_bytes=raw.limits.max_body_bytes,
+        header_timeout=_milliseconds(raw.limits.header_timeout_ms),
+        idle_timeout=_milliseconds(raw.limits.idle_timeout_ms),
+    )
+
+
+def _milliseconds(value: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=value)
+
+
+def _route(raw: _Route) -> Route:
+    shares = tuple(
+        ServiceShare(service=ServiceName(s.service), weight=s.weight) for s in raw.split
+    )
+    if not shares and raw.service:
+        shares = (ServiceShare(service=ServiceName(raw.service), weight=1.0),)
+    return Route(
+        name=raw.name,
+        host=raw.host,
+        prefix=raw.path_prefix,
+        shares=shares,
+        repeatability=_REPEATABILITY.get(raw.kind, Repeatability.ONCE),
+        timeout=_milliseconds(raw.timeout_ms),
+        target=_milliseconds(raw.target_latency_ms),
+        gap_target=_milliseconds(raw.gap_target_ms),
+        priority=raw.priority,
+        max_attempts=max(raw.max_attempts, 1),
+        public=raw.public,
+        resumable=raw.resumable,
+        on_model=raw.sticky,
+    )
+
+
+def _service(raw: _Service) -> Service:
+    return Service(
+        name=ServiceName(raw.name),
+        health_path=raw.health_path,
+        max_connections=raw.max_conns,
+        engine=_engine(raw.engine) if raw.engine is not None else None,
+    )
+
+
+def _engine(raw: _Engine) -> EngineProfile:
+    return EngineProfile(
+        slots=raw.slots,
+        kv_tokens=raw.kv_capacity_tokens,
+        step_ms=raw.step_ms,
+        step_ms_per_request=raw.per_seq_ms,
+        step_ms_per_1000_tokens=raw.context_per_k,
+        prefill_tokens_per_s=raw.read_per_s,
+        tokens_per_event=max(raw.stride, 1),
+        loads_per_s=raw.loads_per_s,
+        loads_at_once=raw.loads_at_once,
+        staged_models=raw.retain_count,
+        open_delay=_milliseconds(raw.form_ms),
+        mean_prompt_tokens=raw.usual.get("prompt", 1000.0),
+        mean_answer_tokens=raw.usual.get("answer", 100.0),
+        models=tuple(_model(model) for model in raw.models),
+    )
+
+
+def _model(raw: _Model) -> ModelProfile:
+    return ModelProfile(
+        name=ModelName(raw.name),
+        size=raw.size,
+        pace=raw.pace,
+        share=raw.share,
+        load=datetime.timedelta(seconds=raw.load_s),
+        warm=datetime.timedelta(seconds=raw.warm_s),
+    )
+
+
+def _tenants(raw: Sequence[_Tenant] | None) -> dict[str, Tenant] | None:
+    if raw is None:
+        return None
+    tenants: dict[str, Tenant] = {}
+    for entry in raw:
+        account = Tenant(account=AccountId(entry.name), priority=entry.priority)
+        tenants.update(dict.fromkeys(entry.api_keys, account))
+    return tenants
--- /dev/null
+++ b/pomelolug/platform/_orders.py
@@ -0,0 +1,241 @@
+"""Orders to servers, and their reports."""
+
+import asyncio
+import datetime
+from typing import Any
+
+import msgspec
+
+from pomelolug.deployment import (
+    BackendServer,
+    GroupMembership,
+    GroupState,
+    OrderResult,
+    ServerControl,
+    ServerReport,
+)
+from pomelolug.ids import GroupId, ModelName, VmId
+from pomelolug.platform import _words
+from pomelolug.transport import (
+    BrokenResponse,
+    ConnectionPool,
+    ResponseHead,
+    encode_request,
+)
+
+__all__ = ["ServerOrders"]
+
+_MOST_REPORT_BYTES = 64 * 1024
+
+
+_RESULTS = {
+    200: OrderResult.HOLDS,
+    202: OrderResult.BEGUN,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.FENCED,
+    421: OrderResult.OTHER_SERVER,
+}
+
+
+class _Group(msgspec.Struct, frozen=True):
+    name: str
+    epoch: int
+    rank: int
+    state: GroupState
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+
+
+class _Report(msgspec.Struct, frozen=True):
+    # Orders begun since the start.
+    seq: int = 0
+    born: int = 0
+    queued: int = 0
+    running: int = 0
+    kv_used: int = 0
+    # Factor on all times; above 1 the server is slow.
+    pace: float = 1.0
+    group: _Group | None = None
+    staged: tuple[str, ...] = ()
+    models: tuple[_Model, ...] = ()
+
+
+class ServerOrders(ServerControl):
+    """Sends orders and asks for reports.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections of this client alone.
+    timeout : datetime.timedelta
+        Bound on one call.
+    """
+
+    def __init__(self, *, pool: ConnectionPool, timeout: datetime.timedelta) -> None:
+        self._pool = pool
+        self._timeout_s = timeout.total_seconds()
+
+    async def join(
+        self,
+        server: BackendServer,
+        *,
+        group: GroupId,
+        epoch: int,
+        model: ModelName,
+        members: tuple[VmId, ...],
+        orders_begun: int,
+    ) -> OrderResult:
+        """Make a server a member of a group; the first member is the head."""
+        return await self._order(
+            server,
+            epoch,
+            orders_begun,
+            {
+                "operation": "join",
+                "group": group,
+                "epoch": epoch,
+                "model": model,
+                "members": list(members),
+            },
+        )
+
+    async def open(
+        self,
+        server: BackendServer,
+        *,
+        group: GroupId,
+        epoch: int,
+        fence: int,
+        orders_begun: int,
+    ) -> OrderResult:
+        """Let the head of a group begin to serve."""
+        body = {"operation": "open", "group": group, "epoch": epoch}
+        return await self._order(server, fence, orders_begun, body)
+
+    async def close(
+        self,
+        server: BackendServer,
+        *,
+        group: GroupId,
+        epoch: int,
+        fence: int,
+        finish: bool,
+        orders_begun: int,
+    ) -> OrderResult:
+        """End serving at the head, after its work if `finish`."""
+        mode = "queue" if finish else "preempt"
+        body = {
+            "operation": "close",
+            "group": group,
+            "epoch": epoch,
+            "close_mode": mode,
+        }
+        return await self._order(server, fence, orders_begun, body)
+
+    async def leave(
+        self,
+        server: BackendServer,
+        *,
+        group: GroupId,
+        epoch: int,
+        fence: int,
+        orders_begun: int,
+    ) -> OrderResult:
+        """Take a server out of its group at once."""
+        body = {"operation": "leave", "group": group, "epoch": epoch}
+        return await self._order(server, fence, orders_begun, body)
+
+    async def stage(
+        self,
+        server: BackendServer,
+        *,
+        model: ModelName,
+        fence: int,
+        orders_begun: int,
+    ) -> OrderResult:
+        """Load the weights of a model onto the server's host."""
+        return await self._order(
+            server, fence, orders_begun, {"operation": "stage", "model": model}
+        )
+
+    async def report(self, server: BackendServer) -> ServerReport | None:
+        """Return the server's report, or None if it does not answer in time."""
+        request = encode_request(
+            b"GET",
+            _words.REPORT_PATH,
+            [
+                (b"Host", server.address.encode()),
+                (_words.EXPECT_INSTANCE, server.vm.encode()),
+            ],
+        )
+        try:
+            head, body = await self._call(server, request)
+            if head.status != 200:
+                return None
+            return _decode_report(body)
+        except (BrokenResponse, TimeoutError, msgspec.DecodeError):
+            return None
+
+    async def _order(
+        self, server: BackendServer, fence: int, begun: int, body: dict[str, Any]
+    ) -> OrderResult:
+        # `precondition` is the number of orders begun: an order that is carried
+        # out late, after another one, is refused.
+        body = body | {"fence": fence, "precondition": begun}
+        request = encode_request(
+            b"POST",
+            _words.ORDER_PATH,
+            [
+                (b"Host", server.address.encode()),
+                (b"Content-Type", b"application/json"),
+                (_words.EXPECT_INSTANCE, server.vm.encode()),
+            ],
+            msgspec.json.encode(body),
+        )
+        try:
+            head, _ = await self._call(server, request)
+        except BrokenResponse as error:
+            if error.reason in ("connect_refused", "connect_timeout"):
+                return OrderResult.UNREACHABLE
+            return OrderResult.UNKNOWN
+        except TimeoutError:
+            return OrderResult.UNKNOWN
+        return _RESULTS.get(head.status, OrderResult.INVALID)
+
+    async def _call(
+        self, server: BackendServer, request: bytes
+    ) -> tuple[ResponseHead, bytes]:
+        async with asyncio.timeout(self._timeout_s):
+            connection = await self._pool.acquire(server.address)
+            try:
+                connection.send(request)
+                head = await connection.head()
+                body = await connection.body(_MOST_REPORT_BYTES)
+            except BaseException:
+                connection.abort()
+                raise
+            self._pool.release(server.address, connection)
+            return head, body
+
+
+def _decode_report(data: bytes) -> ServerReport:
+    raw = msgspec.json.decode(data, type=_Report)
+    return ServerReport(
+        accepted_orders=raw.seq,
+        born_ms=raw.born,
+        queued=raw.queued,
+        running=raw.running,
+        used_tokens=raw.kv_used,
+        slowness=raw.pace,
+        membership=_membership(raw.group),
+        model=ModelName(raw.models[0].name) if raw.models else None,
+        staged=frozenset(ModelName(name) for name in raw.staged),
+    )
+
+
+def _membership(raw: _Group | None) -> GroupMembership | None:
+    if raw is None:
+        return None
+    return GroupMembership(GroupId(raw.name), raw.epoch, raw.rank, raw.state)
--- /dev/null
+++ b/pomelolug/platform/_servers.py
@@ -0,0 +1,73 @@
+"""Decoding of the entries that servers write to the store."""
+
+import msgspec
+
+from pomelolug.deployment import (
+    BackendServer,
+    GroupMembership,
+    GroupState,
+    ServerState,
+)
+from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId, ZoneId
+
+__all__ = ["decode_server"]
+
+
+class _Group(msgspec.Struct, frozen=True):
+    name: str
+    epoch: int
+    rank: int
+    state: GroupState
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    # The entry's `seq` counts its renewals; in a report it counts orders.
+    service: str
+    address: str
+    state: ServerState
+    zone: str = ""
+    slots: int = 1
+    # Unix milliseconds of the start, which tells two lives under one id apart.
+    born: int = 0
+    domain: str = ""
+    staged: tuple[str, ...] = ()
+    models: tuple[_Model, ...] = ()
+    group: _Group | None = None
+
+
+def decode_server(vm: VmId, data: bytes) -> BackendServer | None:
+    """Return the server that an entry describes, or None if it names none.
+
+    Entries may come from other writers; one that cannot be read names no server
+    to use and does not affect the others.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Entry)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    host, _, port = raw.address.rpartition(":")
+    if not host or not port.isdigit() or not raw.service:
+        return None
+    return BackendServer(
+        vm=vm,
+        born_ms=raw.born,
+        service=ServiceName(raw.service),
+        address=raw.address,
+        zone=ZoneId(raw.zone),
+        domain=DomainId(raw.domain),
+        state=raw.state,
+        slots=raw.slots,
+        staged=frozenset(ModelName(name) for name in raw.staged),
+        model=ModelName(raw.models[0].name) if raw.models else None,
+        membership=_membership(raw.group),
+    )
+
+
+def _membership(raw: _Group | None) -> GroupMembership | None:
+    if raw is None:
+        return None
+    return GroupMembership(GroupId(raw.name), raw.epoch, raw.rank, raw.state)
--- /dev/null
+++ b/pomelolug/platform/_settings.py
@@ -0,0 +1,144 @@
+"""The settings file that the platform writes for each process."""
+
+import datetime
+import pathlib
+import tomllib
+from typing import Any
+
+import msgspec
+
+from pomelolug.errors import ErrorCode, Finding, FindingsError
+from pomelolug.ids import NodeId, ZoneId
+
+__all__ = ["NodeSettings", "load_settings"]
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    grace_s: float = 8.0
+    drain_ms: float = 2000.0
+    stall_ms: float = 5000.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_slack: float = 50.0
+    config_ms: float = 2000.0
+    # Least `Retry-After` that callers accept; named after the header.
+    retry_after_s: float = 0.0
+    require_fence: bool = True
+    ceiling_window_s: float = 5.0
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_fds: int = 1024
+    memory_mb: float = 256.0
+
+
+class _Platform(msgspec.Struct, frozen=True):
+    address: str
+    min_ttl_ms: float = 1000.0
+    reads_per_s: float = 2000.0
+    writes_per_s: float = 400.0
+
+
+class _File(msgspec.Struct, frozen=True):
+    node: str
+    ip: str
+    zone: str
+    platform: _Platform
+    listen: _Listen
+    role: str = ""
+    region: str = ""
+    internal_ports: tuple[int, ...] = ()
+    seeds: tuple[str, ...] = ()
+    heartbeat_ms: float = 1200.0
+    bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
+
+
+class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of one entry VM, in the product's terms."""
+
+    node: NodeId
+    ip: str
+    zone: ZoneId
+    store_address: str
+    caller_address: str
+    """Address for callers."""
+    readiness_address: str
+    """Address that the balancer asks for readiness."""
+    peer_address: str
+    """Address for peers, empty if the platform gives none."""
+    internal_ports: tuple[int, ...]
+    peer_seeds: tuple[str, ...]
+    """Peer addresses of at most three nodes; may be stale."""
+    server_heartbeat: datetime.timedelta
+    stop_grace: datetime.timedelta
+    """Time between the request to stop and the kill."""
+    drain_bound: datetime.timedelta
+    stall: datetime.timedelta
+    """Time after which a group with a lost member reports that it is broken."""
+    retry_ratio: float
+    retry_window: datetime.timedelta
+    retry_reserve: float
+    """Repeats of all nodes in a window beyond the ratio."""
+    least_lease: datetime.timedelta
+    descriptors: int
+
+
+def load_settings(path: pathlib.Path) -> NodeSettings:
+    """Read the settings file.
+
+    Raises
+    ------
+    FindingsError
+        With the place of each missing or wrong field.
+    """
+    try:
+        raw = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise _invalid(path, "", str(error)) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise _invalid(path, "", f"not TOML: {error}") from error
+    return decode_settings(raw, path=path)
+
+
+def decode_settings(raw: dict[str, Any], *, path: pathlib.Path) -> NodeSettings:
+    """Return the settings of a parsed file; unknown fields are ignored."""
+    try:
+        file = msgspec.convert(raw, _File, strict=False)
+    except msgspec.ValidationError as error:
+        message, _, place = str(error).partition(" - at ")
+        raise _invalid(path, place.strip("`"), message) from error
+    bounds = file.bounds
+    return NodeSettings(
+        node=NodeId(file.node),
+        ip=file.ip,
+        zone=ZoneId(file.zone),
+        store_address=file.platform.address,
+        caller_address=file.listen.front,
+        readiness_address=file.listen.ready,
+        peer_address=file.listen.control,
+        internal_ports=file.internal_ports,
+        peer_seeds=file.seeds,
+        server_heartbeat=datetime.timedelta(milliseconds=file.heartbeat_ms),
+        stop_grace=datetime.timedelta(seconds=bounds.grace_s),
+        drain_bound=datetime.timedelta(milliseconds=bounds.drain_ms),
+        stall=datetime.timedelta(milliseconds=bounds.stall_ms),
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_window=datetime.timedelta(seconds=bounds.budget_window_s),
+        retry_reserve=bounds.budget_slack,
+        least_lease=datetime.timedelta(milliseconds=file.platform.min_ttl_ms),
+        descriptors=file.limits.max_fds,
+    )
+
+
+def _invalid(path: pathlib.Path, place: str, message: str) -> FindingsError:
+    finding = Finding(
+        place=f"{path}{': ' if place else ''}{place}", value="", problem=message
+    )
+    return FindingsError(ErrorCode.SETTINGS_INVALID, [finding])
--- /dev/null
+++ b/pomelolug/platform/_words.py
@@ -0,0 +1,30 @@
+"""Names of the platform's headers, paths and topics."""
+
+REQUEST_ID = b"Request-Id"
+DEADLINE_MS = b"Deadline-Ms"
+LAST_EVENT_ID = b"Last-Event-Id"
+SEAL = b"Response-Seal"
+TENANT = b"Tenant"
+EXPECT_INSTANCE = b"Expect-Instance"
+# Carried by a server's refusal; without it the request may have run.
+NOT_EXECUTED = b"Not-Executed"
+RETRY_AFTER = b"Retry-After"
+INSTANCE = b"Instance-Id"
+MODEL = b"Model"
+# Two numbers: tokens of the prompt, and the most tokens of the answer.
+TOKENS = b"Token-Count"
+URGENCY = b"Request-Urgency"
+AUTHORIZATION = b"Authorization"
+AT_SERVER = b"At-Server"
+LENGTH_HINT = b"Length-Hint"
+PROMPT_PREFIX = b"Prompt-Prefix"
+
+READY_PATH = b"/-/ready"
+REPORT_PATH = b"/-/report"
+ORDER_PATH = b"/-/order"
+
+TOPIC_DECLARATION = "keyed.op"
+KEY_DECLARATION = "config"
+TOPIC_SERVERS = "keyed.servers"
+
+SETTINGS_VARIABLE = "POMELOLUG_SETTINGS"
--- /dev/null
+++ b/pomelolug/replicas/__init__.py
@@ -0,0 +1,27 @@
+"""Formation and repair of replica groups by the node that holds the duty."""
+
+from pomelolug.replicas._controller import GroupController, GroupEvent
+from pomelolug.replicas._duty import DutyHolder, DutySource
+from pomelolug.replicas._health import ServerHealth
+from pomelolug.replicas._plan import (
+    FreeServer,
+    NewGroup,
+    plan_groups,
+    plan_staging,
+)
+from pomelolug.replicas._view import GroupKey, GroupView, group_views
+
+__all__ = [
+    "DutyHolder",
+    "DutySource",
+    "FreeServer",
+    "GroupController",
+    "GroupEvent",
+    "GroupKey",
+    "GroupView",
+    "NewGroup",
+    "ServerHealth",
+    "group_views",
+    "plan_groups",
+    "plan_staging",
+]
--- /dev/null
+++ b/pomelolug/replicas/_controller.py
@@ -0,0 +1,660 @@
+"""Control loop of the node that holds the duty of forming groups."""
+
+import asyncio
+import dataclasses
+import datetime
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.deployment import (
+    BackendServer,
+    Declaration,
+    EngineProfile,
+    GroupState,
+    ModelProfile,
+    OrderResult,
+    ServerControl,
+    ServerRegistry,
+    ServerState,
+)
+from pomelolug.ids import GroupId, ModelName, ServiceName, VmId
+from pomelolug.replicas._duty import DutyHolder
+from pomelolug.replicas._health import ServerHealth
+from pomelolug.replicas._plan import FreeServer, NewGroup, plan_groups, plan_staging
+from pomelolug.replicas._view import GroupKey, GroupView, group_views
+
+__all__ = ["GroupController", "GroupEvent"]
+
+_log = structlog.get_logger(__name__)
+
+TICK = datetime.timedelta(milliseconds=150)
+"""Pause between two rounds; the registry is read about as often."""
+_ORDER_RETRY_S = 0.6
+"""Time after which an order without visible effect is given again."""
+_FORMATION_S = 4.0
+"""Time beyond the load after which an unfinished group is given up."""
+_SETTLE_S = 0.6
+_SETTLE_MOST_S = 2.5
+"""Wait for further servers of a domain before the first groups are formed."""
+_STALL_MARGIN_S = 0.5
+_GHOST_S = 20.0
+"""Time for which a server that left the registry is still asked for reports."""
+_SILENCE_FACTOR = 1.5
+"""Heartbeat intervals without an entry after which a server is asked directly."""
+_STARTUP_LOADS = 3
+"""Loads at once before the first request, as a factor on the declared number."""
+
+GroupEvent = Callable[[str, str], None]
+"""Receives the kind of a decision and the group's name."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Formation:
+    """A group that this node forms."""
+
+    key: GroupKey
+    model: ModelProfile
+    members: tuple[VmId, ...]
+    born: dict[VmId, int]
+    started_at: float
+    deadline: float
+    opened: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Release:
+    """A group whose members become free at `free_at`."""
+
+    free_at: float | None = None
+    left: bool = False
+
+
+class GroupController:
+    """Forms, opens, repairs and ends replica groups.
+
+    What it knows of groups comes from the servers' own entries, so a successor
+    needs no state of its predecessor. A member of an ended group is used again
+    only when the head has confirmed that it left the group, or, if the head
+    does not answer, after the time in which it must notice the loss of a member.
+
+    Parameters
+    ----------
+    duty : DutyHolder
+        Whether this node may give orders, and its fencing tokens.
+    registry : ServerRegistry
+        Servers, read from the store.
+    control : ServerControl
+        Sends orders.
+    health : ServerHealth
+        Servers that do not answer.
+    clock : Clock
+        Source of monotonic time.
+    declaration : callable
+        Returns the declaration in force, or None.
+    stall : datetime.timedelta
+        Time in which a head notices the loss of a member.
+    heartbeat : datetime.timedelta
+        Interval at which servers renew their entries.
+    serving : callable
+        Returns whether callers have sent requests already.
+    on_event : GroupEvent
+        Called for each decision, for metrics.
+    """
+
+    def __init__(
+        self,
+        *,
+        duty: DutyHolder,
+        registry: ServerRegistry,
+        control: ServerControl,
+        health: ServerHealth,
+        clock: Clock,
+        declaration: Callable[[], Declaration | None],
+        stall: datetime.timedelta,
+        heartbeat: datetime.timedelta,
+        serving: Callable[[], bool],
+        on_event: GroupEvent,
+    ) -> None:
+        self._duty = duty
+        self._registry = registry
+        self._control = control
+        self._health = health
+        self._clock = clock
+        self._declaration = declaration
+        self._stall_s = stall.total_seconds() + _STALL_MARGIN_S
+        self._heartbeat_s = heartbeat.total_seconds()
+        self._serving = serving
+        self._on_event = on_event
+        self._formations: dict[GroupKey, _Formation] = {}
+        self._releases: dict[GroupKey, _Release] = {}
+        self._last_model: dict[tuple[VmId, int], ModelName] = {}
+        self._ordered_at: dict[VmId, float] = {}
+        self._staging: dict[VmId, tuple[ModelName, float]] = {}
+        self._ghosts: dict[VmId, tuple[BackendServer, float]] = {}
+        self._known: dict[VmId, BackendServer] = {}
+        self._suspects: dict[VmId, float] = {}
+        self._first_seen: dict[ServiceName, tuple[float, float, int]] = {}
+        self._witnesses: set[tuple[GroupKey, VmId]] = set()
+        self._was_held = False
+        self._watching_since = clock.monotonic()
+
+    def suspect(self, head: VmId) -> None:
+        """Take note that the streams of a group stand still."""
+        self._suspects[head] = self._clock.monotonic()
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except Exception:
+                _log.exception("group_step_failed")
+            await self._clock.sleep(TICK)
+
+    async def step(self) -> None:
+        """Do one round: probe suspects, then give the orders that are due."""
+        self._track_servers()
+        declaration = self._declaration()
+        if not self._duty.held or declaration is None:
+            if self._was_held:
+                self._forget()
+            return
+        self._was_held = True
+        await self._probe_suspects()
+        orders: list[Coroutine[Any, Any, None]] = []
+        for service in declaration.engine_services():
+            assert service.engine is not None
+            orders += self._service_orders(service.name, service.engine)
+        if self._duty.held:
+            await asyncio.gather(*orders)
+        else:
+            for order in orders:
+                order.close()
+
+    # What is known
+
+    def _forget(self) -> None:
+        self._was_held = False
+        self._formations.clear()
+        self._releases.clear()
+        self._staging.clear()
+        self._ordered_at.clear()
+        self._witnesses.clear()
+        self._health.forget_all_orders()
+
+    def _track_servers(self) -> None:
+        now = self._clock.monotonic()
+        current = self._registry.servers
+        for vm, server in self._known.items():
+            if vm not in current:
+                self._ghosts[vm] = (server, now)
+        for vm, server in current.items():
+            if self._known.get(vm) is not server:
+                self._health.seen(vm)
+            if server.membership is not None and server.model is not None:
+                self._last_model[vm, server.born_ms] = server.model
+            self._ghosts.pop(vm, None)
+        self._known = dict(current)
+        for vm in [v for v, (_, at) in self._ghosts.items() if now - at > _GHOST_S]:
+            del self._ghosts[vm]
+        if len(self._last_model) > 8 * len(self._known) + 64:
+            live = {(s.vm, s.born_ms) for s in self._known.values()}
+            for key in [k for k in self._last_model if k not in live]:
+                del self._last_model[key]
+
+    def _usable(self, server: BackendServer) -> bool:
+        return (
+            server.state is ServerState.READY
+            and server.vm in self._known
+            and not self._registry.lapsed(server.vm)
+            and not self._health.lost(server.vm)
+        )
+
+    def _present(self, server: BackendServer) -> bool:
+        """Return whether a member still works for its group."""
+        if self._health.lost(server.vm):
+            return False
+        if server.vm in self._known:
+            return True
+        report = self._health.report(server.vm, newest_s=1.0)
+        return report is not None and report.membership == server.membership
+
+    async def _probe_suspects(self) -> None:
+        now = self._clock.monotonic()
+        self._suspects = {v: at for v, at in self._suspects.items() if now - at < 2.0}
+        ghosts = [ghost for ghost, _ in self._ghosts.values()]
+        targets = {g.vm: g for g in ghosts if not self._health.lost(g.vm)}
+        for view in group_views(self._known.values()).values():
+            if view.head is not None and view.head.vm in self._suspects:
+                targets.update({m.vm: m for m in view.members.values()})
+        for server in self._known.values():
+            unknown = self._health.orders_begun(server) is None
+            if unknown and server.membership is None and server.domain:
+                targets[server.vm] = server
+        for vm in self._registry.silent(self._heartbeat_s * _SILENCE_FACTOR):
+            if vm in self._known:
+                targets[vm] = self._known[vm]
+        await self._health.probe(targets.values())
+        self._health.forget_old()
+
+    # Orders
+
+    def _service_orders(
+        self, name: ServiceName, engine: EngineProfile
+    ) -> list[Coroutine[Any, Any, None]]:
+        servers = [s for s in self._known.values() if s.service == name]
+        ghosts = [g for g, _ in self._ghosts.values() if g.service == name]
+        views = group_views([*ghosts, *servers])
+        orders: list[Coroutine[Any, Any, None]] = []
+        for formation in list(self._formations.values()):
+            if formation.model in engine.models:
+                orders += self._advance(formation, views)
+        for key, view in views.items():
+            if key not in self._formations:
+                orders += self._inspect(view, engine)
+        if not self._settled(name, servers):
+            return orders
+        free = [s for s in servers if self._is_free(s)]
+        orders += self._form(engine, free, views)
+        orders += self._stage(engine, free, views)
+        return orders
+
+    def _settled(self, name: ServiceName, servers: list[BackendServer]) -> bool:
+        """Return whether the list of servers has stopped growing after the start."""
+        now = self._clock.monotonic()
+        first, changed, count = self._first_seen.get(name, (now, now, 0))
+        if len(servers) != count:
+            changed = now
+        self._first_seen[name] = (first, changed, len(servers))
+        return now - changed >= _SETTLE_S or now - first >= _SETTLE_MOST_S
+
+    def _advance(
+        self, formation: _Formation, views: Mapping[GroupKey, GroupView]
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Return the orders that bring a formation forward."""
+        now = self._clock.monotonic()
+        servers = [self._known.get(vm) for vm in formation.members]
+        failed = [
+            vm
+            for vm, server in zip(formation.members, servers, strict=True)
+            if server is None
+            or not self._usable(server)
+            or server.born_ms != formation.born[vm]
+            or self._newer_epoch(server, formation.key[1])
+        ]
+        if failed or now > formation.deadline:
+            self._give_up(formation, "member_lost" if failed else "timeout", failed)
+            return []
+        view = views.get(formation.key)
+        present = [s for s in servers if s is not None]
+        if view is not None and view.head_state is GroupState.OPEN:
+            del self._formations[formation.key]
+            self._decided("group_open", formation.key, model=formation.model.name)
+            return []
+        if view is not None and view.all_ready(formation.model.size):
+            return self._open_order(formation, present[0])
+        return [
+            self._join(formation, server)
+            for server in present
+            if not self._is_member(server, formation.key) and self._due(server.vm)
+        ]
+
+    def _open_order(
+        self, formation: _Formation, head: BackendServer
+    ) -> list[Coroutine[Any, Any, None]]:
+        if not self._due(head.vm):
+            return []
+        formation.opened = True
+        return [self._open(formation.key, head)]
+
+    def _give_up(self, formation: _Formation, reason: str, failed: list[VmId]) -> None:
+        del self._formations[formation.key]
+        if not formation.opened:
+            # The head was never told to open, so no member is bound by it.
+            self._releases[formation.key] = _Release(free_at=0.0, left=True)
+        self._decided("group_given_up", formation.key, reason=reason, failed=failed)
+
+    def _newer_epoch(self, server: BackendServer, epoch: int) -> bool:
+        return server.membership is not None and server.membership.epoch > epoch
+
+    def _is_member(self, server: BackendServer, key: GroupKey) -> bool:
+        m = server.membership
+        return m is not None and (m.group, m.epoch) == key
+
+    def _inspect(
+        self, view: GroupView, engine: EngineProfile
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Return the orders for a group that is not being formed."""
+        release = self._releases.get(view.key)
+        if release is not None and release.free_at is not None:
+            return []
+        model = engine.model(view.model) if view.model is not None else None
+        members = list(view.members.values())
+        lost = [m for m in members if not self._present(m)]
+        complete = model is not None and len(members) == model.size and not lost
+        draining = [m for m in members if m.state is ServerState.DRAINING]
+        if view.model is None and not lost and not draining:
+            if len(members) in {m.size for m in engine.models}:
+                return []  # a predecessor's group that loads its weights
+        if complete and not draining:
+            if view.head_state is GroupState.READY and release is None:
+                return self._reopen(view, model)
+            if view.head_state is not GroupState.BROKEN:
+                return []
+        if (
+            complete
+            and draining
+            and view.head_state
+            in (
+                GroupState.OPEN,
+                GroupState.CLOSING,
+            )
+        ):
+            return self._close_for_drain(view)
+        return self._release_group(view, lost)
+
+    def _reopen(
+        self, view: GroupView, model: ModelProfile | None
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Open a group that a predecessor formed and did not open."""
+        head = view.head
+        if head is None or model is None or not view.all_ready(model.size):
+            return []
+        return [self._open(view.key, head)] if self._due(head.vm) else []
+
+    def _close_for_drain(self, view: GroupView) -> list[Coroutine[Any, Any, None]]:
+        head = view.head
+        if head is None or view.head_state is GroupState.CLOSING:
+            return []
+        return [self._close(view.key, head)] if self._due(head.vm) else []
+
+    def _release_group(
+        self, view: GroupView, lost: list[BackendServer]
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Return the orders that free the members of an incomplete group."""
+        release = self._releases.setdefault(view.key, _Release())
+        head = view.head
+        if head is not None and head not in lost:
+            return [self._leave(view.key, head, release)] if self._due(head.vm) else []
+        if release.left:
+            return []
+        survivors = [m for m in view.members.values() if m not in lost]
+        if not survivors:
+            return []
+        # A head that does not answer notices the loss of this member in time.
+        witness = min(survivors, key=lambda m: m.vm)
+        return (
+            [self._leave(view.key, witness, release)] if self._due(witness.vm) else []
+        )
+
+    def _is_free(self, server: BackendServer) -> bool:
+        if not self._usable(server) or self._in_formation(server.vm):
+            return False
+        now = self._clock.monotonic()
+        membership = server.membership
+        if membership is None:
+            # A predecessor may have taken the server out of a group whose head
+            # it could not reach; wait as it would have.
+            fresh = self._health.orders_begun(server) == 0
+            settled = now - self._duty.since > self._stall_s
+            return (fresh or settled or self._own(server)) and not self._held_back(
+                server
+            )
+        release = self._releases.get((membership.group, membership.epoch))
+        return (
+            release is not None
+            and release.free_at is not None
+            and now >= release.free_at
+        )
+
+    def _own(self, server: BackendServer) -> bool:
+        """Return whether this node would have seen the server in a group."""
+        watched_s = self._clock.monotonic() - self._watching_since
+        seen = (server.vm, server.born_ms) in self._last_model
+        return watched_s > self._stall_s and not seen
+
+    def _held_back(self, server: BackendServer) -> bool:
+        """Return whether a group that the server has left is not free yet."""
+        now = self._clock.monotonic()
+        return any(
+            release.free_at is not None and now < release.free_at
+            for key, release in self._releases.items()
+            if (key, server.vm) in self._witnesses
+        )
+
+    def _in_formation(self, vm: VmId) -> bool:
+        return any(vm in f.members for f in self._formations.values())
+
+    def _form(
+        self,
+        engine: EngineProfile,
+        free: list[BackendServer],
+        views: Mapping[GroupKey, GroupView],
+    ) -> list[Coroutine[Any, Any, None]]:
+        counts: dict[ModelName, int] = {}
+        for key, view in views.items():
+            if view.model is not None and key not in self._releases:
+                counts[view.model] = counts.get(view.model, 0) + len(view.members)
+        for formation in self._formations.values():
+            name = formation.model.name
+            if formation.key not in views or views[formation.key].model is None:
+                counts[name] = counts.get(name, 0) + formation.model.size
+        orders: list[Coroutine[Any, Any, None]] = []
+        room = self._load_room(engine, views)
+        for group in plan_groups(map(self._candidate, free), engine.models, counts):
+            if group.loads and group.loads > room:
+                continue
+            room -= group.loads
+            orders += self._start(group)
+        return orders
+
+    def _candidate(self, server: BackendServer) -> FreeServer:
+        return FreeServer(server, self._last_model.get((server.vm, server.born_ms)))
+
+    def _load_room(
+        self, engine: EngineProfile, views: Mapping[GroupKey, GroupView]
+    ) -> int:
+        """Return how many loads may start now without slowing others down."""
+        most = engine.loads_at_once
+        if not self._serving():
+            most *= _STARTUP_LOADS
+        running = len(self._staging)
+        for view in views.values():
+            for member in view.members.values():
+                joining = (
+                    member.membership is not None
+                    and member.membership.state is GroupState.JOINING
+                )
+                running += joining
+        for formation in self._formations.values():
+            if formation.key not in views:
+                running += formation.model.size
+        return max(most - running, most if running == 0 else 0)
+
+    def _start(self, group: NewGroup) -> list[Coroutine[Any, Any, None]]:
+        epoch = self._duty.next_epoch()
+        key = (GroupId(f"g{epoch}"), epoch)
+        now = self._clock.monotonic()
+        load_s = group.model.load.total_seconds() * (2.0 if group.loads else 0.0)
+        formation = _Formation(
+            key=key,
+            model=group.model,
+            members=tuple(m.server.vm for m in group.members),
+            born={m.server.vm: m.server.born_ms for m in group.members},
+            started_at=now,
+            deadline=now + load_s + group.model.warm.total_seconds() + _FORMATION_S,
+        )
+        self._formations[key] = formation
+        for member in group.members:
+            self._staging.pop(member.server.vm, None)
+        self._decided(
+            "group_forming",
+            key,
+            model=group.model.name,
+            members=list(formation.members),
+            loads=group.loads,
+        )
+        return [self._join(formation, m.server) for m in group.members]
+
+    def _stage(
+        self,
+        engine: EngineProfile,
+        free: list[BackendServer],
+        views: Mapping[GroupKey, GroupView],
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Return the loads for spares, once no group waits for loads."""
+        now = self._clock.monotonic()
+        servers = {s.vm: s for s in free}
+        for vm, (model, at) in list(self._staging.items()):
+            known = self._known.get(vm)
+            if known is None or model in known.staged or now - at > 60.0:
+                del self._staging[vm]
+        spares = [
+            s
+            for s in free
+            if not self._in_formation(s.vm) and s.vm not in self._staging
+        ]
+        groups: dict[Any, list[ModelName]] = {}
+        for key, view in views.items():
+            if view.model is not None and key not in self._releases:
+                domain = next(iter(view.members.values())).domain
+                groups.setdefault(domain, []).append(view.model)
+        room = self._load_room(engine, views)
+        orders: list[Coroutine[Any, Any, None]] = []
+        planned = plan_staging(map(self._candidate, spares), engine.models, groups)
+        for vm, name in planned[: max(room, 0)]:
+            if self._due(vm):
+                self._staging[vm] = (name, now)
+                orders.append(self._stage_one(servers[vm], name))
+        return orders
+
+    # Single orders
+
+    def _due(self, vm: VmId) -> bool:
+        at = self._ordered_at.get(vm, float("-inf"))
+        return self._clock.monotonic() - at >= _ORDER_RETRY_S
+
+    async def _begun(self, server: BackendServer) -> int | None:
+        """Return the orders that a server has begun, or None without a report."""
+        known = self._health.orders_begun(server)
+        if known is None:
+            await self._health.probe([server])
+            known = self._health.orders_begun(server)
+        return known
+
+    async def _join(self, formation: _Formation, server: BackendServer) -> None:
+        begun = await self._begun(server)
+        if begun is None or not self._allowed(server.vm):
+            return
+        result = await self._control.join(
+            server,
+            group=formation.key[0],
+            epoch=formation.key[1],
+            model=formation.model.name,
+            members=formation.members,
+            orders_begun=begun,
+        )
+        self._ordered("join", formation.key, server, result)
+
+    async def _open(self, key: GroupKey, head: BackendServer) -> None:
+        begun = await self._begun(head)
+        if begun is None or not self._allowed(head.vm):
+            return
+        result = await self._control.open(
+            head,
+            group=key[0],
+            epoch=key[1],
+            fence=self._duty.fence,
+            orders_begun=begun,
+        )
+        self._ordered("open", key, head, result)
+
+    async def _close(self, key: GroupKey, head: BackendServer) -> None:
+        begun = await self._begun(head)
+        if begun is None or not self._allowed(head.vm):
+            return
+        result = await self._control.close(
+            head,
+            group=key[0],
+            epoch=key[1],
+            fence=self._duty.fence,
+            finish=True,
+            orders_begun=begun,
+        )
+        self._ordered("close", key, head, result)
+
+    async def _leave(
+        self, key: GroupKey, server: BackendServer, release: _Release
+    ) -> None:
+        begun = await self._begun(server)
+        if begun is None or not self._allowed(server.vm):
+            return
+        membership = server.membership
+        result = await self._control.leave(
+            server,
+            group=key[0],
+            epoch=key[1],
+            fence=self._duty.fence,
+            orders_begun=begun,
+        )
+        self._ordered("leave", key, server, result)
+        if not result.certain:
+            return
+        release.left = True
+        is_head = membership is not None and membership.rank == 0
+        wait_s = 0.0 if is_head else self._stall_s
+        release.free_at = self._clock.monotonic() + wait_s
+        if not is_head:
+            self._witnesses.add((key, server.vm))
+
+    async def _stage_one(self, server: BackendServer, model: ModelName) -> None:
+        begun = await self._begun(server)
+        if begun is None or not self._allowed(server.vm):
+            return
+        result = await self._control.stage(
+            server,
+            model=model,
+            fence=self._duty.fence,
+            orders_begun=begun,
+        )
+        if not result.certain and result is not OrderResult.UNKNOWN:
+            self._staging.pop(server.vm, None)
+        self._ordered("stage", (GroupId(""), 0), server, result, model=model)
+
+    def _allowed(self, vm: VmId) -> bool:
+        """Check the lease again right before an order leaves."""
+        if not self._duty.held:
+            return False
+        self._ordered_at[vm] = self._clock.monotonic()
+        return True
+
+    def _ordered(
+        self,
+        order: str,
+        key: GroupKey,
+        server: BackendServer,
+        result: OrderResult,
+        **more: str,
+    ) -> None:
+        if result is OrderResult.BEGUN:
+            self._health.order_begun(server)
+        elif result is not OrderResult.HOLDS:
+            self._health.forget_orders(server)
+        self._on_event(f"order_{order}", result.value)
+        _log.info(
+            "server_order",
+            order=order,
+            group=key[0],
+            epoch=key[1],
+            server=server.vm,
+            orders=self._health.orders_begun(server),
+            result=result.value,
+            **more,
+        )
+
+    def _decided(self, event: str, key: GroupKey, **fields: Any) -> None:
+        self._on_event(event, str(fields.get("reason", "")))
+        _log.info(event, group=key[0], epoch=key[1], **fields)
--- /dev/null
+++ b/pomelolug/replicas/_view.py
@@ -0,0 +1,59 @@
+"""Replica groups as the servers describe them."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+from pomelolug.deployment import BackendServer, GroupState
+from pomelolug.ids import GroupId, ModelName
+
+__all__ = ["GroupKey", "GroupView", "group_views"]
+
+GroupKey = tuple[GroupId, int]
+"""Name and epoch of a group."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupView:
+    """Members of one group by rank."""
+
+    key: GroupKey
+    members: dict[int, BackendServer]
+
+    @property
+    def head(self) -> BackendServer | None:
+        """Member with rank 0, None if it is not known."""
+        return self.members.get(0)
+
+    @property
+    def head_state(self) -> GroupState | None:
+        """State of the head, None if it is not known."""
+        head = self.head
+        if head is None or head.membership is None:
+            return None
+        return head.membership.state
+
+    @property
+    def model(self) -> ModelName | None:
+        """Model that the members name; None before any has loaded it."""
+        for member in self.members.values():
+            if member.model is not None:
+                return member.model
+        return None
+
+    def all_ready(self, size: int) -> bool:
+        """Return whether all `size` members are there and ready."""
+        states = [m.membership.state for m in self.members.values() if m.membership]
+        ready = (GroupState.READY, GroupState.OPEN, GroupState.CLOSING)
+        return len(states) == size and all(state in ready for state in states)
+
+
+def group_views(servers: Iterable[BackendServer]) -> dict[GroupKey, GroupView]:
+    """Return the groups of the servers' memberships."""
+    members: dict[GroupKey, dict[int, BackendServer]] = collections.defaultdict(dict)
+    for server in servers:
+        membership = server.membership
+        if membership is not None:
+            key = (membership.group, membership.epoch)
+            members[key][membership.rank] = server
+    return {key: GroupView(key, by_rank) for key, by_rank in members.items()}
--- a/pomelolug/state/_append.py
+++ b/pomelolug/state/_append.py
@@ -10,8 +10,8 @@
 from pomelolug.clock import Clock
 from pomelolug.errors import ErrorCode, PlatformError
 from pomelolug.ids import Offset
+from pomelolug.infrastructure import LogRecord, LogService
 from pomelolug.messages import Message
-from pomelolug.platform import LogRecord, LogService
 from pomelolug.state._envelope import NONCE_BYTES, decode_record, encode_record
 from pomelolug.state._fold import RecordKind
 from pomelolug.state._keys import KeyRing
--- a/pomelolug/state/_buffer.py
+++ b/pomelolug/state/_buffer.py
@@ -3,7 +3,7 @@
 import collections
 
 from pomelolug.ids import Offset
-from pomelolug.platform import LogRecord
+from pomelolug.infrastructure import LogRecord
 
 __all__ = ["RecordBuffer"]
 
--- a/pomelolug/state/_identity.py
+++ b/pomelolug/state/_identity.py
@@ -3,7 +3,7 @@
 import enum
 
 from pomelolug.ids import Offset
-from pomelolug.platform import LogPage
+from pomelolug.infrastructure import LogPage
 
 __all__ = ["LogIdentity", "PeerLog"]
 
--- a/pomelolug/state/_intake.py
+++ b/pomelolug/state/_intake.py
@@ -10,8 +10,8 @@
 from prometheus_client import Counter
 
 from pomelolug.ids import Offset
+from pomelolug.infrastructure import LogRecord
 from pomelolug.messages import Checkpoint
-from pomelolug.platform import LogRecord
 from pomelolug.state._checkpoint import decode_checkpoint
 from pomelolug.state._fold import Fold, Record, RecordKind
 from pomelolug.state._keys import KeyRing
--- a/pomelolug/state/_outbox.py
+++ b/pomelolug/state/_outbox.py
@@ -6,8 +6,8 @@
 
 from pomelolug.errors import PeerError
 from pomelolug.ids import Offset
+from pomelolug.infrastructure import LogRecord
 from pomelolug.messages import Checkpoint, StreamRecords
-from pomelolug.platform import LogRecord
 from pomelolug.state._buffer import RecordBuffer
 from pomelolug.state._keys import KeyRing
 from pomelolug.state._relay import MAX_RELAY_BYTES, pack_records, sign_checkpoint
--- a/pomelolug/state/_prefix.py
+++ b/pomelolug/state/_prefix.py
@@ -5,8 +5,8 @@
 
 from pomelolug.errors import PeerError
 from pomelolug.ids import Offset
+from pomelolug.infrastructure import LogRecord
 from pomelolug.messages import Checkpoint
-from pomelolug.platform import LogRecord
 from pomelolug.state._checkpoint import make_checkpoint, split_nonces, state_digest
 from pomelolug.state._envelope import decode_record
 from pomelolug.state._fold import Fold, Record, RecordKind, VoidRecordError
--- a/pomelolug/state/_reader.py
+++ b/pomelolug/state/_reader.py
@@ -8,8 +8,8 @@
 from pomelolug.clock import Clock
 from pomelolug.errors import PlatformError
 from pomelolug.ids import Offset
+from pomelolug.infrastructure import LogPage, LogRecord, LogService
 from pomelolug.messages import Checkpoint, StreamRecords
-from pomelolug.platform import LogPage, LogRecord, LogService
 from pomelolug.state._fold import Fold
 from pomelolug.state._freshness import Freshness
 from pomelolug.state._identity import LogIdentity, PeerLog
--- a/pomelolug/state/_relay.py
+++ b/pomelolug/state/_relay.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 
 from pomelolug.ids import Offset
+from pomelolug.infrastructure import LogRecord
 from pomelolug.messages import Checkpoint, StreamRecords
-from pomelolug.platform import LogRecord
 from pomelolug.state._checkpoint import decode_checkpoint
 from pomelolug.state._envelope import NONCE_BYTES, decode_record, encode_record
 from pomelolug.state._fold import RecordKind
--- a/pomelolug/state/_startup.py
+++ b/pomelolug/state/_startup.py
@@ -3,8 +3,8 @@
 import datetime
 
 from pomelolug.ids import Offset
+from pomelolug.infrastructure import LogPage, LogRecord, LogService
 from pomelolug.messages import Checkpoint
-from pomelolug.platform import LogPage, LogRecord, LogService
 from pomelolug.state._checkpoint import decode_checkpoint
 from pomelolug.state._envelope import decode_record
 from pomelolug.state._fold import RecordKind
--- a/pomelolug/state/tests/test_state_checkpoint.py
+++ b/pomelolug/state/tests/test_state_checkpoint.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from pomelolug.ids import NodeId, Offset
-from pomelolug.platform import LogRecord
+from pomelolug.infrastructure import LogRecord
 from pomelolug.state import (
     CheckpointPublisher,
     ReaderState,
--- a/pomelolug/telemetry/__init__.py
+++ b/pomelolug/telemetry/__init__.py
@@ -1,5 +1,6 @@
 """Logging set-up and metrics of the processes."""
 
+from pomelolug.telemetry._bounded import BoundedWriter
 from pomelolug.telemetry._logging import configure_logging
 
-__all__ = ["configure_logging"]
+__all__ = ["BoundedWriter", "configure_logging"]
--- a/pomelolug/telemetry/_logging.py
+++ b/pomelolug/telemetry/_logging.py
@@ -1,20 +1,23 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line."""
 
 import logging
 import sys
+from typing import Any
 
 import structlog
 
 __all__ = ["configure_logging"]
 
 
-def configure_logging(level: str, **context: str) -> None:
+def configure_logging(level: str, *, file: Any = None, **context: str) -> None:
     """Set up structlog for the process.
 
     Parameters
     ----------
     level : str
         Lowest level that is written: debug, info, warning or error.
+    file : text file, optional
+        Where lines go, by default standard error.
     **context : str
         Fields that each line carries, for example the node's name.
     """
@@ -29,6 +32,6 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=file or sys.stderr),
     )
     structlog.contextvars.bind_contextvars(**context)
--- a/pomelolug/testing/_engine_fleet.py
+++ b/pomelolug/testing/_engine_fleet.py
@@ -21,7 +21,7 @@
     TokenEvent,
 )
 from pomelolug.ids import DomainId, ModelName, RegionId, VmId, ZoneId
-from pomelolug.platform import VmEntry, VmRole
+from pomelolug.infrastructure import VmEntry, VmRole
 from pomelolug.testing._shared_store import FakeWeightStore
 
 __all__ = ["FakeEngineFleet", "FakeVm", "LedgerEntry"]
--- a/pomelolug/testing/_group_world.py
+++ b/pomelolug/testing/_group_world.py
@@ -19,8 +19,8 @@
     GroupWatcher,
 )
 from pomelolug.ids import DomainId, FencingToken, GroupId, ModelName, Offset
+from pomelolug.infrastructure import VmEntry
 from pomelolug.messages import GroupStatus, Message, encode
-from pomelolug.platform import VmEntry
 from pomelolug.state import Record, RecordKind, VoidRecordError
 from pomelolug.testing._engine_fleet import FakeEngineFleet
 from pomelolug.testing._shared_store import FakeWeightStore
--- a/pomelolug/testing/_memory_log.py
+++ b/pomelolug/testing/_memory_log.py
@@ -8,7 +8,7 @@
 from pomelolug.clock import Clock
 from pomelolug.errors import ErrorCode, PlatformError
 from pomelolug.ids import Offset
-from pomelolug.platform import LogPage, LogRecord, LogService
+from pomelolug.infrastructure import LogPage, LogRecord, LogService
 
 __all__ = ["LogFaults", "MemoryLog"]
 
--- a/pomelolug/testing/_platform_app.py
+++ b/pomelolug/testing/_platform_app.py
@@ -1,6 +1,6 @@
 """HTTP application of the simulated platform.
 
-It speaks the protocol of `pomelolug.platform`. Faults are set with ``POST
+It speaks the protocol of `pomelolug.infrastructure`. Faults are set with ``POST
 /faults`` and the fields of `PlatformFaults`; ``GET /faults`` returns them.
 ``POST /vms`` takes ``{"vms": [...], "remove": [ids], "leaving": [ids]}``.
 """
@@ -16,7 +16,7 @@
 from aiohttp import web
 
 from pomelolug.clock import Clock
-from pomelolug.platform import VmRole
+from pomelolug.infrastructure import VmRole
 from pomelolug.testing._log_store import LogStore
 
 __all__ = ["LogMode", "PlatformApp", "PlatformFaults", "VmRecord"]
--- a/pomelolug/testing/_shared_store.py
+++ b/pomelolug/testing/_shared_store.py
@@ -6,7 +6,7 @@
 from pomelolug.clock import Clock
 from pomelolug.errors import ErrorCode, PlatformError
 from pomelolug.ids import ModelName
-from pomelolug.platform import WeightStore, WeightStoreInfo
+from pomelolug.infrastructure import WeightStore, WeightStoreInfo
 
 __all__ = ["FakeWeightStore"]
 
--- a/pomelolug/testing/tests/test_platform_server.py
+++ b/pomelolug/testing/tests/test_platform_server.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pomelolug.errors import PlatformError
-from pomelolug.platform import HttpLogService, HttpVmDirectory, HttpWeightStore
+from pomelolug.infrastructure import HttpLogService, HttpVmDirectory, HttpWeightStore
 from pomelolug.testing.platform_server import start_platform
 
 TIMEOUT = datetime.timedelta(seconds=0.3)
--- /dev/null
+++ b/pomelolug/transport/_client.py
@@ -0,0 +1,304 @@
+"""Client side of one HTTP/1.1 connection."""
+
+import asyncio
+import collections
+import dataclasses
+import datetime
+import socket
+from typing import cast
+
+import httptools
+
+__all__ = ["BrokenResponse", "ClientConnection", "ResponseHead", "open_connection"]
+
+_MOST_BUFFERED_BYTES = 256 * 1024
+_USER_TIMEOUT_MS = 3000  # unacknowledged data on a silent path; cf. contact time
+_TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
+
+
+class BrokenResponse(Exception):
+    """The connection ended, or sent no valid response.
+
+    Parameters
+    ----------
+    reason : str
+        Short name of the cause, bounded so that it can be a metric label.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self._reason = reason
+
+    @property
+    def reason(self) -> str:
+        """Short name of the cause."""
+        return self._reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Status and header fields, as received."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a field, compared without case."""
+        wanted = name.lower()
+        for key, value in self.headers:
+            if key.lower() == wanted:
+                return value
+        return None
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server, one request at a time.
+
+    The connection knows whether it may carry another request: not after an
+    incomplete response, after bytes that no request asked for, or when the
+    server announced that it closes.
+    """
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._heads: collections.deque[ResponseHead] = collections.deque()
+        self._chunks: collections.deque[bytes | None] = collections.deque()
+        self._fields: list[tuple[bytes, bytes]] = []
+        self._waiter: asyncio.Future[None] | None = None
+        self._error: BrokenResponse | None = None
+        self._closed = False
+        self._in_message = False
+        self._until_close = False
+        self._awaiting = False
+        self._dirty = False
+        self._keep = True
+        self._buffered = 0
+        self._paused = False
+        self._idle_since = 0.0
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent."""
+        return (
+            self._keep
+            and not self._dirty
+            and not self._closed
+            and not self._in_message
+            and not self._awaiting
+            and not self._chunks
+            and not self._heads
+            and self._transport is not None
+            and self._transport.get_write_buffer_size() == 0
+        )
+
+    @property
+    def idle_since(self) -> float:
+        """Loop time at which the connection was last released, in seconds."""
+        return self._idle_since
+
+    @idle_since.setter
+    def idle_since(self, at: float) -> None:
+        self._idle_since = at
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended."""
+        return self._closed
+
+    def send(self, data: bytes) -> None:
+        """Send a whole request.
+
+        Raises
+        ------
+        BrokenResponse
+            If the connection has ended; then nothing was sent.
+        """
+        if self._closed or self._transport is None or self._transport.is_closing():
+            raise BrokenResponse("closed_before_send")
+        self._awaiting = True
+        self._transport.write(data)
+
+    async def head(self) -> ResponseHead:
+        """Wait for the head of the next response."""
+        while not self._heads:
+            await self._wait()
+        return self._heads.popleft()
+
+    async def chunk(self) -> bytes | None:
+        """Wait for the next part of the body; None marks its end."""
+        while not self._chunks:
+            await self._wait()
+        part = self._chunks.popleft()
+        if part is not None:
+            self._buffered -= len(part)
+            self._resume()
+        return part
+
+    async def body(self, limit: int) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        BrokenResponse
+            If it is incomplete or has more than `limit` bytes.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while (part := await self.chunk()) is not None:
+            size += len(part)
+            if size > limit:
+                self.abort("too_large")
+                raise BrokenResponse("too_large")
+            parts.append(part)
+        return b"".join(parts)
+
+    def abort(self, reason: str = "aborted") -> None:
+        """End the connection at once; a waiting reader gets `reason`."""
+        self._fail(reason)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """End the connection in an orderly way."""
+        self._fail("closed")
+        if self._transport is not None:
+            self._transport.close()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and set the socket's options."""
+        # uvloop's transports do not derive from asyncio's classes.
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, _TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse; anything but the awaited response spoils the connection."""
+        if self._closed:
+            return
+        if not self._awaiting and not self._in_message:
+            self.abort("unexpected_bytes")
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.abort("malformed")
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """End a body that has no length with the stream."""
+        if self._until_close and self._in_message:
+            self._until_close = False
+            self._end_message()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the reader of an unfinished response."""
+        self._fail("reset" if exc else "closed")
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a response; a second one to one request spoils the connection.
+
+        It is queued all the same: the first one may belong to an earlier request.
+        """
+        if not self._awaiting:
+            self._dirty = True
+        self._fields = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one field."""
+        self._fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Hand the head over."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        head = ResponseHead(status, tuple(self._fields))
+        self._until_close = (
+            head.get(b"content-length") is None
+            and head.get(b"transfer-encoding") is None
+            and status not in (204, 304)
+        )
+        if self._until_close or not self._parser.should_keep_alive():
+            self._keep = False
+        self._in_message = True
+        self._awaiting = False
+        self._heads.append(head)
+
+    def on_body(self, data: bytes) -> None:
+        """Queue a part of the body."""
+        self._chunks.append(data)
+        self._buffered += len(data)
+        if self._buffered > _MOST_BUFFERED_BYTES and not self._paused:
+            self._paused = True
+            if self._transport is not None:
+                self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Mark the end of a body with a length."""
+        if self._in_message and not self._until_close:
+            self._end_message()
+
+    def expect_another(self) -> None:
+        """Await a further response after one that belonged to another request."""
+        self._awaiting = True
+        self._keep = False
+
+    # internals
+
+    def _end_message(self) -> None:
+        self._in_message = False
+        self._chunks.append(None)
+        self._wake()
+
+    def _resume(self) -> None:
+        if self._paused and self._buffered <= _MOST_BUFFERED_BYTES // 2:
+            self._paused = False
+            if self._transport is not None and not self._closed:
+                self._transport.resume_reading()
+
+    def _fail(self, reason: str) -> None:
+        if not self._closed:
+            self._closed = True
+            self._error = BrokenResponse(reason)
+            self._wake()
+
+    def _wake(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    async def _wait(self) -> None:
+        if self._error is not None:
+            raise BrokenResponse(self._error.reason)
+        self._waiter = self._loop.create_future()
+        await self._waiter
+
+
+async def open_connection(
+    host: str, port: int, *, timeout: datetime.timedelta
+) -> ClientConnection:
+    """Open a connection.
+
+    Raises
+    ------
+    BrokenResponse
+        If the server does not accept within `timeout`.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            _, connection = await loop.create_connection(ClientConnection, host, port)
+    except TimeoutError as error:
+        raise BrokenResponse("connect_timeout") from error
+    except OSError as error:
+        raise BrokenResponse("connect_refused") from error
+    return connection
--- /dev/null
+++ b/pomelolug/transport/_request.py
@@ -0,0 +1,36 @@
+"""Encoding of requests."""
+
+from collections.abc import Iterable
+
+__all__ = ["encode_request"]
+
+
+def encode_request(
+    method: bytes,
+    target: bytes,
+    headers: Iterable[tuple[bytes, bytes]],
+    body: bytes = b"",
+) -> bytes:
+    r"""Return a whole HTTP/1.1 request.
+
+    Parameters
+    ----------
+    method, target : bytes
+        Request line.
+    headers : iterable of (bytes, bytes)
+        Header fields without the length, which is added for a body.
+    body : bytes
+        Body; a ``GET`` without one is sent without a length.
+
+    Examples
+    --------
+    >>> encode_request(b"GET", b"/a", [(b"Host", b"h")])
+    b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+    """
+    lines = [b"%b %b HTTP/1.1\r\n" % (method, target)]
+    lines += [b"%b: %b\r\n" % field for field in headers]
+    if body or method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d\r\n" % len(body))
+    lines.append(b"\r\n")
+    lines.append(body)
+    return b"".join(lines)
--- /dev/null
+++ b/pomelolug/transport/_server.py
@@ -0,0 +1,398 @@
+"""Server side of one HTTP/1.1 connection."""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+import httptools
+
+__all__ = ["Exchange", "Handler", "ServerConnection", "WireLimits"]
+
+_MOST_PIPELINED = 8
+_BODY_TIMEOUT_S = 30.0
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclasses.dataclass(slots=True)
+class WireLimits:
+    """Bounds on what a client may send; replaced in place by a new declaration."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Exchange:
+    """One request and its response."""
+
+    def __init__(
+        self,
+        connection: "ServerConnection",
+        method: bytes,
+        target: bytes,
+        headers: tuple[tuple[bytes, bytes], ...],
+        keep_alive: bool,
+    ) -> None:
+        self._connection = connection
+        self._method = method
+        self._target = target
+        self._headers = headers
+        self._keep_alive = keep_alive
+        self._body = bytearray()
+        self._started = False
+        self._chunked = False
+        self._ended = False
+
+    @property
+    def method(self) -> bytes:
+        """Request method."""
+        return self._method
+
+    @property
+    def target(self) -> bytes:
+        """Request target with its query."""
+        return self._target
+
+    @property
+    def headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Header fields as received."""
+        return self._headers
+
+    @property
+    def body(self) -> bytes:
+        """Whole request body."""
+        return bytes(self._body)
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of a response was sent."""
+        return self._started
+
+    @property
+    def ended(self) -> bool:
+        """Whether the response was finished or broken off."""
+        return self._ended
+
+    def append(self, data: bytes) -> None:
+        """Add a part of the request body."""
+        self._body += data
+
+    @property
+    def size(self) -> int:
+        """Bytes of the body so far."""
+        return len(self._body)
+
+    def start(
+        self,
+        status: int,
+        headers: tuple[tuple[bytes, bytes], ...],
+        *,
+        length: int | None,
+    ) -> None:
+        """Send the head of a response; without a length the body is chunked."""
+        self._started = True
+        self._chunked = length is None
+        lines = [b"HTTP/1.1 %d %b\r\n" % (status, _REASONS.get(status, b"Status"))]
+        lines += [b"%b: %b\r\n" % field for field in headers]
+        if length is None:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        else:
+            lines.append(b"Content-Length: %d\r\n" % length)
+        if not self._keep_alive or self._connection.closing:
+            self._keep_alive = False
+            lines.append(b"Connection: close\r\n")
+        lines.append(b"\r\n")
+        self._connection.write(b"".join(lines))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if data:
+            if self._chunked:
+                data = b"%x\r\n%b\r\n" % (len(data), data)
+            self._connection.write(data)
+
+    async def drain(self) -> None:
+        """Wait while the client reads too slowly."""
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        """End the response as complete."""
+        if not self._ended:
+            self._ended = True
+            if self._chunked:
+                self._connection.write(b"0\r\n\r\n")
+            self._connection.exchange_done(self._keep_alive)
+
+    def reply(
+        self, status: int, headers: tuple[tuple[bytes, bytes], ...], body: bytes
+    ) -> None:
+        """Send a whole response."""
+        self.start(status, headers, length=len(body))
+        self._connection.write(body)
+        self.finish()
+
+    def abort(self) -> None:
+        """Break the response off, so that it cannot look complete."""
+        if not self._ended:
+            self._ended = True
+            self._connection.abort()
+
+
+Handler = Callable[[Exchange], Coroutine[Any, Any, None]]
+
+
+class ServerConnection(asyncio.Protocol):
+    """Reads requests from one client and runs one task for each in turn.
+
+    The task of a request is cancelled when its client leaves.
+
+    Parameters
+    ----------
+    handler : Handler
+        Coroutine function that answers an exchange.
+    limits : WireLimits
+        Bounds in force.
+    connections : set of ServerConnection
+        Open connections of the process; the connection adds and removes itself.
+    on_refused : callable
+        Called with the status when a request is refused while it is read.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: WireLimits,
+        connections: "set[ServerConnection]",
+        on_refused: Callable[[int], None],
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._connections = connections
+        self._on_refused = on_refused
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: collections.deque[Exchange] = collections.deque()
+        self._reading: Exchange | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._target = b""
+        self._fields: list[tuple[bytes, bytes]] = []
+        self._header_bytes = 0
+        self._refused = False
+        self._closing = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._in_head = False
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection closes after the response in progress."""
+        return self._closing
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return bool(self._task or self._queue or self._reading or self._in_head)
+
+    def retire(self) -> None:
+        """Close the connection as soon as no request is in progress."""
+        self._closing = True
+
+    def close_if_idle(self) -> None:
+        """Close now if no request is being read or answered."""
+        self._closing = True
+        if not self.busy and self._transport is not None:
+            self._transport.close()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the client."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the client has read enough."""
+        await self._writable.wait()
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def exchange_done(self, keep_alive: bool) -> None:
+        """Go on to the next request, or close."""
+        if not keep_alive or self._closing:
+            self._closing = True
+            if self._transport is not None:
+                self._transport.close()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the timer of the first request."""
+        # uvloop's transports do not derive from asyncio's classes.
+        self._transport = cast(asyncio.Transport, transport)
+        self._connections.add(self)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._set_timer(self._limits.idle_timeout_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what runs for the client."""
+        self._connections.discard(self)
+        self._writable.set()
+        self._cancel_timer()
+        self._queue.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as a client that left."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Hold writers back."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse requests; refuse what breaks a bound."""
+        if self._refused:
+            return
+        if not self._in_head and self._reading is None:
+            self._in_head = True
+            self._header_bytes = 0
+            self._set_timer(self._limits.header_timeout_s)
+        if self._in_head:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400)
+        if self._in_head and self._header_bytes > self._limits.max_header_bytes:
+            self._refuse(431)
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start the head of a request."""
+        self._in_head = True
+        self._target = b""
+        self._fields = []
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target, which may come in parts."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one field."""
+        self._fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Start the body of a request."""
+        self._in_head = False
+        self._set_timer(_BODY_TIMEOUT_S)
+        self._reading = Exchange(
+            self,
+            self._parser.get_method(),
+            self._target,
+            tuple(self._fields),
+            self._parser.should_keep_alive(),
+        )
+        if any(k.lower() == b"expect" for k, _ in self._fields):
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        if self._reading is None or self._refused:
+            return
+        self._reading.append(data)
+        if self._reading.size > self._limits.max_body_bytes:
+            self._refuse(413)
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request."""
+        if self._reading is None or self._refused:
+            return
+        self._cancel_timer()
+        self._queue.append(self._reading)
+        self._reading = None
+        if len(self._queue) > _MOST_PIPELINED:
+            self._refuse(400)
+        self._next()
+
+    # internals
+
+    def _next(self) -> None:
+        if self._task is None and self._queue and not self._refused:
+            self._cancel_timer()
+            self._task = self._loop.create_task(self._run(self._queue.popleft()))
+
+    async def _run(self, exchange: Exchange) -> None:
+        try:
+            await self._handler(exchange)
+        finally:
+            if not exchange.ended:
+                exchange.abort()
+            self._task = None
+            if not self._closing and self._transport is not None:
+                if self._queue:
+                    self._next()
+                elif not self._in_head and self._reading is None:
+                    self._set_timer(self._limits.idle_timeout_s)
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that cannot be read and end the connection."""
+        if self._refused:
+            return
+        self._refused = True
+        self._closing = True
+        self._on_refused(status)
+        if self._task is None and self._transport is not None:
+            self.write(
+                b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                % (status, _REASONS[status])
+            )
+            self._transport.close()
+
+    def _on_timer(self) -> None:
+        if self._in_head:
+            self._refuse(408)
+        elif self._reading is not None:
+            self._refuse(408)
+        elif self._task is None and self._transport is not None:
+            self._closing = True
+            self._transport.close()
+
+    def _set_timer(self, seconds: float) -> None:
+        self._cancel_timer()
+        self._timer = self._loop.call_later(seconds, self._on_timer)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
