Repair groups from spares with weights in memory, follow servers by waiting reads

Cause: repairs took 4 s and more: a spare needed its weights from the host, an order after a leave was refused because the count of orders was out of date, two missed reports were awaited, and groups were formed of servers that still had to load, which bound five ready servers for 20 s. The list of servers was polled although the store adds a record only when an entry changes.

Change: a spare joins a group that is never opened, so that it rejoins any group of that model at once, and stages the other model. After the first request groups form of loaded servers only; the others load while they are in no group. The choice of the model follows the work in flight. One missed report proves the loss in a group whose streams stand still. Servers are read by waiting reads.

--- a/pomelolug/deployment/_registry.py
+++ b/pomelolug/deployment/_registry.py
@@ -45,7 +45,6 @@
         self._clock = clock
         self._servers: dict[VmId, BackendServer] = {}
         self._offsets: dict[VmId, int] = {}
-        self._renewed: dict[VmId, float] = {}
         self._lapsed: dict[VmId, float] = {}
         self._unavailable = False
         self._returned_at: float | None = None
@@ -59,20 +58,6 @@
         """Return whether the entry of a server is missing from the store."""
         return vm in self._lapsed
 
-    def silent(self, longer_than_s: float) -> list[VmId]:
-        """Return the servers whose entries were not renewed for some seconds.
-
-        While the store does not answer, silence says nothing and the list is
-        empty.
-        """
-        if self._unavailable:
-            return []
-        oldest = self._clock.monotonic() - longer_than_s
-        since = self._returned_at
-        if since is not None and since > oldest:
-            return []
-        return [vm for vm in self._servers if self._renewed[vm] < oldest]
-
     def store_failed(self) -> None:
         """Note that the store did not answer."""
         self._unavailable = True
@@ -102,7 +87,6 @@
                 removed += self._remove(vm)
                 continue
             self._lapsed.pop(vm, None)
-            self._renewed[vm] = self._clock.monotonic()
             self._servers[vm] = server
             if known is None:
                 added.append(server)
@@ -118,8 +102,6 @@
         since = self._returned_at if self._returned_at is not None else now
         if now - since < RETURN_GRACE_S:
             return RegistryChange()
-        for vm in self._lapsed:
-            self._renewed.pop(vm, None)
         gone = [self._servers.pop(vm) for vm in self._lapsed if vm in self._servers]
         self._lapsed.clear()
         return RegistryChange(removed=tuple(gone))
@@ -132,7 +114,6 @@
             self._lapsed[vm] = self._clock.monotonic()
             return []
         del self._servers[vm]
-        self._renewed.pop(vm, None)
         return [server]
 
     def _in_grace(self) -> bool:
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -127,7 +127,7 @@
             store=store,
             registry=self._registry,
             clock=clock,
-            busy=lambda: self._duty.held,
+            on_duty=lambda: self._duty.held,
             on_change=self._servers_changed,
         )
         self._pool = ConnectionPool(idle=_IDLE, connect_timeout=_CONNECT_TIMEOUT)
@@ -215,8 +215,8 @@
             clock=clock,
             declaration=lambda: self._declarations.current,
             stall=settings.stall,
-            heartbeat=settings.server_heartbeat,
             serving=lambda: self._application.serving or self._peering.serving,
+            in_flight=self._board.in_flight,
             on_event=lambda event, result: self._metrics.group_events.labels(
                 event, result
             ).inc(),
--- a/pomelolug/entry/_feeds.py
+++ b/pomelolug/entry/_feeds.py
@@ -25,9 +25,12 @@
 
 _DECLARATION_WAIT = datetime.timedelta(seconds=2.5)
 """Longest wait of one read; bounds the time lost on a silent connection."""
-_FAST_POLL = datetime.timedelta(milliseconds=150)
-_POLL = datetime.timedelta(milliseconds=500)
-"""Pause between reads of the servers, a quarter of the bound on draining."""
+_SERVERS_WAIT = datetime.timedelta(seconds=1.5)
+"""The same for the servers; bounds the age of the list below that of draining."""
+_COALESCE = datetime.timedelta(milliseconds=250)
+"""Pause after a read, so that changes that come together cost one call."""
+_COALESCE_ON_DUTY = datetime.timedelta(milliseconds=80)
+"""The same on the node that forms groups, which acts on each change."""
 _RETRY = datetime.timedelta(milliseconds=250)
 
 
@@ -126,8 +129,9 @@
 class RegistryFeed:
     """Keeps the registry of servers up to date.
 
-    `busy` says whether somebody waits for changes, for example because groups
-    are being formed; the store is read more often then.
+    The store adds a record only when more than the renewal count of an entry
+    changes, so a waiting read returns at once on each change and costs little
+    otherwise.
     """
 
     def __init__(
@@ -136,30 +140,29 @@
         store: MetadataStore,
         registry: ServerRegistry,
         clock: Clock,
-        busy: Callable[[], bool],
+        on_duty: Callable[[], bool],
         on_change: Callable[[RegistryChange], None],
     ) -> None:
         self._store = store
         self._registry = registry
         self._clock = clock
-        self._busy = busy
+        self._on_duty = on_duty
         self._on_change = on_change
         self._unreadable: set[VmId] = set()
         self._read_at = float("-inf")
 
     @property
     def age_s(self) -> float:
-        """Seconds since the last successful read began."""
+        """Seconds since the last successful read ended."""
         return self._clock.monotonic() - self._read_at
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         offset: Offset | None = None
         while True:
-            started = self._clock.monotonic()
             try:
                 offset = await self._follow(offset)
-                self._read_at = started
+                self._read_at = self._clock.monotonic()
                 self._registry.store_answered()
                 self._changed(self._registry.expire())
             except HistoryLostError:
@@ -169,15 +172,14 @@
                 self._registry.store_failed()
                 await self._clock.sleep(_RETRY)
                 continue
-            await self._clock.sleep(_FAST_POLL if self._busy() else _POLL)
+            on_duty = self._on_duty()
+            await self._clock.sleep(_COALESCE_ON_DUTY if on_duty else _COALESCE)
 
     async def _follow(self, offset: Offset | None) -> Offset:
         if offset is None:
             batch = await self._store.newest(TOPIC_SERVERS)
         else:
-            batch = await self._store.read(
-                TOPIC_SERVERS, offset, wait=datetime.timedelta()
-            )
+            batch = await self._store.read(TOPIC_SERVERS, offset, wait=_SERVERS_WAIT)
         records = []
         for number, key, value in batch.records:
             vm = VmId(key)
--- a/pomelolug/replicas/__init__.py
+++ b/pomelolug/replicas/__init__.py
@@ -6,7 +6,9 @@
 from pomelolug.replicas._plan import (
     FreeServer,
     NewGroup,
+    needed_servers,
     plan_groups,
+    plan_second_weights,
     plan_staging,
 )
 from pomelolug.replicas._view import GroupKey, GroupView, group_views
@@ -22,6 +24,8 @@
     "NewGroup",
     "ServerHealth",
     "group_views",
+    "needed_servers",
     "plan_groups",
+    "plan_second_weights",
     "plan_staging",
 ]
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -1,6 +1,7 @@
 """Control loop of the node that holds the duty of forming groups."""
 
 import asyncio
+import collections
 import dataclasses
 import datetime
 from collections.abc import Callable, Coroutine, Mapping
@@ -23,8 +24,21 @@
 from pomelolug.ids import GroupId, ModelName, ServiceName, VmId
 from pomelolug.replicas._duty import DutyHolder
 from pomelolug.replicas._health import ServerHealth
-from pomelolug.replicas._plan import FreeServer, NewGroup, plan_groups, plan_staging
-from pomelolug.replicas._view import GroupKey, GroupView, group_views
+from pomelolug.replicas._plan import (
+    FreeServer,
+    NewGroup,
+    needed_servers,
+    plan_groups,
+    plan_second_weights,
+    plan_staging,
+)
+from pomelolug.replicas._view import (
+    GroupKey,
+    GroupView,
+    group_views,
+    is_standby,
+    standby_name,
+)
 
 __all__ = ["GroupController", "GroupEvent"]
 
@@ -42,8 +56,6 @@
 _STALL_MARGIN_S = 0.5
 _GHOST_S = 20.0
 """Time for which a server that left the registry is still asked for reports."""
-_SILENCE_FACTOR = 1.5
-"""Heartbeat intervals without an entry after which a server is asked directly."""
 _STARTUP_LOADS = 3
 """Loads at once before the first request, as a factor on the declared number."""
 
@@ -72,6 +84,14 @@
     left: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Demand:
+    """Servers in groups of each model, and how many its work needs."""
+
+    in_groups: Mapping[ModelName, int]
+    needed: Mapping[ModelName, float]
+
+
 class GroupController:
     """Forms, opens, repairs and ends replica groups.
 
@@ -96,10 +116,10 @@
         Returns the declaration in force, or None.
     stall : datetime.timedelta
         Time in which a head notices the loss of a member.
-    heartbeat : datetime.timedelta
-        Interval at which servers renew their entries.
     serving : callable
         Returns whether callers have sent requests already.
+    in_flight : callable
+        Returns the requests of all nodes at a head.
     on_event : GroupEvent
         Called for each decision, for metrics.
     """
@@ -114,8 +134,8 @@
         clock: Clock,
         declaration: Callable[[], Declaration | None],
         stall: datetime.timedelta,
-        heartbeat: datetime.timedelta,
         serving: Callable[[], bool],
+        in_flight: Callable[[VmId], int],
         on_event: GroupEvent,
     ) -> None:
         self._duty = duty
@@ -125,8 +145,8 @@
         self._clock = clock
         self._declaration = declaration
         self._stall_s = stall.total_seconds() + _STALL_MARGIN_S
-        self._heartbeat_s = heartbeat.total_seconds()
         self._serving = serving
+        self._in_flight = in_flight
         self._on_event = on_event
         self._formations: dict[GroupKey, _Formation] = {}
         self._releases: dict[GroupKey, _Release] = {}
@@ -194,7 +214,9 @@
         for vm, server in current.items():
             if self._known.get(vm) is not server:
                 self._health.seen(vm)
-            if server.membership is not None and server.model is not None:
+            membership = server.membership
+            loaded = membership and membership.state is not GroupState.JOINING
+            if loaded and server.model is not None:
                 self._last_model[vm, server.born_ms] = server.model
             self._ghosts.pop(vm, None)
         self._known = dict(current)
@@ -226,20 +248,32 @@
         now = self._clock.monotonic()
         self._suspects = {v: at for v, at in self._suspects.items() if now - at < 2.0}
         ghosts = [ghost for ghost, _ in self._ghosts.values()]
-        targets = {g.vm: g for g in ghosts if not self._health.lost(g.vm)}
-        for view in group_views(self._known.values()).values():
-            if view.head is not None and view.head.vm in self._suspects:
-                targets.update({m.vm: m for m in view.members.values()})
+        targets = {
+            ghost.vm: ghost
+            for ghost in ghosts
+            if self._runs_models(ghost) and not self._health.lost(ghost.vm)
+        }
+        members = {
+            member.vm: member
+            for view in group_views(self._known.values()).values()
+            if view.head is not None and view.head.vm in self._suspects
+            for member in view.members.values()
+        }
         for server in self._known.values():
             unknown = self._health.orders_begun(server) is None
-            if unknown and server.membership is None and server.domain:
+            if unknown and server.membership is None and self._runs_models(server):
                 targets[server.vm] = server
-        for vm in self._registry.silent(self._heartbeat_s * _SILENCE_FACTOR):
-            if vm in self._known:
-                targets[vm] = self._known[vm]
-        await self._health.probe(targets.values())
+        await asyncio.gather(
+            self._health.probe(members.values(), suspect=True),
+            self._health.probe(targets.values()),
+        )
         self._health.forget_old()
 
+    def _runs_models(self, server: BackendServer) -> bool:
+        declaration = self._declaration()
+        service = declaration and declaration.services.get(server.service)
+        return bool(service and service.engine)
+
     # Orders
 
     def _service_orders(
@@ -247,7 +281,11 @@
     ) -> list[Coroutine[Any, Any, None]]:
         servers = [s for s in self._known.values() if s.service == name]
         ghosts = [g for g, _ in self._ghosts.values() if g.service == name]
-        views = group_views([*ghosts, *servers])
+        views = {
+            key: view
+            for key, view in group_views([*ghosts, *servers]).items()
+            if not is_standby(key)
+        }
         orders: list[Coroutine[Any, Any, None]] = []
         for formation in list(self._formations.values()):
             if formation.model in engine.models:
@@ -255,13 +293,39 @@
         for key, view in views.items():
             if key not in self._formations:
                 orders += self._inspect(view, engine)
-        if not self._settled(name, servers):
-            return orders
         free = [s for s in servers if self._is_free(s)]
-        orders += self._form(engine, free, views)
-        orders += self._stage(engine, free, views)
+        if not self._settled(name, servers):
+            free = _in_full_domains(free, engine)
+        demand = self._demand(engine, servers, views)
+        orders += self._form(engine, free, views, demand)
+        orders += self._stage(engine, free, views, demand)
         return orders
 
+    def _demand(
+        self,
+        engine: EngineProfile,
+        servers: list[BackendServer],
+        views: Mapping[GroupKey, GroupView],
+    ) -> _Demand:
+        counts: dict[ModelName, int] = {}
+        in_flight: dict[ModelName, int] = {}
+        for key, view in views.items():
+            if view.model is None or key in self._releases:
+                continue
+            counts[view.model] = counts.get(view.model, 0) + len(view.members)
+            if view.head is not None:
+                work = self._in_flight(view.head.vm)
+                in_flight[view.model] = in_flight.get(view.model, 0) + work
+        for formation in self._formations.values():
+            name = formation.model.name
+            if formation.key not in views or views[formation.key].model is None:
+                counts[name] = counts.get(name, 0) + formation.model.size
+        usable = sum(self._usable(server) for server in servers)
+        needed = needed_servers(
+            engine.models, in_flight, slots=engine.slots, servers=usable
+        )
+        return _Demand(counts, needed)
+
     def _settled(self, name: ServiceName, servers: list[BackendServer]) -> bool:
         """Return whether the list of servers has stopped growing after the start."""
         now = self._clock.monotonic()
@@ -403,7 +467,10 @@
             return (fresh or settled or self._own(server)) and not self._held_back(
                 server
             )
-        release = self._releases.get((membership.group, membership.epoch))
+        key = (membership.group, membership.epoch)
+        if is_standby(key):
+            return True
+        release = self._releases.get(key)
         return (
             release is not None
             and release.free_at is not None
@@ -433,18 +500,18 @@
         engine: EngineProfile,
         free: list[BackendServer],
         views: Mapping[GroupKey, GroupView],
+        demand: _Demand,
     ) -> list[Coroutine[Any, Any, None]]:
-        counts: dict[ModelName, int] = {}
-        for key, view in views.items():
-            if view.model is not None and key not in self._releases:
-                counts[view.model] = counts.get(view.model, 0) + len(view.members)
-        for formation in self._formations.values():
-            name = formation.model.name
-            if formation.key not in views or views[formation.key].model is None:
-                counts[name] = counts.get(name, 0) + formation.model.size
         orders: list[Coroutine[Any, Any, None]] = []
         room = self._load_room(engine, views)
-        for group in plan_groups(map(self._candidate, free), engine.models, counts):
+        groups = plan_groups(
+            map(self._candidate, free),
+            engine.models,
+            demand.in_groups,
+            demand.needed,
+            loading=not self._serving(),
+        )
+        for group in groups:
             if group.loads and group.loads > room:
                 continue
             room -= group.loads
@@ -504,6 +571,7 @@
         engine: EngineProfile,
         free: list[BackendServer],
         views: Mapping[GroupKey, GroupView],
+        demand: _Demand,
     ) -> list[Coroutine[Any, Any, None]]:
         """Return the loads for spares, once no group waits for loads."""
         now = self._clock.monotonic()
@@ -523,14 +591,46 @@
                 domain = next(iter(view.members.values())).domain
                 groups.setdefault(domain, []).append(view.model)
         room = self._load_room(engine, views)
-        orders: list[Coroutine[Any, Any, None]] = []
-        planned = plan_staging(map(self._candidate, spares), engine.models, groups)
+        orders: list[Coroutine[Any, Any, None]] = self._keep_warm(spares)
+        candidates = [self._candidate(spare) for spare in spares]
+        planned = plan_staging(
+            candidates,
+            engine.models,
+            groups,
+            demand.in_groups,
+            demand.needed,
+        )
+        taken = {vm for vm, _ in planned}
+        planned += [
+            (vm, model)
+            for vm, model in plan_second_weights(candidates, engine.models)
+            if vm not in taken
+        ]
         for vm, name in planned[: max(room, 0)]:
             if self._due(vm):
                 self._staging[vm] = (name, now)
                 orders.append(self._stage_one(servers[vm], name))
         return orders
 
+    def _keep_warm(
+        self, spares: list[BackendServer]
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Return the orders that bring staged weights of spares into memory.
+
+        A spare that was in a group of a model joins the next one at once, so it
+        is made the only member of a group that is never opened.
+        """
+        orders = []
+        for spare in spares:
+            known = (spare.vm, spare.born_ms) in self._last_model
+            if known or spare.membership is not None or not spare.staged:
+                continue
+            if self._due(spare.vm):
+                epoch = self._duty.next_epoch()
+                model = min(spare.staged)
+                orders.append(self._join_standby(spare, epoch, model))
+        return orders
+
     # Single orders
 
     def _due(self, vm: VmId) -> bool:
@@ -559,6 +659,23 @@
         )
         self._ordered("join", formation.key, server, result)
 
+    async def _join_standby(
+        self, server: BackendServer, epoch: int, model: ModelName
+    ) -> None:
+        begun = await self._begun(server)
+        if begun is None or not self._allowed(server.vm):
+            return
+        group = standby_name(epoch)
+        result = await self._control.join(
+            server,
+            group=group,
+            epoch=epoch,
+            model=model,
+            members=(server.vm,),
+            orders_begun=begun,
+        )
+        self._ordered("standby", (group, epoch), server, result, model=model)
+
     async def _open(self, key: GroupKey, head: BackendServer) -> None:
         begun = await self._begun(head)
         if begun is None or not self._allowed(head.vm):
@@ -639,10 +756,14 @@
         result: OrderResult,
         **more: str,
     ) -> None:
-        if result is OrderResult.BEGUN:
+        done_at_once = result is OrderResult.HOLDS and order == "leave"
+        if result is OrderResult.BEGUN or done_at_once:
             self._health.order_begun(server)
         elif result is not OrderResult.HOLDS:
             self._health.forget_orders(server)
+        if result is OrderResult.CONFLICT:
+            # The count of orders was out of date; try again with a new report.
+            self._ordered_at.pop(server.vm, None)
         self._on_event(f"order_{order}", result.value)
         _log.info(
             "server_order",
@@ -658,3 +779,12 @@
     def _decided(self, event: str, key: GroupKey, **fields: Any) -> None:
         self._on_event(event, str(fields.get("reason", "")))
         _log.info(event, group=key[0], epoch=key[1], **fields)
+
+
+def _in_full_domains(
+    free: list[BackendServer], engine: EngineProfile
+) -> list[BackendServer]:
+    """Return the servers of domains that have room for a group of each model."""
+    sizes = sum(model.size for model in engine.models)
+    domains = collections.Counter(server.domain for server in free)
+    return [server for server in free if domains[server.domain] >= sizes]
--- a/pomelolug/replicas/_health.py
+++ b/pomelolug/replicas/_health.py
@@ -12,6 +12,8 @@
 _PROBE_GAP_S = 0.25
 _MISSES = 2
 """Reports without an answer after which a server counts as lost."""
+_MISSES_OF_SUSPECT = 1
+"""The same for the members of a group whose streams stand still."""
 _FORGET_S = 30.0
 
 
@@ -30,13 +32,14 @@
         self._control = control
         self._clock = clock
         self._misses: dict[VmId, int] = {}
+        self._lost: set[VmId] = set()
         self._asked_at: dict[VmId, float] = {}
         self._reports: dict[VmId, tuple[float, ServerReport]] = {}
         self._begun: dict[tuple[VmId, int], int] = {}
 
     def lost(self, vm: VmId) -> bool:
         """Return whether a server has missed enough reports in a row."""
-        return self._misses.get(vm, 0) >= _MISSES
+        return vm in self._lost
 
     def report(self, vm: VmId, *, newest_s: float) -> ServerReport | None:
         """Return a report that is at most `newest_s` seconds old."""
@@ -65,33 +68,46 @@
 
     def seen(self, vm: VmId) -> None:
         """Note a sign of life from elsewhere."""
-        self._misses.pop(vm, None)
+        self._answered(vm)
+
+    async def probe(
+        self, servers: Iterable[BackendServer], *, suspect: bool = False
+    ) -> None:
+        """Ask servers for their reports, each at most every 250 ms.
 
-    async def probe(self, servers: Iterable[BackendServer]) -> None:
-        """Ask servers for their reports, each at most every 250 ms."""
+        One report without an answer is enough where other evidence makes the
+        servers suspect.
+        """
+        misses = _MISSES_OF_SUSPECT if suspect else _MISSES
         now = self._clock.monotonic()
         due = [
             s for s in servers if now - self._asked_at.get(s.vm, -9.0) >= _PROBE_GAP_S
         ]
         for server in due:
             self._asked_at[server.vm] = now
-        await asyncio.gather(*(self._probe(server) for server in due))
+        await asyncio.gather(*(self._probe(server, misses) for server in due))
 
     def forget_old(self) -> None:
         """Drop what was learned long ago."""
         oldest = self._clock.monotonic() - _FORGET_S
         for vm in [vm for vm, at in self._asked_at.items() if at < oldest]:
             self._asked_at.pop(vm, None)
-            self._misses.pop(vm, None)
+            self._answered(vm)
             self._reports.pop(vm, None)
 
-    async def _probe(self, server: BackendServer) -> None:
+    def _answered(self, vm: VmId) -> None:
+        self._misses.pop(vm, None)
+        self._lost.discard(vm)
+
+    async def _probe(self, server: BackendServer, misses: int) -> None:
         report = await self._control.report(server)
         if report is None:
             self._begun.pop((server.vm, server.born_ms), None)
-            self._misses[server.vm] = self._misses.get(server.vm, 0) + 1
+            missed = self._misses[server.vm] = self._misses.get(server.vm, 0) + 1
+            if missed >= misses:
+                self._lost.add(server.vm)
             return
-        self._misses.pop(server.vm, None)
+        self._answered(server.vm)
         self._reports[server.vm] = (self._clock.monotonic(), report)
         if report.born_ms == server.born_ms:
             # A report is some hundred milliseconds old, so it may lack the last
--- a/pomelolug/replicas/_plan.py
+++ b/pomelolug/replicas/_plan.py
@@ -10,14 +10,25 @@
 from pomelolug.deployment import BackendServer, ModelProfile
 from pomelolug.ids import DomainId, ModelName, VmId
 
-__all__ = ["FreeServer", "NewGroup", "plan_groups", "plan_staging"]
+__all__ = [
+    "FreeServer",
+    "NewGroup",
+    "needed_servers",
+    "plan_groups",
+    "plan_second_weights",
+    "plan_staging",
+]
 
 _SURPLUS = 1.5
-"""Part of its fair share of servers above which a model gets no new group.
+"""Servers of a model, relative to the need, above which none load for it.
 
-A group of a model with enough of them would take the servers that another
-model's next repair needs.
+They stay spares that hold the weights of the groups around them.
 """
+_GROUP_FILL = 0.5
+"""Part of its slots to which a group is filled at a good latency."""
+_LEAST_PART = 0.5
+"""Part of the declared share that a model needs even when idle."""
+_UNLOADED = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +46,7 @@
         """Return 0 if it can join at once, 1 from its host, 2 after a load."""
         if self.last_model == model:
             return 0
-        return 1 if model in self.server.staged else 2
+        return 1 if model in self.server.staged else _UNLOADED
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,15 +59,50 @@
     @property
     def loads(self) -> int:
         """Members that have to load from the weight store."""
-        return sum(m.readiness(self.model.name) == 2 for m in self.members)
+        return sum(m.readiness(self.model.name) == _UNLOADED for m in self.members)
+
+
+def needed_servers(
+    models: Sequence[ModelProfile],
+    in_flight: Mapping[ModelName, int],
+    *,
+    slots: int,
+    servers: int,
+) -> dict[ModelName, float]:
+    """Return how many servers of each model's groups the present work needs.
+
+    A model never needs less than half of its declared part, so that a lull does
+    not give its servers away.
+
+    Parameters
+    ----------
+    models : sequence of ModelProfile
+        Models with their sizes and shares of the servers.
+    in_flight : mapping of ModelName to int
+        Requests at the groups of each model.
+    slots : int
+        Requests that one group runs at once.
+    servers : int
+        Servers of the service that can be in groups.
+    """
+    shares = sum(m.share for m in models) or 1.0
+    needed: dict[ModelName, float] = {}
+    for model in models:
+        declared = servers * model.share / shares
+        groups = in_flight.get(model.name, 0) / (_GROUP_FILL * max(slots, 1))
+        needed[model.name] = max(groups * model.size, _LEAST_PART * declared, 1e-6)
+    return needed
 
 
 def plan_groups(
     free: Iterable[FreeServer],
     models: Sequence[ModelProfile],
     in_groups: Mapping[ModelName, int],
+    needed: Mapping[ModelName, float],
+    *,
+    loading: bool,
 ) -> list[NewGroup]:
-    """Return the groups to form, those that are ready soonest first.
+    """Return the groups to form, those with the fewest loads first.
 
     Parameters
     ----------
@@ -66,6 +112,12 @@
         Models with their sizes and shares of the servers.
     in_groups : mapping of ModelName to int
         Servers that groups of each model have already.
+    needed : mapping of ModelName to float
+        Servers that the work on each model needs.
+    loading : bool
+        Whether members may load from the weight store when they join. Otherwise
+        they wait in no group until they have the weights, and can still complete
+        another one.
 
     Returns
     -------
@@ -76,23 +128,22 @@
     for candidate in free:
         by_domain[candidate.server.domain].append(candidate)
     counts = dict(in_groups)
-    total = sum(counts.values()) + sum(len(c) for c in by_domain.values())
     groups: list[NewGroup] = []
     while True:
         options = [
             (model, domain)
             for domain, candidates in by_domain.items()
             for model in models
-            if model.size <= len(candidates) and _wanted(model, models, counts, total)
+            if _fits(model, candidates, loading)
         ]
         if not options:
             break
         model, domain = min(
             options,
             key=lambda o: (
-                counts.get(o[0].name, 0) / max(o[0].share, 1e-9),
+                counts.get(o[0].name, 0) / needed[o[0].name],
                 -o[0].size,
-                _cost(o[0], by_domain[o[1]]),
+                _loads(o[0], by_domain[o[1]]),
                 o[1],
             ),
         )
@@ -108,30 +159,90 @@
     spares: Iterable[FreeServer],
     models: Sequence[ModelProfile],
     groups: Mapping[DomainId, Sequence[ModelName]],
+    in_groups: Mapping[ModelName, int],
+    needed: Mapping[ModelName, float],
 ) -> list[tuple[VmId, ModelName]]:
-    """Return the loads that prepare spare servers for the next repair.
+    """Return the loads that prepare free servers, the most useful first.
 
-    In each domain the spares hold the models of its groups in turn, the model
-    whose groups have most servers first, since these lose a member most often.
+    Loads that complete a group come first. Otherwise the spares of a domain hold
+    the models of its groups in turn, the model whose groups have most servers
+    first, since these lose a member most often.
     """
     by_domain: dict[DomainId, list[FreeServer]] = collections.defaultdict(list)
     for spare in spares:
         by_domain[spare.server.domain].append(spare)
-    loads: list[tuple[VmId, ModelName]] = []
+    counts = dict(in_groups)
+    completing: list[tuple[VmId, ModelName]] = []
+    preparing: list[tuple[VmId, ModelName]] = []
     for domain, candidates in sorted(by_domain.items()):
-        wanted = _wanted_weights(len(candidates), models, groups.get(domain, ()))
         rest = sorted(candidates, key=lambda c: c.server.vm)
-        missing: list[ModelName] = []
-        for model in wanted:
-            holder = next((c for c in rest if c.readiness(model) < 2), None)
-            if holder is None:
-                missing.append(model)
-            else:
-                rest.remove(holder)
-        loads += [(c.server.vm, m) for c, m in zip(rest, missing, strict=False)]
+        while (model := _next_to_complete(rest, models, counts, needed)) is not None:
+            members = _choose(model, rest)
+            completing += [
+                (m.server.vm, model.name)
+                for m in members
+                if m.readiness(model.name) == _UNLOADED
+            ]
+            counts[model.name] = counts.get(model.name, 0) + model.size
+            rest = [c for c in rest if c not in members]
+        preparing += _prepare(rest, models, groups.get(domain, ()))
+    return completing + preparing
+
+
+def plan_second_weights(
+    spares: Iterable[FreeServer], models: Sequence[ModelProfile]
+) -> list[tuple[VmId, ModelName]]:
+    """Return the loads by which spares hold one model in memory, another staged.
+
+    Such a spare repairs a group of either model without a load.
+    """
+    loads = []
+    for spare in spares:
+        if spare.last_model is None or spare.server.staged - {spare.last_model}:
+            continue
+        others = [m for m in models if m.name != spare.last_model]
+        if others:
+            best = max(others, key=lambda m: m.share)
+            loads.append((spare.server.vm, best.name))
     return loads
 
 
+def _next_to_complete(
+    candidates: Sequence[FreeServer],
+    models: Sequence[ModelProfile],
+    counts: Mapping[ModelName, int],
+    needed: Mapping[ModelName, float],
+) -> ModelProfile | None:
+    """Return the model of which the candidates make the next group."""
+    fitting = [
+        m
+        for m in models
+        if m.size <= len(candidates)
+        and counts.get(m.name, 0) < _SURPLUS * needed[m.name]
+    ]
+    return min(
+        fitting,
+        key=lambda m: (_loads(m, candidates), counts.get(m.name, 0) / needed[m.name]),
+        default=None,
+    )
+
+
+def _prepare(
+    spares: list[FreeServer],
+    models: Sequence[ModelProfile],
+    present: Sequence[ModelName],
+) -> list[tuple[VmId, ModelName]]:
+    rest = list(spares)
+    missing: list[ModelName] = []
+    for model in _wanted_weights(len(spares), models, present):
+        holder = next((c for c in rest if c.readiness(model) < _UNLOADED), None)
+        if holder is None:
+            missing.append(model)
+        else:
+            rest.remove(holder)
+    return [(c.server.vm, m) for c, m in zip(rest, missing, strict=False)]
+
+
 def _wanted_weights(
     spares: int, models: Sequence[ModelProfile], present: Sequence[ModelName]
 ) -> list[ModelName]:
@@ -149,23 +260,17 @@
     return wanted
 
 
-def _wanted(
-    model: ModelProfile,
-    models: Sequence[ModelProfile],
-    counts: Mapping[ModelName, int],
-    total: int,
-) -> bool:
-    shares = sum(m.share for m in models) or 1.0
-    fair = total * model.share / shares
-    return counts.get(model.name, 0) + model.size <= max(
-        _SURPLUS * fair, float(model.size)
-    )
+def _fits(model: ModelProfile, candidates: Sequence[FreeServer], loading: bool) -> bool:
+    if loading:
+        return model.size <= len(candidates)
+    ready = sum(c.readiness(model.name) < _UNLOADED for c in candidates)
+    return model.size <= ready
 
 
-def _cost(model: ModelProfile, candidates: Sequence[FreeServer]) -> int:
+def _loads(model: ModelProfile, candidates: Sequence[FreeServer]) -> int:
     """Return the loads that a group of the candidates needs."""
     ready = sorted(c.readiness(model.name) for c in candidates)
-    return sum(r == 2 for r in ready[: model.size])
+    return sum(r == _UNLOADED for r in ready[: model.size])
 
 
 def _choose(
--- a/pomelolug/replicas/_view.py
+++ b/pomelolug/replicas/_view.py
@@ -7,12 +7,27 @@
 from pomelolug.deployment import BackendServer, GroupState
 from pomelolug.ids import GroupId, ModelName
 
-__all__ = ["GroupKey", "GroupView", "group_views"]
+__all__ = ["GroupKey", "GroupView", "group_views", "is_standby", "standby_name"]
+
+_STANDBY = "standby-"
 
 GroupKey = tuple[GroupId, int]
 """Name and epoch of a group."""
 
 
+def standby_name(epoch: int) -> GroupId:
+    """Return the name of a group that keeps one spare's weights in memory."""
+    return GroupId(f"{_STANDBY}{epoch}")
+
+
+def is_standby(key: GroupKey) -> bool:
+    """Return whether a group only keeps a spare's weights in memory.
+
+    It is never opened, so its member is free for every other group.
+    """
+    return key[0].startswith(_STANDBY)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupView:
     """Members of one group by rank."""
