Start orders without waiting for probes, wake the controller on changes

Cause: a round awaited the reports of suspects, so an open order waited up to 0.45 s behind a dead server; at the start small groups passed large ones that did not fit the remaining loads, which left 3 groups of the large model of 6.

Change: orders and probes run as tasks of their own, a change of servers starts a round, reports have their own time-out of 250 ms, and loads keep the planned order.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -50,6 +50,8 @@
 _STORE_TIMEOUT = datetime.timedelta(milliseconds=1000)
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=300)
 _ORDER_TIMEOUT = datetime.timedelta(milliseconds=450)
+_REPORT_TIMEOUT = datetime.timedelta(milliseconds=250)
+"""Reports need no slot and take a few milliseconds unless a packet is lost."""
 _IDLE = datetime.timedelta(milliseconds=900)
 """Age of a kept connection up to which it is used; servers close idle ones."""
 _HOUSEKEEPING = datetime.timedelta(milliseconds=50)
@@ -205,7 +207,8 @@
         )
         orders = ServerOrders(
             pool=ConnectionPool(idle=_IDLE, connect_timeout=_CONNECT_TIMEOUT),
-            timeout=_ORDER_TIMEOUT,
+            order_timeout=_ORDER_TIMEOUT,
+            report_timeout=_REPORT_TIMEOUT,
         )
         self._controller = GroupController(
             duty=self._duty,
@@ -300,6 +303,7 @@
 
     def _servers_changed(self, change: RegistryChange) -> None:
         self._board.update(self._sizes)
+        self._controller.wake()
         for server in change.removed:
             self._pool.drop(server.address)
 
--- a/pomelolug/entry/_watch.py
+++ b/pomelolug/entry/_watch.py
@@ -16,7 +16,7 @@
 __all__ = ["StallWatch", "WatchedStream"]
 
 _CHECK = datetime.timedelta(milliseconds=100)
-_STREAMING_S = 0.7
+_STREAMING_S = 0.6
 """Pause in all streams of a group after which it counts as stalled.
 
 Passes take 60 to 150 ms at full batches, and callers leave after 2 s.
--- a/pomelolug/platform/_orders.py
+++ b/pomelolug/platform/_orders.py
@@ -69,13 +69,20 @@
     ----------
     pool : ConnectionPool
         Connections of this client alone.
-    timeout : datetime.timedelta
-        Bound on one call.
+    order_timeout, report_timeout : datetime.timedelta
+        Bounds on one call.
     """
 
-    def __init__(self, *, pool: ConnectionPool, timeout: datetime.timedelta) -> None:
+    def __init__(
+        self,
+        *,
+        pool: ConnectionPool,
+        order_timeout: datetime.timedelta,
+        report_timeout: datetime.timedelta,
+    ) -> None:
         self._pool = pool
-        self._timeout_s = timeout.total_seconds()
+        self._order_timeout_s = order_timeout.total_seconds()
+        self._report_timeout_s = report_timeout.total_seconds()
 
     async def join(
         self,
@@ -171,7 +178,7 @@
             ],
         )
         try:
-            head, body = await self._call(server, request)
+            head, body = await self._call(server, request, self._report_timeout_s)
             if head.status != 200:
                 return None
             return _decode_report(body)
@@ -195,7 +202,7 @@
             msgspec.json.encode(body),
         )
         try:
-            head, _ = await self._call(server, request)
+            head, _ = await self._call(server, request, self._order_timeout_s)
         except BrokenResponse as error:
             if error.reason in ("connect_refused", "connect_timeout"):
                 return OrderResult.UNREACHABLE
@@ -205,9 +212,9 @@
         return _RESULTS.get(head.status, OrderResult.INVALID)
 
     async def _call(
-        self, server: BackendServer, request: bytes
+        self, server: BackendServer, request: bytes, timeout_s: float
     ) -> tuple[ResponseHead, bytes]:
-        async with asyncio.timeout(self._timeout_s):
+        async with asyncio.timeout(timeout_s):
             connection = await self._pool.acquire(server.address)
             try:
                 connection.send(request)
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -45,7 +45,9 @@
 _log = structlog.get_logger(__name__)
 
 TICK = datetime.timedelta(milliseconds=150)
-"""Pause between two rounds; the registry is read about as often."""
+"""Longest pause between two rounds."""
+_LEAST_PAUSE = datetime.timedelta(milliseconds=20)
+_PROBE_PAUSE = datetime.timedelta(milliseconds=50)
 _ORDER_RETRY_S = 0.6
 """Time after which an order without visible effect is given again."""
 _FORMATION_S = 4.0
@@ -158,6 +160,8 @@
         self._suspects: dict[VmId, float] = {}
         self._first_seen: dict[ServiceName, tuple[float, float, int]] = {}
         self._witnesses: set[tuple[GroupKey, VmId]] = set()
+        self._awake = asyncio.Event()
+        self._orders: set[asyncio.Task[None]] = set()
         self._was_held = False
         self._watching_since = clock.monotonic()
 
@@ -165,17 +169,44 @@
         """Take note that the streams of a group stand still."""
         self._suspects[head] = self._clock.monotonic()
 
+    def wake(self) -> None:
+        """Do the next round at once, because servers have changed."""
+        self._awake.set()
+
     async def run(self) -> None:
         """Work until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_rounds())
+            group.create_task(self._run_probes())
+
+    async def _run_rounds(self) -> None:
         while True:
             try:
-                await self.step()
+                self.step()
             except Exception:
                 _log.exception("group_step_failed")
-            await self._clock.sleep(TICK)
+            await self._clock.sleep(_LEAST_PAUSE)
+            try:
+                async with asyncio.timeout(TICK.total_seconds()):
+                    await self._awake.wait()
+            except TimeoutError:
+                continue
 
-    async def step(self) -> None:
-        """Do one round: probe suspects, then give the orders that are due."""
+    async def _run_probes(self) -> None:
+        while True:
+            if self._duty.held:
+                await self._probe_suspects()
+                self.wake()
+            await self._clock.sleep(_PROBE_PAUSE)
+
+    async def settle(self) -> None:
+        """Wait for the orders that are on their way."""
+        while self._orders:
+            await asyncio.gather(*self._orders)
+
+    def step(self) -> None:
+        """Do one round: start the orders that are due."""
+        self._awake.clear()
         self._track_servers()
         declaration = self._declaration()
         if not self._duty.held or declaration is None:
@@ -183,16 +214,14 @@
                 self._forget()
             return
         self._was_held = True
-        await self._probe_suspects()
         orders: list[Coroutine[Any, Any, None]] = []
         for service in declaration.engine_services():
             assert service.engine is not None
             orders += self._service_orders(service.name, service.engine)
-        if self._duty.held:
-            await asyncio.gather(*orders)
-        else:
-            for order in orders:
-                order.close()
+        for order in orders:
+            task = asyncio.get_running_loop().create_task(order)
+            self._orders.add(task)
+            task.add_done_callback(self._orders.discard)
 
     # What is known
 
@@ -512,8 +541,9 @@
             loading=not self._serving(),
         )
         for group in groups:
-            if group.loads and group.loads > room:
-                continue
+            if group.loads and room <= 0:
+                # The order keeps the models in balance, so none is passed over.
+                break
             room -= group.loads
             orders += self._start(group)
         return orders
@@ -564,6 +594,8 @@
             members=list(formation.members),
             loads=group.loads,
         )
+        for member in group.members:
+            self._ordered_at[member.server.vm] = now
         return [self._join(formation, m.server) for m in group.members]
 
     def _stage(
@@ -634,8 +666,12 @@
     # Single orders
 
     def _due(self, vm: VmId) -> bool:
-        at = self._ordered_at.get(vm, float("-inf"))
-        return self._clock.monotonic() - at >= _ORDER_RETRY_S
+        """Return whether a server may get an order, and note that it gets one."""
+        now = self._clock.monotonic()
+        if now - self._ordered_at.get(vm, float("-inf")) < _ORDER_RETRY_S:
+            return False
+        self._ordered_at[vm] = now
+        return True
 
     async def _begun(self, server: BackendServer) -> int | None:
         """Return the orders that a server has begun, or None without a report."""
@@ -724,6 +760,7 @@
         is_head = membership is not None and membership.rank == 0
         wait_s = 0.0 if is_head else self._stall_s
         release.free_at = self._clock.monotonic() + wait_s
+        self.wake()
         if not is_head:
             self._witnesses.add((key, server.vm))
 
@@ -743,10 +780,7 @@
 
     def _allowed(self, vm: VmId) -> bool:
         """Check the lease again right before an order leaves."""
-        if not self._duty.held:
-            return False
-        self._ordered_at[vm] = self._clock.monotonic()
-        return True
+        return self._duty.held
 
     def _ordered(
         self,
--- a/pomelolug/replicas/_plan.py
+++ b/pomelolug/replicas/_plan.py
@@ -102,7 +102,7 @@
     *,
     loading: bool,
 ) -> list[NewGroup]:
-    """Return the groups to form, those with the fewest loads first.
+    """Return the groups to form, those without loads first.
 
     Parameters
     ----------
@@ -152,7 +152,7 @@
         by_domain[domain] = [c for c in by_domain[domain] if c.server.vm not in taken]
         counts[model.name] = counts.get(model.name, 0) + model.size
         groups.append(NewGroup(model, members))
-    return sorted(groups, key=lambda group: group.loads)
+    return sorted(groups, key=lambda group: group.loads > 0)
 
 
 def plan_staging(
