Test the platform's adapter, the entry process and the group controller

Change: stand-ins of the users' store, of group servers (in memory, with epochs, fencing tokens, counts of orders, late orders and silent heads) and of backend servers that answer byte by byte. The tests found that a head that arrived in one packet was not bounded; fields are now counted as they are parsed, and an endless field by its bytes.

--- /dev/null
+++ b/pomelolug/entry/tests/harness.py
@@ -0,0 +1,227 @@
+"""An entry process in the test's event loop, over stand-ins on loopback."""
+
+import asyncio
+import datetime
+import os
+import random
+
+import msgspec
+
+from pomelolug.entry._compose import _Entry
+from pomelolug.ids import NodeId, ZoneId
+from pomelolug.platform import NodeSettings
+from pomelolug.telemetry import BoundedWriter
+from pomelolug.testing import ScriptedServer, StoreStandIn
+from pomelolug.transport import (
+    ClientConnection,
+    ResponseHead,
+    encode_request,
+    open_connection,
+)
+
+HOST = "h.example"
+KEY = "key-of-a"
+MODEL = "model-a"
+SEAL = {"Response-Seal": "s.1"}
+
+
+def route(name: str, prefix: str, kind: str, service: str, **more):
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 2000,
+        "target_latency_ms": 300,
+        "max_attempts": 2,
+    } | more
+
+
+def configuration(version: int = 1, **more):
+    engine = {
+        "slots": 4,
+        "models": [{"name": MODEL, "size": 1, "load_s": 1.0, "warm_s": 0.1}],
+        "step_ms": 5.0,
+        "stride": 2,
+        "read_per_s": 50000.0,
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "/safe/", "safe", "plain"),
+            route("once", "/once/", "unsafe", "plain", max_attempts=1),
+            route(
+                "stream",
+                "/stream/",
+                "streaming",
+                "llm",
+                resumable=True,
+                sticky=True,
+                gap_target_ms=200,
+            ),
+        ],
+        "services": [{"name": "plain"}, {"name": "llm", "engine": engine}],
+        "limits": {"max_header_bytes": 4096, "max_body_bytes": 10000},
+        "tenants": [{"name": "account-a", "api_keys": [KEY]}],
+    } | more
+
+
+class Harness:
+    """One entry VM, its store and its servers."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandIn()
+        self.servers: list[ScriptedServer] = []
+        rng = random.Random(os.urandom(8))
+        self.ip = f"127.{rng.randrange(1, 250)}.{rng.randrange(250)}.7"
+        self.entry: _Entry | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> "Harness":
+        await self.store.start()
+        self.declare(configuration())
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        if self.entry is not None and self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for server in self.servers:
+            server.stop()
+        await self.store.stop()
+
+    def declare(self, value) -> None:
+        self.store.put("keyed.op", "config", msgspec.json.encode(value))
+
+    async def add(self, script, *, service: str = "plain", vm: str = "") -> str:
+        """Add a server, which is an open group of one where a model is served."""
+        server = ScriptedServer(script)
+        await server.start()
+        self.servers.append(server)
+        name = vm or f"vm-{len(self.servers)}"
+        entry = {
+            "service": service,
+            "address": server.address,
+            "zone": "z1",
+            "state": "ready",
+            "slots": 4,
+            "born": 1,
+            "seq": 1,
+        }
+        if service == "llm":
+            group = {"name": f"g-{name}", "epoch": 1, "rank": 0, "state": "open"}
+            models = [{"name": MODEL, "version": 1, "adapters": []}]
+            entry |= {"domain": "d", "group": group, "models": models}
+        self.store.put("keyed.servers", name, msgspec.json.encode(entry))
+        return name
+
+    async def start(self, *, servers: int | None = None) -> None:
+        """Start the process and wait until it knows its servers."""
+        settings = NodeSettings(
+            node=NodeId("n1"),
+            ip=self.ip,
+            zone=ZoneId("z1"),
+            store_address=self.store.address,
+            caller_address=f"{self.ip}:8001",
+            readiness_address=f"{self.ip}:8002",
+            peer_address=f"{self.ip}:8003",
+            internal_ports=(8004, 8010),
+            peer_seeds=(),
+            stop_grace=datetime.timedelta(seconds=8),
+            drain_bound=datetime.timedelta(seconds=2),
+            stall=datetime.timedelta(seconds=5),
+            retry_ratio=0.2,
+            retry_window=datetime.timedelta(seconds=10),
+            retry_reserve=50.0,
+            least_lease=datetime.timedelta(seconds=1),
+            descriptors=1000,
+        )
+        self.entry = _Entry(settings, BoundedWriter(os.dup(2)))
+        self._task = asyncio.create_task(self.entry.run())
+        wanted = len(self.servers) if servers is None else servers
+        async with asyncio.timeout(5.0):
+            while not self._knows(wanted):  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+    def _knows(self, wanted: int) -> bool:
+        assert self.entry is not None
+        registry = getattr(self.entry, "_registry", None)
+        return registry is not None and len(registry.servers) >= wanted
+
+    async def connect(self, port: int = 8001) -> ClientConnection:
+        return await open_connection(
+            self.ip, port, timeout=datetime.timedelta(seconds=1)
+        )
+
+    async def call(
+        self,
+        path: str,
+        *,
+        method: bytes = b"GET",
+        body: bytes = b"",
+        request_id: str = "r1",
+        key: str | None = KEY,
+        deadline_ms: int = 3000,
+        connection: ClientConnection | None = None,
+        **headers: str,
+    ) -> tuple[ResponseHead, bytes]:
+        """Send a request and return the whole answer."""
+        connection = connection or await self.connect()
+        connection.send(
+            encoded(
+                path,
+                method=method,
+                body=body,
+                request_id=request_id,
+                key=key,
+                deadline_ms=deadline_ms,
+                **headers,
+            )
+        )
+        head = await connection.head()
+        return head, await connection.body(1 << 20)
+
+
+def encoded(
+    path: str,
+    *,
+    method: bytes = b"GET",
+    body: bytes = b"",
+    request_id: str = "r1",
+    key: str | None = KEY,
+    deadline_ms: int = 3000,
+    **headers: str,
+) -> bytes:
+    fields = [
+        (b"Host", HOST.encode()),
+        (b"Request-Id", request_id.encode()),
+        (b"Deadline-Ms", b"%d" % deadline_ms),
+    ]
+    if key is not None:
+        fields.append((b"Authorization", b"Bearer " + key.encode()))
+    for name, value in headers.items():
+        fields.append((name.replace("_", "-").encode(), value.encode()))
+    return encode_request(method, path.encode(), fields, body)
+
+
+def answer(request, status: str = "200 OK", body: bytes = b"whole", **headers):
+    """Answer as a sound server does."""
+    fields = {"Request-Id": request.request_id} | SEAL | headers
+    request.send(status, fields, body)
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def begin_stream(request) -> None:
+    request.send_head(
+        "200 OK",
+        {
+            "Request-Id": request.request_id,
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        | SEAL,
+    )
--- a/pomelolug/platform/_settings.py
+++ b/pomelolug/platform/_settings.py
@@ -55,7 +55,6 @@
     region: str = ""
     internal_ports: tuple[int, ...] = ()
     seeds: tuple[str, ...] = ()
-    heartbeat_ms: float = 1200.0
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
 
@@ -76,7 +75,6 @@
     internal_ports: tuple[int, ...]
     peer_seeds: tuple[str, ...]
     """Peer addresses of at most three nodes; may be stale."""
-    server_heartbeat: datetime.timedelta
     stop_grace: datetime.timedelta
     """Time between the request to stop and the kill."""
     drain_bound: datetime.timedelta
@@ -125,7 +123,6 @@
         peer_address=file.listen.control,
         internal_ports=file.internal_ports,
         peer_seeds=file.seeds,
-        server_heartbeat=datetime.timedelta(milliseconds=file.heartbeat_ms),
         stop_grace=datetime.timedelta(seconds=bounds.grace_s),
         drain_bound=datetime.timedelta(milliseconds=bounds.drain_ms),
         stall=datetime.timedelta(milliseconds=bounds.stall_ms),
--- /dev/null
+++ b/pomelolug/platform/tests/test_wire_words.py
@@ -0,0 +1,27 @@
+"""The platform's names stay in its adapter."""
+
+import pathlib
+import re
+
+ROOT = pathlib.Path(__file__).parents[2]
+_ADAPTER = ("platform", "testing")
+_WORDS = re.compile(
+    r"Response-Seal|Not-Executed|Expect-Instance|(?<!X-)Deadline-Ms|Prompt-Prefix"
+    r"|Token-Count|Request-Urgency|Weight-Versions|Length-Hint|At-Server"
+    r"|log-append|log-newest|log-read|log-join|log-commit|/-/|keyed\.(op|servers)"
+    r"|path_prefix|target_latency_ms|max_attempts\"|gap_target_ms|api_keys"
+    r"|retain_count|close_mode|cold_remaining|POMELOLUG_SETTINGS"
+)
+
+
+def test_no_module_outside_the_adapter_has_a_word_of_the_wire():
+    # Guards against a name of the platform that spreads through the product.
+    found = []
+    for path in sorted(ROOT.rglob("*.py")):
+        parts = path.relative_to(ROOT).parts
+        if parts[0] in _ADAPTER or "tests" in parts:
+            continue
+        for number, line in enumerate(path.read_text().splitlines(), start=1):
+            if _WORDS.search(line):
+                found.append(f"{path.relative_to(ROOT)}:{number}: {line.strip()}")
+    assert found == []
--- /dev/null
+++ b/pomelolug/replicas/tests/fleet.py
@@ -0,0 +1,141 @@
+"""A controller over simulated servers on virtual time."""
+
+import asyncio
+import datetime
+
+from pomelolug.deployment import (
+    Declaration,
+    EngineProfile,
+    ModelProfile,
+    ServerRegistry,
+    Service,
+)
+from pomelolug.ids import ModelName, ServiceName
+from pomelolug.replicas import DutyHolder, DutySource, GroupController, ServerHealth
+from pomelolug.testing import GroupServers, LoopClock
+
+LARGE = ModelName("large")
+SMALL = ModelName("small")
+SERVICE = ServiceName("llm")
+STALL = datetime.timedelta(seconds=5)
+
+
+def seconds(value: float) -> datetime.timedelta:
+    return datetime.timedelta(seconds=value)
+
+
+ENGINE = EngineProfile(
+    slots=13,
+    kv_tokens=1_235_000,
+    step_ms=6.45,
+    step_ms_per_request=0.19,
+    step_ms_per_1000_tokens=0.006,
+    prefill_tokens_per_s=56_100.0,
+    tokens_per_event=6,
+    loads_per_s=5.5,
+    loads_at_once=8,
+    staged_models=1,
+    open_delay=seconds(0.3),
+    mean_prompt_tokens=1115.0,
+    mean_answer_tokens=152.0,
+    models=(
+        ModelProfile(
+            name=LARGE,
+            size=6,
+            pace=1.0,
+            share=0.67,
+            load=seconds(16),
+            warm=seconds(1.6),
+        ),
+        ModelProfile(
+            name=SMALL,
+            size=3,
+            pace=0.6,
+            share=0.33,
+            load=seconds(12),
+            warm=seconds(1.1),
+        ),
+    ),
+)
+
+DECLARATION = Declaration(
+    version=1,
+    routes=(),
+    services={
+        SERVICE: Service(
+            name=SERVICE, health_path="/health", max_connections=100, engine=ENGINE
+        )
+    },
+    tenants=None,
+    max_header_bytes=16384,
+    max_body_bytes=1 << 20,
+    header_timeout=seconds(3),
+    idle_timeout=seconds(15),
+)
+
+
+class FakeDuty(DutySource):
+    """Duty that a test assigns."""
+
+    def __init__(self, generation: int) -> None:
+        self.generation = generation
+        self.assigned = True
+
+    async def renew(self, generation: int) -> tuple[int, bool]:
+        return self.generation, self.assigned
+
+    async def release(self) -> None:
+        self.assigned = False
+
+
+class Node:
+    """One node that may form groups."""
+
+    def __init__(self, fleet: GroupServers, *, generation: int = 1) -> None:
+        clock = LoopClock()
+        self.source = FakeDuty(generation)
+        self.duty = DutyHolder(source=self.source, clock=clock, lease=seconds(1.5))
+        self.registry = ServerRegistry(clock=clock)
+        self.health = ServerHealth(control=fleet, clock=clock)
+        self.in_flight: dict[str, int] = {}
+        self.serving = False
+        self.controller = GroupController(
+            duty=self.duty,
+            registry=self.registry,
+            control=fleet,
+            health=self.health,
+            clock=clock,
+            declaration=lambda: DECLARATION,
+            stall=STALL,
+            serving=lambda: self.serving,
+            in_flight=lambda vm: self.in_flight.get(vm, 0),
+            on_event=lambda event, result: None,
+        )
+        fleet.attach(self.registry)
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self.duty.run()),
+            loop.create_task(self.controller.run()),
+        ]
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def make_fleet(domains: int = 1, *, size: int = 11) -> GroupServers:
+    fleet = GroupServers(engine=ENGINE, service=SERVICE, stall=STALL)
+    for domain in range(domains):
+        for number in range(size):
+            fleet.add(f"s{domain}-{number:02}", f"d{domain}")
+    return fleet
+
+
+async def start(fleet: GroupServers, *, groups: int = 2) -> Node:
+    """Return a node whose groups are open and whose spares are prepared."""
+    node = Node(fleet)
+    await asyncio.sleep(90.0)
+    assert len(fleet.open_groups()) == groups
+    node.serving = True
+    return node
--- /dev/null
+++ b/pomelolug/replicas/tests/test_controller.py
@@ -0,0 +1,194 @@
+"""The controller keeps groups whole, exclusive and open under faults."""
+
+import asyncio
+
+import pytest
+
+from pomelolug.deployment import GroupState, OrderResult
+from pomelolug.ids import VmId
+from pomelolug.replicas.tests.fleet import LARGE, SMALL, Node, make_fleet, start
+from pomelolug.testing import GroupServers
+
+pytestmark = pytest.mark.looptime
+
+
+def head_of(fleet: GroupServers, model: str) -> VmId:
+    return next(
+        s.vm
+        for s in fleet.servers.values()
+        if s.model == model
+        and s.membership is not None
+        and s.membership.state is GroupState.OPEN
+    )
+
+
+def member_of(fleet: GroupServers, model: str) -> VmId:
+    head = fleet.servers[head_of(fleet, model)]
+    return head.members[-1]
+
+
+async def until_open(fleet: GroupServers, count: int, *, most_s: float) -> float:
+    """Return the seconds until `count` groups serve."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    while len(fleet.open_groups()) < count:
+        assert loop.time() - started < most_s, fleet.orders[-20:]
+        await asyncio.sleep(0.02)
+    return loop.time() - started
+
+
+async def test_start_forms_a_group_of_each_model_in_a_domain():
+    # Guards against a start that gives all servers to one model.
+    fleet = make_fleet(domains=2)
+    node = await start(fleet, groups=4)
+    assert sorted(fleet.open_groups().values()) == [LARGE, LARGE, SMALL, SMALL]
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_spares_hold_one_model_in_memory_and_another_staged():
+    # Guards against repairs that wait 12 to 16 s for a load.
+    fleet = make_fleet()
+    node = await start(fleet)
+    spares = [
+        s
+        for s in fleet.servers.values()
+        if s.membership is None or s.membership.group.startswith("standby")
+    ]
+    assert len(spares) == 2
+    for spare in spares:
+        assert spare.staged | {spare.last_model} == {LARGE, SMALL}
+    await node.stop()
+
+
+@pytest.mark.parametrize("model", [LARGE, SMALL])
+async def test_lost_member_is_replaced_within_two_seconds(model):
+    # Guards against a group that stays down although a spare is ready.
+    fleet = make_fleet()
+    node = await start(fleet)
+    head = head_of(fleet, model)
+    fleet.kill(member_of(fleet, model))
+    node.controller.suspect(head)
+    assert len(fleet.open_groups()) == 1
+    await until_open(fleet, 2, most_s=2.0)
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_members_of_a_silent_head_wait_for_its_stall_time():
+    # Guards against a server in two groups: a head that cannot be reached may
+    # still be open.
+    fleet = make_fleet()
+    node = await start(fleet)
+    head = head_of(fleet, SMALL)
+    members = set(fleet.servers[head].members) - {head}
+    fleet.servers[head].reachable = False
+    node.controller.suspect(head)
+    await asyncio.sleep(4.5)
+    early = [
+        (kind, vm)
+        for kind, vm, result in fleet.orders
+        if kind == "join" and vm in members and result is OrderResult.BEGUN
+    ]
+    assert len(early) == len(members)  # those of the first formation only
+    await asyncio.sleep(10.0)
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_draining_member_lets_its_group_finish_first():
+    # Guards against streams that a planned stop of a member cuts.
+    fleet = make_fleet()
+    node = await start(fleet)
+    head = head_of(fleet, LARGE)
+    fleet.drain(member_of(fleet, LARGE))
+    await asyncio.sleep(3.0)
+    kinds = [kind for kind, vm, _ in fleet.orders if vm == head]
+    assert kinds.index("close") < kinds.index("leave")
+    assert await until_open(fleet, 2, most_s=5.0) < 5.0
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_order_carried_out_late_changes_nothing():
+    # Guards against an old join that takes a server out of its new group.
+    fleet = make_fleet()
+    node = await start(fleet)
+    head = head_of(fleet, LARGE)
+    fleet.late_s = 6.0
+    fleet.kill(member_of(fleet, LARGE))
+    node.controller.suspect(head)
+    await asyncio.sleep(1.5)
+    fleet.late_s = None
+    await asyncio.sleep(20.0)
+    assert len(fleet.open_groups()) == 2
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_successor_continues_without_disturbing_open_groups():
+    # Guards against a successor that starts from an empty picture and forms
+    # groups anew.
+    fleet = make_fleet(domains=2)
+    node = await start(fleet, groups=4)
+    before = fleet.open_groups()
+    await node.stop()
+    successor = Node(fleet, generation=2)
+    successor.serving = True
+    await asyncio.sleep(10.0)
+    assert fleet.open_groups() == before
+    fleet.kill(member_of(fleet, LARGE))
+    successor.controller.suspect(head_of(fleet, LARGE))
+    await asyncio.sleep(8.0)
+    assert len(fleet.open_groups()) == 4
+    assert fleet.violations == []
+    await successor.stop()
+
+
+async def test_two_nodes_that_both_believe_to_hold_the_duty():
+    # Guards against a server in two groups when an old holder gives orders on.
+    fleet = make_fleet(domains=2)
+    first = Node(fleet, generation=1)
+    second = Node(fleet, generation=2)
+    await asyncio.sleep(60.0)
+    fleet.kill(member_of(fleet, LARGE))
+    first.controller.suspect(head_of(fleet, LARGE))
+    second.controller.suspect(head_of(fleet, LARGE))
+    await asyncio.sleep(60.0)
+    assert len(fleet.open_groups()) == 4
+    assert fleet.violations == []
+    await first.stop()
+    await second.stop()
+
+
+async def test_restarted_server_counts_orders_anew():
+    # Guards against a server that refuses every order after a restart under its
+    # id, because the count of orders is that of its former life.
+    fleet = make_fleet()
+    node = await start(fleet)
+    victim = member_of(fleet, SMALL)
+    fleet.restart(victim)
+    await asyncio.sleep(20.0)
+    assert len(fleet.open_groups()) == 2
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_nothing_is_ordered_without_the_duty():
+    # Guards against orders after the lease has passed to another node.
+    fleet = make_fleet()
+    node = Node(fleet)
+    node.source.assigned = False
+    await asyncio.sleep(10.0)
+    assert fleet.orders == []
+    await node.stop()
+
+
+async def test_loads_at_once_stay_bounded_after_the_first_request():
+    # Guards against loads that slow each other down and exceed the store's rate.
+    fleet = make_fleet(domains=6)
+    node = Node(fleet)
+    node.serving = True
+    await asyncio.sleep(5.0)
+    assert 0 < len(fleet.loads) <= 8
+    await node.stop()
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -2,18 +2,26 @@
 
 from pomelolug.testing._clock import LoopClock
 from pomelolug.testing._engine_fleet import FakeEngineFleet, FakeVm, LedgerEntry
+from pomelolug.testing._group_servers import GroupServers, SimulatedServer
 from pomelolug.testing._group_world import ControlNode, GroupWorld
 from pomelolug.testing._memory_log import LogFaults, MemoryLog
+from pomelolug.testing._scripted_server import ScriptedServer, ServedRequest
 from pomelolug.testing._shared_store import FakeWeightStore
+from pomelolug.testing._store_stand_in import StoreStandIn
 
 __all__ = [
     "ControlNode",
     "FakeEngineFleet",
     "FakeVm",
     "FakeWeightStore",
+    "GroupServers",
     "GroupWorld",
     "LedgerEntry",
     "LogFaults",
     "LoopClock",
     "MemoryLog",
+    "ScriptedServer",
+    "ServedRequest",
+    "SimulatedServer",
+    "StoreStandIn",
 ]
--- /dev/null
+++ b/pomelolug/testing/_scripted_server.py
@@ -0,0 +1,113 @@
+"""A backend server whose answers a test writes byte by byte."""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+__all__ = ["ScriptedServer", "ServedRequest"]
+
+
+_NO_LINGER = struct.pack("ii", 1, 0)
+"""Closes with a reset instead of an orderly end."""
+
+
+@dataclasses.dataclass(slots=True)
+class ServedRequest:
+    """One request as it arrived, and the connection to answer on."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    connection: int
+
+    @property
+    def request_id(self) -> str:
+        """Id that the caller gave the request."""
+        return self.headers.get("request-id", "")
+
+    def send(self, status: str, headers: dict[str, str], body: bytes = b"") -> None:
+        """Send a whole response with a length."""
+        self.send_head(status, headers | {"Content-Length": str(len(body))})
+        self.writer.write(body)
+
+    def send_head(self, status: str, headers: dict[str, str]) -> None:
+        """Send the head of a response."""
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        self.writer.write(f"HTTP/1.1 {status}\r\n{lines}\r\n".encode())
+
+    def send_chunk(self, data: bytes) -> None:
+        """Send one chunk; empty data ends the body."""
+        self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def reset(self) -> None:
+        """Break the connection off with a reset."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.writer.transport.abort()
+
+    async def wait_closed(self) -> None:
+        """Wait until the other side has closed the connection."""
+        await self.reader.read()
+
+
+Script = Callable[[ServedRequest], Awaitable[None]]
+
+
+class ScriptedServer:
+    """Listens on loopback and runs a script for each request."""
+
+    def __init__(self, script: Script) -> None:
+        self._script = script
+        self._server: asyncio.Server | None = None
+        self._connections = 0
+        self.requests: list[ServedRequest] = []
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Close the port."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._connections += 1
+        number = self._connections
+        try:
+            while not writer.transport.is_closing():
+                request = await self._read(reader, writer, number)
+                self.requests.append(request)
+                await self._script(request)
+                await writer.drain()
+        except (
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            asyncio.CancelledError,
+        ):
+            return
+        finally:
+            writer.close()
+
+    async def _read(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int
+    ) -> ServedRequest:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        method, target, _ = head[0].split(" ")
+        headers = {}
+        for line in head[1:]:
+            name, _, value = line.partition(": ")
+            if name:
+                headers[name.lower()] = value
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        return ServedRequest(method, target, headers, body, reader, writer, number)
--- a/pomelolug/transport/_server.py
+++ b/pomelolug/transport/_server.py
@@ -12,6 +12,8 @@
 __all__ = ["Exchange", "Handler", "ServerConnection", "WireLimits"]
 
 _MOST_PIPELINED = 8
+_FIELD_OVERHEAD = 4
+"""Bytes of a header field beside its name and value."""
 _BODY_TIMEOUT_S = 30.0
 _REASONS = {
     200: b"OK",
@@ -197,6 +199,7 @@
         self._target = b""
         self._fields: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
+        self._unfinished = 0
         self._refused = False
         self._closing = False
         self._writable = asyncio.Event()
@@ -283,38 +286,50 @@
             return
         if not self._in_head and self._reading is None:
             self._in_head = True
-            self._header_bytes = 0
+            self._unfinished = 0
             self._set_timer(self._limits.header_timeout_s)
-        if self._in_head:
-            self._header_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse(400)
         except httptools.HttpParserError:
             self._refuse(400)
-        if self._in_head and self._header_bytes > self._limits.max_header_bytes:
-            self._refuse(431)
+        if self._in_head:
+            # A single field without an end reaches no callback.
+            self._unfinished += len(data)
+            if self._unfinished > self._limits.max_header_bytes:
+                self._refuse(431)
 
     # httptools callbacks
 
     def on_message_begin(self) -> None:
         """Start the head of a request."""
         self._in_head = True
+        self._header_bytes = 0
         self._target = b""
         self._fields = []
 
     def on_url(self, url: bytes) -> None:
         """Collect the target, which may come in parts."""
         self._target += url
+        self._count(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one field."""
         self._fields.append((name, value))
+        self._count(len(name) + len(value) + _FIELD_OVERHEAD)
+
+    def _count(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._limits.max_header_bytes:
+            self._refuse(431)
 
     def on_headers_complete(self) -> None:
         """Start the body of a request."""
         self._in_head = False
+        self._unfinished = 0
+        if self._refused:
+            return
         self._set_timer(_BODY_TIMEOUT_S)
         self._reading = Exchange(
             self,
--- /dev/null
+++ b/pomelolug/transport/tests/test_client_connection.py
@@ -0,0 +1,135 @@
+"""The client side of a connection: what belongs to a request and what does not."""
+
+import asyncio
+import datetime
+
+import pytest
+
+from pomelolug.testing import ScriptedServer
+from pomelolug.transport import (
+    BrokenResponse,
+    ConnectionPool,
+    encode_request,
+    open_connection,
+)
+
+SECOND = datetime.timedelta(seconds=1)
+REQUEST = encode_request(b"GET", b"/", [(b"Host", b"h")])
+
+
+async def connected(script):
+    server = ScriptedServer(script)
+    await server.start()
+    host, _, port = server.address.rpartition(":")
+    return server, await open_connection(host, int(port), timeout=SECOND)
+
+
+async def test_body_without_a_length_ends_with_an_orderly_close():
+    # Guards against whole answers that are taken for broken ones.
+    async def script(request):
+        request.send_head("200 OK", {})
+        request.writer.write(b"all")
+        await request.writer.drain()
+        request.writer.close()
+
+    server, connection = await connected(script)
+    connection.send(REQUEST)
+    assert (await connection.head()).status == 200
+    assert await connection.body(100) == b"all"
+    assert not connection.reusable
+    server.stop()
+
+
+async def test_reset_is_not_the_end_of_a_body_without_a_length():
+    # Guards against a truncated body that looks complete.
+    async def script(request):
+        request.send_head("200 OK", {})
+        request.writer.write(b"half")
+        await request.writer.drain()
+        await asyncio.sleep(0.02)
+        request.reset()
+
+    server, connection = await connected(script)
+    connection.send(REQUEST)
+    await connection.head()
+    with pytest.raises(BrokenResponse):
+        await connection.body(100)
+    server.stop()
+
+
+async def test_second_answer_spoils_the_connection():
+    # Guards against an extra answer that the next request gets.
+    async def script(request):
+        request.send("200 OK", {}, b"one")
+        request.send("200 OK", {}, b"two")
+
+    server, connection = await connected(script)
+    connection.send(REQUEST)
+    await connection.head()
+    assert await connection.body(100) == b"one"
+    await asyncio.sleep(0.02)
+    assert not connection.reusable
+    server.stop()
+
+
+async def test_nothing_is_sent_on_a_connection_that_has_ended():
+    # Guards against a request that counts as sent and may have run.
+    async def script(request):
+        request.send("200 OK", {}, b"")
+        await request.writer.drain()
+        request.writer.close()
+
+    server, connection = await connected(script)
+    connection.send(REQUEST)
+    await connection.head()
+    await connection.body(10)
+    await asyncio.sleep(0.05)
+    with pytest.raises(BrokenResponse) as caught:
+        connection.send(REQUEST)
+    assert caught.value.reason == "closed_before_send"
+    server.stop()
+
+
+async def test_body_over_the_bound_is_refused():
+    # Guards against memory that one server can fill.
+    async def script(request):
+        request.send("200 OK", {}, b"x" * 1000)
+
+    server, connection = await connected(script)
+    connection.send(REQUEST)
+    await connection.head()
+    with pytest.raises(BrokenResponse):
+        await connection.body(10)
+    server.stop()
+
+
+async def test_pool_keeps_sound_connections_and_drops_old_ones():
+    # Guards against a request on a connection that the server has closed idle.
+    async def script(request):
+        request.send("200 OK", {}, b"")
+
+    server = ScriptedServer(script)
+    await server.start()
+    idle = datetime.timedelta(milliseconds=100)
+    pool = ConnectionPool(idle=idle, connect_timeout=SECOND)
+    first = await pool.acquire(server.address)
+    first.send(REQUEST)
+    await first.head()
+    await first.body(10)
+    pool.release(server.address, first)
+    assert await pool.acquire(server.address) is first
+    pool.release(server.address, first)
+    await asyncio.sleep(0.15)
+    assert await pool.acquire(server.address) is not first
+    server.stop()
+
+
+async def test_refused_connection_is_told_apart_from_a_lost_answer():
+    # Guards against "may have run" where nothing was sent.
+    server = ScriptedServer(lambda request: asyncio.sleep(0))
+    await server.start()
+    server.stop()
+    host, _, port = server.address.rpartition(":")
+    with pytest.raises(BrokenResponse) as caught:
+        await open_connection(host, int(port), timeout=SECOND)
+    assert caught.value.reason == "connect_refused"
--- /dev/null
+++ b/pomelolug/transport/tests/test_server_connection.py
@@ -0,0 +1,136 @@
+"""The server side of a connection: order, bounds and callers that leave."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from pomelolug.transport import Exchange, ServerConnection, WireLimits
+
+
+@contextlib.asynccontextmanager
+async def serving(handler, **limits):
+    connections = set()
+    refused = []
+    bounds = WireLimits(**limits)
+    server = await asyncio.get_running_loop().create_server(
+        lambda: ServerConnection(handler, bounds, connections, refused.append),
+        "127.0.0.1",
+        0,
+    )
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    try:
+        yield reader, writer, connections
+    finally:
+        writer.close()
+        server.close()
+
+
+async def echo(exchange: Exchange) -> None:
+    exchange.reply(200, (), exchange.target + exchange.body)
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    # Guards against answers that reach the wrong request on one connection.
+    async def slow_first(exchange):
+        if exchange.target == b"/1":
+            await asyncio.sleep(0.05)
+        await echo(exchange)
+
+    async with serving(slow_first) as (reader, writer, _):
+        for n in (1, 2, 3):
+            writer.write(b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % n)
+        for n in (1, 2, 3):
+            await reader.readuntil(b"\r\n\r\n")
+            assert await reader.readexactly(2) == b"/%d" % n
+
+
+async def test_body_in_chunks_is_joined():
+    # Guards against bodies without a length that are cut.
+    async with serving(echo) as (reader, writer, _):
+        writer.write(b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"3\r\nabc\r\n")
+        await asyncio.sleep(0.02)
+        writer.write(b"2\r\nde\r\n0\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(7) == b"/xabcde"
+
+
+async def test_client_that_leaves_cancels_its_request():
+    # Guards against work that goes on for a client that has gone.
+    cancelled = asyncio.Event()
+
+    async def endless(exchange):
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    async with serving(endless) as (_, writer, _c):
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        await asyncio.sleep(0.05)
+        writer.close()
+        async with asyncio.timeout(0.5):
+            await cancelled.wait()
+
+
+async def test_client_that_leaves_while_it_sends_its_body_starts_nothing():
+    # Guards against half a body that is taken for a request.
+    started = []
+
+    async def handler(exchange):
+        started.append(exchange)
+
+    async with serving(handler) as (_, writer, connections):
+        writer.write(b"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf")
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.05)
+        assert started == []
+        assert not connections
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nX: " + b"x" * 600, b"431"),
+        (b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 90, b"431"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 200\r\n\r\n" + b"x" * 150, b"413"),
+        (b"not http\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nX: slow", b"408"),
+    ],
+)
+async def test_request_beyond_a_bound_is_refused_and_the_connection_ends(data, status):
+    # Guards against callers that hold memory or a connection without end.
+    limits = {"max_header_bytes": 512, "max_body_bytes": 100, "header_timeout_s": 0.2}
+    async with serving(echo, **limits) as (reader, writer, _):
+        writer.write(data)
+        async with asyncio.timeout(1.0):
+            answer = await reader.read()
+        assert answer.split(b" ")[1] == status
+
+
+async def test_idle_connection_ends_after_its_time():
+    # Guards against descriptors that idle clients use up.
+    async with serving(echo, idle_timeout_s=0.1) as (reader, writer, _):
+        writer.write(b"GET /1 HTTP/1.1\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n/1")
+        async with asyncio.timeout(1.0):
+            assert await reader.read() == b""
+
+
+async def test_aborted_answer_has_no_end_mark():
+    # Guards against an answer that ends early and looks complete.
+    async def breaks(exchange):
+        exchange.start(200, (), length=None)
+        exchange.write(b"part")
+        await asyncio.sleep(0.02)
+        exchange.abort()
+
+    async with serving(breaks) as (reader, writer, _):
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            data = await reader.read()
+            assert b"part" in data
+            assert not data.endswith(b"0\r\n\r\n")
