Read the store through one relay of each zone

Change: the node of a zone that has run longest and reaches the store reads it; the others read the same records from it and turn to the store when it fails or its own news are old. Relays exchange the load of their zones, so that nodes send to their zone only. Only relays stand for the duty of forming groups.

--- a/pomelolug/entry/_application.py
+++ b/pomelolug/entry/_application.py
@@ -9,12 +9,13 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import Declaration, Route, Service, Tenant
 from pomelolug.entry._call import Call, not_run, reply_error, unknown
-from pomelolug.entry._feeds import DeclarationFeed, RegistryFeed
+from pomelolug.entry._feeds import DeclarationKeeper
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._plain import PlainFlow
 from pomelolug.entry._record import RequestRecord
 from pomelolug.entry._stream import StreamFlow
 from pomelolug.errors import ErrorCode, RequestError
+from pomelolug.feeds import TopicFeed
 from pomelolug.ids import AccountId
 from pomelolug.platform import CallerHead, decode_caller_head
 from pomelolug.transport import Exchange
@@ -33,9 +34,9 @@
 
     Parameters
     ----------
-    declarations : DeclarationFeed
+    declarations : DeclarationKeeper
         Declaration in force.
-    registry : RegistryFeed
+    registry : TopicFeed
         Tells the age of the list of servers.
     plain, streams : PlainFlow, StreamFlow
         Forward requests to services and to groups.
@@ -50,8 +51,8 @@
     def __init__(
         self,
         *,
-        declarations: DeclarationFeed,
-        registry: RegistryFeed,
+        declarations: DeclarationKeeper,
+        registry: TopicFeed,
         plain: PlainFlow,
         streams: StreamFlow,
         metrics: EntryMetrics,
--- a/pomelolug/entry/_board.py
+++ b/pomelolug/entry/_board.py
@@ -1,5 +1,6 @@
 """What this node knows of the servers that take requests."""
 
+import collections
 import dataclasses
 from collections.abc import Iterable, Mapping
 
@@ -10,7 +11,7 @@
     ServerRegistry,
     ServerState,
 )
-from pomelolug.ids import ModelName, ServiceName, VmId
+from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.replicas import GroupKey, group_views
 
@@ -18,7 +19,6 @@
 
 _SUSPECT_S = 6.0
 """Longest suspicion of a head: a stalled one reports within its stall time."""
-_PEER_SUSPECT_S = 0.6
 _FAILURE_DECAY_S = 3.0
 _PROGRESS_S = 1.0
 """Age up to which progress of a stream shows that all members work."""
@@ -51,7 +51,11 @@
         self._clock = clock
         self._loads: dict[VmId, ServerLoad] = {}
         self._peer_loads: dict[VmId, int] = {}
-        self._peer_suspects: dict[VmId, float] = {}
+        self._zone_peer_loads: dict[str, int] = {}
+        self._other_zone_loads: dict[str, int] = {}
+        self._peer_suspects: set[VmId] = set()
+        self._zone_suspects: frozenset[str] = frozenset()
+        self._other_suspects: tuple[str, ...] = ()
         self._complete: set[GroupKey] = set()
         self._heads: dict[ModelName, list[BackendServer]] = {}
         self._doubtful: set[VmId] = set()
@@ -96,16 +100,58 @@
         age_s = self._clock.monotonic() - load.failures_at
         return load.failures * 0.5 ** (age_s / _FAILURE_DECAY_S)
 
-    def take_peers(self, statuses: Iterable[NodeStatus]) -> None:
-        """Replace the load and suspicions that peers report."""
-        loads: dict[VmId, int] = {}
-        now = self._clock.monotonic()
+    def zone_loads(self) -> dict[str, int]:
+        """Return the requests of all nodes of the zone by server."""
+        loads: collections.Counter[str] = collections.Counter(self._zone_peer_loads)
+        loads.update(self.own_loads())
+        return dict(loads)
+
+    def other_loads(self) -> dict[str, int]:
+        """Return the requests of all other zones by server."""
+        return dict(self._other_zone_loads)
+
+    def zone_suspects(self) -> tuple[str, ...]:
+        """Return the heads that nodes of the zone suspect themselves."""
+        return tuple(sorted({*self.suspects(), *self._zone_suspects}))
+
+    def other_suspects(self) -> tuple[str, ...]:
+        """Return the heads that nodes of other zones suspect themselves."""
+        return self._other_suspects
+
+    def take_peers(self, statuses: Iterable[NodeStatus], *, zone: ZoneId) -> None:
+        """Replace the load and suspicions that peers report.
+
+        Parameters
+        ----------
+        statuses : iterable of NodeStatus
+            Newest statuses of the peers heard lately.
+        zone : ZoneId
+            Zone of this node.
+        """
+        same: collections.Counter[str] = collections.Counter()
+        direct: collections.Counter[str] = collections.Counter()
+        passed_on: dict[str, int] = {}
+        # What a relay passes on is kept apart from what nodes say of themselves;
+        # two relays would otherwise repeat each other without end.
+        same_suspects: set[str] = set()
+        other_suspects: set[str] = set()
         for status in statuses:
-            for vm, count in status.load.items():
-                loads[VmId(vm)] = loads.get(VmId(vm), 0) + count
-            for head in status.suspects:
-                self._peer_suspects[VmId(head)] = now + _PEER_SUSPECT_S
-        self._peer_loads = loads
+            if status.zone == zone:
+                same.update(status.load)
+                same_suspects.update(status.suspects)
+                if status.relay:
+                    passed_on = status.other_load
+                    other_suspects.update(status.other_suspects)
+            elif status.relay:
+                direct.update(status.zone_load)
+                other_suspects.update(status.zone_suspects)
+        self._zone_suspects = frozenset(same_suspects)
+        self._other_suspects = tuple(sorted(other_suspects))
+        self._peer_suspects = {VmId(h) for h in same_suspects | other_suspects}
+        self._zone_peer_loads = dict(same)
+        self._other_zone_loads = dict(direct) if direct else passed_on
+        total = same + collections.Counter(self._other_zone_loads)
+        self._peer_loads = {VmId(vm): count for vm, count in total.items()}
 
     def update(self, sizes: Mapping[ModelName, int]) -> None:
         """Work the open groups and ready servers out again.
@@ -164,7 +210,7 @@
                 return False
             if now - load.progress_at < _PROGRESS_S:
                 return True
-        if self._peer_suspects.get(vm, 0.0) > now:
+        if vm in self._peer_suspects:
             return False
         return vm not in self._doubtful
 
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -18,7 +18,7 @@
 from pomelolug.deployment import Declaration, RegistryChange, ServerRegistry
 from pomelolug.entry._application import Application
 from pomelolug.entry._board import ServerBoard
-from pomelolug.entry._feeds import DeclarationFeed, RegistryFeed
+from pomelolug.entry._feeds import DeclarationKeeper, RegistryKeeper
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._peering import Peering
 from pomelolug.entry._plain import PlainFlow
@@ -27,8 +27,11 @@
 from pomelolug.entry._stop import Lifecycle
 from pomelolug.entry._stream import StreamFlow
 from pomelolug.entry._watch import StallWatch
+from pomelolug.feeds import RecordSource, TopicFeed
 from pomelolug.ids import ModelName, VmId
 from pomelolug.platform import (
+    TOPIC_DECLARATION,
+    TOPIC_SERVERS,
     MetadataStore,
     NodeSettings,
     ServerOrders,
@@ -55,6 +58,12 @@
 _IDLE = datetime.timedelta(milliseconds=900)
 """Age of a kept connection up to which it is used; servers close idle ones."""
 _HOUSEKEEPING = datetime.timedelta(milliseconds=50)
+_STORE_WAIT = datetime.timedelta(seconds=1.5)
+"""Longest wait of a read of the servers on the node that forms groups."""
+_COALESCE = datetime.timedelta(milliseconds=200)
+"""Pause after a read, so that changes that come together cost one call."""
+_COALESCE_ON_DUTY = datetime.timedelta(milliseconds=80)
+"""The same for declarations, and on the node that forms groups."""
 _SWEEP_ROUNDS = 20
 _LEASE_FACTOR = 1.5
 _METRICS_PORT = 9464
@@ -122,16 +131,11 @@
         self._store = store
         self._registry = ServerRegistry(clock=clock)
         self._board = ServerBoard(registry=self._registry, clock=clock)
-        self._declarations = DeclarationFeed(
-            store=store, clock=clock, on_change=self._declared
-        )
-        self._feed = RegistryFeed(
-            store=store,
-            registry=self._registry,
-            clock=clock,
-            on_duty=lambda: self._duty.held,
-            on_change=self._servers_changed,
+        self._declarations = DeclarationKeeper(on_change=self._declared)
+        self._entries = RegistryKeeper(
+            registry=self._registry, on_change=self._servers_changed
         )
+        self._build_feeds()
         self._pool = ConnectionPool(idle=_IDLE, connect_timeout=_CONNECT_TIMEOUT)
         self._watch = StallWatch(clock=clock, on_stall=self._stalled)
         self._build_flows()
@@ -148,6 +152,7 @@
             store=store,
             stopping=lambda: self._lifecycle.stopping,
             serving=lambda: self._application.serving,
+            reaches_store=self._reaches_store,
             on_suspect=self._controller.suspect,
         )
         self._side = SideHandlers(
@@ -158,8 +163,38 @@
             duty=self._duty,
             metrics=self._metrics,
             peering=self._peering,
+            feeds=self._feeds,
         )
 
+    def _build_feeds(self) -> None:
+        self._declaration_feed = TopicFeed(
+            topic=TOPIC_DECLARATION,
+            source=lambda: self._peering.source(),
+            clock=self._clock,
+            pause=lambda: _COALESCE_ON_DUTY,
+            on_records=self._declarations.take,
+            on_failure=lambda source: self._peering.avoid(source),
+        )
+        self._server_feed = TopicFeed(
+            topic=TOPIC_SERVERS,
+            source=self._server_source,
+            clock=self._clock,
+            pause=lambda: _COALESCE_ON_DUTY if self._duty.held else _COALESCE,
+            on_records=self._entries.take,
+            on_failure=lambda source: self._peering.avoid(source),
+        )
+        self._feeds = {
+            TOPIC_DECLARATION: self._declaration_feed,
+            TOPIC_SERVERS: self._server_feed,
+        }
+
+    def _server_source(self) -> tuple[RecordSource, datetime.timedelta]:
+        """Return the source of servers; whoever forms groups reads the store."""
+        source, wait = self._peering.source()
+        if self._duty.held and source is not self._store:
+            return self._store, _STORE_WAIT
+        return source, wait
+
     def _build_flows(self) -> None:
         settings, clock = self._settings, self._clock
         repeats = Repeats(
@@ -188,7 +223,7 @@
         )
         self._application = Application(
             declarations=self._declarations,
-            registry=self._feed,
+            registry=self._server_feed,
             plain=plain,
             streams=streams,
             metrics=self._metrics,
@@ -204,6 +239,7 @@
             source=StoreDutySource(store=self._store, member=member, lease=lease),
             clock=_SuspendAwareClock(),
             lease=lease,
+            candidate=lambda: self._peering.is_relay,
         )
         orders = ServerOrders(
             pool=ConnectionPool(idle=_IDLE, connect_timeout=_CONNECT_TIMEOUT),
@@ -227,8 +263,8 @@
 
     def _work(self) -> list[Coroutine[Any, Any, None]]:
         return [
-            self._declarations.run(),
-            self._feed.run(),
+            self._declaration_feed.run(),
+            self._server_feed.run(),
             self._duty.run(),
             self._controller.run(),
             self._watch.run(),
@@ -242,6 +278,7 @@
         while True:
             await self._clock.sleep(_HOUSEKEEPING)
             self._writer.pump()
+            self._entries.check(fresh=self._server_feed.fresh)
             rounds += 1
             if rounds % _SWEEP_ROUNDS == 0:
                 self._pool.sweep()
@@ -314,6 +351,14 @@
         self._controller.suspect(head)
         self._peering.announce()
 
+    def _reaches_store(self) -> bool:
+        """Return whether this node may be the relay of its zone.
+
+        A node that reads from a relay has no news of its own path to the store,
+        and counts as able until it has tried.
+        """
+        return self._declaration_feed.fresh
+
     def _not_ready(self) -> str:
         if self._declarations.current is None:
             return "no_declaration"
--- a/pomelolug/entry/_feeds.py
+++ b/pomelolug/entry/_feeds.py
@@ -1,58 +1,42 @@
-"""Declaration and servers, followed in the store."""
+"""Declaration and servers, as decoded from their topics."""
 
-import datetime
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
 
-from pomelolug.clock import Clock
-from pomelolug.deployment import Declaration, RegistryChange, ServerRegistry
-from pomelolug.errors import FindingsError, PlatformError
-from pomelolug.ids import Offset, VmId
-from pomelolug.platform import (
-    KEY_DECLARATION,
-    TOPIC_DECLARATION,
-    TOPIC_SERVERS,
-    HistoryLostError,
-    MetadataStore,
-    decode_declaration,
-    decode_server,
+from pomelolug.deployment import (
+    BackendServer,
+    Declaration,
+    RegistryChange,
+    ServerRegistry,
 )
+from pomelolug.errors import FindingsError
+from pomelolug.feeds import Record
+from pomelolug.ids import Offset, VmId
+from pomelolug.platform import KEY_DECLARATION, decode_declaration, decode_server
 
-__all__ = ["DeclarationFeed", "RegistryFeed"]
+__all__ = ["DeclarationKeeper", "RegistryKeeper"]
 
 _log = structlog.get_logger(__name__)
 
-_DECLARATION_WAIT = datetime.timedelta(seconds=2.5)
-"""Longest wait of one read; bounds the time lost on a silent connection."""
-_SERVERS_WAIT = datetime.timedelta(seconds=1.5)
-"""The same for the servers; bounds the age of the list below that of draining."""
-_COALESCE = datetime.timedelta(milliseconds=250)
-"""Pause after a read, so that changes that come together cost one call."""
-_COALESCE_ON_DUTY = datetime.timedelta(milliseconds=80)
-"""The same on the node that forms groups, which acts on each change."""
-_RETRY = datetime.timedelta(milliseconds=250)
+_MOST_UNREADABLE = 1000
 
 
-class DeclarationFeed:
-    """Newest declaration, from the store or from a peer.
+class DeclarationKeeper:
+    """Newest declaration, from the store, a relay or a peer.
 
     An older version never replaces a newer one.
+
+    Parameters
+    ----------
+    on_change : callable
+        Called with each declaration that comes into force.
     """
 
-    def __init__(
-        self,
-        *,
-        store: MetadataStore,
-        clock: Clock,
-        on_change: Callable[[Declaration], None],
-    ) -> None:
-        self._store = store
-        self._clock = clock
+    def __init__(self, *, on_change: Callable[[Declaration], None]) -> None:
         self._on_change = on_change
         self._current: Declaration | None = None
         self._raw = b""
-        self._reachable = False
 
     @property
     def current(self) -> Declaration | None:
@@ -69,10 +53,11 @@
         """Encoded declaration in force, for peers."""
         return self._raw
 
-    @property
-    def reachable(self) -> bool:
-        """Whether the last read of the store succeeded."""
-        return self._reachable
+    def take(self, records: Iterable[Record]) -> None:
+        """Put the declarations among the records into force."""
+        for record in records:
+            if record.key == KEY_DECLARATION and record.value is not None:
+                self.offer(record.value, source="store")
 
     def offer(self, data: bytes, *, source: str) -> None:
         """Put a declaration into force if it is newer."""
@@ -94,105 +79,53 @@
         self._raw = data
         self._on_change(declaration)
 
-    async def run(self) -> None:
-        """Follow the store until cancelled."""
-        offset: Offset | None = None
-        while True:
-            try:
-                offset = await self._follow(offset)
-                self._note(True)
-            except HistoryLostError:
-                offset = None
-            except PlatformError as error:
-                self._note(False, str(error))
-                await self._clock.sleep(_RETRY)
-
-    async def _follow(self, offset: Offset | None) -> Offset:
-        if offset is None:
-            batch = await self._store.newest(TOPIC_DECLARATION)
-        else:
-            batch = await self._store.read(
-                TOPIC_DECLARATION, offset, wait=_DECLARATION_WAIT
-            )
-        for _, key, value in batch.records:
-            if key == KEY_DECLARATION and value is not None:
-                self.offer(value, source="store")
-        return batch.end
-
-    def _note(self, reachable: bool, reason: str = "") -> None:
-        if reachable != self._reachable:
-            event = "store_regained" if reachable else "store_lost"
-            _log.warning(event, reason=reason, version=self.version)
-        self._reachable = reachable
-
 
-class RegistryFeed:
-    """Keeps the registry of servers up to date.
+class RegistryKeeper:
+    """Passes the servers' entries on to the registry.
 
-    The store adds a record only when more than the renewal count of an entry
-    changes, so a waiting read returns at once on each change and costs little
-    otherwise.
+    Parameters
+    ----------
+    registry : ServerRegistry
+        The registry.
+    on_change : callable
+        Called with each change.
     """
 
     def __init__(
         self,
         *,
-        store: MetadataStore,
         registry: ServerRegistry,
-        clock: Clock,
-        on_duty: Callable[[], bool],
         on_change: Callable[[RegistryChange], None],
     ) -> None:
-        self._store = store
         self._registry = registry
-        self._clock = clock
-        self._on_duty = on_duty
         self._on_change = on_change
         self._unreadable: set[VmId] = set()
-        self._read_at = float("-inf")
 
-    @property
-    def age_s(self) -> float:
-        """Seconds since the last successful read ended."""
-        return self._clock.monotonic() - self._read_at
-
-    async def run(self) -> None:
-        """Follow the store until cancelled."""
-        offset: Offset | None = None
-        while True:
-            try:
-                offset = await self._follow(offset)
-                self._read_at = self._clock.monotonic()
-                self._registry.store_answered()
-                self._changed(self._registry.expire())
-            except HistoryLostError:
-                offset = None
-                continue
-            except PlatformError:
-                self._registry.store_failed()
-                await self._clock.sleep(_RETRY)
+    def take(self, records: Iterable[Record]) -> None:
+        """Apply the entries among the records."""
+        entries: list[tuple[VmId, Offset, BackendServer | None]] = []
+        for record in records:
+            vm = VmId(record.key)
+            if record.value is None:
+                entries.append((vm, record.offset, None))
                 continue
-            on_duty = self._on_duty()
-            await self._clock.sleep(_COALESCE_ON_DUTY if on_duty else _COALESCE)
-
-    async def _follow(self, offset: Offset | None) -> Offset:
-        if offset is None:
-            batch = await self._store.newest(TOPIC_SERVERS)
-        else:
-            batch = await self._store.read(TOPIC_SERVERS, offset, wait=_SERVERS_WAIT)
-        records = []
-        for number, key, value in batch.records:
-            vm = VmId(key)
-            server = decode_server(vm, value) if value is not None else None
-            if value is not None and server is None:
+            server = decode_server(vm, record.value)
+            if server is None:
                 self._note_unreadable(vm)
-                continue
-            records.append((vm, number, server))
-        self._changed(self._registry.apply(records))
-        return batch.end
+            else:
+                entries.append((vm, record.offset, server))
+        self._changed(self._registry.apply(entries))
+
+    def check(self, *, fresh: bool) -> None:
+        """Tell the registry whether the store answers, and expire lapsed entries."""
+        if fresh:
+            self._registry.store_answered()
+            self._changed(self._registry.expire())
+        else:
+            self._registry.store_failed()
 
     def _note_unreadable(self, vm: VmId) -> None:
-        if vm not in self._unreadable and len(self._unreadable) < 1000:
+        if vm not in self._unreadable and len(self._unreadable) < _MOST_UNREADABLE:
             self._unreadable.add(vm)
             _log.warning("server_entry_unreadable", server=vm)
 
--- a/pomelolug/entry/_peering.py
+++ b/pomelolug/entry/_peering.py
@@ -1,4 +1,4 @@
-"""What nodes tell each other, and how they find each other."""
+"""What nodes tell each other, and who reads the store for whom."""
 
 import asyncio
 import datetime
@@ -10,13 +10,20 @@
 
 from pomelolug.clock import Clock
 from pomelolug.entry._board import ServerBoard
-from pomelolug.entry._feeds import DeclarationFeed
+from pomelolug.entry._feeds import DeclarationKeeper
 from pomelolug.entry._peers import PeerMesh
+from pomelolug.entry._relay import RelaySource
 from pomelolug.errors import PlatformError
+from pomelolug.feeds import RecordSource
 from pomelolug.ids import VmId
 from pomelolug.messages import NodeStatus
 from pomelolug.platform import MetadataStore, NodeSettings
-from pomelolug.transport import BrokenResponse, encode_request, open_connection
+from pomelolug.transport import (
+    BrokenResponse,
+    ConnectionPool,
+    encode_request,
+    open_connection,
+)
 
 __all__ = ["DECLARATION_PATH", "Peering"]
 
@@ -26,16 +33,26 @@
 
 _NODES_TOPIC = "keyed.nodes"
 _FETCH_DELAY = datetime.timedelta(milliseconds=250)
-"""Time that this node's own read of the store is given first."""
+"""Time that this node's own feed is given first."""
 _FETCH_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=300)
 _MOST_DECLARATION_BYTES = 16 * 1024 * 1024
 _REGISTER_RETRY = datetime.timedelta(seconds=1)
+_REGISTER_AGAIN = datetime.timedelta(seconds=15)
+"""Interval at which a relay reads the other nodes' addresses again."""
 _APPLY = datetime.timedelta(milliseconds=100)
+_STORE_WAIT = datetime.timedelta(seconds=1.5)
+"""Longest wait of a read of the store; bounds the time lost on a silent path."""
+_RELAY_WAIT = datetime.timedelta(milliseconds=700)
+"""The same for a relay, whose loss has to be noticed within a second or so."""
+_AVOID_S = 2.0
+"""Time in which a relay that failed is not asked again."""
 
 
 class Peering:
-    """Shares load, suspicions and the declaration with other entry VMs.
+    """Shares load, suspicions and records with other entry VMs.
+
+    The node of a zone that has run longest and reaches the store is its relay.
 
     Parameters
     ----------
@@ -45,13 +62,13 @@
         Source of monotonic time.
     rng : random.Random
         Chooses whom a message names.
-    declarations : DeclarationFeed
+    declarations : DeclarationKeeper
         Declaration in force here.
     board : ServerBoard
         Load of the servers.
     store : MetadataStore
         Where nodes register for each other.
-    stopping, serving : callable
+    stopping, serving, reaches_store : callable
         State of this node.
     on_suspect : callable
         Called with each head that a peer suspects.
@@ -63,11 +80,12 @@
         settings: NodeSettings,
         clock: Clock,
         rng: random.Random,
-        declarations: DeclarationFeed,
+        declarations: DeclarationKeeper,
         board: ServerBoard,
         store: MetadataStore,
         stopping: Callable[[], bool],
         serving: Callable[[], bool],
+        reaches_store: Callable[[], bool],
         on_suspect: Callable[[VmId], None],
     ) -> None:
         self._settings = settings
@@ -77,6 +95,7 @@
         self._store = store
         self._stopping = stopping
         self._own_serving = serving
+        self._reaches_store = reaches_store
         self._on_suspect = on_suspect
         self._started_ms = time.time_ns() // 1_000_000
         self._port = settings.internal_ports[0] if settings.internal_ports else 0
@@ -84,11 +103,19 @@
         self._mesh = PeerMesh(
             own=self._status,
             address=self._datagram,
+            zone=settings.zone,
+            is_relay=lambda: self.is_relay,
             clock=clock,
             rng=rng,
             on_status=self._heard,
         )
         self._fetching: asyncio.Task[None] | None = None
+        self._pool = ConnectionPool(
+            idle=datetime.timedelta(seconds=10), connect_timeout=_CONNECT_TIMEOUT
+        )
+        self._relays: dict[str, RelaySource] = {}
+        self._avoid: dict[str, float] = {}
+        self._was_relay = False
 
     @property
     def peers(self) -> list[NodeStatus]:
@@ -100,6 +127,28 @@
         """Whether a caller has sent a request to a peer."""
         return any(status.serving for status in self._mesh.live)
 
+    @property
+    def is_relay(self) -> bool:
+        """Whether this node reads the store for its zone."""
+        return self._relay_status() is None
+
+    def source(self) -> tuple[RecordSource, datetime.timedelta]:
+        """Return where to read records next, and how long a read may wait."""
+        status = self._relay_status()
+        if status is None or self._avoided(status.address):
+            return self._store, _STORE_WAIT
+        relay = self._relays.get(status.address)
+        if relay is None:
+            relay = RelaySource(address=status.address, pool=self._pool)
+            self._relays = {status.address: relay}
+        return relay, _RELAY_WAIT
+
+    def avoid(self, source: RecordSource) -> None:
+        """Read the store instead of a relay that failed, for a while."""
+        if isinstance(source, RelaySource):
+            until = self._clock.monotonic() + _AVOID_S
+            self._avoid = {source.address: until}
+
     def announce(self) -> None:
         """Tell peers at once."""
         self._mesh.send_soon()
@@ -122,30 +171,65 @@
             group.create_task(self._register())
             group.create_task(self._apply())
 
+    def _relay_status(self) -> NodeStatus | None:
+        """Return the status of the zone's relay, None if it is this node."""
+        own = (self._started_ms, self._settings.node)
+        rivals = [
+            status
+            for status in self._mesh.live
+            if status.zone == self._settings.zone
+            and status.store
+            and status.address
+            and not status.stopping
+        ]
+        first = min(rivals, key=lambda s: (s.started_ms, s.node), default=None)
+        if first is None:
+            return None
+        able = self._reaches_store() and not self._stopping()
+        if able and own < (first.started_ms, first.node):
+            return None
+        return first
+
+    def _avoided(self, address: str) -> bool:
+        return self._avoid.get(address, float("-inf")) > self._clock.monotonic()
+
     async def _apply(self) -> None:
         while True:
             await self._clock.sleep(_APPLY)
-            self._board.take_peers(self._mesh.live)
+            self._pool.sweep()
+            self._board.take_peers(self._mesh.live, zone=self._settings.zone)
+            if self.is_relay != self._was_relay:
+                self._was_relay = self.is_relay
+                _log.info("relay_role", relay=self._was_relay)
+                self.announce()
 
     async def _register(self) -> None:
         """Write this node's address to the store and read the others'."""
+        written = False
         while True:
             try:
-                await self._store.append(
-                    _NODES_TOPIC, self._settings.node, self._datagram.encode()
-                )
+                if not written:
+                    await self._store.append(
+                        _NODES_TOPIC, self._settings.node, self._datagram.encode()
+                    )
+                    written = True
                 batch = await self._store.newest(_NODES_TOPIC)
             except PlatformError as error:
                 _log.warning("peer_registration_failed", reason=str(error))
                 await self._clock.sleep(_REGISTER_RETRY)
                 continue
             self._mesh.add_targets(
-                value.decode("latin-1") for _, _, value in batch.records if value
+                record.value.decode("latin-1")
+                for record in batch.records
+                if record.value
             )
             self._mesh.send_soon()
-            return
+            await self._clock.sleep(_REGISTER_AGAIN)
+            while not self.is_relay:
+                await self._clock.sleep(_REGISTER_RETRY)
 
     def _status(self, serial: int, peers: tuple[str, ...]) -> NodeStatus:
+        relay = self.is_relay
         return NodeStatus(
             node=self._settings.node,
             started_ms=self._started_ms,
@@ -154,15 +238,21 @@
             address=self._settings.peer_address,
             datagram=self._datagram,
             declaration=self._declarations.version,
-            serving=self._own_serving(),
+            serving=self._own_serving() or (relay and self.serving),
             stopping=self._stopping(),
+            store=self._reaches_store(),
+            relay=relay,
             load=self._board.own_loads(),
+            zone_load=self._board.zone_loads() if relay else {},
+            other_load=self._board.other_loads() if relay else {},
             suspects=self._board.suspects(),
+            zone_suspects=self._board.zone_suspects() if relay else (),
+            other_suspects=self._board.other_suspects() if relay else (),
             peers=peers,
         )
 
     def _heard(self, status: NodeStatus) -> None:
-        for head in status.suspects:
+        for head in {*status.suspects, *status.zone_suspects, *status.other_suspects}:
             self._on_suspect(VmId(head))
         newer = status.declaration > self._declarations.version
         idle = self._fetching is None or self._fetching.done()
@@ -170,7 +260,7 @@
             self._fetching = asyncio.get_running_loop().create_task(self._fetch(status))
 
     async def _fetch(self, status: NodeStatus) -> None:
-        """Take a newer declaration from a peer if the store has not brought it."""
+        """Take a newer declaration from a peer if no feed has brought it."""
         await self._clock.sleep(_FETCH_DELAY)
         if self._declarations.version >= status.declaration:
             return
--- a/pomelolug/entry/_peers.py
+++ b/pomelolug/entry/_peers.py
@@ -1,8 +1,9 @@
 """Datagrams between entry VMs: load, suspicions and declaration versions.
 
-Each node tells its peers what it knows a few times a second. A lost message
-costs nothing, since the next one replaces it, and there is no connection that
-could go silent.
+Each node tells the nodes of its zone what it knows a few times a second. The
+relay of a zone also tells the relays of the other zones, and passes on what they
+say. A lost message costs nothing, since the next one replaces it, and there is
+no connection that could go silent.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 
 from pomelolug.clock import Clock
 from pomelolug.errors import PeerError
+from pomelolug.ids import ZoneId
 from pomelolug.messages import NodeStatus, decode, encode
 
 __all__ = ["PeerMesh", "PeerView"]
@@ -23,10 +25,11 @@
 _log = structlog.get_logger(__name__)
 
 _INTERVAL_S = 0.25
-_INTERVAL_BY_PEER_S = 0.025
-"""Added for each peer, so that a node's messages stay below 40 a second."""
-_SILENT_S = 3.0
-"""Silence after which a peer's load no longer counts."""
+_INTERVAL_BY_PEER_S = 0.02
+"""Added for each receiver, so that a node sends at most 50 messages a second."""
+_SILENT_S = 2.0
+_SILENT_INTERVALS = 3
+"""Silence after which a peer counts as away: the larger of both."""
 _FORGET_S = 30.0
 _MOST_PEERS = 1024
 _MOST_NAMED = 12
@@ -50,6 +53,10 @@
         Returns the node's status, given serial and peers to name.
     address : str
         Datagram address of this node.
+    zone : ZoneId
+        Zone of this node.
+    is_relay : callable
+        Returns whether this node is the relay of its zone.
     clock : Clock
         Source of monotonic time.
     rng : random.Random
@@ -63,12 +70,16 @@
         *,
         own: Callable[[int, tuple[str, ...]], NodeStatus],
         address: str,
+        zone: ZoneId,
+        is_relay: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
         on_status: Callable[[NodeStatus], None],
     ) -> None:
         self._own = own
         self._address = address
+        self._zone = zone
+        self._is_relay = is_relay
         self._clock = clock
         self._rng = rng
         self._on_status = on_status
@@ -76,12 +87,14 @@
         self._views: dict[str, PeerView] = {}
         self._targets: dict[str, float] = {}
         self._serial = 0
+        self._interval_s = _INTERVAL_S
         self._soon = asyncio.Event()
 
     @property
     def live(self) -> list[NodeStatus]:
         """Statuses of the peers heard in the last seconds."""
-        oldest = self._clock.monotonic() - _SILENT_S
+        silent_s = max(_SILENT_S, _SILENT_INTERVALS * self._interval_s)
+        oldest = self._clock.monotonic() - silent_s
         return [v.status for v in self._views.values() if v.heard_at >= oldest]
 
     def add_targets(self, addresses: Iterable[str]) -> None:
@@ -98,16 +111,15 @@
     async def run(self) -> None:
         """Send until cancelled."""
         while True:
-            self._send()
-            peers = len(self._targets)
-            interval_s = _INTERVAL_S + _INTERVAL_BY_PEER_S * peers
+            receivers = self._send()
+            self._interval_s = _INTERVAL_S + _INTERVAL_BY_PEER_S * receivers
             self._soon.clear()
             try:
-                async with asyncio.timeout(interval_s):
+                async with asyncio.timeout(self._interval_s):
                     await self._soon.wait()
                     await self._clock.sleep(datetime.timedelta(milliseconds=20))
             except TimeoutError:
-                pass
+                continue
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -138,10 +150,12 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore a port without a listener; the peer may start later."""
 
-    def _send(self) -> None:
+    def _send(self) -> int:
+        """Send to all receivers; return how many there are."""
         if self._transport is None:
-            return
+            return 0
         self._forget()
+        receivers = self._receivers()
         live = list(self._views)
         named = self._rng.sample(live, min(len(live), _MOST_NAMED))
         self._serial += 1
@@ -149,10 +163,28 @@
             data = encode(self._own(self._serial, tuple(named)))
         except PeerError as error:
             _log.error("peer_message_too_large", reason=str(error))
-            return
-        for address in self._targets:
+            return 0
+        for address in receivers:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
+        return len(receivers)
+
+    def _receivers(self) -> list[str]:
+        """Return the nodes of the zone, those not heard yet, and other relays."""
+        live = {status.datagram: status for status in self.live}
+        related = {status.zone for status in live.values() if status.relay}
+        relay = self._is_relay()
+        receivers = []
+        for address in self._targets:
+            view = self._views.get(address)
+            if view is None or view.status.zone == self._zone:
+                receivers.append(address)
+            elif relay:
+                # Without a relay of that zone, any of its nodes passes this on.
+                other = view.status
+                if other.relay or other.zone not in related:
+                    receivers.append(address)
+        return receivers
 
     def _forget(self) -> None:
         oldest = self._clock.monotonic() - _FORGET_S
--- /dev/null
+++ b/pomelolug/entry/_relay.py
@@ -0,0 +1,173 @@
+"""Reading the store's records through the relay of the zone.
+
+One node of each zone reads the store; the others read from it. The calls to the
+store so grow with the zones and not with the nodes.
+"""
+
+import asyncio
+import datetime
+import urllib.parse
+from collections.abc import Mapping
+
+from pomelolug.errors import ErrorCode, PeerError
+from pomelolug.feeds import (
+    HistoryLostError,
+    Record,
+    RecordBatch,
+    RecordSource,
+    SourceUnavailableError,
+    TopicFeed,
+)
+from pomelolug.ids import Offset
+from pomelolug.messages import FeedBatch, FeedRecord, decode, encode
+from pomelolug.transport import (
+    BrokenResponse,
+    ConnectionPool,
+    Exchange,
+    encode_request,
+)
+
+__all__ = ["RECORDS_PATH", "RelaySource", "serve_records"]
+
+RECORDS_PATH = b"/records"
+
+_TIMEOUT_S = 0.4
+_MOST_BATCH_BYTES = 4 * 1024 * 1024
+_MOST_WAIT_S = 5.0
+_PAGE_BYTES = 160 * 1024
+"""Values in one answer, below the bound on a message between processes."""
+
+
+class RelaySource(RecordSource):
+    """Records of a peer that reads the store.
+
+    Parameters
+    ----------
+    address : str
+        Address for peers of that node.
+    pool : ConnectionPool
+        Connections to peers.
+    """
+
+    def __init__(self, *, address: str, pool: ConnectionPool) -> None:
+        self._address = address
+        self._pool = pool
+
+    @property
+    def address(self) -> str:
+        """Address of the relay."""
+        return self._address
+
+    async def newest(self, topic: str) -> RecordBatch:
+        """Return the newest record of each key, in as many calls as it takes."""
+        records: list[Record] = []
+        after = 0
+        while True:
+            query = {"topic": topic, "after": str(after)}
+            batch, more = await self._call(query, 0.0)
+            records += batch.records
+            if not more:
+                return RecordBatch(tuple(records), batch.end, batch.age_s)
+            after = batch.end
+
+    async def read(
+        self, topic: str, first: Offset, *, wait: datetime.timedelta
+    ) -> RecordBatch:
+        """Return the records from `first` on, waiting for one if there is none."""
+        wait_s = wait.total_seconds()
+        query = {"topic": topic, "from": str(first), "wait_s": f"{wait_s:.3f}"}
+        batch, _ = await self._call(query, wait_s)
+        return batch
+
+    async def _call(
+        self, query: Mapping[str, str], wait_s: float
+    ) -> tuple[RecordBatch, bool]:
+        target = RECORDS_PATH + b"?" + urllib.parse.urlencode(query).encode()
+        request = encode_request(b"GET", target, [(b"Host", self._address.encode())])
+        try:
+            async with asyncio.timeout(wait_s + _TIMEOUT_S):
+                data = await self._exchange(request)
+            batch = decode(data, FeedBatch)
+        except (BrokenResponse, TimeoutError, PeerError) as error:
+            raise SourceUnavailableError(
+                ErrorCode.PLATFORM_UNAVAILABLE, f"relay {self._address}: {error!r}"
+            ) from error
+        if batch.lost:
+            raise HistoryLostError(
+                ErrorCode.LOG_INCOMPLETE, f"relay {self._address} dropped records"
+            )
+        records = tuple(Record(Offset(r.offset), r.key, r.value) for r in batch.records)
+        return RecordBatch(records, Offset(batch.end), batch.age_s), batch.more
+
+    async def _exchange(self, request: bytes) -> bytes:
+        connection = await self._pool.acquire(self._address)
+        try:
+            connection.send(request)
+            head = await connection.head()
+            data = await connection.body(_MOST_BATCH_BYTES)
+        except BaseException:
+            connection.abort()
+            raise
+        self._pool.release(self._address, connection)
+        if head.status != 200:
+            raise BrokenResponse(f"status_{head.status}")
+        return data
+
+
+async def serve_records(exchange: Exchange, feeds: Mapping[str, TopicFeed]) -> None:
+    """Answer a node that reads from this one."""
+    text = exchange.target.partition(b"?")[2].decode("latin-1")
+    query = dict(urllib.parse.parse_qsl(text))
+    feed = feeds.get(query.get("topic", ""))
+    if feed is None or feed.log.end == 0:
+        exchange.reply(404, (), b"")
+        return
+    try:
+        data = encode(_page(await _read(feed, query), snapshot="after" in query))
+    except HistoryLostError:
+        data = encode(FeedBatch(end=0, age_s=feed.age_s, lost=True))
+    except ValueError:
+        exchange.reply(400, (), b"")
+        return
+    except PeerError:
+        # One record exceeds a message; the node reads it from the store.
+        exchange.reply(413, (), b"")
+        return
+    exchange.reply(200, (), data)
+
+
+async def _read(feed: TopicFeed, query: Mapping[str, str]) -> RecordBatch:
+    if "after" in query:
+        after = int(query["after"])
+        whole = feed.log.snapshot(age_s=feed.age_s)
+        rest = tuple(r for r in whole.records if r.offset >= after)
+        return RecordBatch(rest, whole.end, whole.age_s)
+    wait_s = min(float(query.get("wait_s", "0")), _MOST_WAIT_S)
+    batch = await feed.log.read(
+        Offset(int(query["from"])),
+        wait=datetime.timedelta(seconds=wait_s),
+        age_s=0.0,
+    )
+    return RecordBatch(batch.records, batch.end, feed.age_s)
+
+
+def _page(batch: RecordBatch, *, snapshot: bool) -> FeedBatch:
+    """Return as many records as fit one answer; the rest is read next."""
+    records: list[FeedRecord] = []
+    size = 0
+    end = int(batch.end)
+    for record in batch.records:
+        size += len(record.key) + len(record.value or b"")
+        if records and size > _PAGE_BYTES:
+            end = record.offset
+            break
+        records.append(
+            FeedRecord(offset=record.offset, key=record.key, value=record.value)
+        )
+    cut = end != batch.end
+    return FeedBatch(
+        records=tuple(records),
+        end=end,
+        age_s=batch.age_s,
+        more=snapshot and cut,
+    )
--- a/pomelolug/entry/_side.py
+++ b/pomelolug/entry/_side.py
@@ -1,15 +1,18 @@
 """Answers to the balancer, to peers and to operators."""
 
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
 
 from pomelolug.deployment import ServerRegistry
 from pomelolug.entry._board import ServerBoard
-from pomelolug.entry._feeds import DeclarationFeed
+from pomelolug.entry._feeds import DeclarationKeeper
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._peering import DECLARATION_PATH, Peering
+from pomelolug.entry._relay import RECORDS_PATH, serve_records
 from pomelolug.entry._stop import Lifecycle
+from pomelolug.feeds import TopicFeed
 from pomelolug.platform import READY_PATH
 from pomelolug.replicas import DutyHolder, group_views
 from pomelolug.transport import Exchange
@@ -28,12 +31,13 @@
         self,
         *,
         lifecycle: Lifecycle,
-        declarations: DeclarationFeed,
+        declarations: DeclarationKeeper,
         board: ServerBoard,
         registry: ServerRegistry,
         duty: DutyHolder,
         metrics: EntryMetrics,
         peering: Peering,
+        feeds: Mapping[str, TopicFeed],
     ) -> None:
         self._lifecycle = lifecycle
         self._declarations = declarations
@@ -42,6 +46,7 @@
         self._duty = duty
         self._metrics = metrics
         self._peering = peering
+        self._feeds = feeds
 
     async def readiness(self, exchange: Exchange) -> None:
         """Answer whether the node takes callers."""
@@ -55,6 +60,8 @@
         """Answer with the declaration in force, or the node's state."""
         if exchange.target == DECLARATION_PATH and self._declarations.raw:
             exchange.reply(200, _JSON, self._declarations.raw)
+        elif exchange.target.startswith(RECORDS_PATH):
+            await serve_records(exchange, self._feeds)
         elif exchange.target == _STATUS_PATH:
             exchange.reply(200, _JSON, msgspec.json.encode(self._state()))
         else:
@@ -68,7 +75,8 @@
         views = group_views(self._registry.servers.values())
         return {
             "declaration": self._declarations.version,
-            "store_reachable": self._declarations.reachable,
+            "store_ages_s": {t: round(f.age_s, 3) for t, f in self._feeds.items()},
+            "relay": self._peering.is_relay,
             "ready": self._lifecycle.reason() or "ready",
             "forms_groups": self._duty.held,
             "peers": {p.node: p.declaration for p in self._peering.peers},
--- /dev/null
+++ b/pomelolug/feeds/__init__.py
@@ -0,0 +1,22 @@
+"""Records of the store's keyed topics, followed directly or through a relay."""
+
+from pomelolug.feeds._feed import FeedStatus, TopicFeed
+from pomelolug.feeds._log import RecordLog
+from pomelolug.feeds._source import (
+    HistoryLostError,
+    Record,
+    RecordBatch,
+    RecordSource,
+    SourceUnavailableError,
+)
+
+__all__ = [
+    "FeedStatus",
+    "HistoryLostError",
+    "Record",
+    "RecordBatch",
+    "RecordLog",
+    "RecordSource",
+    "SourceUnavailableError",
+    "TopicFeed",
+]
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -15,7 +15,7 @@
     encode,
 )
 from pomelolug.messages._configuration_generated import ConfigurationChange
-from pomelolug.messages._entry_generated import NodeStatus
+from pomelolug.messages._entry_generated import FeedBatch, FeedRecord, NodeStatus
 from pomelolug.messages._groups_generated import (
     Dissolution,
     Drain,
@@ -64,6 +64,8 @@
     "Drain",
     "Envelope",
     "Explanation",
+    "FeedBatch",
+    "FeedRecord",
     "Formation",
     "GroupMember",
     "GroupState",
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -5,7 +5,7 @@
 
 from pomelolug.messages._codec import Message
 
-__all__ = ["NodeStatus"]
+__all__ = ["FeedBatch", "FeedRecord", "NodeStatus"]
 
 
 class NodeStatus(Message, frozen=True, kw_only=True):
@@ -29,9 +29,47 @@
     """Whether a caller has sent a request."""
     stopping: bool = False
     """Whether the node is about to stop."""
+    store: bool = True
+    """Whether the node reaches the store."""
+    relay: bool = False
+    """Whether the node reads the store for its zone."""
     load: dict[str, int] = {}
-    """Requests in flight by server."""
+    """Requests of the node in flight, by server."""
+    zone_load: dict[str, int] = {}
+    """Those of the relay's whole zone."""
+    other_load: dict[str, int] = {}
+    """Those of all other zones, as the relay knows them."""
     suspects: tuple[str, ...] = ()
-    """Heads whose streams stand still."""
+    """Heads whose streams stand still at the node."""
+    zone_suspects: tuple[str, ...] = ()
+    """Those of the relay's whole zone."""
+    other_suspects: tuple[str, ...] = ()
+    """Those of all other zones, as the relay knows them."""
     peers: tuple[str, ...] = ()
     """Datagram addresses of some other nodes."""
+
+
+class FeedRecord(Message, frozen=True, kw_only=True):
+    """One record of a keyed topic."""
+
+    offset: int
+    """Offset in the store."""
+    key: str
+    """Key."""
+    value: bytes | None = None
+    """Value; without one the key is dropped."""
+
+
+class FeedBatch(Message, frozen=True, kw_only=True):
+    """A relay's answer to a node that reads records from it."""
+
+    records: tuple[FeedRecord, ...] = ()
+    """Records in the order of their offsets."""
+    end: int
+    """Offset from which to read on."""
+    age_s: float
+    """Time since the relay heard the store, in seconds."""
+    more: bool = False
+    """Whether a snapshot goes on from `end`."""
+    lost: bool = False
+    """Whether requested records are no longer kept."""
--- a/pomelolug/platform/__init__.py
+++ b/pomelolug/platform/__init__.py
@@ -16,14 +16,7 @@
 )
 from pomelolug.platform._servers import decode_server
 from pomelolug.platform._settings import NodeSettings, load_settings
-from pomelolug.platform._store import (
-    DutyLease,
-    HistoryLostError,
-    LogBatch,
-    MetadataStore,
-    StoreDutySource,
-    StoreUnavailableError,
-)
+from pomelolug.platform._store import DutyLease, MetadataStore, StoreDutySource
 from pomelolug.platform._streams import EventSplitter, StreamEvent
 from pomelolug.platform._words import (
     KEY_DECLARATION,
@@ -37,9 +30,7 @@
     "CallerHead",
     "DutyLease",
     "EventSplitter",
-    "HistoryLostError",
     "KEY_DECLARATION",
-    "LogBatch",
     "MetadataStore",
     "NodeSettings",
     "READY_PATH",
@@ -47,7 +38,6 @@
     "ServerOrders",
     "ServerReply",
     "StoreDutySource",
-    "StoreUnavailableError",
     "StreamEvent",
     "TOPIC_DECLARATION",
     "TOPIC_SERVERS",
--- a/pomelolug/platform/_store.py
+++ b/pomelolug/platform/_store.py
@@ -10,7 +10,14 @@
 
 import msgspec
 
-from pomelolug.errors import ErrorCode, PlatformError
+from pomelolug.errors import ErrorCode
+from pomelolug.feeds import (
+    HistoryLostError,
+    Record,
+    RecordBatch,
+    RecordSource,
+    SourceUnavailableError,
+)
 from pomelolug.ids import Offset
 from pomelolug.replicas import DutySource
 from pomelolug.transport import (
@@ -22,11 +29,8 @@
 
 __all__ = [
     "DutyLease",
-    "HistoryLostError",
-    "LogBatch",
     "MetadataStore",
     "StoreDutySource",
-    "StoreUnavailableError",
 ]
 
 _MOST_BODY_BYTES = 8 * 1024 * 1024
@@ -37,26 +41,6 @@
 _DUTY_PARTITION = 0
 
 
-class StoreUnavailableError(PlatformError):
-    """The store did not answer, or turned the call away."""
-
-
-class HistoryLostError(PlatformError):
-    """The requested records have been dropped; the newest ones remain."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LogBatch:
-    """Records of a keyed topic.
-
-    `records` holds (offset, key, value); a value of None drops the key. `end`
-    is the offset after the last record of the topic.
-    """
-
-    records: tuple[tuple[Offset, str, bytes | None], ...]
-    end: Offset
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class DutyLease:
     """Answer to a member that shares duties with others.
@@ -88,7 +72,7 @@
     parts: tuple[tuple[str, int, int], ...] = ()
 
 
-class MetadataStore:
+class MetadataStore(RecordSource):
     """Calls to the store over kept connections.
 
     Parameters
@@ -107,13 +91,13 @@
         self._timeout_s = timeout.total_seconds()
         self._idle: list[ClientConnection] = []
 
-    async def newest(self, topic: str) -> LogBatch:
+    async def newest(self, topic: str) -> RecordBatch:
         """Return the newest record of each key.
 
         The pages are no snapshot: records that follow the lowest `end` of any
         page have to be read as well, so that offset is returned.
         """
-        records: list[tuple[Offset, str, bytes | None]] = []
+        records: list[Record] = []
         end: int | None = None
         after = ""
         while True:
@@ -125,21 +109,21 @@
             end = page.end if end is None else min(end, page.end)
             for item in page.items:
                 value = base64.b64decode(item.value)
-                records.append((Offset(item.offset), item.key, value or None))
+                records.append(Record(Offset(item.offset), item.key, value or None))
             if not page.truncated or not page.items:
-                return LogBatch(tuple(records), Offset(end))
+                return RecordBatch(tuple(records), Offset(end))
             after = page.items[-1].key
 
     async def read(
         self, topic: str, first: Offset, *, wait: datetime.timedelta
-    ) -> LogBatch:
+    ) -> RecordBatch:
         """Return the records of a keyed topic from `first` on.
 
         Raises
         ------
         HistoryLostError
             If records from `first` on have been dropped.
-        StoreUnavailableError
+        SourceUnavailableError
             If the store does not answer.
         """
         query = {
@@ -154,11 +138,11 @@
             "GET", "/-/log-read", query, wait_s=wait.total_seconds()
         )
         if len(data) < 16:
-            raise StoreUnavailableError(
+            raise SourceUnavailableError(
                 ErrorCode.PLATFORM_UNAVAILABLE, "log read answered too few bytes"
             )
         records = tuple(_records(data[16:], first))
-        return LogBatch(records, Offset(first + len(records)))
+        return RecordBatch(records, Offset(first + len(records)))
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
         """Write one record of a keyed topic."""
@@ -221,13 +205,13 @@
             async with asyncio.timeout(self._timeout_s + wait_s):
                 status, data = await self._exchange(request)
         except BrokenResponse as error:
-            raise StoreUnavailableError(
+            raise SourceUnavailableError(
                 ErrorCode.PLATFORM_UNAVAILABLE,
                 f"{path}: {error.reason}",
                 maybe_applied=method == "POST",
             ) from error
         except TimeoutError as error:
-            raise StoreUnavailableError(
+            raise SourceUnavailableError(
                 ErrorCode.PLATFORM_UNAVAILABLE,
                 f"{path}: no answer in {self._timeout_s + wait_s:.1f} s",
                 maybe_applied=method == "POST",
@@ -237,7 +221,7 @@
                 ErrorCode.LOG_INCOMPLETE, f"{path}: records were dropped"
             )
         if status != 200:
-            raise StoreUnavailableError(
+            raise SourceUnavailableError(
                 ErrorCode.PLATFORM_UNAVAILABLE, f"{path}: status {status}"
             )
         return data
@@ -274,12 +258,12 @@
     try:
         return msgspec.json.decode(data, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise StoreUnavailableError(
+        raise SourceUnavailableError(
             ErrorCode.PLATFORM_UNAVAILABLE, f"the store's answer is malformed: {error}"
         ) from error
 
 
-def _records(data: bytes, first: Offset) -> Iterator[tuple[Offset, str, bytes | None]]:
+def _records(data: bytes, first: Offset) -> Iterator[Record]:
     """Yield the records after the two leading offsets of an answer."""
     at = 0
     offset = int(first)
@@ -292,7 +276,7 @@
         name_size = content[0] if content else 0
         key = content[1 : 1 + name_size].decode("utf-8", "replace")
         value = content[1 + name_size :]
-        yield Offset(offset), key, value or None
+        yield Record(Offset(offset), key, value or None)
         offset += 1
 
 
--- a/pomelolug/replicas/_duty.py
+++ b/pomelolug/replicas/_duty.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import datetime
+from collections.abc import Callable
 
 import structlog
 
@@ -49,14 +50,23 @@
         The store.
     clock : Clock
         Clock that goes on while the VM is suspended.
+    candidate : callable
+        Returns whether this node should take the duty if it is free.
     lease : datetime.timedelta
         Time after the last renewal at which the duty may pass to another node.
     """
 
     def __init__(
-        self, *, source: DutySource, clock: Clock, lease: datetime.timedelta
+        self,
+        *,
+        source: DutySource,
+        clock: Clock,
+        lease: datetime.timedelta,
+        candidate: Callable[[], bool] = lambda: True,
     ) -> None:
         self._source = source
+        self._candidate = candidate
+        self._joined = False
         self._clock = clock
         self._lease_s = lease.total_seconds()
         self._generation = 0
@@ -98,7 +108,11 @@
     async def run(self) -> None:
         """Renew the claim until cancelled."""
         while not self._stopped:
-            await self._renew()
+            if self._candidate():
+                self._joined = True
+                await self._renew()
+            elif self._joined:
+                await self._give_back()
             await self._clock.sleep(
                 datetime.timedelta(seconds=self._lease_s / _RENEWALS)
             )
@@ -106,6 +120,11 @@
     async def stop(self) -> None:
         """Give the duty back; a failure to do so only delays the successor."""
         self._stopped = True
+        await self._give_back()
+
+    async def _give_back(self) -> None:
+        self._assigned = False
+        self._joined = False
         try:
             await self._source.release()
         except PlatformError as error:
