Verify free servers before a group is formed, and let a refused holder step down

Cause: on the grown deployment servers that were cut off with others were chosen again while their entries had not lapsed, so that formations failed one after the other; a successor waited the stall time again for servers that had been freed; the duty moved with every change of the relay; a holder whose orders were fenced went on with the same token.

Change: after a loss the free servers of the domain have to answer first; free servers of ended groups join a standby group, which a successor recognises; a holder keeps the duty while it reaches the store, and a fenced one joins anew. Requests wait at a full group only while the latency target can be met.

--- a/pomelolug/entry/_board.py
+++ b/pomelolug/entry/_board.py
@@ -19,6 +19,8 @@
 
 _SUSPECT_S = 6.0
 """Longest suspicion of a head: a stalled one reports within its stall time."""
+_FULL_S = 0.2
+"""Time after a refusal in which a few of a full group's places come free."""
 _FAILURE_DECAY_S = 3.0
 _PROGRESS_S = 1.0
 """Age up to which progress of a stream shows that all members work."""
@@ -31,6 +33,7 @@
     in_flight: int = 0
     suspect_until: float = float("-inf")
     progress_at: float = float("-inf")
+    full_until: float = float("-inf")
     failures: float = 0.0
     failures_at: float = 0.0
 
@@ -82,6 +85,10 @@
         """Keep requests away from a head until it is known to work."""
         self.load(vm).suspect_until = self._clock.monotonic() + _SUSPECT_S
 
+    def refused(self, vm: VmId) -> None:
+        """Keep requests away from a server that has just refused one."""
+        self.load(vm).full_until = self._clock.monotonic() + _FULL_S
+
     def progressed(self, vm: VmId) -> None:
         """Note that a server sent a part of an answer."""
         load = self.load(vm)
@@ -206,7 +213,7 @@
     def _works(self, vm: VmId, now: float) -> bool:
         load = self._loads.get(vm)
         if load is not None:
-            if load.suspect_until > now:
+            if load.suspect_until > now or load.full_until > now:
                 return False
             if now - load.progress_at < _PROGRESS_S:
                 return True
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -239,7 +239,7 @@
             source=StoreDutySource(store=self._store, member=member, lease=lease),
             clock=_SuspendAwareClock(),
             lease=lease,
-            candidate=lambda: self._peering.is_relay,
+            candidate=self._may_form_groups,
         )
         orders = ServerOrders(
             pool=ConnectionPool(idle=_IDLE, connect_timeout=_CONNECT_TIMEOUT),
@@ -351,6 +351,13 @@
         self._controller.suspect(head)
         self._peering.announce()
 
+    def _may_form_groups(self) -> bool:
+        """Return whether this node stands for the duty; a holder keeps it."""
+        if self._lifecycle.stopping:
+            return False
+        holds = self._duty.held and self._reaches_store()
+        return holds or self._peering.is_relay
+
     def _reaches_store(self) -> bool:
         """Return whether this node may be the relay of its zone.
 
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -23,8 +23,6 @@
 
 _MOST_SENDS = 5
 _MOST_FAILURE_BYTES = 1024 * 1024
-_QUEUE_PART = 0.5
-"""Requests that may wait at a group, as a part of its slots."""
 _NO_GROUP_RETRY = datetime.timedelta(seconds=1)
 """Time in which a lost group is usually repaired from a spare VM."""
 _RESUME_WAIT_S = 1.0
@@ -108,6 +106,7 @@
                 if await self._run(call, head, progress):
                     self._repeats.answered(call)
                     return
+                self._board.refused(head.vm)
                 error = _refused("no group took the request")
             except AttemptError as failure:
                 if failure.ran is Ran.MAYBE:
@@ -152,14 +151,16 @@
         engine, model = _profiles(call)
         if engine is None or model is None:
             return []
-        most = engine.slots * (1.0 + _QUEUE_PART)
         candidates = []
+        target_s = call.route.target.total_seconds()
         for head in self._board.heads(model.name):
-            in_flight = self._board.in_flight(head.vm)
-            if head.vm in progress.tried or in_flight >= most:
+            if head.vm in progress.tried:
                 continue
+            in_flight = self._board.in_flight(head.vm)
             delay_s = first_event_s(engine, model, in_flight, call.head.prompt_tokens)
-            candidates.append(Candidate(head, delay_s))
+            # A request beyond the slots makes all that follow late as well.
+            if in_flight < engine.slots or delay_s <= target_s:
+                candidates.append(Candidate(head, delay_s))
         return candidates
 
     def _busy(self, call: Call) -> bool:
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -21,7 +21,7 @@
     ServerRegistry,
     ServerState,
 )
-from pomelolug.ids import GroupId, ModelName, ServiceName, VmId
+from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId
 from pomelolug.replicas._duty import DutyHolder
 from pomelolug.replicas._health import ServerHealth
 from pomelolug.replicas._plan import (
@@ -56,6 +56,13 @@
 _SETTLE_MOST_S = 2.5
 """Wait for further servers of a domain before the first groups are formed."""
 _STALL_MARGIN_S = 0.5
+_VERIFY_S = 3.0
+"""Time after a loss in which members of the domain have to answer first.
+
+It covers the time until the entries of the lost servers have lapsed.
+"""
+_VERIFIED_S = 1.0
+"""Age of a report that shows that a server answers."""
 _GHOST_S = 20.0
 """Time for which a server that left the registry is still asked for reports."""
 _STARTUP_LOADS = 3
@@ -159,6 +166,7 @@
         self._known: dict[VmId, BackendServer] = {}
         self._suspects: dict[VmId, float] = {}
         self._first_seen: dict[ServiceName, tuple[float, float, int]] = {}
+        self._verify_until: dict[DomainId, float] = {}
         self._witnesses: set[tuple[GroupKey, VmId]] = set()
         self._awake = asyncio.Event()
         self._orders: set[asyncio.Task[None]] = set()
@@ -232,6 +240,7 @@
         self._staging.clear()
         self._ordered_at.clear()
         self._witnesses.clear()
+        self._verify_until.clear()
         self._health.forget_all_orders()
 
     def _track_servers(self) -> None:
@@ -290,7 +299,9 @@
         }
         for server in self._known.values():
             unknown = self._health.orders_begun(server) is None
-            if unknown and server.membership is None and self._runs_models(server):
+            idle = server.membership is None and unknown
+            waits = self._unverified(server) and self._is_free(server)
+            if (idle or waits) and self._runs_models(server):
                 targets[server.vm] = server
         await asyncio.gather(
             self._health.probe(members.values(), suspect=True),
@@ -323,6 +334,10 @@
             if key not in self._formations:
                 orders += self._inspect(view, engine)
         free = [s for s in servers if self._is_free(s)]
+        # A domain is planned once all its free servers have answered, so that
+        # the choice does not depend on which of them answers first.
+        waiting = {s.domain for s in free if self._unverified(s)}
+        free = [s for s in free if s.domain not in waiting]
         if not self._settled(name, servers):
             free = _in_full_domains(free, engine)
         demand = self._demand(engine, servers, views)
@@ -469,6 +484,9 @@
     ) -> list[Coroutine[Any, Any, None]]:
         """Return the orders that free the members of an incomplete group."""
         release = self._releases.setdefault(view.key, _Release())
+        if lost:
+            until = self._clock.monotonic() + _VERIFY_S
+            self._verify_until[lost[0].domain] = until
         head = view.head
         if head is not None and head not in lost:
             return [self._leave(view.key, head, release)] if self._due(head.vm) else []
@@ -483,6 +501,17 @@
             [self._leave(view.key, witness, release)] if self._due(witness.vm) else []
         )
 
+    def _unverified(self, server: BackendServer) -> bool:
+        """Return whether a server of a domain with a recent loss has to answer.
+
+        The entry of a server that was lost with others is there for some
+        seconds, and a group formed with it fails.
+        """
+        now = self._clock.monotonic()
+        if self._verify_until.get(server.domain, 0.0) < now:
+            return False
+        return self._health.report(server.vm, newest_s=_VERIFIED_S) is None
+
     def _is_free(self, server: BackendServer) -> bool:
         if not self._usable(server) or self._in_formation(server.vm):
             return False
@@ -650,16 +679,19 @@
         """Return the orders that bring staged weights of spares into memory.
 
         A spare that was in a group of a model joins the next one at once, so it
-        is made the only member of a group that is never opened.
+        is made the only member of a group that is never opened. A successor sees
+        by this group that the spare is free.
         """
         orders = []
         for spare in spares:
-            known = (spare.vm, spare.born_ms) in self._last_model
-            if known or spare.membership is not None or not spare.staged:
+            m = spare.membership
+            if m is not None and is_standby((m.group, m.epoch)):
                 continue
-            if self._due(spare.vm):
+            model = self._last_model.get((spare.vm, spare.born_ms))
+            if model is None:
+                model = min(spare.staged, default=None)
+            if model is not None and self._due(spare.vm):
                 epoch = self._duty.next_epoch()
-                model = min(spare.staged)
                 orders.append(self._join_standby(spare, epoch, model))
         return orders
 
@@ -795,6 +827,8 @@
             self._health.order_begun(server)
         elif result is not OrderResult.HOLDS:
             self._health.forget_orders(server)
+        if result is OrderResult.FENCED:
+            self._duty.superseded()
         if result is OrderResult.CONFLICT:
             # The count of orders was out of date; try again with a new report.
             self._ordered_at.pop(server.vm, None)
--- a/pomelolug/replicas/_duty.py
+++ b/pomelolug/replicas/_duty.py
@@ -70,6 +70,7 @@
         self._clock = clock
         self._lease_s = lease.total_seconds()
         self._generation = 0
+        self._refused_generation = -1
         self._counter = 0
         self._assigned = False
         self._renewed_at = float("-inf")
@@ -83,7 +84,10 @@
         The lease counts from before the request that renewed it.
         """
         age_s = self._clock.monotonic() - self._renewed_at
-        return self._assigned and not self._stopped and age_s < self._lease_s
+        current = self._generation > self._refused_generation
+        return (
+            self._assigned and current and not self._stopped and age_s < self._lease_s
+        )
 
     @property
     def since(self) -> float:
@@ -105,9 +109,21 @@
         self._counter += 1
         return self.fence
 
+    def superseded(self) -> None:
+        """Stop giving orders after a server has seen a higher fencing token.
+
+        Another node has taken the duty; a later generation may give it back.
+        """
+        if self.held:
+            _log.warning("duty_superseded", generation=self._generation)
+        self._refused_generation = self._generation
+
     async def run(self) -> None:
         """Renew the claim until cancelled."""
         while not self._stopped:
+            if self._refused_generation == self._generation and self._joined:
+                # Joining anew brings a generation above the one that was refused.
+                await self._give_back()
             if self._candidate():
                 self._joined = True
                 await self._renew()
