Keep groups whose streams advance, and move the duty less often

Cause: servers that are cut off from the store answer neither reports nor orders of this node, but still work for their heads. A successor took them for lost and ended every group with such a member at once; the duty moved with each change among the nodes that stood for it, up to once a second.

Change: a member without an entry counts as present while the streams of its group advance, and otherwise until it misses reports; a group whose head has no entry is closed and formed anew; a relay stands for the duty after a second in its role and goes on when the role passes.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -65,6 +65,8 @@
 _COALESCE_ON_DUTY = datetime.timedelta(milliseconds=80)
 """The same for declarations, and on the node that forms groups."""
 _SWEEP_ROUNDS = 20
+_STABLE_RELAY_S = 1.0
+"""Time after which a relay stands for the duty; at the start roles still change."""
 _LEASE_FACTOR = 1.5
 _METRICS_PORT = 9464
 _BACKLOG = 1024
@@ -352,11 +354,14 @@
         self._peering.announce()
 
     def _may_form_groups(self) -> bool:
-        """Return whether this node stands for the duty; a holder keeps it."""
-        if self._lifecycle.stopping:
+        """Return whether this node stands for the duty.
+
+        Each change among those who do may move the duty, so a node that has been
+        a relay goes on.
+        """
+        if self._lifecycle.stopping or not self._reaches_store():
             return False
-        holds = self._duty.held and self._reaches_store()
-        return holds or self._peering.is_relay
+        return self._duty.joined or self._peering.relay_for_s >= _STABLE_RELAY_S
 
     def _reaches_store(self) -> bool:
         """Return whether this node may be the relay of its zone.
--- a/pomelolug/entry/_peering.py
+++ b/pomelolug/entry/_peering.py
@@ -116,6 +116,7 @@
         self._relays: dict[str, RelaySource] = {}
         self._avoid: dict[str, float] = {}
         self._was_relay = False
+        self._relay_since = float("inf")
 
     @property
     def peers(self) -> list[NodeStatus]:
@@ -132,6 +133,13 @@
         """Whether this node reads the store for its zone."""
         return self._relay_status() is None
 
+    @property
+    def relay_for_s(self) -> float:
+        """Seconds for which this node has been the relay, 0 if it is not."""
+        if not self._was_relay:
+            return 0.0
+        return max(self._clock.monotonic() - self._relay_since, 0.0)
+
     def source(self) -> tuple[RecordSource, datetime.timedelta]:
         """Return where to read records next, and how long a read may wait."""
         status = self._relay_status()
@@ -200,6 +208,7 @@
             self._board.take_peers(self._mesh.live, zone=self._settings.zone)
             if self.is_relay != self._was_relay:
                 self._was_relay = self.is_relay
+                self._relay_since = self._clock.monotonic()
                 _log.info("relay_role", relay=self._was_relay)
                 self.announce()
 
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -61,6 +61,10 @@
 
 It covers the time until the entries of the lost servers have lapsed.
 """
+_REPORTED_S = 1.0
+"""Age up to which a report speaks for a server that has no entry."""
+_SUSPECT_S = 2.0
+"""Time for which one report of standing streams counts."""
 _VERIFIED_S = 1.0
 """Age of a report that shows that a server answers."""
 _GHOST_S = 20.0
@@ -274,17 +278,48 @@
         )
 
     def _present(self, server: BackendServer) -> bool:
-        """Return whether a member still works for its group."""
+        """Return whether a member still works for its group.
+
+        A server without an entry may be cut off from the store alone. It counts
+        as present until it has missed its reports, or has reported another group.
+        """
         if self._health.lost(server.vm):
             return False
         if server.vm in self._known:
             return True
-        report = self._health.report(server.vm, newest_s=1.0)
-        return report is not None and report.membership == server.membership
+        report = self._health.report(server.vm, newest_s=_REPORTED_S)
+        if report is None or server.membership is None:
+            return True
+        theirs = report.membership
+        mine = server.membership
+        return theirs is not None and (theirs.group, theirs.epoch) == (
+            mine.group,
+            mine.epoch,
+        )
+
+    def _advances(self, view: GroupView) -> bool:
+        """Return whether the streams of a group show that all members work.
+
+        A member may be cut off from the store and from this node, and still work
+        for its head.
+        """
+        head = view.head
+        if head is None or head.vm in self._suspects or head.vm not in self._known:
+            return False
+        return self._in_flight(head.vm) > 0
+
+    def _as_reported(self, ghost: BackendServer) -> BackendServer:
+        """Return a server without an entry in the state of its newest report."""
+        report = self._health.report(ghost.vm, newest_s=_REPORTED_S)
+        if report is None or report.membership is None:
+            return ghost
+        return dataclasses.replace(ghost, membership=report.membership)
 
     async def _probe_suspects(self) -> None:
         now = self._clock.monotonic()
-        self._suspects = {v: at for v, at in self._suspects.items() if now - at < 2.0}
+        self._suspects = {
+            vm: at for vm, at in self._suspects.items() if now - at < _SUSPECT_S
+        }
         ghosts = [ghost for ghost, _ in self._ghosts.values()]
         targets = {
             ghost.vm: ghost
@@ -320,7 +355,11 @@
         self, name: ServiceName, engine: EngineProfile
     ) -> list[Coroutine[Any, Any, None]]:
         servers = [s for s in self._known.values() if s.service == name]
-        ghosts = [g for g, _ in self._ghosts.values() if g.service == name]
+        ghosts = [
+            self._as_reported(ghost)
+            for ghost, _ in self._ghosts.values()
+            if ghost.service == name
+        ]
         views = {
             key: view
             for key, view in group_views([*ghosts, *servers]).items()
@@ -442,8 +481,16 @@
         model = engine.model(view.model) if view.model is not None else None
         members = list(view.members.values())
         lost = [m for m in members if not self._present(m)]
+        if self._advances(view):
+            lost = []
         complete = model is not None and len(members) == model.size and not lost
-        draining = [m for m in members if m.state is ServerState.DRAINING]
+        draining = [
+            member
+            for member in members
+            if member.state is ServerState.DRAINING
+            # Requests may not be sent to a head without an entry.
+            or (member is view.head and member.vm not in self._known)
+        ]
         if view.model is None and not lost and not draining:
             if len(members) in {m.size for m in engine.models}:
                 return []  # a predecessor's group that loads its weights
--- a/pomelolug/replicas/_duty.py
+++ b/pomelolug/replicas/_duty.py
@@ -89,6 +89,11 @@
             self._assigned and current and not self._stopped and age_s < self._lease_s
         )
 
+    @property
+    def joined(self) -> bool:
+        """Whether this node stands for the duty."""
+        return self._joined
+
     @property
     def since(self) -> float:
         """Monotonic time at which the node took the duty, in seconds."""
--- a/pomelolug/replicas/tests/test_controller.py
+++ b/pomelolug/replicas/tests/test_controller.py
@@ -192,3 +192,52 @@
     await asyncio.sleep(5.0)
     assert 0 < len(fleet.loads) <= 8
     await node.stop()
+
+
+async def test_successor_keeps_groups_whose_members_lost_only_their_entries():
+    # Guards against a change of the duty that ends every group with a member
+    # that is cut off from the store, although all streams advance.
+    fleet = make_fleet(domains=2)
+    node = await start(fleet, groups=4)
+    before = fleet.open_groups()
+    successor = Node(fleet, generation=2)
+    successor.serving = True
+    successor.source.assigned = False
+    await asyncio.sleep(6.0)
+    fleet.unlist(member_of(fleet, LARGE))
+    await asyncio.sleep(1.0)
+    node.source.assigned = False
+    successor.source.assigned = True
+    await asyncio.sleep(8.0)
+    assert fleet.open_groups() == before
+    await node.stop()
+    await successor.stop()
+
+
+async def test_group_whose_head_lost_its_entry_is_formed_anew():
+    # Guards against a group that stands idle because nobody may send to its head.
+    fleet = make_fleet()
+    node = await start(fleet)
+    head = head_of(fleet, LARGE)
+    fleet.unlist(head)
+    await asyncio.sleep(4.0)
+    assert head_of(fleet, LARGE) != head
+    kinds = [kind for kind, vm, _ in fleet.orders if vm == head]
+    assert kinds.index("close") < kinds.index("leave")
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_group_whose_streams_advance_is_kept_without_reports_of_a_member():
+    # Guards against groups that are ended because a member is cut off from the
+    # store and from the node that forms groups, but not from its head.
+    fleet = make_fleet()
+    node = await start(fleet)
+    before = fleet.open_groups()
+    node.in_flight[head_of(fleet, LARGE)] = 3
+    member = member_of(fleet, LARGE)
+    fleet.servers[member].reachable = False
+    fleet.unlist(member)
+    await asyncio.sleep(8.0)
+    assert fleet.open_groups() == before
+    await node.stop()
