Tell successors when members left silent heads, serve on with leaving members

Cause: the duty passed on faster than the wait for a silent head, and each successor began the wait anew, so that members stayed without a group for 20 s; groups with a leaving member closed at once although no spare could replace it.

Change: nodes tell each other the age of such departures; a group with a leaving member closes when a spare is ready, or after 5 s.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -37,7 +37,7 @@
     ServerOrders,
     StoreDutySource,
 )
-from pomelolug.replicas import DutyHolder, GroupController, ServerHealth
+from pomelolug.replicas import Departures, DutyHolder, GroupController, ServerHealth
 from pomelolug.telemetry import BoundedWriter, configure_logging
 from pomelolug.transport import (
     ConnectionPool,
@@ -156,6 +156,7 @@
             serving=lambda: self._application.serving,
             reaches_store=self._reaches_store,
             on_suspect=self._controller.suspect,
+            departures=self._departures,
         )
         self._side = SideHandlers(
             lifecycle=self._lifecycle,
@@ -235,6 +236,7 @@
 
     def _build_groups(self) -> None:
         settings, clock = self._settings, self._clock
+        self._departures = Departures(clock=clock)
         member = f"{settings.node}.{os.getpid()}.{self._rng.getrandbits(48):x}"
         lease = settings.least_lease * _LEASE_FACTOR
         self._duty = DutyHolder(
@@ -253,6 +255,7 @@
             registry=self._registry,
             control=orders,
             health=ServerHealth(control=orders, clock=clock),
+            departures=self._departures,
             clock=clock,
             declaration=lambda: self._declarations.current,
             stall=settings.stall,
--- a/pomelolug/entry/_peering.py
+++ b/pomelolug/entry/_peering.py
@@ -18,6 +18,7 @@
 from pomelolug.ids import VmId
 from pomelolug.messages import NodeStatus
 from pomelolug.platform import MetadataStore, NodeSettings
+from pomelolug.replicas import Departures
 from pomelolug.transport import (
     BrokenResponse,
     ConnectionPool,
@@ -72,6 +73,8 @@
         State of this node.
     on_suspect : callable
         Called with each head that a peer suspects.
+    departures : Departures
+        Departures from groups whose heads do not answer.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         serving: Callable[[], bool],
         reaches_store: Callable[[], bool],
         on_suspect: Callable[[VmId], None],
+        departures: Departures,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -97,6 +101,7 @@
         self._own_serving = serving
         self._reaches_store = reaches_store
         self._on_suspect = on_suspect
+        self._departures = departures
         self._started_ms = time.time_ns() // 1_000_000
         self._port = settings.internal_ports[0] if settings.internal_ports else 0
         self._datagram = f"{settings.ip}:{self._port}"
@@ -257,12 +262,14 @@
             suspects=self._board.suspects(),
             zone_suspects=self._board.zone_suspects() if relay else (),
             other_suspects=self._board.other_suspects() if relay else (),
+            releases=self._departures.ages_s(),
             peers=peers,
         )
 
     def _heard(self, status: NodeStatus) -> None:
         for head in {*status.suspects, *status.zone_suspects, *status.other_suspects}:
             self._on_suspect(VmId(head))
+        self._departures.merge(status.releases)
         newer = status.declaration > self._declarations.version
         idle = self._fetching is None or self._fetching.done()
         if newer and idle and status.address:
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -45,6 +45,8 @@
     """Those of the relay's whole zone."""
     other_suspects: tuple[str, ...] = ()
     """Those of all other zones, as the relay knows them."""
+    releases: dict[str, float] = {}
+    """Seconds since a member left a group with a silent head, by group/epoch."""
     peers: tuple[str, ...] = ()
     """Datagram addresses of some other nodes."""
 
--- a/pomelolug/replicas/__init__.py
+++ b/pomelolug/replicas/__init__.py
@@ -1,6 +1,7 @@
 """Formation and repair of replica groups by the node that holds the duty."""
 
 from pomelolug.replicas._controller import GroupController, GroupEvent
+from pomelolug.replicas._departures import Departures
 from pomelolug.replicas._duty import DutyHolder, DutySource
 from pomelolug.replicas._health import ServerHealth
 from pomelolug.replicas._plan import (
@@ -14,6 +15,7 @@
 from pomelolug.replicas._view import GroupKey, GroupView, group_views
 
 __all__ = [
+    "Departures",
     "DutyHolder",
     "DutySource",
     "FreeServer",
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -22,6 +22,7 @@
     ServerState,
 )
 from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId
+from pomelolug.replicas._departures import Departures
 from pomelolug.replicas._duty import DutyHolder
 from pomelolug.replicas._health import ServerHealth
 from pomelolug.replicas._plan import (
@@ -56,6 +57,12 @@
 _SETTLE_MOST_S = 2.5
 """Wait for further servers of a domain before the first groups are formed."""
 _STALL_MARGIN_S = 0.5
+_DRAIN_PATIENCE_S = 5.0
+"""Time for which a group serves on with a leaving member and no spare.
+
+The platform keeps a leaving member for at most 10 s while its head has work, and
+the longest streams take some seconds.
+"""
 _VERIFY_S = 3.0
 """Time after a loss in which members of the domain have to answer first.
 
@@ -123,6 +130,8 @@
         Sends orders.
     health : ServerHealth
         Servers that do not answer.
+    departures : Departures
+        Departures from groups whose heads do not answer.
     clock : Clock
         Source of monotonic time.
     declaration : callable
@@ -144,6 +153,7 @@
         registry: ServerRegistry,
         control: ServerControl,
         health: ServerHealth,
+        departures: Departures,
         clock: Clock,
         declaration: Callable[[], Declaration | None],
         stall: datetime.timedelta,
@@ -155,6 +165,7 @@
         self._registry = registry
         self._control = control
         self._health = health
+        self._departures = departures
         self._clock = clock
         self._declaration = declaration
         self._stall_s = stall.total_seconds() + _STALL_MARGIN_S
@@ -170,6 +181,7 @@
         self._known: dict[VmId, BackendServer] = {}
         self._suspects: dict[VmId, float] = {}
         self._first_seen: dict[ServiceName, tuple[float, float, int]] = {}
+        self._draining_since: dict[GroupKey, float] = {}
         self._verify_until: dict[DomainId, float] = {}
         self._witnesses: set[tuple[GroupKey, VmId]] = set()
         self._awake = asyncio.Event()
@@ -245,6 +257,7 @@
         self._ordered_at.clear()
         self._witnesses.clear()
         self._verify_until.clear()
+        self._draining_since.clear()
         self._health.forget_all_orders()
 
     def _track_servers(self) -> None:
@@ -508,6 +521,13 @@
                 GroupState.CLOSING,
             )
         ):
+            head_leaves = view.head in draining
+            if (
+                model is not None
+                and not head_leaves
+                and not self._may_close(view, model)
+            ):
+                return []
             return self._close_for_drain(view)
         return self._release_group(view, lost)
 
@@ -520,6 +540,24 @@
             return []
         return [self._open(view.key, head)] if self._due(head.vm) else []
 
+    def _may_close(self, view: GroupView, model: ModelProfile | None) -> bool:
+        """Return whether a group with a leaving member should end its work now.
+
+        The member stays while the head has work, so the group serves until a
+        spare can take the place, or until little of that time is left.
+        """
+        now = self._clock.monotonic()
+        since = self._draining_since.setdefault(view.key, now)
+        if now - since >= _DRAIN_PATIENCE_S:
+            return True
+        domain = next(iter(view.members.values())).domain
+        return model is None or any(
+            server.domain == domain
+            and self._is_free(server)
+            and self._candidate(server).readiness(model.name) < 2
+            for server in self._known.values()
+        )
+
     def _close_for_drain(self, view: GroupView) -> list[Coroutine[Any, Any, None]]:
         head = view.head
         if head is None or view.head_state is GroupState.CLOSING:
@@ -537,6 +575,10 @@
         head = view.head
         if head is not None and head not in lost:
             return [self._leave(view.key, head, release)] if self._due(head.vm) else []
+        left_at = self._departures.left_at(view.key)
+        if left_at is not None and not release.left:
+            release.left = True
+            release.free_at = left_at + self._stall_s
         if release.left:
             return []
         survivors = [m for m in view.members.values() if m not in lost]
@@ -841,6 +883,7 @@
         release.free_at = self._clock.monotonic() + wait_s
         self.wake()
         if not is_head:
+            self._departures.note(key)
             self._witnesses.add((key, server.vm))
 
     async def _stage_one(self, server: BackendServer, model: ModelName) -> None:
--- a/pomelolug/replicas/tests/fleet.py
+++ b/pomelolug/replicas/tests/fleet.py
@@ -11,7 +11,13 @@
     Service,
 )
 from pomelolug.ids import ModelName, ServiceName
-from pomelolug.replicas import DutyHolder, DutySource, GroupController, ServerHealth
+from pomelolug.replicas import (
+    Departures,
+    DutyHolder,
+    DutySource,
+    GroupController,
+    ServerHealth,
+)
 from pomelolug.testing import GroupServers, LoopClock
 
 LARGE = ModelName("large")
@@ -97,6 +103,7 @@
         self.duty = DutyHolder(source=self.source, clock=clock, lease=seconds(1.5))
         self.registry = ServerRegistry(clock=clock)
         self.health = ServerHealth(control=fleet, clock=clock)
+        self.departures = Departures(clock=clock)
         self.in_flight: dict[str, int] = {}
         self.serving = False
         self.controller = GroupController(
@@ -104,6 +111,7 @@
             registry=self.registry,
             control=fleet,
             health=self.health,
+            departures=self.departures,
             clock=clock,
             declaration=lambda: DECLARATION,
             stall=STALL,
--- a/pomelolug/replicas/tests/test_controller.py
+++ b/pomelolug/replicas/tests/test_controller.py
@@ -241,3 +241,30 @@
     await asyncio.sleep(8.0)
     assert fleet.open_groups() == before
     await node.stop()
+
+
+async def test_successor_does_not_wait_again_for_a_silent_head():
+    # Guards against members that are never free again, because the duty passes
+    # on before each wait for their silent head is over.
+    fleet = make_fleet()
+    node = await start(fleet)
+    successor = Node(fleet, generation=2)
+    successor.serving = True
+    successor.source.assigned = False
+    await asyncio.sleep(6.0)
+    head = head_of(fleet, SMALL)
+    fleet.kill(head)
+    node.controller.suspect(head)
+    await asyncio.sleep(3.0)
+    successor.departures.merge(node.departures.ages_s())
+    node.source.assigned = False
+    successor.source.assigned = True
+    fleet.lapse(head)
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    while SMALL not in fleet.open_groups().values():
+        assert loop.time() - started < 5.0
+        await asyncio.sleep(0.05)
+    assert fleet.violations == []
+    await node.stop()
+    await successor.stop()
