Repeat on a new connection what a kept one ended before any answer

Cause: streams were refused with 502 after two resets within 3 ms: kept connections had been closed by the servers while idle, and each counted as a run.

Change: such a request, if it may be repeated, goes to the same server once more on a new connection.

--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -37,10 +37,16 @@
         Whether the server may have run the request.
     arrived : bool
         Whether any byte of the request may have reached the server.
+    stale : bool
+        Whether a kept connection ended before any answer, as it does when the
+        server closed it while it was idle.
     """
 
-    def __init__(self, reason: str, *, ran: Ran, arrived: bool) -> None:
+    def __init__(
+        self, reason: str, *, ran: Ran, arrived: bool, stale: bool = False
+    ) -> None:
         super().__init__(reason)
+        self._stale = stale
         self._reason = reason
         self._ran = ran
         self._arrived = arrived
@@ -55,6 +61,11 @@
         """Whether the server may have run the request."""
         return self._ran
 
+    @property
+    def stale(self) -> bool:
+        """Whether a kept connection ended before any answer."""
+        return self._stale
+
     @property
     def arrived(self) -> bool:
         """Whether any byte may have reached the server."""
@@ -146,7 +157,13 @@
                 connection.expect_another()
                 await connection.body(_MOST_FOREIGN_BYTES)
         except BrokenResponse as error:
-            raise AttemptError(error.reason, ran=Ran.MAYBE, arrived=True) from error
+            ended = error.reason in ("reset", "closed")
+            raise AttemptError(
+                error.reason,
+                ran=Ran.MAYBE,
+                arrived=True,
+                stale=ended and connection.reused,
+            ) from error
         raise AttemptError("foreign_responses", ran=Ran.MAYBE, arrived=True)
 
     async def body(self, limit: int) -> bytes:
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -33,11 +33,12 @@
 class _Progress:
     """What the caller has received of one stream."""
 
-    __slots__ = ("last_event", "runs", "sends", "started", "tried")
+    __slots__ = ("fresh", "last_event", "runs", "sends", "started", "tried")
 
     def __init__(self, last_event: int | None) -> None:
         self.last_event = last_event
         self.started = False
+        self.fresh = False
         self.runs = 0
         self.sends = 0
         self.tried: set[VmId] = set()
@@ -109,6 +110,12 @@
                 self._board.refused(head.vm)
                 error = _refused("no group took the request")
             except AttemptError as failure:
+                if failure.stale and call.route.repeatable and not progress.fresh:
+                    # The same server is asked again, so no further one runs it.
+                    progress.fresh = True
+                    progress.tried.discard(head.vm)
+                    error = _error(failure, 1)
+                    continue
                 if failure.ran is Ran.MAYBE:
                     progress.runs += 1
                 error = _error(failure, progress.runs)
@@ -199,7 +206,7 @@
         now = self._clock.monotonic()
         data = call.encode(head.vm, now=now, last_event=progress.last_event)
         async with Attempt(self._pool, head.address, call.head.request) as attempt:
-            await attempt.send(data, fresh=False)
+            await attempt.send(data, fresh=progress.fresh)
             call.record.attempts[-1].may_have_run = True
             watched = self._watch.enter(head.vm, attempt)
             try:
--- a/pomelolug/entry/tests/test_streams.py
+++ b/pomelolug/entry/tests/test_streams.py
@@ -204,6 +204,29 @@
         assert (await h.call("/stream/x", method=b"POST", **HEADERS))[0].status == 503
 
 
+async def test_connection_that_ended_while_idle_costs_no_run():
+    # Guards against streams that use up their servers on connections that a
+    # server has closed.
+    seen = []
+
+    async def script(request):
+        seen.append(request.connection)
+        if len(seen) in (2, 3) and request.connection == seen[0]:
+            request.reset()
+            return
+        await whole(request)
+
+    async with Harness() as h:
+        await h.add(script, service="llm")
+        await h.start()
+        for number in range(2):
+            head, body = await h.call(
+                "/stream/x", method=b"POST", request_id=f"r{number}", **HEADERS
+            )
+            assert (head.status, body) == (200, events())
+        assert seen == [1, 1, 2]
+
+
 async def test_failure_of_a_group_is_passed_on_with_its_seal():
     # Guards against a lost answer where the server had given one.
     async def script(request):
--- a/pomelolug/transport/_client.py
+++ b/pomelolug/transport/_client.py
@@ -77,6 +77,12 @@
         self._buffered = 0
         self._paused = False
         self._idle_since = 0.0
+        self._requests = 0
+
+    @property
+    def reused(self) -> bool:
+        """Whether the last request was not the first one on this connection."""
+        return self._requests > 1
 
     @property
     def reusable(self) -> bool:
@@ -118,6 +124,7 @@
         if self._closed or self._transport is None or self._transport.is_closing():
             raise BrokenResponse("closed_before_send")
         self._awaiting = True
+        self._requests += 1
         self._transport.write(data)
 
     async def head(self) -> ResponseHead:
