--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: test demo bench soak replay format lint generate
+.PHONY: test demo bench soak replay format lint generate install
 
 # The virtual environment is rebuilt when the lock file changes.
 $(VENV)/.installed: requirements.lock
@@ -10,6 +10,10 @@
 	$(RUN) -m pip install --quiet --require-hashes -r requirements.lock
 	touch $@
 
+# The commands of pyproject.toml, run from this checkout.
+install: $(VENV)/.installed
+	$(RUN) -m pip install --quiet --no-deps --editable .
+
 test: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
