--- a/pomelolug/entry/_application.py
+++ b/pomelolug/entry/_application.py
@@ -93,7 +93,7 @@
         except RequestError as error:
             _answer_error(exchange, head, record, error)
         except asyncio.CancelledError:
-            record.status, record.code = 499, ErrorCode.CALLER_TOO_SLOW
+            record.status, record.code = 499, ErrorCode.CALLER_LEFT
             raise
         except Exception:
             _log.exception("request_failed", request=head.request)
--- a/pomelolug/errors/_codes.py
+++ b/pomelolug/errors/_codes.py
@@ -50,6 +50,7 @@
     BACKEND_LOST = "backend_lost"
     STREAM_CUT = "stream_cut"
     CALLER_TOO_SLOW = "caller_too_slow"
+    CALLER_LEFT = "caller_left"
     DRAINING = "draining"
 
     # Platform, peers and configuration.
