Tell refused callers to return when a lost group serves again

Cause: callers refused at full groups were told to return after 0.25 s, when the groups were still full; a second refusal is final for most of them.

Change: 1.3 s at full groups and 2 s without a group, varied by 15 in 100.

--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -23,8 +23,16 @@
 
 _MOST_SENDS = 5
 _MOST_FAILURE_BYTES = 1024 * 1024
-_NO_GROUP_RETRY = datetime.timedelta(seconds=1)
-"""Time in which a lost group is usually repaired from a spare VM."""
+_FULL_RETRY = datetime.timedelta(seconds=1.3)
+"""Time to return after all groups were full.
+
+Groups fill up when one is lost, and it serves again within two seconds if a spare
+is ready.
+"""
+_NO_GROUP_RETRY = datetime.timedelta(seconds=2)
+"""The same where no group of the model is open."""
+_RETRY_JITTER = 0.15
+"""Part by which these times vary, so that callers do not return together."""
 _RESUME_WAIT_S = 1.0
 """Longest wait for a group that can continue a stream."""
 _RESUME_POLL = datetime.timedelta(milliseconds=50)
@@ -99,7 +107,7 @@
             if head is None:
                 break
             if progress.sends and not self._repeats.allow(call):
-                error = error or _refused("the budget of repeats is used up")
+                error = error or self._refused("the budget of repeats is used up")
                 break
             progress.sends += 1
             progress.tried.add(head.vm)
@@ -108,7 +116,7 @@
                     self._repeats.answered(call)
                     return
                 self._board.refused(head.vm)
-                error = _refused("no group took the request")
+                error = self._refused("no group took the request")
             except AttemptError as failure:
                 if failure.stale and call.route.repeatable and not progress.fresh:
                     # The same server is asked again, so no further one runs it.
@@ -133,9 +141,17 @@
         if progress.runs and (error is None or error.outcome is Outcome.NOT_RUN):
             raise unknown(ErrorCode.BACKEND_LOST, "the group was lost")
         if error is None:
-            error = _no_group(self._busy(call))
+            busy = self._busy(call)
+            wait = _FULL_RETRY if busy else _NO_GROUP_RETRY
+            error = _no_group(busy, self._jittered(wait))
         raise error
 
+    def _refused(self, message: str) -> RequestError:
+        return _refused(message, self._jittered(_FULL_RETRY))
+
+    def _jittered(self, wait: datetime.timedelta) -> datetime.timedelta:
+        return wait * self._rng.uniform(1.0 - _RETRY_JITTER, 1.0 + _RETRY_JITTER)
+
     def _may_repeat(self, call: Call, progress: _Progress) -> bool:
         if not progress.runs:
             return True
@@ -296,30 +312,20 @@
     return engine, engine.model(call.head.model)
 
 
-def _refused(message: str) -> RequestError:
+def _refused(message: str, retry_after: datetime.timedelta) -> RequestError:
     return RequestError(
         ErrorCode.BACKEND_REFUSED,
         message,
         status=503,
         outcome=Outcome.NOT_RUN,
-        retry_after=_NO_GROUP_RETRY / 4,
+        retry_after=retry_after,
     )
 
 
-def _no_group(busy: bool) -> RequestError:
-    if busy:
-        return RequestError(
-            ErrorCode.QUEUE_FULL,
-            "all groups of the model are full",
-            status=503,
-            retry_after=_NO_GROUP_RETRY / 4,
-        )
-    return RequestError(
-        ErrorCode.NO_GROUP,
-        "no group of the model is open",
-        status=503,
-        retry_after=_NO_GROUP_RETRY,
-    )
+def _no_group(busy: bool, retry_after: datetime.timedelta) -> RequestError:
+    code = ErrorCode.QUEUE_FULL if busy else ErrorCode.NO_GROUP
+    message = "all groups of the model are full" if busy else "no group is open"
+    return RequestError(code, message, status=503, retry_after=retry_after)
 
 
 def _error(failure: AttemptError, runs: int) -> RequestError:
