Leave free servers to the model that lacks groups

Cause: after losses the survivors of a large group were taken for small groups, of which there were enough, so that the large group could not be formed again.

Change: a model with 1.2 times the servers that it needs forms no group while another has less than 0.8 times.

--- a/pomelolug/replicas/_plan.py
+++ b/pomelolug/replicas/_plan.py
@@ -24,6 +24,11 @@
 
 They stay spares that hold the weights of the groups around them.
 """
+_ENOUGH = 1.2
+_SHORT = 0.8
+"""Servers relative to the need: a model above the first takes none of the free ones
+while another is below the second.
+"""
 _GROUP_FILL = 0.5
 """Part of its slots to which a group is filled at a good latency."""
 _LEAST_PART = 0.5
@@ -135,6 +140,7 @@
             for domain, candidates in by_domain.items()
             for model in models
             if _fits(model, candidates, loading)
+            and not _yields(model, models, counts, needed)
         ]
         if not options:
             break
@@ -260,6 +266,17 @@
     return wanted
 
 
+def _yields(
+    model: ModelProfile,
+    models: Sequence[ModelProfile],
+    counts: Mapping[ModelName, int],
+    needed: Mapping[ModelName, float],
+) -> bool:
+    """Return whether a model with enough servers leaves the free ones to another."""
+    ratios = {m.name: counts.get(m.name, 0) / needed[m.name] for m in models}
+    return ratios[model.name] >= _ENOUGH and min(ratios.values()) < _SHORT
+
+
 def _fits(model: ModelProfile, candidates: Sequence[FreeServer], loading: bool) -> bool:
     if loading:
         return model.size <= len(candidates)
--- a/pomelolug/replicas/tests/test_plan.py
+++ b/pomelolug/replicas/tests/test_plan.py
@@ -111,3 +111,14 @@
     assert plan_second_weights([warm], MODELS) == [(VmId("d0-01"), SMALL)]
     both = free(2, staged=SMALL, last=LARGE)
     assert plan_second_weights([both], MODELS) == []
+
+
+def test_model_with_enough_groups_leaves_survivors_to_one_that_lacks_them():
+    # Guards against five survivors of a large group that become a small one while
+    # the sixth is on its way and the small model has plenty.
+    survivors = [free(n, last=LARGE, staged=SMALL) for n in range(5)]
+    in_groups = {LARGE: 6, SMALL: 27}
+    needed = {LARGE: 24.0, SMALL: 20.0}
+    assert plan_groups(survivors, MODELS, in_groups, needed, loading=False) == []
+    needed = {LARGE: 6.0, SMALL: 30.0}
+    assert plan_groups(survivors, MODELS, in_groups, needed, loading=False) != []
