Refuse a request that was lost with three servers

Cause: a request may crash each server that runs it, and its caller sends it again under another id through another entry VM; only the runs of one try were bounded.

Change: a request is known again by caller, path and body; nodes tell each other which servers were lost while it ran, and after three it is refused.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -26,6 +26,7 @@
 from pomelolug.entry._side import SideHandlers
 from pomelolug.entry._stop import Lifecycle
 from pomelolug.entry._stream import StreamFlow
+from pomelolug.entry._strikes import Strikes
 from pomelolug.entry._watch import StallWatch
 from pomelolug.feeds import RecordSource, TopicFeed
 from pomelolug.ids import ModelName, VmId
@@ -139,6 +140,7 @@
         )
         self._build_feeds()
         self._pool = ConnectionPool(idle=_IDLE, connect_timeout=_CONNECT_TIMEOUT)
+        self._strikes = Strikes(clock=clock)
         self._watch = StallWatch(clock=clock, on_stall=self._stalled)
         self._build_flows()
         self._build_groups()
@@ -157,6 +159,7 @@
             reaches_store=self._reaches_store,
             on_suspect=self._controller.suspect,
             departures=self._departures,
+            strikes=self._strikes,
         )
         self._side = SideHandlers(
             lifecycle=self._lifecycle,
@@ -220,6 +223,7 @@
             pool=self._pool,
             repeats=repeats,
             watch=self._watch,
+            strikes=self._strikes,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
--- a/pomelolug/entry/_peering.py
+++ b/pomelolug/entry/_peering.py
@@ -13,6 +13,7 @@
 from pomelolug.entry._feeds import DeclarationKeeper
 from pomelolug.entry._peers import PeerMesh
 from pomelolug.entry._relay import RelaySource
+from pomelolug.entry._strikes import Strikes
 from pomelolug.errors import PlatformError
 from pomelolug.feeds import RecordSource
 from pomelolug.ids import VmId
@@ -75,6 +76,8 @@
         Called with each head that a peer suspects.
     departures : Departures
         Departures from groups whose heads do not answer.
+    strikes : Strikes
+        Requests in flight when servers were lost.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         reaches_store: Callable[[], bool],
         on_suspect: Callable[[VmId], None],
         departures: Departures,
+        strikes: Strikes,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -102,6 +106,7 @@
         self._reaches_store = reaches_store
         self._on_suspect = on_suspect
         self._departures = departures
+        self._strikes = strikes
         self._started_ms = time.time_ns() // 1_000_000
         self._port = settings.internal_ports[0] if settings.internal_ports else 0
         self._datagram = f"{settings.ip}:{self._port}"
@@ -262,6 +267,7 @@
             suspects=self._board.suspects(),
             zone_suspects=self._board.zone_suspects() if relay else (),
             other_suspects=self._board.other_suspects() if relay else (),
+            strikes=self._strikes.shared(),
             releases=self._departures.ages_s(),
             peers=peers,
         )
@@ -270,6 +276,7 @@
         for head in {*status.suspects, *status.zone_suspects, *status.other_suspects}:
             self._on_suspect(VmId(head))
         self._departures.merge(status.releases)
+        self._strikes.merge(status.strikes)
         newer = status.declaration > self._declarations.version
         idle = self._fetching is None or self._fetching.done()
         if newer and idle and status.address:
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -13,6 +13,7 @@
 from pomelolug.entry._choice import Candidate, choose, first_event_s
 from pomelolug.entry._record import AttemptRecord
 from pomelolug.entry._repeats import Repeats
+from pomelolug.entry._strikes import Strikes, fingerprint
 from pomelolug.entry._watch import StallWatch
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId, ZoneId
@@ -22,6 +23,8 @@
 __all__ = ["StreamFlow"]
 
 _MOST_SENDS = 5
+_SERVER_LOST = frozenset({"reset", "closed", "stalled", "malformed"})
+"""Results after which the server may have crashed."""
 _MOST_FAILURE_BYTES = 1024 * 1024
 _FULL_RETRY = datetime.timedelta(seconds=1.3)
 """Time to return after all groups were full.
@@ -65,6 +68,8 @@
         Budget of repeated requests.
     watch : StallWatch
         Breaks off attempts at groups that stand still.
+    strikes : Strikes
+        Requests in flight when servers were lost.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -80,6 +85,7 @@
         pool: ConnectionPool,
         repeats: Repeats,
         watch: StallWatch,
+        strikes: Strikes,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -88,6 +94,7 @@
         self._pool = pool
         self._repeats = repeats
         self._watch = watch
+        self._strikes = strikes
         self._clock = clock
         self._zone = zone
         self._rng = rng
@@ -102,7 +109,11 @@
         """
         progress = _Progress(call.head.last_event)
         error: RequestError | None = None
+        identity = fingerprint(call.account, call.exchange.target, call.exchange.body)
         while progress.sends < _MOST_SENDS:
+            if self._strikes.condemned(identity):
+                error = _condemned()
+                break
             head = await self._choose(call, progress)
             if head is None:
                 break
@@ -126,6 +137,8 @@
                     continue
                 if failure.ran is Ran.MAYBE:
                     progress.runs += 1
+                    if failure.reason in _SERVER_LOST:
+                        self._strikes.note(identity, head.vm)
                 error = _error(failure, progress.runs)
                 if not self._may_repeat(call, progress):
                     break
@@ -322,6 +335,10 @@
     )
 
 
+def _condemned() -> RequestError:
+    return not_run(ErrorCode.QUARANTINED, "servers were lost whenever this request ran")
+
+
 def _no_group(busy: bool, retry_after: datetime.timedelta) -> RequestError:
     code = ErrorCode.QUEUE_FULL if busy else ErrorCode.NO_GROUP
     message = "all groups of the model are full" if busy else "no group is open"
--- /dev/null
+++ b/pomelolug/entry/tests/test_strikes.py
@@ -0,0 +1,87 @@
+"""Requests that crash servers are stopped, and bystanders are not."""
+
+import asyncio
+
+import pytest
+
+from pomelolug.entry._strikes import Strikes, fingerprint
+from pomelolug.entry.tests.harness import MODEL, Harness, begin_stream, event
+from pomelolug.ids import AccountId, VmId
+from pomelolug.testing import LoopClock
+from pomelolug.transport import BrokenResponse
+
+
+@pytest.mark.looptime
+async def test_losses_of_all_nodes_count_together():
+    # Guards against a request that crashes three servers through each node.
+    nodes = [Strikes(clock=LoopClock()) for _ in range(3)]
+    request = fingerprint(AccountId("a"), b"/x", b"body")
+    for number, node in enumerate(nodes):
+        node.note(request, VmId(f"s{number}"))
+    for node in nodes:
+        for other in nodes:
+            node.merge(other.shared())
+    assert all(node.condemned(request) for node in nodes)
+
+
+@pytest.mark.looptime
+async def test_loss_that_is_told_again_counts_once():
+    # Guards against an innocent request that is refused after one loss.
+    node = Strikes(clock=LoopClock())
+    request = fingerprint(None, b"/x", b"")
+    node.note(request, VmId("s1"))
+    for _ in range(5):
+        node.merge(node.shared())
+    assert not node.condemned(request)
+
+
+@pytest.mark.looptime
+async def test_old_losses_are_forgotten():
+    # Guards against memory that grows, and a request refused for ever.
+    node = Strikes(clock=LoopClock())
+    request = fingerprint(None, b"/x", b"")
+    for number in range(3):
+        node.note(request, VmId(f"s{number}"))
+    await asyncio.sleep(200)
+    node.note(fingerprint(None, b"/y", b""), VmId("s9"))
+    assert not node.condemned(request)
+
+
+async def test_request_that_crashes_its_servers_is_refused_and_others_are_served():
+    # Guards against one request that takes down group after group.
+    runs = []
+
+    async def script(request):
+        begin_stream(request)
+        request.send_chunk(event(0))
+        if request.body == b"poison":
+            runs.append(request)
+            await request.writer.drain()
+            await asyncio.sleep(0.02)
+            request.reset()
+            return
+        request.send_chunk(b"")
+
+    async with Harness() as h:
+        for _ in range(6):
+            await h.add(script, service="llm")
+        await h.start()
+        headers = {"Model": MODEL, "Token_Count": "100,50"}
+        for number in range(4):
+            try:
+                head, _ = await h.call(
+                    "/stream/x",
+                    method=b"POST",
+                    body=b"poison",
+                    request_id=f"p{number}",
+                    **headers,
+                )
+                status = head.status
+            except BrokenResponse:
+                status = 0
+        assert status == 503
+        assert len(runs) <= 4
+        head, _ = await h.call(
+            "/stream/x", method=b"POST", body=b"fine", request_id="f", **headers
+        )
+        assert head.status == 200
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -47,6 +47,8 @@
     """Those of all other zones, as the relay knows them."""
     releases: dict[str, float] = {}
     """Seconds since a member left a group with a silent head, by group/epoch."""
+    strikes: dict[str, tuple[str, ...]] = {}
+    """Servers lost with a request, by its fingerprint."""
     peers: tuple[str, ...] = ()
     """Datagram addresses of some other nodes."""
 
