Split the group controller into fleet, orders and decisions

Change: FleetView knows the servers, OrderDesk gives single orders, and the controller decides. No change of behaviour.

--- a/pomelolug/replicas/__init__.py
+++ b/pomelolug/replicas/__init__.py
@@ -1,7 +1,8 @@
 """Formation and repair of replica groups by the node that holds the duty."""
 
-from pomelolug.replicas._controller import GroupController, GroupEvent
+from pomelolug.replicas._controller import GroupController
 from pomelolug.replicas._departures import Departures
+from pomelolug.replicas._desk import GroupEvent
 from pomelolug.replicas._duty import DutyHolder, DutySource
 from pomelolug.replicas._health import ServerHealth
 from pomelolug.replicas._plan import (
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -16,17 +16,17 @@
     EngineProfile,
     GroupState,
     ModelProfile,
-    OrderResult,
     ServerControl,
     ServerRegistry,
     ServerState,
 )
 from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId
 from pomelolug.replicas._departures import Departures
+from pomelolug.replicas._desk import GroupEvent, OrderDesk
 from pomelolug.replicas._duty import DutyHolder
+from pomelolug.replicas._fleet import FleetView
 from pomelolug.replicas._health import ServerHealth
 from pomelolug.replicas._plan import (
-    FreeServer,
     NewGroup,
     needed_servers,
     plan_groups,
@@ -38,7 +38,6 @@
     GroupView,
     group_views,
     is_standby,
-    standby_name,
 )
 
 __all__ = ["GroupController", "GroupEvent"]
@@ -49,8 +48,6 @@
 """Longest pause between two rounds."""
 _LEAST_PAUSE = datetime.timedelta(milliseconds=20)
 _PROBE_PAUSE = datetime.timedelta(milliseconds=50)
-_ORDER_RETRY_S = 0.6
-"""Time after which an order without visible effect is given again."""
 _FORMATION_S = 4.0
 """Time beyond the load after which an unfinished group is given up."""
 _SETTLE_S = 0.6
@@ -68,19 +65,13 @@
 
 It covers the time until the entries of the lost servers have lapsed.
 """
-_REPORTED_S = 1.0
-"""Age up to which a report speaks for a server that has no entry."""
-_SUSPECT_S = 2.0
-"""Time for which one report of standing streams counts."""
 _VERIFIED_S = 1.0
 """Age of a report that shows that a server answers."""
-_GHOST_S = 20.0
-"""Time for which a server that left the registry is still asked for reports."""
 _STARTUP_LOADS = 3
 """Loads at once before the first request, as a factor on the declared number."""
 
-GroupEvent = Callable[[str, str], None]
-"""Receives the kind of a decision and the group's name."""
+
+_SERVING_STATES = (GroupState.OPEN, GroupState.CLOSING)
 
 
 @dataclasses.dataclass(slots=True)
@@ -162,8 +153,6 @@
         on_event: GroupEvent,
     ) -> None:
         self._duty = duty
-        self._registry = registry
-        self._control = control
         self._health = health
         self._departures = departures
         self._clock = clock
@@ -172,14 +161,19 @@
         self._serving = serving
         self._in_flight = in_flight
         self._on_event = on_event
+        self._fleet = FleetView(
+            registry=registry,
+            health=health,
+            clock=clock,
+            in_flight=in_flight,
+            runs_models=self._runs_models,
+        )
+        self._desk = OrderDesk(
+            duty=duty, control=control, health=health, clock=clock, on_event=on_event
+        )
         self._formations: dict[GroupKey, _Formation] = {}
         self._releases: dict[GroupKey, _Release] = {}
-        self._last_model: dict[tuple[VmId, int], ModelName] = {}
-        self._ordered_at: dict[VmId, float] = {}
         self._staging: dict[VmId, tuple[ModelName, float]] = {}
-        self._ghosts: dict[VmId, tuple[BackendServer, float]] = {}
-        self._known: dict[VmId, BackendServer] = {}
-        self._suspects: dict[VmId, float] = {}
         self._first_seen: dict[ServiceName, tuple[float, float, int]] = {}
         self._draining_since: dict[GroupKey, float] = {}
         self._verify_until: dict[DomainId, float] = {}
@@ -191,7 +185,7 @@
 
     def suspect(self, head: VmId) -> None:
         """Take note that the streams of a group stand still."""
-        self._suspects[head] = self._clock.monotonic()
+        self._fleet.suspect(head)
 
     def wake(self) -> None:
         """Do the next round at once, because servers have changed."""
@@ -219,7 +213,7 @@
     async def _run_probes(self) -> None:
         while True:
             if self._duty.held:
-                await self._probe_suspects()
+                await self._fleet.probe(self._waiting())
                 self.wake()
             await self._clock.sleep(_PROBE_PAUSE)
 
@@ -231,7 +225,7 @@
     def step(self) -> None:
         """Do one round: start the orders that are due."""
         self._awake.clear()
-        self._track_servers()
+        self._fleet.track()
         declaration = self._declaration()
         if not self._duty.held or declaration is None:
             if self._was_held:
@@ -247,135 +241,39 @@
             self._orders.add(task)
             task.add_done_callback(self._orders.discard)
 
-    # What is known
-
     def _forget(self) -> None:
         self._was_held = False
         self._formations.clear()
         self._releases.clear()
         self._staging.clear()
-        self._ordered_at.clear()
+        self._desk.clear()
         self._witnesses.clear()
         self._verify_until.clear()
         self._draining_since.clear()
-        self._health.forget_all_orders()
-
-    def _track_servers(self) -> None:
-        now = self._clock.monotonic()
-        current = self._registry.servers
-        for vm, server in self._known.items():
-            if vm not in current:
-                self._ghosts[vm] = (server, now)
-        for vm, server in current.items():
-            if self._known.get(vm) is not server:
-                self._health.seen(vm)
-            membership = server.membership
-            loaded = membership and membership.state is not GroupState.JOINING
-            if loaded and server.model is not None:
-                self._last_model[vm, server.born_ms] = server.model
-            self._ghosts.pop(vm, None)
-        self._known = dict(current)
-        for vm in [v for v, (_, at) in self._ghosts.items() if now - at > _GHOST_S]:
-            del self._ghosts[vm]
-        if len(self._last_model) > 8 * len(self._known) + 64:
-            live = {(s.vm, s.born_ms) for s in self._known.values()}
-            for key in [k for k in self._last_model if k not in live]:
-                del self._last_model[key]
-
-    def _usable(self, server: BackendServer) -> bool:
-        return (
-            server.state is ServerState.READY
-            and server.vm in self._known
-            and not self._registry.lapsed(server.vm)
-            and not self._health.lost(server.vm)
-        )
-
-    def _present(self, server: BackendServer) -> bool:
-        """Return whether a member still works for its group.
-
-        A server without an entry may be cut off from the store alone. It counts
-        as present until it has missed its reports, or has reported another group.
-        """
-        if self._health.lost(server.vm):
-            return False
-        if server.vm in self._known:
-            return True
-        report = self._health.report(server.vm, newest_s=_REPORTED_S)
-        if report is None or server.membership is None:
-            return True
-        theirs = report.membership
-        mine = server.membership
-        return theirs is not None and (theirs.group, theirs.epoch) == (
-            mine.group,
-            mine.epoch,
-        )
-
-    def _advances(self, view: GroupView) -> bool:
-        """Return whether the streams of a group show that all members work.
 
-        A member may be cut off from the store and from this node, and still work
-        for its head.
-        """
-        head = view.head
-        if head is None or head.vm in self._suspects or head.vm not in self._known:
-            return False
-        return self._in_flight(head.vm) > 0
-
-    def _as_reported(self, ghost: BackendServer) -> BackendServer:
-        """Return a server without an entry in the state of its newest report."""
-        report = self._health.report(ghost.vm, newest_s=_REPORTED_S)
-        if report is None or report.membership is None:
-            return ghost
-        return dataclasses.replace(ghost, membership=report.membership)
-
-    async def _probe_suspects(self) -> None:
-        now = self._clock.monotonic()
-        self._suspects = {
-            vm: at for vm, at in self._suspects.items() if now - at < _SUSPECT_S
-        }
-        ghosts = [ghost for ghost, _ in self._ghosts.values()]
-        targets = {
-            ghost.vm: ghost
-            for ghost in ghosts
-            if self._runs_models(ghost) and not self._health.lost(ghost.vm)
-        }
-        members = {
-            member.vm: member
-            for view in group_views(self._known.values()).values()
-            if view.head is not None and view.head.vm in self._suspects
-            for member in view.members.values()
-        }
-        for server in self._known.values():
+    def _waiting(self) -> list[BackendServer]:
+        """Return the servers whose reports are awaited before they get orders."""
+        waiting = []
+        for server in self._fleet.known.values():
             unknown = self._health.orders_begun(server) is None
             idle = server.membership is None and unknown
-            waits = self._unverified(server) and self._is_free(server)
-            if (idle or waits) and self._runs_models(server):
-                targets[server.vm] = server
-        await asyncio.gather(
-            self._health.probe(members.values(), suspect=True),
-            self._health.probe(targets.values()),
-        )
-        self._health.forget_old()
+            unverified = self._unverified(server) and self._is_free(server)
+            if (idle or unverified) and self._runs_models(server.service):
+                waiting.append(server)
+        return waiting
 
-    def _runs_models(self, server: BackendServer) -> bool:
+    def _runs_models(self, name: ServiceName) -> bool:
         declaration = self._declaration()
-        service = declaration and declaration.services.get(server.service)
+        service = declaration and declaration.services.get(name)
         return bool(service and service.engine)
 
-    # Orders
-
     def _service_orders(
         self, name: ServiceName, engine: EngineProfile
     ) -> list[Coroutine[Any, Any, None]]:
-        servers = [s for s in self._known.values() if s.service == name]
-        ghosts = [
-            self._as_reported(ghost)
-            for ghost, _ in self._ghosts.values()
-            if ghost.service == name
-        ]
+        servers = [s for s in self._fleet.known.values() if s.service == name]
         views = {
             key: view
-            for key, view in group_views([*ghosts, *servers]).items()
+            for key, view in group_views(self._fleet.members(name)).items()
             if not is_standby(key)
         }
         orders: list[Coroutine[Any, Any, None]] = []
@@ -416,7 +314,7 @@
             name = formation.model.name
             if formation.key not in views or views[formation.key].model is None:
                 counts[name] = counts.get(name, 0) + formation.model.size
-        usable = sum(self._usable(server) for server in servers)
+        usable = sum(self._fleet.usable(server) for server in servers)
         needed = needed_servers(
             engine.models, in_flight, slots=engine.slots, servers=usable
         )
@@ -436,12 +334,12 @@
     ) -> list[Coroutine[Any, Any, None]]:
         """Return the orders that bring a formation forward."""
         now = self._clock.monotonic()
-        servers = [self._known.get(vm) for vm in formation.members]
+        servers = [self._fleet.known.get(vm) for vm in formation.members]
         failed = [
             vm
             for vm, server in zip(formation.members, servers, strict=True)
             if server is None
-            or not self._usable(server)
+            or not self._fleet.usable(server)
             or server.born_ms != formation.born[vm]
             or self._newer_epoch(server, formation.key[1])
         ]
@@ -457,18 +355,20 @@
         if view is not None and view.all_ready(formation.model.size):
             return self._open_order(formation, present[0])
         return [
-            self._join(formation, server)
+            self._desk.join(
+                server, formation.key, formation.model.name, formation.members
+            )
             for server in present
-            if not self._is_member(server, formation.key) and self._due(server.vm)
+            if not self._is_member(server, formation.key) and self._desk.due(server.vm)
         ]
 
     def _open_order(
         self, formation: _Formation, head: BackendServer
     ) -> list[Coroutine[Any, Any, None]]:
-        if not self._due(head.vm):
+        if not self._desk.due(head.vm):
             return []
         formation.opened = True
-        return [self._open(formation.key, head)]
+        return [self._desk.open(formation.key, head)]
 
     def _give_up(self, formation: _Formation, reason: str, failed: list[VmId]) -> None:
         del self._formations[formation.key]
@@ -493,8 +393,8 @@
             return []
         model = engine.model(view.model) if view.model is not None else None
         members = list(view.members.values())
-        lost = [m for m in members if not self._present(m)]
-        if self._advances(view):
+        lost = [m for m in members if not self._fleet.present(m)]
+        if self._fleet.advances(view):
             lost = []
         complete = model is not None and len(members) == model.size and not lost
         draining = [
@@ -502,7 +402,7 @@
             for member in members
             if member.state is ServerState.DRAINING
             # Requests may not be sent to a head without an entry.
-            or (member is view.head and member.vm not in self._known)
+            or (member is view.head and member.vm not in self._fleet.known)
         ]
         if view.model is None and not lost and not draining:
             if len(members) in {m.size for m in engine.models}:
@@ -512,23 +412,10 @@
                 return self._reopen(view, model)
             if view.head_state is not GroupState.BROKEN:
                 return []
-        if (
-            complete
-            and draining
-            and view.head_state
-            in (
-                GroupState.OPEN,
-                GroupState.CLOSING,
-            )
-        ):
-            head_leaves = view.head in draining
-            if (
-                model is not None
-                and not head_leaves
-                and not self._may_close(view, model)
-            ):
-                return []
-            return self._close_for_drain(view)
+        if complete and draining and view.head_state in _SERVING_STATES:
+            if view.head in draining or self._may_close(view, model):
+                return self._close_for_drain(view)
+            return []
         return self._release_group(view, lost)
 
     def _reopen(
@@ -538,7 +425,7 @@
         head = view.head
         if head is None or model is None or not view.all_ready(model.size):
             return []
-        return [self._open(view.key, head)] if self._due(head.vm) else []
+        return [self._desk.open(view.key, head)] if self._desk.due(head.vm) else []
 
     def _may_close(self, view: GroupView, model: ModelProfile | None) -> bool:
         """Return whether a group with a leaving member should end its work now.
@@ -554,15 +441,15 @@
         return model is None or any(
             server.domain == domain
             and self._is_free(server)
-            and self._candidate(server).readiness(model.name) < 2
-            for server in self._known.values()
+            and self._fleet.candidate(server).readiness(model.name) < 2
+            for server in self._fleet.known.values()
         )
 
     def _close_for_drain(self, view: GroupView) -> list[Coroutine[Any, Any, None]]:
         head = view.head
         if head is None or view.head_state is GroupState.CLOSING:
             return []
-        return [self._close(view.key, head)] if self._due(head.vm) else []
+        return [self._desk.close(view.key, head)] if self._desk.due(head.vm) else []
 
     def _release_group(
         self, view: GroupView, lost: list[BackendServer]
@@ -574,7 +461,11 @@
             self._verify_until[lost[0].domain] = until
         head = view.head
         if head is not None and head not in lost:
-            return [self._leave(view.key, head, release)] if self._due(head.vm) else []
+            return (
+                [self._leave(view.key, head, release)]
+                if self._desk.due(head.vm)
+                else []
+            )
         left_at = self._departures.left_at(view.key)
         if left_at is not None and not release.left:
             release.left = True
@@ -587,7 +478,9 @@
         # A head that does not answer notices the loss of this member in time.
         witness = min(survivors, key=lambda m: m.vm)
         return (
-            [self._leave(view.key, witness, release)] if self._due(witness.vm) else []
+            [self._leave(view.key, witness, release)]
+            if self._desk.due(witness.vm)
+            else []
         )
 
     def _unverified(self, server: BackendServer) -> bool:
@@ -602,7 +495,7 @@
         return self._health.report(server.vm, newest_s=_VERIFIED_S) is None
 
     def _is_free(self, server: BackendServer) -> bool:
-        if not self._usable(server) or self._in_formation(server.vm):
+        if not self._fleet.usable(server) or self._in_formation(server.vm):
             return False
         now = self._clock.monotonic()
         membership = server.membership
@@ -627,7 +520,7 @@
     def _own(self, server: BackendServer) -> bool:
         """Return whether this node would have seen the server in a group."""
         watched_s = self._clock.monotonic() - self._watching_since
-        seen = (server.vm, server.born_ms) in self._last_model
+        seen = self._fleet.last_model(server) is not None
         return watched_s > self._stall_s and not seen
 
     def _held_back(self, server: BackendServer) -> bool:
@@ -652,7 +545,7 @@
         orders: list[Coroutine[Any, Any, None]] = []
         room = self._load_room(engine, views)
         groups = plan_groups(
-            map(self._candidate, free),
+            map(self._fleet.candidate, free),
             engine.models,
             demand.in_groups,
             demand.needed,
@@ -666,9 +559,6 @@
             orders += self._start(group)
         return orders
 
-    def _candidate(self, server: BackendServer) -> FreeServer:
-        return FreeServer(server, self._last_model.get((server.vm, server.born_ms)))
-
     def _load_room(
         self, engine: EngineProfile, views: Mapping[GroupKey, GroupView]
     ) -> int:
@@ -713,8 +603,11 @@
             loads=group.loads,
         )
         for member in group.members:
-            self._ordered_at[member.server.vm] = now
-        return [self._join(formation, m.server) for m in group.members]
+            self._desk.take(member.server.vm)
+        return [
+            self._desk.join(m.server, key, group.model.name, formation.members)
+            for m in group.members
+        ]
 
     def _stage(
         self,
@@ -727,7 +620,7 @@
         now = self._clock.monotonic()
         servers = {s.vm: s for s in free}
         for vm, (model, at) in list(self._staging.items()):
-            known = self._known.get(vm)
+            known = self._fleet.known.get(vm)
             if known is None or model in known.staged or now - at > 60.0:
                 del self._staging[vm]
         spares = [
@@ -742,7 +635,7 @@
                 groups.setdefault(domain, []).append(view.model)
         room = self._load_room(engine, views)
         orders: list[Coroutine[Any, Any, None]] = self._keep_warm(spares)
-        candidates = [self._candidate(spare) for spare in spares]
+        candidates = [self._fleet.candidate(spare) for spare in spares]
         planned = plan_staging(
             candidates,
             engine.models,
@@ -757,9 +650,9 @@
             if vm not in taken
         ]
         for vm, name in planned[: max(room, 0)]:
-            if self._due(vm):
+            if self._desk.due(vm):
                 self._staging[vm] = (name, now)
-                orders.append(self._stage_one(servers[vm], name))
+                orders.append(self._load(servers[vm], name))
         return orders
 
     def _keep_warm(
@@ -776,163 +669,32 @@
             m = spare.membership
             if m is not None and is_standby((m.group, m.epoch)):
                 continue
-            model = self._last_model.get((spare.vm, spare.born_ms))
+            model = self._fleet.last_model(spare)
             if model is None:
                 model = min(spare.staged, default=None)
-            if model is not None and self._due(spare.vm):
+            if model is not None and self._desk.due(spare.vm):
                 epoch = self._duty.next_epoch()
-                orders.append(self._join_standby(spare, epoch, model))
+                orders.append(self._desk.join_standby(spare, epoch, model))
         return orders
 
-    # Single orders
-
-    def _due(self, vm: VmId) -> bool:
-        """Return whether a server may get an order, and note that it gets one."""
-        now = self._clock.monotonic()
-        if now - self._ordered_at.get(vm, float("-inf")) < _ORDER_RETRY_S:
-            return False
-        self._ordered_at[vm] = now
-        return True
-
-    async def _begun(self, server: BackendServer) -> int | None:
-        """Return the orders that a server has begun, or None without a report."""
-        known = self._health.orders_begun(server)
-        if known is None:
-            await self._health.probe([server])
-            known = self._health.orders_begun(server)
-        return known
-
-    async def _join(self, formation: _Formation, server: BackendServer) -> None:
-        begun = await self._begun(server)
-        if begun is None or not self._allowed(server.vm):
-            return
-        result = await self._control.join(
-            server,
-            group=formation.key[0],
-            epoch=formation.key[1],
-            model=formation.model.name,
-            members=formation.members,
-            orders_begun=begun,
-        )
-        self._ordered("join", formation.key, server, result)
-
-    async def _join_standby(
-        self, server: BackendServer, epoch: int, model: ModelName
-    ) -> None:
-        begun = await self._begun(server)
-        if begun is None or not self._allowed(server.vm):
-            return
-        group = standby_name(epoch)
-        result = await self._control.join(
-            server,
-            group=group,
-            epoch=epoch,
-            model=model,
-            members=(server.vm,),
-            orders_begun=begun,
-        )
-        self._ordered("standby", (group, epoch), server, result, model=model)
-
-    async def _open(self, key: GroupKey, head: BackendServer) -> None:
-        begun = await self._begun(head)
-        if begun is None or not self._allowed(head.vm):
-            return
-        result = await self._control.open(
-            head,
-            group=key[0],
-            epoch=key[1],
-            fence=self._duty.fence,
-            orders_begun=begun,
-        )
-        self._ordered("open", key, head, result)
-
-    async def _close(self, key: GroupKey, head: BackendServer) -> None:
-        begun = await self._begun(head)
-        if begun is None or not self._allowed(head.vm):
-            return
-        result = await self._control.close(
-            head,
-            group=key[0],
-            epoch=key[1],
-            fence=self._duty.fence,
-            finish=True,
-            orders_begun=begun,
-        )
-        self._ordered("close", key, head, result)
-
     async def _leave(
         self, key: GroupKey, server: BackendServer, release: _Release
     ) -> None:
-        begun = await self._begun(server)
-        if begun is None or not self._allowed(server.vm):
-            return
+        """Take a server out of an ended group; its members become free."""
         membership = server.membership
-        result = await self._control.leave(
-            server,
-            group=key[0],
-            epoch=key[1],
-            fence=self._duty.fence,
-            orders_begun=begun,
-        )
-        self._ordered("leave", key, server, result)
-        if not result.certain:
+        if not await self._desk.leave(key, server):
             return
         release.left = True
         is_head = membership is not None and membership.rank == 0
-        wait_s = 0.0 if is_head else self._stall_s
-        release.free_at = self._clock.monotonic() + wait_s
+        release.free_at = self._clock.monotonic() + (0.0 if is_head else self._stall_s)
         self.wake()
         if not is_head:
             self._departures.note(key)
             self._witnesses.add((key, server.vm))
 
-    async def _stage_one(self, server: BackendServer, model: ModelName) -> None:
-        begun = await self._begun(server)
-        if begun is None or not self._allowed(server.vm):
-            return
-        result = await self._control.stage(
-            server,
-            model=model,
-            fence=self._duty.fence,
-            orders_begun=begun,
-        )
-        if not result.certain and result is not OrderResult.UNKNOWN:
+    async def _load(self, server: BackendServer, model: ModelName) -> None:
+        if not await self._desk.stage(server, model):
             self._staging.pop(server.vm, None)
-        self._ordered("stage", (GroupId(""), 0), server, result, model=model)
-
-    def _allowed(self, vm: VmId) -> bool:
-        """Check the lease again right before an order leaves."""
-        return self._duty.held
-
-    def _ordered(
-        self,
-        order: str,
-        key: GroupKey,
-        server: BackendServer,
-        result: OrderResult,
-        **more: str,
-    ) -> None:
-        done_at_once = result is OrderResult.HOLDS and order == "leave"
-        if result is OrderResult.BEGUN or done_at_once:
-            self._health.order_begun(server)
-        elif result is not OrderResult.HOLDS:
-            self._health.forget_orders(server)
-        if result is OrderResult.FENCED:
-            self._duty.superseded()
-        if result is OrderResult.CONFLICT:
-            # The count of orders was out of date; try again with a new report.
-            self._ordered_at.pop(server.vm, None)
-        self._on_event(f"order_{order}", result.value)
-        _log.info(
-            "server_order",
-            order=order,
-            group=key[0],
-            epoch=key[1],
-            server=server.vm,
-            orders=self._health.orders_begun(server),
-            result=result.value,
-            **more,
-        )
 
     def _decided(self, event: str, key: GroupKey, **fields: Any) -> None:
         self._on_event(event, str(fields.get("reason", "")))
