Log lost servers, take new seeds on SIGHUP, drop unused settings

Cause: a server taken for lost left no line, SIGHUP was logged only, and settings were decoded that nothing used.

--- a/pomelolug/entry/__main__.py
+++ b/pomelolug/entry/__main__.py
@@ -21,7 +21,7 @@
     except FindingsError as error:
         print(f"pomelolug-entry: {error}", file=sys.stderr)
         raise SystemExit(2) from error
-    run_entry(settings)
+    run_entry(settings, lambda: load_settings(path))
 
 
 def _describe() -> None:
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import structlog
@@ -19,15 +19,16 @@
 from pomelolug.entry._application import Application
 from pomelolug.entry._board import ServerBoard
 from pomelolug.entry._feeds import DeclarationKeeper, RegistryKeeper
+from pomelolug.entry._lifecycle import Lifecycle
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._peering import Peering
 from pomelolug.entry._plain import PlainFlow
 from pomelolug.entry._repeats import Repeats
 from pomelolug.entry._side import SideHandlers
-from pomelolug.entry._stop import Lifecycle
 from pomelolug.entry._stream import StreamFlow
 from pomelolug.entry._strikes import Strikes
 from pomelolug.entry._watch import StallWatch
+from pomelolug.errors import FindingsError
 from pomelolug.feeds import RecordSource, TopicFeed
 from pomelolug.ids import ModelName, VmId
 from pomelolug.platform import (
@@ -70,6 +71,7 @@
 """Time after which a relay stands for the duty; at the start roles still change."""
 _LEASE_FACTOR = 1.5
 _METRICS_PORT = 9464
+"""Port for metrics, as the deploy file names it."""
 _BACKLOG = 1024
 
 
@@ -81,20 +83,34 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def run_entry(settings: NodeSettings) -> None:
-    """Run the entry process until it is told to stop."""
+def run_entry(settings: NodeSettings, reload: Callable[[], NodeSettings]) -> None:
+    """Run the entry process until it is told to stop.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings at the start.
+    reload : callable
+        Returns the settings as they are now, for SIGHUP.
+    """
     writer = BoundedWriter(sys.stdout.fileno())
     configure_logging("info", file=writer, node=settings.node)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_Entry(settings, writer).run())
+        runner.run(_Entry(settings, writer, reload).run())
     writer.pump()
 
 
 class _Entry:
     """The parts of the process and their tasks."""
 
-    def __init__(self, settings: NodeSettings, writer: BoundedWriter) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        writer: BoundedWriter,
+        reload: Callable[[], NodeSettings],
+    ) -> None:
         self._settings = settings
+        self._reload_settings = reload
         self._writer = writer
         self._clock: Clock = SystemClock()
         self._rng = random.Random()
@@ -109,9 +125,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._lifecycle.request_stop)
         loop.add_signal_handler(signal.SIGINT, self._lifecycle.request_stop)
-        loop.add_signal_handler(
-            signal.SIGHUP, functools.partial(_log.info, "reload_requested")
-        )
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         callers = await self._listen(
             self._settings.caller_address, self._application.handle
         )
@@ -128,6 +142,16 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _reload(self) -> None:
+        """Take new seeds from the settings file; addresses stay as they are."""
+        try:
+            settings = self._reload_settings()
+        except FindingsError as error:
+            _log.error("reload_failed", reason=str(error))
+            return
+        self._peering.add_seeds(settings.peer_seeds)
+        _log.info("reloaded", seeds=len(settings.peer_seeds))
+
     def _build(self) -> None:
         settings, clock = self._settings, self._clock
         store = MetadataStore(address=settings.store_address, timeout=_STORE_TIMEOUT)
--- a/pomelolug/entry/_peering.py
+++ b/pomelolug/entry/_peering.py
@@ -4,7 +4,7 @@
 import datetime
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -179,8 +179,12 @@
         await loop.create_datagram_endpoint(
             lambda: self._mesh, local_addr=(self._settings.ip, self._port)
         )
-        seeds = [seed.rpartition(":")[0] for seed in self._settings.peer_seeds]
-        self._mesh.add_targets(f"{host}:{self._port}" for host in seeds)
+        self.add_seeds(self._settings.peer_seeds)
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Send to the nodes at these addresses for peers from now on."""
+        hosts = [address.rpartition(":")[0] for address in addresses]
+        self._mesh.add_targets(f"{host}:{self._port}" for host in hosts)
 
     async def run(self) -> None:
         """Send, receive and register until cancelled."""
--- a/pomelolug/entry/_side.py
+++ b/pomelolug/entry/_side.py
@@ -8,10 +8,10 @@
 from pomelolug.deployment import ServerRegistry
 from pomelolug.entry._board import ServerBoard
 from pomelolug.entry._feeds import DeclarationKeeper
+from pomelolug.entry._lifecycle import Lifecycle
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._peering import DECLARATION_PATH, Peering
 from pomelolug.entry._relay import RECORDS_PATH, serve_records
-from pomelolug.entry._stop import Lifecycle
 from pomelolug.feeds import TopicFeed
 from pomelolug.platform import READY_PATH
 from pomelolug.replicas import DutyHolder, group_views
--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -129,15 +129,12 @@
             internal_ports=(8004, 8010),
             peer_seeds=(),
             stop_grace=datetime.timedelta(seconds=8),
-            drain_bound=datetime.timedelta(seconds=2),
             stall=datetime.timedelta(seconds=5),
             retry_ratio=0.2,
-            retry_window=datetime.timedelta(seconds=10),
             retry_reserve=50.0,
             least_lease=datetime.timedelta(seconds=1),
-            descriptors=1000,
         )
-        self.entry = _Entry(settings, BoundedWriter(os.dup(2)))
+        self.entry = _Entry(settings, BoundedWriter(os.dup(2)), lambda: settings)
         self._task = asyncio.create_task(self.entry.run())
         wanted = len(self.servers) if servers is None else servers
         async with asyncio.timeout(5.0):
--- a/pomelolug/platform/_settings.py
+++ b/pomelolug/platform/_settings.py
@@ -21,28 +21,14 @@
 
 class _Bounds(msgspec.Struct, frozen=True):
     grace_s: float = 8.0
-    drain_ms: float = 2000.0
     stall_ms: float = 5000.0
     retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10.0
     budget_slack: float = 50.0
-    config_ms: float = 2000.0
-    # Least `Retry-After` that callers accept; named after the header.
-    retry_after_s: float = 0.0
-    require_fence: bool = True
-    ceiling_window_s: float = 5.0
-
-
-class _Limits(msgspec.Struct, frozen=True):
-    max_fds: int = 1024
-    memory_mb: float = 256.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
     address: str
     min_ttl_ms: float = 1000.0
-    reads_per_s: float = 2000.0
-    writes_per_s: float = 400.0
 
 
 class _File(msgspec.Struct, frozen=True):
@@ -56,7 +42,6 @@
     internal_ports: tuple[int, ...] = ()
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = _Bounds()
-    limits: _Limits = _Limits()
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -77,15 +62,12 @@
     """Peer addresses of at most three nodes; may be stale."""
     stop_grace: datetime.timedelta
     """Time between the request to stop and the kill."""
-    drain_bound: datetime.timedelta
     stall: datetime.timedelta
     """Time after which a group with a lost member reports that it is broken."""
     retry_ratio: float
-    retry_window: datetime.timedelta
     retry_reserve: float
     """Repeats of all nodes in a window beyond the ratio."""
     least_lease: datetime.timedelta
-    descriptors: int
 
 
 def load_settings(path: pathlib.Path) -> NodeSettings:
@@ -124,13 +106,10 @@
         internal_ports=file.internal_ports,
         peer_seeds=file.seeds,
         stop_grace=datetime.timedelta(seconds=bounds.grace_s),
-        drain_bound=datetime.timedelta(milliseconds=bounds.drain_ms),
         stall=datetime.timedelta(milliseconds=bounds.stall_ms),
         retry_ratio=bounds.retry_budget_ratio,
-        retry_window=datetime.timedelta(seconds=bounds.budget_window_s),
         retry_reserve=bounds.budget_slack,
         least_lease=datetime.timedelta(milliseconds=file.platform.min_ttl_ms),
-        descriptors=file.limits.max_fds,
     )
 
 
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -82,7 +82,6 @@
     model: ModelProfile
     members: tuple[VmId, ...]
     born: dict[VmId, int]
-    started_at: float
     deadline: float
     opened: bool = False
 
@@ -217,11 +216,6 @@
                 self.wake()
             await self._clock.sleep(_PROBE_PAUSE)
 
-    async def settle(self) -> None:
-        """Wait for the orders that are on their way."""
-        while self._orders:
-            await asyncio.gather(*self._orders)
-
     def step(self) -> None:
         """Do one round: start the orders that are due."""
         self._awake.clear()
@@ -589,7 +583,6 @@
             model=group.model,
             members=tuple(m.server.vm for m in group.members),
             born={m.server.vm: m.server.born_ms for m in group.members},
-            started_at=now,
             deadline=now + load_s + group.model.warm.total_seconds() + _FORMATION_S,
         )
         self._formations[key] = formation
--- a/pomelolug/replicas/_duty.py
+++ b/pomelolug/replicas/_duty.py
@@ -1,7 +1,6 @@
 """Who forms groups: one node at a time, as the store assigns the duty."""
 
 import abc
-import asyncio
 import datetime
 from collections.abc import Callable
 
@@ -163,8 +162,6 @@
                 held=self.held,
             )
             return
-        except asyncio.CancelledError:
-            raise
         if generation > self._generation:
             self._generation = generation
             self._counter = 0
--- a/pomelolug/replicas/_health.py
+++ b/pomelolug/replicas/_health.py
@@ -3,12 +3,16 @@
 import asyncio
 from collections.abc import Iterable
 
+import structlog
+
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, ServerControl, ServerReport
 from pomelolug.ids import VmId
 
 __all__ = ["ServerHealth"]
 
+_log = structlog.get_logger(__name__)
+
 _PROBE_GAP_S = 0.25
 _MISSES = 2
 """Reports without an answer after which a server counts as lost."""
@@ -97,15 +101,18 @@
 
     def _answered(self, vm: VmId) -> None:
         self._misses.pop(vm, None)
-        self._lost.discard(vm)
+        if vm in self._lost:
+            self._lost.discard(vm)
+            _log.info("server_regained", server=vm)
 
     async def _probe(self, server: BackendServer, misses: int) -> None:
         report = await self._control.report(server)
         if report is None:
             self._begun.pop((server.vm, server.born_ms), None)
             missed = self._misses[server.vm] = self._misses.get(server.vm, 0) + 1
-            if missed >= misses:
+            if missed >= misses and server.vm not in self._lost:
                 self._lost.add(server.vm)
+                _log.info("server_lost", server=server.vm, misses=missed, needed=misses)
             return
         self._answered(server.vm)
         self._reports[server.vm] = (self._clock.monotonic(), report)
