--- a/pomelolug/entry/_peering.py
+++ b/pomelolug/entry/_peering.py
@@ -18,7 +18,7 @@
 from pomelolug.feeds import RecordSource
 from pomelolug.ids import VmId
 from pomelolug.messages import NodeStatus
-from pomelolug.platform import MetadataStore, NodeSettings
+from pomelolug.platform import TOPIC_NODES, MetadataStore, NodeSettings
 from pomelolug.replicas import Departures
 from pomelolug.transport import (
     BrokenResponse,
@@ -33,7 +33,6 @@
 
 DECLARATION_PATH = b"/declaration"
 
-_NODES_TOPIC = "keyed.nodes"
 _FETCH_DELAY = datetime.timedelta(milliseconds=250)
 """Time that this node's own feed is given first."""
 _FETCH_TIMEOUT_S = 1.0
@@ -233,10 +232,10 @@
             try:
                 if not written:
                     await self._store.append(
-                        _NODES_TOPIC, self._settings.node, self._datagram.encode()
+                        TOPIC_NODES, self._settings.node, self._datagram.encode()
                     )
                     written = True
-                batch = await self._store.newest(_NODES_TOPIC)
+                batch = await self._store.newest(TOPIC_NODES)
             except PlatformError as error:
                 _log.warning("peer_registration_failed", reason=str(error))
                 await self._clock.sleep(_REGISTER_RETRY)
--- a/pomelolug/platform/__init__.py
+++ b/pomelolug/platform/__init__.py
@@ -23,6 +23,7 @@
     READY_PATH,
     SETTINGS_VARIABLE,
     TOPIC_DECLARATION,
+    TOPIC_NODES,
     TOPIC_SERVERS,
 )
 
@@ -40,6 +41,7 @@
     "StoreDutySource",
     "StreamEvent",
     "TOPIC_DECLARATION",
+    "TOPIC_NODES",
     "TOPIC_SERVERS",
     "decode_caller_head",
     "decode_declaration",
--- a/pomelolug/platform/_words.py
+++ b/pomelolug/platform/_words.py
@@ -26,5 +26,7 @@
 TOPIC_DECLARATION = "keyed.op"
 KEY_DECLARATION = "config"
 TOPIC_SERVERS = "keyed.servers"
+# Own topic: addresses of the entry VMs, by name.
+TOPIC_NODES = "keyed.nodes"
 
 SETTINGS_VARIABLE = "POMELOLUG_SETTINGS"
--- a/pomelolug/platform/tests/test_wire_words.py
+++ b/pomelolug/platform/tests/test_wire_words.py
@@ -8,7 +8,7 @@
 _WORDS = re.compile(
     r"Response-Seal|Not-Executed|Expect-Instance|(?<!X-)Deadline-Ms|Prompt-Prefix"
     r"|Token-Count|Request-Urgency|Weight-Versions|Length-Hint|At-Server"
-    r"|log-append|log-newest|log-read|log-join|log-commit|/-/|keyed\.(op|servers)"
+    r"|log-append|log-newest|log-read|log-join|log-commit|/-/|keyed\."
     r"|path_prefix|target_latency_ms|max_attempts\"|gap_target_ms|api_keys"
     r"|retain_count|close_mode|cold_remaining|POMELOLUG_SETTINGS"
 )
