Tell readers at once when a relay loses the store

Change: a failed read of the relay wakes its readers with an age beyond the bound, and they read the store themselves.

--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -68,6 +68,7 @@
         self._offset: Offset | None = None
         self._status = FeedStatus()
         self._away = False
+        self._failed = False
 
     @property
     def log(self) -> RecordLog:
@@ -79,10 +80,19 @@
         """Seconds since the store itself was heard, directly or by a relay."""
         return self._clock.monotonic() - self._status.heard_at
 
+    @property
+    def told_age_s(self) -> float:
+        """Age that readers of this node are told, in seconds.
+
+        It is beyond every bound as soon as a read fails, so that they turn to
+        the store before the records here are old.
+        """
+        return self.age_s + (_STALE_S if self._failed else 0.0)
+
     @property
     def fresh(self) -> bool:
-        """Whether the store was heard lately."""
-        return self.age_s < _STALE_S
+        """Whether the store was heard lately, and the last read succeeded."""
+        return self.told_age_s < _STALE_S
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -94,10 +104,13 @@
                 self._offset = None
                 continue
             except PlatformError as error:
+                self._failed = True
+                self._log.wake()
                 self._note(away=True, reason=str(error))
                 self._on_failure(source)
                 await self._clock.sleep(_RETRY)
                 continue
+            self._failed = False
             self._status.heard_at = self._clock.monotonic() - batch.age_s
             self._note(away=not self.fresh, reason="the relay's store is away")
             if not self.fresh:
--- a/pomelolug/feeds/_log.py
+++ b/pomelolug/feeds/_log.py
@@ -46,7 +46,7 @@
             self._keep(record)
         self._end = Offset(max(self._end, batch.end))
         self._first = self._end
-        self._wake()
+        self.wake()
         return drops
 
     def extend(self, batch: RecordBatch) -> None:
@@ -60,7 +60,7 @@
             self._keep(record)
         if batch.end > self._end:
             self._end = batch.end
-            self._wake()
+            self.wake()
 
     def snapshot(self, *, age_s: float) -> RecordBatch:
         """Return the newest record of each key."""
@@ -99,6 +99,7 @@
         else:
             self._newest[record.key] = record
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Let waiting readers return, with or without new records."""
         self._changed.set()
         self._changed = asyncio.Event()
--- a/pomelolug/feeds/tests/test_topic_feed.py
+++ b/pomelolug/feeds/tests/test_topic_feed.py
@@ -143,3 +143,30 @@
     await asyncio.sleep(0.5)
     assert failed and not feed.fresh
     task.cancel()
+
+
+async def test_relay_that_loses_the_store_tells_its_readers_at_once():
+    # Guards against a declaration that comes into force seconds late, because the
+    # store turns away just the relays and their readers wait for old news.
+    log = RecordLog()
+    log.extend(RecordBatch((record(0, "a"),), Offset(1)))
+    store = LogSource(log)
+    relay = make_feed([store], [], [])
+    relay_task = asyncio.create_task(relay.run())
+    await asyncio.sleep(0.5)
+    served = LogSource(relay.log)
+    failed = []
+    reader = make_feed([served], [], failed)
+    reader_task = asyncio.create_task(reader.run())
+    await asyncio.sleep(1.0)
+    assert failed == []
+    store.away = True
+    for _ in range(25):
+        served.age_s = relay.told_age_s
+        await asyncio.sleep(0.1)
+        if failed:
+            break
+    assert failed
+    assert relay.age_s < 3.0
+    relay_task.cancel()
+    reader_task.cancel()
