Wait longer for a silent head that had no work

Change: members of a silent head are free after the stall time only if its streams had stood still; otherwise after 40 s, or when the head answers and leaves.

Ruled out: a shorter wait than the stall time; the join came 5.5 s after the departure.

--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -60,6 +60,12 @@
 The platform keeps a leaving member for at most 10 s while its head has work, and
 the longest streams take some seconds.
 """
+_IDLE_HEAD_S = 40.0
+"""Wait for a silent head without work, which does not notice a departure.
+
+It may be open behind a partition; partitions of servers last up to ten seconds, and
+the head is asked to leave when it answers again.
+"""
 _VERIFY_S = 3.0
 """Time after a loss in which members of the domain have to answer first.
 
@@ -92,6 +98,8 @@
 
     free_at: float | None = None
     left: bool = False
+    worked: bool = False
+    """Whether streams of the head stood still, so that it had work."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -384,6 +392,10 @@
         """Return the orders for a group that is not being formed."""
         release = self._releases.get(view.key)
         if release is not None and release.free_at is not None:
+            silent = view.head
+            waits = self._clock.monotonic() < release.free_at
+            if waits and silent is not None and self._fleet.usable(silent):
+                return self._leave_if_due(view.key, silent, release)
             return []
         model = engine.model(view.model) if view.model is not None else None
         members = list(view.members.values())
@@ -460,6 +472,8 @@
                 if self._desk.due(head.vm)
                 else []
             )
+        if head is not None and self._fleet.suspected(head.vm):
+            release.worked = True
         left_at = self._departures.left_at(view.key)
         if left_at is not None and not release.left:
             release.left = True
@@ -679,11 +693,14 @@
             return
         release.left = True
         is_head = membership is not None and membership.rank == 0
-        release.free_at = self._clock.monotonic() + (0.0 if is_head else self._stall_s)
+        worked = release.worked
+        wait_s = self._stall_s if worked else _IDLE_HEAD_S
+        release.free_at = self._clock.monotonic() + (0.0 if is_head else wait_s)
         self.wake()
         if not is_head:
-            self._departures.note(key)
             self._witnesses.add((key, server.vm))
+            if worked:
+                self._departures.note(key)
 
     async def _load(self, server: BackendServer, model: ModelName) -> None:
         if not await self._desk.stage(server, model):
--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -83,6 +83,10 @@
         """Take note that the streams of a group stand still."""
         self._suspects[head] = self._clock.monotonic()
 
+    def suspected(self, head: VmId) -> bool:
+        """Return whether the streams of a group stood still lately."""
+        return head in self._suspects
+
     def last_model(self, server: BackendServer) -> ModelName | None:
         """Return the model of a server's last group since its start, if known."""
         return self._last_model.get((server.vm, server.born_ms))
--- a/pomelolug/replicas/tests/test_controller.py
+++ b/pomelolug/replicas/tests/test_controller.py
@@ -268,3 +268,26 @@
     assert fleet.violations == []
     await node.stop()
     await successor.stop()
+
+
+async def test_members_of_an_idle_silent_head_are_not_taken_early():
+    # Guards against a server in two groups: a head without work does not notice
+    # that a member left, and stays open behind a partition. Seen as TWO on
+    # dpmce-pomelo scale-1 --seed 802860130342.
+    fleet = make_fleet()
+    node = await start(fleet)
+    head = head_of(fleet, SMALL)
+    members = set(fleet.servers[head].members) - {head}
+    fleet.servers[head].reachable = False
+    fleet.unlist(head)
+    given = len(fleet.orders)
+    await asyncio.sleep(12.0)
+    joined = {vm for kind, vm, _ in fleet.orders[given:] if kind == "join"}
+    assert not joined & members
+    fleet.servers[head].reachable = True
+    fleet.servers[head].listed = True
+    fleet.lapse(head)
+    await asyncio.sleep(45.0)
+    assert SMALL in fleet.open_groups().values()
+    assert fleet.violations == []
+    await node.stop()
