--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -395,7 +395,8 @@
             silent = view.head
             waits = self._clock.monotonic() < release.free_at
             if waits and silent is not None and self._fleet.usable(silent):
-                return self._leave_if_due(view.key, silent, release)
+                if self._desk.due(silent.vm):
+                    return [self._leave(view.key, silent, release)]
             return []
         model = engine.model(view.model) if view.model is not None else None
         members = list(view.members.values())
