--- /dev/null
+++ b/pomelolug/experiments/process_soak/__main__.py
@@ -0,0 +1,48 @@
+"""Command of ``make process-soak``."""
+
+import pathlib
+import sys
+
+import fire
+
+from pomelolug.experiments.process_soak._run import run_process_soak
+
+__all__ = ["main"]
+
+EXIT_VIOLATION = 1
+
+
+def soak(
+    seed: int = 1, seeds: int = 1, length_s: float = 15.0, keep: str = "target/soak"
+) -> None:
+    """Run one or more seeds and print a report as one JSON object for each.
+
+    Parameters
+    ----------
+    seed : int
+        First seed.
+    seeds : int
+        Number of seeds, one after another.
+    length_s : float
+        Time in which faults begin, in seconds.
+    keep : str
+        Folder for the logs of runs with broken promises.
+    """
+    broken = 0
+    for number in range(seed, seed + seeds):
+        report = run_process_soak(
+            seed=number, length_s=length_s, keep=pathlib.Path(keep)
+        )
+        print(report.to_json(), flush=True)
+        broken += bool(report.violations)
+    if broken:
+        sys.exit(EXIT_VIOLATION)
+
+
+def main() -> None:
+    """Entry point of the command."""
+    fire.Fire(soak, name="process-soak")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pomelolug/experiments/process_soak/_processes.py
@@ -0,0 +1,123 @@
+"""Processes that the soak starts and ends, by their ids."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+__all__ = ["SoakProcess"]
+
+
+class SoakProcess:
+    """One process; it may be started again after its end.
+
+    Parameters
+    ----------
+    name : str
+        Name of its log files.
+    arguments : tuple of str
+        Arguments of the Python interpreter.
+    environment : mapping
+        Variables beside those of this process.
+    folder : pathlib.Path
+        Where standard error, and standard output unless it is read, go.
+    on_line : callable or None
+        Called with each decoded line of standard output.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        arguments: tuple[str, ...],
+        environment: Mapping[str, str],
+        folder: pathlib.Path,
+        on_line: Callable[[dict[str, Any]], None] | None = None,
+    ) -> None:
+        self._name = name
+        self._arguments = arguments
+        self._environment = environment
+        self._folder = folder
+        self._on_line = on_line
+        self._process: asyncio.subprocess.Process | None = None
+        self._reader: asyncio.Task[None] | None = None
+        self._ends_expected = False
+
+    @property
+    def name(self) -> str:
+        """Name of the process."""
+        return self._name
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has been started and not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def ended_by_itself(self) -> bool:
+        """Whether the process ended though no signal to end was sent."""
+        started = self._process is not None
+        return started and not self.running and not self._ends_expected
+
+    @property
+    def errors(self) -> str:
+        """What the process wrote to standard error."""
+        path = self._folder / f"{self._name}.err"
+        return path.read_text() if path.exists() else ""
+
+    async def start(self) -> None:
+        """Start the process."""
+        self._ends_expected = False
+        with contextlib.ExitStack() as files:
+            out: Any = asyncio.subprocess.PIPE
+            if self._on_line is None:
+                path = self._folder / f"{self._name}.log"
+                out = files.enter_context(path.open("ab"))
+            error = files.enter_context((self._folder / f"{self._name}.err").open("ab"))
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *self._arguments,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=out,
+                stderr=error,
+                env=os.environ | dict(self._environment),
+            )
+        if self._on_line is not None:
+            self._reader = asyncio.create_task(self._read())
+
+    def send(self, message: msgspec.Struct) -> None:
+        """Write a line to standard input."""
+        if self.running and self._process is not None and self._process.stdin:
+            self._process.stdin.write(msgspec.json.encode(message) + b"\n")
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self._ends_expected = True
+        if self.running and self._process is not None:
+            self._process.send_signal(number)
+
+    async def wait(self) -> None:
+        """Wait for the end of the process and of its output."""
+        if self._process is not None:
+            await self._process.wait()
+        if self._reader is not None:
+            await self._reader
+
+    async def end(self) -> None:
+        """Kill the process and wait for its end."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await self.wait()
+
+    async def _read(self) -> None:
+        assert self._process is not None and self._process.stdout is not None
+        assert self._on_line is not None
+        while line := await self._process.stdout.readline():
+            self._on_line(msgspec.json.decode(line))
--- a/pomelolug/testing/_group_servers.py
+++ b/pomelolug/testing/_group_servers.py
@@ -8,6 +8,8 @@
 import asyncio
 import dataclasses
 import datetime
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
 from pomelolug.deployment import (
     BackendServer,
@@ -16,7 +18,6 @@
     GroupState,
     OrderResult,
     ServerControl,
-    ServerRegistry,
     ServerReport,
     ServerState,
 )
@@ -30,7 +31,7 @@
     ZoneId,
 )
 
-__all__ = ["GroupServers", "SimulatedServer"]
+__all__ = ["EntrySink", "GroupServers", "SimulatedServer"]
 
 _REJOIN_S = 0.2
 _ENTRY_LAG_S = 0.05
@@ -59,6 +60,18 @@
     broken_at: float | None = None
 
 
+_Action = Callable[[SimulatedServer], OrderResult]
+
+
+class EntrySink(Protocol):
+    """Takes changed entries; a missing entry has lapsed."""
+
+    def apply(
+        self, records: Sequence[tuple[VmId, Offset, BackendServer | None]]
+    ) -> object:
+        """Take entries with their offsets."""
+
+
 class GroupServers(ServerControl):
     """A fleet of servers that takes orders and tells a registry of changes.
 
@@ -79,7 +92,7 @@
         self._service = service
         self._stall_s = stall.total_seconds()
         self._servers: dict[VmId, SimulatedServer] = {}
-        self._registries: list[ServerRegistry] = []
+        self._registries: list[EntrySink] = []
         self._offset = 0
         self._ready_lists: set[tuple[GroupId, int, VmId]] = set()
         self.violations: list[str] = []
@@ -102,7 +115,7 @@
         self._tell(server)
         return server
 
-    def attach(self, registry: ServerRegistry) -> None:
+    def attach(self, registry: EntrySink) -> None:
         """Tell a registry of all servers, now and on each change."""
         self._registries.append(registry)
         for server in self._servers.values():
@@ -240,7 +253,14 @@
 
     # Orders at a server
 
-    async def _order(self, kind, server, fence, begun, action):  # type: ignore[no-untyped-def]
+    async def _order(
+        self,
+        kind: str,
+        server: BackendServer,
+        fence: int,
+        begun: int,
+        action: _Action,
+    ) -> OrderResult:
         simulated = self._servers[server.vm]
         if not simulated.alive or not simulated.reachable:
             await asyncio.sleep(_REPORT_TIMEOUT_S)
@@ -254,7 +274,9 @@
         self.orders.append((kind, server.vm, result))
         return result
 
-    def _apply(self, kind, vm, fence, begun, action):  # type: ignore[no-untyped-def]
+    def _apply(
+        self, kind: str, vm: VmId, fence: int, begun: int, action: _Action
+    ) -> OrderResult:
         server = self._servers[vm]
         if not server.alive:
             return OrderResult.UNKNOWN
@@ -269,7 +291,14 @@
             self._tell(server)
         return result
 
-    def _join(self, server, group, epoch, model, members):  # type: ignore[no-untyped-def]
+    def _join(
+        self,
+        server: SimulatedServer,
+        group: GroupId,
+        epoch: int,
+        model: ModelName,
+        members: tuple[VmId, ...],
+    ) -> OrderResult:
         if epoch < server.epoch:
             return OrderResult.FENCED
         self._check_free(server, group, epoch)
@@ -304,7 +333,7 @@
         self._ready_lists.add((m.group, m.epoch, server.vm))
         self._tell(server)
 
-    def _open(self, server, group, epoch):  # type: ignore[no-untyped-def]
+    def _open(self, server: SimulatedServer, group: GroupId, epoch: int) -> OrderResult:
         m = server.membership
         if m is None or (m.group, m.epoch) != (group, epoch) or m.rank != 0:
             return OrderResult.CONFLICT
@@ -325,14 +354,18 @@
             server.membership = dataclasses.replace(m, state=GroupState.OPEN)
             self._tell(server)
 
-    def _close(self, server, group, epoch):  # type: ignore[no-untyped-def]
+    def _close(
+        self, server: SimulatedServer, group: GroupId, epoch: int
+    ) -> OrderResult:
         m = server.membership
         if m is None or (m.group, m.epoch) != (group, epoch):
             return OrderResult.CONFLICT
         server.membership = dataclasses.replace(m, state=GroupState.READY)
         return OrderResult.BEGUN
 
-    def _leave(self, server, group, epoch):  # type: ignore[no-untyped-def]
+    def _leave(
+        self, server: SimulatedServer, group: GroupId, epoch: int
+    ) -> OrderResult:
         m = server.membership
         if m is None or (m.group, m.epoch) != (group, epoch):
             return OrderResult.HOLDS
@@ -340,7 +373,7 @@
         server.membership = None
         return OrderResult.HOLDS
 
-    def _stage(self, server, model):  # type: ignore[no-untyped-def]
+    def _stage(self, server: SimulatedServer, model: ModelName) -> OrderResult:
         if model in server.staged:
             return OrderResult.HOLDS
         profile = self._engine.model(model)
@@ -385,7 +418,17 @@
             theirs = other.membership
             if theirs is not None and other is not server and theirs.rank == 0:
                 if (theirs.group, theirs.epoch) == (m.group, m.epoch):
-                    other.broken_at = other.broken_at or breaks_at
+                    if other.broken_at is None:
+                        other.broken_at = breaks_at
+                        self._later(self._stall_s, self._break, other, theirs)
+
+    def _break(self, head: SimulatedServer, was: GroupMembership) -> None:
+        """Let a head say that its group is broken, unless it has left it."""
+        m = head.membership
+        if m is None or m.epoch != was.epoch or self._servers[head.vm] is not head:
+            return
+        head.membership = dataclasses.replace(m, state=GroupState.BROKEN)
+        self._tell(head)
 
     # Entries
 
@@ -393,12 +436,14 @@
         for registry in self._registries:
             self._later(_ENTRY_LAG_S, self._tell_one, registry, server)
 
-    def _tell_one(self, registry: ServerRegistry, server: SimulatedServer) -> None:
+    def _tell_one(self, registry: EntrySink, server: SimulatedServer) -> None:
         self._offset += 1
-        entry = self._entry(server) if server.alive and server.listed else None
+        entry = self.entry(server.vm) if server.alive and server.listed else None
         registry.apply([(server.vm, Offset(self._offset), entry)])
 
-    def _entry(self, server: SimulatedServer) -> BackendServer:
+    def entry(self, vm: VmId) -> BackendServer:
+        """Return the entry that a server writes."""
+        server = self._servers[vm]
         return BackendServer(
             vm=server.vm,
             born_ms=server.born_ms,
@@ -417,5 +462,7 @@
         """Remove the entry of a dead server, as its heartbeats have ended."""
         self._tell(self._servers[vm])
 
-    def _later(self, delay_s, action, *args):  # type: ignore[no-untyped-def]
+    def _later(
+        self, delay_s: float, action: Callable[..., object], *args: object
+    ) -> None:
         asyncio.get_running_loop().call_later(delay_s, lambda: action(*args))
--- /dev/null
+++ b/pomelolug/testing/_sample_deployment.py
@@ -0,0 +1,108 @@
+"""A small deployment as the users' platform describes it."""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+__all__ = ["SampleDeployment", "settings_text"]
+
+HOST = "h.example"
+GRACE_S = 8.0
+STALL_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SampleDeployment:
+    """Routes, services and keys; a later version may have fewer keys.
+
+    Parameters
+    ----------
+    version : int
+        Version of the declaration.
+    keys : dict
+        Keys of each client account.
+    plain_timeout_ms, stream_timeout_ms : int
+        Time after which a route answers in any case.
+    """
+
+    version: int
+    keys: dict[str, tuple[str, ...]]
+    plain_timeout_ms: int = 1500
+    stream_timeout_ms: int = 5000
+
+    def encode(self) -> bytes:
+        """Return the record of the store."""
+        return msgspec.json.encode(
+            {
+                "version": self.version,
+                "routes": self._routes(),
+                "services": [
+                    {"name": "plain"},
+                    {"name": "llm", "engine": self.engine()},
+                ],
+                "limits": {"max_header_bytes": 8192, "max_body_bytes": 100_000},
+                "tenants": [
+                    {"name": name, "api_keys": list(keys)}
+                    for name, keys in self.keys.items()
+                ],
+            }
+        )
+
+    @staticmethod
+    def engine() -> dict[str, Any]:
+        """Return the declared timing of the model servers."""
+        return {
+            "slots": 8,
+            "models": [
+                {"name": "large", "size": 3, "share": 0.6, "load_s": 1.5},
+                {"name": "small", "size": 2, "share": 0.4, "load_s": 1.0},
+            ],
+            "step_ms": 10.0,
+            "stride": 2,
+            "read_per_s": 50000.0,
+            "loads_per_s": 8.0,
+            "loads_at_once": 8,
+            "form_ms": 100.0,
+        }
+
+    def _routes(self) -> list[dict[str, Any]]:
+        stream = {
+            "resumable": True,
+            "sticky": True,
+            "gap_target_ms": 200,
+            "timeout_ms": self.stream_timeout_ms,
+        }
+        return [
+            self._route("safe", "safe", "plain", max_attempts=2),
+            self._route("once", "unsafe", "plain", max_attempts=1),
+            self._route("stream", "streaming", "llm", max_attempts=2) | stream,
+        ]
+
+    def _route(
+        self, name: str, kind: str, service: str, *, max_attempts: int
+    ) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "service": service,
+            "timeout_ms": self.plain_timeout_ms,
+            "target_latency_ms": 300,
+            "max_attempts": max_attempts,
+        }
+
+
+def settings_text(
+    *, node: str, ip: str, zone: str, store: str, seeds: list[str]
+) -> str:
+    """Return the settings file of one entry VM."""
+    listed = ", ".join(f'"{seed}"' for seed in seeds)
+    return (
+        f'node = "{node}"\nip = "{ip}"\nzone = "{zone}"\n'
+        f"internal_ports = [8004]\nseeds = [{listed}]\n"
+        f'[listen]\nfront = "{ip}:8001"\nready = "{ip}:8002"\ncontrol = "{ip}:8003"\n'
+        f'[platform]\naddress = "{store}"\nmin_ttl_ms = 1000\n'
+        f"[bounds]\ngrace_s = {GRACE_S}\nstall_ms = {STALL_S * 1000}\n"
+    )
--- a/pomelolug/testing/_store_stand_in.py
+++ b/pomelolug/testing/_store_stand_in.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import urllib.parse
+from collections.abc import Callable
 
 import msgspec
 
@@ -39,6 +40,8 @@
         self.lose_answers = False
         """Whether writes are done and not answered."""
         self.calls: list[str] = []
+        self.on_record: Callable[[str, str, bytes], None] | None = None
+        """Called with topic, key and value of each record that is stored."""
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -65,9 +68,7 @@
         """Write a record as the operator or a server; empty bytes drop the key."""
         entry = self._topics.setdefault(topic, _Topic())
         name = key.encode()
-        entry.records.append(bytes([len(name)]) + name + value)
-        entry.changed.set()
-        entry.changed = asyncio.Event()
+        self._keep(topic, bytes([len(name)]) + name + value)
         return entry.first + len(entry.records) - 1
 
     def forget(self, topic: str) -> None:
@@ -78,6 +79,17 @@
         entry.records.clear()
         self._kept = newest
 
+    def _keep(self, topic: str, record: bytes) -> None:
+        """Append a record and wake the reads that wait for it."""
+        entry = self._topics[topic]
+        entry.records.append(record)
+        entry.changed.set()
+        entry.changed = asyncio.Event()
+        if self.on_record is not None:
+            size = record[0]
+            key, value = record[1 : 1 + size], record[1 + size :]
+            self.on_record(topic, key.decode(), value)
+
     async def _handle(self, exchange: Exchange) -> None:
         target = exchange.target.decode()
         path, _, text = target.partition("?")
@@ -96,6 +108,9 @@
             await self._append(exchange, query)
         elif path == "/-/log-join":
             self._join(exchange)
+        elif path == "/-/log-leave":
+            self._members.pop(msgspec.json.decode(exchange.body)["member"], None)
+            exchange.reply(200, _JSON, b"{}")
         else:
             exchange.reply(200, _JSON, b"{}")
 
@@ -141,7 +156,7 @@
     async def _append(self, exchange: Exchange, query: dict[str, str]) -> None:
         entry = self._topics.setdefault(query["topic"], _Topic())
         body = exchange.body
-        entry.records.append(body[4:])
+        self._keep(query["topic"], body[4:])
         if self.lose_answers:
             await asyncio.sleep(3600)
         end = entry.first + len(entry.records)
--- /dev/null
+++ b/pomelolug/testing/group_server.py
@@ -0,0 +1,262 @@
+"""Simulated servers of one fabric domain, or plain servers, in one process.
+
+Run ``python -m pomelolug.testing.group_server PLAN`` with a `ServerPlan` in JSON.
+Each line of standard input is a `ServerCommand`; each line of standard output
+tells of a request that began to run or of a broken promise on groups.
+"""
+
+import asyncio
+import datetime
+import functools
+import random
+import sys
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from pomelolug.deployment import (
+    BackendServer,
+    EngineProfile,
+    ServerState,
+)
+from pomelolug.feeds import SourceUnavailableError
+from pomelolug.ids import DomainId, Offset, ServiceName, VmId, ZoneId
+from pomelolug.platform import TOPIC_SERVERS, MetadataStore, decode_declaration
+from pomelolug.testing._group_server_app import (
+    Garble,
+    GroupServerApp,
+    PlainServerApp,
+    ServerApp,
+    entry_bytes,
+)
+from pomelolug.testing._group_servers import EntrySink, GroupServers
+from pomelolug.testing._sample_deployment import STALL_S, SampleDeployment
+from pomelolug.transport import ServerConnection, WireLimits
+
+__all__ = ["ServerCommand", "ServerPlan", "main"]
+
+_SECOND = datetime.timedelta(seconds=1)
+_STORE_RETRY_S = 0.3
+_WATCH_S = 0.1
+
+
+class PlannedServer(msgspec.Struct, frozen=True, kw_only=True):
+    """One server: where it listens, and the address that its entry names."""
+
+    vm: str
+    listens: str
+    address: str
+    zone: str
+
+
+class ServerPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """The servers of one process; without a domain they are plain servers."""
+
+    servers: tuple[PlannedServer, ...]
+    store: str
+    domain: str = ""
+    seed: int = 0
+
+    def encode(self) -> str:
+        """Return the plan as an argument of the command line."""
+        return msgspec.json.encode(self).decode()
+
+
+class ServerCommand(msgspec.Struct, frozen=True, kw_only=True):
+    """What to do with one server.
+
+    `do` is one of `dark` (silent for good), `restart` (under the same id),
+    `drain`, `slow` (by the factor `x`) and `garble` (a share `x` of answers).
+    """
+
+    do: str
+    vm: str
+    x: float = 0.0
+
+
+class _EntryWriter(EntrySink):
+    """Writes changed entries to the store, the newest of each server only."""
+
+    def __init__(self, store: MetadataStore, planned: dict[str, PlannedServer]) -> None:
+        self._store = store
+        self._planned = planned
+        self._pending: dict[str, bytes] = {}
+        self._changed = asyncio.Event()
+
+    def apply(
+        self, records: Sequence[tuple[VmId, Offset, BackendServer | None]]
+    ) -> None:
+        """Keep the entries to be written; a lost server writes nothing."""
+        for vm, _, server in records:
+            if server is not None:
+                self.put(server, self._planned[vm])
+
+    def put(self, server: BackendServer, planned: PlannedServer) -> None:
+        """Write an entry soon."""
+        entry = msgspec.structs.asdict(planned)
+        raw = msgspec.json.decode(entry_bytes(server))
+        raw |= {"address": entry["address"], "zone": entry["zone"]}
+        self._pending[planned.vm] = msgspec.json.encode(raw)
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Write until cancelled; a store that is away is asked again."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            while self._pending:
+                vm, data = next(iter(self._pending.items()))
+                try:
+                    await self._store.append(TOPIC_SERVERS, vm, data)
+                except SourceUnavailableError:
+                    await asyncio.sleep(_STORE_RETRY_S)
+                    continue
+                if self._pending.get(vm) is data:
+                    del self._pending[vm]
+
+
+class _Process:
+    """Servers, their listeners and the commands."""
+
+    def __init__(self, plan: ServerPlan) -> None:
+        self._plan = plan
+        self._planned = {server.vm: server for server in plan.servers}
+        self._apps: dict[str, ServerApp] = {}
+        self._connections: dict[str, set[ServerConnection]] = {}
+        store = MetadataStore(address=plan.store, timeout=_SECOND)
+        self._entries = _EntryWriter(store, self._planned)
+        self._engine = _engine()
+        self._servers = GroupServers(
+            engine=self._engine, service=ServiceName("llm"), stall=_SECOND * STALL_S
+        )
+        self._told = 0
+
+    async def run(self) -> None:
+        """Serve until standard input ends."""
+        born_ms = time.time_ns() // 1_000_000
+        for number, server in enumerate(self._plan.servers):
+            rng = random.Random(self._plan.seed * 1000 + number)
+            self._add(server, rng, born_ms)
+            await self._listen(server)
+        self._servers.attach(self._entries)
+        tasks = [
+            asyncio.create_task(self._entries.run()),
+            asyncio.create_task(self._watch()),
+        ]
+        await self._obey()
+        for task in tasks:
+            task.cancel()
+
+    def _add(self, planned: PlannedServer, rng: random.Random, born_ms: int) -> None:
+        vm = VmId(planned.vm)
+        if not self._plan.domain:
+            self._apps[vm] = PlainServerApp(vm, note=_tell, rng=rng)
+            self._entries.put(_plain_entry(vm, born_ms, ServerState.READY), planned)
+            return
+        self._servers.add(vm, self._plan.domain).born_ms = born_ms
+        self._apps[vm] = GroupServerApp(
+            vm, servers=self._servers, slots=self._engine.slots, note=_tell, rng=rng
+        )
+
+    async def _listen(self, planned: PlannedServer) -> None:
+        connections: set[ServerConnection] = set()
+        self._connections[planned.vm] = connections
+        host, _, port = planned.listens.rpartition(":")
+        await asyncio.get_running_loop().create_server(
+            functools.partial(
+                ServerConnection,
+                self._apps[planned.vm].handle,
+                WireLimits(),
+                connections,
+                lambda status: None,
+            ),
+            host,
+            int(port),
+        )
+
+    async def _watch(self) -> None:
+        """Report broken promises on groups."""
+        while True:
+            await asyncio.sleep(_WATCH_S)
+            for text in self._servers.violations[self._told :]:
+                _tell({"violation": text})
+            self._told = len(self._servers.violations)
+
+    async def _obey(self) -> None:
+        reader = asyncio.StreamReader()
+        loop = asyncio.get_running_loop()
+        await loop.connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+        )
+        while line := await reader.readline():
+            self._do(msgspec.json.decode(line, type=ServerCommand))
+
+    def _do(self, command: ServerCommand) -> None:
+        vm = VmId(command.vm)
+        app = self._apps[vm]
+        if command.do == "slow":
+            app.garble = Garble(share=app.garble.share, slowness=command.x)
+        elif command.do == "garble":
+            app.garble = Garble(share=command.x, slowness=app.garble.slowness)
+        elif command.do == "dark":
+            app.dark = True
+            if self._plan.domain:
+                self._servers.kill(vm)
+        elif command.do == "drain" and self._plan.domain:
+            self._servers.drain(vm)
+        elif command.do == "drain":
+            entry = _plain_entry(vm, 1, ServerState.DRAINING)
+            self._entries.put(entry, self._planned[vm])
+        elif command.do == "restart":
+            self._restart(vm, app)
+
+    def _restart(self, vm: VmId, app: ServerApp) -> None:
+        app.dark = False
+        for connection in list(self._connections[vm]):
+            connection.abort()
+        if self._plan.domain:
+            self._servers.restart(vm)
+        else:
+            born_ms = time.time_ns() // 1_000_000
+            entry = _plain_entry(vm, born_ms, ServerState.READY)
+            self._entries.put(entry, self._planned[vm])
+
+
+def _engine() -> EngineProfile:
+    declaration = decode_declaration(SampleDeployment(version=1, keys={}).encode())
+    engine = declaration.services[ServiceName("llm")].engine
+    assert engine is not None
+    return engine
+
+
+def _plain_entry(vm: VmId, born_ms: int, state: ServerState) -> BackendServer:
+    return BackendServer(
+        vm=vm,
+        born_ms=born_ms,
+        service=ServiceName("plain"),
+        address="",
+        zone=ZoneId(""),
+        domain=DomainId(""),
+        state=state,
+        slots=64,
+        staged=frozenset(),
+        model=None,
+        membership=None,
+    )
+
+
+def _tell(line: dict[str, Any]) -> None:
+    sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
+    sys.stdout.flush()
+
+
+def main() -> None:
+    """Run the servers of the plan on the command line."""
+    plan = msgspec.json.decode(sys.argv[1], type=ServerPlan)
+    asyncio.run(_Process(plan).run())
+
+
+if __name__ == "__main__":
+    main()
