--- a/pomelolug/entry/_choice.py
+++ b/pomelolug/entry/_choice.py
@@ -9,10 +9,11 @@
 
 __all__ = ["Candidate", "choose", "first_event_s", "pass_s"]
 
-ZONE_COST_S = 0.008
+ZONE_COST_S = 0.04
 """Expected delay, in seconds, that must be saved to leave the zone.
 
-A round trip between zones takes 2 ms, and its bytes are paid for.
+Bytes between zones are paid for, and the load in other zones is known about half a
+second later than that of the own zone.
 """
 _TIE_S = 0.001
 """Scores closer than this are equal; the load reports are older than that."""
