--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -179,6 +179,7 @@
             board=self._board,
             store=store,
             stopping=lambda: self._lifecycle.stopping,
+            holds_duty=lambda: self._duty.held,
             serving=lambda: self._application.serving,
             reaches_store=self._reaches_store,
             on_suspect=self._controller.suspect,
@@ -387,12 +388,16 @@
     def _may_form_groups(self) -> bool:
         """Return whether this node stands for the duty.
 
-        Each change among those who do may move the duty, so a node that has been
-        a relay goes on.
+        Each change among those who stand may move the duty, and a successor has
+        to wait for servers that its predecessor has freed. So nobody joins beside
+        a holder, and whoever stands stays.
         """
         if self._lifecycle.stopping or not self._reaches_store():
             return False
-        return self._duty.joined or self._peering.relay_for_s >= _STABLE_RELAY_S
+        if self._duty.joined:
+            return True
+        stable = self._peering.relay_for_s >= _STABLE_RELAY_S
+        return stable and self._peering.may_claim_duty
 
     def _reaches_store(self) -> bool:
         """Return whether this node may be the relay of its zone.
--- a/pomelolug/entry/_peering.py
+++ b/pomelolug/entry/_peering.py
@@ -16,7 +16,7 @@
 from pomelolug.entry._strikes import Strikes
 from pomelolug.errors import PlatformError
 from pomelolug.feeds import RecordSource
-from pomelolug.ids import VmId
+from pomelolug.ids import VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.platform import TOPIC_NODES, MetadataStore, NodeSettings
 from pomelolug.replicas import Departures
@@ -27,7 +27,7 @@
     open_connection,
 )
 
-__all__ = ["DECLARATION_PATH", "Peering"]
+__all__ = ["DECLARATION_PATH", "Peering", "duty_claimed", "goes_first"]
 
 _log = structlog.get_logger(__name__)
 
@@ -46,6 +46,8 @@
 """Longest wait of a read of the store; bounds the time lost on a silent path."""
 _RELAY_WAIT = datetime.timedelta(milliseconds=700)
 """The same for a relay, whose loss has to be noticed within a second or so."""
+_FIRST_CLAIM_S = 2.0
+"""Time without a claim after which any relay may form groups."""
 _AVOID_S = 2.0
 """Time in which a relay that failed is not asked again."""
 
@@ -69,7 +71,7 @@
         Load of the servers.
     store : MetadataStore
         Where nodes register for each other.
-    stopping, serving, reaches_store : callable
+    stopping, holds_duty, serving, reaches_store : callable
         State of this node.
     on_suspect : callable
         Called with each head that a peer suspects.
@@ -89,6 +91,7 @@
         board: ServerBoard,
         store: MetadataStore,
         stopping: Callable[[], bool],
+        holds_duty: Callable[[], bool],
         serving: Callable[[], bool],
         reaches_store: Callable[[], bool],
         on_suspect: Callable[[VmId], None],
@@ -101,6 +104,9 @@
         self._board = board
         self._store = store
         self._stopping = stopping
+        self._holds_duty = holds_duty
+        self._held_duty = False
+        self._duty_claimed_at = clock.monotonic()
         self._own_serving = serving
         self._reaches_store = reaches_store
         self._on_suspect = on_suspect
@@ -149,6 +155,20 @@
             return 0.0
         return max(self._clock.monotonic() - self._relay_since, 0.0)
 
+    @property
+    def may_claim_duty(self) -> bool:
+        """Whether nobody forms groups and this node is the one to begin.
+
+        Relays that began at the same moment would move the duty among them, so
+        the first one begins alone, and the others do if it has not in time.
+        """
+        peers = self._mesh.live
+        if duty_claimed(peers, zone=self._settings.zone):
+            return False
+        own = (self._started_ms, self._settings.node)
+        unclaimed_s = self._clock.monotonic() - self._duty_claimed_at
+        return goes_first(own, peers) or unclaimed_s > _FIRST_CLAIM_S
+
     def source(self) -> tuple[RecordSource, datetime.timedelta]:
         """Return where to read records next, and how long a read may wait."""
         status = self._relay_status()
@@ -224,6 +244,11 @@
                 self._relay_since = self._clock.monotonic()
                 _log.info("relay_role", relay=self._was_relay)
                 self.announce()
+            if duty_claimed(self._mesh.live, zone=self._settings.zone):
+                self._duty_claimed_at = self._clock.monotonic()
+            if self._holds_duty() != self._held_duty:
+                self._held_duty = self._holds_duty()
+                self.announce()
 
     async def _register(self) -> None:
         """Write this node's address to the store and read the others'."""
@@ -264,6 +289,8 @@
             stopping=self._stopping(),
             store=self._reaches_store(),
             relay=relay,
+            duty=self._holds_duty(),
+            zone_duty=relay and (self._holds_duty() or self._duty_in_zone()),
             load=self._board.own_loads(),
             zone_load=self._board.zone_loads() if relay else {},
             other_load=self._board.other_loads() if relay else {},
@@ -275,6 +302,10 @@
             peers=peers,
         )
 
+    def _duty_in_zone(self) -> bool:
+        zone = self._settings.zone
+        return any(s.duty for s in self._mesh.live if s.zone == zone)
+
     def _heard(self, status: NodeStatus) -> None:
         for head in {*status.suspects, *status.zone_suspects, *status.other_suspects}:
             self._on_suspect(VmId(head))
@@ -301,6 +332,37 @@
         self._declarations.offer(data, source=status.node)
 
 
+def duty_claimed(statuses: Iterable[NodeStatus], *, zone: ZoneId) -> bool:
+    """Return whether a peer forms groups, from what it or its relay says.
+
+    Parameters
+    ----------
+    statuses : iterable of NodeStatus
+        Newest statuses of the peers heard lately.
+    zone : ZoneId
+        Zone of this node, whose nodes speak for themselves. A relay repeats no
+        relay, so that two of them cannot keep a claim up between them.
+    """
+    return any(s.duty or (s.zone_duty and s.zone != zone) for s in statuses)
+
+
+def goes_first(own: tuple[int, str], statuses: Iterable[NodeStatus]) -> bool:
+    """Return whether a relay has run longer than all others.
+
+    Parameters
+    ----------
+    own : tuple of int and str
+        Start of the process in Unix milliseconds, and name of the node.
+    statuses : iterable of NodeStatus
+        Newest statuses of the peers heard lately.
+    """
+    return all(
+        own < (s.started_ms, s.node)
+        for s in statuses
+        if s.relay and s.store and not s.stopping
+    )
+
+
 async def _get(address: str, path: bytes) -> bytes:
     host, _, port = address.rpartition(":")
     connection = await open_connection(host, int(port), timeout=_CONNECT_TIMEOUT)
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -33,6 +33,10 @@
     """Whether the node reaches the store."""
     relay: bool = False
     """Whether the node reads the store for its zone."""
+    duty: bool = False
+    """Whether the node forms groups."""
+    zone_duty: bool = False
+    """Whether a node of the relay's zone forms groups."""
     load: dict[str, int] = {}
     """Requests of the node in flight, by server."""
     zone_load: dict[str, int] = {}
