--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -18,21 +18,16 @@
     ModelProfile,
     ServerControl,
     ServerRegistry,
-    ServerState,
 )
-from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId
+from pomelolug.ids import GroupId, ModelName, ServiceName, VmId
 from pomelolug.replicas._departures import Departures
 from pomelolug.replicas._desk import GroupEvent, OrderDesk
 from pomelolug.replicas._duty import DutyHolder
 from pomelolug.replicas._fleet import FleetView
 from pomelolug.replicas._health import ServerHealth
-from pomelolug.replicas._plan import (
-    NewGroup,
-    needed_servers,
-    plan_groups,
-    plan_second_weights,
-    plan_staging,
-)
+from pomelolug.replicas._plan import NewGroup, needed_servers, plan_groups
+from pomelolug.replicas._releases import GroupReleases
+from pomelolug.replicas._spares import Demand, Spares
 from pomelolug.replicas._view import (
     GroupKey,
     GroupView,
@@ -54,32 +49,10 @@
 _SETTLE_MOST_S = 2.5
 """Wait for further servers of a domain before the first groups are formed."""
 _STALL_MARGIN_S = 0.5
-_DRAIN_PATIENCE_S = 5.0
-"""Time for which a group serves on with a leaving member and no spare.
-
-The platform keeps a leaving member for at most 10 s while its head has work, and
-the longest streams take some seconds.
-"""
-_IDLE_HEAD_S = 40.0
-"""Wait for a silent head without work, which does not notice a departure.
-
-It may be open behind a partition; partitions of servers last up to ten seconds, and
-the head is asked to leave when it answers again.
-"""
-_VERIFY_S = 3.0
-"""Time after a loss in which members of the domain have to answer first.
-
-It covers the time until the entries of the lost servers have lapsed.
-"""
-_VERIFIED_S = 1.0
-"""Age of a report that shows that a server answers."""
 _STARTUP_LOADS = 3
 """Loads at once before the first request, as a factor on the declared number."""
 
 
-_SERVING_STATES = (GroupState.OPEN, GroupState.CLOSING)
-
-
 @dataclasses.dataclass(slots=True)
 class _Formation:
     """A group that this node forms."""
@@ -92,31 +65,11 @@
     opened: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class _Release:
-    """A group whose members become free at `free_at`."""
-
-    free_at: float | None = None
-    left: bool = False
-    worked: bool = False
-    """Whether streams of the head stood still, so that it had work."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Demand:
-    """Servers in groups of each model, and how many its work needs."""
-
-    in_groups: Mapping[ModelName, int]
-    needed: Mapping[ModelName, float]
-
-
 class GroupController:
     """Forms, opens, repairs and ends replica groups.
 
     What it knows of groups comes from the servers' own entries, so a successor
-    needs no state of its predecessor. A member of an ended group is used again
-    only when the head has confirmed that it left the group, or, if the head
-    does not answer, after the time in which it must notice the loss of a member.
+    needs no state of its predecessor.
 
     Parameters
     ----------
@@ -161,10 +114,8 @@
     ) -> None:
         self._duty = duty
         self._health = health
-        self._departures = departures
         self._clock = clock
         self._declaration = declaration
-        self._stall_s = stall.total_seconds() + _STALL_MARGIN_S
         self._serving = serving
         self._in_flight = in_flight
         self._on_event = on_event
@@ -179,16 +130,29 @@
             duty=duty, control=control, health=health, clock=clock, on_event=on_event
         )
         self._formations: dict[GroupKey, _Formation] = {}
-        self._releases: dict[GroupKey, _Release] = {}
-        self._staging: dict[VmId, tuple[ModelName, float]] = {}
+        self._releases = GroupReleases(
+            duty=duty,
+            fleet=self._fleet,
+            desk=self._desk,
+            health=health,
+            departures=departures,
+            clock=clock,
+            stall_s=stall.total_seconds() + _STALL_MARGIN_S,
+            in_formation=self._in_formation,
+            wake=self.wake,
+        )
+        self._spares = Spares(
+            duty=duty,
+            fleet=self._fleet,
+            desk=self._desk,
+            releases=self._releases,
+            clock=clock,
+            in_formation=self._in_formation,
+        )
         self._first_seen: dict[ServiceName, tuple[float, float, int]] = {}
-        self._draining_since: dict[GroupKey, float] = {}
-        self._verify_until: dict[DomainId, float] = {}
-        self._witnesses: set[tuple[GroupKey, VmId]] = set()
         self._awake = asyncio.Event()
         self._orders: set[asyncio.Task[None]] = set()
         self._was_held = False
-        self._watching_since = clock.monotonic()
 
     def suspect(self, head: VmId) -> None:
         """Take note that the streams of a group stand still."""
@@ -246,12 +210,9 @@
     def _forget(self) -> None:
         self._was_held = False
         self._formations.clear()
-        self._releases.clear()
-        self._staging.clear()
+        self._releases.forget()
+        self._spares.forget()
         self._desk.clear()
-        self._witnesses.clear()
-        self._verify_until.clear()
-        self._draining_since.clear()
 
     def _waiting(self) -> list[BackendServer]:
         """Return the servers whose reports are awaited before they get orders."""
@@ -259,7 +220,9 @@
         for server in self._fleet.known.values():
             unknown = self._health.orders_begun(server) is None
             idle = server.membership is None and unknown
-            unverified = self._unverified(server) and self._is_free(server)
+            unverified = self._releases.unverified(server) and self._releases.is_free(
+                server
+            )
             if (idle or unverified) and self._runs_models(server.service):
                 waiting.append(server)
         return waiting
@@ -284,17 +247,18 @@
                 orders += self._advance(formation, views)
         for key, view in views.items():
             if key not in self._formations:
-                orders += self._inspect(view, engine)
-        free = [s for s in servers if self._is_free(s)]
+                orders += self._releases.inspect(view, engine)
+        free = [s for s in servers if self._releases.is_free(s)]
         # A domain is planned once all its free servers have answered, so that
         # the choice does not depend on which of them answers first.
-        waiting = {s.domain for s in free if self._unverified(s)}
+        waiting = {s.domain for s in free if self._releases.unverified(s)}
         free = [s for s in free if s.domain not in waiting]
         if not self._settled(name, servers):
             free = _in_full_domains(free, engine)
         demand = self._demand(engine, servers, views)
         orders += self._form(engine, free, views, demand)
-        orders += self._stage(engine, free, views, demand)
+        room = self._load_room(engine, views)
+        orders += self._spares.stage(engine, free, views, demand, room)
         return orders
 
     def _demand(
@@ -302,11 +266,11 @@
         engine: EngineProfile,
         servers: list[BackendServer],
         views: Mapping[GroupKey, GroupView],
-    ) -> _Demand:
+    ) -> Demand:
         counts: dict[ModelName, int] = {}
         in_flight: dict[ModelName, int] = {}
         for key, view in views.items():
-            if view.model is None or key in self._releases:
+            if view.model is None or self._releases.ended(key):
                 continue
             counts[view.model] = counts.get(view.model, 0) + len(view.members)
             if view.head is not None:
@@ -320,7 +284,7 @@
         needed = needed_servers(
             engine.models, in_flight, slots=engine.slots, servers=usable
         )
-        return _Demand(counts, needed)
+        return Demand(counts, needed)
 
     def _settled(self, name: ServiceName, servers: list[BackendServer]) -> bool:
         """Return whether the list of servers has stopped growing after the start."""
@@ -376,7 +340,7 @@
         del self._formations[formation.key]
         if not formation.opened:
             # The head was never told to open, so no member is bound by it.
-            self._releases[formation.key] = _Release(free_at=0.0, left=True)
+            self._releases.end_unopened(formation.key)
         self._decided("group_given_up", formation.key, reason=reason, failed=failed)
 
     def _newer_epoch(self, server: BackendServer, epoch: int) -> bool:
@@ -386,161 +350,6 @@
         m = server.membership
         return m is not None and (m.group, m.epoch) == key
 
-    def _inspect(
-        self, view: GroupView, engine: EngineProfile
-    ) -> list[Coroutine[Any, Any, None]]:
-        """Return the orders for a group that is not being formed."""
-        release = self._releases.get(view.key)
-        if release is not None and release.free_at is not None:
-            silent = view.head
-            waits = self._clock.monotonic() < release.free_at
-            if waits and silent is not None and self._fleet.usable(silent):
-                if self._desk.due(silent.vm):
-                    return [self._leave(view.key, silent, release)]
-            return []
-        model = engine.model(view.model) if view.model is not None else None
-        members = list(view.members.values())
-        lost = [m for m in members if not self._fleet.present(m)]
-        if self._fleet.advances(view):
-            lost = []
-        complete = model is not None and len(members) == model.size and not lost
-        draining = [
-            member
-            for member in members
-            if member.state is ServerState.DRAINING
-            # Requests may not be sent to a head without an entry.
-            or (member is view.head and member.vm not in self._fleet.known)
-        ]
-        if view.model is None and not lost and not draining:
-            if len(members) in {m.size for m in engine.models}:
-                return []  # a predecessor's group that loads its weights
-        if complete and not draining:
-            if view.head_state is GroupState.READY and release is None:
-                return self._reopen(view, model)
-            if view.head_state is not GroupState.BROKEN:
-                return []
-        if complete and draining and view.head_state in _SERVING_STATES:
-            if view.head in draining or self._may_close(view, model):
-                return self._close_for_drain(view)
-            return []
-        return self._release_group(view, lost)
-
-    def _reopen(
-        self, view: GroupView, model: ModelProfile | None
-    ) -> list[Coroutine[Any, Any, None]]:
-        """Open a group that a predecessor formed and did not open."""
-        head = view.head
-        if head is None or model is None or not view.all_ready(model.size):
-            return []
-        return [self._desk.open(view.key, head)] if self._desk.due(head.vm) else []
-
-    def _may_close(self, view: GroupView, model: ModelProfile | None) -> bool:
-        """Return whether a group with a leaving member should end its work now.
-
-        The member stays while the head has work, so the group serves until a
-        spare can take the place, or until little of that time is left.
-        """
-        now = self._clock.monotonic()
-        since = self._draining_since.setdefault(view.key, now)
-        if now - since >= _DRAIN_PATIENCE_S:
-            return True
-        domain = next(iter(view.members.values())).domain
-        return model is None or any(
-            server.domain == domain
-            and self._is_free(server)
-            and self._fleet.candidate(server).readiness(model.name) < 2
-            for server in self._fleet.known.values()
-        )
-
-    def _close_for_drain(self, view: GroupView) -> list[Coroutine[Any, Any, None]]:
-        head = view.head
-        if head is None or view.head_state is GroupState.CLOSING:
-            return []
-        return [self._desk.close(view.key, head)] if self._desk.due(head.vm) else []
-
-    def _release_group(
-        self, view: GroupView, lost: list[BackendServer]
-    ) -> list[Coroutine[Any, Any, None]]:
-        """Return the orders that free the members of an incomplete group."""
-        release = self._releases.setdefault(view.key, _Release())
-        if lost:
-            until = self._clock.monotonic() + _VERIFY_S
-            self._verify_until[lost[0].domain] = until
-        head = view.head
-        if head is not None and head not in lost:
-            return (
-                [self._leave(view.key, head, release)]
-                if self._desk.due(head.vm)
-                else []
-            )
-        if head is not None and self._fleet.suspected(head.vm):
-            release.worked = True
-        left_at = self._departures.left_at(view.key)
-        if left_at is not None and not release.left:
-            release.left = True
-            release.free_at = left_at + self._stall_s
-        if release.left:
-            return []
-        survivors = [m for m in view.members.values() if m not in lost]
-        if not survivors:
-            return []
-        # A head that does not answer notices the loss of this member in time.
-        witness = min(survivors, key=lambda m: m.vm)
-        return (
-            [self._leave(view.key, witness, release)]
-            if self._desk.due(witness.vm)
-            else []
-        )
-
-    def _unverified(self, server: BackendServer) -> bool:
-        """Return whether a server of a domain with a recent loss has to answer.
-
-        The entry of a server that was lost with others is there for some
-        seconds, and a group formed with it fails.
-        """
-        now = self._clock.monotonic()
-        if self._verify_until.get(server.domain, 0.0) < now:
-            return False
-        return self._health.report(server.vm, newest_s=_VERIFIED_S) is None
-
-    def _is_free(self, server: BackendServer) -> bool:
-        if not self._fleet.usable(server) or self._in_formation(server.vm):
-            return False
-        now = self._clock.monotonic()
-        membership = server.membership
-        if membership is None:
-            # A predecessor may have taken the server out of a group whose head
-            # it could not reach; wait as it would have.
-            fresh = self._health.orders_begun(server) == 0
-            settled = now - self._duty.since > self._stall_s
-            return (fresh or settled or self._own(server)) and not self._held_back(
-                server
-            )
-        key = (membership.group, membership.epoch)
-        if is_standby(key):
-            return True
-        release = self._releases.get(key)
-        return (
-            release is not None
-            and release.free_at is not None
-            and now >= release.free_at
-        )
-
-    def _own(self, server: BackendServer) -> bool:
-        """Return whether this node would have seen the server in a group."""
-        watched_s = self._clock.monotonic() - self._watching_since
-        seen = self._fleet.last_model(server) is not None
-        return watched_s > self._stall_s and not seen
-
-    def _held_back(self, server: BackendServer) -> bool:
-        """Return whether a group that the server has left is not free yet."""
-        now = self._clock.monotonic()
-        return any(
-            release.free_at is not None and now < release.free_at
-            for key, release in self._releases.items()
-            if (key, server.vm) in self._witnesses
-        )
-
     def _in_formation(self, vm: VmId) -> bool:
         return any(vm in f.members for f in self._formations.values())
 
@@ -549,7 +358,7 @@
         engine: EngineProfile,
         free: list[BackendServer],
         views: Mapping[GroupKey, GroupView],
-        demand: _Demand,
+        demand: Demand,
     ) -> list[Coroutine[Any, Any, None]]:
         orders: list[Coroutine[Any, Any, None]] = []
         room = self._load_room(engine, views)
@@ -575,7 +384,7 @@
         most = engine.loads_at_once
         if not self._serving():
             most *= _STARTUP_LOADS
-        running = len(self._staging)
+        running = self._spares.loading
         for view in views.values():
             for member in view.members.values():
                 joining = (
@@ -602,7 +411,7 @@
         )
         self._formations[key] = formation
         for member in group.members:
-            self._staging.pop(member.server.vm, None)
+            self._spares.taken(member.server.vm)
         self._decided(
             "group_forming",
             key,
@@ -617,96 +426,6 @@
             for m in group.members
         ]
 
-    def _stage(
-        self,
-        engine: EngineProfile,
-        free: list[BackendServer],
-        views: Mapping[GroupKey, GroupView],
-        demand: _Demand,
-    ) -> list[Coroutine[Any, Any, None]]:
-        """Return the loads for spares, once no group waits for loads."""
-        now = self._clock.monotonic()
-        servers = {s.vm: s for s in free}
-        for vm, (model, at) in list(self._staging.items()):
-            known = self._fleet.known.get(vm)
-            if known is None or model in known.staged or now - at > 60.0:
-                del self._staging[vm]
-        spares = [
-            s
-            for s in free
-            if not self._in_formation(s.vm) and s.vm not in self._staging
-        ]
-        groups: dict[Any, list[ModelName]] = {}
-        for key, view in views.items():
-            if view.model is not None and key not in self._releases:
-                domain = next(iter(view.members.values())).domain
-                groups.setdefault(domain, []).append(view.model)
-        room = self._load_room(engine, views)
-        orders: list[Coroutine[Any, Any, None]] = self._keep_warm(spares)
-        candidates = [self._fleet.candidate(spare) for spare in spares]
-        planned = plan_staging(
-            candidates,
-            engine.models,
-            groups,
-            demand.in_groups,
-            demand.needed,
-        )
-        taken = {vm for vm, _ in planned}
-        planned += [
-            (vm, model)
-            for vm, model in plan_second_weights(candidates, engine.models)
-            if vm not in taken
-        ]
-        for vm, name in planned[: max(room, 0)]:
-            if self._desk.due(vm):
-                self._staging[vm] = (name, now)
-                orders.append(self._load(servers[vm], name))
-        return orders
-
-    def _keep_warm(
-        self, spares: list[BackendServer]
-    ) -> list[Coroutine[Any, Any, None]]:
-        """Return the orders that bring staged weights of spares into memory.
-
-        A spare that was in a group of a model joins the next one at once, so it
-        is made the only member of a group that is never opened. A successor sees
-        by this group that the spare is free.
-        """
-        orders = []
-        for spare in spares:
-            m = spare.membership
-            if m is not None and is_standby((m.group, m.epoch)):
-                continue
-            model = self._fleet.last_model(spare)
-            if model is None:
-                model = min(spare.staged, default=None)
-            if model is not None and self._desk.due(spare.vm):
-                epoch = self._duty.next_epoch()
-                orders.append(self._desk.join_standby(spare, epoch, model))
-        return orders
-
-    async def _leave(
-        self, key: GroupKey, server: BackendServer, release: _Release
-    ) -> None:
-        """Take a server out of an ended group; its members become free."""
-        membership = server.membership
-        if not await self._desk.leave(key, server):
-            return
-        release.left = True
-        is_head = membership is not None and membership.rank == 0
-        worked = release.worked
-        wait_s = self._stall_s if worked else _IDLE_HEAD_S
-        release.free_at = self._clock.monotonic() + (0.0 if is_head else wait_s)
-        self.wake()
-        if not is_head:
-            self._witnesses.add((key, server.vm))
-            if worked:
-                self._departures.note(key)
-
-    async def _load(self, server: BackendServer, model: ModelName) -> None:
-        if not await self._desk.stage(server, model):
-            self._staging.pop(server.vm, None)
-
     def _decided(self, event: str, key: GroupKey, **fields: Any) -> None:
         self._on_event(event, str(fields.get("reason", "")))
         _log.info(event, group=key[0], epoch=key[1], **fields)
