--- a/pomelolug/operator/_commands.py
+++ b/pomelolug/operator/_commands.py
@@ -16,6 +16,7 @@
 from pomelolug.messages import Drain
 from pomelolug.operator._chain import versions_before
 from pomelolug.operator._control import ConfigurationPage
+from pomelolug.operator._entry import entry_status
 from pomelolug.operator._publication import (
     nodes_without,
     publish_document,
@@ -106,6 +107,24 @@
 
         _run(settings, work)
 
+    def entry(self, address: str, *more: str) -> None:
+        """Show the state of entry processes on the users' platform.
+
+        Parameters
+        ----------
+        address : str
+            IP address and port at which the process talks to its peers.
+        *more : str
+            Addresses of further processes.
+        """
+
+        async def work() -> list[dict[str, Any]]:
+            addresses = (address, *more)
+            return await asyncio.gather(*(entry_status(a) for a in addresses))
+
+        states = asyncio.run(work())
+        _print_json(dict(zip((address, *more), states, strict=True)))
+
     def history(self, settings: str = _DEFAULT_SETTINGS) -> None:
         """Show the versions of the configuration, the current one first."""
         _print_json(_run(settings, _history))
--- /dev/null
+++ b/pomelolug/operator/_entry.py
@@ -0,0 +1,59 @@
+"""Queries to the entry processes of the users' platform."""
+
+import asyncio
+import datetime
+from typing import Any
+
+import msgspec
+
+from pomelolug.errors import ErrorCode, PlatformError
+from pomelolug.transport import BrokenResponse, encode_request, open_connection
+
+__all__ = ["entry_status"]
+
+_TIMEOUT = datetime.timedelta(seconds=2)
+_MOST_BYTES = 16 * 1024 * 1024
+
+
+async def entry_status(address: str) -> dict[str, Any]:
+    """Return what an entry process says of itself and of the groups it knows.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port at which the process talks to its peers.
+
+    Raises
+    ------
+    PlatformError
+        If the process does not answer, or not with its state.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise PlatformError(ErrorCode.BAD_REQUEST, f"{address!r} is not HOST:PORT")
+    request = encode_request(b"GET", b"/status", [(b"Host", address.encode())])
+    try:
+        async with asyncio.timeout(_TIMEOUT.total_seconds()):
+            connection = await open_connection(host, int(port), timeout=_TIMEOUT)
+            try:
+                connection.send(request)
+                head = await connection.head()
+                body = await connection.body(_MOST_BYTES)
+            finally:
+                connection.abort()
+    except BrokenResponse as error:
+        raise _unavailable(address, error.reason) from error
+    except TimeoutError as error:
+        raise _unavailable(address, "no answer in time") from error
+    if head.status != 200:
+        raise _unavailable(address, f"status {head.status}")
+    try:
+        return msgspec.json.decode(body, type=dict[str, Any])
+    except msgspec.DecodeError as error:
+        raise _unavailable(address, f"malformed answer: {error}") from error
+
+
+def _unavailable(address: str, reason: str) -> PlatformError:
+    return PlatformError(
+        ErrorCode.PLATFORM_UNAVAILABLE, f"entry process at {address}: {reason}"
+    )
