--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -183,6 +183,7 @@
             serving=lambda: self._application.serving,
             reaches_store=self._reaches_store,
             on_suspect=self._controller.suspect,
+            on_nodes=self._repeats.share_among,
             departures=self._departures,
             strikes=self._strikes,
         )
@@ -228,7 +229,7 @@
 
     def _build_flows(self) -> None:
         settings, clock = self._settings, self._clock
-        repeats = Repeats(
+        self._repeats = Repeats(
             clock=clock,
             ratio=settings.retry_ratio,
             reserve=settings.retry_reserve,
@@ -238,7 +239,7 @@
         plain = PlainFlow(
             board=self._board,
             pool=self._pool,
-            repeats=repeats,
+            repeats=self._repeats,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -246,7 +247,7 @@
         streams = StreamFlow(
             board=self._board,
             pool=self._pool,
-            repeats=repeats,
+            repeats=self._repeats,
             watch=self._watch,
             strikes=self._strikes,
             clock=clock,
--- a/pomelolug/entry/_peering.py
+++ b/pomelolug/entry/_peering.py
@@ -39,6 +39,7 @@
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=300)
 _MOST_DECLARATION_BYTES = 16 * 1024 * 1024
 _REGISTER_RETRY = datetime.timedelta(seconds=1)
+_REGISTER_FIRST = datetime.timedelta(seconds=4)
 _REGISTER_AGAIN = datetime.timedelta(seconds=15)
 """Interval at which a relay reads the other nodes' addresses again."""
 _APPLY = datetime.timedelta(milliseconds=100)
@@ -75,6 +76,8 @@
         State of this node.
     on_suspect : callable
         Called with each head that a peer suspects.
+    on_nodes : callable
+        Called with the number of nodes of all zones, as far as known.
     departures : Departures
         Departures from groups whose heads do not answer.
     strikes : Strikes
@@ -95,6 +98,7 @@
         serving: Callable[[], bool],
         reaches_store: Callable[[], bool],
         on_suspect: Callable[[VmId], None],
+        on_nodes: Callable[[int], None],
         departures: Departures,
         strikes: Strikes,
     ) -> None:
@@ -110,6 +114,8 @@
         self._own_serving = serving
         self._reaches_store = reaches_store
         self._on_suspect = on_suspect
+        self._on_nodes = on_nodes
+        self._registered = 0
         self._departures = departures
         self._strikes = strikes
         self._started_ms = time.time_ns() // 1_000_000
@@ -244,15 +250,23 @@
                 self._relay_since = self._clock.monotonic()
                 _log.info("relay_role", relay=self._was_relay)
                 self.announce()
+            self._count_nodes()
             if duty_claimed(self._mesh.live, zone=self._settings.zone):
                 self._duty_claimed_at = self._clock.monotonic()
             if self._holds_duty() != self._held_duty:
                 self._held_duty = self._holds_duty()
                 self.announce()
 
+    def _count_nodes(self) -> None:
+        live = self._mesh.live
+        known = [status.nodes for status in live]
+        self._on_nodes(max(self._registered, len(live) + 1, *known))
+
     async def _register(self) -> None:
         """Write this node's address to the store and read the others'."""
         written = False
+        # Nodes that start together miss each other at the first time.
+        pause = _REGISTER_FIRST
         while True:
             try:
                 if not written:
@@ -265,13 +279,12 @@
                 _log.warning("peer_registration_failed", reason=str(error))
                 await self._clock.sleep(_REGISTER_RETRY)
                 continue
-            self._mesh.add_targets(
-                record.value.decode("latin-1")
-                for record in batch.records
-                if record.value
-            )
+            addresses = [r.value.decode("latin-1") for r in batch.records if r.value]
+            self._registered = len(addresses)
+            self._mesh.add_targets(addresses)
             self._mesh.send_soon()
-            await self._clock.sleep(_REGISTER_AGAIN)
+            await self._clock.sleep(pause)
+            pause = _REGISTER_AGAIN
             while not self.is_relay:
                 await self._clock.sleep(_REGISTER_RETRY)
 
@@ -289,6 +302,7 @@
             stopping=self._stopping(),
             store=self._reaches_store(),
             relay=relay,
+            nodes=self._registered,
             duty=self._holds_duty(),
             zone_duty=relay and (self._holds_duty() or self._duty_in_zone()),
             load=self._board.own_loads(),
--- a/pomelolug/entry/_repeats.py
+++ b/pomelolug/entry/_repeats.py
@@ -12,6 +12,12 @@
 _RATIO_PART = 0.8
 """Part of the declared ratio that nodes spend, since they count separately."""
 _RESERVE_PART = 0.5
+_SAVED = 2.0
+"""Repeats that a node saves up, as a factor on its part of the reserve; with the
+part above, all nodes together save up no more than the reserve.
+"""
+_LEAST_SAVED = 1.0
+"""Repeats that each node can save up of what its requests earn."""
 
 
 class Repeats:
@@ -29,7 +35,7 @@
     reserve : float
         Further repeats of all nodes in a window.
     nodes : int
-        Nodes that share the reserve.
+        Nodes that share the reserve, as far as known at the start.
     on_denied : callable
         Called when the budget denies a repeat.
     """
@@ -43,15 +49,27 @@
         nodes: int,
         on_denied: Callable[[], None],
     ) -> None:
-        part = max(reserve * _RESERVE_PART / max(nodes, 1), 3.0)
+        self._reserve = reserve
+        self._nodes = max(nodes, 1)
+        part = self._part()
         self._budget = RetryBudget(
             clock=clock,
             ratio=ratio * _RATIO_PART,
             reserve=part,
-            most=2 * part,
+            most=max(_SAVED * part, _LEAST_SAVED),
         )
         self._on_denied = on_denied
 
+    def share_among(self, nodes: int) -> None:
+        """Divide the reserve anew after the number of nodes has changed."""
+        if nodes != self._nodes:
+            self._nodes = max(nodes, 1)
+            part = self._part()
+            self._budget.resize(reserve=part, most=max(_SAVED * part, _LEAST_SAVED))
+
+    def _part(self) -> float:
+        return self._reserve * _RESERVE_PART / self._nodes
+
     def allow(self, call: Call) -> bool:
         """Take one repeat from the budget; return whether there was one."""
         allowed = self._budget.try_spend(*_key(call))
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -33,6 +33,8 @@
     """Whether the node reaches the store."""
     relay: bool = False
     """Whether the node reads the store for its zone."""
+    nodes: int = 0
+    """Nodes of all zones that have registered, as far as the node knows."""
     duty: bool = False
     """Whether the node forms groups."""
     zone_duty: bool = False
--- a/pomelolug/retries/_budget.py
+++ b/pomelolug/retries/_budget.py
@@ -65,6 +65,13 @@
             collections.OrderedDict()
         )
 
+    def resize(self, *, reserve: float, most: float) -> None:
+        """Change the reserve and the retries that can be saved up."""
+        self._reserve = reserve
+        self._most = max(most, reserve)
+        for bucket in self._buckets.values():
+            bucket.left = min(bucket.left, self._most)
+
     def on_success(
         self, work_class: ClassName, account: AccountId, pool: PoolId
     ) -> None:
