--- a/pomelolug/entry/_peers.py
+++ b/pomelolug/entry/_peers.py
@@ -30,6 +30,10 @@
 _SILENT_S = 2.0
 _SILENT_INTERVALS = 3
 """Silence after which a peer counts as away: the larger of both."""
+_TRIES = 4
+"""Messages to a node that was never heard, as single ones may be lost."""
+_RELAY_RETRY_S = 5.0
+"""Interval of a relay's further messages to such a node."""
 _FORGET_S = 30.0
 _MOST_PEERS = 1024
 _MOST_NAMED = 12
@@ -86,6 +90,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._views: dict[str, PeerView] = {}
         self._targets: dict[str, float] = {}
+        self._tries: dict[str, int] = {}
+        self._tried_at: dict[str, float] = {}
         self._serial = 0
         self._interval_s = _INTERVAL_S
         self._soon = asyncio.Event()
@@ -111,7 +117,7 @@
     async def run(self) -> None:
         """Send until cancelled."""
         while True:
-            receivers = self._send()
+            receivers = self.send_round()
             self._interval_s = _INTERVAL_S + _INTERVAL_BY_PEER_S * receivers
             self._soon.clear()
             try:
@@ -150,17 +156,15 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore a port without a listener; the peer may start later."""
 
-    def _send(self) -> int:
+    def send_round(self) -> int:
         """Send to all receivers; return how many there are."""
         if self._transport is None:
             return 0
         self._forget()
         receivers = self._receivers()
-        live = list(self._views)
-        named = self._rng.sample(live, min(len(live), _MOST_NAMED))
         self._serial += 1
         try:
-            data = encode(self._own(self._serial, tuple(named)))
+            data = encode(self._own(self._serial, self._named()))
         except PeerError as error:
             _log.error("peer_message_too_large", reason=str(error))
             return 0
@@ -169,27 +173,60 @@
             self._transport.sendto(data, (host, int(port)))
         return len(receivers)
 
+    def _named(self) -> tuple[str, ...]:
+        """Return some nodes of the zone and relays, for those who lack them.
+
+        The other nodes of other zones would be sent to and would not answer.
+        """
+        useful = [
+            address
+            for address, view in self._views.items()
+            if view.status.zone == self._zone or view.status.relay
+        ]
+        return tuple(self._rng.sample(useful, min(len(useful), _MOST_NAMED)))
+
     def _receivers(self) -> list[str]:
         """Return the nodes of the zone, those not heard yet, and other relays."""
         live = {status.datagram: status for status in self.live}
         related = {status.zone for status in live.values() if status.relay}
-        relay = self._is_relay()
+        relaying = self._is_relay()
+        alone = not any(status.zone == self._zone for status in live.values())
         receivers = []
         for address in self._targets:
             view = self._views.get(address)
-            if view is None or view.status.zone == self._zone:
+            if view is None:
+                if self._tries_unheard(address, alone=alone, relaying=relaying):
+                    receivers.append(address)
+            elif view.status.zone == self._zone:
                 receivers.append(address)
-            elif relay:
+            elif relaying:
                 # Without a relay of that zone, any of its nodes passes this on.
                 other = view.status
                 if other.relay or other.zone not in related:
                     receivers.append(address)
         return receivers
 
+    def _tries_unheard(self, address: str, *, alone: bool, relaying: bool) -> bool:
+        """Return whether a node that was never heard gets a message now.
+
+        Nodes of other zones do not answer, so only a node that hears nobody goes
+        on at each round, and a relay now and then.
+        """
+        now = self._clock.monotonic()
+        tries = self._tries.get(address, 0)
+        again = now - self._tried_at.get(address, now) >= _RELAY_RETRY_S
+        if tries >= _TRIES and not alone and not (relaying and again):
+            return False
+        self._tries[address] = tries + 1
+        self._tried_at[address] = now
+        return True
+
     def _forget(self) -> None:
         oldest = self._clock.monotonic() - _FORGET_S
         for address in [a for a, at in self._targets.items() if at < oldest]:
             del self._targets[address]
+            self._tries.pop(address, None)
+            self._tried_at.pop(address, None)
             view = self._views.pop(address, None)
             if view is not None:
                 _log.info("peer_gone", peer=view.status.node)
