--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -16,7 +16,7 @@
 
 __all__ = ["Faults"]
 
-_MEAN_PAUSE_S = 0.9
+_MEAN_PAUSE_S = 0.45
 _DRAIN_S = 5.0
 """Time that a leaving server stays for its group's work."""
 _LINK_FAULTS = (
@@ -126,12 +126,10 @@
         entry = self._rng.choice(self._world.entries)
         return entry if self._take(entry.name) else None
 
-    def _server(self, *, plain: bool | None = None) -> SoakedServer | None:
-        servers = [
-            s
-            for s in self._world.servers
-            if plain is None or (s.host.name == "plain") is plain
-        ]
+    def _server(self) -> SoakedServer | None:
+        """Return a server of any process, which has few plain servers."""
+        host = self._rng.choice(self._world.hosts)
+        servers = [s for s in self._world.servers if s.host is host]
         server = self._rng.choice(servers)
         return server if self._take(server.vm) else None
 
