--- a/pomelolug/entry/_peering.py
+++ b/pomelolug/entry/_peering.py
@@ -39,9 +39,10 @@
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=300)
 _MOST_DECLARATION_BYTES = 16 * 1024 * 1024
 _REGISTER_RETRY = datetime.timedelta(seconds=1)
-_REGISTER_FIRST = datetime.timedelta(seconds=4)
 _REGISTER_AGAIN = datetime.timedelta(seconds=15)
 """Interval at which a relay reads the other nodes' addresses again."""
+_REGISTER_FIRST = datetime.timedelta(seconds=4)
+"""The same after the first time, since nodes that start together miss each other."""
 _APPLY = datetime.timedelta(milliseconds=100)
 _STORE_WAIT = datetime.timedelta(seconds=1.5)
 """Longest wait of a read of the store; bounds the time lost on a silent path."""
@@ -265,7 +266,6 @@
     async def _register(self) -> None:
         """Write this node's address to the store and read the others'."""
         written = False
-        # Nodes that start together miss each other at the first time.
         pause = _REGISTER_FIRST
         while True:
             try:
