Log what tells a request that crashes servers from others

Cause: the line of a request did not say that it was the same request as one before under another id, nor how many lost servers the node knew of when it let it pass; so losses that were not counted, kinds that nobody counts, and nodes that did not know looked alike.

Change: fingerprint and known_losses in the line of each request, an event request_quarantined with the losses and their source, and a gauge of quarantined requests.

Evidence: tests of entry and operator passed; nothing is decided differently.

--- a/pomelolug/entry/_application.py
+++ b/pomelolug/entry/_application.py
@@ -18,6 +18,7 @@
 )
 from pomelolug.entry._request_record import RequestRecord
 from pomelolug.entry._stream import StreamForwarder
+from pomelolug.entry._strikes import PoisonRequestDetector, compute_fingerprint
 from pomelolug.entry._topic_consumers import DeclarationCache
 from pomelolug.errors import ErrorCode, RequestError
 from pomelolug.feeds import TopicFeed
@@ -46,6 +47,8 @@
         Feed of the server entries, whose age is logged.
     plain_forwarder, stream_forwarder : PlainForwarder, StreamForwarder
         Forward requests to plain services and to replica groups.
+    poison_detector : PoisonRequestDetector
+        Losses known of each request, which are logged.
     metrics : EntryMetrics
         Metrics of the process.
     clock : Clock
@@ -61,6 +64,7 @@
         server_feed: TopicFeed,
         plain_forwarder: PlainForwarder,
         stream_forwarder: StreamForwarder,
+        poison_detector: PoisonRequestDetector,
         metrics: EntryMetrics,
         clock: Clock,
         rng: random.Random,
@@ -69,6 +73,7 @@
         self._server_feed = server_feed
         self._plain_forwarder = plain_forwarder
         self._stream_forwarder = stream_forwarder
+        self._poison_detector = poison_detector
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
@@ -130,6 +135,9 @@
         client_account = _authenticate(declaration, route, request_head)
         account = client_account.account_id if client_account is not None else None
         record.account = account
+        fingerprint = compute_fingerprint(account, exchange.target, exchange.body)
+        record.fingerprint = fingerprint
+        record.known_losses = self._poison_detector.loss_count(fingerprint)
         priority = route.priority
         if client_account is not None and client_account.priority is not None:
             priority = client_account.priority
@@ -146,6 +154,7 @@
             urgency=min(max(priority, 0), _LOWEST_URGENCY),
             arrived_at_s=arrived_at_s,
             deadline_at_s=arrived_at_s + timeout_s,
+            fingerprint=fingerprint,
             record=record,
         )
 
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -276,6 +276,7 @@
             server_feed=self._server_feed,
             plain_forwarder=plain_forwarder,
             stream_forwarder=stream_forwarder,
+            poison_detector=self._poison_detector,
             metrics=self._metrics,
             clock=clock,
             rng=self._rng,
@@ -345,6 +346,9 @@
                 self._metrics.declaration_version.set(self._declarations.version)
                 self._metrics.open_groups.set(self._server_tracker.open_groups())
                 self._metrics.log_lines_dropped.set(self._writer.dropped_count)
+                self._metrics.quarantined_requests.set(
+                    self._poison_detector.quarantined_count()
+                )
 
     async def _listen(self, address: str, handler: Handler) -> asyncio.Server:
         host, _, port = address.rpartition(":")
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -88,6 +88,11 @@
         self.open_groups = prometheus_client.Gauge(
             f"{name}_open_groups", "Open replica groups.", registry=self._registry
         )
+        self.quarantined_requests = prometheus_client.Gauge(
+            f"{name}_quarantined_requests",
+            "Requests that are refused because they crash servers.",
+            registry=self._registry,
+        )
         self.log_lines_dropped = prometheus_client.Gauge(
             f"{name}_log_lines_dropped",
             "Log lines dropped because their reader was slow.",
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -355,7 +355,7 @@
         for head in {*status.suspects, *status.zone_suspects, *status.other_suspects}:
             self._on_suspect(VmId(head))
         self._departures.merge(status.releases)
-        self._poison_detector.merge(status.strikes)
+        self._poison_detector.merge(status.strikes, source=status.node)
         is_newer = status.declaration > self._declarations.version
         is_idle = self._fetch_task is None or self._fetch_task.done()
         if is_newer and is_idle and status.address:
--- a/pomelolug/entry/_request_context.py
+++ b/pomelolug/entry/_request_context.py
@@ -21,6 +21,7 @@
     `arrived_at_s` and `deadline_at_s` are monotonic seconds of the event loop's clock,
     which `SystemClock.monotonic` returns.
     At the deadline, the caller has left or the timeout of the route has passed.
+    `fingerprint` identifies the request when its caller sends it again.
     """
 
     exchange: Exchange
@@ -32,6 +33,7 @@
     urgency: int
     arrived_at_s: float
     deadline_at_s: float
+    fingerprint: str
     record: RequestRecord
 
     @property
--- a/pomelolug/entry/_request_record.py
+++ b/pomelolug/entry/_request_record.py
@@ -35,13 +35,19 @@
 
 @dataclasses.dataclass(slots=True)
 class RequestRecord:
-    """Routing, attempts and result of one request."""
+    """Routing, attempts and result of one request.
+
+    `known_losses` counts the servers that were known, when the request arrived, to have
+    been lost while running it.
+    """
 
     request_id: RequestId
     route: str = ""
     account: AccountId | None = None
     declaration_version: int = -1
     registry_age_s: float = 0.0
+    fingerprint: str = ""
+    known_losses: int = 0
     status: int = 0
     code: ErrorCode | None = None
     first_event_s: float | None = None
@@ -56,6 +62,8 @@
             "account": self.account,
             "version": self.declaration_version,
             "registry_age_s": round(self.registry_age_s, 3),
+            "fingerprint": self.fingerprint,
+            "known_losses": self.known_losses,
             "status": self.status,
             "code": self.code.value if self.code is not None else "",
             "first_s": round(self.first_event_s, 4)
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -21,7 +21,7 @@
 )
 from pomelolug.entry._request_record import AttemptRecord
 from pomelolug.entry._server_tracker import ServerTracker
-from pomelolug.entry._strikes import PoisonRequestDetector, compute_fingerprint
+from pomelolug.entry._strikes import PoisonRequestDetector
 from pomelolug.entry._watch import StallDetector
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId, ZoneId
@@ -125,11 +125,8 @@
         """
         state = _StreamState(context.request_head.last_event_id)
         error: RequestError | None = None
-        fingerprint = compute_fingerprint(
-            context.account, context.exchange.target, context.exchange.body
-        )
         while state.attempt_count < _MAX_ATTEMPTS:
-            if self._poison_detector.is_quarantined(fingerprint):
+            if self._poison_detector.is_quarantined(context.fingerprint):
                 error = _quarantined_error()
                 break
             head = await self._select_head(context, state)
@@ -167,7 +164,7 @@
                             f"{head.vm}/{context.request_head.request_id}"
                             f"/{state.possible_runs}"
                         )
-                        self._poison_detector.record_loss(fingerprint, loss_id)
+                        self._poison_detector.record_loss(context.fingerprint, loss_id)
                 error = _to_request_error(failure, state.possible_runs)
                 if not self._may_retry(context, state):
                     break
--- a/pomelolug/entry/_strikes.py
+++ b/pomelolug/entry/_strikes.py
@@ -7,11 +7,15 @@
 import hashlib
 from collections.abc import Mapping, Sequence
 
+import structlog
+
 from pomelolug.clock import Clock
 from pomelolug.ids import AccountId
 
 __all__ = ["PoisonRequestDetector", "compute_fingerprint"]
 
+_log = structlog.get_logger(__name__)
+
 QUARANTINE_LOSS_COUNT = 3
 """Number of servers lost while running a request after which it is refused.
 
@@ -54,18 +58,38 @@
         self._clock = clock
         self._loss_times_s: dict[str, dict[str, float]] = {}
 
-    def record_loss(self, fingerprint: str, loss_id: str) -> None:
+    def record_loss(
+        self, fingerprint: str, loss_id: str, *, source: str = "own"
+    ) -> None:
         """Record the loss of a server that ran a request.
 
-        Reports with the same `loss_id` count once.
+        Reports with the same `loss_id` count once. `source` names for the log where the
+        report came from.
         """
         now_s = self._clock.monotonic()
-        self._loss_times_s.setdefault(fingerprint, {}).setdefault(loss_id, now_s)
+        losses = self._loss_times_s.setdefault(fingerprint, {})
+        is_new = loss_id not in losses
+        losses.setdefault(loss_id, now_s)
+        if is_new and len(losses) == QUARANTINE_LOSS_COUNT:
+            _log.warning(
+                "request_quarantined",
+                fingerprint=fingerprint,
+                losses=list(losses),
+                source=source,
+            )
         self._evict(now_s)
 
+    def loss_count(self, fingerprint: str) -> int:
+        """Return the number of servers known to be lost while running a request."""
+        return len(self._loss_times_s.get(fingerprint, ()))
+
+    def quarantined_count(self) -> int:
+        """Return the number of quarantined requests."""
+        return sum(map(self.is_quarantined, self._loss_times_s))
+
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether too many servers were lost while running a request."""
-        return len(self._loss_times_s.get(fingerprint, ())) >= QUARANTINE_LOSS_COUNT
+        return self.loss_count(fingerprint) >= QUARANTINE_LOSS_COUNT
 
     def recent_losses(self) -> dict[str, tuple[str, ...]]:
         """Return recent losses by request, most losses first, for other nodes."""
@@ -81,11 +105,11 @@
             for fingerprint, loss_times_s in recent[:_MAX_SHARED_REQUESTS]
         }
 
-    def merge(self, losses: Mapping[str, Sequence[str]]) -> None:
+    def merge(self, losses: Mapping[str, Sequence[str]], *, source: str = "") -> None:
         """Add the losses reported by another node; duplicates change nothing."""
         for fingerprint, loss_ids in list(losses.items())[:_MAX_SHARED_REQUESTS]:
             for loss_id in list(loss_ids)[:QUARANTINE_LOSS_COUNT]:
-                self.record_loss(fingerprint, loss_id)
+                self.record_loss(fingerprint, loss_id, source=source)
 
     def _evict(self, now_s: float) -> None:
         for fingerprint in list(self._loss_times_s):
