Reproduce a request that crashes servers without bound

What callers and servers saw in these tests: a request that crashes each server that runs it is sent on after the third loss.

Only streams whose server resets or closes a new connection are stopped.

The harness starts several nodes on one store, and servers restart under their id.

--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -68,10 +68,15 @@
 
 
 class Harness:
-    """An entry process with its metadata store and backend servers."""
+    """An entry process with its metadata store and backend servers.
 
-    def __init__(self) -> None:
-        self.store = FakeMetadataStore()
+    With `joins`, the entry process is a further node beside that of another harness,
+    whose store and servers it uses.
+    """
+
+    def __init__(self, *, joins: "Harness | None" = None) -> None:
+        self._joins = joins
+        self.store = joins.store if joins is not None else FakeMetadataStore()
         self.servers: list[ScriptedServer] = []
         rng = random.Random(os.urandom(8))
         self.ip = f"127.{rng.randrange(1, 250)}.{rng.randrange(250)}.7"
@@ -79,17 +84,24 @@
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> "Harness":
-        await self.store.start()
-        self.publish_declaration(declaration())
+        if self._joins is None:
+            await self.store.start()
+            self.publish_declaration(declaration())
         return self
 
     async def __aexit__(self, *error) -> None:
+        await self.kill()
+        if self._joins is None:
+            for server in self.servers:
+                server.stop()
+            await self.store.stop()
+
+    async def kill(self) -> None:
+        """End the entry process without a graceful shutdown."""
         if self.entry is not None and self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        for server in self.servers:
-            server.stop()
-        await self.store.stop()
+        self.entry = self._task = None
 
     def publish_declaration(self, value) -> None:
         self.store.put("keyed.op", "config", msgspec.json.encode(value))
@@ -100,34 +112,51 @@
         await server.start()
         self.servers.append(server)
         name = vm or f"vm-{len(self.servers)}"
+        self.publish_server(name, server.address, service=service)
+        return name
+
+    def publish_server(
+        self, name: str, address: str, *, service: str = "plain", born: int = 1
+    ) -> None:
+        """Write the entry of a server to the store; `born` changes if it restarts."""
         record = {
             "service": service,
-            "address": server.address,
+            "address": address,
             "zone": "z1",
             "state": "ready",
             "slots": 4,
-            "born": 1,
+            "born": born,
             "seq": 1,
         }
         if service == "llm":
-            group = {"name": f"g-{name}", "epoch": 1, "rank": 0, "state": "open"}
+            group = {"name": f"g-{name}", "epoch": born, "rank": 0, "state": "open"}
             models = [{"name": MODEL, "version": 1, "adapters": []}]
             record |= {"domain": "d", "group": group, "models": models}
         self.store.put("keyed.servers", name, msgspec.json.encode(record))
-        return name
 
-    async def start(self, *, servers: int | None = None) -> None:
-        """Start the entry process and wait until it has found its servers."""
+    async def start(
+        self,
+        *,
+        servers: int | None = None,
+        zone: str = "z1",
+        store_address: str = "",
+        seeds: tuple[str, ...] = (),
+        internal_ports: tuple[int, ...] = (8004, 8010),
+    ) -> None:
+        """Start the entry process and wait until it has found its servers.
+
+        Without `internal_ports`, the node exchanges nothing with other nodes.
+        """
         settings = NodeSettings(
-            node=NodeId("n1"),
+            node=NodeId(f"n-{self.ip}"),
             ip=self.ip,
-            zone=ZoneId("z1"),
-            store_address=self.store.address,
+            zone=ZoneId(zone),
+            store_address=store_address or self.store.address,
             caller_address=f"{self.ip}:8001",
             readiness_address=f"{self.ip}:8002",
             peer_address=f"{self.ip}:8003",
-            internal_ports=(8004, 8010),
-            peer_seeds=(),
+            internal_ports=internal_ports,
+            peer_seeds=seeds,
             stop_grace=datetime.timedelta(seconds=8),
             stall_timeout=datetime.timedelta(seconds=5),
             retry_ratio=0.2,
@@ -138,7 +167,8 @@
             settings, NonBlockingWriter(os.dup(2)), lambda: settings
         )
         self._task = asyncio.create_task(self.entry.run())
-        expected_count = len(self.servers) if servers is None else servers
+        known_servers = (self._joins or self).servers
+        expected_count = len(known_servers) if servers is None else servers
         async with asyncio.timeout(5.0):
             while not self._has_servers(expected_count):  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
