Count each run that loses its server, whatever its kind and end

What callers saw: a request that crashes servers was sent on without bound to plain services, and beyond three losses as a stream.

Cause: the forwarder of streams decided which failures are losses, from a list of four, and the forwarder of plain services never asked. A kept connection that ended was taken for a stale one; a server that fell silent ended in a deadline or in the caller's leaving, which nobody counted; an answer cut inside an event was not listed.

Change: every request is sent through Attempt, so the attempt asks before each send and counts how each run ends; a new way of ending counts unless it is known that the server survived it. A run without a usable answer counts at once. Whether the server has ended is then read from its entry: it lapses or has another start time (also that of another member of its group); else the loss is cleared after the lifetime of an entry. A server that answers the request clears all losses. Runs at one server that were connected before its loss share one id on all nodes, so that copies of a harmless request at one lost server are one loss.

A quarantine lasted 120 s, after which three more servers were lost, over and over.

Ruled out by tests: harmless requests that are refused because servers are slow or because many copies were at one server.

--- a/pomelolug/entry/_application.py
+++ b/pomelolug/entry/_application.py
@@ -10,6 +10,11 @@
 from pomelolug.deployment import ClientAccount, Declaration, Route, Service
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._plain import PlainForwarder
+from pomelolug.entry._poison_requests import (
+    PoisonRequestDetector,
+    QuarantinedError,
+    compute_fingerprint,
+)
 from pomelolug.entry._request_context import (
     RequestContext,
     not_run_error,
@@ -17,10 +22,10 @@
     unknown_outcome_error,
 )
 from pomelolug.entry._request_record import RequestRecord
+from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._stream import StreamForwarder
-from pomelolug.entry._strikes import PoisonRequestDetector, compute_fingerprint
 from pomelolug.entry._topic_consumers import DeclarationCache
-from pomelolug.errors import ErrorCode, RequestError
+from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.feeds import TopicFeed
 from pomelolug.ids import AccountId
 from pomelolug.platform import RequestHead, decode_request_head
@@ -49,6 +54,8 @@
         Forward requests to plain services and to replica groups.
     poison_detector : PoisonRequestDetector
         Losses known of each request, which are logged.
+    run_monitor : RunMonitor
+        Refuses requests that crash servers.
     metrics : EntryMetrics
         Metrics of the process.
     clock : Clock
@@ -65,6 +72,7 @@
         plain_forwarder: PlainForwarder,
         stream_forwarder: StreamForwarder,
         poison_detector: PoisonRequestDetector,
+        run_monitor: RunMonitor,
         metrics: EntryMetrics,
         clock: Clock,
         rng: random.Random,
@@ -74,6 +82,7 @@
         self._plain_forwarder = plain_forwarder
         self._stream_forwarder = stream_forwarder
         self._poison_detector = poison_detector
+        self._run_monitor = run_monitor
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
@@ -177,12 +186,12 @@
             else self._plain_forwarder
         )
         try:
+            self._run_monitor.check(context.fingerprint)
             async with asyncio.timeout_at(context.deadline_at_s):
                 await forwarder.forward(context)
         except TimeoutError:
             if context.exchange.has_started:
-                context.record.code = ErrorCode.STREAM_CUT
-                context.exchange.abort()
+                _cut_stream(context)
             elif context.may_have_run:
                 raise unknown_outcome_error(
                     ErrorCode.DEADLINE_EXCEEDED,
@@ -194,6 +203,22 @@
                     ErrorCode.DEADLINE_EXCEEDED,
                     "no server in time",
                 ) from None
+        except QuarantinedError as error:
+            context.record.mark_last_attempt("quarantined")
+            if context.exchange.has_started:
+                _cut_stream(context)
+            elif context.may_have_run:
+                raise unknown_outcome_error(
+                    ErrorCode.BACKEND_LOST, str(error)
+                ) from None
+            else:
+                raise RequestError(
+                    ErrorCode.QUARANTINED,
+                    str(error),
+                    status=503,
+                    outcome=Outcome.NOT_RUN,
+                    retry_after=error.retry_after,
+                ) from None
 
     def _record_outcome(self, record: RequestRecord, arrived_at_s: float) -> None:
         took_s = self._clock.monotonic() - arrived_at_s
@@ -227,6 +252,11 @@
     return client_account
 
 
+def _cut_stream(context: RequestContext) -> None:
+    context.record.code = ErrorCode.STREAM_CUT
+    context.exchange.abort()
+
+
 def _client_error(status: int, code: ErrorCode, message: str) -> RequestError:
     return RequestError(code, message, status=status)
 
--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -3,6 +3,8 @@
 import enum
 from types import TracebackType
 
+from pomelolug.deployment import BackendServer
+from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
 from pomelolug.ids import RequestId
 from pomelolug.platform import ServerReply, decode_server_reply
 from pomelolug.transport import (
@@ -17,6 +19,17 @@
 _MAX_SKIPPED_BODY_BYTES = 4 * 1024 * 1024
 _MAX_RESPONSES = 3
 """Maximum number of responses read to find the one to this request."""
+_SURVIVED_REASONS = frozenset(
+    {
+        "event_missing",
+        "event_size",
+        "foreign_body",
+        "foreign_responses",
+        "server_failed",
+        "too_large",
+    }
+)
+"""Failures of an attempt in which the server was still sending."""
 
 
 class RunStatus(enum.Enum):
@@ -83,25 +96,42 @@
     """Request to one server, used as an asynchronous context manager.
 
     On exit, the connection returns to the pool if the whole response was read.
-    Otherwise it is aborted, which makes the server stop processing the request.
+    Otherwise it is aborted, which makes the server stop processing the request. Every
+    request to a server is sent through an attempt, so that each run is counted whatever
+    its kind and its end.
 
     Parameters
     ----------
     pool : ConnectionPool
         Pool of connections to servers.
-    address : str
-        IP address and port of the server.
+    run_monitor : RunMonitor
+        Refuses requests that crash servers, and counts how runs end.
+    server : BackendServer
+        Server to send to.
     request_id : RequestId
         Id that the response must repeat.
+    fingerprint : str
+        Identifies the request when its caller sends it again.
     """
 
     def __init__(
-        self, pool: ConnectionPool, address: str, request_id: RequestId
+        self,
+        pool: ConnectionPool,
+        run_monitor: RunMonitor,
+        server: BackendServer,
+        *,
+        request_id: RequestId,
+        fingerprint: str,
     ) -> None:
         self._pool = pool
-        self._address = address
+        self._run_monitor = run_monitor
+        self._server = server
+        self._address = server.address
         self._request_id = request_id
+        self._fingerprint = fingerprint
         self._connection: ClientConnection | None = None
+        self._run: ServerRun | None = None
+        self._reply: ServerReply | None = None
         self._body_complete = False
 
     async def __aenter__(self) -> "Attempt":
@@ -114,7 +144,10 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Return the connection to the pool or abort it."""
+        """Count the run, and return the connection to the pool or abort it."""
+        if self._run is not None:
+            self._run_monitor.finish(self._run, self._classify_end(exc))
+            self._run = None
         connection, self._connection = self._connection, None
         if connection is None:
             return
@@ -136,6 +169,8 @@
         AttemptError
             If no connection can be opened or it has closed before sending, which
             proves that the request did not run.
+        QuarantinedError
+            If the request must not be sent, since it crashes servers.
         """
         try:
             connection = await self._pool.acquire(self._address, fresh=fresh)
@@ -144,12 +179,16 @@
                 error.reason, run_status=RunStatus.NOT_RUN, may_have_arrived=False
             ) from error
         self._connection = connection
+        self._run_monitor.check(self._fingerprint)
         try:
             connection.send(data)
         except HttpConnectionError as error:
             raise AttemptError(
                 error.reason, run_status=RunStatus.NOT_RUN, may_have_arrived=False
             ) from error
+        self._run = self._run_monitor.begin(
+            self._fingerprint, self._server, connected_at_s=connection.opened_at_s
+        )
 
     async def read_head(self) -> tuple[ServerReply, ResponseHead]:
         """Return the head of the response to this request.
@@ -168,6 +207,7 @@
                 head = await connection.read_head()
                 reply = decode_server_reply(head)
                 if self._is_own_response(reply):
+                    self._reply = reply
                     return reply, head
                 connection.expect_another_response()
                 await connection.read_body(_MAX_SKIPPED_BODY_BYTES)
@@ -227,6 +267,19 @@
             )
         return self._connection
 
+    def _classify_end(self, exc: BaseException | None) -> RunEnd:
+        """Return how the run ended, given the exception that ended the attempt."""
+        reply = self._reply
+        if reply is not None and (reply.refused or reply.status >= 300):
+            return RunEnd.SURVIVED
+        if isinstance(exc, AttemptError):
+            survived = exc.reason in _SURVIVED_REASONS
+            return RunEnd.SURVIVED if survived else RunEnd.CONNECTION_LOST
+        if reply is not None and exc is None and self._body_complete:
+            is_usable = reply.sealed and not reply.encoded
+            return RunEnd.ANSWERED if is_usable else RunEnd.SURVIVED
+        return RunEnd.UNANSWERED
+
     def _is_own_response(self, reply: ServerReply) -> bool:
         if reply.request_id == self._request_id:
             return True
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -22,10 +22,11 @@
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._peer_coordinator import PeerCoordinator
 from pomelolug.entry._plain import PlainForwarder
+from pomelolug.entry._poison_requests import PoisonRequestDetector
 from pomelolug.entry._repeats import RetryLimiter
+from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._stream import StreamForwarder
-from pomelolug.entry._strikes import PoisonRequestDetector
 from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
 from pomelolug.entry._watch import StallDetector
 from pomelolug.errors import InvalidInputError
@@ -179,6 +180,13 @@
             max_idle=_MAX_IDLE, connect_timeout=_CONNECT_TIMEOUT
         )
         self._poison_detector = PoisonRequestDetector(clock=clock)
+        self._run_monitor = RunMonitor(
+            detector=self._poison_detector,
+            registry=self._registry,
+            registry_age_s=lambda: self._server_feed.age_s,
+            entry_lifetime=settings.server_entry_lifetime,
+            clock=clock,
+        )
         self._stall_detector = StallDetector(clock=clock, on_stall=self._on_stall)
         self._build_forwarders()
         self._build_controller()
@@ -257,6 +265,7 @@
             server_tracker=self._server_tracker,
             pool=self._pool,
             retry_limiter=self._retry_limiter,
+            run_monitor=self._run_monitor,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -266,7 +275,7 @@
             pool=self._pool,
             retry_limiter=self._retry_limiter,
             stall_detector=self._stall_detector,
-            poison_detector=self._poison_detector,
+            run_monitor=self._run_monitor,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -277,6 +286,7 @@
             plain_forwarder=plain_forwarder,
             stream_forwarder=stream_forwarder,
             poison_detector=self._poison_detector,
+            run_monitor=self._run_monitor,
             metrics=self._metrics,
             clock=clock,
             rng=self._rng,
@@ -342,6 +352,7 @@
             rounds += 1
             if rounds % _ROUNDS_PER_SWEEP == 0:
                 self._pool.close_expired()
+                self._run_monitor.settle_overdue()
                 self._metrics.in_flight.set(self._request_handler.in_flight)
                 self._metrics.declaration_version.set(self._declarations.version)
                 self._metrics.open_groups.set(self._server_tracker.open_groups())
@@ -407,6 +418,7 @@
 
     def _on_registry_change(self, change: RegistryChange) -> None:
         self._server_tracker.refresh(self._group_sizes)
+        self._run_monitor.on_registry_change(change)
         self._controller.wake()
         for server in change.removed:
             self._pool.close_idle(server.address)
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -10,9 +10,9 @@
 
 from pomelolug.clock import Clock
 from pomelolug.entry._peer_gossip import PeerGossip
+from pomelolug.entry._poison_requests import PoisonRequestDetector
 from pomelolug.entry._relay import RelaySource
 from pomelolug.entry._server_tracker import ServerTracker
-from pomelolug.entry._strikes import PoisonRequestDetector
 from pomelolug.entry._topic_consumers import DeclarationCache
 from pomelolug.errors import PlatformError
 from pomelolug.feeds import RecordSource
--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -13,6 +13,7 @@
     unknown_outcome_error,
 )
 from pomelolug.entry._request_record import AttemptRecord
+from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.errors import ErrorCode, RequestError
 from pomelolug.ids import VmId, ZoneId
@@ -46,6 +47,8 @@
         Pool of connections to servers.
     retry_limiter : RetryLimiter
         Limits retries on further servers.
+    run_monitor : RunMonitor
+        Refuses requests that crash servers.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -60,6 +63,7 @@
         server_tracker: ServerTracker,
         pool: ConnectionPool,
         retry_limiter: RetryLimiter,
+        run_monitor: RunMonitor,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -67,6 +71,7 @@
         self._server_tracker = server_tracker
         self._pool = pool
         self._retry_limiter = retry_limiter
+        self._run_monitor = run_monitor
         self._clock = clock
         self._zone = zone
         self._rng = rng
@@ -174,7 +179,11 @@
             server.vm, now_s=self._clock.monotonic(), last_event_id=None
         )
         async with Attempt(
-            self._pool, server.address, context.request_head.request_id
+            self._pool,
+            self._run_monitor,
+            server,
+            request_id=context.request_head.request_id,
+            fingerprint=context.fingerprint,
         ) as attempt:
             # A pooled connection may have been closed unnoticed, and a request that
             # may run only once could then not be sent again.
--- /dev/null
+++ b/pomelolug/entry/_poison_requests.py
@@ -0,0 +1,225 @@
+"""Detection of requests that crash the servers running them.
+
+The caller of such a request may send it again under another id and through another
+node, so it is identified by its account, path and body.
+"""
+
+import dataclasses
+import datetime
+import hashlib
+from collections.abc import Mapping, Sequence
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.ids import AccountId
+
+__all__ = ["PoisonRequestDetector", "QuarantinedError", "compute_fingerprint"]
+
+_log = structlog.get_logger(__name__)
+
+QUARANTINE_LOSS_COUNT = 3
+"""Number of servers lost while running a request after which it is refused.
+
+Two losses also happen to harmless requests that run beside a harmful one, for
+example when a second group is lost right after the first.
+"""
+_FIRST_QUARANTINE_S = 300.0
+_QUARANTINE_FACTOR = 10.0
+"""Factor by which each further loss prolongs a quarantine.
+
+A request that still crashes servers is so tried at most three times more in a day.
+"""
+_RETENTION_S = 86400.0
+_EVICTION_INTERVAL_S = 10.0
+_MAX_REQUESTS = 4096
+_MAX_CLEARED = 4096
+_SHARING_PERIOD_S = 3.0
+"""Time for which a loss is sent to other nodes; it spans several messages."""
+_MAX_SHARED_REQUESTS = 16
+"""Maximum number of fingerprints in a message to other nodes."""
+
+
+class QuarantinedError(Exception):
+    """The request is not sent, since too many servers were lost while running it.
+
+    Parameters
+    ----------
+    retry_after : datetime.timedelta
+        Time until the request may be tried again.
+    """
+
+    def __init__(self, retry_after: datetime.timedelta) -> None:
+        super().__init__("servers were lost whenever this request ran")
+        self._retry_after = retry_after
+
+    @property
+    def retry_after(self) -> datetime.timedelta:
+        """Time until the request may be tried again."""
+        return self._retry_after
+
+
+def compute_fingerprint(account: AccountId | None, target: bytes, body: bytes) -> str:
+    """Return a digest that identifies a request when it is sent again.
+
+    Examples
+    --------
+    >>> compute_fingerprint(None, b"/a", b"x") == compute_fingerprint(None, b"/a", b"x")
+    True
+    """
+    digest = hashlib.blake2b(digest_size=8)
+    for part in ((account or "").encode(), target, body):
+        digest.update(len(part).to_bytes(4, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+@dataclasses.dataclass(slots=True)
+class _Loss:
+    """Loss of a server; `is_suspicion` until there is a sign that it has ended."""
+
+    at_s: float
+    is_suspicion: bool
+
+
+class PoisonRequestDetector:
+    """Counts the servers that were lost while running each request.
+
+    A loss has an id that is the same on all nodes and for all requests that the server
+    was running. It may be cleared when it turns out that the server lives or that the
+    request is harmless; it then stays cleared, whoever reports it again.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._losses: dict[str, dict[str, _Loss]] = {}
+        # Monotonic time at which each loss was cleared, by request and loss id.
+        self._cleared_at_s: dict[tuple[str, str], float] = {}
+        self._evicted_at_s = clock.monotonic()
+
+    def record_loss(
+        self,
+        fingerprint: str,
+        loss_id: str,
+        *,
+        is_suspicion: bool = False,
+        source: str = "own",
+    ) -> None:
+        """Record the loss of a server that ran a request.
+
+        Reports with the same `loss_id` count once. A suspicion counts on this node, but
+        other nodes are told only if the request has another loss. `source` names for
+        the log where the report came from.
+        """
+        if (fingerprint, loss_id) in self._cleared_at_s:
+            return
+        now_s = self._clock.monotonic()
+        losses = self._losses.setdefault(fingerprint, {})
+        known = losses.get(loss_id)
+        if known is not None:
+            known.is_suspicion = known.is_suspicion and is_suspicion
+            return
+        losses[loss_id] = _Loss(now_s, is_suspicion)
+        if len(losses) == QUARANTINE_LOSS_COUNT:
+            _log.warning(
+                "request_quarantined",
+                fingerprint=fingerprint,
+                losses=list(losses),
+                source=source,
+            )
+        self._evict(now_s)
+
+    def confirm_loss(self, fingerprint: str, loss_id: str) -> None:
+        """Record that a server suspected to be lost has ended."""
+        loss = self._losses.get(fingerprint, {}).get(loss_id)
+        if loss is not None and loss.is_suspicion:
+            loss.is_suspicion = False
+            loss.at_s = self._clock.monotonic()
+
+    def clear_loss(self, fingerprint: str, loss_id: str) -> None:
+        """Record that a server was not lost, or not by this request."""
+        losses = self._losses.get(fingerprint)
+        if losses is not None:
+            losses.pop(loss_id, None)
+            if not losses:
+                del self._losses[fingerprint]
+        self._cleared_at_s.setdefault((fingerprint, loss_id), self._clock.monotonic())
+        while len(self._cleared_at_s) > _MAX_CLEARED:
+            del self._cleared_at_s[next(iter(self._cleared_at_s))]
+
+    def acquit(self, fingerprint: str) -> None:
+        """Clear all losses of a request that a server has run to its end."""
+        losses = self._losses.get(fingerprint)
+        if losses is None:
+            return
+        if len(losses) >= QUARANTINE_LOSS_COUNT:
+            _log.warning("request_acquitted", fingerprint=fingerprint)
+        for loss_id in list(losses):
+            self.clear_loss(fingerprint, loss_id)
+
+    def loss_count(self, fingerprint: str) -> int:
+        """Return the number of servers known to be lost while running a request."""
+        return len(self._losses.get(fingerprint, ()))
+
+    def quarantined_count(self) -> int:
+        """Return the number of quarantined requests."""
+        return sum(map(self.is_quarantined, self._losses))
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Return whether too many servers were lost while running a request."""
+        return self.quarantine_left_s(fingerprint) > 0.0
+
+    def quarantine_left_s(self, fingerprint: str) -> float:
+        """Return the seconds until a request may be tried again, 0 if it may now."""
+        losses = self._losses.get(fingerprint)
+        if losses is None or len(losses) < QUARANTINE_LOSS_COUNT:
+            return 0.0
+        excess = len(losses) - QUARANTINE_LOSS_COUNT
+        length_s = min(_FIRST_QUARANTINE_S * _QUARANTINE_FACTOR**excess, _RETENTION_S)
+        latest_s = max(loss.at_s for loss in losses.values())
+        return max(latest_s + length_s - self._clock.monotonic(), 0.0)
+
+    def recent_losses(self) -> dict[str, tuple[str, ...]]:
+        """Return recent losses by request, most losses first, for other nodes."""
+        oldest_s = self._clock.monotonic() - _SHARING_PERIOD_S
+        recent = [
+            (fingerprint, losses)
+            for fingerprint, losses in self._losses.items()
+            if max(loss.at_s for loss in losses.values()) >= oldest_s
+            and _is_shared(losses)
+        ]
+        recent.sort(key=lambda item: -len(item[1]))
+        return {
+            fingerprint: tuple(losses)
+            for fingerprint, losses in recent[:_MAX_SHARED_REQUESTS]
+        }
+
+    def merge(self, losses: Mapping[str, Sequence[str]], *, source: str = "") -> None:
+        """Add the losses reported by another node; duplicates change nothing."""
+        for fingerprint, loss_ids in list(losses.items())[:_MAX_SHARED_REQUESTS]:
+            for loss_id in list(loss_ids)[:QUARANTINE_LOSS_COUNT]:
+                self.record_loss(fingerprint, loss_id, source=source)
+
+    def _evict(self, now_s: float) -> None:
+        """Forget old losses, and the requests with the fewest ones beyond the limit."""
+        if now_s - self._evicted_at_s >= _EVICTION_INTERVAL_S:
+            self._evicted_at_s = now_s
+            for fingerprint, losses in list(self._losses.items()):
+                if now_s - max(loss.at_s for loss in losses.values()) > _RETENTION_S:
+                    del self._losses[fingerprint]
+        if len(self._losses) > _MAX_REQUESTS:
+            del self._losses[min(self._losses, key=self._eviction_rank)]
+
+    def _eviction_rank(self, fingerprint: str) -> tuple[int, float]:
+        losses = self._losses[fingerprint].values()
+        return len(losses), max(loss.at_s for loss in losses)
+
+
+def _is_shared(losses: Mapping[str, _Loss]) -> bool:
+    """Return whether other nodes are told of the losses of a request."""
+    return len(losses) > 1 or any(not loss.is_suspicion for loss in losses.values())
--- a/pomelolug/entry/_request_record.py
+++ b/pomelolug/entry/_request_record.py
@@ -8,6 +8,8 @@
 
 __all__ = ["AttemptRecord", "RequestRecord"]
 
+_RUNNING = "running"
+
 
 @dataclasses.dataclass(slots=True)
 class AttemptRecord:
@@ -20,7 +22,7 @@
     server: VmId
     in_flight: int
     candidate_count: int
-    result: str = "running"
+    result: str = _RUNNING
     may_have_run: bool = False
 
     def log_fields(self) -> dict[str, Any]:
@@ -54,6 +56,11 @@
     event_count: int = 0
     attempts: list[AttemptRecord] = dataclasses.field(default_factory=list)
 
+    def mark_last_attempt(self, result: str) -> None:
+        """Set the result of an attempt that ended without one."""
+        if self.attempts and self.attempts[-1].result == _RUNNING:
+            self.attempts[-1].result = result
+
     def log_fields(self) -> dict[str, Any]:
         """Return the fields of the log line."""
         return {
--- /dev/null
+++ b/pomelolug/entry/_run_monitor.py
@@ -0,0 +1,243 @@
+"""Attribution of lost servers to the requests that they were running.
+
+Each request is sent through an `Attempt`, which reports here how its run ended. A run
+without a usable response counts as a loss at once, whether the connection ended or the
+server only fell silent. The registry then shows whether the server has ended: its
+entry lapses, or it has another start time.
+"""
+
+import collections
+import dataclasses
+import datetime
+import enum
+import hashlib
+from collections.abc import Callable
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.deployment import BackendServer, RegistryChange, ServerRegistry
+from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
+from pomelolug.ids import VmId
+from pomelolug.replicas import GroupKey
+
+__all__ = ["RunEnd", "RunMonitor", "ServerRun"]
+
+_log = structlog.get_logger(__name__)
+
+_ENTRY_READ_DELAY_S = 1.0
+"""Time for a lapsed or changed entry to be read."""
+_END_RETENTION_S = 60.0
+_MAX_PENDING_LOSSES = 4096
+
+
+class RunEnd(enum.Enum):
+    """How the run of a request ended, as seen by this node."""
+
+    ANSWERED = "answered"
+    """The server sent a whole successful response."""
+    SURVIVED = "survived"
+    """The server refused, failed, or sent something that cannot be used."""
+    CONNECTION_LOST = "connection_lost"
+    """The connection ended, or the streams of the group stalled."""
+    UNANSWERED = "unanswered"
+    """The run was given up while the server was silent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class ServerRun:
+    """A request that was sent to a server; the times are monotonic seconds."""
+
+    fingerprint: str
+    server: VmId
+    start_time_ms: int
+    group: GroupKey | None
+    connected_at_s: float
+    began_at_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _LossEvent:
+    """The latest loss of a server with one start time, and its serial number."""
+
+    start_time_ms: int
+    number: int
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PendingLoss:
+    """Loss for which the registry does not show yet whether the server has ended."""
+
+    run: ServerRun
+    loss_id: str
+    decidable_at_s: float
+
+
+class RunMonitor:
+    """Decides which runs count as losses of their servers.
+
+    Parameters
+    ----------
+    detector : PoisonRequestDetector
+        Receives the losses.
+    registry : ServerRegistry
+        Servers as read from the store.
+    registry_age_s : callable
+        Returns the age of the registry's data in seconds.
+    entry_lifetime : datetime.timedelta
+        Time after which the entry of a silent server lapses.
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        detector: PoisonRequestDetector,
+        registry: ServerRegistry,
+        registry_age_s: Callable[[], float],
+        entry_lifetime: datetime.timedelta,
+        clock: Clock,
+    ) -> None:
+        self._detector = detector
+        self._registry = registry
+        self._registry_age_s = registry_age_s
+        self._decision_delay_s = entry_lifetime.total_seconds() + _ENTRY_READ_DELAY_S
+        self._clock = clock
+        self._loss_events: dict[VmId, _LossEvent] = {}
+        self._pending: collections.deque[_PendingLoss] = collections.deque()
+        self._servers: dict[VmId, BackendServer] = {}
+        # Monotonic time at which the end of a server was noticed, by server and by the
+        # group that it was a member of.
+        self._ended_at_s: dict[VmId | GroupKey, float] = {}
+
+    def check(self, fingerprint: str) -> None:
+        """Raise an error if a request must not be sent.
+
+        Raises
+        ------
+        QuarantinedError
+            If too many servers were lost while running it.
+        """
+        left_s = self._detector.quarantine_left_s(fingerprint)
+        if left_s > 0.0:
+            raise QuarantinedError(datetime.timedelta(seconds=left_s))
+
+    def begin(
+        self, fingerprint: str, server: BackendServer, *, connected_at_s: float
+    ) -> ServerRun:
+        """Return the run of a request that has just been sent to a server."""
+        return ServerRun(
+            fingerprint=fingerprint,
+            server=server.vm,
+            start_time_ms=server.start_time_ms,
+            group=_group_key(server),
+            connected_at_s=connected_at_s,
+            began_at_s=self._clock.monotonic(),
+        )
+
+    def finish(self, run: ServerRun, end: RunEnd) -> None:
+        """Count the end of a run."""
+        if end is RunEnd.ANSWERED:
+            self._detector.acquit(run.fingerprint)
+        elif end is not RunEnd.SURVIVED:
+            self._record_loss(run, is_suspicion=end is RunEnd.UNANSWERED)
+
+    def on_registry_change(self, change: RegistryChange) -> None:
+        """Note which servers have ended, and confirm the losses that they explain."""
+        ended = list(change.removed)
+        for server in change.removed:
+            self._servers.pop(server.vm, None)
+        for server in (*change.added, *change.changed):
+            previous = self._servers.get(server.vm)
+            if previous and previous.start_time_ms != server.start_time_ms:
+                ended.append(previous)
+            self._servers[server.vm] = server
+        if not ended:
+            return
+        now_s = self._clock.monotonic()
+        for server in ended:
+            self._ended_at_s[server.vm] = now_s
+            group = _group_key(server)
+            if group is not None:
+                self._ended_at_s[group] = now_s
+        self._settle(self._confirm_if_ended)
+
+    def settle_overdue(self) -> None:
+        """Clear the losses of servers that the registry shows to be alive."""
+        now_s = self._clock.monotonic()
+        for target, ended_at_s in list(self._ended_at_s.items()):
+            if now_s - ended_at_s > _END_RETENTION_S:
+                del self._ended_at_s[target]
+        for vm in [v for v in self._loss_events if v not in self._registry.servers]:
+            del self._loss_events[vm]
+        self._settle(self._clear_if_alive)
+
+    def _record_loss(self, run: ServerRun, *, is_suspicion: bool) -> None:
+        loss_id = self._identify_loss(run)
+        self._detector.record_loss(run.fingerprint, loss_id, is_suspicion=is_suspicion)
+        loss = _PendingLoss(
+            run, loss_id, self._clock.monotonic() + self._decision_delay_s
+        )
+        if self._confirm_if_ended(loss):
+            return
+        self._pending.append(loss)
+        if len(self._pending) > _MAX_PENDING_LOSSES:
+            dropped = self._pending.popleft()
+            _log.warning("pending_loss_dropped", server=dropped.run.server)
+
+    def _identify_loss(self, run: ServerRun) -> str:
+        """Return the id of the loss that ended a run.
+
+        All runs at a server that were connected before its loss share one id, on all
+        nodes. A connection that was opened after the latest loss shows that the server
+        has returned, so its end is another loss.
+        """
+        now_s = self._clock.monotonic()
+        event = self._loss_events.get(run.server)
+        if event is None or event.start_time_ms != run.start_time_ms:
+            event = _LossEvent(run.start_time_ms, 1, now_s)
+            self._loss_events[run.server] = event
+        elif run.connected_at_s > event.at_s:
+            event.number += 1
+            event.at_s = now_s
+        identity = f"{run.server}/{event.start_time_ms}/{event.number}"
+        return hashlib.blake2b(identity.encode(), digest_size=8).hexdigest()
+
+    def _settle(self, try_settle: Callable[[_PendingLoss], bool]) -> None:
+        self._pending = collections.deque(
+            loss for loss in self._pending if not try_settle(loss)
+        )
+
+    def _confirm_if_ended(self, loss: _PendingLoss) -> bool:
+        """Confirm a loss if the server or a member of its group has ended since."""
+        run = loss.run
+        ended_at_s = self._ended_at_s.get(run.server, float("-inf"))
+        if run.group is not None:
+            ended_at_s = max(ended_at_s, self._ended_at_s.get(run.group, float("-inf")))
+        if ended_at_s < run.began_at_s:
+            return False
+        self._detector.confirm_loss(run.fingerprint, loss.loss_id)
+        return True
+
+    def _clear_if_alive(self, loss: _PendingLoss) -> bool:
+        """Clear a loss if recent data of the store still show the same server."""
+        data_at_s = self._clock.monotonic() - self._registry_age_s()
+        if data_at_s < loss.decidable_at_s:
+            return False
+        if self._registry.is_lapsed(loss.run.server):
+            return False
+        server = self._registry.servers.get(loss.run.server)
+        if server is not None and server.start_time_ms == loss.run.start_time_ms:
+            self._detector.clear_loss(loss.run.fingerprint, loss.loss_id)
+        else:
+            self._detector.confirm_loss(loss.run.fingerprint, loss.loss_id)
+        return True
+
+
+def _group_key(server: BackendServer) -> GroupKey | None:
+    membership = server.membership
+    if membership is None:
+        return None
+    return (membership.group, membership.epoch)
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -20,8 +20,8 @@
     unknown_outcome_error,
 )
 from pomelolug.entry._request_record import AttemptRecord
+from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._server_tracker import ServerTracker
-from pomelolug.entry._strikes import PoisonRequestDetector
 from pomelolug.entry._watch import StallDetector
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId, ZoneId
@@ -32,8 +32,6 @@
 
 _MAX_ATTEMPTS = 5
 """Maximum number of attempts, including those that a group refuses."""
-_SERVER_LOSS_REASONS = frozenset({"reset", "closed", "stalled", "malformed"})
-"""Failures of an attempt after which the server may have crashed."""
 _MAX_ERROR_BODY_BYTES = 1024 * 1024
 _RETRY_AFTER_FULL = datetime.timedelta(seconds=1.3)
 """Retry-After time if all groups are full.
@@ -84,8 +82,8 @@
         Limits retries on further groups.
     stall_detector : StallDetector
         Aborts attempts at groups that have stalled.
-    poison_detector : PoisonRequestDetector
-        Identifies requests that crash servers.
+    run_monitor : RunMonitor
+        Refuses requests that crash servers.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -101,7 +99,7 @@
         pool: ConnectionPool,
         retry_limiter: RetryLimiter,
         stall_detector: StallDetector,
-        poison_detector: PoisonRequestDetector,
+        run_monitor: RunMonitor,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -110,7 +108,7 @@
         self._pool = pool
         self._retry_limiter = retry_limiter
         self._stall_detector = stall_detector
-        self._poison_detector = poison_detector
+        self._run_monitor = run_monitor
         self._clock = clock
         self._zone = zone
         self._rng = rng
@@ -126,9 +124,6 @@
         state = _StreamState(context.request_head.last_event_id)
         error: RequestError | None = None
         while state.attempt_count < _MAX_ATTEMPTS:
-            if self._poison_detector.is_quarantined(context.fingerprint):
-                error = _quarantined_error()
-                break
             head = await self._select_head(context, state)
             if head is None:
                 break
@@ -157,14 +152,6 @@
                     continue
                 if failure.run_status is RunStatus.MAY_HAVE_RUN:
                     state.possible_runs += 1
-                    if failure.reason in _SERVER_LOSS_REASONS:
-                        # Every run counts, including one on a server that
-                        # was lost with this request before and has returned.
-                        loss_id = (
-                            f"{head.vm}/{context.request_head.request_id}"
-                            f"/{state.possible_runs}"
-                        )
-                        self._poison_detector.record_loss(context.fingerprint, loss_id)
                 error = _to_request_error(failure, state.possible_runs)
                 if not self._may_retry(context, state):
                     break
@@ -280,7 +267,11 @@
             head.vm, now_s=now_s, last_event_id=state.last_event_id
         )
         async with Attempt(
-            self._pool, head.address, context.request_head.request_id
+            self._pool,
+            self._run_monitor,
+            head,
+            request_id=context.request_head.request_id,
+            fingerprint=context.fingerprint,
         ) as attempt:
             await attempt.send(data, fresh=state.use_fresh_connection)
             context.record.attempts[-1].may_have_run = True
@@ -414,12 +405,6 @@
     )
 
 
-def _quarantined_error() -> RequestError:
-    return not_run_error(
-        ErrorCode.QUARANTINED, "servers were lost whenever this request ran"
-    )
-
-
 def _no_group_error(has_groups: bool, retry_after: datetime.timedelta) -> RequestError:
     code = ErrorCode.QUEUE_FULL if has_groups else ErrorCode.NO_GROUP
     message = "all groups of the model are full" if has_groups else "no group is open"
--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -161,6 +161,7 @@
             stall_timeout=datetime.timedelta(seconds=5),
             retry_ratio=0.2,
             retry_reserve=50.0,
+            server_entry_lifetime=datetime.timedelta(seconds=3.6),
             least_lease=datetime.timedelta(seconds=1),
         )
         self.entry = _EntryProcess(
--- a/pomelolug/entry/tests/test_poison_requests.py
+++ b/pomelolug/entry/tests/test_poison_requests.py
@@ -4,12 +4,14 @@
 
 import pytest
 
-from pomelolug.entry._strikes import PoisonRequestDetector, compute_fingerprint
+from pomelolug.entry._poison_requests import PoisonRequestDetector, compute_fingerprint
 from pomelolug.entry.tests.harness import MODEL, Harness, encode_event, start_stream
 from pomelolug.ids import AccountId
 from pomelolug.testing import LoopClock
 from pomelolug.transport import HttpConnectionError
 
+DAY_S = 86400.0
+
 
 @pytest.mark.looptime
 async def test_losses_seen_by_all_nodes_are_added_up():
@@ -36,15 +38,58 @@
 
 
 @pytest.mark.looptime
-async def test_old_losses_are_forgotten():
+async def test_quarantine_ends_and_old_losses_are_forgotten():
     # Guards against unbounded memory and a request that is refused forever.
     node = PoisonRequestDetector(clock=LoopClock())
     request_fingerprint = compute_fingerprint(None, b"/x", b"")
     for number in range(3):
         node.record_loss(request_fingerprint, f"s{number}")
-    await asyncio.sleep(200)
-    node.record_loss(compute_fingerprint(None, b"/y", b""), "s9")
+    assert node.quarantine_left_s(request_fingerprint) == 300
+    await asyncio.sleep(301)
     assert not node.is_quarantined(request_fingerprint)
+    await asyncio.sleep(DAY_S)
+    node.record_loss(compute_fingerprint(None, b"/y", b""), "s9")
+    assert node.loss_count(request_fingerprint) == 0
+
+
+@pytest.mark.looptime
+async def test_request_that_still_crashes_servers_is_tried_three_times_a_day():
+    # Guards against three more losses after each end of a quarantine.
+    node = PoisonRequestDetector(clock=LoopClock())
+    request_fingerprint = compute_fingerprint(None, b"/x", b"")
+    for number in range(3):
+        node.record_loss(request_fingerprint, f"s{number}")
+    tries = 0
+    for _ in range(int(DAY_S / 60) - 1):
+        if not node.is_quarantined(request_fingerprint):
+            tries += 1
+            node.record_loss(request_fingerprint, f"later{tries}")
+        await asyncio.sleep(60)
+    assert tries <= 3
+
+
+@pytest.mark.looptime
+async def test_request_that_a_server_answers_is_not_refused_for_earlier_losses():
+    # Guards against a harmless request that is often sent, also while servers end.
+    node = PoisonRequestDetector(clock=LoopClock())
+    request_fingerprint = compute_fingerprint(None, b"/status", b"")
+    for number in range(5):
+        node.record_loss(request_fingerprint, f"s{number}")
+        node.acquit(request_fingerprint)
+        node.merge({request_fingerprint: [f"s{number}"]})
+    assert node.loss_count(request_fingerprint) == 0
+
+
+@pytest.mark.looptime
+async def test_requests_with_the_most_losses_are_kept():
+    # Guards against a crashing request that is forgotten for the many requests that
+    # were running beside it.
+    node = PoisonRequestDetector(clock=LoopClock())
+    for number in range(3):
+        node.record_loss("crashing", f"s{number}")
+    for number in range(5000):
+        node.record_loss(f"beside{number}", "s0")
+    assert node.is_quarantined("crashing")
 
 
 async def test_request_that_crashes_servers_is_refused_and_others_are_served():
--- /dev/null
+++ b/pomelolug/entry/tests/test_run_monitor.py
@@ -0,0 +1,208 @@
+"""Which runs count as losses of their servers."""
+
+import asyncio
+import datetime
+
+import pytest
+
+from pomelolug.deployment import (
+    BackendServer,
+    GroupMembership,
+    GroupState,
+    ServerRegistry,
+    ServerState,
+)
+from pomelolug.entry._poison_requests import PoisonRequestDetector
+from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
+from pomelolug.ids import DomainId, GroupId, Offset, ServiceName, VmId, ZoneId
+from pomelolug.testing import LoopClock
+
+ENTRY_LIFETIME = datetime.timedelta(seconds=3.6)
+REQUEST = "fingerprint"
+
+
+def make_server(vm: str = "s1", *, born: int = 1, group: str = "", rank: int = 0):
+    membership = None
+    if group:
+        membership = GroupMembership(GroupId(group), 7, rank, GroupState.OPEN)
+    return BackendServer(
+        vm=VmId(vm),
+        start_time_ms=born,
+        service=ServiceName("s"),
+        address="127.0.0.1:1",
+        zone=ZoneId("z"),
+        domain=DomainId("d"),
+        state=ServerState.READY,
+        slots=4,
+        staged=frozenset(),
+        model=None,
+        membership=membership,
+    )
+
+
+class Node:
+    """Run monitor and detector of one node with its registry."""
+
+    def __init__(self) -> None:
+        self.clock = LoopClock()
+        self.registry = ServerRegistry(clock=self.clock)
+        self.registry_age_s = 0.0
+        self.detector = PoisonRequestDetector(clock=self.clock)
+        self.monitor = RunMonitor(
+            detector=self.detector,
+            registry=self.registry,
+            registry_age_s=lambda: self.registry_age_s,
+            entry_lifetime=ENTRY_LIFETIME,
+            clock=self.clock,
+        )
+        self._offset = 0
+
+    def publish(self, *servers: BackendServer) -> None:
+        for server in servers:
+            self._apply(server.vm, server)
+
+    def remove(self, vm: str) -> None:
+        self._apply(VmId(vm), None)
+
+    def _apply(self, vm: VmId, server: BackendServer | None) -> None:
+        self._offset += 1
+        change = self.registry.apply([(vm, Offset(self._offset), server)])
+        self.monitor.on_registry_change(change)
+
+    def begin(self, server: BackendServer, *, connected_at_s=None) -> ServerRun:
+        if connected_at_s is None:
+            connected_at_s = self.clock.monotonic()
+        return self.monitor.begin(REQUEST, server, connected_at_s=connected_at_s)
+
+    @property
+    def losses(self) -> int:
+        return self.detector.loss_count(REQUEST)
+
+    @property
+    def told(self) -> bool:
+        return REQUEST in self.detector.recent_losses()
+
+
+async def settle(node: Node, seconds: float = 6.0) -> None:
+    await asyncio.sleep(seconds)
+    node.monitor.settle_overdue()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("end", [RunEnd.UNANSWERED, RunEnd.CONNECTION_LOST])
+async def test_loss_counts_at_once_and_is_cleared_if_the_server_lives(end):
+    # Guards against a request that crashes more servers while its first losses are
+    # examined, and against a harmless one that is refused because servers are slow.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    node.monitor.finish(node.begin(server), end)
+    assert node.losses == 1
+    await settle(node, 3.0)
+    assert node.losses == 1
+    await settle(node, 3.0)
+    assert node.losses == 0
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("how", ["lapsed", "restarted"])
+async def test_silent_server_that_has_ended_is_a_loss(how):
+    # Guards against servers that end without closing their connections.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    node.monitor.finish(node.begin(server), RunEnd.UNANSWERED)
+    assert not node.told
+    await asyncio.sleep(3.6)
+    if how == "lapsed":
+        node.remove("s1")
+    else:
+        node.publish(make_server(born=2))
+    assert node.told
+    await settle(node)
+    assert node.losses == 1
+
+
+@pytest.mark.looptime
+async def test_server_that_ended_before_the_run_was_given_up_is_a_loss():
+    # Guards against a caller that waits longer than the entry of the server lives.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    run = node.begin(server)
+    await asyncio.sleep(4.0)
+    node.remove("s1")
+    await asyncio.sleep(1.0)
+    node.monitor.finish(run, RunEnd.UNANSWERED)
+    assert node.told
+    await settle(node)
+    assert node.losses == 1
+
+
+@pytest.mark.looptime
+async def test_lost_member_counts_as_the_loss_of_its_group():
+    # Guards against a request that crashes other members than the head it is sent to.
+    node = Node()
+    head = make_server("s1", group="g", rank=0)
+    node.publish(head, make_server("s2", group="g", rank=1))
+    node.monitor.finish(node.begin(head), RunEnd.CONNECTION_LOST)
+    await asyncio.sleep(3.6)
+    node.remove("s2")
+    await settle(node)
+    assert node.losses == 1
+
+
+@pytest.mark.looptime
+async def test_loss_is_not_cleared_by_old_data_of_the_store():
+    # Guards against a lost server that counts as alive while the store is away.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    node.monitor.finish(node.begin(server), RunEnd.CONNECTION_LOST)
+    node.registry_age_s = 20.0
+    await settle(node, 20.0)
+    assert node.losses == 1
+    node.registry_age_s = 0.0
+    node.monitor.settle_overdue()
+    assert node.losses == 0
+
+
+@pytest.mark.looptime
+async def test_copies_of_a_request_at_one_lost_server_are_one_loss():
+    # Guards against a harmless request that is refused because many callers had sent
+    # it to a server that was lost.
+    nodes = [Node(), Node()]
+    server = make_server()
+    for node in nodes:
+        node.publish(server)
+        runs = [node.begin(server) for _ in range(5)]
+        await asyncio.sleep(0.1)
+        for run in runs:
+            node.monitor.finish(run, RunEnd.CONNECTION_LOST)
+            await asyncio.sleep(0.1)
+    nodes[0].detector.merge(nodes[1].detector.recent_losses())
+    assert nodes[0].losses == 1
+
+
+@pytest.mark.looptime
+async def test_server_that_was_lost_again_is_a_further_loss():
+    # Guards against a restarted server whose next loss is taken for the first one.
+    node = Node()
+    node.publish(make_server())
+    for born in (1, 2, 2):
+        server = make_server(born=born)
+        node.publish(server)
+        await asyncio.sleep(0.1)
+        node.monitor.finish(node.begin(server), RunEnd.CONNECTION_LOST)
+    assert node.losses == 3
+
+
+@pytest.mark.looptime
+async def test_run_that_a_server_survives_is_no_loss():
+    # Guards against refusals of requests whose servers answer, well or badly.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    for end in (RunEnd.SURVIVED, RunEnd.ANSWERED):
+        node.monitor.finish(node.begin(server), end)
+    assert node.losses == 0
--- a/pomelolug/platform/_settings.py
+++ b/pomelolug/platform/_settings.py
@@ -12,6 +12,9 @@
 
 __all__ = ["NodeSettings", "load_settings"]
 
+_HEARTBEATS_PER_LIFETIME = 3
+"""Heartbeat intervals of silence after which the store removes an entry."""
+
 
 class _Listen(msgspec.Struct, frozen=True):
     front: str = ""
@@ -39,6 +42,7 @@
     listen: _Listen
     role: str = ""
     region: str = ""
+    heartbeat_ms: float = 1200.0
     internal_ports: tuple[int, ...] = ()
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = _Bounds()
@@ -67,6 +71,8 @@
     retry_ratio: float
     retry_reserve: float
     """Retries of all nodes in a window that are allowed beyond `retry_ratio`."""
+    server_entry_lifetime: datetime.timedelta
+    """Time after which the store removes the entry of a silent server."""
     least_lease: datetime.timedelta
     """Shortest time to live that the store accepts for a membership."""
 
@@ -110,6 +116,8 @@
         stall_timeout=datetime.timedelta(milliseconds=bounds.stall_ms),
         retry_ratio=bounds.retry_budget_ratio,
         retry_reserve=bounds.budget_slack,
+        server_entry_lifetime=_HEARTBEATS_PER_LIFETIME
+        * datetime.timedelta(milliseconds=file.heartbeat_ms),
         least_lease=datetime.timedelta(milliseconds=file.platform.min_ttl_ms),
     )
 
--- a/pomelolug/transport/_client.py
+++ b/pomelolug/transport/_client.py
@@ -79,6 +79,7 @@
         self._keep_alive = True
         self._buffered_bytes = 0
         self._reading_paused = False
+        self._opened_at_s = self._loop.time()
         self._idle_since_s = 0.0
         self._request_count = 0
 
@@ -102,6 +103,11 @@
             and self._transport.get_write_buffer_size() == 0
         )
 
+    @property
+    def opened_at_s(self) -> float:
+        """Event loop time at which the connection was requested, in seconds."""
+        return self._opened_at_s
+
     @property
     def idle_since_s(self) -> float:
         """Event loop time of the last release to the pool, in seconds."""
