Keep the losses of crashing requests in the store and tell late nodes

What callers saw: a request that three servers had been lost with was sent on by entry VMs that were cut off from the others or had started since.

Cause: losses were told in status datagrams for 3 s after the latest one, and kept in memory only. A node that heard none of these datagrams allowed three losses of its own; after all nodes had restarted nobody knew of any. The 16 places of a datagram went to the requests with the most losses, always the same ones.

Change: the relay of each zone writes the losses to a topic of the store, a key for each loss, and every node reads it like the servers' entries, through its relay. Statuses carry the losses of a quarantined request as long as it is quarantined, for nodes that the store turns away; if they do not fit, the one sent least often comes first. A relay answers readers of a topic that is still empty.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -19,6 +19,7 @@
 from pomelolug.entry._application import RequestHandler
 from pomelolug.entry._internal_endpoints import InternalEndpoints
 from pomelolug.entry._lifecycle import Lifecycle
+from pomelolug.entry._loss_publisher import LossPublisher
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._peer_coordinator import PeerCoordinator
 from pomelolug.entry._plain import PlainForwarder
@@ -34,6 +35,7 @@
 from pomelolug.ids import ModelName, VmId
 from pomelolug.platform import (
     TOPIC_DECLARATION,
+    TOPIC_LOSSES,
     TOPIC_SERVERS,
     HttpServerControl,
     MetadataStore,
@@ -175,11 +177,17 @@
         self._registry_updater = RegistryUpdater(
             registry=self._registry, on_change=self._on_registry_change
         )
+        self._poison_detector = PoisonRequestDetector(clock=clock)
+        self._loss_publisher = LossPublisher(
+            detector=self._poison_detector,
+            store=store,
+            clock=clock,
+            is_relay=lambda: self._peer_coordinator.is_relay,
+        )
         self._build_feeds()
         self._pool = ConnectionPool(
             max_idle=_MAX_IDLE, connect_timeout=_CONNECT_TIMEOUT
         )
-        self._poison_detector = PoisonRequestDetector(clock=clock)
         self._run_monitor = RunMonitor(
             detector=self._poison_detector,
             registry=self._registry,
@@ -239,9 +247,18 @@
             on_records=self._registry_updater.apply_records,
             on_failure=lambda source: self._peer_coordinator.avoid_source(source),
         )
+        self._loss_feed = TopicFeed(
+            topic=TOPIC_LOSSES,
+            select_source=lambda: self._peer_coordinator.record_source(),
+            clock=self._clock,
+            read_pause=lambda: _READ_PAUSE,
+            on_records=self._loss_publisher.apply_records,
+            on_failure=lambda source: self._peer_coordinator.avoid_source(source),
+        )
         self._feeds = {
             TOPIC_DECLARATION: self._declaration_feed,
             TOPIC_SERVERS: self._server_feed,
+            TOPIC_LOSSES: self._loss_feed,
         }
 
     def _server_source(self) -> tuple[RecordSource, datetime.timedelta]:
@@ -333,6 +350,8 @@
         return [
             self._declaration_feed.run(),
             self._server_feed.run(),
+            self._loss_feed.run(),
+            self._loss_publisher.run(),
             self._lease.run(),
             self._controller.run(),
             self._stall_detector.run(),
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -342,7 +342,8 @@
             other_suspects=self._server_tracker.other_zone_suspects()
             if is_relay
             else (),
-            strikes=self._poison_detector.recent_losses(),
+            cleared=self._poison_detector.cleared_to_send(),
+            strikes=self._poison_detector.losses_to_send(),
             releases=self._departures.ages_s(),
             peers=peers,
         )
@@ -355,7 +356,12 @@
         for head in {*status.suspects, *status.zone_suspects, *status.other_suspects}:
             self._on_suspect(VmId(head))
         self._departures.merge(status.releases)
-        self._poison_detector.merge(status.strikes, source=status.node)
+        self._poison_detector.merge(
+            status.strikes,
+            cleared=status.cleared,
+            is_own_zone=status.zone == self._settings.zone,
+            source=status.node,
+        )
         is_newer = status.declaration > self._declarations.version
         is_idle = self._fetch_task is None or self._fetch_task.done()
         if is_newer and is_idle and status.address:
--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -4,6 +4,7 @@
 node, so it is identified by its account, path and body.
 """
 
+import collections
 import dataclasses
 import datetime
 import hashlib
@@ -14,7 +15,13 @@
 from pomelolug.clock import Clock
 from pomelolug.ids import AccountId
 
-__all__ = ["PoisonRequestDetector", "QuarantinedError", "compute_fingerprint"]
+__all__ = [
+    "LOSS_RETENTION_S",
+    "PoisonRequestDetector",
+    "QuarantinedError",
+    "SharedLoss",
+    "compute_fingerprint",
+]
 
 _log = structlog.get_logger(__name__)
 
@@ -30,14 +37,20 @@
 
 A request that still crashes servers is so tried at most three times more in a day.
 """
-_RETENTION_S = 86400.0
+LOSS_RETENTION_S = 86400.0
 _EVICTION_INTERVAL_S = 10.0
 _MAX_REQUESTS = 4096
 _MAX_CLEARED = 4096
 _SHARING_PERIOD_S = 3.0
-"""Time for which a loss is sent to other nodes; it spans several messages."""
+"""Time for which news are sent to other nodes; it spans several messages.
+
+The losses of a quarantined request are sent as long as it is quarantined, for nodes
+that start or return meanwhile.
+"""
 _MAX_SHARED_REQUESTS = 16
 """Maximum number of fingerprints in a message to other nodes."""
+_MAX_SHARED_LOSSES = 8
+"""Maximum number of losses of a request in a message to other nodes."""
 
 
 class QuarantinedError(Exception):
@@ -76,10 +89,26 @@
 
 @dataclasses.dataclass(slots=True)
 class _Loss:
-    """Loss of a server; `is_suspicion` until there is a sign that it has ended."""
+    """Loss of a server; `is_suspicion` until there is a sign that it has ended.
+
+    `is_own_zone` tells whether this node or one of its zone noticed it.
+    """
 
     at_s: float
+    learned_at_s: float
     is_suspicion: bool
+    is_own_zone: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedLoss:
+    """Loss of which other nodes are told; the times are monotonic seconds."""
+
+    fingerprint: str
+    loss_id: str
+    at_s: float
+    learned_at_s: float
+    is_own_zone: bool
 
 
 class PoisonRequestDetector:
@@ -101,22 +130,37 @@
         # Monotonic time at which each loss was cleared, by request and loss id.
         self._cleared_at_s: dict[tuple[str, str], float] = {}
         self._evicted_at_s = clock.monotonic()
+        self._times_sent: collections.Counter[str] = collections.Counter()
 
     def record_loss(
         self,
         fingerprint: str,
         loss_id: str,
         *,
+        age_s: float = 0.0,
         is_suspicion: bool = False,
+        is_own_zone: bool = True,
         source: str = "own",
     ) -> None:
         """Record the loss of a server that ran a request.
 
-        Reports with the same `loss_id` count once. A suspicion counts on this node, but
-        other nodes are told only if the request has another loss. `source` names for
-        the log where the report came from.
+        Reports with the same `loss_id` count once.
+
+        Parameters
+        ----------
+        fingerprint, loss_id : str
+            The request and the loss.
+        age_s : float
+            Time since the loss in seconds.
+        is_suspicion : bool
+            Whether the server only fell silent. The loss counts on this node, but
+            others are told only if the request has another loss.
+        is_own_zone : bool
+            Whether the loss was noticed in the zone of this node.
+        source : str
+            Where the report came from, for the log.
         """
-        if (fingerprint, loss_id) in self._cleared_at_s:
+        if self.is_cleared(fingerprint, loss_id) or age_s > LOSS_RETENTION_S:
             return
         now_s = self._clock.monotonic()
         losses = self._losses.setdefault(fingerprint, {})
@@ -124,7 +168,8 @@
         if known is not None:
             known.is_suspicion = known.is_suspicion and is_suspicion
             return
-        losses[loss_id] = _Loss(now_s, is_suspicion)
+        self._times_sent.pop(fingerprint, None)
+        losses[loss_id] = _Loss(now_s - age_s, now_s, is_suspicion, is_own_zone)
         if len(losses) == QUARANTINE_LOSS_COUNT:
             _log.warning(
                 "request_quarantined",
@@ -139,7 +184,7 @@
         loss = self._losses.get(fingerprint, {}).get(loss_id)
         if loss is not None and loss.is_suspicion:
             loss.is_suspicion = False
-            loss.at_s = self._clock.monotonic()
+            loss.learned_at_s = self._clock.monotonic()
 
     def clear_loss(self, fingerprint: str, loss_id: str) -> None:
         """Record that a server was not lost, or not by this request."""
@@ -180,37 +225,89 @@
         if losses is None or len(losses) < QUARANTINE_LOSS_COUNT:
             return 0.0
         excess = len(losses) - QUARANTINE_LOSS_COUNT
-        length_s = min(_FIRST_QUARANTINE_S * _QUARANTINE_FACTOR**excess, _RETENTION_S)
+        length_s = min(
+            _FIRST_QUARANTINE_S * _QUARANTINE_FACTOR**excess, LOSS_RETENTION_S
+        )
         latest_s = max(loss.at_s for loss in losses.values())
         return max(latest_s + length_s - self._clock.monotonic(), 0.0)
 
-    def recent_losses(self) -> dict[str, tuple[str, ...]]:
-        """Return recent losses by request, most losses first, for other nodes."""
+    def is_cleared(self, fingerprint: str, loss_id: str) -> bool:
+        """Return whether a loss was cleared."""
+        return (fingerprint, loss_id) in self._cleared_at_s
+
+    def shared_losses(self) -> list[SharedLoss]:
+        """Return all losses except suspicions that stand alone."""
+        return [
+            SharedLoss(
+                fingerprint, loss_id, loss.at_s, loss.learned_at_s, loss.is_own_zone
+            )
+            for fingerprint, losses in self._losses.items()
+            if _is_shared(losses)
+            for loss_id, loss in losses.items()
+        ]
+
+    def losses_to_send(self) -> dict[str, tuple[str, ...]]:
+        """Return the losses for the next message to other nodes, by request.
+
+        These are the losses of quarantined requests and recent ones. If there are too
+        many, requests whose latest loss was sent less often come first.
+        """
         oldest_s = self._clock.monotonic() - _SHARING_PERIOD_S
-        recent = [
-            (fingerprint, losses)
+        candidates = [
+            fingerprint
             for fingerprint, losses in self._losses.items()
-            if max(loss.at_s for loss in losses.values()) >= oldest_s
-            and _is_shared(losses)
+            if self.is_quarantined(fingerprint)
+            or (
+                _is_shared(losses)
+                and max(loss.learned_at_s for loss in losses.values()) >= oldest_s
+            )
         ]
-        recent.sort(key=lambda item: -len(item[1]))
-        return {
-            fingerprint: tuple(losses)
-            for fingerprint, losses in recent[:_MAX_SHARED_REQUESTS]
-        }
-
-    def merge(self, losses: Mapping[str, Sequence[str]], *, source: str = "") -> None:
-        """Add the losses reported by another node; duplicates change nothing."""
+        candidates.sort(key=lambda f: (self._times_sent[f], -self.loss_count(f)))
+        sent = candidates[:_MAX_SHARED_REQUESTS]
+        self._times_sent = collections.Counter(
+            {f: self._times_sent[f] + (f in sent) for f in candidates}
+        )
+        return {f: tuple(self._losses[f])[-_MAX_SHARED_LOSSES:] for f in sent}
+
+    def cleared_to_send(self) -> dict[str, tuple[str, ...]]:
+        """Return the recently cleared losses for other nodes, by request."""
+        oldest_s = self._clock.monotonic() - _SHARING_PERIOD_S
+        cleared: dict[str, tuple[str, ...]] = {}
+        for (fingerprint, loss_id), cleared_at_s in reversed(
+            self._cleared_at_s.items()
+        ):
+            if cleared_at_s < oldest_s or len(cleared) >= _MAX_SHARED_REQUESTS:
+                break
+            cleared[fingerprint] = (*cleared.get(fingerprint, ()), loss_id)
+        return cleared
+
+    def merge(
+        self,
+        losses: Mapping[str, Sequence[str]],
+        *,
+        cleared: Mapping[str, Sequence[str]],
+        is_own_zone: bool,
+        source: str,
+    ) -> None:
+        """Apply what another node reports; duplicates change nothing."""
+        for fingerprint, loss_ids in list(cleared.items())[:_MAX_SHARED_REQUESTS]:
+            for loss_id in loss_ids[:_MAX_SHARED_LOSSES]:
+                self.clear_loss(fingerprint, loss_id)
         for fingerprint, loss_ids in list(losses.items())[:_MAX_SHARED_REQUESTS]:
-            for loss_id in list(loss_ids)[:QUARANTINE_LOSS_COUNT]:
-                self.record_loss(fingerprint, loss_id, source=source)
+            for loss_id in loss_ids[:_MAX_SHARED_LOSSES]:
+                self.record_loss(
+                    fingerprint, loss_id, is_own_zone=is_own_zone, source=source
+                )
 
     def _evict(self, now_s: float) -> None:
         """Forget old losses, and the requests with the fewest ones beyond the limit."""
         if now_s - self._evicted_at_s >= _EVICTION_INTERVAL_S:
             self._evicted_at_s = now_s
             for fingerprint, losses in list(self._losses.items()):
-                if now_s - max(loss.at_s for loss in losses.values()) > _RETENTION_S:
+                if (
+                    now_s - max(loss.at_s for loss in losses.values())
+                    > LOSS_RETENTION_S
+                ):
                     del self._losses[fingerprint]
         if len(self._losses) > _MAX_REQUESTS:
             del self._losses[min(self._losses, key=self._eviction_rank)]
--- a/pomelolug/entry/_relay.py
+++ b/pomelolug/entry/_relay.py
@@ -124,7 +124,7 @@
     query_string = exchange.target.partition(b"?")[2].decode("latin-1")
     query = dict(urllib.parse.parse_qsl(query_string))
     feed = feeds.get(query.get("topic", ""))
-    if feed is None or feed.log.end == 0:
+    if feed is None or not feed.log.is_loaded:
         exchange.reply(404, (), b"")
         return
     try:
--- a/pomelolug/entry/tests/test_poison_requests.py
+++ b/pomelolug/entry/tests/test_poison_requests.py
@@ -13,6 +13,15 @@
 DAY_S = 86400.0
 
 
+def tell(sender: PoisonRequestDetector, receiver: PoisonRequestDetector) -> None:
+    receiver.merge(
+        sender.losses_to_send(),
+        cleared=sender.cleared_to_send(),
+        is_own_zone=True,
+        source="peer",
+    )
+
+
 @pytest.mark.looptime
 async def test_losses_seen_by_all_nodes_are_added_up():
     # Guards against a request that may crash three servers through each node.
@@ -22,7 +31,7 @@
         node.record_loss(request_fingerprint, f"s{number}")
     for node in nodes:
         for other in nodes:
-            node.merge(other.recent_losses())
+            tell(other, node)
     assert all(node.is_quarantined(request_fingerprint) for node in nodes)
 
 
@@ -33,7 +42,7 @@
     request_fingerprint = compute_fingerprint(None, b"/x", b"")
     node.record_loss(request_fingerprint, "s1")
     for _ in range(5):
-        node.merge(node.recent_losses())
+        tell(node, node)
     assert not node.is_quarantined(request_fingerprint)
 
 
@@ -72,11 +81,13 @@
 async def test_request_that_a_server_answers_is_not_refused_for_earlier_losses():
     # Guards against a harmless request that is often sent, also while servers end.
     node = PoisonRequestDetector(clock=LoopClock())
+    reporter = PoisonRequestDetector(clock=LoopClock())
     request_fingerprint = compute_fingerprint(None, b"/status", b"")
     for number in range(5):
+        reporter.record_loss(request_fingerprint, f"s{number}")
         node.record_loss(request_fingerprint, f"s{number}")
         node.acquit(request_fingerprint)
-        node.merge({request_fingerprint: [f"s{number}"]})
+        tell(reporter, node)
     assert node.loss_count(request_fingerprint) == 0
 
 
@@ -130,3 +141,31 @@
             "/stream/x", method=b"POST", body=b"fine", request_id="f", **headers
         )
         assert head.status == 200
+
+
+@pytest.mark.looptime
+async def test_all_quarantined_requests_reach_a_node_that_starts_later():
+    # Guards against requests that never fit in a message, and against nodes that hear
+    # of losses only in the seconds after them.
+    node, late = (PoisonRequestDetector(clock=LoopClock()) for _ in range(2))
+    for request in range(40):
+        for number in range(3):
+            node.record_loss(f"f{request}", f"s{number}")
+    await asyncio.sleep(100)
+    for _ in range(3):
+        tell(node, late)
+    assert late.quarantined_count() == 40
+
+
+@pytest.mark.looptime
+async def test_latest_loss_is_sent_first():
+    # Guards against a crashing request whose loss waits behind those of many others.
+    node, peer = (PoisonRequestDetector(clock=LoopClock()) for _ in range(2))
+    for request in range(40):
+        for number in range(4):
+            node.record_loss(f"f{request}", f"s{number}")
+    for _ in range(5):
+        tell(node, peer)
+    node.record_loss("new", "s9")
+    tell(node, peer)
+    assert peer.loss_count("new") == 1
--- a/pomelolug/entry/tests/test_run_monitor.py
+++ b/pomelolug/entry/tests/test_run_monitor.py
@@ -80,7 +80,7 @@
 
     @property
     def told(self) -> bool:
-        return REQUEST in self.detector.recent_losses()
+        return REQUEST in self.detector.losses_to_send()
 
 
 async def settle(node: Node, seconds: float = 6.0) -> None:
@@ -180,7 +180,12 @@
         for run in runs:
             node.monitor.finish(run, RunEnd.CONNECTION_LOST)
             await asyncio.sleep(0.1)
-    nodes[0].detector.merge(nodes[1].detector.recent_losses())
+    nodes[0].detector.merge(
+        nodes[1].detector.losses_to_send(),
+        cleared={},
+        is_own_zone=True,
+        source="peer",
+    )
     assert nodes[0].losses == 1
 
 
--- a/pomelolug/feeds/_record_log.py
+++ b/pomelolug/feeds/_record_log.py
@@ -21,6 +21,7 @@
         self._recent: collections.deque[Record] = collections.deque(maxlen=_MAX_RECORDS)
         self._first_kept = Offset(0)
         self._end = Offset(0)
+        self._is_loaded = False
         self._changed = asyncio.Event()
 
     @property
@@ -28,12 +29,18 @@
         """Offset after the last record that was read."""
         return self._end
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether a snapshot of the topic, which may be empty, has been read."""
+        return self._is_loaded
+
     def reset(self, batch: RecordBatch) -> list[Record]:
         """Apply a snapshot and return removal records for the keys missing from it.
 
         A snapshot that ends before the last record that was read is stale, so no
         key is removed for it.
         """
+        self._is_loaded = True
         known = set(self._newest)
         present = {record.key for record in batch.records}
         stale = batch.end < self._end
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -53,6 +53,8 @@
     """Suspected heads reported in all other zones, as known to the relay."""
     releases: dict[str, float] = {}
     """Seconds since a member left a group with an unresponsive head, by group/epoch."""
+    cleared: dict[str, tuple[str, ...]] = {}
+    """Losses in `strikes` that turned out to be none, by request fingerprint."""
     strikes: dict[str, tuple[str, ...]] = {}
     """Servers lost while running a request, by request fingerprint."""
     peers: tuple[str, ...] = ()
--- a/pomelolug/platform/__init__.py
+++ b/pomelolug/platform/__init__.py
@@ -28,6 +28,7 @@
     READY_PATH,
     SETTINGS_VARIABLE,
     TOPIC_DECLARATION,
+    TOPIC_LOSSES,
     TOPIC_NODES,
     TOPIC_SERVERS,
 )
@@ -46,6 +47,7 @@
     "ServerSentEvent",
     "StoreControllerElection",
     "TOPIC_DECLARATION",
+    "TOPIC_LOSSES",
     "TOPIC_NODES",
     "TOPIC_SERVERS",
     "decode_declaration",
--- a/pomelolug/platform/_store.py
+++ b/pomelolug/platform/_store.py
@@ -150,11 +150,20 @@
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
         """Append one record to a keyed topic."""
-        encoded_key = key.encode()
-        content = bytes([len(encoded_key)]) + encoded_key + value
-        record = len(content).to_bytes(4, "big") + content
+        await self.append_all(topic, {key: value})
+
+    async def append_all(self, topic: str, values: Mapping[str, bytes]) -> None:
+        """Append a record for each key to a keyed topic, in one call.
+
+        An empty value removes the key.
+        """
+        body = bytearray()
+        for key, value in values.items():
+            encoded_key = key.encode()
+            content = bytes([len(encoded_key)]) + encoded_key + value
+            body += len(content).to_bytes(4, "big") + content
         query = {"topic": topic, "part": "0"}
-        await self._call("POST", "/-/log-append", query, body=record)
+        await self._call("POST", "/-/log-append", query, body=bytes(body))
 
     async def join_consumer_group(
         self,
--- a/pomelolug/platform/_wire_names.py
+++ b/pomelolug/platform/_wire_names.py
@@ -29,5 +29,7 @@
 TOPIC_SERVERS = "keyed.servers"
 # This system's own topic: addresses of the entry VMs, by node name.
 TOPIC_NODES = "keyed.nodes"
+# This system's own topic: servers lost while running a request.
+TOPIC_LOSSES = "keyed.losses"
 
 SETTINGS_VARIABLE = "POMELOLUG_SETTINGS"
--- a/pomelolug/testing/_store_stand_in.py
+++ b/pomelolug/testing/_store_stand_in.py
@@ -158,7 +158,10 @@
     async def _handle_append(self, exchange: Exchange, query: dict[str, str]) -> None:
         topic = self._topics.setdefault(query["topic"], _Topic())
         body = exchange.body
-        self._append_record(query["topic"], body[4:])
+        while body:
+            end = 4 + int.from_bytes(body[:4], "big")
+            self._append_record(query["topic"], body[4:end])
+            body = body[end:]
         if self.drops_write_responses:
             await asyncio.sleep(3600)
         end = topic.first_offset + len(topic.records)
