Read and write the losses of crashing requests less often

Change: the topic of losses is read at most every 0.7 s, written at most every second, and after a failure 2 s later; a reader whose relay does not serve it no longer turns to the store for its other topics.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -72,6 +72,8 @@
 """Longest long-poll wait for server entries on the active controller."""
 _READ_PAUSE = datetime.timedelta(milliseconds=200)
 """Pause after a read, so that changes made together are fetched in one call."""
+_LOSS_READ_PAUSE = datetime.timedelta(milliseconds=700)
+"""Pause for losses, which peers report sooner."""
 _SHORT_READ_PAUSE = datetime.timedelta(milliseconds=80)
 """Pause for declarations, and for server entries on the active controller."""
 _ROUNDS_PER_SWEEP = 20
@@ -251,9 +253,10 @@
             topic=TOPIC_LOSSES,
             select_source=lambda: self._peer_coordinator.record_source(),
             clock=self._clock,
-            read_pause=lambda: _READ_PAUSE,
+            read_pause=lambda: _LOSS_READ_PAUSE,
             on_records=self._loss_publisher.apply_records,
-            on_failure=lambda source: self._peer_coordinator.avoid_source(source),
+            # A relay of an earlier version does not serve this topic.
+            on_failure=lambda source: None,
         )
         self._feeds = {
             TOPIC_DECLARATION: self._declaration_feed,
--- a/pomelolug/entry/_loss_publisher.py
+++ b/pomelolug/entry/_loss_publisher.py
@@ -19,7 +19,9 @@
 
 _log = structlog.get_logger(__name__)
 
-_INTERVAL = datetime.timedelta(milliseconds=500)
+_INTERVAL = datetime.timedelta(seconds=1)
+_RETRY_DELAY = datetime.timedelta(seconds=2)
+"""Additional pause after a failure, since refused calls cost as much as others."""
 _OWN_ZONE_DELAY_S = 0.5
 """Age of a loss at which it is written; many are cleared by then."""
 _OTHER_ZONE_DELAY_S = 2.5
@@ -104,6 +106,7 @@
                 _log.warning(
                     "losses_not_written", count=len(changes), reason=str(error)
                 )
+                await self._clock.sleep(_RETRY_DELAY)
                 continue
             now_s = self._clock.monotonic()
             self._written_at_s.update(dict.fromkeys(changes, now_s))
