Do not take a lost server for alive while its entry cannot lapse

Cause, found by reading: entries may be read several seconds late while the store drops its history, and their lifetime may not run on while the store is away. A loss would have been cleared although the server had ended.

--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -25,8 +25,13 @@
 
 _log = structlog.get_logger(__name__)
 
-_ENTRY_READ_DELAY_S = 1.0
-"""Time for a lapsed or changed entry to be read."""
+_ENTRY_READ_DELAY_S = 6.0
+"""Time for a lapsed or changed entry to be read.
+
+Reads may be several seconds out of date while the store drops its history.
+"""
+_STORE_LOST_S = 3.0
+"""Age of the registry's data at which the store counts as lost."""
 _END_RETENTION_S = 60.0
 _MAX_PENDING_LOSSES = 4096
 
@@ -106,6 +111,7 @@
         self._decision_delay_s = entry_lifetime.total_seconds() + _ENTRY_READ_DELAY_S
         self._clock = clock
         self._loss_events: dict[VmId, _LossEvent] = {}
+        self._undecidable_until_s = float("-inf")
         self._pending: collections.deque[_PendingLoss] = collections.deque()
         self._servers: dict[VmId, BackendServer] = {}
         # Monotonic time at which the end of a server was noticed, by server and by the
@@ -172,6 +178,9 @@
                 del self._ended_at_s[target]
         for vm in [v for v in self._loss_events if v not in self._registry.servers]:
             del self._loss_events[vm]
+        if self._registry_age_s() > _STORE_LOST_S:
+            # The lifetime of the entries may not have run on meanwhile.
+            self._undecidable_until_s = now_s + self._decision_delay_s
         self._settle(self._clear_if_alive)
 
     def _record_loss(self, run: ServerRun, *, is_suspicion: bool) -> None:
@@ -224,7 +233,7 @@
     def _clear_if_alive(self, loss: _PendingLoss) -> bool:
         """Clear a loss if recent data of the store still show the same server."""
         data_at_s = self._clock.monotonic() - self._registry_age_s()
-        if data_at_s < loss.decidable_at_s:
+        if data_at_s < max(loss.decidable_at_s, self._undecidable_until_s):
             return False
         if self._registry.is_lapsed(loss.run.server):
             return False
