Send requests that crash servers in the soak of real processes

The soak had no request that crashes servers, so it could not find the fault.

Change: for each kind of route one call is sent again and again, each time under another id and mostly through another entry VM. Each server that runs it ends, seven in ten closing their connections, and restarts under its id after 1 to 3 s. After the third loss is known, entry VMs in touch may let it run three times more.

--- a/pomelolug/experiments/process_soak/_callers.py
+++ b/pomelolug/experiments/process_soak/_callers.py
@@ -10,7 +10,11 @@
 from pomelolug.experiments.process_soak._calls import CallKind, CallOutcome, SentCall
 from pomelolug.experiments.process_soak._cluster import ProcessCluster
 from pomelolug.experiments.process_soak._promises import GuaranteeChecker
-from pomelolug.testing import encode_caller_request, read_response
+from pomelolug.testing import (
+    CRASH_PATH_PART,
+    encode_caller_request,
+    read_response,
+)
 from pomelolug.transport import ClientConnection, HttpConnectionError, open_connection
 
 __all__ = ["Callers"]
@@ -25,6 +29,9 @@
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 _MODELS = ("large", "small")
 _MAX_EVENTS = 40
+_MEAN_CRASH_PAUSE_S = 0.5
+_CRASH_ACCOUNT = ("account-a", "key-a1")
+"""Account and key of the calls that crash servers; this key is never revoked."""
 
 
 class Callers:
@@ -55,12 +62,23 @@
             await asyncio.sleep(self._rng.expovariate(1.0 / _MEAN_THINK_TIME_S))
             entry = self._cluster.pick_entry(idle_connections)
             if entry:
-                await self._send_call(entry, idle_connections)
+                await self._send_call(self._new_call(entry), idle_connections)
+
+    async def run_crashing(self, kind: CallKind) -> None:
+        """Send the same call, which crashes servers, again and again until cancelled.
+
+        Each is sent under another id, and most reach another entry VM than the last.
+        """
+        while True:
+            await asyncio.sleep(self._rng.expovariate(1.0 / _MEAN_CRASH_PAUSE_S))
+            entry = self._cluster.pick_entry(())
+            if entry:
+                await self._send_call(self._new_crashing_call(kind, entry), {})
 
     async def _send_call(
-        self, entry: str, idle_connections: dict[str, ClientConnection]
+        self, call: SentCall, idle_connections: dict[str, ClientConnection]
     ) -> None:
-        call = self._new_call(entry)
+        entry = call.entry
         connection = idle_connections.pop(entry, None)
         try:
             if connection is None or not connection.is_reusable:
@@ -93,7 +111,6 @@
 
     async def _exchange(self, call: SentCall, connection: ClientConnection) -> None:
         deadline_ms = _DEADLINE_MS[call.kind]
-        body = b"" if call.kind is CallKind.SAFE else call.request_id.encode()
         connection.send(
             encode_caller_request(
                 call.path,
@@ -101,7 +118,7 @@
                 key=call.key,
                 deadline_ms=deadline_ms,
                 model=self._rng.choice(_MODELS) if call.event_count else "",
-                body=body,
+                body=_call_body(call.kind, call.path, call.request_id),
             )
         )
         timeout_s = deadline_ms / 1000 + _TIMEOUT_MARGIN_S
@@ -120,16 +137,37 @@
             self._rng.randint(1, _MAX_EVENTS) if kind is CallKind.STREAM else 0
         )
         account, key = self._cluster.pick_key()
-        request_id = f"r{number}"
-        body = b"" if kind is CallKind.SAFE else request_id.encode()
-        return SentCall(
-            request_id=request_id,
-            kind=kind,
-            path=f"/{kind.value}/{number}/{event_count}",
-            body_digest=hashlib.sha256(body).hexdigest()[:16],
-            account=account,
-            key=key,
-            entry=entry,
-            sent_at_s=time.monotonic(),
-            event_count=event_count,
+        return _make_call(
+            number, kind, f"/{kind.value}/{number}/{event_count}", account, key, entry
         )
+
+    def _new_crashing_call(self, kind: CallKind, entry: str) -> SentCall:
+        path = f"/{kind.value}{CRASH_PATH_PART}{1 if kind is CallKind.STREAM else 0}"
+        account, key = _CRASH_ACCOUNT
+        number = next(self._request_numbers)
+        return _make_call(number, kind, path, account, key, entry)
+
+
+def _make_call(
+    number: int, kind: CallKind, path: str, account: str, key: str, entry: str
+) -> SentCall:
+    request_id = f"r{number}"
+    body = _call_body(kind, path, request_id)
+    return SentCall(
+        request_id=request_id,
+        kind=kind,
+        path=path,
+        body_digest=hashlib.sha256(body).hexdigest()[:16],
+        account=account,
+        key=key,
+        entry=entry,
+        sent_at_s=time.monotonic(),
+        event_count=int(path.rpartition("/")[2]),
+    )
+
+
+def _call_body(kind: CallKind, path: str, request_id: str) -> bytes:
+    """Return the body of a call, which is the same for calls that crash servers."""
+    if kind is CallKind.SAFE:
+        return b""
+    return b"crash" if CRASH_PATH_PART in path else request_id.encode()
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -11,6 +11,7 @@
     ServerRun,
 )
 from pomelolug.experiments.process_soak._disturbances import FaultWindows
+from pomelolug.testing import CRASH_PATH_PART
 
 __all__ = ["GuaranteeChecker"]
 
@@ -23,6 +24,15 @@
 _DRAIN_LIMIT_S = 2.0
 _CANCELLATION_LIMIT_S = 0.5
 _TIMEOUT_TOLERANCE_S = 0.5
+_MAX_LOSSES = 3
+"""Servers that a request may crash before nodes have to refuse it."""
+_LOSS_KNOWN_S = 3.0
+"""Time after the third loss by which the nodes have to know of it."""
+_MAX_LATE_RUNS = 3
+_SAME_CRASH_S = 1.0
+"""Servers are down at least as long, so runs at one server within it crash it once."""
+_CRASH_EFFECT_S = 6.0
+"""Time for which a crashed server affects the calls of others."""
 _ASSUMED_READ_S = 0.2
 """Time after which a request on a new connection counts as read.
 
@@ -64,6 +74,11 @@
     def record_run(self, run: ServerRun) -> None:
         """Record a run that a server started."""
         self._runs.append(run)
+        if CRASH_PATH_PART in run.path:
+            window = self._fault_windows.open(
+                run.vm, start_s=run.started_at_s, is_planned=False
+            )
+            window.end_s = run.started_at_s + _CRASH_EFFECT_S
 
     def record_violation(self, text: str) -> None:
         """Record a violation that a server detected."""
@@ -92,7 +107,35 @@
             violations += self._lost_answer_violations(call, counts[call.request_id])
         for run in self._runs:
             violations += self._run_violations(run)
-        return violations
+        return violations + list(self._containment_violations())
+
+    def _containment_violations(self) -> Iterator[str]:
+        """Yield the requests that undisturbed entry VMs let crash too many servers."""
+        runs_by_request: dict[tuple[str, str], list[ServerRun]] = {}
+        for run in sorted(self._runs, key=lambda run: run.started_at_s):
+            if CRASH_PATH_PART in run.path:
+                runs_by_request.setdefault((run.account, run.path), []).append(run)
+        for (_, path), runs in runs_by_request.items():
+            crashed_at_s = list(_crash_times_s(runs))
+            if len(crashed_at_s) < _MAX_LOSSES:
+                continue
+            known_at_s = crashed_at_s[_MAX_LOSSES - 1] + _LOSS_KNOWN_S
+            late_runs = [
+                run
+                for run in runs
+                if run.started_at_s > known_at_s and self._was_in_touch(run)
+            ]
+            if len(late_runs) > _MAX_LATE_RUNS:
+                yield (
+                    f"{path} crashed {len(crashed_at_s)} servers and ran "
+                    f"{len(late_runs)} times after the third loss was known"
+                )
+
+    def _was_in_touch(self, run: ServerRun) -> bool:
+        call = self._calls.get(run.request_id)
+        return call is not None and self._is_undisturbed(
+            call.entry, call.sent_at_s, run.started_at_s
+        )
 
     def _execution_violations(self, call: SentCall, runs: int) -> Iterator[str]:
         if call.kind is CallKind.ONCE and runs > 1:
@@ -178,6 +221,15 @@
         )
 
 
+def _crash_times_s(runs: list[ServerRun]) -> Iterator[float]:
+    """Yield when servers crashed, given the runs of one request in order of time."""
+    latest_s: dict[str, float] = {}
+    for run in runs:
+        if run.started_at_s - latest_s.get(run.vm, float("-inf")) > _SAME_CRASH_S:
+            yield run.started_at_s
+            latest_s[run.vm] = run.started_at_s
+
+
 def _answer_violations(call: SentCall) -> Iterator[str]:
     answer = call.answer
     if not answer.status:
--- a/pomelolug/experiments/process_soak/_run.py
+++ b/pomelolug/experiments/process_soak/_run.py
@@ -76,6 +76,7 @@
         await cluster.start()
         await asyncio.sleep(_WARM_UP_S)
         tasks = [asyncio.create_task(callers.run()) for _ in range(_CALLER_COUNT)]
+        tasks += [asyncio.create_task(callers.run_crashing(k)) for k in CallKind]
         await faults.run(length_s)
         await asyncio.sleep(_RECOVERY_S)
         recovered_at_s = time.monotonic()
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -189,3 +189,48 @@
         broken, make_run(), target="entry-0", start_s=START, is_planned=True
     )
     assert find_violations(broken, make_run(), target="entry-1", start_s=START) == []
+
+
+def crash(
+    guarantees: GuaranteeChecker, *times_s: float, entry: str = "entry-0"
+) -> None:
+    for number, at_s in enumerate(times_s):
+        request_id = f"{entry}-{at_s}"
+        call = make_call(
+            CallKind.SAFE,
+            request_id=request_id,
+            path="/safe/crash/0",
+            entry=entry,
+            sent_at_s=START + at_s,
+            ended_at_s=START + at_s + 0.1,
+            answer=CallerResponse(status=502, is_complete=True),
+        )
+        guarantees.record_call(call)
+        guarantees.record_run(
+            make_run(
+                request_id=request_id,
+                path=call.path,
+                vm=f"vm-{number}",
+                started_at_s=START + at_s,
+            )
+        )
+
+
+def test_request_that_goes_on_crashing_servers_is_reported():
+    # Guards against a soak that accepts a request which crashes any number of servers.
+    allowed, broken = (GuaranteeChecker(FaultWindows()) for _ in range(2))
+    crash(allowed, 0.0, 1.0, 2.0, 4.9, 5.1, 7.0, 8.0)
+    assert allowed.check(timeouts=TIMEOUTS) == []
+    crash(broken, 0.0, 1.0, 2.0, 5.1, 6.0, 7.0, 8.0)
+    (violation,) = broken.check(timeouts=TIMEOUTS)
+    assert "ran 4 times after the third loss was known" in violation
+
+
+def test_crashes_through_a_disturbed_entry_vm_are_allowed():
+    # Guards against a checker that expects knowledge of a node that was cut off.
+    fault_windows = FaultWindows()
+    window = fault_windows.open("entry-0", start_s=START, is_planned=False)
+    window.end_s = START + 6.0
+    guarantees = GuaranteeChecker(fault_windows)
+    crash(guarantees, 0.0, 1.0, 2.0, 6.0, 7.0, 8.0, 9.0)
+    assert guarantees.check(timeouts=TIMEOUTS) == []
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -9,6 +9,7 @@
 from pomelolug.testing._clock import LoopClock
 from pomelolug.testing._engine_fleet import FakeEngineFleet, FakeVm, MembershipChange
 from pomelolug.testing._fake_weight_store import FakeWeightStore
+from pomelolug.testing._group_server_app import CRASH_PATH_PART
 from pomelolug.testing._group_servers import GroupServers, SimulatedServer
 from pomelolug.testing._group_simulation import ControlNode, GroupSimulation
 from pomelolug.testing._loopback_proxy import LinkFault, LoopbackProxy
@@ -18,6 +19,7 @@
 from pomelolug.testing._store_stand_in import FakeMetadataStore
 
 __all__ = [
+    "CRASH_PATH_PART",
     "CallerResponse",
     "ControlNode",
     "FakeEngineFleet",
--- a/pomelolug/testing/_group_server_app.py
+++ b/pomelolug/testing/_group_server_app.py
@@ -22,6 +22,7 @@
 from pomelolug.transport import Exchange
 
 __all__ = [
+    "CRASH_PATH_PART",
     "GroupServerApp",
     "PlainServerApp",
     "ResponseFaults",
@@ -42,7 +43,11 @@
 _POLL_INTERVAL_S = 0.02
 _NO_RESPONSE_S = 3600.0
 
+CRASH_PATH_PART = "/crash/"
+"""Part of the path of requests that crash each server that runs them."""
+
 RequestCallback = Callable[[dict[str, Any]], None]
+CrashCallback = Callable[[VmId], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,13 +69,21 @@
         Called with a record of each request when it begins to run.
     rng : random.Random
         Selects the responses to corrupt.
+    on_crash : callable
+        Called when a request that crashes servers begins to run.
     """
 
     def __init__(
-        self, vm: VmId, *, on_request: RequestCallback, rng: random.Random
+        self,
+        vm: VmId,
+        *,
+        on_request: RequestCallback,
+        rng: random.Random,
+        on_crash: CrashCallback,
     ) -> None:
         self._vm = vm
         self._on_request = on_request
+        self._on_crash = on_crash
         self._rng = rng
         self.response_faults = ResponseFaults()
         self.is_unresponsive = False
@@ -99,7 +112,8 @@
             (b"At-Server", self._vm.encode()),
         )
 
-    def _report_start(self, exchange: Exchange, fields: dict[str, str]) -> None:
+    async def _start_run(self, exchange: Exchange, fields: dict[str, str]) -> None:
+        """Report that a request begins to run; return unless it crashes the server."""
         self._on_request(
             {
                 "run": fields.get("request-id", ""),
@@ -111,6 +125,9 @@
                 "at": time.monotonic(),
             }
         )
+        if CRASH_PATH_PART in exchange.target.decode():
+            self._on_crash(self._vm)
+            await asyncio.sleep(_NO_RESPONSE_S)
 
     def _response_headers(
         self, fields: dict[str, str], content_type: bytes
@@ -129,7 +146,7 @@
     """Responds to each request with a text that contains its path."""
 
     async def _handle_request(self, exchange: Exchange, fields: dict[str, str]) -> None:
-        self._report_start(exchange, fields)
+        await self._start_run(exchange, fields)
         await asyncio.sleep(
             _PLAIN_RESPONSE_TIME_S * self.response_faults.slowdown_factor
         )
@@ -177,8 +194,9 @@
         slots: int,
         on_request: RequestCallback,
         rng: random.Random,
+        on_crash: CrashCallback,
     ) -> None:
-        super().__init__(vm, on_request=on_request, rng=rng)
+        super().__init__(vm, on_request=on_request, rng=rng, on_crash=on_crash)
         self._servers = servers
         self._slots = slots
         self._running_count = 0
@@ -261,9 +279,9 @@
         if not can_serve or self._running_count >= self._slots:
             exchange.reply(503, self._refusal_headers(fields), b"")
             return
-        self._report_start(exchange, fields)
         self._running_count += 1
         try:
+            await self._start_run(exchange, fields)
             await self._send_events(exchange, fields, server)
         finally:
             self._running_count -= 1
--- a/pomelolug/testing/group_server.py
+++ b/pomelolug/testing/group_server.py
@@ -40,6 +40,9 @@
 _SECOND = datetime.timedelta(seconds=1)
 _STORE_RETRY_DELAY_S = 0.3
 _VIOLATION_CHECK_INTERVAL_S = 0.1
+_SILENT_CRASH_SHARE = 0.3
+"""Share of crashes in which no connection is closed."""
+_RESTART_DELAY_RANGE_S = (1.0, 3.0)
 
 
 class PlannedServer(msgspec.Struct, frozen=True, kw_only=True):
@@ -135,6 +138,7 @@
             stall_timeout=_SECOND * STALL_TIMEOUT_S,
         )
         self._reported_violations = 0
+        self._rng = random.Random(plan.seed)
 
     async def run(self) -> None:
         """Serve until standard input ends."""
@@ -157,7 +161,9 @@
     ) -> None:
         vm = VmId(planned.vm)
         if not self._plan.domain:
-            self._apps[vm] = PlainServerApp(vm, on_request=_write_line, rng=rng)
+            self._apps[vm] = PlainServerApp(
+                vm, on_request=_write_line, rng=rng, on_crash=self._crash
+            )
             self._entry_writer.put(
                 _build_plain_entry(vm, start_time_ms, ServerState.READY), planned
             )
@@ -169,6 +175,7 @@
             slots=self._engine.slots,
             on_request=_write_line,
             rng=rng,
+            on_crash=self._crash,
         )
 
     async def _listen(self, planned: PlannedServer) -> None:
@@ -229,6 +236,19 @@
         elif command.do == "restart":
             self._restart(vm, app)
 
+    def _crash(self, vm: VmId) -> None:
+        """Stop a server, with or without closing its connections, and restart it."""
+        app = self._apps[vm]
+        app.is_unresponsive = True
+        if self._plan.domain:
+            self._servers.kill(vm)
+        if self._rng.random() >= _SILENT_CRASH_SHARE:
+            for connection in list(self._connections[vm]):
+                connection.abort()
+        asyncio.get_running_loop().call_later(
+            self._rng.uniform(*_RESTART_DELAY_RANGE_S), self._restart, vm, app
+        )
+
     def _restart(self, vm: VmId, app: ServerApp) -> None:
         app.is_unresponsive = False
         for connection in list(self._connections[vm]):
