--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -23,6 +23,7 @@
     ServerRegistry,
     ServerState,
 )
+from pomelolug.entry._poison_requests import PoisonRequestDetector, compute_fingerprint
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.experiments._slopes import (
     LinearFit,
@@ -50,6 +51,9 @@
 _DOMAIN_SIZE = 27
 _MODEL = ModelName("model")
 _SERVER_COUNTS = (75, 150, 300, 600)
+_LOSS_COUNTS = (125, 250, 500, 1000)
+_PLANNED_LOSSES = 500
+"""Requests that were running on the servers lost in a day, 19 times 26."""
 
 
 class _ProcessClock(Clock):
@@ -142,6 +146,64 @@
     )
 
 
+def _make_detector(count: int) -> PoisonRequestDetector:
+    detector = PoisonRequestDetector(clock=_ProcessClock())
+    for number in range(count):
+        fingerprint = compute_fingerprint(None, b"/", b"%d" % number)
+        detector.record_loss(fingerprint, f"{number // 26:016x}")
+    return detector
+
+
+def _make_loss_selection(count: int) -> Callable[[], object]:
+    return _make_detector(count).losses_to_send
+
+
+def _make_quarantined(count: int) -> dict[str, tuple[str, ...]]:
+    detector = PoisonRequestDetector(clock=_ProcessClock())
+    for number in range(count):
+        fingerprint = compute_fingerprint(None, b"/", b"%d" % number)
+        for loss in range(3):
+            detector.record_loss(fingerprint, f"{loss:016x}")
+    return detector.losses_to_send()
+
+
+def _loss_fits() -> list[LinearFit]:
+    counts = (1, 2, 4, 8, 16)
+    sizes = [
+        len(encode(msgspec.structs.replace(_make_status(0), strikes=strikes)))
+        for strikes in map(_make_quarantined, counts)
+    ]
+    return [
+        fit_line(
+            "lost requests, selection for a status",
+            "ms",
+            "request",
+            _LOSS_COUNTS,
+            [1e3 * measure_cpu_s(_make_loss_selection(n)) for n in _LOSS_COUNTS],
+            _PLANNED_LOSSES,
+        ),
+        fit_line(
+            "lost requests, memory",
+            "KiB",
+            "request",
+            _LOSS_COUNTS,
+            [
+                measure_memory_kib(functools.partial(_make_detector, n))
+                for n in _LOSS_COUNTS
+            ],
+            _PLANNED_LOSSES,
+        ),
+        fit_line(
+            "quarantined requests in a status",
+            "B",
+            "request",
+            counts,
+            sizes,
+            counts[-1],
+        ),
+    ]
+
+
 def _encode_entry() -> bytes:
     return msgspec.json.encode(
         {
@@ -216,6 +278,7 @@
             75,
         ),
     ]
+    fits += _loss_fits()
     for fit in fits:
         print(json.dumps(dataclasses.asdict(fit)))
     encoded_entry = _encode_entry()
--- a/pomelolug/gateway/tests/test_application.py
+++ b/pomelolug/gateway/tests/test_application.py
@@ -247,6 +247,17 @@
             assert error["outcome"] == "not_run"
 
 
+async def test_service_request_that_crashes_servers_is_refused_after_three(tmp_path):
+    # Guards against a request to a plain service that crashes one server after another.
+    service = FakeService()
+    async with running_gateway(tmp_path, ScriptedEngine([]), service=service) as g:
+        service.failures = [True] * 20
+        for _ in range(6):
+            async with g.post("/services/jobs/x", "crash") as response:
+                assert response.status in (502, 503)
+    assert len(service.requests) <= 3
+
+
 async def test_interrupted_service_response_fails_the_transfer(tmp_path):
     service = FakeService()
     service.chunks = [b"part", EngineUnavailableError("x", maybe_ran=True)]
