Count the loss of a server while the caller still waits for it

Cause, found by reading: a run counted when it ended, so a server that fell silent was a loss only at the deadline of its caller. With long deadlines the request could crash many more servers meanwhile.

Change: when the entry of a server lapses or has another start time, its runs in flight count at once; a whole answer that still arrives clears them.

Evidence: the new test failed before (0 losses where 1 is due).

--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -110,6 +110,7 @@
         self._registry_age_s = registry_age_s
         self._decision_delay_s = entry_lifetime.total_seconds() + _ENTRY_READ_DELAY_S
         self._clock = clock
+        self._running: set[ServerRun] = set()
         self._loss_events: dict[VmId, _LossEvent] = {}
         self._undecidable_until_s = float("-inf")
         self._pending: collections.deque[_PendingLoss] = collections.deque()
@@ -134,7 +135,7 @@
         self, fingerprint: str, server: BackendServer, *, connected_at_s: float
     ) -> ServerRun:
         """Return the run of a request that has just been sent to a server."""
-        return ServerRun(
+        run = ServerRun(
             fingerprint=fingerprint,
             server=server.vm,
             start_time_ms=server.start_time_ms,
@@ -142,12 +143,16 @@
             connected_at_s=connected_at_s,
             began_at_s=self._clock.monotonic(),
         )
+        self._running.add(run)
+        return run
 
     def finish(self, run: ServerRun, end: RunEnd) -> None:
-        """Count the end of a run."""
+        """Count the end of a run, unless the end of its server was counted before."""
+        is_counted = run not in self._running
+        self._running.discard(run)
         if end is RunEnd.ANSWERED:
             self._detector.acquit(run.fingerprint)
-        elif end is not RunEnd.SURVIVED:
+        elif end is not RunEnd.SURVIVED and not is_counted:
             self._record_loss(run, is_suspicion=end is RunEnd.UNANSWERED)
 
     def on_registry_change(self, change: RegistryChange) -> None:
@@ -168,6 +173,10 @@
             group = _group_key(server)
             if group is not None:
                 self._ended_at_s[group] = now_s
+        for run in [run for run in self._running if self._has_ended(run)]:
+            # A caller may wait much longer for a silent server.
+            self._running.discard(run)
+            self._record_loss(run, is_suspicion=False)
         self._settle(self._confirm_if_ended)
 
     def settle_overdue(self) -> None:
@@ -220,15 +229,18 @@
         )
 
     def _confirm_if_ended(self, loss: _PendingLoss) -> bool:
-        """Confirm a loss if the server or a member of its group has ended since."""
-        run = loss.run
+        """Confirm a loss if its server has ended."""
+        if not self._has_ended(loss.run):
+            return False
+        self._detector.confirm_loss(loss.run.fingerprint, loss.loss_id)
+        return True
+
+    def _has_ended(self, run: ServerRun) -> bool:
+        """Return whether the server or a member of its group ended after the send."""
         ended_at_s = self._ended_at_s.get(run.server, float("-inf"))
         if run.group is not None:
             ended_at_s = max(ended_at_s, self._ended_at_s.get(run.group, float("-inf")))
-        if ended_at_s < run.began_at_s:
-            return False
-        self._detector.confirm_loss(run.fingerprint, loss.loss_id)
-        return True
+        return ended_at_s >= run.began_at_s
 
     def _clear_if_alive(self, loss: _PendingLoss) -> bool:
         """Clear a loss if recent data of the store still show the same server."""
--- a/pomelolug/entry/tests/test_run_monitor.py
+++ b/pomelolug/entry/tests/test_run_monitor.py
@@ -139,6 +139,34 @@
     assert node.losses == 1
 
 
+@pytest.mark.looptime
+async def test_end_of_a_server_counts_while_its_caller_still_waits():
+    # Guards against a request that crashes more servers while the callers of the first
+    # ones wait for their deadlines.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    run = node.begin(server)
+    await asyncio.sleep(3.6)
+    node.remove("s1")
+    assert node.losses == 1
+    assert node.told
+    node.monitor.finish(run, RunEnd.UNANSWERED)
+    assert node.losses == 1
+
+
+@pytest.mark.looptime
+async def test_server_whose_entry_is_gone_may_still_answer():
+    # Guards against losses of servers that leave and finish their work.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    run = node.begin(server)
+    node.remove("s1")
+    node.monitor.finish(run, RunEnd.ANSWERED)
+    assert node.losses == 0
+
+
 @pytest.mark.looptime
 async def test_lost_member_counts_as_the_loss_of_its_group():
     # Guards against a request that crashes other members than the head it is sent to.
