Tell again of a cleared loss that was stored later

A loss that is read from the store also kept the later time at which a peer had told of it.

A new test shows that a node without the store hears of old losses from another zone.

--- a/pomelolug/entry/_loss_publisher.py
+++ b/pomelolug/entry/_loss_publisher.py
@@ -86,6 +86,7 @@
                 _log.warning("loss_record_unreadable", key=record.key[:64])
                 continue
             self._stored[record.key] = lost_at_s
+            self._detector.tell_cleared_again(fingerprint, loss_id)
             self._detector.record_loss(
                 fingerprint,
                 loss_id,
@@ -127,9 +128,10 @@
             is_cleared = self._detector.is_cleared(fingerprint, loss_id)
             if is_cleared or unix_s - lost_at_s > LOSS_RETENTION_S:
                 changes[key] = b""
-        due = [
-            key
-            for key in changes
-            if now_s - self._written_at_s.get(key, float("-inf")) > _READ_BACK_TIMEOUT_S
-        ]
+        self._written_at_s = {
+            key: written_at_s
+            for key, written_at_s in self._written_at_s.items()
+            if now_s - written_at_s <= _READ_BACK_TIMEOUT_S
+        }
+        due = [key for key in changes if key not in self._written_at_s]
         return {key: changes[key] for key in due[:_MAX_CHANGES_PER_CALL]}
--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -167,6 +167,7 @@
         known = losses.get(loss_id)
         if known is not None:
             known.is_suspicion = known.is_suspicion and is_suspicion
+            known.at_s = min(known.at_s, now_s - age_s)
             return
         self._times_sent.pop(fingerprint, None)
         losses[loss_id] = _Loss(now_s - age_s, now_s, is_suspicion, is_own_zone)
@@ -197,6 +198,11 @@
         while len(self._cleared_at_s) > _MAX_CLEARED:
             del self._cleared_at_s[next(iter(self._cleared_at_s))]
 
+    def tell_cleared_again(self, fingerprint: str, loss_id: str) -> None:
+        """Tell other nodes again of a cleared loss, since one has reported it since."""
+        if self._cleared_at_s.pop((fingerprint, loss_id), None) is not None:
+            self.clear_loss(fingerprint, loss_id)
+
     def acquit(self, fingerprint: str) -> None:
         """Clear all losses of a request that a server has run to its end."""
         losses = self._losses.get(fingerprint)
--- a/pomelolug/entry/tests/test_crashing_requests.py
+++ b/pomelolug/entry/tests/test_crashing_requests.py
@@ -13,6 +13,7 @@
     send_response,
     start_stream,
 )
+from pomelolug.testing import LinkFault, LoopbackProxy
 from pomelolug.transport import HttpConnectionError
 
 LOSS_BOUND = 3
@@ -226,3 +227,24 @@
         crashed_before = len(servers.runs)
         assert await send_crashing(refused, servers, "late") == 503
         assert len(servers.runs) == crashed_before
+
+
+async def test_node_that_loses_the_store_learns_old_losses_from_another_zone():
+    # Guards against a node that could not hear of the losses when they happened: its
+    # store is silent, and the datagrams of those seconds are over.
+    async with Harness() as h, Harness(joins=h) as other:
+        servers = CrashingServers(h, "once", "reset")
+        await servers.add(6)
+        await h.start()
+        link = LoopbackProxy(f"{other.ip}:7000", h.store.address)
+        await link.start()
+        await other.start(
+            zone="z2", store_address=link.address, seeds=(f"{h.ip}:8003",)
+        )
+        link.fault = LinkFault.SILENT
+        await crash_until_stopped(h, servers)
+        await asyncio.sleep(2 * KNOWLEDGE_BOUND_S)
+        crashed_before = len(servers.runs)
+        assert await send_crashing(other, servers, "late") == 503
+        assert len(servers.runs) == crashed_before
+        link.stop()
--- a/pomelolug/entry/tests/test_loss_publisher.py
+++ b/pomelolug/entry/tests/test_loss_publisher.py
@@ -138,6 +138,30 @@
     assert store.values == {"f.s": b""}
 
 
+@pytest.mark.looptime
+async def test_loss_that_is_stored_after_it_was_cleared_is_removed():
+    # Guards against a harmless request with a loss that a relay wrote because it had
+    # not been told in time that the loss was cleared.
+    store = MemoryStore()
+    relay, other = Node(store), Node(store, is_relay=False)
+    other.detector.record_loss("f", "s")
+    other.detector.acquit("f")
+    await asyncio.sleep(10)
+    assert other.detector.cleared_to_send() == {}
+    relay.detector.record_loss("f", "s")
+    async with running(relay, other):
+        await asyncio.sleep(2)
+        assert store.values["f.s"]
+        relay.detector.merge(
+            {},
+            cleared=other.detector.cleared_to_send(),
+            is_own_zone=True,
+            source="peer",
+        )
+        await asyncio.sleep(5)
+    assert store.values == {"f.s": b""}
+
+
 @pytest.mark.looptime
 async def test_losses_are_written_when_the_store_returns():
     # Guards against losses that are forgotten because the store was away.
