Tell at once of servers that were silent, and count losses after false alarms

Cause, found by reading: a server that ends without closing its connections was told to other nodes only when its entry lapsed, so each node could lose one until then. And a loss had the id of an earlier one at the same server that another node had cleared, so it did not count.

Change: other nodes are told at once if no response began within 1 s; a run that is given up sooner or in the middle of a response stays a suspicion. A number that was cleared for the request is not used again.

Evidence: both new tests failed before and pass now, with all tests of the entry.

--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -278,7 +278,7 @@
         if reply is not None and exc is None and self._body_complete:
             is_usable = reply.sealed and not reply.encoded
             return RunEnd.ANSWERED if is_usable else RunEnd.SURVIVED
-        return RunEnd.UNANSWERED
+        return RunEnd.UNANSWERED if reply is None else RunEnd.INTERRUPTED
 
     def _is_own_response(self, reply: ServerReply) -> bool:
         if reply.request_id == self._request_id:
--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -32,6 +32,11 @@
 """
 _STORE_LOST_S = 3.0
 """Age of the registry's data at which the store counts as lost."""
+_SILENCE_S = 1.0
+"""Time without a response after which other nodes are told of a loss at once.
+
+Callers who leave sooner say little about the server.
+"""
 _END_RETENTION_S = 60.0
 _MAX_PENDING_LOSSES = 4096
 
@@ -46,7 +51,9 @@
     CONNECTION_LOST = "connection_lost"
     """The connection ended, or the streams of the group stalled."""
     UNANSWERED = "unanswered"
-    """The run was given up while the server was silent."""
+    """The run was given up before a response began."""
+    INTERRUPTED = "interrupted"
+    """The run was given up in the middle of a response."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -153,7 +160,11 @@
         if end is RunEnd.ANSWERED:
             self._detector.acquit(run.fingerprint)
         elif end is not RunEnd.SURVIVED and not is_counted:
-            self._record_loss(run, is_suspicion=end is RunEnd.UNANSWERED)
+            was_silent = self._clock.monotonic() - run.began_at_s >= _SILENCE_S
+            is_evident = end is RunEnd.CONNECTION_LOST or (
+                end is RunEnd.UNANSWERED and was_silent
+            )
+            self._record_loss(run, is_suspicion=not is_evident)
 
     def on_registry_change(self, change: RegistryChange) -> None:
         """Note which servers have ended, and confirm the losses that they explain."""
@@ -194,6 +205,10 @@
 
     def _record_loss(self, run: ServerRun, *, is_suspicion: bool) -> None:
         loss_id = self._identify_loss(run)
+        while self._detector.is_cleared(run.fingerprint, loss_id):
+            # An earlier loss with this number was none, perhaps on another node.
+            self._loss_events[run.server].number += 1
+            loss_id = self._identify_loss(run)
         self._detector.record_loss(run.fingerprint, loss_id, is_suspicion=is_suspicion)
         loss = _PendingLoss(
             run, loss_id, self._clock.monotonic() + self._decision_delay_s
--- a/pomelolug/entry/tests/test_run_monitor.py
+++ b/pomelolug/entry/tests/test_run_monitor.py
@@ -89,7 +89,9 @@
 
 
 @pytest.mark.looptime
-@pytest.mark.parametrize("end", [RunEnd.UNANSWERED, RunEnd.CONNECTION_LOST])
+@pytest.mark.parametrize(
+    "end", [RunEnd.UNANSWERED, RunEnd.INTERRUPTED, RunEnd.CONNECTION_LOST]
+)
 async def test_loss_counts_at_once_and_is_cleared_if_the_server_lives(end):
     # Guards against a request that crashes more servers while its first losses are
     # examined, and against a harmless one that is refused because servers are slow.
@@ -167,6 +169,43 @@
     assert node.losses == 0
 
 
+@pytest.mark.looptime
+async def test_other_nodes_are_told_at_once_of_a_server_that_was_silent_for_long():
+    # Guards against a request that crashes one server through each node before the
+    # entries of the first ones lapse, and against a report for each caller that leaves.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    node.monitor.finish(node.begin(server), RunEnd.UNANSWERED)
+    run = node.begin(server)
+    await asyncio.sleep(1.5)
+    node.monitor.finish(run, RunEnd.INTERRUPTED)
+    assert not node.told
+    run = node.begin(server, connected_at_s=0.0)
+    await asyncio.sleep(1.5)
+    node.monitor.finish(run, RunEnd.UNANSWERED)
+    assert node.told
+
+
+@pytest.mark.looptime
+async def test_loss_after_a_false_alarm_counts():
+    # Guards against a loss that is taken for the one that another node has cleared.
+    nodes = [Node(), Node()]
+    server = make_server()
+    for node in nodes:
+        node.publish(server)
+    nodes[0].monitor.finish(nodes[0].begin(server), RunEnd.CONNECTION_LOST)
+    await settle(nodes[0])
+    nodes[1].detector.merge(
+        {},
+        cleared=nodes[0].detector.cleared_to_send(),
+        is_own_zone=True,
+        source="peer",
+    )
+    nodes[1].monitor.finish(nodes[1].begin(server), RunEnd.CONNECTION_LOST)
+    assert nodes[1].losses == 1
+
+
 @pytest.mark.looptime
 async def test_lost_member_counts_as_the_loss_of_its_group():
     # Guards against a request that crashes other members than the head it is sent to.
