Record when the soak of real processes itself did not run

Cause: callers and all proxies run in the soak's process.

Change: such a pause is a disturbance of all links, for the bounds on time. It does not excuse requests that go on crashing servers.

--- a/pomelolug/experiments/process_soak/_disturbances.py
+++ b/pomelolug/experiments/process_soak/_disturbances.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 
-__all__ = ["FaultWindows"]
+__all__ = ["SOAK_PROCESS", "FaultWindows"]
+
+SOAK_PROCESS = "soak"
+"""Target of windows in which the soak itself, with its callers and proxies, paused."""
 
 _ALL_TARGETS = ""
 
--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -103,7 +103,8 @@
         self.counts[kind] += 1
         await self._faults_by_kind[kind]()
 
-    def _record_event(self, text: str) -> None:
+    def record_event(self, text: str) -> None:
+        """Add a line with the current time to the history."""
         self.history.append(f"{time.monotonic() - self._started_at_s:7.3f} {text}")
 
     @contextlib.asynccontextmanager
@@ -114,12 +115,12 @@
         window = self._fault_windows.open(
             *targets, start_s=time.monotonic(), is_planned=is_planned
         )
-        self._record_event(text)
+        self.record_event(text)
         try:
             yield
         finally:
             window.end_s = time.monotonic()
-            self._record_event(f"over: {text}")
+            self.record_event(f"over: {text}")
 
     def _reserve(self, target_name: str) -> bool:
         """Reserve a target, so that two faults do not undo each other.
@@ -199,7 +200,7 @@
         for entry in self._cluster.entries:
             # A starting process has not installed its SIGHUP handler yet.
             if entry.is_in_rotation and entry.name not in self._reserved:
-                self._record_event(f"{entry.name} reloads")
+                self.record_event(f"{entry.name} reloads")
                 entry.process.signal(signal.SIGHUP)
 
     # The store
@@ -340,12 +341,12 @@
             return
         account = self._rng.choice(accounts)
         *kept, revoked_key = deployment.keys[account]
-        self._record_event(f"{revoked_key} revoked")
+        self.record_event(f"{revoked_key} revoked")
         self._update_declaration(keys=deployment.keys | {account: tuple(kept)})
         self._guarantees.record_revocation(revoked_key, time.monotonic())
 
     async def _change_timeouts(self) -> None:
-        self._record_event("timeouts changed")
+        self.record_event("timeouts changed")
         self._update_declaration(plain_timeout_ms=self._rng.choice((1000, 1200, 1500)))
 
     def _update_declaration(self, **changes: object) -> None:
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -10,7 +10,10 @@
     SentCall,
     ServerRun,
 )
-from pomelolug.experiments.process_soak._disturbances import FaultWindows
+from pomelolug.experiments.process_soak._disturbances import (
+    SOAK_PROCESS,
+    FaultWindows,
+)
 from pomelolug.testing import CRASH_PATH_PART
 
 __all__ = ["GuaranteeChecker"]
@@ -133,7 +136,8 @@
 
     def _was_in_touch(self, run: ServerRun) -> bool:
         call = self._calls.get(run.request_id)
-        return call is not None and self._is_undisturbed(
+        # A pause of the soak does not keep entry VMs from hearing of losses for long.
+        return call is not None and not self._is_affected(
             call.entry, call.sent_at_s, run.started_at_s
         )
 
@@ -216,10 +220,14 @@
             yield f"{run.request_id} began after its caller had left"
 
     def _is_undisturbed(self, target: str, start_s: float, end_s: float) -> bool:
-        return not self._fault_windows.is_affected(
-            target, start_s - _QUIET_PERIOD_S, end_s
+        return not (
+            self._is_affected(target, start_s, end_s)
+            or self._fault_windows.is_affected(SOAK_PROCESS, start_s, end_s)
         )
 
+    def _is_affected(self, target: str, start_s: float, end_s: float) -> bool:
+        return self._fault_windows.is_affected(target, start_s - _QUIET_PERIOD_S, end_s)
+
 
 def _crash_times_s(runs: list[ServerRun]) -> Iterator[float]:
     """Yield when servers crashed, given the runs of one request in order of time."""
--- a/pomelolug/experiments/process_soak/_run.py
+++ b/pomelolug/experiments/process_soak/_run.py
@@ -12,7 +12,10 @@
 from pomelolug.experiments.process_soak._callers import Callers
 from pomelolug.experiments.process_soak._calls import CallKind, CallOutcome, SentCall
 from pomelolug.experiments.process_soak._cluster import ProcessCluster
-from pomelolug.experiments.process_soak._disturbances import FaultWindows
+from pomelolug.experiments.process_soak._disturbances import (
+    SOAK_PROCESS,
+    FaultWindows,
+)
 from pomelolug.experiments.process_soak._faults import FaultInjector
 from pomelolug.experiments.process_soak._promises import GuaranteeChecker
 from pomelolug.experiments.process_soak._report import ProcessSoakReport
@@ -27,6 +30,9 @@
 _MEASUREMENT_S = 3.0
 _MIN_SERVED_SHARE = 0.25
 """Minimum share of calls to be served after the recovery period."""
+_PAUSE_CHECK_INTERVAL_S = 0.05
+_MIN_PAUSE_S = 0.15
+"""Delay of the event loop from which on the soak counts as paused."""
 _OUTPUT_FLUSH_S = 1.0
 """Time for the last output lines of the servers to arrive."""
 _TIMEOUTS = {
@@ -77,6 +83,7 @@
         await asyncio.sleep(_WARM_UP_S)
         tasks = [asyncio.create_task(callers.run()) for _ in range(_CALLER_COUNT)]
         tasks += [asyncio.create_task(callers.run_crashing(k)) for k in CallKind]
+        tasks.append(asyncio.create_task(_watch_own_pauses(fault_windows, faults)))
         await faults.run(length_s)
         await asyncio.sleep(_RECOVERY_S)
         recovered_at_s = time.monotonic()
@@ -104,6 +111,20 @@
     )
 
 
+async def _watch_own_pauses(fault_windows: FaultWindows, faults: FaultInjector) -> None:
+    """Record when this process does not run, since all links pass through it."""
+    while True:
+        started_at_s = time.monotonic()
+        await asyncio.sleep(_PAUSE_CHECK_INTERVAL_S)
+        pause_s = time.monotonic() - started_at_s - _PAUSE_CHECK_INTERVAL_S
+        if pause_s > _MIN_PAUSE_S:
+            window = fault_windows.open(
+                SOAK_PROCESS, start_s=started_at_s, is_planned=False
+            )
+            window.end_s = time.monotonic()
+            faults.record_event(f"the soak itself paused for {pause_s:.2f} s")
+
+
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -234,3 +234,19 @@
     guarantees = GuaranteeChecker(fault_windows)
     crash(guarantees, 0.0, 1.0, 2.0, 6.0, 7.0, 8.0, 9.0)
     assert guarantees.check(timeouts=TIMEOUTS) == []
+
+
+def test_pause_of_the_soak_suspends_time_bounds_only_while_it_lasts():
+    # Guards against delays of the soak's own callers and proxies that are blamed on an
+    # entry VM, and against a pause that excuses more than its own time.
+    late = make_call(ended_at_s=START + 2.1)
+    assert find_violations(late, make_run(), target="soak", start_s=START + 0.5) == []
+    assert find_violations(late, make_run(), target="soak", start_s=START - 1.5)
+
+
+def test_pause_of_the_soak_excuses_no_crashes():
+    fault_windows = FaultWindows()
+    fault_windows.open("soak", start_s=START, is_planned=False)
+    guarantees = GuaranteeChecker(fault_windows)
+    crash(guarantees, 0.0, 1.0, 2.0, 5.1, 6.0, 7.0, 8.0)
+    assert "ran 4 times" in guarantees.check(timeouts=TIMEOUTS)[0]
--- a/pomelolug/experiments/process_soak/tests/test_run.py
+++ b/pomelolug/experiments/process_soak/tests/test_run.py
@@ -14,3 +14,18 @@
     assert report.violations == [], report.history
     assert report.requests > 200
     assert sum(report.faults.values()) >= 3
+
+
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize(
+    "seed",
+    [
+        # The soak's own process, through which all links pass, was not scheduled for
+        # up to a second beside other load, and the delay was blamed on entry VMs.
+        606,
+    ],
+)
+def test_seed_that_failed_has_no_violations(seed: int, tmp_path: pathlib.Path):
+    # Guards against the return of defects that a longer run once showed.
+    report = run_process_soak(seed=seed, length_s=12.0, keep=tmp_path)
+    assert report.violations == [], report.history
