--- a/pomelolug/entry/tests/test_crashing_requests.py
+++ b/pomelolug/entry/tests/test_crashing_requests.py
@@ -229,9 +229,9 @@
         assert len(servers.runs) == crashed_before
 
 
-async def test_node_that_loses_the_store_learns_old_losses_from_another_zone():
-    # Guards against a node that could not hear of the losses when they happened: its
-    # store is silent, and the datagrams of those seconds are over.
+async def test_node_that_loses_the_store_hears_of_losses_in_another_zone():
+    # Guards against a node that knows only what it reads from the store: the relays of
+    # the zones have to tell each other.
     async with Harness() as h, Harness(joins=h) as other:
         servers = CrashingServers(h, "once", "reset")
         await servers.add(6)
@@ -248,3 +248,18 @@
         assert await send_crashing(other, servers, "late") == 503
         assert len(servers.runs) == crashed_before
         link.stop()
+
+
+async def test_refusal_of_a_crashing_request_says_when_to_come_back():
+    # Guards against callers that repeat at once a request that is refused for minutes.
+    async with Harness() as h:
+        servers = CrashingServers(h, "once", "reset")
+        await servers.add(4)
+        await h.start()
+        await crash_until_stopped(h, servers)
+        head, body = await h.request(
+            "/once/crash", method=b"POST", body=b"same", request_id="again"
+        )
+        assert head.status == 503
+        assert 290 < float(head.get(b"Retry-After") or b"0") <= 300
+        assert b'"outcome":"not_run"' in body
--- a/pomelolug/platform/tests/test_decoding.py
+++ b/pomelolug/platform/tests/test_decoding.py
@@ -25,6 +25,7 @@
 zone = "z1"
 internal_ports = [7000, 7010]
 unknown_field = 5
+heartbeat_ms = 800
 [listen]
 front = "10.0.0.1:80"
 ready = "10.0.0.1:81"
@@ -47,6 +48,7 @@
     settings = load_settings(write_settings(tmp_path, SETTINGS))
     assert settings.caller_address == "10.0.0.1:80"
     assert settings.stop_grace.total_seconds() == 8
+    assert settings.server_entry_lifetime.total_seconds() == pytest.approx(2.4)
 
 
 @pytest.mark.parametrize(
