Test crashing requests on frozen nodes and on resumed streams

- New tests of the paths that none ran: a node that is stopped by a signal before the first loss and continued 3 s after the last, for each kind of request, as a real process; a stream that loses its server after an event, resumed by the node or by its caller.

--- a/pomelolug/entry/tests/test_crashing_requests.py
+++ b/pomelolug/entry/tests/test_crashing_requests.py
@@ -1,6 +1,9 @@
 """A request that crashes each server that runs it is stopped after three losses."""
 
 import asyncio
+import datetime
+import pathlib
+import signal
 
 import pytest
 
@@ -13,8 +16,19 @@
     send_response,
     start_stream,
 )
-from pomelolug.testing import LinkFault, LoopbackProxy
-from pomelolug.transport import HttpConnectionError
+from pomelolug.experiments.process_soak import SoakProcess
+from pomelolug.platform import SETTINGS_VARIABLE
+from pomelolug.testing import (
+    LinkFault,
+    LoopbackProxy,
+    format_entry_settings,
+    is_ready,
+)
+from pomelolug.transport import (
+    ClientConnection,
+    HttpConnectionError,
+    open_connection,
+)
 
 LOSS_BOUND = 3
 KNOWLEDGE_BOUND_S = 3.0
@@ -82,6 +96,15 @@
             await request.wait_closed()
             request.reset()
             return
+        if self.end == "begun":
+            last = request.headers.get("last-event-id")
+            start_stream(request)
+            request.send_chunk(encode_event(int(last) + 1 if last else 0))
+            await request.writer.drain()
+            # A reset may overtake what has just been sent.
+            await asyncio.sleep(0.05)
+            request.reset()
+            return
         if self.end == "cut" and self.kind == "stream":
             start_stream(request)
             request.send_chunk(encode_event(0)[:9])
@@ -97,11 +120,13 @@
             request.reset()
 
 
-async def send_crashing(h: Harness, servers: CrashingServers, name: str) -> int | None:
+async def send_crashing(
+    h: "Harness | ProcessNode", servers: CrashingServers, name: str, **headers: str
+) -> int | None:
     """Send the request under a new id; return its status, None without an answer."""
     connection = await h.connect()
     method = b"GET" if servers.kind == "safe" else b"POST"
-    headers = {"Model": MODEL, "Token_Count": "100,50"}
+    headers = {"Model": MODEL, "Token_Count": "100,50"} | headers
     connection.send(
         encode_caller_request(
             f"/{servers.kind}/crash",
@@ -126,6 +151,46 @@
         await asyncio.sleep(0.02)
 
 
+class ProcessNode:
+    """A node beside those of a harness, as a process that can be stopped."""
+
+    def __init__(self, joins: Harness, folder: pathlib.Path) -> None:
+        self._ip = joins.ip[:-1] + "8"
+        path = folder / "node.toml"
+        settings = format_entry_settings(
+            node="process-node",
+            ip=self._ip,
+            zone="z1",
+            store=joins.store.address,
+            seeds=[f"{joins.ip}:8003"],
+        )
+        path.write_text(settings)
+        self._process = SoakProcess(
+            name="process-node",
+            arguments=("-m", "pomelolug.entry"),
+            environment={SETTINGS_VARIABLE: str(path)},
+            folder=folder,
+        )
+
+    async def start(self) -> None:
+        """Start the process and wait until it is ready."""
+        await self._process.start()
+        async with asyncio.timeout(10.0):
+            while not await is_ready(f"{self._ip}:8002"):  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+
+    def signal(self, number: signal.Signals) -> None:
+        self._process.signal(number)
+
+    async def kill(self) -> None:
+        await self._process.kill()
+
+    async def connect(self) -> ClientConnection:
+        return await open_connection(
+            self._ip, 8001, timeout=datetime.timedelta(seconds=1)
+        )
+
+
 async def send_harmless(h: Harness, servers: CrashingServers, name: str) -> int:
     headers = {"Model": MODEL, "Token_Count": "100,50"}
     head, _ = await h.request(
@@ -250,6 +315,49 @@
         link.stop()
 
 
+@pytest.mark.parametrize("kind", KINDS)
+async def test_node_that_was_frozen_during_the_losses_refuses_the_request(
+    kind, tmp_path
+):
+    # Guards against three more losses through a node that stood still while the others
+    # were told, and that wakes up with what it knew before.
+    async with Harness() as h:
+        servers = CrashingServers(h, kind, "reset")
+        await servers.add(6)
+        await h.start()
+        frozen = ProcessNode(h, tmp_path)
+        try:
+            await frozen.start()
+            frozen.signal(signal.SIGSTOP)
+            await crash_until_stopped(h, servers)
+            await asyncio.sleep(KNOWLEDGE_BOUND_S)
+            frozen.signal(signal.SIGCONT)
+            await asyncio.sleep(KNOWLEDGE_BOUND_S)
+            assert len(servers.runs) == LOSS_BOUND
+            assert await send_crashing(frozen, servers, "late") == 503
+            assert len(servers.runs) == LOSS_BOUND
+        finally:
+            await frozen.kill()
+
+
+@pytest.mark.parametrize("resumed_by", ["node", "caller"])
+async def test_crashing_stream_is_stopped_when_it_is_resumed(resumed_by):
+    # Guards against a stream that loses its server after an event and is not recognised
+    # as the same request when the node or its caller goes on after that event.
+    async with Harness() as h:
+        servers = CrashingServers(h, "stream", "begun")
+        await servers.add(6)
+        await h.start()
+        for number in range(6):
+            headers = {"Last_Event_Id": f"{number}"} if resumed_by == "caller" else {}
+            await send_crashing(h, servers, f"p{number}", **headers)
+            servers.restart_crashed()
+            await asyncio.sleep(0.3)
+        assert len(servers.runs) == LOSS_BOUND
+        assert await send_crashing(h, servers, "again") == 503
+        assert len(servers.runs) == LOSS_BOUND
+
+
 async def test_refusal_of_a_crashing_request_says_when_to_come_back():
     # Guards against callers that repeat at once a request that is refused for minutes.
     async with Harness() as h:
