Log the request limits that servers name

No log line or metric said that a server named a limit of requests a second, nor which requests went there. Routing is unchanged.

--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -5,6 +5,7 @@
 
 from pomelolug.deployment import BackendServer
 from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
+from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.ids import RequestId
 from pomelolug.platform import ServerReply, decode_server_reply
 from pomelolug.transport import (
@@ -106,6 +107,8 @@
         Pool of connections to servers.
     run_monitor : RunMonitor
         Refuses requests that crash servers, and counts how runs end.
+    server_limits : ServerLimits
+        Receives the limit that the response names.
     server : BackendServer
         Server to send to.
     request_id : RequestId
@@ -118,6 +121,7 @@
         self,
         pool: ConnectionPool,
         run_monitor: RunMonitor,
+        server_limits: ServerLimits,
         server: BackendServer,
         *,
         request_id: RequestId,
@@ -125,6 +129,7 @@
     ) -> None:
         self._pool = pool
         self._run_monitor = run_monitor
+        self._server_limits = server_limits
         self._server = server
         self._address = server.address
         self._request_id = request_id
@@ -208,6 +213,7 @@
                 reply = decode_server_reply(head)
                 if self._is_own_response(reply):
                     self._reply = reply
+                    self._record_limit(reply)
                     return reply, head
                 connection.expect_another_response()
                 await connection.read_body(_MAX_SKIPPED_BODY_BYTES)
@@ -280,6 +286,16 @@
             return RunEnd.ANSWERED if is_usable else RunEnd.SURVIVED
         return RunEnd.UNANSWERED if reply is None else RunEnd.INTERRUPTED
 
+    def _record_limit(self, reply: ServerReply) -> None:
+        limit_per_s = reply.request_limit_per_s
+        # A refusal or failure without a limit says nothing about it.
+        if limit_per_s is None and not (reply.sealed and reply.status < 300):
+            return
+        assert self._run is not None
+        self._server_limits.record_response(
+            self._server.vm, limit_per_s, sent_at_s=self._run.began_at_s
+        )
+
     def _is_own_response(self, reply: ServerReply) -> bool:
         if reply.request_id == self._request_id:
             return True
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -26,6 +26,7 @@
 from pomelolug.entry._poison_requests import PoisonRequestDetector
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._run_monitor import RunMonitor
+from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._stream import StreamForwarder
 from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
@@ -197,6 +198,7 @@
             entry_lifetime=settings.server_entry_lifetime,
             clock=clock,
         )
+        self._server_limits = ServerLimits(clock=clock)
         self._stall_detector = StallDetector(clock=clock, on_stall=self._on_stall)
         self._build_forwarders()
         self._build_controller()
@@ -286,6 +288,7 @@
             pool=self._pool,
             retry_limiter=self._retry_limiter,
             run_monitor=self._run_monitor,
+            server_limits=self._server_limits,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -296,6 +299,7 @@
             retry_limiter=self._retry_limiter,
             stall_detector=self._stall_detector,
             run_monitor=self._run_monitor,
+            server_limits=self._server_limits,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -382,6 +386,9 @@
                 self._metrics.quarantined_requests.set(
                     self._poison_detector.quarantined_count()
                 )
+                self._metrics.limited_servers.set(
+                    len(self._server_limits.limited_servers())
+                )
 
     async def _listen(self, address: str, handler: Handler) -> asyncio.Server:
         host, _, port = address.rpartition(":")
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -93,6 +93,16 @@
             "Requests that are refused because they crash servers.",
             registry=self._registry,
         )
+        self.limited_servers = prometheus_client.Gauge(
+            f"{name}_limited_servers",
+            "Servers that limit their requests per second.",
+            registry=self._registry,
+        )
+        self.limited_attempts = prometheus_client.Counter(
+            f"{name}_limited_attempts",
+            "Requests sent to servers that limit their requests.",
+            registry=self._registry,
+        )
         self.log_lines_dropped = prometheus_client.Gauge(
             f"{name}_log_lines_dropped",
             "Log lines dropped because their reader was slow.",
--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -14,6 +14,7 @@
 )
 from pomelolug.entry._request_record import AttemptRecord
 from pomelolug.entry._run_monitor import RunMonitor
+from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.errors import ErrorCode, RequestError
 from pomelolug.ids import VmId, ZoneId
@@ -49,6 +50,8 @@
         Limits retries on further servers.
     run_monitor : RunMonitor
         Refuses requests that crash servers.
+    server_limits : ServerLimits
+        Limits that servers set on their requests.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -64,6 +67,7 @@
         pool: ConnectionPool,
         retry_limiter: RetryLimiter,
         run_monitor: RunMonitor,
+        server_limits: ServerLimits,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -72,6 +76,7 @@
         self._pool = pool
         self._retry_limiter = retry_limiter
         self._run_monitor = run_monitor
+        self._server_limits = server_limits
         self._clock = clock
         self._zone = zone
         self._rng = rng
@@ -140,6 +145,7 @@
             server.vm,
             self._server_tracker.in_flight(server.vm),
             len(self._server_tracker.servers(context.service.name)),
+            self._server_limits.rate_per_s(server.vm),
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(server.vm)
@@ -181,6 +187,7 @@
         async with Attempt(
             self._pool,
             self._run_monitor,
+            self._server_limits,
             server,
             request_id=context.request_head.request_id,
             fingerprint=context.fingerprint,
--- a/pomelolug/entry/_request_record.py
+++ b/pomelolug/entry/_request_record.py
@@ -16,23 +16,27 @@
     """Server selected for one attempt, and the result.
 
     `may_have_run` is set when the request has been sent, and cleared if the server
-    refuses it.
+    refuses it. `limit_per_s` is the limit of the server, None if it has none.
     """
 
     server: VmId
     in_flight: int
     candidate_count: int
+    limit_per_s: float | None = None
     result: str = _RUNNING
     may_have_run: bool = False
 
     def log_fields(self) -> dict[str, Any]:
         """Return the fields of the log line."""
-        return {
+        fields: dict[str, Any] = {
             "server": self.server,
             "in_flight": self.in_flight,
             "candidates": self.candidate_count,
             "result": self.result,
         }
+        if self.limit_per_s is not None:
+            fields["limit_per_s"] = self.limit_per_s
+        return fields
 
 
 @dataclasses.dataclass(slots=True)
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -21,6 +21,7 @@
 )
 from pomelolug.entry._request_record import AttemptRecord
 from pomelolug.entry._run_monitor import RunMonitor
+from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._watch import StallDetector
 from pomelolug.errors import ErrorCode, Outcome, RequestError
@@ -84,6 +85,8 @@
         Aborts attempts at groups that have stalled.
     run_monitor : RunMonitor
         Refuses requests that crash servers.
+    server_limits : ServerLimits
+        Limits that servers set on their requests.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -100,6 +103,7 @@
         retry_limiter: RetryLimiter,
         stall_detector: StallDetector,
         run_monitor: RunMonitor,
+        server_limits: ServerLimits,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -109,6 +113,7 @@
         self._retry_limiter = retry_limiter
         self._stall_detector = stall_detector
         self._run_monitor = run_monitor
+        self._server_limits = server_limits
         self._clock = clock
         self._zone = zone
         self._rng = rng
@@ -240,6 +245,7 @@
             head.vm,
             self._server_tracker.in_flight(head.vm),
             len(self._server_tracker.heads(context.request_head.model)),
+            self._server_limits.rate_per_s(head.vm),
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(head.vm)
@@ -269,6 +275,7 @@
         async with Attempt(
             self._pool,
             self._run_monitor,
+            self._server_limits,
             head,
             request_id=context.request_head.request_id,
             fingerprint=context.fingerprint,
--- a/pomelolug/platform/_headers.py
+++ b/pomelolug/platform/_headers.py
@@ -1,6 +1,7 @@
 """Headers of callers' requests and of servers' responses."""
 
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from pomelolug.ids import AccountId, ModelName, RequestId, VmId
@@ -89,6 +90,8 @@
     `sealed` is true if the response carries the server's signature, which a
     successful response needs. `encoded` is true if the body has a content
     encoding, so that it is not the server's original bytes.
+    `request_limit_per_s` is the rate of requests that the server takes from all nodes
+    together, None if it names none.
     """
 
     status: int
@@ -97,6 +100,7 @@
     refused: bool
     encoded: bool
     at_fault: VmId | None
+    request_limit_per_s: float | None
 
 
 def decode_request_head(
@@ -161,6 +165,7 @@
         refused=head.status == 421 or head.get(_wire_names.NOT_EXECUTED) is not None,
         encoded=head.get(b"content-encoding") is not None,
         at_fault=VmId(_decode_text(at_fault)) if at_fault is not None else None,
+        request_limit_per_s=_decode_rate(head.get(_wire_names.SERVER_LIMIT)),
     )
 
 
@@ -202,6 +207,14 @@
     return milliseconds / 1000.0
 
 
+def _decode_rate(value: bytes | None) -> float | None:
+    try:
+        rate = float(value) if value is not None else -1.0
+    except ValueError:
+        return None
+    return rate if rate >= 0.0 and math.isfinite(rate) else None
+
+
 def _decode_bearer_key(value: bytes | None) -> str | None:
     scheme, _, key = _decode_text(value).partition(" ")
     return key.strip() if scheme.lower() == "bearer" and key.strip() else None
--- a/pomelolug/platform/_wire_names.py
+++ b/pomelolug/platform/_wire_names.py
@@ -10,6 +10,8 @@
 # Sent by a server with a refusal. Without it, the request may have run.
 NOT_EXECUTED = b"Not-Executed"
 RETRY_AFTER = b"Retry-After"
+# Requests per second that a server takes from all nodes together.
+SERVER_LIMIT = b"Server-Limit"
 INSTANCE_ID = b"Instance-Id"
 MODEL = b"Model"
 # Two numbers: prompt tokens and maximum output tokens.
--- a/pomelolug/platform/tests/test_decoding.py
+++ b/pomelolug/platform/tests/test_decoding.py
@@ -193,6 +193,16 @@
     assert not decode_server_reply(ResponseHead(429, ())).refused
 
 
+@pytest.mark.parametrize(
+    ("value", "rate_per_s"),
+    [(b"1.6", 1.6), (b"0", 0.0), (b"-1", None), (b"nan", None), (b"x", None)],
+)
+def test_invalid_request_limit_of_a_server_is_ignored(value, rate_per_s):
+    # A limit that cannot be read must not stop all requests to a server.
+    reply = decode_server_reply(ResponseHead(200, ((b"Server-Limit", value),)))
+    assert reply.request_limit_per_s == rate_per_s
+
+
 def test_events_are_split_at_blank_lines_for_any_chunk_boundary():
     # Events must not be merged or divided at packet boundaries.
     data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3"
