--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -1,17 +1,26 @@
 """Entry process in the event loop of a test, with fake servers and a fake store."""
 
+import abc
 import asyncio
 import datetime
 import os
+import pathlib
 import random
+import signal
 
 import msgspec
 
 from pomelolug.entry._compose import _EntryProcess
+from pomelolug.experiments.process_soak import SoakProcess
 from pomelolug.ids import NodeId, ZoneId
-from pomelolug.platform import NodeSettings
+from pomelolug.platform import SETTINGS_VARIABLE, NodeSettings
 from pomelolug.telemetry import NonBlockingWriter
-from pomelolug.testing import FakeMetadataStore, ScriptedServer
+from pomelolug.testing import (
+    FakeMetadataStore,
+    ScriptedServer,
+    format_entry_settings,
+    is_ready,
+)
 from pomelolug.transport import (
     ClientConnection,
     ResponseHead,
@@ -67,7 +76,49 @@
     } | overrides
 
 
-class Harness:
+class CallerOfNode(abc.ABC):
+    """Sends requests to a node as its callers do."""
+
+    @property
+    @abc.abstractmethod
+    def ip(self) -> str:
+        """IP address of the node."""
+
+    async def connect(self, port: int = 8001) -> ClientConnection:
+        return await open_connection(
+            self.ip, port, timeout=datetime.timedelta(seconds=1)
+        )
+
+    async def request(
+        self,
+        path: str,
+        *,
+        method: bytes = b"GET",
+        body: bytes = b"",
+        request_id: str = "r1",
+        key: str | None = API_KEY,
+        deadline_ms: int = 3000,
+        connection: ClientConnection | None = None,
+        **headers: str,
+    ) -> tuple[ResponseHead, bytes]:
+        """Send a request and return the complete response."""
+        connection = connection or await self.connect()
+        connection.send(
+            encode_caller_request(
+                path,
+                method=method,
+                body=body,
+                request_id=request_id,
+                key=key,
+                deadline_ms=deadline_ms,
+                **headers,
+            )
+        )
+        head = await connection.read_head()
+        return head, await connection.read_body(1 << 20)
+
+
+class Harness(CallerOfNode):
     """An entry process with its metadata store and backend servers.
 
     With `joins`, the entry process is a further node beside that of another harness,
@@ -79,10 +130,14 @@
         self.store = joins.store if joins is not None else FakeMetadataStore()
         self.servers: list[ScriptedServer] = []
         rng = random.Random(os.urandom(8))
-        self.ip = f"127.{rng.randrange(1, 250)}.{rng.randrange(250)}.7"
+        self._ip = f"127.{rng.randrange(1, 250)}.{rng.randrange(250)}.7"
         self.entry: _EntryProcess | None = None
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def ip(self) -> str:
+        return self._ip
+
     async def __aenter__(self) -> "Harness":
         if self._joins is None:
             await self.store.start()
@@ -179,38 +234,44 @@
         registry = getattr(self.entry, "_registry", None)
         return registry is not None and len(registry.servers) >= expected_count
 
-    async def connect(self, port: int = 8001) -> ClientConnection:
-        return await open_connection(
-            self.ip, port, timeout=datetime.timedelta(seconds=1)
-        )
 
-    async def request(
-        self,
-        path: str,
-        *,
-        method: bytes = b"GET",
-        body: bytes = b"",
-        request_id: str = "r1",
-        key: str | None = API_KEY,
-        deadline_ms: int = 3000,
-        connection: ClientConnection | None = None,
-        **headers: str,
-    ) -> tuple[ResponseHead, bytes]:
-        """Send a request and return the complete response."""
-        connection = connection or await self.connect()
-        connection.send(
-            encode_caller_request(
-                path,
-                method=method,
-                body=body,
-                request_id=request_id,
-                key=key,
-                deadline_ms=deadline_ms,
-                **headers,
-            )
+class ProcessNode(CallerOfNode):
+    """A node beside those of a harness, as a process that can be stopped."""
+
+    def __init__(self, joins: Harness, folder: pathlib.Path) -> None:
+        self._ip = joins.ip[:-1] + "8"
+        path = folder / "node.toml"
+        settings = format_entry_settings(
+            node="process-node",
+            ip=self._ip,
+            zone="z1",
+            store=joins.store.address,
+            seeds=[f"{joins.ip}:8003"],
         )
-        head = await connection.read_head()
-        return head, await connection.read_body(1 << 20)
+        path.write_text(settings)
+        self._process = SoakProcess(
+            name="process-node",
+            arguments=("-m", "pomelolug.entry"),
+            environment={SETTINGS_VARIABLE: str(path)},
+            folder=folder,
+        )
+
+    @property
+    def ip(self) -> str:
+        return self._ip
+
+    async def start(self) -> None:
+        """Start the process and wait until it is ready."""
+        await self._process.start()
+        async with asyncio.timeout(10.0):
+            while not await is_ready(f"{self._ip}:8002"):  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+
+    def signal(self, number: signal.Signals) -> None:
+        self._process.signal(number)
+
+    async def kill(self) -> None:
+        await self._process.kill()
 
 
 def encode_caller_request(
@@ -245,7 +306,7 @@
     return b"id: %d\ndata: token %d\n\n" % (number, number)
 
 
-def start_stream(request) -> None:
+def start_stream(request, **headers: str) -> None:
     request.send_head(
         "200 OK",
         {
@@ -253,5 +314,6 @@
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
         }
-        | SEAL_HEADERS,
+        | SEAL_HEADERS
+        | headers,
     )
--- a/pomelolug/entry/tests/test_crashing_requests.py
+++ b/pomelolug/entry/tests/test_crashing_requests.py
@@ -1,8 +1,6 @@
 """A request that crashes each server that runs it is stopped after three losses."""
 
 import asyncio
-import datetime
-import pathlib
 import signal
 
 import pytest
@@ -11,24 +9,14 @@
     API_KEY,
     MODEL,
     Harness,
+    ProcessNode,
     encode_caller_request,
     encode_event,
     send_response,
     start_stream,
 )
-from pomelolug.experiments.process_soak import SoakProcess
-from pomelolug.platform import SETTINGS_VARIABLE
-from pomelolug.testing import (
-    LinkFault,
-    LoopbackProxy,
-    format_entry_settings,
-    is_ready,
-)
-from pomelolug.transport import (
-    ClientConnection,
-    HttpConnectionError,
-    open_connection,
-)
+from pomelolug.testing import LinkFault, LoopbackProxy
+from pomelolug.transport import HttpConnectionError
 
 LOSS_BOUND = 3
 KNOWLEDGE_BOUND_S = 3.0
@@ -121,7 +109,7 @@
 
 
 async def send_crashing(
-    h: "Harness | ProcessNode", servers: CrashingServers, name: str, **headers: str
+    h: Harness | ProcessNode, servers: CrashingServers, name: str, **headers: str
 ) -> int | None:
     """Send the request under a new id; return its status, None without an answer."""
     connection = await h.connect()
@@ -151,46 +139,6 @@
         await asyncio.sleep(0.02)
 
 
-class ProcessNode:
-    """A node beside those of a harness, as a process that can be stopped."""
-
-    def __init__(self, joins: Harness, folder: pathlib.Path) -> None:
-        self._ip = joins.ip[:-1] + "8"
-        path = folder / "node.toml"
-        settings = format_entry_settings(
-            node="process-node",
-            ip=self._ip,
-            zone="z1",
-            store=joins.store.address,
-            seeds=[f"{joins.ip}:8003"],
-        )
-        path.write_text(settings)
-        self._process = SoakProcess(
-            name="process-node",
-            arguments=("-m", "pomelolug.entry"),
-            environment={SETTINGS_VARIABLE: str(path)},
-            folder=folder,
-        )
-
-    async def start(self) -> None:
-        """Start the process and wait until it is ready."""
-        await self._process.start()
-        async with asyncio.timeout(10.0):
-            while not await is_ready(f"{self._ip}:8002"):  # noqa: ASYNC110
-                await asyncio.sleep(0.1)
-
-    def signal(self, number: signal.Signals) -> None:
-        self._process.signal(number)
-
-    async def kill(self) -> None:
-        await self._process.kill()
-
-    async def connect(self) -> ClientConnection:
-        return await open_connection(
-            self._ip, 8001, timeout=datetime.timedelta(seconds=1)
-        )
-
-
 async def send_harmless(h: Harness, servers: CrashingServers, name: str) -> int:
     headers = {"Model": MODEL, "Token_Count": "100,50"}
     head, _ = await h.request(
