--- a/pomelolug/claims/_relay_selection.py
+++ b/pomelolug/claims/_relay_selection.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 
 from pomelolug.ids import NodeId, RegionId
-from pomelolug.membership import NodeInfo, rendezvous
+from pomelolug.membership import NodeInfo
+from pomelolug.rendezvous import rendezvous
 
 __all__ = ["select_relay"]
 
--- a/pomelolug/control/_assignments.py
+++ b/pomelolug/control/_assignments.py
@@ -6,7 +6,8 @@
 from pomelolug.clock import Clock
 from pomelolug.ids import DomainId, GroupId, ZoneId
 from pomelolug.infrastructure import VmEntry
-from pomelolug.membership import NodeInfo, rendezvous
+from pomelolug.membership import NodeInfo
+from pomelolug.rendezvous import rendezvous
 
 __all__ = ["NodeAssignments"]
 
--- a/pomelolug/membership/__init__.py
+++ b/pomelolug/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Cluster membership: peer connections, failure detection, rendezvous hashing."""
+"""Cluster membership: peer connections, failure detection."""
 
 from pomelolug.membership._connection import Connection, open_connection
 from pomelolug.membership._handshake import PROTOCOL, Identity, Role, handshake
@@ -9,7 +9,6 @@
     PausableClock,
 )
 from pomelolug.membership._mesh import Mesh
-from pomelolug.membership._rendezvous import rendezvous
 from pomelolug.membership._server import HttpReply, PeerServer
 from pomelolug.membership._table import (
     NodeInfo,
@@ -46,6 +45,5 @@
     "first_incarnation",
     "handshake",
     "open_connection",
-    "rendezvous",
     "process_generation",
 ]
--- a/pomelolug/membership/_hubs.py
+++ b/pomelolug/membership/_hubs.py
@@ -2,8 +2,8 @@
 
 from collections import defaultdict
 
-from pomelolug.membership._rendezvous import rendezvous
 from pomelolug.membership._table import MembershipTable, NodeState
+from pomelolug.rendezvous import rendezvous
 
 __all__ = ["FULL_MESH_NODES", "HubSelector"]
 
