Keep to the request limits of servers with all nodes together

Servers that named a limit of requests a second got as many as before: callers were served from servers that had asked for relief.

Cause: no code read the limit. The class is a bound on what all nodes do together, which a limit in each node would not keep.

Change: what servers state is kept by ServerLimits and told in statuses, first-hand statements only, so that all nodes know of a limit and of its end. RequestRateLimiter gives each node an equal share, from the limit and the nodes alone; with too many nodes to save up one request each, some nodes of all zones, chosen by rendezvous hashing, send to the server. Servers at their limit are not chosen, by streams, plain requests, repeats and resumed streams alike, and each send is counted in Attempt before its first await. If all servers are at their limit the request is refused at once with server_limit and the time until one takes a request from this node.

Ruled out: counting what all nodes have sent from their statuses. At the planned size a status is older than the window of 4 s, so the bound would rest on luck.

--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -4,8 +4,8 @@
 from types import TracebackType
 
 from pomelolug.deployment import BackendServer
+from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
-from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.ids import RequestId
 from pomelolug.platform import ServerReply, decode_server_reply
 from pomelolug.transport import (
@@ -107,8 +107,8 @@
         Pool of connections to servers.
     run_monitor : RunMonitor
         Refuses requests that crash servers, and counts how runs end.
-    server_limits : ServerLimits
-        Receives the limit that the response names.
+    rate_limiter : RequestRateLimiter
+        Counts the request, and receives the limit that the response names.
     server : BackendServer
         Server to send to.
     request_id : RequestId
@@ -121,7 +121,7 @@
         self,
         pool: ConnectionPool,
         run_monitor: RunMonitor,
-        server_limits: ServerLimits,
+        rate_limiter: RequestRateLimiter,
         server: BackendServer,
         *,
         request_id: RequestId,
@@ -129,7 +129,7 @@
     ) -> None:
         self._pool = pool
         self._run_monitor = run_monitor
-        self._server_limits = server_limits
+        self._rate_limiter = rate_limiter
         self._server = server
         self._address = server.address
         self._request_id = request_id
@@ -177,6 +177,8 @@
         QuarantinedError
             If the request must not be sent, since it crashes servers.
         """
+        # Counted before the first await, since the choice of the server relies on it.
+        self._rate_limiter.record_request(self._server.vm)
         try:
             connection = await self._pool.acquire(self._address, fresh=fresh)
         except HttpConnectionError as error:
@@ -292,7 +294,7 @@
         if limit_per_s is None and not (reply.sealed and reply.status < 300):
             return
         assert self._run is not None
-        self._server_limits.record_response(
+        self._rate_limiter.limits.record_response(
             self._server.vm, limit_per_s, sent_at_s=self._run.began_at_s
         )
 
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -24,6 +24,7 @@
 from pomelolug.entry._peer_coordinator import PeerCoordinator
 from pomelolug.entry._plain import PlainForwarder
 from pomelolug.entry._poison_requests import PoisonRequestDetector
+from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._server_limits import ServerLimits
@@ -33,7 +34,7 @@
 from pomelolug.entry._watch import StallDetector
 from pomelolug.errors import InvalidInputError
 from pomelolug.feeds import RecordSource, TopicFeed
-from pomelolug.ids import ModelName, VmId
+from pomelolug.ids import ModelName, NodeId, VmId
 from pomelolug.platform import (
     TOPIC_DECLARATION,
     TOPIC_LOSSES,
@@ -175,7 +176,10 @@
         store = MetadataStore(address=settings.store_address, timeout=_STORE_TIMEOUT)
         self._store = store
         self._registry = ServerRegistry(clock=clock)
-        self._server_tracker = ServerTracker(registry=self._registry, clock=clock)
+        self._build_rate_limiter()
+        self._server_tracker = ServerTracker(
+            registry=self._registry, rate_limiter=self._rate_limiter, clock=clock
+        )
         self._declarations = DeclarationCache(on_change=self._on_declaration)
         self._registry_updater = RegistryUpdater(
             registry=self._registry, on_change=self._on_registry_change
@@ -198,14 +202,13 @@
             entry_lifetime=settings.server_entry_lifetime,
             clock=clock,
         )
-        self._server_limits = ServerLimits(clock=clock)
         self._stall_detector = StallDetector(clock=clock, on_stall=self._on_stall)
         self._build_forwarders()
         self._build_controller()
         self._lifecycle = Lifecycle(
             clock=clock, grace=settings.stop_grace, unready_reason=self._unready_reason
         )
-        self._peer_coordinator = PeerCoordinator(
+        self._peer_coordinator: PeerCoordinator = PeerCoordinator(
             settings=settings,
             clock=clock,
             rng=self._rng,
@@ -217,9 +220,10 @@
             is_serving=lambda: self._request_handler.has_received_request,
             can_reach_store=self._can_reach_store,
             on_suspect=self._controller.mark_suspect,
-            on_node_count=self._retry_limiter.set_node_count,
+            on_nodes=self._on_nodes,
             departures=self._departures,
             poison_detector=self._poison_detector,
+            server_limits=self._server_limits,
         )
         self._internal_endpoints = InternalEndpoints(
             lifecycle=self._lifecycle,
@@ -232,6 +236,22 @@
             feeds=self._feeds,
         )
 
+    def _build_rate_limiter(self) -> None:
+        settings = self._settings
+        self._server_limits = ServerLimits(
+            zone=settings.zone,
+            clock=self._clock,
+            on_news=self._on_limit_news,
+        )
+        self._rate_limiter = RequestRateLimiter(
+            limits=self._server_limits,
+            node=settings.node,
+            zone=settings.zone,
+            zones=settings.zones,
+            clock=self._clock,
+            rng=self._rng,
+        )
+
     def _build_feeds(self) -> None:
         self._declaration_feed = TopicFeed(
             topic=TOPIC_DECLARATION,
@@ -288,7 +308,7 @@
             pool=self._pool,
             retry_limiter=self._retry_limiter,
             run_monitor=self._run_monitor,
-            server_limits=self._server_limits,
+            rate_limiter=self._rate_limiter,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -299,7 +319,7 @@
             retry_limiter=self._retry_limiter,
             stall_detector=self._stall_detector,
             run_monitor=self._run_monitor,
-            server_limits=self._server_limits,
+            rate_limiter=self._rate_limiter,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -379,6 +399,8 @@
             if rounds % _ROUNDS_PER_SWEEP == 0:
                 self._pool.close_expired()
                 self._run_monitor.settle_overdue()
+                self._server_limits.forget_expired()
+                self._rate_limiter.drop_unlimited()
                 self._metrics.in_flight.set(self._request_handler.in_flight)
                 self._metrics.declaration_version.set(self._declarations.version)
                 self._metrics.open_groups.set(self._server_tracker.open_groups())
@@ -452,6 +474,13 @@
         for server in change.removed:
             self._pool.close_idle(server.address)
 
+    def _on_limit_news(self) -> None:
+        self._peer_coordinator.announce()
+
+    def _on_nodes(self, count: int, zone_nodes: list[NodeId]) -> None:
+        self._retry_limiter.set_node_count(count)
+        self._rate_limiter.set_nodes(count=count, zone_nodes=zone_nodes)
+
     def _on_stall(self, head: VmId) -> None:
         self._metrics.stalls.inc()
         _log.warning(
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -12,11 +12,12 @@
 from pomelolug.entry._peer_gossip import PeerGossip
 from pomelolug.entry._poison_requests import PoisonRequestDetector
 from pomelolug.entry._relay import RelaySource
+from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._topic_consumers import DeclarationCache
 from pomelolug.errors import PlatformError
 from pomelolug.feeds import RecordSource
-from pomelolug.ids import VmId, ZoneId
+from pomelolug.ids import NodeId, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.platform import TOPIC_NODES, MetadataStore, NodeSettings
 from pomelolug.replicas import Departures
@@ -83,12 +84,15 @@
         Return the state of this node for its status.
     on_suspect : callable
         Called with each head that a peer reports as suspected.
-    on_node_count : callable
-        Called with the known number of nodes in all zones.
+    on_nodes : callable
+        Called with the known number of nodes in all zones, and with the live nodes of
+        this zone.
     departures : Departures
         Departures of members from groups whose heads do not answer.
     poison_detector : PoisonRequestDetector
         Requests that were in flight when servers were lost.
+    server_limits : ServerLimits
+        Limits that servers set on their requests.
     """
 
     def __init__(
@@ -105,9 +109,10 @@
         is_serving: Callable[[], bool],
         can_reach_store: Callable[[], bool],
         on_suspect: Callable[[VmId], None],
-        on_node_count: Callable[[int], None],
+        on_nodes: Callable[[int, list[NodeId]], None],
         departures: Departures,
         poison_detector: PoisonRequestDetector,
+        server_limits: ServerLimits,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -121,10 +126,11 @@
         self._is_serving = is_serving
         self._can_reach_store = can_reach_store
         self._on_suspect = on_suspect
-        self._on_node_count = on_node_count
+        self._on_nodes = on_nodes
         self._registered_count = 0
         self._departures = departures
         self._poison_detector = poison_detector
+        self._server_limits = server_limits
         self._started_ms = time.time_ns() // 1_000_000
         self._datagram_port = (
             settings.internal_ports[0] if settings.internal_ports else 0
@@ -272,7 +278,7 @@
                 self._relay_since_s = self._clock.monotonic()
                 _log.info("relay_role", relay=self._was_relay)
                 self.announce()
-            self._update_node_count()
+            self._report_nodes()
             if is_lease_held_by_peer(
                 self._gossip.live_statuses, zone=self._settings.zone
             ):
@@ -281,12 +287,20 @@
                 self._announced_lease = self._holds_lease()
                 self.announce()
 
-    def _update_node_count(self) -> None:
-        """Report the largest number of nodes that this node or a peer knows of."""
+    def _report_nodes(self) -> None:
+        """Report the live nodes of the zone, and how many nodes there are in all.
+
+        The number is the largest that this node or a peer knows of.
+        """
         live = self._gossip.live_statuses
         reported_counts = [status.nodes for status in live]
-        self._on_node_count(
-            max(self._registered_count, len(live) + 1, *reported_counts)
+        zone_nodes = [
+            NodeId(status.node)
+            for status in live
+            if status.zone == self._settings.zone and not status.stopping
+        ]
+        self._on_nodes(
+            max(self._registered_count, len(live) + 1, *reported_counts), zone_nodes
         )
 
     async def _run_registration(self) -> None:
@@ -345,6 +359,9 @@
             cleared=self._poison_detector.cleared_to_send(),
             strikes=self._poison_detector.losses_to_send(),
             releases=self._departures.ages_s(),
+            limits=self._server_limits.own_reports(),
+            zone_limits=self._server_limits.zone_reports() if is_relay else {},
+            other_limits=self._server_limits.other_zone_reports() if is_relay else {},
             peers=peers,
         )
 
@@ -356,6 +373,7 @@
         for head in {*status.suspects, *status.zone_suspects, *status.other_suspects}:
             self._on_suspect(VmId(head))
         self._departures.merge(status.releases)
+        self._server_limits.merge(status)
         self._poison_detector.merge(
             status.strikes,
             cleared=status.cleared,
--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -6,15 +6,16 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, Repeatability
 from pomelolug.entry._attempt import Attempt, AttemptError, RunStatus
+from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._request_context import (
     RequestContext,
     not_run_error,
+    server_limit_error,
     unknown_outcome_error,
 )
 from pomelolug.entry._request_record import AttemptRecord
 from pomelolug.entry._run_monitor import RunMonitor
-from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.errors import ErrorCode, RequestError
 from pomelolug.ids import VmId, ZoneId
@@ -50,8 +51,8 @@
         Limits retries on further servers.
     run_monitor : RunMonitor
         Refuses requests that crash servers.
-    server_limits : ServerLimits
-        Limits that servers set on their requests.
+    rate_limiter : RequestRateLimiter
+        Share of this node in the requests that limited servers take.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -67,7 +68,7 @@
         pool: ConnectionPool,
         retry_limiter: RetryLimiter,
         run_monitor: RunMonitor,
-        server_limits: ServerLimits,
+        rate_limiter: RequestRateLimiter,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -76,7 +77,7 @@
         self._pool = pool
         self._retry_limiter = retry_limiter
         self._run_monitor = run_monitor
-        self._server_limits = server_limits
+        self._rate_limiter = rate_limiter
         self._clock = clock
         self._zone = zone
         self._rng = rng
@@ -133,9 +134,7 @@
             context.record.status = reply.status
             context.exchange.reply(reply.status, response_headers(response_head), body)
             return
-        raise error or not_run_error(
-            ErrorCode.NO_GROUP, "no server of the service is ready"
-        )
+        raise error or self._no_server_error(context)
 
     async def _run_attempt(
         self, context: RequestContext, server: BackendServer, *, is_final: bool
@@ -145,7 +144,7 @@
             server.vm,
             self._server_tracker.in_flight(server.vm),
             len(self._server_tracker.servers(context.service.name)),
-            self._server_limits.rate_per_s(server.vm),
+            self._rate_limiter.limits.rate_per_s(server.vm),
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(server.vm)
@@ -187,7 +186,7 @@
         async with Attempt(
             self._pool,
             self._run_monitor,
-            self._server_limits,
+            self._rate_limiter,
             server,
             request_id=context.request_head.request_id,
             fingerprint=context.fingerprint,
@@ -219,6 +218,12 @@
             return None
         return min(servers, key=lambda s: (self._score(s), self._rng.random()))
 
+    def _no_server_error(self, context: RequestContext) -> RequestError:
+        wait_s = self._server_tracker.server_wait_s(context.service.name)
+        if wait_s:
+            return server_limit_error(wait_s)
+        return not_run_error(ErrorCode.NO_GROUP, "no server of the service is ready")
+
     def _score(self, server: BackendServer) -> float:
         load = self._server_tracker.in_flight(server.vm) / max(server.slots, 1)
         zone_penalty = 0.0 if server.zone == self._zone else _CROSS_ZONE_PENALTY
--- a/pomelolug/entry/_request_context.py
+++ b/pomelolug/entry/_request_context.py
@@ -1,6 +1,7 @@
 """State of a caller's request while this node processes it."""
 
 import dataclasses
+import datetime
 
 import msgspec
 
@@ -11,7 +12,13 @@
 from pomelolug.platform import RequestHead, forwarded_headers, refusal_headers
 from pomelolug.transport import Exchange, encode_request
 
-__all__ = ["RequestContext", "not_run_error", "reply_error", "unknown_outcome_error"]
+__all__ = [
+    "RequestContext",
+    "not_run_error",
+    "reply_error",
+    "server_limit_error",
+    "unknown_outcome_error",
+]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -85,6 +92,17 @@
     return RequestError(code, message, status=503, outcome=Outcome.NOT_RUN)
 
 
+def server_limit_error(wait_s: float) -> RequestError:
+    """Return an error stating that servers take the request in `wait_s` seconds."""
+    return RequestError(
+        ErrorCode.SERVER_LIMIT,
+        "the servers limit their requests per second",
+        status=503,
+        outcome=Outcome.NOT_RUN,
+        retry_after=datetime.timedelta(seconds=wait_s),
+    )
+
+
 def unknown_outcome_error(
     code: ErrorCode, message: str, *, status: int = 502
 ) -> RequestError:
--- a/pomelolug/entry/_server_tracker.py
+++ b/pomelolug/entry/_server_tracker.py
@@ -11,6 +11,7 @@
     ServerRegistry,
     ServerState,
 )
+from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.replicas import GroupKey, group_views
@@ -52,12 +53,21 @@
     ----------
     registry : ServerRegistry
         Servers as read from the store.
+    rate_limiter : RequestRateLimiter
+        Share of this node in the requests that limited servers take.
     clock : Clock
         Source of monotonic time.
     """
 
-    def __init__(self, *, registry: ServerRegistry, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        registry: ServerRegistry,
+        rate_limiter: RequestRateLimiter,
+        clock: Clock,
+    ) -> None:
         self._registry = registry
+        self._rate_limiter = rate_limiter
         self._clock = clock
         self._loads: dict[VmId, ServerLoad] = {}
         self._peer_loads: dict[VmId, int] = {}
@@ -215,21 +225,45 @@
                 del self._loads[vm]
 
     def heads(self, model: ModelName) -> list[BackendServer]:
-        """Return the usable heads of the open groups of a model."""
-        now_s = self._clock.monotonic()
-        return [
-            h
-            for h in self._heads_by_model.get(model, ())
-            if self._is_usable(h.vm, now_s)
-        ]
+        """Return the heads of the open groups of a model that take a request now."""
+        return self._select_unlimited(self._usable_heads(model))
+
+    def head_wait_s(self, model: ModelName) -> float:
+        """Return the seconds until a head takes a request within its limit.
+
+        0 if one does now or if there is none.
+        """
+        return self._least_wait_s(self._usable_heads(model))
 
     def open_groups(self) -> int:
         """Return the number of open groups."""
         return sum(len(heads) for heads in self._heads_by_model.values())
 
     def servers(self, service: ServiceName) -> list[BackendServer]:
-        """Return the ready servers of a service without replica groups."""
-        return self._servers_by_service.get(service, [])
+        """Return the servers that take a request now, of a service without groups."""
+        return self._select_unlimited(self._servers_by_service.get(service, []))
+
+    def server_wait_s(self, service: ServiceName) -> float:
+        """Return the seconds until a server takes a request within its limit.
+
+        0 if one does now or if there is none.
+        """
+        return self._least_wait_s(self._servers_by_service.get(service, []))
+
+    def _select_unlimited(self, servers: list[BackendServer]) -> list[BackendServer]:
+        return [s for s in servers if not self._rate_limiter.wait_s(s.vm)]
+
+    def _least_wait_s(self, servers: list[BackendServer]) -> float:
+        return min((self._rate_limiter.wait_s(s.vm) for s in servers), default=0.0)
+
+    def _usable_heads(self, model: ModelName) -> list[BackendServer]:
+        """Return the heads of the open groups of a model that are not suspected."""
+        now_s = self._clock.monotonic()
+        return [
+            h
+            for h in self._heads_by_model.get(model, ())
+            if self._is_usable(h.vm, now_s)
+        ]
 
     def _is_usable(self, vm: VmId, now_s: float) -> bool:
         """Return whether requests may be sent to the head of an open group.
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -1,10 +1,14 @@
 """Tests of the load and suspicions that nodes exchange through their statuses."""
 
+import random
+
 import pytest
 
 from pomelolug.deployment import ServerRegistry
+from pomelolug.entry._rate_limiter import RequestRateLimiter
+from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_tracker import ServerTracker
-from pomelolug.ids import VmId, ZoneId
+from pomelolug.ids import NodeId, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.testing import LoopClock
 
@@ -13,7 +17,18 @@
 
 
 def make_tracker() -> ServerTracker:
-    return ServerTracker(registry=ServerRegistry(clock=LoopClock()), clock=LoopClock())
+    clock, zone = LoopClock(), ZoneId("a")
+    rate_limiter = RequestRateLimiter(
+        limits=ServerLimits(zone=zone, clock=clock, on_news=lambda: None),
+        node=NodeId("n"),
+        zone=zone,
+        zones=(),
+        clock=clock,
+        rng=random.Random(0),
+    )
+    return ServerTracker(
+        registry=ServerRegistry(clock=clock), rate_limiter=rate_limiter, clock=clock
+    )
 
 
 def status(tracker: ServerTracker, zone: str, *, relay: bool) -> NodeStatus:
--- a/pomelolug/errors/_codes.py
+++ b/pomelolug/errors/_codes.py
@@ -41,6 +41,7 @@
     NO_CONFIGURATION = "no_configuration"
     NO_GROUP = "no_group"
     QUEUE_FULL = "queue_full"
+    SERVER_LIMIT = "server_limit"
     DEADLINE_UNMEETABLE = "deadline_unmeetable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ACCOUNT_LIMIT = "account_limit"
--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -8,6 +8,7 @@
 import datetime
 import functools
 import json
+import random
 import time
 from collections.abc import Callable
 
@@ -24,6 +25,8 @@
     ServerState,
 )
 from pomelolug.entry._poison_requests import PoisonRequestDetector, compute_fingerprint
+from pomelolug.entry._rate_limiter import RequestRateLimiter
+from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.experiments._slopes import (
     LinearFit,
@@ -35,6 +38,7 @@
     DomainId,
     GroupId,
     ModelName,
+    NodeId,
     Offset,
     ServiceName,
     VmId,
@@ -99,9 +103,24 @@
     return registry
 
 
+def _make_rate_limiter() -> RequestRateLimiter:
+    clock, zone = _ProcessClock(), ZoneId("z")
+    limits = ServerLimits(zone=zone, clock=clock, on_news=lambda: None)
+    return RequestRateLimiter(
+        limits=limits,
+        node=NodeId("n"),
+        zone=zone,
+        zones=(),
+        clock=clock,
+        rng=random.Random(0),
+    )
+
+
 def _make_tracker_refresh(count: int) -> Callable[[], object]:
     server_tracker = ServerTracker(
-        registry=_make_registry(count), clock=_ProcessClock()
+        registry=_make_registry(count),
+        rate_limiter=_make_rate_limiter(),
+        clock=_ProcessClock(),
     )
     return lambda: server_tracker.refresh({_MODEL: GROUP_SIZE})
 
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -15,7 +15,12 @@
     encode,
 )
 from pomelolug.messages._configuration_generated import ConfigurationChange
-from pomelolug.messages._entry_generated import FeedBatch, FeedRecord, NodeStatus
+from pomelolug.messages._entry_generated import (
+    FeedBatch,
+    FeedRecord,
+    LimitReport,
+    NodeStatus,
+)
 from pomelolug.messages._groups_generated import (
     Dissolution,
     Drain,
@@ -75,6 +80,7 @@
     "Hello",
     "HolderLost",
     "KeepAlive",
+    "LimitReport",
     "LossReport",
     "MAX_MESSAGE_BYTES",
     "Message",
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -5,7 +5,16 @@
 
 from pomelolug.messages._codec import Message
 
-__all__ = ["FeedBatch", "FeedRecord", "NodeStatus"]
+__all__ = ["FeedBatch", "FeedRecord", "LimitReport", "NodeStatus"]
+
+
+class LimitReport(Message, frozen=True, kw_only=True):
+    """Limit on the requests that a server takes, as it last stated it."""
+
+    rate_per_s: float | None = None
+    """Requests per second from all nodes; None if no longer limited."""
+    age_s: float
+    """Time since the server's response, in seconds."""
 
 
 class NodeStatus(Message, frozen=True, kw_only=True):
@@ -57,6 +66,12 @@
     """Losses in `strikes` that turned out to be none, by request fingerprint."""
     strikes: dict[str, tuple[str, ...]] = {}
     """Servers lost while running a request, by request fingerprint."""
+    limits: dict[str, LimitReport] = {}
+    """Limits that servers stated to the node itself."""
+    zone_limits: dict[str, LimitReport] = {}
+    """Limits that servers stated in the relay's whole zone."""
+    other_limits: dict[str, LimitReport] = {}
+    """Limits that servers stated in all other zones, as known to the relay."""
     peers: tuple[str, ...] = ()
     """Datagram addresses of a sample of other nodes."""
 
--- a/pomelolug/platform/_settings.py
+++ b/pomelolug/platform/_settings.py
@@ -45,6 +45,8 @@
     heartbeat_ms: float = 1200.0
     internal_ports: tuple[int, ...] = ()
     seeds: tuple[str, ...] = ()
+    # Region of each zone.
+    zones: dict[str, str] = {}
     bounds: _Bounds = _Bounds()
 
 
@@ -54,6 +56,8 @@
     node: NodeId
     ip: str
     zone: ZoneId
+    zones: tuple[ZoneId, ...] = ()
+    """All zones of the deployment; may be empty."""
     store_address: str
     caller_address: str
     """Address on which callers connect."""
@@ -106,6 +110,7 @@
         node=NodeId(file.node),
         ip=file.ip,
         zone=ZoneId(file.zone),
+        zones=tuple(ZoneId(zone) for zone in file.zones),
         store_address=file.platform.address,
         caller_address=file.listen.front,
         readiness_address=file.listen.ready,
