Limit servers in the soak of real processes

A server now names a limit of 0.3 to 2 requests a second for 4 to 8 s, and the checker counts what it gets from entry VMs that were told and not disturbed, with the bound of the users.

--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -29,6 +29,8 @@
     LinkFault.RESPONSES_HELD,
     LinkFault.DELAYED,
 )
+_LIMIT_RANGE_PER_S = (0.3, 2.0)
+_LIMIT_DURATION_RANGE_S = (4.0, 8.0)
 _UNAVAILABLE_STATUS = 503
 _SERVERS_ONLY = "servers"
 """Target of fault windows that do not affect any entry VM."""
@@ -84,6 +86,7 @@
             "server_leaves": self._drain_server,
             "server_slow": self._slow_server,
             "server_garbles": self._garble_server_answers,
+            "server_limited": self._limit_server,
             "domain_paused": self._pause_domain,
             "key_revoked": self._revoke_key,
             "timeouts_changed": self._change_timeouts,
@@ -320,6 +323,22 @@
             self._cluster.send_command(server, "garble", 0.0)
         self._reserved.discard(server.vm)
 
+    async def _limit_server(self) -> None:
+        if (server := self._reserve_random_server()) is None:
+            return
+        limit_per_s = round(self._rng.uniform(*_LIMIT_RANGE_PER_S), 2)
+        async with self._fault_window(
+            f"{server.vm} limited to {limit_per_s}/s", _SERVERS_ONLY
+        ):
+            self._cluster.send_command(server, "limit", limit_per_s)
+            period = self._guarantees.record_limit(
+                server.vm, limit_per_s, start_s=time.monotonic()
+            )
+            await asyncio.sleep(self._rng.uniform(*_LIMIT_DURATION_RANGE_S))
+            period.end_s = time.monotonic()
+            self._cluster.send_command(server, "limit", 0.0)
+        self._reserved.discard(server.vm)
+
     async def _pause_domain(self) -> None:
         process = self._rng.choice(self._cluster.server_processes)
         if not self._reserve(process.name):
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -1,5 +1,6 @@
 """Guarantees to callers, checked from what callers and servers saw."""
 
+import dataclasses
 import datetime
 from collections import Counter
 from collections.abc import Iterator
@@ -16,7 +17,7 @@
 )
 from pomelolug.testing import CRASH_PATH_PART
 
-__all__ = ["GuaranteeChecker"]
+__all__ = ["GuaranteeChecker", "LimitPeriod"]
 
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that the request did not run and never will."""
@@ -36,6 +37,13 @@
 """Servers are down at least as long, so runs at one server within it crash it once."""
 _CRASH_EFFECT_S = 6.0
 """Time for which a crashed server affects the calls of others."""
+_LIMIT_WINDOW_S = 4.0
+_LIMIT_FACTOR = 1.5
+"""Requests allowed in a window, as a multiple of the limit of a server."""
+_LIMIT_EXCESS = 5
+"""Requests allowed in a window beyond that."""
+_LIMIT_KNOWN_S = 0.5
+"""Time after a response with a limit from which its entry VM has to keep to it."""
 _ASSUMED_READ_S = 0.2
 """Time after which a request on a new connection counts as read.
 
@@ -43,6 +51,20 @@
 """
 
 
+@dataclasses.dataclass(kw_only=True)
+class LimitPeriod:
+    """Period in which a server named a limit of requests per second."""
+
+    vm: str
+    limit_per_s: float
+    start_s: float
+    end_s: float | None = None
+
+    def contains(self, at_s: float) -> bool:
+        """Return whether the limit was named at a time."""
+        return self.start_s <= at_s and (self.end_s is None or at_s <= self.end_s)
+
+
 class GuaranteeChecker:
     """Collects calls and server runs, and finds violated guarantees at the end.
 
@@ -58,6 +80,7 @@
         self._runs: list[ServerRun] = []
         self._revoked_at_s: dict[str, float] = {}
         self._drained_at_s: dict[str, float] = {}
+        self._limit_periods: list[LimitPeriod] = []
         self._reported_violations: list[str] = []
 
     @property
@@ -99,6 +122,14 @@
         """Forget the drain of `vm`, whose stored entry no longer announces one."""
         self._drained_at_s.pop(vm, None)
 
+    def record_limit(
+        self, vm: str, limit_per_s: float, *, start_s: float
+    ) -> LimitPeriod:
+        """Record that `vm` names a limit until the end of the returned period."""
+        period = LimitPeriod(vm=vm, limit_per_s=limit_per_s, start_s=start_s)
+        self._limit_periods.append(period)
+        return period
+
     def check(self, *, timeouts: dict[CallKind, datetime.timedelta]) -> list[str]:
         """Return all violated guarantees."""
         counts = Counter(run.request_id for run in self._runs)
@@ -110,8 +141,48 @@
             violations += self._lost_answer_violations(call, counts[call.request_id])
         for run in self._runs:
             violations += self._run_violations(run)
+        for period in self._limit_periods:
+            violations += self._limit_violations(period)
         return violations + list(self._containment_violations())
 
+    def _limit_violations(self, period: LimitPeriod) -> Iterator[str]:
+        """Yield a violation if entry VMs that were told of a limit exceeded it."""
+        runs = [
+            (run, call)
+            for run in self._runs
+            if run.vm == period.vm
+            and period.contains(run.started_at_s)
+            and (call := self._calls.get(run.request_id)) is not None
+        ]
+        told_at_s: dict[str, float] = {}
+        for _, call in runs:
+            if call.outcome is CallOutcome.ANSWERED:
+                known_at_s = call.ended_at_s + _LIMIT_KNOWN_S
+                told_at_s[call.entry] = min(
+                    told_at_s.get(call.entry, known_at_s), known_at_s
+                )
+        counted_at_s = [
+            run.started_at_s
+            for run, call in runs
+            if run.started_at_s >= told_at_s.get(call.entry, float("inf"))
+            and self._was_in_touch(run)
+        ]
+        most = max(
+            (
+                sum(
+                    start_s <= at_s < start_s + _LIMIT_WINDOW_S for at_s in counted_at_s
+                )
+                for start_s in counted_at_s
+            ),
+            default=0,
+        )
+        allowed = _LIMIT_FACTOR * period.limit_per_s * _LIMIT_WINDOW_S + _LIMIT_EXCESS
+        if most > allowed:
+            yield (
+                f"{period.vm} limits requests to {period.limit_per_s}/s and got {most} "
+                f"in {_LIMIT_WINDOW_S:.0f} s"
+            )
+
     def _containment_violations(self) -> Iterator[str]:
         """Yield the requests that undisturbed entry VMs let crash too many servers."""
         runs_by_request: dict[tuple[str, str], list[ServerRun]] = {}
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -55,6 +55,49 @@
     return call
 
 
+def find_limit_violations(
+    *entries: str, interval_s: float = 0.25, **fault: str
+) -> list[str]:
+    """Return the violations of a limit of 1/s, with 32 runs through each of `entries`.
+
+    The entry VM `target` of a fault is disturbed all the while.
+    """
+    fault_windows = FaultWindows()
+    if fault:
+        window = fault_windows.open(fault["target"], start_s=START, is_planned=False)
+        window.end_s = START + 8.0
+    guarantees = GuaranteeChecker(fault_windows)
+    period = guarantees.record_limit("vm-1", 1.0, start_s=START)
+    period.end_s = START + 8.0
+    for entry in entries:
+        for number in range(32):
+            name = f"{entry}-{number}"
+            at_s = START + number * interval_s
+            call = make_call(
+                request_id=name, entry=entry, sent_at_s=at_s, ended_at_s=at_s + 0.1
+            )
+            call.answer = dataclasses.replace(call.answer, request_id=name)
+            guarantees.record_call(call)
+            guarantees.record_run(make_run(request_id=name, started_at_s=at_s + 0.01))
+    return guarantees.check(timeouts=TIMEOUTS)
+
+
+def test_requests_beyond_the_limit_of_a_server_are_reported():
+    assert find_limit_violations("entry-0") == [
+        "vm-1 limits requests to 1.0/s and got 16 in 4 s"
+    ]
+    # Entry VMs that each keep to the limit exceed it together.
+    assert not find_limit_violations("entry-0", interval_s=1.0)
+    assert find_limit_violations("entry-0", "entry-1", "entry-2", interval_s=1.0) == [
+        "vm-1 limits requests to 1.0/s and got 12 in 4 s"
+    ]
+
+
+def test_entry_vms_that_are_disturbed_do_not_count_towards_a_limit():
+    assert find_limit_violations("entry-0", target="entry-1")
+    assert not find_limit_violations("entry-0", target="entry-0")
+
+
 def make_run(**changes) -> ServerRun:
     run = ServerRun(
         request_id="r1",
--- a/pomelolug/testing/_group_server_app.py
+++ b/pomelolug/testing/_group_server_app.py
@@ -52,10 +52,14 @@
 
 @dataclasses.dataclass(slots=True)
 class ResponseFaults:
-    """Fraction of responses to corrupt, and factor that slows all responses."""
+    """Fraction of responses to corrupt, and factor that slows all responses.
+
+    `request_limit_per_s` is the limit of requests named in responses, 0 for none.
+    """
 
     corrupted_share: float = 0.0
     slowdown_factor: float = 1.0
+    request_limit_per_s: float = 0.0
 
 
 class ServerApp(abc.ABC):
@@ -132,11 +136,15 @@
     def _response_headers(
         self, fields: dict[str, str], content_type: bytes
     ) -> list[tuple[bytes, bytes]]:
-        return [
+        headers = [
             (b"Request-Id", fields.get("request-id", "").encode()),
             (b"Response-Seal", b"s." + fields.get("request-id", "").encode()),
             (b"Content-Type", content_type),
         ]
+        limit_per_s = self.response_faults.request_limit_per_s
+        if limit_per_s:
+            headers.append((b"Server-Limit", b"%.2f" % limit_per_s))
+        return headers
 
     def _should_corrupt(self) -> bool:
         return self._rng.random() < self.response_faults.corrupted_share
--- a/pomelolug/testing/group_server.py
+++ b/pomelolug/testing/group_server.py
@@ -27,7 +27,6 @@
 from pomelolug.testing._group_server_app import (
     GroupServerApp,
     PlainServerApp,
-    ResponseFaults,
     ServerApp,
     encode_entry,
 )
@@ -71,8 +70,8 @@
     """Command to one server.
 
     `do` is one of `dark` (stop responding until a restart), `restart` (with the
-    same id), `drain`, `slow` (by the factor `x`) and `garble` (corrupt a share `x`
-    of the responses).
+    same id), `drain`, `slow` (by the factor `x`), `garble` (corrupt a share `x`
+    of the responses) and `limit` (name a limit of `x` requests per second, 0 for none).
     """
 
     do: str
@@ -215,15 +214,11 @@
         vm = VmId(command.vm)
         app = self._apps[vm]
         if command.do == "slow":
-            app.response_faults = ResponseFaults(
-                corrupted_share=app.response_faults.corrupted_share,
-                slowdown_factor=command.x,
-            )
+            app.response_faults.slowdown_factor = command.x
         elif command.do == "garble":
-            app.response_faults = ResponseFaults(
-                corrupted_share=command.x,
-                slowdown_factor=app.response_faults.slowdown_factor,
-            )
+            app.response_faults.corrupted_share = command.x
+        elif command.do == "limit":
+            app.response_faults.request_limit_per_s = command.x
         elif command.do == "dark":
             app.is_unresponsive = True
             if self._plan.domain:
