--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -8,12 +8,14 @@
 import datetime
 import functools
 import json
+import logging
 import random
 import time
 from collections.abc import Callable
 
 import fire
 import msgspec
+import structlog
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import (
@@ -56,6 +58,9 @@
 _MODEL = ModelName("model")
 _SERVER_COUNTS = (75, 150, 300, 600)
 _LOSS_COUNTS = (125, 250, 500, 1000)
+_PLANNED_NODES = 390
+_PLANNED_ZONE_NODES = 56
+_LIMIT_PER_S = 2.0
 _PLANNED_LOSSES = 500
 """Requests that were running on the servers lost in a day, 19 times 26."""
 
@@ -223,6 +228,38 @@
     ]
 
 
+def _make_limited(count: int) -> tuple[RequestRateLimiter, list[VmId]]:
+    """Return the limiter of a node at the planned size, with limited servers."""
+    limiter = _make_rate_limiter()
+    zone_nodes = [NodeId(f"n{number}") for number in range(_PLANNED_ZONE_NODES)]
+    limiter.set_nodes(count=_PLANNED_NODES, zone_nodes=zone_nodes)
+    servers = [VmId(f"i-{number:010x}") for number in range(count)]
+    for vm in servers:
+        limiter.limits.record_response(vm, _LIMIT_PER_S, sent_at_s=0.0)
+    return limiter, servers
+
+
+def _make_limit_checks(count: int) -> Callable[[], object]:
+    limiter, servers = _make_limited(count)
+    return lambda: [limiter.wait_s(vm) for vm in servers]
+
+
+def _limit_fits() -> list[LinearFit]:
+    counts = (1, 2, 4, 8)
+    sizes = []
+    for count in counts:
+        limiter, _ = _make_limited(count)
+        reports = limiter.limits.own_reports()
+        status = msgspec.structs.replace(
+            _make_status(0), limits=reports, zone_limits=reports, other_limits=reports
+        )
+        sizes.append(len(encode(status)))
+    return [
+        fit_line("limited servers in a status", "B", "server", counts, sizes, 8),
+        _fit_by_servers("limited servers, check before a choice", _make_limit_checks),
+    ]
+
+
 def _encode_entry() -> bytes:
     return msgspec.json.encode(
         {
@@ -250,6 +287,9 @@
 
 def main() -> None:
     """Print the fitted line of every cost as a JSON line."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
     fits = [
         _fit_by_servers("routable groups, worked out again", _make_tracker_refresh),
         _fit_by_servers("views of groups", _make_group_views),
@@ -298,6 +338,7 @@
         ),
     ]
     fits += _loss_fits()
+    fits += _limit_fits()
     for fit in fits:
         print(json.dumps(dataclasses.asdict(fit)))
     encoded_entry = _encode_entry()
