--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -29,8 +29,8 @@
     LinkFault.RESPONSES_HELD,
     LinkFault.DELAYED,
 )
-_LIMIT_RANGE_PER_S = (0.3, 2.0)
-_LIMIT_DURATION_RANGE_S = (4.0, 8.0)
+_LIMIT_RANGE_PER_S = (0.1, 1.0)
+_LIMIT_DURATION_RANGE_S = (5.0, 10.0)
 _UNAVAILABLE_STATUS = 503
 _SERVERS_ONLY = "servers"
 """Target of fault windows that do not affect any entry VM."""
