Read topics anew when the store was restored from an older copy

Nodes compare offsets to tell old entries from new ones, so they ignored entries of servers until the offsets had grown past the old ones; a reader whose offset existed again missed what was written below it, and a relay served nothing.

Offsets of a record now contain the era: the adapter adds it, so they grow in all readers and relays without a change there. A read with an offset of an earlier era fails with StoreRestoredError and the topic is read anew. Entries of servers are kept for 2 s before that, since live servers write theirs again and must not be dropped meanwhile. Keys that a restored store lacks are marked as lost, not removed.

A store that names no era is read as before.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -76,6 +76,8 @@
 """Pause after a read, so that changes made together are fetched in one call."""
 _LOSS_READ_PAUSE = datetime.timedelta(milliseconds=700)
 """Pause for losses, which peers report sooner."""
+_SERVER_RESTORE_DELAY = datetime.timedelta(seconds=2)
+"""Time in which servers write their entries again to a restored store."""
 _SHORT_READ_PAUSE = datetime.timedelta(milliseconds=80)
 """Pause for declarations, and for server entries on the active controller."""
 _ROUNDS_PER_SWEEP = 20
@@ -270,6 +272,7 @@
             ),
             on_records=self._registry_updater.apply_records,
             on_failure=lambda source: self._peer_coordinator.avoid_source(source),
+            restore_delay=_SERVER_RESTORE_DELAY,
         )
         self._loss_feed = TopicFeed(
             topic=TOPIC_LOSSES,
--- a/pomelolug/feeds/__init__.py
+++ b/pomelolug/feeds/__init__.py
@@ -3,14 +3,18 @@
 from pomelolug.feeds._feed import FeedStatus, TopicFeed
 from pomelolug.feeds._record_log import RecordLog
 from pomelolug.feeds._source import (
+    OFFSETS_PER_ERA,
     HistoryLostError,
     Record,
     RecordBatch,
     RecordSource,
     SourceUnavailableError,
+    StoreRestoredError,
+    era_of,
 )
 
 __all__ = [
+    "OFFSETS_PER_ERA",
     "FeedStatus",
     "HistoryLostError",
     "Record",
@@ -18,5 +22,7 @@
     "RecordLog",
     "RecordSource",
     "SourceUnavailableError",
+    "StoreRestoredError",
     "TopicFeed",
+    "era_of",
 ]
--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -9,7 +9,13 @@
 from pomelolug.clock import Clock
 from pomelolug.errors import PlatformError
 from pomelolug.feeds._record_log import RecordLog
-from pomelolug.feeds._source import HistoryLostError, Record, RecordBatch, RecordSource
+from pomelolug.feeds._source import (
+    HistoryLostError,
+    Record,
+    RecordBatch,
+    RecordSource,
+    StoreRestoredError,
+)
 from pomelolug.ids import Offset
 
 __all__ = ["FeedStatus", "TopicFeed"]
@@ -46,6 +52,9 @@
         Called with the new records, in order.
     on_failure : callable
         Called with a source that failed or returned stale data.
+    restore_delay : datetime.timedelta
+        Time for which the records are kept as they are after the store went back to
+        an older copy, until their writers have written again.
     """
 
     def __init__(
@@ -57,6 +66,7 @@
         read_pause: Callable[[], datetime.timedelta],
         on_records: Callable[[Iterable[Record]], None],
         on_failure: Callable[[RecordSource], None],
+        restore_delay: datetime.timedelta = datetime.timedelta(0),
     ) -> None:
         self._topic = topic
         self._select_source = select_source
@@ -64,6 +74,7 @@
         self._read_pause = read_pause
         self._on_records = on_records
         self._on_failure = on_failure
+        self._restore_delay = restore_delay
         self._log = RecordLog()
         self._offset: Offset | None = None
         self._status = FeedStatus()
@@ -100,6 +111,13 @@
             source, wait = self._select_source()
             try:
                 batch = await self._read(source, wait)
+            except StoreRestoredError:
+                _log.warning("store_restored", topic=self._topic)
+                self._last_read_failed = False
+                self._status.last_contact_s = self._clock.monotonic()
+                self._offset = None
+                await self._clock.sleep(self._restore_delay)
+                continue
             except HistoryLostError:
                 self._offset = None
                 continue
--- a/pomelolug/feeds/_record_log.py
+++ b/pomelolug/feeds/_record_log.py
@@ -5,7 +5,7 @@
 import datetime
 
 from pomelolug.errors import ErrorCode
-from pomelolug.feeds._source import HistoryLostError, Record, RecordBatch
+from pomelolug.feeds._source import HistoryLostError, Record, RecordBatch, era_of
 from pomelolug.ids import Offset
 
 __all__ = ["RecordLog"]
@@ -45,7 +45,10 @@
         present = {record.key for record in batch.records}
         stale = batch.end < self._end
         missing = [] if stale else sorted(known - present)
-        removals = [Record(Offset(batch.end - 1), key, None) for key in missing]
+        is_lost = era_of(batch.end) != era_of(self._end)
+        removals = [
+            Record(Offset(batch.end - 1), key, None, is_lost) for key in missing
+        ]
         self._recent.clear()
         for record in [*batch.records, *removals]:
             self._update_newest(record)
--- a/pomelolug/feeds/_source.py
+++ b/pomelolug/feeds/_source.py
@@ -8,13 +8,23 @@
 from pomelolug.ids import Offset
 
 __all__ = [
+    "OFFSETS_PER_ERA",
     "HistoryLostError",
     "Record",
     "RecordBatch",
     "RecordSource",
     "SourceUnavailableError",
+    "StoreRestoredError",
+    "era_of",
 ]
 
+OFFSETS_PER_ERA = 1 << 40
+"""Difference between equal offsets of two eras of the store.
+
+The store starts a new era when it goes back to an older copy and gives out offsets
+again. Offsets that contain the era grow all the same.
+"""
+
 
 class SourceUnavailableError(PlatformError):
     """The source did not respond, or rejected the call."""
@@ -24,13 +34,33 @@
     """The requested records were dropped; the newest of each key are still there."""
 
 
+class StoreRestoredError(HistoryLostError):
+    """The store went back to an older copy, so records were lost or replaced."""
+
+
+def era_of(offset: Offset) -> int:
+    """Return the era of the store in which an offset was given out.
+
+    Examples
+    --------
+    >>> era_of(Offset(7))
+    0
+    """
+    return offset // OFFSETS_PER_ERA
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
-    """One record of a keyed topic; a value of None removes the key."""
+    """One record of a keyed topic; a value of None removes the key.
+
+    `is_lost` is true if nobody removed the key, but the store went back to a copy
+    without it.
+    """
 
     offset: Offset
     key: str
     value: bytes | None
+    is_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pomelolug/platform/_headers.py
+++ b/pomelolug/platform/_headers.py
@@ -13,6 +13,7 @@
     "ServerReply",
     "decode_request_head",
     "decode_server_reply",
+    "decode_store_era",
     "forwarded_headers",
     "refusal_headers",
     "response_headers",
@@ -169,6 +170,12 @@
     )
 
 
+def decode_store_era(head: ResponseHead) -> int | None:
+    """Return the era that the store names in a response, None if it names none."""
+    era = _decode_integer(head.get(_wire_names.STORE_ERA))
+    return era if era is not None and era >= 0 else None
+
+
 def response_headers(head: ResponseHead) -> tuple[tuple[bytes, bytes], ...]:
     """Return a server's header fields that go to the caller."""
     return tuple((k, v) for k, v in head.headers if k.lower() not in _HOP_BY_HOP_FIELDS)
--- a/pomelolug/platform/_store.py
+++ b/pomelolug/platform/_store.py
@@ -12,17 +12,22 @@
 
 from pomelolug.errors import ErrorCode
 from pomelolug.feeds import (
+    OFFSETS_PER_ERA,
     HistoryLostError,
     Record,
     RecordBatch,
     RecordSource,
     SourceUnavailableError,
+    StoreRestoredError,
+    era_of,
 )
 from pomelolug.ids import Offset
+from pomelolug.platform._headers import decode_store_era
 from pomelolug.replicas import ControllerElection
 from pomelolug.transport import (
     ClientConnection,
     HttpConnectionError,
+    ResponseHead,
     encode_request,
     open_connection,
 )
@@ -73,9 +78,20 @@
     parts: tuple[tuple[str, int, int], ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Response:
+    """Body of a response, and the era of the store that it names."""
+
+    era: int
+    data: bytes
+
+
 class MetadataStore(RecordSource):
     """Client of the store that reuses idle connections.
 
+    The store starts a new era when it goes back to an older copy. Offsets
+    contain the era, so that they grow although the store gives them out again.
+
     Parameters
     ----------
     address : str
@@ -91,6 +107,12 @@
         self._address = address.encode()
         self._timeout_s = timeout.total_seconds()
         self._idle_connections: list[ClientConnection] = []
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Newest known era of the store, 0 if it names none."""
+        return self._era
 
     async def read_newest(self, topic: str) -> RecordBatch:
         """Return the newest record of each key.
@@ -101,6 +123,7 @@
         """
         records: list[Record] = []
         end: int | None = None
+        era: int | None = None
         last_key = ""
         while True:
             query = {"topic": topic, "part": "0"}
@@ -108,12 +131,19 @@
                 # The page starts after this key, unlike the inclusive offset of
                 # the same name that a relay takes.
                 query["after"] = last_key
-            data = await self._call("GET", "/-/log-newest", query)
-            page = _decode_json(data, _NewestPage)
-            end = page.end if end is None else min(end, page.end)
+            response = await self._call("GET", "/-/log-newest", query)
+            page = _decode_json(response.data, _NewestPage)
+            if era not in (None, response.era):
+                raise StoreRestoredError(
+                    ErrorCode.LOG_INCOMPLETE, "the store was restored between two pages"
+                )
+            era = response.era
+            page_end = _add_era(page.end, era)
+            end = page_end if end is None else min(end, page_end)
             for item in page.items:
                 value = base64.b64decode(item.value)
-                records.append(Record(Offset(item.offset), item.key, value or None))
+                offset = _add_era(item.offset, era)
+                records.append(Record(offset, item.key, value or None))
             if not page.truncated or not page.items:
                 return RecordBatch(tuple(records), Offset(end))
             last_key = page.items[-1].key
@@ -126,21 +156,29 @@
         Raises
         ------
         HistoryLostError
-            If records from `first` onwards were dropped.
+            If records from `first` onwards were dropped, and in particular
+            `StoreRestoredError` if `first` is of an earlier era of the store.
         SourceUnavailableError
             If the store does not respond.
         """
+        self._check_era(first)
         query = {
             "topic": topic,
             "part": "0",
-            "from": str(first),
+            "from": str(first % OFFSETS_PER_ERA),
             "max_kb": str(_MAX_READ_KB),
         }
         if wait:
             query["wait_ms"] = str(round(wait.total_seconds() * 1000))
-        data = await self._call(
-            "GET", "/-/log-read", query, wait_s=wait.total_seconds()
-        )
+        try:
+            response = await self._call(
+                "GET", "/-/log-read", query, wait_s=wait.total_seconds()
+            )
+        except HistoryLostError:
+            self._check_era(first)
+            raise
+        self._check_era(first)
+        data = response.data
         if len(data) < 16:
             raise SourceUnavailableError(
                 ErrorCode.PLATFORM_UNAVAILABLE, "response to /-/log-read is too short"
@@ -182,12 +220,13 @@
             "ttl_ms": round(lease_duration.total_seconds() * 1000),
             "generation": generation,
         }
-        data = await self._call(
+        response = await self._call(
             "POST", "/-/log-join", {}, body=msgspec.json.encode(body)
         )
-        response = _decode_json(data, _JoinResponse)
+        assignment = _decode_json(response.data, _JoinResponse)
         return PartitionAssignment(
-            response.generation, frozenset(part for _, part, _ in response.parts)
+            assignment.generation,
+            frozenset(part for _, part, _ in assignment.parts),
         )
 
     async def leave_consumer_group(self, *, group: str, member: str) -> None:
@@ -209,14 +248,14 @@
         *,
         body: bytes = b"",
         wait_s: float = 0.0,
-    ) -> bytes:
+    ) -> _Response:
         target = path + ("?" + urllib.parse.urlencode(query) if query else "")
         request = encode_request(
             method.encode(), target.encode(), [(b"Host", self._address)], body
         )
         try:
             async with asyncio.timeout(self._timeout_s + wait_s):
-                status, data = await self._send_request(request)
+                head, data = await self._send_request(request)
         except HttpConnectionError as error:
             raise SourceUnavailableError(
                 ErrorCode.PLATFORM_UNAVAILABLE,
@@ -229,17 +268,28 @@
                 f"{path}: no response within {self._timeout_s + wait_s:.1f} s",
                 maybe_applied=method == "POST",
             ) from error
-        if status == 410:
+        era = decode_store_era(head)
+        if era is not None and era > self._era:
+            self._era = era
+        if head.status == 410:
             raise HistoryLostError(
                 ErrorCode.LOG_INCOMPLETE, f"{path}: the requested records were dropped"
             )
-        if status != 200:
+        if head.status != 200:
             raise SourceUnavailableError(
-                ErrorCode.PLATFORM_UNAVAILABLE, f"{path}: unexpected status {status}"
+                ErrorCode.PLATFORM_UNAVAILABLE,
+                f"{path}: unexpected status {head.status}",
             )
-        return data
+        return _Response(self._era if era is None else era, data)
 
-    async def _send_request(self, request: bytes) -> tuple[int, bytes]:
+    def _check_era(self, first: Offset) -> None:
+        if era_of(first) < self._era:
+            raise StoreRestoredError(
+                ErrorCode.LOG_INCOMPLETE,
+                f"offset {first % OFFSETS_PER_ERA} is of an earlier era of the store",
+            )
+
+    async def _send_request(self, request: bytes) -> tuple[ResponseHead, bytes]:
         connection = self._take_idle_connection()
         if connection is None:
             connection = await open_connection(
@@ -257,7 +307,7 @@
             self._idle_connections.append(connection)
         else:
             connection.abort()
-        return head.status, data
+        return head, data
 
     def _take_idle_connection(self) -> ClientConnection | None:
         while self._idle_connections:
@@ -267,6 +317,10 @@
         return None
 
 
+def _add_era(offset: int, era: int) -> Offset:
+    return Offset(era * OFFSETS_PER_ERA + offset)
+
+
 def _decode_json(data: bytes, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(data, type=kind)
--- a/pomelolug/platform/_wire_names.py
+++ b/pomelolug/platform/_wire_names.py
@@ -12,6 +12,8 @@
 RETRY_AFTER = b"Retry-After"
 # Requests per second that a server takes from all nodes together.
 SERVER_LIMIT = b"Server-Limit"
+# Rises when the store goes back to an older copy.
+STORE_ERA = b"Store-Era"
 INSTANCE_ID = b"Instance-Id"
 MODEL = b"Model"
 # Two numbers: prompt tokens and maximum output tokens.
--- a/pomelolug/platform/tests/test_wire_names.py
+++ b/pomelolug/platform/tests/test_wire_names.py
@@ -10,7 +10,7 @@
     r"|Token-Count|Request-Urgency|Weight-Versions|Length-Hint|At-Server"
     r"|log-append|log-newest|log-read|log-join|log-commit|/-/|keyed\."
     r"|path_prefix|target_latency_ms|max_attempts\"|gap_target_ms|api_keys"
-    r"|retain_count|close_mode|cold_remaining|Server-Limit|POMELOLUG_SETTINGS"
+    r"|retain_count|close_mode|cold_remaining|Server-Limit|Store-Era|POMELOLUG_SETTINGS"
 )
 
 
--- a/pomelolug/testing/_store_stand_in.py
+++ b/pomelolug/testing/_store_stand_in.py
@@ -15,6 +15,14 @@
 _JSON_HEADERS = ((b"Content-Type", b"application/json"),)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Records of each topic and generation of the assignments at one time."""
+
+    records: dict[str, tuple[bytes, ...]]
+    generation: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Topic:
     records: list[bytes] = dataclasses.field(default_factory=list)
@@ -30,6 +38,7 @@
         self._member_expiry_s: dict[str, float] = {}
         self._compacted: dict[str, tuple[int, bytes]] = {}
         self._generation = 0
+        self._era = 1
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self.address = ""
@@ -39,6 +48,8 @@
         """Status with which every request is rejected; None handles requests."""
         self.drops_write_responses = False
         """Whether appends take effect but get no response."""
+        self.names_era = True
+        """Whether responses name the era, which grows with each restoration."""
         self.requested_paths: list[str] = []
         self.on_record: Callable[[str, str, bytes], None] | None = None
         """Called with the topic, key and value of each stored record."""
@@ -79,6 +90,31 @@
         topic.records.clear()
         self._compacted = newest
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the store, which must not have been compacted."""
+        assert not self._compacted
+        records = {name: tuple(t.records) for name, t in self._topics.items()}
+        return StoreCopy(records, self._generation)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, as after the loss of what was written since.
+
+        All connections are closed, and offsets are given out again.
+        """
+        for name, topic in self._topics.items():
+            topic.records = list(copy.records.get(name, ()))
+        self._generation = copy.generation
+        self._member_expiry_s.clear()
+        self._era += 1
+        for connection in list(self._connections):
+            connection.abort()
+
+    def newest(self, topic_name: str) -> dict[str, bytes]:
+        """Return the newest value of each key of a topic."""
+        topic = self._topics.get(topic_name, _Topic())
+        newest = self._newest_records(topic)
+        return {key: value for key, (_, value) in newest.items() if value}
+
     def _append_record(self, topic_name: str, record: bytes) -> None:
         """Append a record and wake the waiting reads."""
         topic = self._topics[topic_name]
@@ -98,7 +134,7 @@
         if self.is_unresponsive:
             await asyncio.sleep(3600)
         if self.error_status is not None:
-            exchange.reply(self.error_status, (), b"")
+            self._reply(exchange, self.error_status, b"")
             return
         if path == "/-/log-newest":
             self._send_newest(exchange, query)
@@ -112,9 +148,15 @@
             self._member_expiry_s.pop(
                 msgspec.json.decode(exchange.body)["member"], None
             )
-            exchange.reply(200, _JSON_HEADERS, b"{}")
+            self._reply(exchange, 200, b"{}")
         else:
-            exchange.reply(200, _JSON_HEADERS, b"{}")
+            self._reply(exchange, 200, b"{}")
+
+    def _reply(self, exchange: Exchange, status: int, body: bytes) -> None:
+        headers = [*_JSON_HEADERS]
+        if self.names_era:
+            headers.append((b"Store-Era", b"%d" % self._era))
+        exchange.reply(status, tuple(headers), body)
 
     def _newest_records(self, topic: _Topic) -> dict[str, tuple[int, bytes]]:
         newest = dict(self._compacted)
@@ -133,7 +175,7 @@
         ]
         end = topic.first_offset + len(topic.records)
         body = {"items": items, "truncated": False, "end": end}
-        exchange.reply(200, _JSON_HEADERS, msgspec.json.encode(body))
+        self._reply(exchange, 200, msgspec.json.encode(body))
 
     async def _send_records(self, exchange: Exchange, query: dict[str, str]) -> None:
         topic = self._topics.setdefault(query["topic"], _Topic())
@@ -146,14 +188,14 @@
             except TimeoutError:
                 pass
             end = topic.first_offset + len(topic.records)
-        if from_offset < topic.first_offset:
+        if not topic.first_offset <= from_offset <= end:
             body = msgspec.json.encode({"first": topic.first_offset})
-            exchange.reply(410, _JSON_HEADERS, body)
+            self._reply(exchange, 410, body)
             return
         data = end.to_bytes(8, "big") + topic.first_offset.to_bytes(8, "big")
         for record in topic.records[from_offset - topic.first_offset :]:
             data += len(record).to_bytes(4, "big") + record
-        exchange.reply(200, (), data)
+        self._reply(exchange, 200, data)
 
     async def _handle_append(self, exchange: Exchange, query: dict[str, str]) -> None:
         topic = self._topics.setdefault(query["topic"], _Topic())
@@ -166,7 +208,7 @@
             await asyncio.sleep(3600)
         end = topic.first_offset + len(topic.records)
         answer = {"offset": end - 1, "end": end}
-        exchange.reply(200, _JSON_HEADERS, msgspec.json.encode(answer))
+        self._reply(exchange, 200, msgspec.json.encode(answer))
 
     def _handle_join(self, exchange: Exchange) -> None:
         now = asyncio.get_running_loop().time()
@@ -183,4 +225,4 @@
         is_owner = min(live) == call["member"]
         parts = [[call["topics"][0], 0, 0]] if is_owner else []
         answer = {"generation": self._generation, "parts": parts}
-        exchange.reply(200, _JSON_HEADERS, msgspec.json.encode(answer))
+        self._reply(exchange, 200, msgspec.json.encode(answer))
