Write losses again that a restored store has forgotten

Losses of crashing requests are keys in the store; a key that is gone means that a node has cleared the loss. After the store went back to a copy without them, nodes would clear the losses, or (with the offsets of before) keep them in memory and never write them again, so that the request crashes three more servers after a restart of the nodes. A key that is lost and not removed is now written again by a relay that knows the loss.

--- a/pomelolug/entry/_loss_publisher.py
+++ b/pomelolug/entry/_loss_publisher.py
@@ -77,7 +77,9 @@
                 continue
             self._written_at_s.pop(record.key, None)
             if record.value is None:
-                if self._stored.pop(record.key, None) is not None:
+                was_stored = self._stored.pop(record.key, None) is not None
+                # A loss that the store has forgotten is written again.
+                if was_stored and not record.is_lost:
                     self._detector.clear_loss(fingerprint, loss_id)
                 continue
             try:
--- a/pomelolug/entry/tests/test_restored_store.py
+++ b/pomelolug/entry/tests/test_restored_store.py
@@ -6,6 +6,11 @@
 import pytest
 
 from pomelolug.entry.tests.harness import Harness, send_response
+from pomelolug.entry.tests.test_crashing_requests import (
+    CrashingServers,
+    crash_until_stopped,
+    send_crashing,
+)
 from pomelolug.feeds import SourceUnavailableError, StoreRestoredError, era_of
 from pomelolug.ids import Offset
 from pomelolug.platform import MetadataStore
@@ -103,3 +108,31 @@
             servers = node.entry._registry.servers
             assert set(servers) == {names[1], late}
             assert servers[names[1]].start_time_ms == 7
+
+
+async def test_losses_of_a_crashing_request_survive_the_loss_of_their_records():
+    # Guards against losses that a restored store has forgotten and that are then taken
+    # for cleared, or are known only until the nodes are restarted.
+    async with Harness() as h, Harness(joins=h) as restarted:
+        servers = CrashingServers(h, "once", "reset")
+        await servers.add(6)
+        await h.start()
+        copy = h.store.copy()
+        await crash_until_stopped(h, servers)
+        await asyncio.sleep(KNOWN_S)
+        assert len(h.store.newest("keyed.losses")) == 3
+        entries = h.store.newest(TOPIC)
+        declaration = h.store.newest("keyed.op")
+        h.store.restore(copy)
+        for name, value in entries.items():
+            h.store.put(TOPIC, name, value)
+        h.store.put("keyed.op", "config", declaration["config"])
+        await asyncio.sleep(KNOWN_S + 2.0)
+        assert await send_crashing(h, servers, "again") == 503
+        assert len(h.store.newest("keyed.losses")) == 3
+        await h.kill()
+        await restarted.start()
+        await asyncio.sleep(KNOWN_S)
+        crashed_before = len(servers.runs)
+        assert await send_crashing(restarted, servers, "late") == 503
+        assert len(servers.runs) == crashed_before
