Let fencing tokens grow across a restoration of the store

The fencing token of the active controller comes from the generation that the store assigns. A store that goes back to an older copy gives out generations again, so tokens fell, and servers refused all orders until the generations had grown past the old ones. The generation now contains the era of the store.

Tokens stay below 2**53.

--- a/pomelolug/entry/tests/test_restored_store.py
+++ b/pomelolug/entry/tests/test_restored_store.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pomelolug.clock import SystemClock
 from pomelolug.entry.tests.harness import Harness, send_response
 from pomelolug.entry.tests.test_crashing_requests import (
     CrashingServers,
@@ -13,7 +14,8 @@
 )
 from pomelolug.feeds import SourceUnavailableError, StoreRestoredError, era_of
 from pomelolug.ids import Offset
-from pomelolug.platform import MetadataStore
+from pomelolug.platform import MetadataStore, StoreControllerElection
+from pomelolug.replicas import ControllerLease
 from pomelolug.testing import FakeMetadataStore
 
 REWRITE_S = 1.0
@@ -76,6 +78,42 @@
     await store.stop()
 
 
+async def test_fencing_tokens_grow_when_generations_are_given_out_again():
+    # Guards against an active controller whose orders are refused, because its tokens
+    # are lower than those that servers have seen.
+    store = FakeMetadataStore()
+    await store.start()
+    client = make_client(store)
+    leases = [
+        ControllerLease(
+            election=StoreControllerElection(
+                store=client,
+                member=name,
+                lease_duration=datetime.timedelta(seconds=1),
+            ),
+            clock=SystemClock(),
+            duration=datetime.timedelta(seconds=1),
+        )
+        for name in ("a", "b")
+    ]
+    copy = store.copy()
+    for _ in range(3):
+        await leases[0]._renew()
+        await leases[0]._release()
+    await leases[0]._renew()
+    token = leases[0].next_epoch()
+    store.restore(copy)
+    for _ in range(2):
+        # The restoration has closed the connection, so the first call fails.
+        await leases[1]._renew()
+    assert leases[1].is_held
+    assert leases[1].fencing_token > token
+    # Exact in a server that decodes numbers as double-precision floats.
+    assert leases[1].fencing_token < 2**53
+    client.close()
+    await store.stop()
+
+
 async def test_nodes_follow_the_servers_after_the_store_was_restored():
     # Guards against nodes that ignore entries with lower offsets than they have seen,
     # and against live servers that are dropped until they write again.
--- a/pomelolug/platform/_store.py
+++ b/pomelolug/platform/_store.py
@@ -41,6 +41,12 @@
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=600)
 _MAX_READ_KB = 1024
+_GENERATIONS_PER_ERA = 1_000_000
+"""Difference between equal generations of two eras.
+
+A fencing token is a generation times a million, and has to stay exact in a server that
+decodes numbers as double-precision floats.
+"""
 _CONTROLLER_GROUP = "controllers"
 _LEASE_TOPIC = "duties"
 _LEASE_PARTITION = 0
@@ -89,8 +95,9 @@
 class MetadataStore(RecordSource):
     """Client of the store that reuses idle connections.
 
-    The store starts a new era when it goes back to an older copy. Offsets
-    contain the era, so that they grow although the store gives them out again.
+    The store starts a new era when it goes back to an older copy. Offsets and
+    generations contain the era, so that they grow although the store gives them out
+    again.
 
     Parameters
     ----------
@@ -213,19 +220,20 @@
         lease_duration: datetime.timedelta,
     ) -> PartitionAssignment:
         """Join a consumer group, or renew the membership in it."""
+        is_current = generation // _GENERATIONS_PER_ERA == self._era
         body = {
             "group": group,
             "member": member,
             "topics": [topic],
             "ttl_ms": round(lease_duration.total_seconds() * 1000),
-            "generation": generation,
+            "generation": generation % _GENERATIONS_PER_ERA if is_current else 0,
         }
         response = await self._call(
             "POST", "/-/log-join", {}, body=msgspec.json.encode(body)
         )
         assignment = _decode_json(response.data, _JoinResponse)
         return PartitionAssignment(
-            assignment.generation,
+            response.era * _GENERATIONS_PER_ERA + assignment.generation,
             frozenset(part for _, part, _ in assignment.parts),
         )
 
