Register the nodes again in a restored store

Nodes register their addresses once, at their start. A store that went back to a copy from before lacks them, and nodes that start later do not find them if the seeds are out of date. The relay of a zone now registers the live nodes of its zone again when the era of the store has changed.

test_nodes_register_again_in_a_restored_store: no node is registered without the change (trial); passes now.

--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -16,7 +16,7 @@
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._topic_consumers import DeclarationCache
 from pomelolug.errors import PlatformError
-from pomelolug.feeds import RecordSource
+from pomelolug.feeds import RecordBatch, RecordSource
 from pomelolug.ids import NodeId, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.platform import TOPIC_NODES, MetadataStore, NodeSettings
@@ -304,8 +304,13 @@
         )
 
     async def _run_registration(self) -> None:
-        """Register this node's address in the store and read those of the others."""
+        """Register this node's address in the store and read those of the others.
+
+        If the store goes back to an older copy, the relay of a zone registers all
+        nodes of the zone again.
+        """
         is_registered = False
+        era: int | None = None
         pause = _FIRST_REGISTRATION_INTERVAL
         while True:
             try:
@@ -317,6 +322,9 @@
                     )
                     is_registered = True
                 batch = await self._store.read_newest(TOPIC_NODES)
+                if era not in (None, self._store.era):
+                    await self._register_zone_again(batch)
+                era = self._store.era
             except PlatformError as error:
                 _log.warning("peer_registration_failed", reason=str(error))
                 await self._clock.sleep(_REGISTRATION_RETRY)
@@ -325,11 +333,30 @@
             self._registered_count = len(addresses)
             self._gossip.add_addresses(addresses)
             self._gossip.send_soon()
-            await self._clock.sleep(pause)
+            until_s = self._clock.monotonic() + pause.total_seconds()
             pause = _REGISTRATION_INTERVAL
-            while not self.is_relay:
+            while not self.is_relay or (
+                era == self._store.era and self._clock.monotonic() < until_s
+            ):
                 await self._clock.sleep(_REGISTRATION_RETRY)
 
+    async def _register_zone_again(self, batch: RecordBatch) -> None:
+        """Register the live nodes of the zone that a restored store lacks."""
+        registered = {record.key for record in batch.records if record.value}
+        addresses = {self._settings.node: self._datagram_address} | {
+            status.node: status.datagram
+            for status in self._gossip.live_statuses
+            if status.zone == self._settings.zone
+        }
+        missing = {
+            node: address.encode()
+            for node, address in addresses.items()
+            if node not in registered
+        }
+        if missing:
+            await self._store.append_all(TOPIC_NODES, missing)
+        _log.info("nodes_registered_again", count=len(missing))
+
     def _build_status(self, serial: int, peers: tuple[str, ...]) -> NodeStatus:
         is_relay = self.is_relay
         return NodeStatus(
--- a/pomelolug/entry/tests/test_restored_store.py
+++ b/pomelolug/entry/tests/test_restored_store.py
@@ -148,6 +148,22 @@
             assert servers[names[1]].start_time_ms == 7
 
 
+async def test_nodes_register_again_in_a_restored_store():
+    # Guards against nodes that others, which start later, do not find.
+    async with Harness() as h, Harness(joins=h) as other:
+        copy = h.store.copy()
+        await add_plain_server(h)
+        await h.start()
+        await other.start(seeds=(f"{h.ip}:8003",))
+        await asyncio.sleep(1.0)
+        nodes = h.store.newest("keyed.nodes")
+        assert len(nodes) == 2
+        h.store.restore(copy)
+        assert not h.store.newest("keyed.nodes")
+        await asyncio.sleep(KNOWN_S)
+        assert h.store.newest("keyed.nodes") == nodes
+
+
 async def test_losses_of_a_crashing_request_survive_the_loss_of_their_records():
     # Guards against losses that a restored store has forgotten and that are then taken
     # for cleared, or are known only until the nodes are restarted.
