--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -16,6 +16,7 @@
 )
 from pomelolug.experiments.process_soak._disturbances import FaultWindows
 from pomelolug.experiments.process_soak._promises import GuaranteeChecker
+from pomelolug.platform import TOPIC_DECLARATION, TOPIC_SERVERS
 from pomelolug.testing import LinkFault
 
 __all__ = ["FaultInjector"]
@@ -31,6 +32,8 @@
 )
 _LIMIT_RANGE_PER_S = (0.1, 1.0)
 _LIMIT_DURATION_RANGE_S = (5.0, 10.0)
+_REWRITTEN_TOPICS = (TOPIC_DECLARATION, TOPIC_SERVERS)
+_REWRITE_DELAY_RANGE_S = (0.2, 1.5)
 _UNAVAILABLE_STATUS = 503
 _SERVERS_ONLY = "servers"
 """Target of fault windows that do not affect any entry VM."""
@@ -77,6 +80,7 @@
             "store_silent": self._silence_store,
             "store_refuses": self._make_store_refuse,
             "store_loses_answers": self._lose_store_answers,
+            "store_restored": self._restore_store,
             "store_link": self._degrade_store_link,
             "store_links_reset": self._reset_store_links,
             "server_link": self._degrade_server_link,
@@ -232,6 +236,26 @@
                 self._cluster.store.drops_write_responses = False
             self._reserved.discard("store")
 
+    async def _restore_store(self) -> None:
+        """Let the store go back to a copy; operator and servers write again later."""
+        if not self._reserve("store"):
+            return
+        store = self._cluster.store
+        copy = store.copy()
+        await asyncio.sleep(self._random_duration_s())
+        async with self._fault_window("store restored from a copy"):
+            lost = {topic: store.newest(topic) for topic in _REWRITTEN_TOPICS}
+            store.restore(copy)
+            old = {topic: store.newest(topic) for topic in _REWRITTEN_TOPICS}
+            await asyncio.sleep(self._rng.uniform(*_REWRITE_DELAY_RANGE_S))
+            for topic, entries in lost.items():
+                now = store.newest(topic)
+                for key in {*entries, *old[topic]}:
+                    # What was written since the restoration is newer.
+                    if now.get(key) == old[topic].get(key) != entries.get(key):
+                        store.put(topic, key, entries.get(key, b""))
+        self._reserved.discard("store")
+
     async def _degrade_store_link(self) -> None:
         entry = self._rng.choice(self._cluster.entries)
         if not self._reserve(f"{entry.name}/store"):
