--- a/pomelolug/entry/_server_limits.py
+++ b/pomelolug/entry/_server_limits.py
@@ -95,9 +95,10 @@
         """
         known = self._latest_statement(vm)
         was_limited = known is not None and known.rate_per_s is not None
-        if rate_per_s is None:
-            if not was_limited or (known is not None and sent_at_s < known.at_s):
-                return
+        if rate_per_s is None and (
+            known is None or not was_limited or sent_at_s < known.at_s
+        ):
+            return
         statement = _Statement(rate_per_s, self._clock.monotonic())
         self._update(self._own, vm, statement, source="own")
         if was_limited != (rate_per_s is not None):
