--- a/pomelolug/experiments/process_soak/__main__.py
+++ b/pomelolug/experiments/process_soak/__main__.py
@@ -13,7 +13,11 @@
 
 
 def soak(
-    seed: int = 1, seeds: int = 1, length_s: float = 15.0, keep: str = "target/soak"
+    seed: int = 1,
+    seeds: int = 1,
+    length_s: float = 15.0,
+    entries: int = 4,
+    keep: str = "target/soak",
 ) -> None:
     """Run one or more seeds and print the report of each as one JSON object.
 
@@ -25,13 +29,18 @@
         Number of consecutive seeds.
     length_s : float
         Period in which faults are injected, in seconds.
+    entries : int
+        Number of entry VMs, one process each; the usual size is 4.
     keep : str
         Directory for the logs of runs with violations.
     """
     broken = 0
     for number in range(seed, seed + seeds):
         report = run_process_soak(
-            seed=number, length_s=length_s, keep=pathlib.Path(keep)
+            seed=number,
+            length_s=length_s,
+            entry_count=entries,
+            keep=pathlib.Path(keep),
         )
         print(report.to_json(), flush=True)
         broken += bool(report.violations)
--- a/pomelolug/experiments/process_soak/_cluster.py
+++ b/pomelolug/experiments/process_soak/_cluster.py
@@ -33,7 +33,6 @@
 
 __all__ = ["EntryVm", "ProcessCluster", "ServerHandle"]
 
-_ENTRY_COUNT = 4
 _ZONE_COUNT = 2
 _DOMAIN_COUNT = 2
 _DOMAIN_SIZE = 6
@@ -89,6 +88,8 @@
         Chooses entry VMs and keys for callers.
     seed : int
         Seed of the servers' own choices.
+    entry_count : int
+        Number of entry VMs.
     """
 
     def __init__(
@@ -97,11 +98,13 @@
         guarantees: GuaranteeChecker,
         rng: random.Random,
         seed: int,
+        entry_count: int,
     ) -> None:
         self._folder = folder
         self._guarantees = guarantees
         self._rng = rng
         self._seed = seed
+        self._entry_count = entry_count
         self._network_prefix, self._prefix_lock = _reserve_network_prefix()
         self._store = FakeMetadataStore()
         self._deployment = SampleDeployment(version=1, keys=dict(_ACCOUNT_KEYS))
@@ -167,7 +170,7 @@
         for number in range(_DOMAIN_COUNT):
             await self._start_server_process(f"domain-{number}", _DOMAIN_SIZE, number)
         await self._start_server_process("plain", _PLAIN_SERVER_COUNT, _DOMAIN_COUNT)
-        for number in range(_ENTRY_COUNT):
+        for number in range(self._entry_count):
             await self._start_entry(number)
         async with asyncio.timeout(_START_TIMEOUT_S):
             while not all(entry.is_in_rotation for entry in self.entries):  # noqa: ASYNC110
--- a/pomelolug/experiments/process_soak/_run.py
+++ b/pomelolug/experiments/process_soak/_run.py
@@ -43,7 +43,11 @@
 
 
 def run_process_soak(
-    *, seed: int, length_s: float, keep: pathlib.Path | None = None
+    *,
+    seed: int,
+    length_s: float,
+    entry_count: int = 4,
+    keep: pathlib.Path | None = None,
 ) -> ProcessSoakReport:
     """Run the entry processes under faults and check what callers and servers saw.
 
@@ -54,12 +58,14 @@
         with one seed have the same plan but different histories.
     length_s : float
         Period in which faults are injected, in seconds.
+    entry_count : int
+        Number of entry VMs, one process each.
     keep : pathlib.Path, optional
         Directory for the logs of a run with violations.
     """
     with tempfile.TemporaryDirectory(prefix="process-soak-") as name:
         folder = pathlib.Path(name)
-        report = asyncio.run(_run(seed, length_s, folder))
+        report = asyncio.run(_run(seed, length_s, entry_count, folder))
         if report.violations and keep is not None:
             target = keep / f"seed-{seed}"
             shutil.copytree(folder, target, dirs_exist_ok=True)
@@ -68,11 +74,15 @@
     return report
 
 
-async def _run(seed: int, length_s: float, folder: pathlib.Path) -> ProcessSoakReport:
+async def _run(
+    seed: int, length_s: float, entry_count: int, folder: pathlib.Path
+) -> ProcessSoakReport:
     rng = random.Random(seed)
     fault_windows = FaultWindows()
     guarantees = GuaranteeChecker(fault_windows)
-    cluster = ProcessCluster(folder, guarantees, random.Random(rng.random()), seed)
+    cluster = ProcessCluster(
+        folder, guarantees, random.Random(rng.random()), seed, entry_count
+    )
     callers = Callers(cluster, guarantees, random.Random(rng.random()))
     faults = FaultInjector(
         cluster, guarantees, fault_windows, random.Random(rng.random())
