--- a/pomelolug/entry/tests/test_restored_store.py
+++ b/pomelolug/entry/tests/test_restored_store.py
@@ -6,12 +6,12 @@
 import pytest
 
 from pomelolug.clock import SystemClock
-from pomelolug.entry.tests.harness import Harness, send_response
-from pomelolug.entry.tests.test_crashing_requests import (
+from pomelolug.entry.tests.crashing_servers import (
     CrashingServers,
     crash_until_stopped,
     send_crashing,
 )
+from pomelolug.entry.tests.harness import Harness, send_response
 from pomelolug.feeds import SourceUnavailableError, StoreRestoredError, era_of
 from pomelolug.ids import Offset
 from pomelolug.platform import MetadataStore, StoreControllerElection
