Send no request to a server that has stated that it leaves

Cause: servers state in all their responses that they are about to leave, and no code read the header (a search of the adapter finds no name for it). A node went on sending to such a server until the store showed its entry as leaving, and for as long as the store was away.

Change: what a server states in a response is one type, ServerNotice, decoded once in the adapter. ServerNotices owns it (limits as before, and now departures) and is asked by every path before a server is chosen, and again when the connection is open.

Ruled out: marking the registry's entry as leaving. An entry that is written again, or read from a restored store, would undo it.

--- a/pomelolug/deployment/__init__.py
+++ b/pomelolug/deployment/__init__.py
@@ -11,6 +11,7 @@
     Service,
     ServiceShare,
 )
+from pomelolug.deployment._notice import ServerNotice, StatedAvailability
 from pomelolug.deployment._registry import RegistryChange, ServerRegistry
 from pomelolug.deployment._servers import (
     BackendServer,
@@ -32,9 +33,11 @@
     "Repeatability",
     "Route",
     "ServerControl",
+    "ServerNotice",
     "ServerRegistry",
     "ServerReport",
     "ServerState",
     "Service",
     "ServiceShare",
+    "StatedAvailability",
 ]
--- /dev/null
+++ b/pomelolug/deployment/_notice.py
@@ -0,0 +1,32 @@
+"""What a backend server states about itself in the header of a response."""
+
+import abc
+import dataclasses
+
+from pomelolug.deployment._servers import BackendServer
+
+__all__ = ["ServerNotice", "StatedAvailability"]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerNotice:
+    """Statements of a server in one response.
+
+    Parameters
+    ----------
+    request_limit_per_s : float or None
+        Requests per second that the server takes from all nodes together.
+    is_leaving : bool
+        Whether the server is about to leave and takes no further requests.
+    """
+
+    request_limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
+class StatedAvailability(abc.ABC):
+    """What servers have stated about whether they take requests."""
+
+    @abc.abstractmethod
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Return whether a server has stated that it is about to leave."""
--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -4,8 +4,8 @@
 from types import TracebackType
 
 from pomelolug.deployment import BackendServer
-from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
+from pomelolug.entry._server_notices import ServerNotices, WaitCause
 from pomelolug.ids import RequestId
 from pomelolug.platform import ServerReply, decode_server_reply
 from pomelolug.transport import (
@@ -33,6 +33,9 @@
 """Failures of an attempt in which the server was still sending."""
 
 
+_WITHDRAWN_REASONS = {WaitCause.LEAVING: "server_leaving"}
+
+
 class RunStatus(enum.Enum):
     """Whether a server may have run a request."""
 
@@ -82,6 +85,11 @@
         """Whether the server may have run the request."""
         return self._run_status
 
+    @property
+    def is_server_failure(self) -> bool:
+        """Whether the attempt failed, rather than being withdrawn before sending."""
+        return self._reason not in _WITHDRAWN_REASONS.values()
+
     @property
     def stale_connection(self) -> bool:
         """Whether a reused connection ended before any response."""
@@ -107,8 +115,8 @@
         Pool of connections to servers.
     run_monitor : RunMonitor
         Refuses requests that crash servers, and counts how runs end.
-    rate_limiter : RequestRateLimiter
-        Counts the request, and receives the limit that the response names.
+    notices : ServerNotices
+        Counts the request, and receives what the response states about the server.
     server : BackendServer
         Server to send to.
     request_id : RequestId
@@ -121,7 +129,7 @@
         self,
         pool: ConnectionPool,
         run_monitor: RunMonitor,
-        rate_limiter: RequestRateLimiter,
+        notices: ServerNotices,
         server: BackendServer,
         *,
         request_id: RequestId,
@@ -129,7 +137,7 @@
     ) -> None:
         self._pool = pool
         self._run_monitor = run_monitor
-        self._rate_limiter = rate_limiter
+        self._notices = notices
         self._server = server
         self._address = server.address
         self._request_id = request_id
@@ -172,13 +180,13 @@
         Raises
         ------
         AttemptError
-            If no connection can be opened or it has closed before sending, which
-            proves that the request did not run.
+            If no connection can be opened, it has closed before sending, or the server
+            takes no more requests, which proves that the request did not run.
         QuarantinedError
             If the request must not be sent, since it crashes servers.
         """
         # Counted before the first await, since the choice of the server relies on it.
-        self._rate_limiter.record_request(self._server.vm)
+        self._notices.count_request(self._server)
         try:
             connection = await self._pool.acquire(self._address, fresh=fresh)
         except HttpConnectionError as error:
@@ -187,6 +195,14 @@
             ) from error
         self._connection = connection
         self._run_monitor.check(self._fingerprint)
+        # The server may have stated it while the connection was opened.
+        cause = self._notices.refusal_cause(self._server)
+        if cause is not None:
+            raise AttemptError(
+                _WITHDRAWN_REASONS[cause],
+                run_status=RunStatus.NOT_RUN,
+                may_have_arrived=False,
+            )
         try:
             connection.send(data)
         except HttpConnectionError as error:
@@ -215,7 +231,7 @@
                 reply = decode_server_reply(head)
                 if self._is_own_response(reply):
                     self._reply = reply
-                    self._record_limit(reply)
+                    self._record_notice(reply)
                     return reply, head
                 connection.expect_another_response()
                 await connection.read_body(_MAX_SKIPPED_BODY_BYTES)
@@ -288,14 +304,14 @@
             return RunEnd.ANSWERED if is_usable else RunEnd.SURVIVED
         return RunEnd.UNANSWERED if reply is None else RunEnd.INTERRUPTED
 
-    def _record_limit(self, reply: ServerReply) -> None:
-        limit_per_s = reply.request_limit_per_s
-        # A refusal or failure without a limit says nothing about it.
-        if limit_per_s is None and not (reply.sealed and reply.status < 300):
-            return
+    def _record_notice(self, reply: ServerReply) -> None:
         assert self._run is not None
-        self._rate_limiter.limits.record_response(
-            self._server.vm, limit_per_s, sent_at_s=self._run.began_at_s
+        self._notices.record(
+            self._server,
+            reply.notice,
+            sent_at_s=self._run.began_at_s,
+            # A refusal or failure without a limit says nothing about it.
+            confirms_no_limit=reply.sealed and reply.status < 300,
         )
 
     def _is_own_response(self, reply: ServerReply) -> bool:
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -28,6 +28,7 @@
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._server_limits import ServerLimits
+from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._stream import StreamForwarder
 from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
@@ -178,9 +179,9 @@
         store = MetadataStore(address=settings.store_address, timeout=_STORE_TIMEOUT)
         self._store = store
         self._registry = ServerRegistry(clock=clock)
-        self._build_rate_limiter()
+        self._build_notices()
         self._server_tracker = ServerTracker(
-            registry=self._registry, rate_limiter=self._rate_limiter, clock=clock
+            registry=self._registry, notices=self._notices, clock=clock
         )
         self._declarations = DeclarationCache(on_change=self._on_declaration)
         self._registry_updater = RegistryUpdater(
@@ -225,7 +226,7 @@
             on_nodes=self._on_nodes,
             departures=self._departures,
             poison_detector=self._poison_detector,
-            server_limits=self._server_limits,
+            notices=self._notices,
         )
         self._internal_endpoints = InternalEndpoints(
             lifecycle=self._lifecycle,
@@ -238,12 +239,12 @@
             feeds=self._feeds,
         )
 
-    def _build_rate_limiter(self) -> None:
+    def _build_notices(self) -> None:
         settings = self._settings
         self._server_limits = ServerLimits(
             zone=settings.zone,
             clock=self._clock,
-            on_news=self._on_limit_news,
+            on_news=self._announce,
         )
         self._rate_limiter = RequestRateLimiter(
             limits=self._server_limits,
@@ -253,6 +254,12 @@
             clock=self._clock,
             rng=self._rng,
         )
+        self._notices = ServerNotices(
+            limits=self._server_limits,
+            rate_limiter=self._rate_limiter,
+            clock=self._clock,
+            on_leaving=self._on_leaving_server,
+        )
 
     def _build_feeds(self) -> None:
         self._declaration_feed = TopicFeed(
@@ -311,7 +318,7 @@
             pool=self._pool,
             retry_limiter=self._retry_limiter,
             run_monitor=self._run_monitor,
-            rate_limiter=self._rate_limiter,
+            notices=self._notices,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -322,7 +329,7 @@
             retry_limiter=self._retry_limiter,
             stall_detector=self._stall_detector,
             run_monitor=self._run_monitor,
-            rate_limiter=self._rate_limiter,
+            notices=self._notices,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -356,6 +363,9 @@
             pool=ConnectionPool(max_idle=_MAX_IDLE, connect_timeout=_CONNECT_TIMEOUT),
             order_timeout=_ORDER_TIMEOUT,
             report_timeout=_REPORT_TIMEOUT,
+            on_notice=lambda server, notice: self._notices.record(
+                server, notice, sent_at_s=clock.monotonic()
+            ),
         )
         self._controller = ReplicaGroupController(
             lease=self._lease,
@@ -363,6 +373,7 @@
             control=server_control,
             health=ServerHealth(control=server_control, clock=clock),
             departures=self._departures,
+            availability=self._notices,
             clock=clock,
             declaration=lambda: self._declarations.current,
             stall_timeout=settings.stall_timeout,
@@ -402,8 +413,7 @@
             if rounds % _ROUNDS_PER_SWEEP == 0:
                 self._pool.close_expired()
                 self._run_monitor.settle_overdue()
-                self._server_limits.forget_expired()
-                self._rate_limiter.drop_unlimited()
+                self._notices.forget_expired()
                 self._metrics.in_flight.set(self._request_handler.in_flight)
                 self._metrics.declaration_version.set(self._declarations.version)
                 self._metrics.open_groups.set(self._server_tracker.open_groups())
@@ -477,9 +487,13 @@
         for server in change.removed:
             self._pool.close_idle(server.address)
 
-    def _on_limit_news(self) -> None:
+    def _announce(self) -> None:
         self._peer_coordinator.announce()
 
+    def _on_leaving_server(self) -> None:
+        self._announce()
+        self._controller.wake()
+
     def _on_nodes(self, count: int, zone_nodes: list[NodeId]) -> None:
         self._retry_limiter.set_node_count(count)
         self._rate_limiter.set_nodes(count=count, zone_nodes=zone_nodes)
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -12,7 +12,7 @@
 from pomelolug.entry._peer_gossip import PeerGossip
 from pomelolug.entry._poison_requests import PoisonRequestDetector
 from pomelolug.entry._relay import RelaySource
-from pomelolug.entry._server_limits import ServerLimits
+from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._topic_consumers import DeclarationCache
 from pomelolug.errors import PlatformError
@@ -91,8 +91,8 @@
         Departures of members from groups whose heads do not answer.
     poison_detector : PoisonRequestDetector
         Requests that were in flight when servers were lost.
-    server_limits : ServerLimits
-        Limits that servers set on their requests.
+    notices : ServerNotices
+        What servers state about the requests that they take.
     """
 
     def __init__(
@@ -112,7 +112,7 @@
         on_nodes: Callable[[int, list[NodeId]], None],
         departures: Departures,
         poison_detector: PoisonRequestDetector,
-        server_limits: ServerLimits,
+        notices: ServerNotices,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -130,7 +130,7 @@
         self._registered_count = 0
         self._departures = departures
         self._poison_detector = poison_detector
-        self._server_limits = server_limits
+        self._notices = notices
         self._started_ms = time.time_ns() // 1_000_000
         self._datagram_port = (
             settings.internal_ports[0] if settings.internal_ports else 0
@@ -359,6 +359,7 @@
 
     def _build_status(self, serial: int, peers: tuple[str, ...]) -> NodeStatus:
         is_relay = self.is_relay
+        limits = self._notices.limits
         return NodeStatus(
             node=self._settings.node,
             started_ms=self._started_ms,
@@ -386,9 +387,10 @@
             cleared=self._poison_detector.cleared_to_send(),
             strikes=self._poison_detector.losses_to_send(),
             releases=self._departures.ages_s(),
-            limits=self._server_limits.own_reports(),
-            zone_limits=self._server_limits.zone_reports() if is_relay else {},
-            other_limits=self._server_limits.other_zone_reports() if is_relay else {},
+            limits=limits.own_reports(),
+            zone_limits=limits.zone_reports() if is_relay else {},
+            other_limits=limits.other_zone_reports() if is_relay else {},
+            leaving=self._notices.leaving.reports(),
             peers=peers,
         )
 
@@ -400,7 +402,7 @@
         for head in {*status.suspects, *status.zone_suspects, *status.other_suspects}:
             self._on_suspect(VmId(head))
         self._departures.merge(status.releases)
-        self._server_limits.merge(status)
+        self._notices.merge(status)
         self._poison_detector.merge(
             status.strikes,
             cleared=status.cleared,
--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -6,16 +6,16 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, Repeatability
 from pomelolug.entry._attempt import Attempt, AttemptError, RunStatus
-from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._request_context import (
     RequestContext,
     not_run_error,
-    server_limit_error,
+    server_wait_error,
     unknown_outcome_error,
 )
 from pomelolug.entry._request_record import AttemptRecord
 from pomelolug.entry._run_monitor import RunMonitor
+from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.errors import ErrorCode, RequestError
 from pomelolug.ids import VmId, ZoneId
@@ -51,8 +51,8 @@
         Limits retries on further servers.
     run_monitor : RunMonitor
         Refuses requests that crash servers.
-    rate_limiter : RequestRateLimiter
-        Share of this node in the requests that limited servers take.
+    notices : ServerNotices
+        What servers state about the requests that they take.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -68,7 +68,7 @@
         pool: ConnectionPool,
         retry_limiter: RetryLimiter,
         run_monitor: RunMonitor,
-        rate_limiter: RequestRateLimiter,
+        notices: ServerNotices,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -77,7 +77,7 @@
         self._pool = pool
         self._retry_limiter = retry_limiter
         self._run_monitor = run_monitor
-        self._rate_limiter = rate_limiter
+        self._notices = notices
         self._clock = clock
         self._zone = zone
         self._rng = rng
@@ -109,7 +109,8 @@
                     context, server, is_final=is_final
                 )
             except AttemptError as failure:
-                self._server_tracker.record_failure(server.vm)
+                if failure.is_server_failure:
+                    self._server_tracker.record_failure(server.vm)
                 possible_runs += failure.run_status is RunStatus.MAY_HAVE_RUN
                 error = _to_request_error(failure, possible_runs)
                 if failure.run_status is RunStatus.MAY_HAVE_RUN and is_final:
@@ -144,7 +145,7 @@
             server.vm,
             self._server_tracker.in_flight(server.vm),
             len(self._server_tracker.servers(context.service.name)),
-            self._rate_limiter.limits.rate_per_s(server.vm),
+            self._notices.request_limit_per_s(server.vm),
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(server.vm)
@@ -186,7 +187,7 @@
         async with Attempt(
             self._pool,
             self._run_monitor,
-            self._rate_limiter,
+            self._notices,
             server,
             request_id=context.request_head.request_id,
             fingerprint=context.fingerprint,
@@ -219,9 +220,9 @@
         return min(servers, key=lambda s: (self._score(s), self._rng.random()))
 
     def _no_server_error(self, context: RequestContext) -> RequestError:
-        wait_s = self._server_tracker.server_wait_s(context.service.name)
-        if wait_s:
-            return server_limit_error(wait_s, self._rng)
+        wait = self._server_tracker.server_wait(context.service.name)
+        if wait is not None:
+            return server_wait_error(wait, self._rng)
         return not_run_error(ErrorCode.NO_GROUP, "no server of the service is ready")
 
     def _score(self, server: BackendServer) -> float:
--- a/pomelolug/entry/_request_context.py
+++ b/pomelolug/entry/_request_context.py
@@ -8,6 +8,7 @@
 
 from pomelolug.deployment import Declaration, Route, Service
 from pomelolug.entry._request_record import RequestRecord
+from pomelolug.entry._server_notices import ServerWait, WaitCause
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import AccountId, VmId
 from pomelolug.platform import RequestHead, forwarded_headers, refusal_headers
@@ -17,11 +18,11 @@
     "RequestContext",
     "not_run_error",
     "reply_error",
-    "server_limit_error",
+    "server_wait_error",
     "unknown_outcome_error",
 ]
 
-_LIMIT_RETRY_SPREAD = 0.3
+_WAIT_CODES = {WaitCause.LIMIT: ErrorCode.SERVER_LIMIT}
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -95,19 +96,19 @@
     return RequestError(code, message, status=503, outcome=Outcome.NOT_RUN)
 
 
-def server_limit_error(wait_s: float, rng: random.Random) -> RequestError:
-    """Return an error stating that servers take the request in `wait_s` seconds.
+def server_wait_error(wait: ServerWait, rng: random.Random) -> RequestError:
+    """Return an error stating when servers take requests again.
 
-    The Retry-After is up to `_LIMIT_RETRY_SPREAD` longer, so that the callers who were
-    refused meanwhile do not return simultaneously.
+    The Retry-After is longer by a random part of the spread, so that the callers who
+    were refused meanwhile do not return simultaneously.
     """
-    spread = rng.uniform(1.0, 1.0 + _LIMIT_RETRY_SPREAD)
+    retry_after_s = wait.wait_s + rng.uniform(0.0, wait.return_spread_s)
     return RequestError(
-        ErrorCode.SERVER_LIMIT,
-        "the servers limit their requests per second",
+        _WAIT_CODES[wait.cause],
+        f"no server takes requests now: {wait.cause.value}",
         status=503,
         outcome=Outcome.NOT_RUN,
-        retry_after=datetime.timedelta(seconds=wait_s * spread),
+        retry_after=datetime.timedelta(seconds=retry_after_s),
     )
 
 
--- /dev/null
+++ b/pomelolug/entry/_server_notices.py
@@ -0,0 +1,171 @@
+"""Whether a server takes a request now, given what servers state in their responses.
+
+A server may limit its requests per second or be about to leave. Every
+path to a server asks here before it chooses one.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Callable, Iterable
+
+from pomelolug.clock import Clock
+from pomelolug.deployment import BackendServer, ServerNotice, StatedAvailability
+from pomelolug.entry._leaving_servers import LeavingServers
+from pomelolug.entry._rate_limiter import RequestRateLimiter
+from pomelolug.entry._server_limits import ServerLimits
+from pomelolug.ids import VmId
+from pomelolug.messages import NodeStatus
+
+__all__ = ["ServerNotices", "ServerWait", "WaitCause"]
+
+_LIMIT_RETURN_SPREAD = 0.3
+"""Time over which callers return to a limited server, as a fraction of the wait."""
+
+
+class WaitCause(enum.Enum):
+    """Why a server takes no request now."""
+
+    LIMIT = "limit"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerWait:
+    """Time until a server takes a request.
+
+    Parameters
+    ----------
+    cause : WaitCause
+        Why it takes none now.
+    wait_s : float
+        Seconds until it takes one; infinite if it leaves.
+    return_spread_s : float
+        Seconds after that over which callers should return.
+    """
+
+    cause: WaitCause
+    wait_s: float
+    return_spread_s: float
+
+
+class ServerNotices(StatedAvailability):
+    """Statements of servers that decide whether they take requests.
+
+    Parameters
+    ----------
+    limits : ServerLimits
+        Limits that servers set on their requests.
+    rate_limiter : RequestRateLimiter
+        Share of this node in these limits.
+    clock : Clock
+        Source of monotonic time.
+    on_leaving : callable
+        Called when a server turns out to leave.
+    """
+
+    def __init__(
+        self,
+        *,
+        limits: ServerLimits,
+        rate_limiter: RequestRateLimiter,
+        clock: Clock,
+        on_leaving: Callable[[], None],
+    ) -> None:
+        self._limits = limits
+        self._rate_limiter = rate_limiter
+        self._leaving = LeavingServers(clock=clock)
+        self._on_leaving = on_leaving
+
+    @property
+    def limits(self) -> ServerLimits:
+        """Limits that servers set on their requests."""
+        return self._limits
+
+    @property
+    def leaving(self) -> LeavingServers:
+        """Servers that are about to leave."""
+        return self._leaving
+
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Return whether a server has stated that it is about to leave."""
+        return self._leaving.is_leaving(server)
+
+    def accepts_request(self, server: BackendServer) -> bool:
+        """Return whether a server takes a request of this node now."""
+        return self.find_wait(server) is None
+
+    def refusal_cause(self, server: BackendServer) -> WaitCause | None:
+        """Return why a server that was chosen must not get the request any more.
+
+        Limits are left out, since the request has been counted when it was sent.
+        """
+        return WaitCause.LEAVING if self.is_leaving(server) else None
+
+    def find_wait(self, server: BackendServer) -> ServerWait | None:
+        """Return how long a server takes no request, None if it takes one now."""
+        if self.is_leaving(server):
+            return ServerWait(WaitCause.LEAVING, float("inf"), 0.0)
+        limit_wait_s = self._rate_limiter.wait_s(server.vm)
+        if limit_wait_s > 0.0:
+            spread_s = _LIMIT_RETURN_SPREAD * limit_wait_s
+            return ServerWait(WaitCause.LIMIT, limit_wait_s, spread_s)
+        return None
+
+    def shortest_wait(self, servers: Iterable[BackendServer]) -> ServerWait | None:
+        """Return the wait for the first of several servers to take a request.
+
+        None if one takes a request now, or if all of them leave.
+        """
+        waits = [self.find_wait(server) for server in servers]
+        finite = [w for w in waits if w is not None and w.wait_s != float("inf")]
+        if not finite or None in waits:
+            return None
+        return min(finite, key=lambda wait: wait.wait_s)
+
+    def count_request(self, server: BackendServer) -> None:
+        """Count a request that is sent to a server."""
+        self._rate_limiter.record_request(server.vm)
+
+    def record(
+        self,
+        server: BackendServer,
+        notice: ServerNotice,
+        *,
+        sent_at_s: float,
+        confirms_no_limit: bool = False,
+    ) -> None:
+        """Record the notice of a response.
+
+        Parameters
+        ----------
+        server : BackendServer
+            Server that responded.
+        notice : ServerNotice
+            What it states about itself.
+        sent_at_s : float
+            Monotonic time at which the request was sent.
+        confirms_no_limit : bool
+            Whether the server would have named its limit if it had one.
+        """
+        if notice.is_leaving and self._leaving.record(server):
+            self._on_leaving()
+        if notice.request_limit_per_s is not None or confirms_no_limit:
+            self._limits.record_response(
+                server.vm, notice.request_limit_per_s, sent_at_s=sent_at_s
+            )
+
+    def request_limit_per_s(self, vm: VmId) -> float | None:
+        """Return the requests per second that a server takes, None if unlimited."""
+        return self._limits.rate_per_s(vm)
+
+    def merge(self, status: NodeStatus) -> None:
+        """Apply what a peer reports."""
+        self._limits.merge(status)
+        if self._leaving.merge(status.leaving, source=status.node):
+            self._on_leaving()
+
+    def forget_expired(self) -> None:
+        """Forget statements that no longer hold."""
+        self._limits.forget_expired()
+        self._rate_limiter.drop_unlimited()
+        self._leaving.forget_expired()
--- a/pomelolug/entry/_server_tracker.py
+++ b/pomelolug/entry/_server_tracker.py
@@ -11,7 +11,7 @@
     ServerRegistry,
     ServerState,
 )
-from pomelolug.entry._rate_limiter import RequestRateLimiter
+from pomelolug.entry._server_notices import ServerNotices, ServerWait
 from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.replicas import GroupKey, group_views
@@ -53,8 +53,8 @@
     ----------
     registry : ServerRegistry
         Servers as read from the store.
-    rate_limiter : RequestRateLimiter
-        Share of this node in the requests that limited servers take.
+    notices : ServerNotices
+        What servers state about the requests that they take.
     clock : Clock
         Source of monotonic time.
     """
@@ -63,11 +63,11 @@
         self,
         *,
         registry: ServerRegistry,
-        rate_limiter: RequestRateLimiter,
+        notices: ServerNotices,
         clock: Clock,
     ) -> None:
         self._registry = registry
-        self._rate_limiter = rate_limiter
+        self._notices = notices
         self._clock = clock
         self._loads: dict[VmId, ServerLoad] = {}
         self._peer_loads: dict[VmId, int] = {}
@@ -226,14 +226,14 @@
 
     def heads(self, model: ModelName) -> list[BackendServer]:
         """Return the heads of the open groups of a model that take a request now."""
-        return self._select_unlimited(self._usable_heads(model))
+        return self._select_accepting(self._usable_heads(model))
 
-    def head_wait_s(self, model: ModelName) -> float:
-        """Return the seconds until a head takes a request within its limit.
+    def head_wait(self, model: ModelName) -> ServerWait | None:
+        """Return the wait for a head to take a request.
 
-        0 if one does now or if there is none.
+        None if one does now, if there is none or if all of them leave.
         """
-        return self._least_wait_s(self._usable_heads(model))
+        return self._notices.shortest_wait(self._usable_heads(model))
 
     def open_groups(self) -> int:
         """Return the number of open groups."""
@@ -241,20 +241,14 @@
 
     def servers(self, service: ServiceName) -> list[BackendServer]:
         """Return the servers that take a request now, of a service without groups."""
-        return self._select_unlimited(self._servers_by_service.get(service, []))
+        return self._select_accepting(self._servers_by_service.get(service, []))
 
-    def server_wait_s(self, service: ServiceName) -> float:
-        """Return the seconds until a server takes a request within its limit.
+    def server_wait(self, service: ServiceName) -> ServerWait | None:
+        """Return the wait for a server of a service without groups, as `head_wait`."""
+        return self._notices.shortest_wait(self._servers_by_service.get(service, []))
 
-        0 if one does now or if there is none.
-        """
-        return self._least_wait_s(self._servers_by_service.get(service, []))
-
-    def _select_unlimited(self, servers: list[BackendServer]) -> list[BackendServer]:
-        return [s for s in servers if not self._rate_limiter.wait_s(s.vm)]
-
-    def _least_wait_s(self, servers: list[BackendServer]) -> float:
-        return min((self._rate_limiter.wait_s(s.vm) for s in servers), default=0.0)
+    def _select_accepting(self, servers: list[BackendServer]) -> list[BackendServer]:
+        return [s for s in servers if self._notices.accepts_request(s)]
 
     def _usable_heads(self, model: ModelName) -> list[BackendServer]:
         """Return the heads of the open groups of a model that are not suspected."""
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -13,16 +13,16 @@
     estimate_first_event_s,
     select_candidate,
 )
-from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._request_context import (
     RequestContext,
     not_run_error,
-    server_limit_error,
+    server_wait_error,
     unknown_outcome_error,
 )
 from pomelolug.entry._request_record import AttemptRecord
 from pomelolug.entry._run_monitor import RunMonitor
+from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._watch import StallDetector
 from pomelolug.errors import ErrorCode, Outcome, RequestError
@@ -86,8 +86,8 @@
         Aborts attempts at groups that have stalled.
     run_monitor : RunMonitor
         Refuses requests that crash servers.
-    rate_limiter : RequestRateLimiter
-        Share of this node in the requests that limited servers take.
+    notices : ServerNotices
+        What servers state about the requests that they take.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -104,7 +104,7 @@
         retry_limiter: RetryLimiter,
         stall_detector: StallDetector,
         run_monitor: RunMonitor,
-        rate_limiter: RequestRateLimiter,
+        notices: ServerNotices,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -114,7 +114,7 @@
         self._retry_limiter = retry_limiter
         self._stall_detector = stall_detector
         self._run_monitor = run_monitor
-        self._rate_limiter = rate_limiter
+        self._notices = notices
         self._clock = clock
         self._zone = zone
         self._rng = rng
@@ -177,14 +177,13 @@
 
     def _no_head_error(self, context: RequestContext) -> RequestError:
         """Return the error of a request for which no head was selected."""
-        wait_s = 0.0
-        if context.request_head.model is not None:
-            wait_s = self._server_tracker.head_wait_s(context.request_head.model)
-        if wait_s:
-            return server_limit_error(wait_s, self._rng)
+        model = context.request_head.model
+        wait = self._server_tracker.head_wait(model) if model is not None else None
+        if wait is not None:
+            return server_wait_error(wait, self._rng)
         has_groups = self._has_working_groups(context)
-        wait = _RETRY_AFTER_FULL if has_groups else _RETRY_AFTER_NO_GROUP
-        return _no_group_error(has_groups, self._add_jitter(wait))
+        retry_after = _RETRY_AFTER_FULL if has_groups else _RETRY_AFTER_NO_GROUP
+        return _no_group_error(has_groups, self._add_jitter(retry_after))
 
     def _refused_error(self, message: str) -> RequestError:
         return _backend_refused_error(message, self._add_jitter(_RETRY_AFTER_FULL))
@@ -253,7 +252,7 @@
             head.vm,
             self._server_tracker.in_flight(head.vm),
             len(self._server_tracker.heads(context.request_head.model)),
-            self._rate_limiter.limits.rate_per_s(head.vm),
+            self._notices.request_limit_per_s(head.vm),
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(head.vm)
@@ -264,7 +263,7 @@
             return is_answered
         except AttemptError as failure:
             record.result = failure.reason
-            if failure.run_status is RunStatus.NOT_RUN:
+            if failure.run_status is RunStatus.NOT_RUN and failure.is_server_failure:
                 self._server_tracker.suspect(head.vm)
             raise
         except asyncio.CancelledError:
@@ -283,7 +282,7 @@
         async with Attempt(
             self._pool,
             self._run_monitor,
-            self._rate_limiter,
+            self._notices,
             head,
             request_id=context.request_head.request_id,
             fingerprint=context.fingerprint,
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -7,6 +7,7 @@
 from pomelolug.deployment import ServerRegistry
 from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._server_limits import ServerLimits
+from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.ids import NodeId, VmId, ZoneId
 from pomelolug.messages import NodeStatus
@@ -26,8 +27,14 @@
         clock=clock,
         rng=random.Random(0),
     )
+    notices = ServerNotices(
+        limits=rate_limiter.limits,
+        rate_limiter=rate_limiter,
+        clock=clock,
+        on_leaving=lambda: None,
+    )
     return ServerTracker(
-        registry=ServerRegistry(clock=clock), rate_limiter=rate_limiter, clock=clock
+        registry=ServerRegistry(clock=clock), notices=notices, clock=clock
     )
 
 
--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -29,6 +29,7 @@
 from pomelolug.entry._poison_requests import PoisonRequestDetector, compute_fingerprint
 from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._server_limits import ServerLimits
+from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.experiments._slopes import (
     LinearFit,
@@ -121,10 +122,20 @@
     )
 
 
+def _make_notices() -> ServerNotices:
+    rate_limiter = _make_rate_limiter()
+    return ServerNotices(
+        limits=rate_limiter.limits,
+        rate_limiter=rate_limiter,
+        clock=_ProcessClock(),
+        on_leaving=lambda: None,
+    )
+
+
 def _make_tracker_refresh(count: int) -> Callable[[], object]:
     server_tracker = ServerTracker(
         registry=_make_registry(count),
-        rate_limiter=_make_rate_limiter(),
+        notices=_make_notices(),
         clock=_ProcessClock(),
     )
     return lambda: server_tracker.refresh({_MODEL: GROUP_SIZE})
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -18,6 +18,7 @@
 from pomelolug.messages._entry_generated import (
     FeedBatch,
     FeedRecord,
+    LeavingReport,
     LimitReport,
     NodeStatus,
 )
@@ -80,6 +81,7 @@
     "Hello",
     "HolderLost",
     "KeepAlive",
+    "LeavingReport",
     "LimitReport",
     "LossReport",
     "MAX_MESSAGE_BYTES",
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -5,7 +5,7 @@
 
 from pomelolug.messages._codec import Message
 
-__all__ = ["FeedBatch", "FeedRecord", "LimitReport", "NodeStatus"]
+__all__ = ["FeedBatch", "FeedRecord", "LeavingReport", "LimitReport", "NodeStatus"]
 
 
 class LimitReport(Message, frozen=True, kw_only=True):
@@ -17,6 +17,15 @@
     """Time since the server's response, in seconds."""
 
 
+class LeavingReport(Message, frozen=True, kw_only=True):
+    """A server that has stated that it is about to leave."""
+
+    start_time_ms: int
+    """Start of the server, in milliseconds since 1970."""
+    age_s: float
+    """Time since the server's response, in seconds."""
+
+
 class NodeStatus(Message, frozen=True, kw_only=True):
     """Status datagram that a node sends to its peers several times a second."""
 
@@ -72,6 +81,8 @@
     """Limits that servers stated in the relay's whole zone."""
     other_limits: dict[str, LimitReport] = {}
     """Limits that servers stated in all other zones, as known to the relay."""
+    leaving: dict[str, LeavingReport] = {}
+    """Servers that have stated that they are about to leave."""
     peers: tuple[str, ...] = ()
     """Datagram addresses of a sample of other nodes."""
 
--- a/pomelolug/platform/_headers.py
+++ b/pomelolug/platform/_headers.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Iterable
 
+from pomelolug.deployment import ServerNotice
 from pomelolug.ids import AccountId, ModelName, RequestId, VmId
 from pomelolug.platform import _wire_names
 from pomelolug.transport import ResponseHead
@@ -12,6 +13,7 @@
     "RequestHead",
     "ServerReply",
     "decode_request_head",
+    "decode_server_notice",
     "decode_server_reply",
     "decode_store_era",
     "forwarded_headers",
@@ -91,8 +93,7 @@
     `sealed` is true if the response carries the server's signature, which a
     successful response needs. `encoded` is true if the body has a content
     encoding, so that it is not the server's original bytes.
-    `request_limit_per_s` is the rate of requests that the server takes from all nodes
-    together, None if it names none.
+    `notice` is what the server states about itself.
     """
 
     status: int
@@ -101,7 +102,7 @@
     refused: bool
     encoded: bool
     at_fault: VmId | None
-    request_limit_per_s: float | None
+    notice: ServerNotice
 
 
 def decode_request_head(
@@ -166,7 +167,15 @@
         refused=head.status == 421 or head.get(_wire_names.NOT_EXECUTED) is not None,
         encoded=head.get(b"content-encoding") is not None,
         at_fault=VmId(_decode_text(at_fault)) if at_fault is not None else None,
+        notice=decode_server_notice(head),
+    )
+
+
+def decode_server_notice(head: ResponseHead) -> ServerNotice:
+    """Return what a server states about itself in a response."""
+    return ServerNotice(
         request_limit_per_s=_decode_rate(head.get(_wire_names.SERVER_LIMIT)),
+        is_leaving=(head.get(_wire_names.SERVER_LEAVING) or b"").strip() == b"1",
     )
 
 
--- a/pomelolug/platform/_server_control.py
+++ b/pomelolug/platform/_server_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -12,10 +13,12 @@
     GroupState,
     OrderResult,
     ServerControl,
+    ServerNotice,
     ServerReport,
 )
 from pomelolug.ids import GroupId, ModelName, VmId
 from pomelolug.platform import _wire_names
+from pomelolug.platform._headers import decode_server_notice
 from pomelolug.transport import (
     ConnectionPool,
     HttpConnectionError,
@@ -26,14 +29,14 @@
 __all__ = ["HttpServerControl"]
 
 _MAX_REPORT_BYTES = 64 * 1024
-
+_OTHER_SERVER_STATUS = 421
 
 _RESULT_BY_STATUS = {
     200: OrderResult.SATISFIED,
     202: OrderResult.BEGUN,
     409: OrderResult.CONFLICT,
     412: OrderResult.FENCED,
-    421: OrderResult.OTHER_SERVER,
+    _OTHER_SERVER_STATUS: OrderResult.OTHER_SERVER,
 }
 
 
@@ -71,6 +74,8 @@
         Connection pool that only this client uses.
     order_timeout, report_timeout : datetime.timedelta
         Time limits of one order and of one report.
+    on_notice : callable
+        Called with a server that responded and with what it states about itself.
     """
 
     def __init__(
@@ -79,8 +84,10 @@
         pool: ConnectionPool,
         order_timeout: datetime.timedelta,
         report_timeout: datetime.timedelta,
+        on_notice: Callable[[BackendServer, ServerNotice], None],
     ) -> None:
         self._pool = pool
+        self._on_notice = on_notice
         self._order_timeout_s = order_timeout.total_seconds()
         self._report_timeout_s = report_timeout.total_seconds()
 
@@ -224,7 +231,10 @@
                 connection.abort()
                 raise
             self._pool.release(server.address, connection)
-            return head, body
+        # Another server may have taken over the address.
+        if head.status != _OTHER_SERVER_STATUS:
+            self._on_notice(server, decode_server_notice(head))
+        return head, body
 
 
 def _decode_report(data: bytes) -> ServerReport:
--- a/pomelolug/platform/_wire_names.py
+++ b/pomelolug/platform/_wire_names.py
@@ -12,6 +12,8 @@
 RETRY_AFTER = b"Retry-After"
 # Requests per second that a server takes from all nodes together.
 SERVER_LIMIT = b"Server-Limit"
+# Set by a server that is about to leave, in all its responses.
+SERVER_LEAVING = b"Server-Leaving"
 # Rises when the store goes back to an older copy.
 STORE_ERA = b"Store-Era"
 INSTANCE_ID = b"Instance-Id"
--- a/pomelolug/platform/tests/test_decoding.py
+++ b/pomelolug/platform/tests/test_decoding.py
@@ -200,7 +200,7 @@
 def test_invalid_request_limit_of_a_server_is_ignored(value, rate_per_s):
     # A limit that cannot be read must not stop all requests to a server.
     reply = decode_server_reply(ResponseHead(200, ((b"Server-Limit", value),)))
-    assert reply.request_limit_per_s == rate_per_s
+    assert reply.notice.request_limit_per_s == rate_per_s
 
 
 def test_events_are_split_at_blank_lines_for_any_chunk_boundary():
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -18,6 +18,7 @@
     ModelProfile,
     ServerControl,
     ServerRegistry,
+    StatedAvailability,
 )
 from pomelolug.ids import GroupId, ModelName, ServiceName, VmId
 from pomelolug.replicas._departures import Departures
@@ -93,6 +94,8 @@
         Lost servers and newest reports.
     departures : Departures
         Departures from groups whose heads do not answer.
+    availability : StatedAvailability
+        What servers have stated about whether they take requests.
     clock : Clock
         Source of monotonic time.
     declaration : callable
@@ -116,6 +119,7 @@
         control: ServerControl,
         health: ServerHealth,
         departures: Departures,
+        availability: StatedAvailability,
         clock: Clock,
         declaration: Callable[[], Declaration | None],
         stall_timeout: datetime.timedelta,
@@ -133,6 +137,7 @@
         self._fleet = FleetView(
             registry=registry,
             health=health,
+            availability=availability,
             clock=clock,
             in_flight=in_flight,
             runs_models=self._runs_models,
--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -10,6 +10,7 @@
     GroupState,
     ServerRegistry,
     ServerState,
+    StatedAvailability,
 )
 from pomelolug.ids import ModelName, ServiceName, VmId
 from pomelolug.replicas._group_view import GroupView, group_views
@@ -38,6 +39,8 @@
         Servers as read from the store.
     health : ServerHealth
         Lost servers and newest reports.
+    availability : StatedAvailability
+        What servers have stated about whether they take requests.
     clock : Clock
         Source of monotonic time.
     in_flight : callable
@@ -51,12 +54,14 @@
         *,
         registry: ServerRegistry,
         health: ServerHealth,
+        availability: StatedAvailability,
         clock: Clock,
         in_flight: Callable[[VmId], int],
         runs_models: Callable[[ServiceName], bool],
     ) -> None:
         self._registry = registry
         self._health = health
+        self._availability = availability
         self._clock = clock
         self._in_flight = in_flight
         self._runs_models = runs_models
@@ -122,10 +127,19 @@
             for key in [k for k in self._last_model if k not in listed]:
                 del self._last_model[key]
 
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Return whether a server leaves, by its entry or by its own statement.
+
+        The statement may come first, and an older entry does not revoke it.
+        """
+        return server.state is ServerState.DRAINING or self._availability.is_leaving(
+            server
+        )
+
     def is_usable(self, server: BackendServer) -> bool:
         """Return whether a server is able to join a group."""
         return (
-            server.state is ServerState.READY
+            not self.is_leaving(server)
             and server.vm in self._listed
             and not self._registry.is_lapsed(server.vm)
             and not self._health.is_lost(server.vm)
--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -10,7 +10,6 @@
     EngineProfile,
     GroupState,
     ModelProfile,
-    ServerState,
 )
 from pomelolug.ids import DomainId, VmId
 from pomelolug.replicas._departures import Departures
@@ -160,7 +159,7 @@
         draining = [
             member
             for member in members
-            if member.state is ServerState.DRAINING
+            if self._fleet.is_leaving(member)
             # Requests may not be sent to a head without an entry.
             or (member is view.head and member.vm not in self._fleet.listed)
         ]
--- a/pomelolug/replicas/tests/simulated_node.py
+++ b/pomelolug/replicas/tests/simulated_node.py
@@ -11,6 +11,7 @@
     ModelProfile,
     ServerRegistry,
     Service,
+    StatedAvailability,
 )
 from pomelolug.ids import ModelName, Offset, ServiceName, VmId
 from pomelolug.replicas import (
@@ -96,6 +97,16 @@
         self.is_assigned = False
 
 
+class Statements(StatedAvailability):
+    """Statements of servers that a test sets."""
+
+    def __init__(self) -> None:
+        self.leaving: set[VmId] = set()
+
+    def is_leaving(self, server: BackendServer) -> bool:
+        return server.vm in self.leaving
+
+
 class Node:
     """A node that can become the active controller."""
 
@@ -108,6 +119,7 @@
         self.registry = ServerRegistry(clock=clock)
         self.health = ServerHealth(control=fleet, clock=clock)
         self.departures = Departures(clock=clock)
+        self.statements = Statements()
         self.in_flight: dict[str, int] = {}
         self.serving = False
         self.controller = ReplicaGroupController(
@@ -116,6 +128,7 @@
             control=fleet,
             health=self.health,
             departures=self.departures,
+            availability=self.statements,
             clock=clock,
             declaration=lambda: DECLARATION,
             stall_timeout=STALL_TIMEOUT,
--- a/pomelolug/replicas/tests/test_controller.py
+++ b/pomelolug/replicas/tests/test_controller.py
@@ -117,6 +117,25 @@
     await node.stop()
 
 
+@pytest.mark.parametrize("model", [LARGE, SMALL])
+@pytest.mark.parametrize("rank", [0, 1])
+async def test_member_that_states_that_it_leaves_is_replaced_before_its_entry_says_so(
+    model, rank
+):
+    # Guards against a group that keeps a leaving member, or gets it back, because the
+    # store is away and its entry still shows it as ready.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    leaving = fleet.servers[head_of(fleet, model)].members[rank]
+    node.statements.leaving.add(leaving)
+    node.controller.wake()
+    await asyncio.sleep(6.0)
+    assert len(fleet.open_groups()) == 2
+    assert leaving not in fleet.servers[head_of(fleet, model)].members
+    assert fleet.violations == []
+    await node.stop()
+
+
 async def test_late_order_has_no_effect():
     # Guards against a delayed join order that removes a server from its newer group.
     fleet = make_fleet()
