Keep the pause that a server asks for when it turns a request away

Cause: a server that turns a request away with 503 may name in Retry-After the time for which it wants no requests from the node. No code read it: a refused head was left out for 0.2 s, a plain server not at all.

Change: ServerNotices keeps the pause of each server for one start of it. Others carry the load; if all pause, the caller gets 503 with code server_paused at once, and a Retry-After after the first pause, spread over half of its length. An attempt asks again when its connection is open and is withdrawn if the server has asked meanwhile; such an attempt is no failure of the server. The controller requests no reports from a paused server while its entry is there. A 503 without the header is handled as before.

--- a/pomelolug/deployment/_notice.py
+++ b/pomelolug/deployment/_notice.py
@@ -2,6 +2,7 @@
 
 import abc
 import dataclasses
+import datetime
 
 from pomelolug.deployment._servers import BackendServer
 
@@ -18,10 +19,17 @@
         Requests per second that the server takes from all nodes together.
     is_leaving : bool
         Whether the server is about to leave and takes no further requests.
+    pause : datetime.timedelta or None
+        Time for which the server, which has turned the request away, wants no requests
+        from this node.
+    has_invalid_pause : bool
+        Whether the server named a pause that is not a positive number of seconds.
     """
 
     request_limit_per_s: float | None = None
     is_leaving: bool = False
+    pause: datetime.timedelta | None = None
+    has_invalid_pause: bool = False
 
 
 class StatedAvailability(abc.ABC):
@@ -30,3 +38,7 @@
     @abc.abstractmethod
     def is_leaving(self, server: BackendServer) -> bool:
         """Return whether a server has stated that it is about to leave."""
+
+    @abc.abstractmethod
+    def is_paused(self, server: BackendServer) -> bool:
+        """Return whether a server wants no requests from this node for a while."""
--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -33,7 +33,10 @@
 """Failures of an attempt in which the server was still sending."""
 
 
-_WITHDRAWN_REASONS = {WaitCause.LEAVING: "server_leaving"}
+_WITHDRAWN_REASONS = {
+    WaitCause.LEAVING: "server_leaving",
+    WaitCause.PAUSE: "server_paused",
+}
 
 
 class RunStatus(enum.Enum):
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -258,6 +258,7 @@
             limits=self._server_limits,
             rate_limiter=self._rate_limiter,
             clock=self._clock,
+            rng=self._rng,
             on_leaving=self._on_leaving_server,
         )
 
--- a/pomelolug/entry/_request_context.py
+++ b/pomelolug/entry/_request_context.py
@@ -22,7 +22,10 @@
     "unknown_outcome_error",
 ]
 
-_WAIT_CODES = {WaitCause.LIMIT: ErrorCode.SERVER_LIMIT}
+_WAIT_CODES = {
+    WaitCause.LIMIT: ErrorCode.SERVER_LIMIT,
+    WaitCause.PAUSE: ErrorCode.SERVER_PAUSED,
+}
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/pomelolug/entry/_server_notices.py
+++ b/pomelolug/entry/_server_notices.py
@@ -1,31 +1,40 @@
 """Whether a server takes a request now, given what servers state in their responses.
 
-A server may limit its requests per second or be about to leave. Every
+A server may limit its requests per second, ask for a pause, or be about to leave. Every
 path to a server asks here before it chooses one.
 """
 
 import dataclasses
 import enum
+import random
 from collections.abc import Callable, Iterable
 
+import structlog
+
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, ServerNotice, StatedAvailability
 from pomelolug.entry._leaving_servers import LeavingServers
 from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._server_limits import ServerLimits
+from pomelolug.entry._server_pauses import ServerPauses
 from pomelolug.ids import VmId
 from pomelolug.messages import NodeStatus
 
 __all__ = ["ServerNotices", "ServerWait", "WaitCause"]
 
+_log = structlog.get_logger(__name__)
+
 _LIMIT_RETURN_SPREAD = 0.3
 """Time over which callers return to a limited server, as a fraction of the wait."""
+_PAUSE_RETURN_SPREAD = 0.5
+"""The same after a pause, as a fraction of its length: callers collect during it."""
 
 
 class WaitCause(enum.Enum):
     """Why a server takes no request now."""
 
     LIMIT = "limit"
+    PAUSE = "pause"
     LEAVING = "leaving"
 
 
@@ -59,6 +68,8 @@
         Share of this node in these limits.
     clock : Clock
         Source of monotonic time.
+    rng : random.Random
+        Spreads the ends of pauses.
     on_leaving : callable
         Called when a server turns out to leave.
     """
@@ -69,11 +80,13 @@
         limits: ServerLimits,
         rate_limiter: RequestRateLimiter,
         clock: Clock,
+        rng: random.Random,
         on_leaving: Callable[[], None],
     ) -> None:
         self._limits = limits
         self._rate_limiter = rate_limiter
         self._leaving = LeavingServers(clock=clock)
+        self._pauses = ServerPauses(clock=clock, rng=rng)
         self._on_leaving = on_leaving
 
     @property
@@ -90,6 +103,10 @@
         """Return whether a server has stated that it is about to leave."""
         return self._leaving.is_leaving(server)
 
+    def is_paused(self, server: BackendServer) -> bool:
+        """Return whether a server wants no requests from this node for a while."""
+        return self._pauses.find(server) is not None
+
     def accepts_request(self, server: BackendServer) -> bool:
         """Return whether a server takes a request of this node now."""
         return self.find_wait(server) is None
@@ -99,13 +116,19 @@
 
         Limits are left out, since the request has been counted when it was sent.
         """
-        return WaitCause.LEAVING if self.is_leaving(server) else None
+        if self.is_leaving(server):
+            return WaitCause.LEAVING
+        return WaitCause.PAUSE if self.is_paused(server) else None
 
     def find_wait(self, server: BackendServer) -> ServerWait | None:
         """Return how long a server takes no request, None if it takes one now."""
         if self.is_leaving(server):
             return ServerWait(WaitCause.LEAVING, float("inf"), 0.0)
         limit_wait_s = self._rate_limiter.wait_s(server.vm)
+        pause = self._pauses.find(server)
+        if pause is not None and pause.left_s >= limit_wait_s:
+            spread_s = _PAUSE_RETURN_SPREAD * pause.length_s
+            return ServerWait(WaitCause.PAUSE, pause.left_s, spread_s)
         if limit_wait_s > 0.0:
             spread_s = _LIMIT_RETURN_SPREAD * limit_wait_s
             return ServerWait(WaitCause.LIMIT, limit_wait_s, spread_s)
@@ -149,6 +172,10 @@
         """
         if notice.is_leaving and self._leaving.record(server):
             self._on_leaving()
+        if notice.pause is not None:
+            self._pauses.record(server, notice.pause)
+        elif notice.has_invalid_pause:
+            _log.warning("server_pause_ignored", server=server.vm)
         if notice.request_limit_per_s is not None or confirms_no_limit:
             self._limits.record_response(
                 server.vm, notice.request_limit_per_s, sent_at_s=sent_at_s
@@ -169,3 +196,4 @@
         self._limits.forget_expired()
         self._rate_limiter.drop_unlimited()
         self._leaving.forget_expired()
+        self._pauses.forget_ended()
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -31,6 +31,7 @@
         limits=rate_limiter.limits,
         rate_limiter=rate_limiter,
         clock=clock,
+        rng=random.Random(0),
         on_leaving=lambda: None,
     )
     return ServerTracker(
--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -128,6 +128,7 @@
         limits=rate_limiter.limits,
         rate_limiter=rate_limiter,
         clock=_ProcessClock(),
+        rng=random.Random(0),
         on_leaving=lambda: None,
     )
 
--- a/pomelolug/platform/_headers.py
+++ b/pomelolug/platform/_headers.py
@@ -1,6 +1,7 @@
 """Headers of callers' requests and of servers' responses."""
 
 import dataclasses
+import datetime
 import math
 from collections.abc import Iterable
 
@@ -48,6 +49,9 @@
     )
 )
 _MAX_DEADLINE_MS = 86_400_000.0
+_MAX_PAUSE_S = 86_400.0
+"""Longest pause of a server, in seconds; a longer one is shortened to it."""
+_UNAVAILABLE_STATUS = 503
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -172,10 +176,19 @@
 
 
 def decode_server_notice(head: ResponseHead) -> ServerNotice:
-    """Return what a server states about itself in a response."""
+    """Return what a server states about itself in a response.
+
+    A pause counts only in a response that turns the request away. It is a number of
+    seconds: a date would depend on the clocks of both VMs.
+    """
+    retry_after = head.get(_wire_names.RETRY_AFTER)
+    names_pause = head.status == _UNAVAILABLE_STATUS and retry_after is not None
+    pause_s = _decode_pause_s(retry_after) if names_pause else None
     return ServerNotice(
         request_limit_per_s=_decode_rate(head.get(_wire_names.SERVER_LIMIT)),
         is_leaving=(head.get(_wire_names.SERVER_LEAVING) or b"").strip() == b"1",
+        pause=datetime.timedelta(seconds=pause_s) if pause_s is not None else None,
+        has_invalid_pause=names_pause and pause_s is None,
     )
 
 
@@ -231,6 +244,11 @@
     return rate if rate >= 0.0 and math.isfinite(rate) else None
 
 
+def _decode_pause_s(value: bytes | None) -> float | None:
+    seconds = _decode_rate(value)
+    return min(seconds, _MAX_PAUSE_S) if seconds else None
+
+
 def _decode_bearer_key(value: bytes | None) -> str | None:
     scheme, _, key = _decode_text(value).partition(" ")
     return key.strip() if scheme.lower() == "bearer" and key.strip() else None
--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -206,12 +206,19 @@
             for server, _ in self._unlisted.values()
             if self._runs_models(server.service) and not self._health.is_lost(server.vm)
         }
-        others.update({server.vm: server for server in awaiting_report})
+        others.update(
+            {
+                server.vm: server
+                for server in awaiting_report
+                if not self._availability.is_paused(server)
+            }
+        )
         members = {
             member.vm: member
             for view in group_views(self._listed.values()).values()
             if view.head is not None and view.head.vm in self._suspect_heads
             for member in view.members.values()
+            if not self._availability.is_paused(member)
         }
         await asyncio.gather(
             self._health.probe(members.values(), are_suspect=True),
--- a/pomelolug/replicas/tests/simulated_node.py
+++ b/pomelolug/replicas/tests/simulated_node.py
@@ -102,10 +102,14 @@
 
     def __init__(self) -> None:
         self.leaving: set[VmId] = set()
+        self.paused: set[VmId] = set()
 
     def is_leaving(self, server: BackendServer) -> bool:
         return server.vm in self.leaving
 
+    def is_paused(self, server: BackendServer) -> bool:
+        return server.vm in self.paused
+
 
 class Node:
     """A node that can become the active controller."""
--- a/pomelolug/replicas/tests/test_controller.py
+++ b/pomelolug/replicas/tests/test_controller.py
@@ -136,6 +136,28 @@
     await node.stop()
 
 
+async def test_server_that_asks_for_a_pause_is_not_probed():
+    # Guards against reports that are requested from a server which wants no requests.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, LARGE)
+    node.statements.paused.add(head)
+    reports: list[VmId] = []
+    report = fleet.report
+
+    async def count_report(server):
+        reports.append(server.vm)
+        return await report(server)
+
+    fleet.report = count_report
+    for _ in range(10):
+        node.controller.mark_suspect(head)
+        await asyncio.sleep(0.3)
+    assert reports
+    assert head not in reports
+    await node.stop()
+
+
 async def test_late_order_has_no_effect():
     # Guards against a delayed join order that removes a server from its newer group.
     fleet = make_fleet()
