Do not forward bytes without an event id as part of a stream

A server in trouble that sends garbage with blank lines could reach the caller with it, without end until the deadline.

Measured: the new test fails before the change (the caller gets the garbage) and passes.

--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -24,6 +24,7 @@
     {
         "event_missing",
         "event_size",
+        "event_unreadable",
         "foreign_body",
         "foreign_responses",
         "server_failed",
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -362,8 +362,17 @@
         event_id: int | None,
         event: bytes,
     ) -> None:
-        """Send an event to the caller unless it has already received it."""
-        if event_id is not None and state.last_event_id is not None:
+        """Send an event to the caller unless it has already received it.
+
+        All events of a stream have ids, so what has none is not part of it.
+        """
+        if event_id is None:
+            raise AttemptError(
+                "event_unreadable",
+                run_status=RunStatus.MAY_HAVE_RUN,
+                may_have_arrived=True,
+            )
+        if state.last_event_id is not None:
             if event_id <= state.last_event_id:
                 return
             if event_id != state.last_event_id + 1:
@@ -374,8 +383,7 @@
                 )
         if not state.started:
             self._start_response(context, response_head, state)
-        if event_id is not None:
-            state.last_event_id = event_id
+        state.last_event_id = event_id
         context.record.event_count += 1
         context.exchange.write(event)
 
--- a/pomelolug/entry/tests/test_streams.py
+++ b/pomelolug/entry/tests/test_streams.py
@@ -241,3 +241,28 @@
         await h.start()
         head, body = await h.request("/stream/x", method=b"POST", **HEADERS)
         assert (head.status, body) == (400, b"theirs")
+
+
+async def test_bytes_without_an_event_id_are_not_forwarded():
+    # Guards against bytes of a server in trouble that reach the caller as events.
+    requests = []
+
+    async def script(request):
+        requests.append(request)
+        start_stream(request)
+        if len(requests) == 1:
+            request.send_chunk(encode_event(0))
+            request.send_chunk(b"garbage: 1\n\n")
+            await request.wait_closed()
+            return
+        for number in range(1, 5):
+            request.send_chunk(encode_event(number))
+        request.send_chunk(b"")
+
+    async with Harness() as h:
+        await h.add_server(script, service="llm")
+        await h.add_server(script, service="llm")
+        await h.start()
+        head, body = await h.request("/stream/x", method=b"POST", **HEADERS)
+        assert head.status == 200
+        assert body == encode_events()
