Limit the memory and time that responses without end take

Cause: a connection to a server collected header fields and trailers without a bound, and plain bodies up to 16 MiB for each request, however many requests. The search for the end of an event began at its first byte with each new part, up to 1 MiB.

Change: a connection is closed after 64 KiB in a row that are no part of a body (heads, informational responses, chunk extensions, trailers); trailers are not kept. Bodies larger than 64 KiB in assembly share 32 MiB. A body that is skipped is not kept. Parts that arrived together are read together, and an event may have 256 KiB. Such a server counts as having survived the request.

--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -9,6 +9,7 @@
 from pomelolug.ids import RequestId
 from pomelolug.platform import ServerReply, decode_server_reply
 from pomelolug.transport import (
+    BufferBudget,
     ClientConnection,
     ConnectionPool,
     HttpConnectionError,
@@ -27,6 +28,7 @@
         "event_unreadable",
         "foreign_body",
         "foreign_responses",
+        "head_too_large",
         "server_failed",
         "too_large",
     }
@@ -238,7 +240,7 @@
                     self._record_notice(reply)
                     return reply, head
                 connection.expect_another_response()
-                await connection.read_body(_MAX_SKIPPED_BODY_BYTES)
+                await connection.skip_body(_MAX_SKIPPED_BODY_BYTES)
         except HttpConnectionError as error:
             connection_ended = error.reason in ("reset", "closed")
             raise AttemptError(
@@ -253,8 +255,10 @@
             may_have_arrived=True,
         )
 
-    async def read_body(self, limit: int) -> bytes:
-        """Return the complete body.
+    async def read_body(
+        self, limit: int, *, budget: BufferBudget | None = None
+    ) -> bytes:
+        """Return the complete body, at most `limit` bytes and within the budget.
 
         Raises
         ------
@@ -262,7 +266,7 @@
             If the body is incomplete or too large.
         """
         try:
-            data = await self._require_connection().read_body(limit)
+            data = await self._require_connection().read_body(limit, budget=budget)
         except HttpConnectionError as error:
             raise AttemptError(
                 error.reason, run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
@@ -271,7 +275,7 @@
         return data
 
     async def read_chunk(self) -> bytes | None:
-        """Return the next part of the body, None at its end.
+        """Return what has arrived of the body, None at its end.
 
         Raises
         ------
@@ -279,7 +283,7 @@
             If the body is incomplete.
         """
         try:
-            data = await self._require_connection().read_chunk()
+            data = await self._require_connection().read_available()
         except HttpConnectionError as error:
             raise AttemptError(
                 error.reason, run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -20,13 +20,15 @@
 from pomelolug.errors import ErrorCode, RequestError
 from pomelolug.ids import VmId, ZoneId
 from pomelolug.platform import ServerReply, response_headers
-from pomelolug.transport import ConnectionPool, ResponseHead
+from pomelolug.transport import BufferBudget, ConnectionPool, ResponseHead
 
 __all__ = ["PlainForwarder"]
 
 _MAX_ATTEMPTS = 4
 """Maximum number of servers tried, including those that refuse the request."""
 _MAX_BODY_BYTES = 16 * 1024 * 1024
+_MAX_BUFFERED_BODY_BYTES = 32 * 1024 * 1024
+"""Maximum size of all bodies in assembly, of the 200 MB of a small entry VM."""
 _CROSS_ZONE_PENALTY = 0.1
 """Load, as a fraction of the slots, that a server in another zone must save."""
 _FAILURE_PENALTY = 0.5
@@ -81,6 +83,7 @@
         self._clock = clock
         self._zone = zone
         self._rng = rng
+        self._body_budget = BufferBudget(_MAX_BUFFERED_BODY_BYTES)
 
     async def forward(self, context: RequestContext) -> None:
         """Forward a request and send the response to the caller.
@@ -197,7 +200,7 @@
             await attempt.send(data, fresh=at_most_once)
             context.record.attempts[-1].may_have_run = True
             reply, response_head = await attempt.read_head()
-            body = await attempt.read_body(_MAX_BODY_BYTES)
+            body = await attempt.read_body(_MAX_BODY_BYTES, budget=self._body_budget)
         if reply.refused:
             context.record.attempts[-1].may_have_run = False
             return reply, response_head, body
--- a/pomelolug/platform/_streams.py
+++ b/pomelolug/platform/_streams.py
@@ -4,7 +4,9 @@
 
 __all__ = ["EventSplitter", "ServerSentEvent"]
 
-_MAX_EVENT_BYTES = 1024 * 1024
+_MAX_EVENT_BYTES = 256 * 1024
+_SEPARATORS = (b"\n\n", b"\r\n\r\n")
+_MAX_SEPARATOR_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,7 +30,7 @@
     """
 
     def __init__(self) -> None:
-        self._pending = b""
+        self._pending = bytearray()
 
     @property
     def pending_bytes(self) -> int:
@@ -41,25 +43,29 @@
         Raises
         ------
         ValueError
-            If an incomplete event exceeds 1 MiB.
+            If an incomplete event exceeds 256 KiB.
         """
-        pending = self._pending + data
+        pending = self._pending
+        # A separator may have begun at the end of the previous data.
+        searched = max(len(pending) - _MAX_SEPARATOR_BYTES + 1, 0)
+        pending += data
         events: list[ServerSentEvent] = []
-        while (end := _find_event_end(pending)) > 0:
-            events.append(
-                ServerSentEvent(pending[:end], _parse_event_id(pending[:end]))
-            )
-            pending = pending[end:]
+        start = 0
+        while (end := _find_event_end(pending, max(searched, start))) > 0:
+            event = bytes(pending[start:end])
+            events.append(ServerSentEvent(event, _parse_event_id(event)))
+            start = end
+        del pending[:start]
         if len(pending) > _MAX_EVENT_BYTES:
-            raise ValueError("event exceeds 1 MiB")
-        self._pending = pending
+            raise ValueError("event exceeds 256 KiB")
         return events
 
 
-def _find_event_end(data: bytes) -> int:
+def _find_event_end(data: bytearray, start: int) -> int:
+    """Return the end of the first event that ends after `start`, 0 if none does."""
     ends = []
-    for separator in (b"\n\n", b"\r\n\r\n"):
-        position = data.find(separator)
+    for separator in _SEPARATORS:
+        position = data.find(separator, start)
         if position >= 0:
             ends.append(position + len(separator))
     return min(ends, default=0)
--- a/pomelolug/transport/__init__.py
+++ b/pomelolug/transport/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client and server connections that track what was sent and received."""
 
+from pomelolug.transport._buffer_budget import BufferBudget
 from pomelolug.transport._client import (
     ClientConnection,
     HttpConnectionError,
@@ -16,6 +17,7 @@
 )
 
 __all__ = [
+    "BufferBudget",
     "ClientConnection",
     "ConnectionPool",
     "Exchange",
--- a/pomelolug/transport/_client.py
+++ b/pomelolug/transport/_client.py
@@ -9,9 +9,19 @@
 
 import httptools
 
+from pomelolug.transport._buffer_budget import BufferBudget
+
 __all__ = ["ClientConnection", "HttpConnectionError", "ResponseHead", "open_connection"]
 
 _MAX_BUFFERED_BYTES = 256 * 1024
+_MAX_FRAMING_BYTES = 64 * 1024
+"""Maximum number of bytes received in a row that are no part of a body.
+
+They are response heads with informational responses before them, chunk sizes with
+their extensions, and trailers. A server in trouble may send them without end.
+"""
+_SMALL_BODY_BYTES = 64 * 1024
+"""Size up to which a body needs nothing of the budget, so that it always fits."""
 _TCP_USER_TIMEOUT_MS = 3000
 """Time after which a connection with unacknowledged data fails.
 
@@ -78,6 +88,8 @@
         self._unexpected_response = False
         self._keep_alive = True
         self._buffered_bytes = 0
+        self._framing_bytes = 0
+        self._has_progressed = False
         self._reading_paused = False
         self._opened_at_s = self._loop.time()
         self._idle_since_s = 0.0
@@ -134,6 +146,7 @@
             raise HttpConnectionError("closed_before_send")
         self._awaiting_response = True
         self._request_count += 1
+        self._framing_bytes = 0
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
@@ -152,23 +165,67 @@
             self._resume_reading()
         return chunk
 
-    async def read_body(self, limit: int) -> bytes:
+    async def read_available(self) -> bytes | None:
+        """Wait for a part of the body; return all that has arrived, None at the end."""
+        part = await self.read_chunk()
+        if part is None or not self._chunks or self._chunks[0] is None:
+            return part
+        parts = [part]
+        while self._chunks and self._chunks[0] is not None:
+            parts.append(self._chunks.popleft() or b"")
+        self._buffered_bytes -= sum(map(len, parts[1:]))
+        self._resume_reading()
+        return b"".join(parts)
+
+    async def read_body(
+        self, limit: int, *, budget: BufferBudget | None = None
+    ) -> bytes:
         """Return the complete body.
 
+        Parameters
+        ----------
+        limit : int
+            Maximum size of the body in bytes.
+        budget : BufferBudget or None
+            Budget that a large body is charged to while it is read.
+
+        Raises
+        ------
+        HttpConnectionError
+            If the body is incomplete, exceeds `limit` or does not fit in the budget.
+        """
+        parts: list[bytes] = []
+        size = reserved = 0
+        try:
+            while (part := await self.read_available()) is not None:
+                size += len(part)
+                is_reserved = True
+                if budget is not None and size > _SMALL_BODY_BYTES:
+                    is_reserved = budget.try_reserve(len(part))
+                    reserved += len(part) if is_reserved else 0
+                if size > limit or not is_reserved:
+                    self.abort("too_large")
+                    raise HttpConnectionError("too_large")
+                parts.append(part)
+        finally:
+            if budget is not None:
+                budget.release(reserved)
+        return b"".join(parts)
+
+    async def skip_body(self, limit: int) -> None:
+        """Read a body that is not needed.
+
         Raises
         ------
         HttpConnectionError
             If the body is incomplete or exceeds `limit` bytes.
         """
-        chunks: list[bytes] = []
         size = 0
-        while (chunk := await self.read_chunk()) is not None:
-            size += len(chunk)
+        while (part := await self.read_available()) is not None:
+            size += len(part)
             if size > limit:
                 self.abort("too_large")
                 raise HttpConnectionError("too_large")
-            chunks.append(chunk)
-        return b"".join(chunks)
 
     def abort(self, reason: str = "aborted") -> None:
         """Close the connection immediately; a pending read fails with `reason`."""
@@ -202,10 +259,13 @@
         if not self._awaiting_response and not self._in_body:
             self.abort("unexpected_bytes")
             return
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self.abort("malformed")
+        else:
+            self._limit_framing(len(data))
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -232,8 +292,9 @@
         self._fields = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header field."""
-        self._fields.append((name, value))
+        """Collect one header field; trailers are ignored."""
+        if not self._in_body:
+            self._fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Queue the response head; informational responses are skipped."""
@@ -250,11 +311,13 @@
             self._keep_alive = False
         self._in_body = True
         self._awaiting_response = False
+        self._has_progressed = True
         self._heads.append(head)
 
     def on_body(self, data: bytes) -> None:
         """Queue a chunk of the body and pause reading if the buffer is full."""
         self._chunks.append(data)
+        self._has_progressed = True
         self._buffered_bytes += len(data)
         if self._buffered_bytes > _MAX_BUFFERED_BYTES and not self._reading_paused:
             self._reading_paused = True
@@ -273,6 +336,12 @@
 
     # internals
 
+    def _limit_framing(self, size: int) -> None:
+        """Count received bytes, and abort after too many without a part of a body."""
+        self._framing_bytes = 0 if self._has_progressed else self._framing_bytes + size
+        if self._framing_bytes > _MAX_FRAMING_BYTES:
+            self.abort("head_too_large")
+
     def _end_body(self) -> None:
         self._in_body = False
         self._chunks.append(None)
