Send each order on a connection of its own

Cause: orders to servers carry no id and reused connections. A server that sends a second copy of a response late, when the next order is on its way, had that copy taken for the response to the next order.

Change: orders use a new connection that is closed after the response. Reports keep theirs: a late copy of a report is at most an older report, which never lowers a number of orders, and any other status counts as no report.

--- a/pomelolug/platform/_server_control.py
+++ b/pomelolug/platform/_server_control.py
@@ -185,7 +185,9 @@
             ],
         )
         try:
-            head, body = await self._call(server, request, self._report_timeout_s)
+            head, body = await self._call(
+                server, request, self._report_timeout_s, fresh=False
+            )
             if head.status != 200:
                 return None
             return _decode_report(body)
@@ -209,7 +211,11 @@
             msgspec.json.encode(body),
         )
         try:
-            head, _ = await self._call(server, request, self._order_timeout_s)
+            # Responses to orders have no id. On a connection in use again, a late copy
+            # of an earlier one would be taken for the response to this order.
+            head, _ = await self._call(
+                server, request, self._order_timeout_s, fresh=True
+            )
         except HttpConnectionError as error:
             if error.reason in ("connect_refused", "connect_timeout"):
                 return OrderResult.UNREACHABLE
@@ -219,10 +225,10 @@
         return _RESULT_BY_STATUS.get(head.status, OrderResult.INVALID)
 
     async def _call(
-        self, server: BackendServer, request: bytes, timeout_s: float
+        self, server: BackendServer, request: bytes, timeout_s: float, *, fresh: bool
     ) -> tuple[ResponseHead, bytes]:
         async with asyncio.timeout(timeout_s):
-            connection = await self._pool.acquire(server.address)
+            connection = await self._pool.acquire(server.address, fresh=fresh)
             try:
                 connection.send(request)
                 head = await connection.read_head()
@@ -230,7 +236,10 @@
             except BaseException:
                 connection.abort()
                 raise
-            self._pool.release(server.address, connection)
+            if fresh:
+                connection.close()
+            else:
+                self._pool.release(server.address, connection)
         # Another server may have taken over the address.
         if head.status != _OTHER_SERVER_STATUS:
             self._on_notice(server, decode_server_notice(head))
