Take no error without an id from a connection in use again

Cause: a response with a status of 400 or more needs no request id, since a server may not have read one. On a connection that was used before, such a response may be a late copy of an earlier failure; the next caller got that failure.

Change: it is accepted only on a connection that carries its first request. Otherwise it is skipped like a response to another request.

--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -326,5 +326,6 @@
         if reply.request_id == self._request_id:
             return True
         # An error response may lack the request id. A successful response without
-        # it could belong to another request.
-        return reply.request_id is None and reply.status >= 400
+        # it, or any on a connection in use again, could belong to another request.
+        is_reused = self._require_connection().is_reused
+        return reply.request_id is None and reply.status >= 400 and not is_reused
