Wait for the first request of a connection accepted before a stop

Cause: 2.5 s after SIGTERM a node closes its listener and all idle connections. A connection accepted just before was idle as well, since its first request was still on its way; it was closed, and the request got no answer.

Change: a connection without a request so far is closed only a second after it was opened, which is how long callers wait to connect.

--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -151,6 +151,13 @@
                 server.stop()
             await self.store.stop()
 
+    async def stop(self) -> None:
+        """Stop the entry process as planned, and wait until it has ended."""
+        assert self.entry is not None and self._task is not None
+        self.entry._lifecycle.request_stop()
+        await self._task
+        self.entry = self._task = None
+
     async def kill(self) -> None:
         """End the entry process without a graceful shutdown."""
         if self.entry is not None and self._task is not None:
@@ -197,6 +204,7 @@
         store_address: str = "",
         seeds: tuple[str, ...] = (),
         internal_ports: tuple[int, ...] = (8004, 8010),
+        stop_grace_s: float = 8.0,
     ) -> None:
         """Start the entry process and wait until it has found its servers.
 
@@ -212,7 +220,7 @@
             peer_address=f"{self.ip}:8003",
             internal_ports=internal_ports,
             peer_seeds=seeds,
-            stop_grace=datetime.timedelta(seconds=8),
+            stop_grace=datetime.timedelta(seconds=stop_grace_s),
             stall_timeout=datetime.timedelta(seconds=5),
             retry_ratio=0.2,
             retry_reserve=50.0,
--- a/pomelolug/transport/_server.py
+++ b/pomelolug/transport/_server.py
@@ -15,6 +15,8 @@
 _FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header field besides name and value: colon, space, CR and LF."""
 _BODY_TIMEOUT_S = 30.0
+_FIRST_REQUEST_WAIT_S = 1.0
+"""Time for the first request of a connection, as long as callers wait to connect."""
 _REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -208,6 +210,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._in_head = False
+        self._opened_at_s = self._loop.time()
+        self._has_received = False
 
     @property
     def is_closing(self) -> bool:
@@ -226,9 +230,15 @@
         self._closing = True
 
     def close_if_idle(self) -> None:
-        """Close now if not busy, otherwise after the current response."""
+        """Close now if not busy, otherwise after the current response.
+
+        A connection that has just been opened stays open for its first request, which
+        is probably on its way.
+        """
         self._closing = True
-        if not self.is_busy and self._transport is not None:
+        age_s = self._loop.time() - self._opened_at_s
+        awaits_first_request = not self._has_received and age_s < _FIRST_REQUEST_WAIT_S
+        if not self.is_busy and not awaits_first_request and self._transport:
             self._transport.close()
 
     def write(self, data: bytes) -> None:
@@ -289,6 +299,7 @@
         """Parse requests and refuse those that are malformed or exceed a limit."""
         if self._refused:
             return
+        self._has_received = True
         if not self._in_head and self._incoming is None:
             self._in_head = True
             self._incomplete_head_bytes = 0
