Answer requests that are still in flight when a stop ends

Cause: when the grace period of a planned stop was over, the process ended with requests in flight, whose callers found their connection closed and could not know whether the request may have run.

Streams that have begun are cut as before.

--- a/pomelolug/entry/_application.py
+++ b/pomelolug/entry/_application.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import Any
 
 import structlog
 
@@ -87,6 +88,8 @@
         self._clock = clock
         self._rng = rng
         self._in_flight = 0
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._is_ending = False
         self._request_count = 0
         self._log_limiter = _LogRateLimiter(clock.monotonic)
 
@@ -100,6 +103,16 @@
         """Whether any request has been received since the start."""
         return self._request_count > 0
 
+    def end_all(self) -> None:
+        """Answer the requests that are in flight, because the process ends.
+
+        Callers learn whether their request has run, as far as it is known, rather than
+        finding their connection closed.
+        """
+        self._is_ending = True
+        for task in list(self._tasks):
+            task.cancel()
+
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request; the task is cancelled when the caller disconnects."""
         arrived_at_s = self._clock.monotonic()
@@ -109,12 +122,20 @@
         )
         self._request_count += 1
         self._in_flight += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
         try:
             context = self._build_context(exchange, request_head, record, arrived_at_s)
             await self._forward(context)
         except RequestError as error:
             _record_and_reply_error(exchange, request_head, record, error)
         except asyncio.CancelledError:
+            if self._is_ending and not exchange.has_started:
+                _record_and_reply_error(
+                    exchange, request_head, record, _stop_error(record)
+                )
+                return
             record.status, record.code = 499, ErrorCode.CALLER_LEFT
             raise
         except Exception:
@@ -122,6 +143,7 @@
             exchange.abort()
         finally:
             self._in_flight -= 1
+            self._tasks.discard(task)
             self._record_outcome(record, arrived_at_s)
 
     def _build_context(
@@ -254,6 +276,13 @@
     return client_account
 
 
+def _stop_error(record: RequestRecord) -> RequestError:
+    message = "the node stops before the request was answered"
+    if any(attempt.may_have_run for attempt in record.attempts):
+        return unknown_outcome_error(ErrorCode.DRAINING, message)
+    return not_run_error(ErrorCode.DRAINING, message)
+
+
 def _cut_stream(context: RequestContext) -> None:
     context.record.code = ErrorCode.STREAM_CUT
     context.exchange.abort()
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -90,6 +90,8 @@
 """
 _LEASE_FACTOR = 1.5
 """Duration of the controller lease, as a multiple of the shortest lease."""
+_FLUSH_TIME = datetime.timedelta(milliseconds=100)
+"""Time in which the last responses are sent before the process ends."""
 _METRICS_PORT = 9464
 """Port of the metrics endpoint, as set in the deploy file."""
 _BACKLOG = 1024
@@ -160,6 +162,9 @@
         await self._lifecycle.drain(
             caller_listener, self._connections, lambda: self._request_handler.in_flight
         )
+        if self._request_handler.in_flight:
+            self._request_handler.end_all()
+            await self._clock.sleep(_FLUSH_TIME)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/pomelolug/entry/tests/test_planned_stop.py
+++ b/pomelolug/entry/tests/test_planned_stop.py
@@ -1,13 +1,18 @@
 """A planned stop under load answers each request that was accepted."""
 
 import asyncio
+import time
 
 import pytest
 
 from pomelolug.entry.tests.harness import Harness, encode_caller_request
-from pomelolug.entry.tests.stating_server import KINDS, StatingServer
+from pomelolug.entry.tests.stating_server import KINDS, StatingServer, send
 from pomelolug.transport import HttpConnectionError
 
+GRACE_S = 3.5
+CLOSING_S = 2.5
+"""Time after the request to stop at which no further connections are accepted."""
+
 
 async def send_until_refused(
     node: Harness, kind: str, name: str, outcomes: list[str]
@@ -57,3 +62,29 @@
         await asyncio.gather(*callers)
         assert len(outcomes) >= 10 * len(callers)
         assert set(outcomes) == {"200"}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_request_that_outlasts_the_grace_period_gets_an_answer(kind):
+    # Guards against requests whose connection is just closed when the process ends, so
+    # that the caller does not know whether they may have run.
+    reached = asyncio.Event()
+
+    async def script(request):
+        if request.target.startswith("/-/"):
+            request.send("404 Not Found", {})
+            return
+        reached.set()
+        await request.wait_closed()
+
+    async with Harness() as h:
+        await h.add_server(script, service="llm" if kind == "stream" else "plain")
+        await h.start(stop_grace_s=GRACE_S)
+        started_s = time.monotonic()
+        stopping = asyncio.create_task(h.stop())
+        await asyncio.sleep(CLOSING_S - 0.2)
+        answer = await send(h, kind, "late")
+        assert answer.status in (502, 504)
+        assert GRACE_S - 1.0 < time.monotonic() - started_s < GRACE_S
+        assert reached.is_set()
+        await stopping
