Do not cut streams of a slow group, or streams that cannot move

Cause: a pause of 0.6 s in the streams of a group counts as a stall, and all of them are aborted. The events of a slow group may be half a second apart, so that a single longer pause cut sound streams; and a stream that no other group can go on with was given up although its group might only have paused.

Change: a pause counts as a stall only if it is 2.5 times as long as the recent pauses of the group, at most 1.5 s, since callers leave after 2 s. A stream that cannot move is left to its group, whose head reports a loss itself; the group still counts as suspect, so that others avoid it.

--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -289,7 +289,9 @@
         ) as attempt:
             await attempt.send(data, fresh=state.use_fresh_connection)
             context.record.attempts[-1].may_have_run = True
-            watched_stream = self._stall_detector.add(head.vm, attempt)
+            watched_stream = self._stall_detector.add(
+                head.vm, attempt, can_move=context.route.is_repeatable
+            )
             try:
                 reply, response_head = await attempt.read_head()
                 if reply.refused:
--- a/pomelolug/entry/_watch.py
+++ b/pomelolug/entry/_watch.py
@@ -23,6 +23,12 @@
 """
 _FIRST_EVENT_STALL_S = 1.0
 """The same limit for a group whose requests all wait for their first event."""
+_STALL_INTERVALS = 2.5
+"""Least pause of a stall, as a multiple of the recent pauses between events."""
+_MAX_STREAMING_STALL_S = 1.5
+"""Longest pause of a slow group; callers leave half a second later."""
+_INTERVAL_DECAY = 0.8
+"""Factor on the largest recent pause with each event."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -30,6 +36,8 @@
     """A stream of a group; `progress_at_s` is the time of its start or last event."""
 
     attempt: Attempt
+    can_move: bool
+    """Whether another group can go on with the stream."""
     progress_at_s: float
     has_received_event: bool = False
 
@@ -37,6 +45,9 @@
 class StallDetector:
     """Aborts the attempts at groups that have stalled.
 
+    A group is slow rather than stalled if its events have been as far apart before. A
+    stream that no other group can go on with is not aborted: the group may recover.
+
     Parameters
     ----------
     clock : Clock
@@ -50,16 +61,21 @@
         self._on_stall = on_stall
         self._streams: dict[VmId, set[WatchedStream]] = {}
         self._progress_at_s: dict[VmId, float] = {}
+        self._largest_pause_s: dict[VmId, float] = {}
 
-    def add(self, head: VmId, attempt: Attempt) -> WatchedStream:
+    def add(self, head: VmId, attempt: Attempt, *, can_move: bool) -> WatchedStream:
         """Start watching an attempt that has just been sent."""
-        stream = WatchedStream(attempt, self._clock.monotonic())
+        stream = WatchedStream(attempt, can_move, self._clock.monotonic())
         self._streams.setdefault(head, set()).add(stream)
         return stream
 
     def on_event(self, head: VmId, stream: WatchedStream) -> None:
         """Record that a stream has received an event."""
-        stream.progress_at_s = self._progress_at_s[head] = self._clock.monotonic()
+        now_s = self._clock.monotonic()
+        decayed_s = self._largest_pause_s.get(head, 0.0) * _INTERVAL_DECAY
+        pause_s = now_s - stream.progress_at_s if stream.has_received_event else 0.0
+        self._largest_pause_s[head] = max(pause_s, decayed_s)
+        stream.progress_at_s = self._progress_at_s[head] = now_s
         stream.has_received_event = True
 
     def remove(self, head: VmId, stream: WatchedStream) -> None:
@@ -70,6 +86,7 @@
             if not streams:
                 del self._streams[head]
                 self._progress_at_s.pop(head, None)
+                self._largest_pause_s.pop(head, None)
 
     async def run(self) -> None:
         """Check for stalled groups until cancelled."""
@@ -93,12 +110,22 @@
             # Progress from before all current streams does not count against them.
             progress_at_s = max(self._progress_at_s.get(head, oldest_s), oldest_s)
             has_received_event = any(stream.has_received_event for stream in streams)
-            if now_s - progress_at_s > (
-                _STREAMING_STALL_S if has_received_event else _FIRST_EVENT_STALL_S
-            ):
+            stall_s = (
+                self._streaming_stall_s(head)
+                if has_received_event
+                else _FIRST_EVENT_STALL_S
+            )
+            if now_s - progress_at_s > stall_s:
                 self._on_stall(head)
                 for stream in list(streams):
-                    stream.attempt.abort("stalled")
+                    stream.progress_at_s = now_s
+                    if stream.can_move:
+                        stream.attempt.abort("stalled")
+                self._progress_at_s.pop(head, None)
+
+    def _streaming_stall_s(self, head: VmId) -> float:
+        pause_s = _STALL_INTERVALS * self._largest_pause_s.get(head, 0.0)
+        return min(max(_STREAMING_STALL_S, pause_s), _MAX_STREAMING_STALL_S)
 
     def _reset_timers(self, now_s: float) -> None:
         for head, streams in self._streams.items():
