--- a/pomelolug/entry/_leaving_servers.py
+++ b/pomelolug/entry/_leaving_servers.py
@@ -21,9 +21,9 @@
 
 _RETENTION_S = 300.0
 """Age at which a statement is forgotten; a server that leaves has long gone by then."""
-_REPORT_MAX_AGE_S = 10.0
-"""Age up to which nodes tell each other; the registry shows the departure sooner."""
-_MAX_REPORTS = 16
+_REPORT_MAX_AGE_S = 30.0
+"""Age up to which nodes tell each other, also those that have restarted meanwhile."""
+_MAX_REPORTS = 8
 """Maximum number of servers in a status."""
 
 
