Let servers of the soak state that they leave, and ask for pauses

Servers state in their responses that they leave some seconds before their entry says so, then drain, lapse and restart; others turn requests away for a while and ask for a pause of 1 to 6 s. Both overlap with the other faults. The checker reports requests that an entry VM sent to a server more than 2 s after it was told, where a fault of the store excuses nothing, and pauses in which more than two requests of one entry VM arrived.

--- a/pomelolug/experiments/process_soak/_calls.py
+++ b/pomelolug/experiments/process_soak/_calls.py
@@ -5,7 +5,7 @@
 
 from pomelolug.testing import CallerResponse
 
-__all__ = ["CallKind", "CallOutcome", "SentCall", "ServerRun"]
+__all__ = ["CallKind", "CallOutcome", "SentCall", "ServerRun", "TurnedAwayRequest"]
 
 
 class CallKind(enum.Enum):
@@ -59,3 +59,18 @@
     path: str
     body_digest: str
     started_at_s: float
+    life: int = 0
+    """Number of restarts of the server before."""
+    is_server_leaving: bool = False
+    """Whether the server stated that it leaves."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TurnedAwayRequest:
+    """Request that a server turned away while it asked for a pause."""
+
+    request_id: str
+    vm: str
+    life: int
+    pause_s: float
+    at_s: float
--- a/pomelolug/experiments/process_soak/_cluster.py
+++ b/pomelolug/experiments/process_soak/_cluster.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from pomelolug.deployment import ServerState
-from pomelolug.experiments.process_soak._calls import ServerRun
+from pomelolug.experiments.process_soak._calls import ServerRun, TurnedAwayRequest
 from pomelolug.experiments.process_soak._processes import SoakProcess
 from pomelolug.experiments.process_soak._promises import GuaranteeChecker
 from pomelolug.ids import VmId
@@ -268,6 +268,17 @@
         if "violation" in line:
             self._guarantees.record_violation(line["violation"])
             return
+        if "refused" in line:
+            self._guarantees.record_turned_away(
+                TurnedAwayRequest(
+                    request_id=line["refused"],
+                    vm=line["vm"],
+                    life=line["life"],
+                    pause_s=line["pause"],
+                    at_s=line["at"],
+                )
+            )
+            return
         self._guarantees.record_run(
             ServerRun(
                 request_id=line["run"],
@@ -277,6 +288,8 @@
                 path=line["path"],
                 body_digest=line["body"],
                 started_at_s=line["at"],
+                life=line["life"],
+                is_server_leaving=line["leaving"],
             )
         )
 
--- a/pomelolug/experiments/process_soak/_disturbances.py
+++ b/pomelolug/experiments/process_soak/_disturbances.py
@@ -17,6 +17,7 @@
     targets: frozenset[str]
     start_s: float
     is_planned: bool
+    is_of_store: bool = False
     end_s: float | None = None
 
 
@@ -26,22 +27,35 @@
     def __init__(self) -> None:
         self._windows: list[FaultWindow] = []
 
-    def open(self, *targets: str, start_s: float, is_planned: bool) -> FaultWindow:
+    def open(
+        self,
+        *targets: str,
+        start_s: float,
+        is_planned: bool,
+        is_of_store: bool = False,
+    ) -> FaultWindow:
         """Open a window for `targets`, or for every target if there are none."""
         window = FaultWindow(
             targets=frozenset(targets or (_ALL_TARGETS,)),
             start_s=start_s,
             is_planned=is_planned,
+            is_of_store=is_of_store,
         )
         self._windows.append(window)
         return window
 
-    def is_affected(self, target: str, start_s: float, end_s: float) -> bool:
-        """Return whether a window of an entry VM or server overlaps the time span."""
+    def is_affected(
+        self, target: str, start_s: float, end_s: float, *, by_store: bool = True
+    ) -> bool:
+        """Return whether a window of an entry VM or server overlaps the time span.
+
+        Without `by_store`, faults of the store do not count.
+        """
         return any(
             _overlaps(window, start_s, end_s)
             for window in self._windows
-            if target in window.targets or _ALL_TARGETS in window.targets
+            if (target in window.targets or _ALL_TARGETS in window.targets)
+            and (by_store or not window.is_of_store)
         )
 
     def has_unplanned(self, start_s: float, end_s: float) -> bool:
--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -32,6 +32,9 @@
 )
 _LIMIT_RANGE_PER_S = (0.1, 1.0)
 _LIMIT_DURATION_RANGE_S = (5.0, 10.0)
+_STATEMENT_LEAD_RANGE_S = (3.0, 6.0)
+"""Time between a statement that a server leaves and its entry."""
+_PAUSE_RANGE_S = (1.0, 6.0)
 _REWRITTEN_TOPICS = (TOPIC_DECLARATION, TOPIC_SERVERS)
 _REWRITE_DELAY_RANGE_S = (0.2, 1.5)
 _UNAVAILABLE_STATUS = 503
@@ -91,6 +94,8 @@
             "server_slow": self._slow_server,
             "server_garbles": self._garble_server_answers,
             "server_limited": self._limit_server,
+            "server_states_leaving": self._let_server_leave,
+            "server_asks_for_pause": self._let_server_pause,
             "domain_paused": self._pause_domain,
             "key_revoked": self._revoke_key,
             "timeouts_changed": self._change_timeouts,
@@ -116,11 +121,18 @@
 
     @contextlib.asynccontextmanager
     async def _fault_window(
-        self, text: str, *targets: str, is_planned: bool = False
+        self,
+        text: str,
+        *targets: str,
+        is_planned: bool = False,
+        is_of_store: bool = False,
     ) -> AsyncIterator[None]:
         """Record a fault window that spans the block."""
         window = self._fault_windows.open(
-            *targets, start_s=time.monotonic(), is_planned=is_planned
+            *targets,
+            start_s=time.monotonic(),
+            is_planned=is_planned,
+            is_of_store=is_of_store,
         )
         self.record_event(text)
         try:
@@ -214,7 +226,7 @@
 
     async def _silence_store(self) -> None:
         if self._reserve("store"):
-            async with self._fault_window("store silent"):
+            async with self._fault_window("store silent", is_of_store=True):
                 self._cluster.store.is_unresponsive = True
                 await asyncio.sleep(self._random_duration_s())
                 self._cluster.store.is_unresponsive = False
@@ -222,7 +234,7 @@
 
     async def _make_store_refuse(self) -> None:
         if self._reserve("store"):
-            async with self._fault_window("store refuses"):
+            async with self._fault_window("store refuses", is_of_store=True):
                 self._cluster.store.error_status = _UNAVAILABLE_STATUS
                 await asyncio.sleep(self._random_duration_s())
                 self._cluster.store.error_status = None
@@ -230,7 +242,7 @@
 
     async def _lose_store_answers(self) -> None:
         if self._reserve("store"):
-            async with self._fault_window("store loses answers"):
+            async with self._fault_window("store loses answers", is_of_store=True):
                 self._cluster.store.drops_write_responses = True
                 await asyncio.sleep(self._random_duration_s())
                 self._cluster.store.drops_write_responses = False
@@ -243,7 +255,7 @@
         store = self._cluster.store
         copy = store.copy()
         await asyncio.sleep(self._random_duration_s())
-        async with self._fault_window("store restored from a copy"):
+        async with self._fault_window("store restored from a copy", is_of_store=True):
             lost = {topic: store.newest(topic) for topic in _REWRITTEN_TOPICS}
             store.restore(copy)
             old = {topic: store.newest(topic) for topic in _REWRITTEN_TOPICS}
@@ -269,7 +281,7 @@
         self._reserved.discard(f"{entry.name}/store")
 
     async def _reset_store_links(self) -> None:
-        async with self._fault_window("store links reset"):
+        async with self._fault_window("store links reset", is_of_store=True):
             for entry in self._cluster.entries:
                 entry.store_link.reset()
 
@@ -363,6 +375,35 @@
             self._cluster.send_command(server, "limit", 0.0)
         self._reserved.discard(server.vm)
 
+    async def _let_server_leave(self) -> None:
+        """Let a server state that it leaves before its entry says so, and leave."""
+        if (server := self._reserve_random_server()) is None:
+            return
+        async with self._fault_window(
+            f"{server.vm} states that it leaves", _SERVERS_ONLY, is_planned=True
+        ):
+            self._cluster.send_command(server, "leave")
+            await asyncio.sleep(self._rng.uniform(*_STATEMENT_LEAD_RANGE_S))
+            self._cluster.send_command(server, "drain")
+            await asyncio.sleep(self._random_duration_s())
+            server.is_lost = True
+            await self._cluster.expire_server_entry(server)
+            self._send_restart(server)
+        self._reserved.discard(server.vm)
+
+    async def _let_server_pause(self) -> None:
+        """Let a server turn requests away for a time that it names, then take them."""
+        if (server := self._reserve_random_server()) is None:
+            return
+        pause_s = round(self._rng.uniform(*_PAUSE_RANGE_S), 2)
+        async with self._fault_window(
+            f"{server.vm} asks for pauses of {pause_s} s", _SERVERS_ONLY
+        ):
+            self._cluster.send_command(server, "pause", pause_s)
+            await asyncio.sleep(self._random_duration_s())
+            self._cluster.send_command(server, "pause", 0.0)
+        self._reserved.discard(server.vm)
+
     async def _pause_domain(self) -> None:
         process = self._rng.choice(self._cluster.server_processes)
         if not self._reserve(process.name):
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -10,11 +10,16 @@
     CallOutcome,
     SentCall,
     ServerRun,
+    TurnedAwayRequest,
 )
 from pomelolug.experiments.process_soak._disturbances import (
     SOAK_PROCESS,
     FaultWindows,
 )
+from pomelolug.experiments.process_soak._statements import (
+    departure_violations,
+    pause_violations,
+)
 from pomelolug.testing import CRASH_PATH_PART
 
 __all__ = ["GuaranteeChecker", "LimitPeriod"]
@@ -81,6 +86,7 @@
         self._revoked_at_s: dict[str, float] = {}
         self._drained_at_s: dict[str, float] = {}
         self._limit_periods: list[LimitPeriod] = []
+        self._turned_away: list[TurnedAwayRequest] = []
         self._reported_violations: list[str] = []
 
     @property
@@ -106,6 +112,10 @@
             )
             window.end_s = run.started_at_s + _CRASH_EFFECT_S
 
+    def record_turned_away(self, request: TurnedAwayRequest) -> None:
+        """Record a request that a server turned away."""
+        self._turned_away.append(request)
+
     def record_violation(self, text: str) -> None:
         """Record a violation that a server detected."""
         self._reported_violations.append(text)
@@ -143,6 +153,10 @@
             violations += self._run_violations(run)
         for period in self._limit_periods:
             violations += self._limit_violations(period)
+        violations += departure_violations(self._calls, self._runs, self._fault_windows)
+        violations += pause_violations(
+            self._calls, self._runs, self._turned_away, self._fault_windows
+        )
         return violations + list(self._containment_violations())
 
     def _limit_violations(self, period: LimitPeriod) -> Iterator[str]:
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -10,6 +10,7 @@
     CallOutcome,
     SentCall,
     ServerRun,
+    TurnedAwayRequest,
 )
 from pomelolug.experiments.process_soak._disturbances import FaultWindows
 from pomelolug.experiments.process_soak._promises import GuaranteeChecker
@@ -293,3 +294,85 @@
     guarantees = GuaranteeChecker(fault_windows)
     crash(guarantees, 0.0, 1.0, 2.0, 5.1, 6.0, 7.0, 8.0)
     assert "ran 4 times" in guarantees.check(timeouts=TIMEOUTS)[0]
+
+
+def find_statement_violations(
+    *, entry: str = "entry-0", life: int = 0, is_leaving: bool, **fault
+) -> list[str]:
+    """Return the violations of calls every 0.2 s after `vm-1` has stated something.
+
+    The first one, through `entry-0`, gets the statement: that the server leaves or a
+    pause of 4 s. The others go through `entry` and reach the server in its `life`.
+    """
+    windows = FaultWindows()
+    if fault:
+        window = windows.open(
+            fault.get("target", "entry-0"),
+            start_s=START + 1.0,
+            is_planned=False,
+            is_of_store=fault.get("is_of_store", False),
+        )
+        window.end_s = START + 1.5
+    guarantees = GuaranteeChecker(windows)
+    for number in range(20):
+        sent_at_s = START + 0.2 * number
+        call = make_call(
+            CallKind.SAFE,
+            request_id=f"r{number}",
+            path=f"/p/{number}",
+            sent_at_s=sent_at_s,
+            ended_at_s=sent_at_s + 0.05,
+            entry=entry if number else "entry-0",
+            answer=CallerResponse(
+                status=200,
+                request_id=f"r{number}",
+                has_seal=True,
+                body=b"answer to /p/%d" % number,
+                is_complete=True,
+            ),
+        )
+        guarantees.record_call(call)
+        if not is_leaving and not number:
+            guarantees.record_turned_away(
+                TurnedAwayRequest(
+                    request_id="r0", vm="vm-1", life=0, pause_s=4.0, at_s=sent_at_s
+                )
+            )
+            continue
+        guarantees.record_run(
+            ServerRun(
+                request_id=f"r{number}",
+                vm="vm-1",
+                account="a",
+                key="",
+                path=f"/p/{number}",
+                body_digest="d",
+                started_at_s=sent_at_s,
+                life=life if number else 0,
+                is_server_leaving=is_leaving and (not number or not life),
+            )
+        )
+    return guarantees.check(timeouts=TIMEOUTS)
+
+
+def test_requests_to_a_server_that_has_stated_that_it_leaves_are_reported():
+    found = find_statement_violations(is_leaving=True)
+    assert len(found) == 9
+    assert found[0].startswith("r11 ran at vm-1, which had told entry-0 2.")
+    # The store is no excuse, a fault of the entry VM is.
+    store = {"target": "", "is_of_store": True}
+    assert find_statement_violations(is_leaving=True, **store) == found
+    assert not find_statement_violations(is_leaving=True, target="entry-0")
+    # A server that has restarted does not leave.
+    assert not find_statement_violations(is_leaving=True, life=1)
+
+
+def test_requests_in_a_pause_that_a_server_asked_for_are_reported():
+    found = find_statement_violations(is_leaving=False)
+    assert found == [
+        "vm-1 asked entry-0 for a pause of 4.0 s and got 17 requests in it"
+    ]
+    assert not find_statement_violations(is_leaving=False, entry="entry-1")
+    assert not find_statement_violations(is_leaving=False, life=1)
+    assert not find_statement_violations(is_leaving=False, target="entry-0")
+    assert not find_statement_violations(is_leaving=False, target="vm-1")
--- a/pomelolug/testing/_group_server_app.py
+++ b/pomelolug/testing/_group_server_app.py
@@ -55,11 +55,15 @@
     """Fraction of responses to corrupt, and factor that slows all responses.
 
     `request_limit_per_s` is the limit of requests named in responses, 0 for none.
+    `states_leaving` adds to all responses that the server leaves. `pause_s` is the
+    pause that requests are turned away with, 0 if they are not.
     """
 
     corrupted_share: float = 0.0
     slowdown_factor: float = 1.0
     request_limit_per_s: float = 0.0
+    states_leaving: bool = False
+    pause_s: float = 0.0
 
 
 class ServerApp(abc.ABC):
@@ -92,6 +96,8 @@
         self.response_faults = ResponseFaults()
         self.is_unresponsive = False
         """Whether requests get no response."""
+        self.life = 0
+        """Number of restarts."""
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request or order."""
@@ -101,8 +107,32 @@
         if fields.get("expect-instance", self._vm) != self._vm:
             exchange.reply(421, self._refusal_headers(fields), b"")
             return
+        if self.response_faults.pause_s and not exchange.target.startswith(b"/-/"):
+            self._turn_away(exchange, fields)
+            return
         await self._handle_request(exchange, fields)
 
+    def restart(self) -> None:
+        """Forget the statements of the life that has ended."""
+        self.life += 1
+        self.is_unresponsive = False
+        self.response_faults.states_leaving = False
+        self.response_faults.pause_s = 0.0
+
+    def _turn_away(self, exchange: Exchange, fields: dict[str, str]) -> None:
+        pause_s = self.response_faults.pause_s
+        self._on_request(
+            {
+                "refused": fields.get("request-id", ""),
+                "vm": self._vm,
+                "life": self.life,
+                "pause": pause_s,
+                "at": time.monotonic(),
+            }
+        )
+        pause = (b"Retry-After", b"%.2f" % pause_s)
+        exchange.reply(503, (*self._refusal_headers(fields), pause), b"")
+
     @abc.abstractmethod
     async def _handle_request(self, exchange: Exchange, fields: dict[str, str]) -> None:
         """Handle a request that is addressed to this server."""
@@ -114,8 +144,13 @@
             (b"Request-Id", fields.get("request-id", "").encode()),
             (b"Not-Executed", b"1"),
             (b"At-Server", self._vm.encode()),
+            *self._leaving_headers(),
         )
 
+    def _leaving_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        is_leaving = self.response_faults.states_leaving
+        return ((b"Server-Leaving", b"1"),) if is_leaving else ()
+
     async def _start_run(self, exchange: Exchange, fields: dict[str, str]) -> None:
         """Report that a request begins to run; return unless it crashes the server."""
         self._on_request(
@@ -127,6 +162,8 @@
                 "path": exchange.target.decode(),
                 "body": hashlib.sha256(exchange.body).hexdigest()[:16],
                 "at": time.monotonic(),
+                "life": self.life,
+                "leaving": self.response_faults.states_leaving,
             }
         )
         if CRASH_PATH_PART in exchange.target.decode():
@@ -144,7 +181,7 @@
         limit_per_s = self.response_faults.request_limit_per_s
         if limit_per_s:
             headers.append((b"Server-Limit", b"%.2f" % limit_per_s))
-        return headers
+        return headers + list(self._leaving_headers())
 
     def _should_corrupt(self) -> bool:
         return self._rng.random() < self.response_faults.corrupted_share
@@ -216,9 +253,8 @@
     async def _handle_request(self, exchange: Exchange, fields: dict[str, str]) -> None:
         path = exchange.target.decode()
         if path == "/-/report":
-            exchange.reply(
-                200, _JSON_HEADERS, msgspec.json.encode(self._build_report())
-            )
+            headers = (*_JSON_HEADERS, *self._leaving_headers())
+            exchange.reply(200, headers, msgspec.json.encode(self._build_report()))
         elif path == "/-/order":
             await self._handle_order(exchange)
         else:
--- a/pomelolug/testing/group_server.py
+++ b/pomelolug/testing/group_server.py
@@ -71,7 +71,9 @@
 
     `do` is one of `dark` (stop responding until a restart), `restart` (with the
     same id), `drain`, `slow` (by the factor `x`), `garble` (corrupt a share `x`
-    of the responses) and `limit` (name a limit of `x` requests per second, 0 for none).
+    of the responses), `limit` (name a limit of `x` requests per second, 0 for none),
+    `leave` (state in responses that the server leaves) and `pause` (turn requests away
+    and ask for a pause of `x` seconds, 0 for no longer).
     """
 
     do: str
@@ -219,6 +221,10 @@
             app.response_faults.corrupted_share = command.x
         elif command.do == "limit":
             app.response_faults.request_limit_per_s = command.x
+        elif command.do == "leave":
+            app.response_faults.states_leaving = True
+        elif command.do == "pause":
+            app.response_faults.pause_s = command.x
         elif command.do == "dark":
             app.is_unresponsive = True
             if self._plan.domain:
@@ -245,7 +251,7 @@
         )
 
     def _restart(self, vm: VmId, app: ServerApp) -> None:
-        app.is_unresponsive = False
+        app.restart()
         for connection in list(self._connections[vm]):
             connection.abort()
         if self._plan.domain:
