Choose a group from a random sample, the smaller the more nodes a zone has

Cause: each node sends to the group with the least expected delay of all, on loads that up to 45 nodes of a zone share and that are up to 1.2 s old. All of them choose the same group until its load is reported again.

Change: GroupSelector draws a sample for each request, twice as many groups as the zone has for each of its nodes, at least two, and half as many of other zones. A node alone draws all, as before.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -17,6 +17,7 @@
 from pomelolug.clock import Clock, SystemClock
 from pomelolug.deployment import Declaration, RegistryChange, ServerRegistry
 from pomelolug.entry._application import RequestHandler
+from pomelolug.entry._choice import GroupSelector
 from pomelolug.entry._internal_endpoints import InternalEndpoints
 from pomelolug.entry._lifecycle import Lifecycle
 from pomelolug.entry._loss_publisher import LossPublisher
@@ -329,6 +330,7 @@
             zone=settings.zone,
             rng=self._rng,
         )
+        self._group_selector = GroupSelector(zone=settings.zone, rng=self._rng)
         stream_forwarder = StreamForwarder(
             server_tracker=self._server_tracker,
             pool=self._pool,
@@ -336,8 +338,8 @@
             stall_detector=self._stall_detector,
             run_monitor=self._run_monitor,
             notices=self._notices,
+            group_selector=self._group_selector,
             clock=clock,
-            zone=settings.zone,
             rng=self._rng,
         )
         self._request_handler = RequestHandler(
@@ -503,6 +505,7 @@
     def _on_nodes(self, count: int, zone_nodes: list[NodeId]) -> None:
         self._retry_limiter.set_node_count(count)
         self._rate_limiter.set_nodes(count=count, zone_nodes=zone_nodes)
+        self._group_selector.set_zone_node_count(len(zone_nodes) + 1)
 
     def _on_stall(self, head: VmId) -> None:
         self._metrics.stalls.inc()
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -10,8 +10,8 @@
 from pomelolug.entry._attempt import Attempt, AttemptError, RunStatus
 from pomelolug.entry._choice import (
     Candidate,
+    GroupSelector,
     estimate_first_event_s,
-    select_candidate,
 )
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._request_context import (
@@ -26,7 +26,7 @@
 from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._watch import StallDetector
 from pomelolug.errors import ErrorCode, Outcome, RequestError
-from pomelolug.ids import VmId, ZoneId
+from pomelolug.ids import VmId
 from pomelolug.platform import EventSplitter, ServerReply, response_headers
 from pomelolug.transport import ConnectionPool, ResponseHead
 
@@ -88,12 +88,12 @@
         Refuses requests that crash servers.
     notices : ServerNotices
         What servers state about the requests that they take.
+    group_selector : GroupSelector
+        Selects the group of an attempt.
     clock : Clock
         Source of monotonic time.
-    zone : ZoneId
-        Zone of this node.
     rng : random.Random
-        Breaks ties between groups and jitters retry times.
+        Jitters retry times.
     """
 
     def __init__(
@@ -105,8 +105,8 @@
         stall_detector: StallDetector,
         run_monitor: RunMonitor,
         notices: ServerNotices,
+        group_selector: GroupSelector,
         clock: Clock,
-        zone: ZoneId,
         rng: random.Random,
     ) -> None:
         self._server_tracker = server_tracker
@@ -115,8 +115,8 @@
         self._stall_detector = stall_detector
         self._run_monitor = run_monitor
         self._notices = notices
+        self._group_selector = group_selector
         self._clock = clock
-        self._zone = zone
         self._rng = rng
 
     async def forward(self, context: RequestContext) -> None:
@@ -207,8 +207,8 @@
         """Return the head for the next attempt; a started stream waits for one."""
         until_s = self._clock.monotonic() + _MAX_RESUME_WAIT_S
         while True:
-            candidate = select_candidate(
-                self._find_candidates(context, state), zone=self._zone, rng=self._rng
+            candidate = self._group_selector.select(
+                self._find_candidates(context, state)
             )
             if candidate is not None:
                 return candidate.server
