Let all servers of a process of the soak ask for pauses, and excuse no store faults

Few servers of a domain are heads, so a pause of one of them was seldom met; a fault of the store does not excuse requests in a pause.

--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -95,7 +95,7 @@
             "server_garbles": self._garble_server_answers,
             "server_limited": self._limit_server,
             "server_states_leaving": self._let_server_leave,
-            "server_asks_for_pause": self._let_server_pause,
+            "servers_ask_for_pause": self._let_servers_pause,
             "domain_paused": self._pause_domain,
             "key_revoked": self._revoke_key,
             "timeouts_changed": self._change_timeouts,
@@ -391,18 +391,27 @@
             self._send_restart(server)
         self._reserved.discard(server.vm)
 
-    async def _let_server_pause(self) -> None:
-        """Let a server turn requests away for a time that it names, then take them."""
-        if (server := self._reserve_random_server()) is None:
-            return
+    async def _let_servers_pause(self) -> None:
+        """Let a server turn requests away for a time that it names, then take them.
+
+        Or all servers of a process, since few of a domain are heads of groups.
+        """
+        process = self._rng.choice(self._cluster.server_processes)
+        servers = [s for s in self._cluster.servers if s.process is process]
+        if self._rng.random() < 0.5:
+            servers = [self._rng.choice(servers)]
+        servers = [s for s in servers if self._reserve(s.vm)]
         pause_s = round(self._rng.uniform(*_PAUSE_RANGE_S), 2)
+        names = ", ".join(s.vm for s in servers)
         async with self._fault_window(
-            f"{server.vm} asks for pauses of {pause_s} s", _SERVERS_ONLY
+            f"{names} ask for pauses of {pause_s} s", _SERVERS_ONLY
         ):
-            self._cluster.send_command(server, "pause", pause_s)
+            for server in servers:
+                self._cluster.send_command(server, "pause", pause_s)
             await asyncio.sleep(self._random_duration_s())
-            self._cluster.send_command(server, "pause", 0.0)
-        self._reserved.discard(server.vm)
+            for server in servers:
+                self._cluster.send_command(server, "pause", 0.0)
+        self._reserved -= {server.vm for server in servers}
 
     async def _pause_domain(self) -> None:
         process = self._rng.choice(self._cluster.server_processes)
--- a/pomelolug/experiments/process_soak/_statements.py
+++ b/pomelolug/experiments/process_soak/_statements.py
@@ -55,7 +55,11 @@
     turned_away: Iterable[TurnedAwayRequest],
     windows: FaultWindows,
 ) -> Iterator[str]:
-    """Yield the pauses in which an entry VM sent more requests than allowed."""
+    """Yield the pauses in which an entry VM sent more requests than allowed.
+
+    Faults of the entry VM and of the link to the server excuse them, those of the store
+    do not.
+    """
     refusals = list(turned_away)
     arrivals = [(r.vm, r.life, r.request_id, r.started_at_s) for r in runs]
     arrivals += [(r.vm, r.life, r.request_id, r.at_s) for r in refusals]
@@ -63,7 +67,9 @@
         call = calls.get(refusal.request_id)
         until_s = refusal.at_s + refusal.pause_s
         if call is None or any(
-            windows.is_affected(name, refusal.at_s - _LINK_DELAY_S, until_s)
+            windows.is_affected(
+                name, refusal.at_s - _LINK_DELAY_S, until_s, by_store=False
+            )
             for name in (call.entry, refusal.vm)
         ):
             continue
