--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -23,6 +23,7 @@
 )
 from pomelolug.transport import (
     ClientConnection,
+    HttpConnectionError,
     ResponseHead,
     encode_request,
     open_connection,
@@ -206,7 +207,7 @@
         internal_ports: tuple[int, ...] = (8004, 8010),
         stop_grace_s: float = 8.0,
     ) -> None:
-        """Start the entry process and wait until it has found its servers.
+        """Start the entry process; wait until it listens and has found its servers.
 
         Without `internal_ports`, the node exchanges nothing with other nodes.
         """
@@ -236,6 +237,18 @@
         async with asyncio.timeout(5.0):
             while not self._has_servers(expected_count):  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
+            for port in (8001, 8002, 8003):
+                await self._wait_until_listening(port)
+
+    async def _wait_until_listening(self, port: int) -> None:
+        while True:
+            try:
+                connection = await self.connect(port)
+            except HttpConnectionError:
+                await asyncio.sleep(0.02)
+                continue
+            connection.close()
+            return
 
     def _has_servers(self, expected_count: int) -> bool:
         assert self.entry is not None
