--- a/pomelolug/entry/tests/test_endless_responses.py
+++ b/pomelolug/entry/tests/test_endless_responses.py
@@ -8,13 +8,14 @@
 
 import pytest
 
-from pomelolug.deployment import BackendServer, OrderResult, ServerState
+from pomelolug.deployment import OrderResult
 from pomelolug.entry._relay import RelaySource
+from pomelolug.entry.tests.backend import make_backend_server, make_server_control
 from pomelolug.entry.tests.harness import Harness, send_response, start_stream
 from pomelolug.entry.tests.stating_server import KINDS, Answer, StatingServer, send
 from pomelolug.errors import PlatformError
-from pomelolug.ids import DomainId, Offset, ServiceName, VmId, ZoneId
-from pomelolug.platform import HttpServerControl, MetadataStore
+from pomelolug.ids import Offset
+from pomelolug.platform import MetadataStore
 from pomelolug.testing import ScriptedServer
 from pomelolug.transport import ConnectionPool, HttpConnectionError
 
@@ -192,22 +193,6 @@
         assert max(answer.took_s for answer in answers) < MAX_LATENCY_S
 
 
-def make_backend(address: str) -> BackendServer:
-    return BackendServer(
-        vm=VmId("s1"),
-        start_time_ms=1,
-        service=ServiceName("llm"),
-        address=address,
-        zone=ZoneId("z"),
-        domain=DomainId("d"),
-        state=ServerState.READY,
-        slots=4,
-        staged=frozenset(),
-        model=None,
-        membership=None,
-    )
-
-
 @pytest.mark.parametrize("is_slow", [False, True], ids=["fast", "slow"])
 @pytest.mark.parametrize(("part", "name"), CASES)
 async def test_reports_orders_store_and_relay_end_within_their_timeout(
@@ -233,13 +218,8 @@
     server = ScriptedServer(script)
     await server.start()
     pool = ConnectionPool(max_idle=SECOND, connect_timeout=SECOND)
-    control = HttpServerControl(
-        pool=pool,
-        order_timeout=SECOND,
-        report_timeout=SECOND,
-        on_notice=lambda server, notice: None,
-    )
-    backend = make_backend(server.address)
+    control = make_server_control()
+    backend = make_backend_server(server.address)
     store = MetadataStore(address=server.address, timeout=SECOND)
     relay = RelaySource(address=server.address, pool=pool)
     probe = MemoryProbe()
--- a/pomelolug/entry/tests/test_late_copies.py
+++ b/pomelolug/entry/tests/test_late_copies.py
@@ -1,23 +1,18 @@
 """A second copy of a response that arrives late, on a connection in use again."""
 
 import asyncio
-import datetime
 
 import pytest
 
-from pomelolug.deployment import BackendServer, OrderResult, ServerState
+from pomelolug.deployment import OrderResult
+from pomelolug.entry.tests.backend import make_backend_server, make_server_control
 from pomelolug.entry.tests.harness import (
     MODEL,
     Harness,
     send_response,
     start_stream,
 )
-from pomelolug.ids import DomainId, ServiceName, VmId, ZoneId
-from pomelolug.platform import HttpServerControl
 from pomelolug.testing import ScriptedServer
-from pomelolug.transport import ConnectionPool
-
-SECOND = datetime.timedelta(seconds=1)
 
 
 class CopyingServer:
@@ -110,25 +105,8 @@
 
     server = ScriptedServer(script)
     await server.start()
-    control = HttpServerControl(
-        pool=ConnectionPool(max_idle=SECOND, connect_timeout=SECOND),
-        order_timeout=SECOND,
-        report_timeout=SECOND,
-        on_notice=lambda server, notice: None,
-    )
-    backend = BackendServer(
-        vm=VmId("s1"),
-        start_time_ms=1,
-        service=ServiceName("llm"),
-        address=server.address,
-        zone=ZoneId("z"),
-        domain=DomainId("d"),
-        state=ServerState.READY,
-        slots=4,
-        staged=frozenset(),
-        model=None,
-        membership=None,
-    )
+    control = make_server_control()
+    backend = make_backend_server(server.address)
     results = [
         await control.stage(backend, model=MODEL, fence=1, orders_begun=0)
         for _ in range(3)
--- a/pomelolug/entry/tests/test_leaving_servers.py
+++ b/pomelolug/entry/tests/test_leaving_servers.py
@@ -1,18 +1,15 @@
 """A server that states that it leaves gets no further requests from the node."""
 
 import asyncio
-import datetime
 import time
 
 import pytest
 
-from pomelolug.deployment import BackendServer, ServerNotice, ServerState
+from pomelolug.deployment import BackendServer, ServerNotice
+from pomelolug.entry.tests.backend import make_backend_server, make_server_control
 from pomelolug.entry.tests.harness import Harness
 from pomelolug.entry.tests.stating_server import KINDS, StatingServer, send, send_for
-from pomelolug.ids import DomainId, ServiceName, VmId, ZoneId
-from pomelolug.platform import HttpServerControl
 from pomelolug.testing import ScriptedServer
-from pomelolug.transport import ConnectionPool
 
 SENDING_S = 1.0
 
@@ -144,28 +141,8 @@
 
     server = ScriptedServer(script)
     await server.start()
-    control = HttpServerControl(
-        pool=ConnectionPool(
-            max_idle=datetime.timedelta(seconds=1),
-            connect_timeout=datetime.timedelta(seconds=1),
-        ),
-        order_timeout=datetime.timedelta(seconds=1),
-        report_timeout=datetime.timedelta(seconds=1),
-        on_notice=lambda server, notice: notices.append((server, notice)),
-    )
-    backend = BackendServer(
-        vm=VmId("s1"),
-        start_time_ms=1,
-        service=ServiceName("llm"),
-        address=server.address,
-        zone=ZoneId("z"),
-        domain=DomainId("d"),
-        state=ServerState.READY,
-        slots=4,
-        staged=frozenset(),
-        model=None,
-        membership=None,
-    )
+    control = make_server_control(lambda *notice: notices.append(notice))
+    backend = make_backend_server(server.address)
     await control.report(backend)
     server.stop()
     stated = [(s.vm, notice.is_leaving) for s, notice in notices]
--- a/pomelolug/entry/tests/test_paused_servers.py
+++ b/pomelolug/entry/tests/test_paused_servers.py
@@ -8,11 +8,10 @@
 
 import pytest
 
-from pomelolug.deployment import BackendServer, ServerState
 from pomelolug.entry._server_pauses import ServerPauses
+from pomelolug.entry.tests.backend import make_backend_server
 from pomelolug.entry.tests.harness import Harness, ProcessNode
 from pomelolug.entry.tests.stating_server import KINDS, StatingServer, send, send_for
-from pomelolug.ids import DomainId, ServiceName, VmId, ZoneId
 from pomelolug.testing import LoopClock
 
 PAUSE_S = 2.0
@@ -214,19 +213,7 @@
 def test_nodes_do_not_return_to_a_server_at_once():
     # Guards against many nodes that were told the same pause and end it in one moment.
     async def run() -> list[float]:
-        server = BackendServer(
-            vm=VmId("s1"),
-            start_time_ms=1,
-            service=ServiceName("plain"),
-            address="",
-            zone=ZoneId("z"),
-            domain=DomainId(""),
-            state=ServerState.READY,
-            slots=4,
-            staged=frozenset(),
-            model=None,
-            membership=None,
-        )
+        server = make_backend_server()
         ends_s = []
         for seed in range(195):
             pauses = ServerPauses(clock=LoopClock(), rng=random.Random(seed))
--- a/pomelolug/entry/tests/test_restarted_node.py
+++ b/pomelolug/entry/tests/test_restarted_node.py
@@ -5,11 +5,10 @@
 
 import pytest
 
-from pomelolug.deployment import BackendServer, ServerState
 from pomelolug.entry._leaving_servers import LeavingServers
+from pomelolug.entry.tests.backend import make_backend_server
 from pomelolug.entry.tests.harness import API_KEY, Harness, declaration
 from pomelolug.entry.tests.stating_server import KINDS, StatingServer, send, send_for
-from pomelolug.ids import DomainId, ServiceName, VmId, ZoneId
 from pomelolug.testing import LoopClock
 
 TOLD_S = 1.0
@@ -71,19 +70,7 @@
 async def test_nodes_tell_of_a_departure_without_renewing_it():
     # Guards against nodes that repeat each other's reports forever, and against a node
     # that hears nothing because it starts some seconds later.
-    server = BackendServer(
-        vm=VmId("s1"),
-        start_time_ms=7,
-        service=ServiceName("llm"),
-        address="",
-        zone=ZoneId("z"),
-        domain=DomainId("d"),
-        state=ServerState.READY,
-        slots=4,
-        staged=frozenset(),
-        model=None,
-        membership=None,
-    )
+    server = make_backend_server(start_time_ms=7)
     first, second = LeavingServers(clock=LoopClock()), LeavingServers(clock=LoopClock())
     assert first.record(server)
     for _ in range(28):
