Let a zone, not each of its nodes, try the store again in an outage

Cause: if no node of a zone reaches the store, there is no relay, and each node reads each of three topics again every 250 ms. When the store was back, a read without new records also took its whole wait before it counted as success.

Change: the pause after a failure of the store grows with the nodes of the zone above four, spread at random, and ends when there is another source. A node that reaches the store again tells the others at once. The first read after a failure does not wait for records. Zones of up to four nodes try as often as before.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -276,6 +276,7 @@
             read_pause=lambda: _SHORT_READ_PAUSE,
             on_records=self._declarations.apply_records,
             on_failure=lambda source: self._peer_coordinator.avoid_source(source),
+            retry_delay=lambda source: self._peer_coordinator.retry_delay(source),
         )
         self._server_feed = TopicFeed(
             topic=TOPIC_SERVERS,
@@ -286,6 +287,7 @@
             ),
             on_records=self._registry_updater.apply_records,
             on_failure=lambda source: self._peer_coordinator.avoid_source(source),
+            retry_delay=lambda source: self._peer_coordinator.retry_delay(source),
             restore_delay=_SERVER_RESTORE_DELAY,
         )
         self._loss_feed = TopicFeed(
@@ -296,6 +298,7 @@
             on_records=self._loss_publisher.apply_records,
             # A relay of an earlier version does not serve this topic.
             on_failure=lambda source: None,
+            retry_delay=lambda source: self._peer_coordinator.retry_delay(source),
         )
         self._feeds = {
             TOPIC_DECLARATION: self._declaration_feed,
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -33,6 +33,7 @@
     "PeerCoordinator",
     "is_lease_held_by_peer",
     "is_longest_running_relay",
+    "store_retry_delay",
 ]
 
 _log = structlog.get_logger(__name__)
@@ -59,6 +60,12 @@
 """Time without a known holder after which any relay may claim the lease."""
 _RELAY_BACKOFF_S = 2.0
 """Time for which a relay is not read from after a failure."""
+_RETRY_DELAY = datetime.timedelta(milliseconds=250)
+_STORE_PROBERS = 4
+"""Nodes of a zone that read the store again in each `_RETRY_DELAY` of an outage.
+
+The others wait longer, so that an outage does not let all nodes call the store.
+"""
 
 
 class PeerCoordinator:
@@ -151,7 +158,9 @@
         )
         self._relay_sources: dict[str, RelaySource] = {}
         self._avoided_until_s: dict[str, float] = {}
+        self._rng = rng
         self._was_relay = False
+        self._could_reach_store = False
         self._relay_since_s = float("inf")
 
     @property
@@ -215,6 +224,15 @@
             until_s = self._clock.monotonic() + _RELAY_BACKOFF_S
             self._avoided_until_s = {source.address: until_s}
 
+    def retry_delay(self, source: RecordSource) -> datetime.timedelta:
+        """Return the pause before a source that failed is read again."""
+        if isinstance(source, RelaySource):
+            return _RETRY_DELAY
+        zone_nodes = 1 + sum(
+            status.zone == self._settings.zone for status in self._gossip.live_statuses
+        )
+        return store_retry_delay(zone_nodes, self._rng)
+
     def announce(self) -> None:
         """Send the status of this node to its peers without delay."""
         self._gossip.send_soon()
@@ -278,6 +296,9 @@
                 self._relay_since_s = self._clock.monotonic()
                 _log.info("relay_role", relay=self._was_relay)
                 self.announce()
+            if self._can_reach_store() != self._could_reach_store:
+                self._could_reach_store = self._can_reach_store()
+                self.announce()
             self._report_nodes()
             if is_lease_held_by_peer(
                 self._gossip.live_statuses, zone=self._settings.zone
@@ -432,6 +453,19 @@
         self._declarations.apply_if_newer(data, source=status.node)
 
 
+def store_retry_delay(zone_node_count: int, rng: random.Random) -> datetime.timedelta:
+    """Return the pause of a node before it reads the store again after a failure.
+
+    It grows with the number of nodes in the zone, so that the calls of the zone do not,
+    and is spread at random. The first node that reaches the store again becomes the
+    relay of the others.
+    """
+    if zone_node_count <= _STORE_PROBERS:
+        return _RETRY_DELAY
+    spread = rng.uniform(0.5, 1.5)
+    return _RETRY_DELAY * (spread * zone_node_count / _STORE_PROBERS)
+
+
 def is_lease_held_by_peer(statuses: Iterable[NodeStatus], *, zone: ZoneId) -> bool:
     """Return whether a peer holds the controller lease.
 
--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -22,7 +22,8 @@
 
 _log = structlog.get_logger(__name__)
 
-_RETRY_DELAY = datetime.timedelta(milliseconds=250)
+_SOURCE_CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
+"""Interval at which a feed that waits after a failure looks for another source."""
 _STALE_AFTER_S = 3.0
 """Age of the last response of the store above which the store counts as lost."""
 
@@ -52,6 +53,8 @@
         Called with the new records, in order.
     on_failure : callable
         Called with a source that failed or returned stale data.
+    retry_delay : callable
+        Returns the pause before a source that failed is read again.
     restore_delay : datetime.timedelta
         Time for which the records are kept as they are after the store went back to
         an older copy, until their writers have written again.
@@ -66,6 +69,7 @@
         read_pause: Callable[[], datetime.timedelta],
         on_records: Callable[[Iterable[Record]], None],
         on_failure: Callable[[RecordSource], None],
+        retry_delay: Callable[[RecordSource], datetime.timedelta],
         restore_delay: datetime.timedelta = datetime.timedelta(0),
     ) -> None:
         self._topic = topic
@@ -74,6 +78,7 @@
         self._read_pause = read_pause
         self._on_records = on_records
         self._on_failure = on_failure
+        self._retry_delay = retry_delay
         self._restore_delay = restore_delay
         self._log = RecordLog()
         self._offset: Offset | None = None
@@ -109,6 +114,9 @@
         """Read the topic until cancelled."""
         while True:
             source, wait = self._select_source()
+            if self._last_read_failed:
+                # A response shows that the source is back, also without new records.
+                wait = datetime.timedelta(0)
             try:
                 batch = await self._read(source, wait)
             except StoreRestoredError:
@@ -126,7 +134,7 @@
                 self._log.wake_readers()
                 self._log_availability(lost=True, reason=str(error))
                 self._on_failure(source)
-                await self._clock.sleep(_RETRY_DELAY)
+                await self._pause_after_failure(source)
                 continue
             self._last_read_failed = False
             self._status.last_contact_s = self._clock.monotonic() - batch.age_s
@@ -137,6 +145,16 @@
                 self._on_failure(source)
             await self._clock.sleep(self._read_pause())
 
+    async def _pause_after_failure(self, failed: RecordSource) -> None:
+        """Wait until a source may be read again, or until there is another one."""
+        left = self._retry_delay(failed)
+        while left > datetime.timedelta(0):
+            step = min(left, _SOURCE_CHECK_INTERVAL)
+            await self._clock.sleep(step)
+            left -= step
+            if self._select_source()[0] is not failed:
+                return
+
     async def _read(
         self, source: RecordSource, wait: datetime.timedelta
     ) -> RecordBatch:
--- a/pomelolug/feeds/tests/test_topic_feed.py
+++ b/pomelolug/feeds/tests/test_topic_feed.py
@@ -20,6 +20,7 @@
 
 pytestmark = pytest.mark.looptime
 WAIT = datetime.timedelta(seconds=1)
+RETRY_DELAY = datetime.timedelta(milliseconds=250)
 
 
 def record(offset: int, key: str, value: bytes | None = b"v") -> Record:
@@ -57,6 +58,7 @@
         read_pause=lambda: datetime.timedelta(milliseconds=100),
         on_records=received.extend,
         on_failure=failed.append,
+        retry_delay=lambda source: RETRY_DELAY,
     )
 
 
@@ -172,3 +174,20 @@
     assert relay.age_s < 3.0
     relay_task.cancel()
     reader_task.cancel()
+
+
+async def test_feed_that_waits_after_a_failure_takes_another_source_at_once():
+    # Guards against a long pause in which a relay that reaches the store is not used.
+    sources, received, failed = [LogSource(RecordLog())], [], []
+    sources[0].is_unavailable = True
+    feed = make_feed(sources, received, failed)
+    feed._retry_delay = lambda source: datetime.timedelta(seconds=60)
+    task = asyncio.create_task(feed.run())
+    await asyncio.sleep(1.0)
+    other = LogSource(RecordLog())
+    other.log.reset(RecordBatch((record(0, "a"),), Offset(1), 0.0))
+    sources[0] = other
+    await asyncio.sleep(0.5)
+    assert [r.key for r in received] == ["a"]
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
