--- a/pomelolug/deployment/_registry.py
+++ b/pomelolug/deployment/_registry.py
@@ -19,11 +19,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegistryChange:
-    """Servers that were added, changed or removed by one update."""
+    """Servers that were added, changed or removed by one update.
+
+    `lapsed` servers are kept although their entry was removed.
+    """
 
     added: tuple[BackendServer, ...] = ()
     changed: tuple[BackendServer, ...] = ()
     removed: tuple[BackendServer, ...] = ()
+    lapsed: tuple[BackendServer, ...] = ()
 
     def __bool__(self) -> bool:
         return bool(self.added or self.changed or self.removed)
@@ -55,6 +59,11 @@
         """Known servers by VM id, including lapsed servers in their grace period."""
         return self._servers
 
+    @property
+    def lapsed_count(self) -> int:
+        """Number of servers that are kept although their entry was removed."""
+        return len(self._lapsed_at_s)
+
     def is_lapsed(self, vm: VmId) -> bool:
         """Return whether a server is kept although its entry was removed."""
         return vm in self._lapsed_at_s
@@ -79,13 +88,15 @@
         added: list[BackendServer] = []
         changed: list[BackendServer] = []
         removed: list[BackendServer] = []
+        lapsed: list[BackendServer] = []
         for vm, offset, server in records:
             if offset <= self._offsets.get(vm, -1):
                 continue
             self._offsets[vm] = offset
             previous = self._servers.get(vm)
             if server is None:
-                removed += self._remove_or_lapse(vm)
+                if previous is not None:
+                    (lapsed if self._remove_or_lapse(vm) else removed).append(previous)
                 continue
             self._lapsed_at_s.pop(vm, None)
             self._servers[vm] = server
@@ -93,7 +104,9 @@
                 added.append(server)
             elif previous != server:
                 changed.append(server)
-        return RegistryChange(tuple(added), tuple(changed), tuple(removed))
+        return RegistryChange(
+            tuple(added), tuple(changed), tuple(removed), tuple(lapsed)
+        )
 
     def expire(self) -> RegistryChange:
         """Remove the lapsed servers once the grace period has ended."""
@@ -113,15 +126,13 @@
         self._lapsed_at_s.clear()
         return RegistryChange(removed=tuple(removed))
 
-    def _remove_or_lapse(self, vm: VmId) -> list[BackendServer]:
-        server = self._servers.get(vm)
-        if server is None:
-            return []
+    def _remove_or_lapse(self, vm: VmId) -> bool:
+        """Remove a known server unless it has only lapsed; return whether it has."""
         if self._is_in_grace():
             self._lapsed_at_s[vm] = self._clock.monotonic()
-            return []
+            return True
         del self._servers[vm]
-        return [server]
+        return False
 
     def _is_in_grace(self) -> bool:
         if self._store_unavailable:
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -432,6 +432,7 @@
                 self._metrics.quarantined_requests.set(
                     self._poison_detector.quarantined_count()
                 )
+                self._metrics.lapsed_servers.set(self._registry.lapsed_count)
                 self._metrics.limited_servers.set(
                     len(self._server_limits.limited_servers())
                 )
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -98,6 +98,11 @@
             "Servers that limit their requests per second.",
             registry=self._registry,
         )
+        self.lapsed_servers = prometheus_client.Gauge(
+            f"{name}_lapsed_servers",
+            "Servers that are kept although their entry was removed.",
+            registry=self._registry,
+        )
         self.limited_attempts = prometheus_client.Counter(
             f"{name}_limited_attempts",
             "Requests sent to servers that limit their requests.",
--- a/pomelolug/entry/_relay.py
+++ b/pomelolug/entry/_relay.py
@@ -60,6 +60,11 @@
         """Address of the relay."""
         return self._address
 
+    @property
+    def name(self) -> str:
+        """Name of the source in the log."""
+        return f"relay {self._address}"
+
     async def read_newest(self, topic: str) -> RecordBatch:
         """Return the newest record of each key, fetched page by page."""
         records: list[Record] = []
--- a/pomelolug/entry/_topic_consumers.py
+++ b/pomelolug/entry/_topic_consumers.py
@@ -133,6 +133,8 @@
             _log.warning("server_entry_unreadable", server=vm)
 
     def _publish(self, change: RegistryChange) -> None:
+        for server in change.lapsed:
+            _log.info("server_lapsed", server=server.vm, service=server.service)
         if not change:
             return
         if change.added:
--- a/pomelolug/entry/tests/test_store_outage.py
+++ b/pomelolug/entry/tests/test_store_outage.py
@@ -39,6 +39,10 @@
         self.is_unavailable = False
         self.calls = 0
 
+    @property
+    def name(self):
+        return "test"
+
     async def read_newest(self, topic):
         self._check()
         return self.log.snapshot(age_s=0.0)
--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -85,6 +85,7 @@
         self._status = FeedStatus()
         self._store_lost = False
         self._last_read_failed = False
+        self._source_name = ""
 
     @property
     def log(self) -> RecordLog:
@@ -138,6 +139,7 @@
                 continue
             self._last_read_failed = False
             self._status.last_contact_s = self._clock.monotonic() - batch.age_s
+            self._log_source(source)
             self._log_availability(
                 lost=not self.is_fresh, reason="the relay has lost the store"
             )
@@ -171,6 +173,16 @@
             self._on_records(records)
         return batch
 
+    def _log_source(self, source: RecordSource) -> None:
+        if source.name != self._source_name:
+            self._source_name = source.name
+            _log.info(
+                "feed_source",
+                topic=self._topic,
+                source=source.name,
+                age_s=round(self.age_s, 3),
+            )
+
     def _log_availability(self, *, lost: bool, reason: str) -> None:
         if lost == self._store_lost:
             return
--- a/pomelolug/feeds/_source.py
+++ b/pomelolug/feeds/_source.py
@@ -86,6 +86,11 @@
 class RecordSource(abc.ABC):
     """A source of the records of keyed topics."""
 
+    @property
+    @abc.abstractmethod
+    def name(self) -> str:
+        """Name of the source in the log."""
+
     @abc.abstractmethod
     async def read_newest(self, topic: str) -> RecordBatch:
         """Return the newest record of each key.
--- a/pomelolug/feeds/tests/test_topic_feed.py
+++ b/pomelolug/feeds/tests/test_topic_feed.py
@@ -36,6 +36,10 @@
         self.age_s = 0.0
         self.calls = 0
 
+    @property
+    def name(self):
+        return "test"
+
     async def read_newest(self, topic):
         self._check()
         return self.log.snapshot(age_s=self.age_s)
--- a/pomelolug/platform/_store.py
+++ b/pomelolug/platform/_store.py
@@ -116,6 +116,11 @@
         self._idle_connections: list[ClientConnection] = []
         self._era = 0
 
+    @property
+    def name(self) -> str:
+        """Name of the source in the log."""
+        return "store"
+
     @property
     def era(self) -> int:
         """Newest known era of the store, 0 if it names none."""
