--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -179,14 +179,20 @@
         return name
 
     def publish_server(
-        self, name: str, address: str, *, service: str = "plain", born: int = 1
+        self,
+        name: str,
+        address: str,
+        *,
+        service: str = "plain",
+        born: int = 1,
+        state: str = "ready",
     ) -> None:
         """Write the entry of a server to the store; `born` changes if it restarts."""
         record = {
             "service": service,
             "address": address,
             "zone": "z1",
-            "state": "ready",
+            "state": state,
             "slots": 4,
             "born": born,
             "seq": 1,
--- a/pomelolug/entry/tests/stating_server.py
+++ b/pomelolug/entry/tests/stating_server.py
@@ -39,10 +39,12 @@
         self.name = await harness.add_server(self._run, service=_SERVICES[self.kind])
         self._address = harness.servers[-1].address
 
-    def publish(self, harness: Harness, *, born: int = 1) -> None:
+    def publish(self, harness: Harness, *, born: int = 1, state: str = "ready") -> None:
         """Write the entry of the server again; `born` changes if it has restarted."""
         service = _SERVICES[self.kind]
-        harness.publish_server(self.name, self._address, service=service, born=born)
+        harness.publish_server(
+            self.name, self._address, service=service, born=born, state=state
+        )
 
     def count_after(self, start_s: float) -> int:
         return sum(t >= start_s for t in self.arrivals_s)
