--- a/pomelolug/entry/_relay.py
+++ b/pomelolug/entry/_relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import datetime
 import urllib.parse
 from collections.abc import Mapping
@@ -75,7 +76,7 @@
             batch, more = await self._fetch(query, 0.0)
             records += batch.records
             if not more:
-                return RecordBatch(tuple(records), batch.end, batch.age_s)
+                return dataclasses.replace(batch, records=tuple(records))
             after = batch.end
 
     async def read(
@@ -107,7 +108,10 @@
                 f"relay {self._address} no longer has the requested records",
             )
         records = tuple(Record(Offset(r.offset), r.key, r.value) for r in batch.records)
-        return RecordBatch(records, Offset(batch.end), batch.age_s), batch.more
+        return (
+            RecordBatch(records, Offset(batch.end), batch.age_s, batch.stale),
+            batch.more,
+        )
 
     async def _send_request(self, request: bytes) -> bytes:
         connection = await self._pool.acquire(self._address)
@@ -137,7 +141,7 @@
             _paginate(await _read_feed(feed, query), is_snapshot="after" in query)
         )
     except HistoryLostError:
-        data = encode(FeedBatch(end=0, age_s=feed.reported_age_s, lost=True))
+        data = encode(FeedBatch(end=0, age_s=feed.age_s, lost=True))
     except ValueError:
         exchange.reply(400, (), b"")
         return
@@ -151,16 +155,18 @@
 async def _read_feed(feed: TopicFeed, query: Mapping[str, str]) -> RecordBatch:
     if "after" in query:
         after = int(query["after"])
-        snapshot = feed.log.snapshot(age_s=feed.reported_age_s)
+        snapshot = feed.log.snapshot(age_s=feed.age_s)
         rest = tuple(r for r in snapshot.records if r.offset >= after)
-        return RecordBatch(rest, snapshot.end, snapshot.age_s)
+        return RecordBatch(rest, snapshot.end, snapshot.age_s, not feed.is_fresh)
     wait_s = min(float(query.get("wait_s", "0")), _MAX_WAIT_S)
+    if not feed.is_fresh:
+        wait_s = 0.0
     batch = await feed.log.read(
         Offset(int(query["from"])),
         wait=datetime.timedelta(seconds=wait_s),
         age_s=0.0,
     )
-    return RecordBatch(batch.records, batch.end, feed.reported_age_s)
+    return RecordBatch(batch.records, batch.end, feed.age_s, not feed.is_fresh)
 
 
 def _paginate(batch: RecordBatch, *, is_snapshot: bool) -> FeedBatch:
@@ -185,5 +191,6 @@
         records=tuple(records),
         end=end,
         age_s=batch.age_s,
+        stale=batch.is_stale,
         more=is_snapshot and is_truncated,
     )
--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -1,5 +1,6 @@
 """Continuous reading of one topic."""
 
+import asyncio
 import dataclasses
 import datetime
 from collections.abc import Callable, Iterable
@@ -26,6 +27,11 @@
 """Interval at which a feed that waits after a failure looks for another source."""
 _STALE_AFTER_S = 3.0
 """Age of the last response of the store above which the store counts as lost."""
+_OVERDUE_AFTER = datetime.timedelta(milliseconds=400)
+"""Delay of a response beyond the requested wait after which a source may be lost.
+
+A store that is slow responds within it.
+"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,6 +91,8 @@
         self._status = FeedStatus()
         self._store_lost = False
         self._last_read_failed = False
+        self._is_overdue = False
+        self._is_source_stale = False
         self._source_name = ""
 
     @property
@@ -98,28 +106,26 @@
         return self._clock.monotonic() - self._status.last_contact_s
 
     @property
-    def reported_age_s(self) -> float:
-        """Age of the data that this node reports to its readers, in seconds.
+    def is_fresh(self) -> bool:
+        """Whether records of the store arrive here without delay, as far as known.
 
-        As soon as a read fails it is above the staleness limit, so that the readers
-        switch to the store before the records here are out of date.
+        Readers of this node go to the store otherwise, before the records here are out
+        of date.
         """
-        return self.age_s + (_STALE_AFTER_S if self._last_read_failed else 0.0)
-
-    @property
-    def is_fresh(self) -> bool:
-        """Whether the last read succeeded and the data are recent enough."""
-        return self.reported_age_s < _STALE_AFTER_S
+        may_be_lost = (
+            self._last_read_failed or self._is_overdue or self._is_source_stale
+        )
+        return not may_be_lost and self.age_s < _STALE_AFTER_S
 
     async def run(self) -> None:
         """Read the topic until cancelled."""
         while True:
             source, wait = self._select_source()
-            if self._last_read_failed:
+            if not self.is_fresh:
                 # A response shows that the source is back, also without new records.
                 wait = datetime.timedelta(0)
             try:
-                batch = await self._read(source, wait)
+                batch = await self._read_watched(source, wait)
             except StoreRestoredError:
                 _log.warning("store_restored", topic=self._topic)
                 self._last_read_failed = False
@@ -138,6 +144,7 @@
                 await self._pause_after_failure(source)
                 continue
             self._last_read_failed = False
+            self._is_source_stale = batch.is_stale
             self._status.last_contact_s = self._clock.monotonic() - batch.age_s
             self._log_source(source)
             self._log_availability(
@@ -145,8 +152,29 @@
             )
             if not self.is_fresh:
                 self._on_failure(source)
+                if self._select_source()[0] is not source:
+                    continue
             await self._clock.sleep(self._read_pause())
 
+    async def _read_watched(
+        self, source: RecordSource, wait: datetime.timedelta
+    ) -> RecordBatch:
+        """Read from a source; tell the readers of this node if it takes too long."""
+        watch = asyncio.create_task(self._report_overdue(source, wait))
+        try:
+            return await self._read(source, wait)
+        finally:
+            watch.cancel()
+            self._is_overdue = False
+
+    async def _report_overdue(
+        self, source: RecordSource, wait: datetime.timedelta
+    ) -> None:
+        await self._clock.sleep(wait + _OVERDUE_AFTER)
+        _log.info("read_overdue", topic=self._topic, source=source.name)
+        self._is_overdue = True
+        self._log.wake_readers()
+
     async def _pause_after_failure(self, failed: RecordSource) -> None:
         """Wait until a source may be read again, or until there is another one."""
         left = self._retry_delay(failed)
--- a/pomelolug/feeds/_source.py
+++ b/pomelolug/feeds/_source.py
@@ -76,11 +76,14 @@
     age_s : float
         Time since the store itself last responded, in seconds. A relay reports how
         old its own data is.
+    is_stale : bool
+        Whether the source is a relay that may have lost the store.
     """
 
     records: tuple[Record, ...]
     end: Offset
     age_s: float = 0.0
+    is_stale: bool = False
 
 
 class RecordSource(abc.ABC):
--- a/pomelolug/feeds/tests/test_topic_feed.py
+++ b/pomelolug/feeds/tests/test_topic_feed.py
@@ -1,6 +1,7 @@
 """Tests of topic feeds whose relay is stale, lost records or does not respond."""
 
 import asyncio
+import dataclasses
 import datetime
 
 import pytest
@@ -34,6 +35,8 @@
         self.log = log
         self.is_unavailable = False
         self.age_s = 0.0
+        self.is_stale = False
+        self.is_silent = False
         self.calls = 0
 
     @property
@@ -46,7 +49,10 @@
 
     async def read(self, topic, first, *, wait):
         self._check()
-        return await self.log.read(first, wait=wait, age_s=self.age_s)
+        batch = await self.log.read(first, wait=wait, age_s=self.age_s)
+        if self.is_silent:
+            await asyncio.sleep(3600)
+        return dataclasses.replace(batch, is_stale=self.is_stale)
 
     def _check(self):
         self.calls += 1
@@ -170,7 +176,7 @@
     assert failed == []
     store.is_unavailable = True
     for _ in range(25):
-        served.age_s = relay.reported_age_s
+        served.is_stale = not relay.is_fresh
         await asyncio.sleep(0.1)
         if failed:
             break
@@ -195,3 +201,43 @@
     assert [r.key for r in received] == ["a"]
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_relay_whose_store_falls_silent_tells_its_readers_before_the_read_fails():
+    # Guards against readers that wait for the timeout of the relay's read while a
+    # server that has left gets requests.
+    log = RecordLog()
+    log.extend(RecordBatch((record(0, "a"),), Offset(1)))
+    store = LogSource(log)
+    relay = make_feed([store], [], [])
+    task = asyncio.create_task(relay.run())
+    await asyncio.sleep(0.5)
+    waiting = asyncio.create_task(
+        relay.log.read(Offset(1), wait=datetime.timedelta(seconds=60), age_s=0.0)
+    )
+    store.is_silent = True
+    await asyncio.sleep(0.9)
+    assert relay.is_fresh and not waiting.done()
+    await asyncio.sleep(0.2)
+    assert not relay.is_fresh and waiting.done()
+    assert relay.age_s < 2.0
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_feed_leaves_a_stale_relay_without_a_pause():
+    # Guards against a pause, meant to collect changes, before the store is read.
+    log = RecordLog()
+    log.extend(RecordBatch((record(0, "a"),), Offset(1)))
+    relay, store = LogSource(log), LogSource(log)
+    relay.is_stale = True
+    sources = [relay]
+    feed = make_feed(sources, [], [])
+    feed._read_pause = lambda: datetime.timedelta(seconds=60)
+    feed._on_failure = lambda source: sources.__setitem__(0, store)
+    feed._offset = Offset(1)
+    task = asyncio.create_task(feed.run())
+    await asyncio.sleep(0.1)
+    assert store.calls == 1 and feed.is_fresh
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -107,6 +107,8 @@
     """Offset at which to continue reading."""
     age_s: float
     """Time since the relay last received data from the store, in seconds."""
+    stale: bool = False
+    """Whether the relay has lost the store, or waits for it longer than usual."""
     more: bool = False
     """Whether the snapshot continues at `end`."""
     lost: bool = False
