--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -195,7 +195,9 @@
         )
         self._declarations = DeclarationCache(on_change=self._on_declaration)
         self._registry_updater = RegistryUpdater(
-            registry=self._registry, on_change=self._on_registry_change
+            registry=self._registry,
+            shortest_lapse=settings.shortest_lapse,
+            on_change=self._on_registry_change,
         )
         self._poison_detector = PoisonRequestDetector(clock=clock)
         self._loss_publisher = LossPublisher(
@@ -425,7 +427,7 @@
             await self._clock.sleep(_HOUSEKEEPING_INTERVAL)
             self._writer.write_pending()
             self._registry_updater.report_store_status(
-                is_fresh=self._server_feed.is_fresh
+                is_fresh=self._server_feed.is_fresh, age_s=self._server_feed.age_s
             )
             rounds += 1
             if rounds % _ROUNDS_PER_SWEEP == 0:
--- a/pomelolug/entry/_topic_consumers.py
+++ b/pomelolug/entry/_topic_consumers.py
@@ -1,5 +1,6 @@
 """Consumers of the topics of the declaration and of the servers."""
 
+import datetime
 from collections.abc import Callable, Iterable
 
 import structlog
@@ -87,6 +88,8 @@
     ----------
     registry : ServerRegistry
         Registry to update.
+    shortest_lapse : datetime.timedelta
+        Shortest time without the store in which the entry of a live server can lapse.
     on_change : callable
         Called with each change of the registry.
     """
@@ -95,9 +98,11 @@
         self,
         *,
         registry: ServerRegistry,
+        shortest_lapse: datetime.timedelta,
         on_change: Callable[[RegistryChange], None],
     ) -> None:
         self._registry = registry
+        self._shortest_lapse_s = shortest_lapse.total_seconds()
         self._on_change = on_change
         self._unreadable_vms: set[VmId] = set()
 
@@ -116,12 +121,23 @@
                 entries.append((vm, record.offset, server))
         self._publish(self._registry.apply(entries))
 
-    def report_store_status(self, *, is_fresh: bool) -> None:
-        """Tell the registry whether the store answers; if so, expire lapsed entries."""
+    def report_store_status(self, *, is_fresh: bool, age_s: float) -> None:
+        """Tell the registry whether the store responds; if so, expire lapsed entries.
+
+        A shorter silence of the store, or of the path to it, is left out: no live
+        server can have lost its entry in it.
+
+        Parameters
+        ----------
+        is_fresh : bool
+            Whether records arrive without delay.
+        age_s : float
+            Seconds since the store last responded.
+        """
         if is_fresh:
             self._registry.mark_store_available()
             self._publish(self._registry.expire())
-        else:
+        elif age_s >= self._shortest_lapse_s:
             self._registry.mark_store_unavailable()
 
     def _log_unreadable(self, vm: VmId) -> None:
--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -233,6 +233,7 @@
             retry_reserve=50.0,
             server_leave_notice=datetime.timedelta(seconds=2),
             server_entry_lifetime=datetime.timedelta(seconds=3.6),
+            shortest_lapse=datetime.timedelta(seconds=2.1),
             least_lease=datetime.timedelta(seconds=1),
         )
         self.entry = _EntryProcess(
--- a/pomelolug/platform/_settings.py
+++ b/pomelolug/platform/_settings.py
@@ -14,6 +14,8 @@
 
 _HEARTBEATS_PER_LIFETIME = 3
 """Heartbeat intervals of silence after which the store removes an entry."""
+_LONGEST_HEARTBEAT = 1.25
+"""Longest time between two writes of a server, in heartbeat intervals."""
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -81,6 +83,8 @@
     """Time after which a server that leaves gets no new requests."""
     server_entry_lifetime: datetime.timedelta
     """Time after which the store removes the entry of a silent server."""
+    shortest_lapse: datetime.timedelta
+    """Shortest time without the store in which the entry of a live server can lapse."""
     least_lease: datetime.timedelta
     """Shortest time to live that the store accepts for a membership."""
 
@@ -110,6 +114,7 @@
         message, _, place = str(error).partition(" - at ")
         raise _settings_error(path, place.strip("`"), message) from error
     bounds = file.bounds
+    heartbeat = datetime.timedelta(milliseconds=file.heartbeat_ms)
     return NodeSettings(
         node=NodeId(file.node),
         ip=file.ip,
@@ -126,8 +131,8 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_reserve=bounds.budget_slack,
         server_leave_notice=datetime.timedelta(milliseconds=bounds.drain_ms),
-        server_entry_lifetime=_HEARTBEATS_PER_LIFETIME
-        * datetime.timedelta(milliseconds=file.heartbeat_ms),
+        server_entry_lifetime=_HEARTBEATS_PER_LIFETIME * heartbeat,
+        shortest_lapse=(_HEARTBEATS_PER_LIFETIME - _LONGEST_HEARTBEAT) * heartbeat,
         least_lease=datetime.timedelta(milliseconds=file.platform.min_ttl_ms),
     )
 
