--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -31,6 +31,7 @@
 from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
+from pomelolug.entry._store_contact import StoreContact
 from pomelolug.entry._stream import StreamForwarder
 from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
 from pomelolug.entry._watch import StallDetector
@@ -188,6 +189,13 @@
         settings, clock = self._settings, self._clock
         store = MetadataStore(address=settings.store_address, timeout=_STORE_TIMEOUT)
         self._store = store
+        self._store_contact = StoreContact(
+            store=store,
+            topic=TOPIC_LOSSES,
+            is_reading=lambda: self._peer_coordinator.record_source()[0] is store,
+            retry_delay=lambda: self._peer_coordinator.retry_delay(store),
+            clock=clock,
+        )
         self._registry = ServerRegistry(clock=clock)
         self._build_notices()
         self._server_tracker = ServerTracker(
@@ -281,7 +289,10 @@
             clock=self._clock,
             read_pause=lambda: _SHORT_READ_PAUSE,
             on_records=self._declarations.apply_records,
-            on_failure=lambda source: self._peer_coordinator.avoid_source(source),
+            on_failure=self._on_declaration_read_failure,
+            on_success=lambda source: self._store_contact.record(
+                source, succeeded=True
+            ),
             retry_delay=lambda source: self._peer_coordinator.retry_delay(source),
         )
         self._server_feed = TopicFeed(
@@ -413,6 +424,7 @@
             self._server_feed.run(),
             self._loss_feed.run(),
             self._loss_publisher.run(),
+            self._store_contact.run(),
             self._lease.run(),
             self._controller.run(),
             self._stall_detector.run(),
@@ -501,6 +513,10 @@
         self._server_tracker.refresh(self._group_sizes)
         self._peer_coordinator.announce()
 
+    def _on_declaration_read_failure(self, source: RecordSource) -> None:
+        self._store_contact.record(source, succeeded=False)
+        self._peer_coordinator.avoid_source(source)
+
     def _on_registry_change(self, change: RegistryChange) -> None:
         self._server_tracker.refresh(self._group_sizes)
         self._run_monitor.on_registry_change(change)
@@ -550,7 +566,7 @@
         A node that reads from a relay does not know whether it reaches the store
         itself, and is assumed to until it has tried.
         """
-        return self._declaration_feed.is_fresh
+        return self._declaration_feed.is_fresh and self._store_contact.is_available
 
     def _unready_reason(self) -> str:
         if self._declarations.current is None:
--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -59,6 +59,8 @@
         Called with the new records, in order.
     on_failure : callable
         Called with a source that failed or returned stale data.
+    on_success : callable, optional
+        Called with a source that responded.
     retry_delay : callable
         Returns the pause before a source that failed is read again.
     restore_delay : datetime.timedelta
@@ -76,6 +78,7 @@
         on_records: Callable[[Iterable[Record]], None],
         on_failure: Callable[[RecordSource], None],
         retry_delay: Callable[[RecordSource], datetime.timedelta],
+        on_success: Callable[[RecordSource], None] = lambda source: None,
         restore_delay: datetime.timedelta = datetime.timedelta(0),
     ) -> None:
         self._topic = topic
@@ -84,6 +87,7 @@
         self._read_pause = read_pause
         self._on_records = on_records
         self._on_failure = on_failure
+        self._on_success = on_success
         self._retry_delay = retry_delay
         self._restore_delay = restore_delay
         self._log = RecordLog()
@@ -121,8 +125,8 @@
         """Read the topic until cancelled."""
         while True:
             source, wait = self._select_source()
-            if not self.is_fresh:
-                # A response shows that the source is back, also without new records.
+            if not self.is_fresh or source.name != self._source_name:
+                # A response shows that the source is there, also without new records.
                 wait = datetime.timedelta(0)
             try:
                 batch = await self._read_watched(source, wait)
@@ -146,6 +150,7 @@
             self._last_read_failed = False
             self._is_source_stale = batch.is_stale
             self._status.last_contact_s = self._clock.monotonic() - batch.age_s
+            self._on_success(source)
             self._log_source(source)
             self._log_availability(
                 lost=not self.is_fresh, reason="the relay has lost the store"
