--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -73,12 +73,6 @@
 _MAX_IDLE = datetime.timedelta(milliseconds=900)
 """Longest idle time of a reused connection, since servers close idle ones."""
 _HOUSEKEEPING_INTERVAL = datetime.timedelta(milliseconds=50)
-_MAX_SERVER_READ_WAIT = datetime.timedelta(seconds=1)
-"""Longest long-poll wait for server entries at the store.
-
-It bounds the delay with which a relay notices a lost path, so it is also at most half
-of the time in which all nodes must know of a server that leaves.
-"""
 _READ_PAUSE = datetime.timedelta(milliseconds=200)
 """Pause after a read, so that changes made together are fetched in one call."""
 _LOSS_READ_PAUSE = datetime.timedelta(milliseconds=700)
@@ -325,13 +319,9 @@
 
     def _server_source(self) -> tuple[RecordSource, datetime.timedelta]:
         """Return the source of server entries, the store on the active controller."""
-        source, wait = self._peer_coordinator.record_source()
         if self._lease.is_held:
-            source = self._store
-        if source is self._store:
-            half_notice = self._settings.server_leave_notice / 2
-            wait = min(_MAX_SERVER_READ_WAIT, half_notice)
-        return source, wait
+            return self._peer_coordinator.store_source()
+        return self._peer_coordinator.record_source()
 
     def _build_forwarders(self) -> None:
         settings, clock = self._settings, self._clock
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -52,8 +52,12 @@
 """Interval after the first read, which misses nodes that start at the same time."""
 _REFRESH_INTERVAL = datetime.timedelta(milliseconds=100)
 """Interval at which the latest statuses of the peers are applied."""
-_STORE_LONG_POLL_WAIT = datetime.timedelta(seconds=1.5)
-"""Longest long-poll wait at the store; bounds the delay on a dead network path."""
+_STORE_LONG_POLL_WAIT = datetime.timedelta(seconds=1)
+"""Longest long-poll wait at the store.
+
+It bounds the delay with which a relay notices a lost path, so it is also at most half
+of the time in which each node must act on a record.
+"""
 _RELAY_LONG_POLL_WAIT = datetime.timedelta(milliseconds=700)
 """Longest long-poll wait at a relay; its loss must be noticed in about a second."""
 _FREE_LEASE_WAIT_S = 2.0
@@ -211,13 +215,18 @@
         """Return the source to read records from, and the longest wait of a read."""
         status = self._relay_peer()
         if status is None or self._is_avoided(status.address):
-            return self._store, _STORE_LONG_POLL_WAIT
+            return self.store_source()
         relay = self._relay_sources.get(status.address)
         if relay is None:
             relay = RelaySource(address=status.address, pool=self._pool)
             self._relay_sources = {status.address: relay}
         return relay, _RELAY_LONG_POLL_WAIT
 
+    def store_source(self) -> tuple[RecordSource, datetime.timedelta]:
+        """Return the store, and the longest wait of a read there."""
+        half_delay = self._settings.longest_record_delay / 2
+        return self._store, min(_STORE_LONG_POLL_WAIT, half_delay)
+
     def avoid_source(self, source: RecordSource) -> None:
         """Read from the store for a while instead of from a relay that failed."""
         if isinstance(source, RelaySource):
--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -231,7 +231,7 @@
             stall_timeout=datetime.timedelta(seconds=5),
             retry_ratio=0.2,
             retry_reserve=50.0,
-            server_leave_notice=datetime.timedelta(seconds=2),
+            longest_record_delay=datetime.timedelta(seconds=2),
             server_entry_lifetime=datetime.timedelta(seconds=3.6),
             shortest_lapse=datetime.timedelta(seconds=2.1),
             least_lease=datetime.timedelta(seconds=1),
--- a/pomelolug/entry/tests/test_relay_without_store.py
+++ b/pomelolug/entry/tests/test_relay_without_store.py
@@ -8,13 +8,15 @@
 
 import pytest
 
-from pomelolug.entry.tests.harness import Harness
+from pomelolug.entry.tests.harness import API_KEY, Harness, declaration
 from pomelolug.entry.tests.stating_server import KINDS, StatingServer, send, send_for
 from pomelolug.testing import LinkFault, LoopbackProxy
 
 LEAVING_S = 2.0
 """Time after which a server that leaves gets no new requests from a node that reaches
 the store."""
+IN_FORCE_S = 2.0
+"""Time after which a declaration is in force on a node that reaches the store."""
 SETTLED_S = 1.5
 """Time in which nodes find each other and wait for records."""
 
@@ -78,6 +80,26 @@
         assert {answer.status for answer in answers} == {200}
 
 
+@pytest.mark.parametrize("settled_s", [1.5, 1.7, 1.9, 2.1])
+async def test_withdrawn_key_is_refused_behind_a_relay_without_store(settled_s):
+    # Guards against a declaration that comes into force late because the relay, which
+    # hears from no other zone either, waits for the store.
+    async with start_zone("safe") as zone:
+        accounts = [{"name": "account-a", "api_keys": [API_KEY]}]
+        zone.relay.publish_declaration(
+            declaration(2, tenants=[{"name": "account-a", "api_keys": [API_KEY, "k"]}])
+        )
+        await asyncio.sleep(settled_s)
+        head, _ = await zone.reader.request("/safe/x", key="k")
+        assert head.status == 200
+        zone.link.fault = LinkFault.SILENT
+        await asyncio.sleep(0.02)
+        zone.relay.publish_declaration(declaration(3, tenants=accounts))
+        await asyncio.sleep(IN_FORCE_S)
+        head, _ = await zone.reader.request("/safe/x", key="k")
+        assert head.status == 401
+
+
 async def test_relay_that_lost_the_store_takes_its_role_back_only_with_the_store():
     # Guards against a node that takes the records of the new relay for those of the
     # store, becomes the relay again, and loses the role with its next read.
--- a/pomelolug/platform/_settings.py
+++ b/pomelolug/platform/_settings.py
@@ -28,6 +28,8 @@
     grace_s: float = 8.0
     # Time after which a server that leaves gets no new requests.
     drain_ms: float = 2000.0
+    # Time after which a declaration is in force.
+    config_ms: float = 2000.0
     stall_ms: float = 5000.0
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50.0
@@ -79,8 +81,8 @@
     retry_ratio: float
     retry_reserve: float
     """Retries of all nodes in a window that are allowed beyond `retry_ratio`."""
-    server_leave_notice: datetime.timedelta
-    """Time after which a server that leaves gets no new requests."""
+    longest_record_delay: datetime.timedelta
+    """Time after which each node acts on a record of the store."""
     server_entry_lifetime: datetime.timedelta
     """Time after which the store removes the entry of a silent server."""
     shortest_lapse: datetime.timedelta
@@ -130,7 +132,9 @@
         stall_timeout=datetime.timedelta(milliseconds=bounds.stall_ms),
         retry_ratio=bounds.retry_budget_ratio,
         retry_reserve=bounds.budget_slack,
-        server_leave_notice=datetime.timedelta(milliseconds=bounds.drain_ms),
+        longest_record_delay=datetime.timedelta(
+            milliseconds=min(bounds.drain_ms, bounds.config_ms)
+        ),
         server_entry_lifetime=_HEARTBEATS_PER_LIFETIME * heartbeat,
         shortest_lapse=(_HEARTBEATS_PER_LIFETIME - _LONGEST_HEARTBEAT) * heartbeat,
         least_lease=datetime.timedelta(milliseconds=file.platform.min_ttl_ms),
--- a/pomelolug/platform/tests/test_decoding.py
+++ b/pomelolug/platform/tests/test_decoding.py
@@ -50,7 +50,7 @@
     assert settings.stop_grace.total_seconds() == 8
     assert settings.server_entry_lifetime.total_seconds() == pytest.approx(2.4)
     assert settings.shortest_lapse.total_seconds() == pytest.approx(1.4)
-    assert settings.server_leave_notice.total_seconds() == pytest.approx(2.0)
+    assert settings.longest_record_delay.total_seconds() == pytest.approx(2.0)
 
 
 @pytest.mark.parametrize(
