--- a/pomelolug/experiments/process_soak/_cluster.py
+++ b/pomelolug/experiments/process_soak/_cluster.py
@@ -255,14 +255,14 @@
         )
 
     def _on_store_record(self, topic: str, key: str, value: bytes) -> None:
-        """Record whether the stored entry of a server announces a drain."""
+        """Record whether a server has no entry, or one that announces a drain."""
         if topic != TOPIC_SERVERS:
             return
         server = decode_server(VmId(key), value) if value else None
-        if server is not None and server.state is ServerState.DRAINING:
-            self._guarantees.record_drain(key, time.monotonic())
+        if server is None or server.state is ServerState.DRAINING:
+            self._guarantees.record_departure(key, time.monotonic())
         else:
-            self._guarantees.clear_drain(key)
+            self._guarantees.record_return(key, time.monotonic())
 
     def _on_server_line(self, line: dict[str, Any]) -> None:
         if "violation" in line:
--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -32,6 +32,12 @@
 )
 _LIMIT_RANGE_PER_S = (0.1, 1.0)
 _LIMIT_DURATION_RANGE_S = (5.0, 10.0)
+_CALM_START_S = 2.0
+"""Time in which callers use all servers before the first fault."""
+_LONG_SILENCE_RANGE_S = (2.5, 4.0)
+_RECENT_RUNS = 20
+_UNLISTING_TIME_S = 0.2
+"""Time after which a server that is not to write its entry any more has stopped."""
 _STATEMENT_LEAD_RANGE_S = (3.0, 6.0)
 """Time between a statement that a server leaves and its entry."""
 _PAUSE_RANGE_S = (1.0, 6.0)
@@ -91,6 +97,7 @@
             "server_lost": self._lose_server,
             "server_restarted": self._restart_server,
             "server_leaves": self._drain_server,
+            "server_unlisted": self._unlist_server,
             "server_slow": self._slow_server,
             "server_garbles": self._garble_server_answers,
             "server_limited": self._limit_server,
@@ -102,7 +109,13 @@
         }
 
     async def run(self, length_s: float) -> None:
-        """Inject faults for `length_s` seconds, then wait for the last one to end."""
+        """Inject faults for `length_s` seconds, then wait for the last one to end.
+
+        Bounds on time apply only to entry VMs that nothing else disturbs, so a server
+        leaves before the other faults begin.
+        """
+        await asyncio.sleep(_CALM_START_S)
+        await self._inject("server_unlisted")
         until_s = time.monotonic() + length_s
         while time.monotonic() < until_s:
             await asyncio.sleep(self._rng.expovariate(1.0 / _MEAN_INTERVAL_S))
@@ -165,6 +178,15 @@
         server = self._rng.choice(servers)
         return server if self._reserve(server.vm) else None
 
+    def _reserve_busy_server(self) -> ServerHandle | None:
+        """Return a server that has lately run a call, or None if it is reserved."""
+        recent = [run.vm for run in self._guarantees.runs[-_RECENT_RUNS:]]
+        if not recent:
+            return self._reserve_random_server()
+        vm = self._rng.choice(recent)
+        server = next(s for s in self._cluster.servers if s.vm == vm)
+        return server if self._reserve(vm) else None
+
     def _random_duration_s(self) -> float:
         return self._rng.uniform(0.3, 4.0)
 
@@ -269,14 +291,22 @@
         self._reserved.discard("store")
 
     async def _degrade_store_link(self) -> None:
+        fault = self._rng.choice(_LINK_FAULTS)
+        await self._inject_link_fault(fault, self._random_duration_s())
+
+    async def _silence_store_link(self) -> None:
+        """Silence a link for longer than nodes may take to learn of a departure."""
+        duration_s = self._rng.uniform(*_LONG_SILENCE_RANGE_S)
+        await self._inject_link_fault(LinkFault.SILENT, duration_s)
+
+    async def _inject_link_fault(self, fault: LinkFault, duration_s: float) -> None:
         entry = self._rng.choice(self._cluster.entries)
         if not self._reserve(f"{entry.name}/store"):
             return
-        fault = self._rng.choice(_LINK_FAULTS)
         async with self._fault_window(f"{entry.name} store {fault.value}", entry.name):
             entry.store_link.delay_s = self._rng.uniform(0.05, 0.8)
             entry.store_link.fault = fault
-            await asyncio.sleep(self._random_duration_s())
+            await asyncio.sleep(duration_s)
             entry.store_link.fault = LinkFault.NONE
         self._reserved.discard(f"{entry.name}/store")
 
@@ -341,6 +371,26 @@
             self._send_restart(server)
         self._reserved.discard(server.vm)
 
+    async def _unlist_server(self) -> None:
+        """Remove the entry of a server that leaves without having said so.
+
+        Meanwhile an entry VM, perhaps a relay, hears nothing of the store.
+        """
+        if (server := self._reserve_busy_server()) is None:
+            return
+        async with self._fault_window(
+            f"{server.vm} leaves unannounced", _SERVERS_ONLY, is_planned=True
+        ):
+            self._cluster.send_command(server, "unlist")
+            await asyncio.sleep(_UNLISTING_TIME_S)
+            link_fault = asyncio.create_task(self._silence_store_link())
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+            self._cluster.store.put(TOPIC_SERVERS, server.vm, b"")
+            await asyncio.sleep(_DRAIN_DURATION_S)
+            self._send_restart(server)
+            await link_fault
+        self._reserved.discard(server.vm)
+
     async def _slow_server(self) -> None:
         if (server := self._reserve_random_server()) is None:
             return
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -70,6 +70,20 @@
         return self.start_s <= at_s and (self.end_s is None or at_s <= self.end_s)
 
 
+@dataclasses.dataclass(kw_only=True)
+class DeparturePeriod:
+    """Period in which the entry of a server said that it drains, or was gone."""
+
+    vm: str
+    start_s: float
+    end_s: float | None = None
+
+    def forbids(self, sent_at_s: float, started_at_s: float) -> bool:
+        """Return whether a call sent at a time must not start at the server."""
+        has_ended = self.end_s is not None and started_at_s > self.end_s
+        return sent_at_s > self.start_s + _DRAIN_LIMIT_S and not has_ended
+
+
 class GuaranteeChecker:
     """Collects calls and server runs, and finds violated guarantees at the end.
 
@@ -84,7 +98,7 @@
         self._calls: dict[str, SentCall] = {}
         self._runs: list[ServerRun] = []
         self._revoked_at_s: dict[str, float] = {}
-        self._drained_at_s: dict[str, float] = {}
+        self._departures: list[DeparturePeriod] = []
         self._limit_periods: list[LimitPeriod] = []
         self._turned_away: list[TurnedAwayRequest] = []
         self._reported_violations: list[str] = []
@@ -124,13 +138,16 @@
         """Record when the declaration without `key` was stored."""
         self._revoked_at_s[key] = at_s
 
-    def record_drain(self, vm: str, at_s: float) -> None:
-        """Record when the first announcement of `vm` that it drains was stored."""
-        self._drained_at_s.setdefault(vm, at_s)
+    def record_departure(self, vm: str, at_s: float) -> None:
+        """Record when it was stored that `vm` drains or is gone."""
+        if not any(p.vm == vm and p.end_s is None for p in self._departures):
+            self._departures.append(DeparturePeriod(vm=vm, start_s=at_s))
 
-    def clear_drain(self, vm: str) -> None:
-        """Forget the drain of `vm`, whose stored entry no longer announces one."""
-        self._drained_at_s.pop(vm, None)
+    def record_return(self, vm: str, at_s: float) -> None:
+        """Record when an entry was stored of which `vm` is ready."""
+        for period in self._departures:
+            if period.vm == vm and period.end_s is None:
+                period.end_s = at_s
 
     def record_limit(
         self, vm: str, limit_per_s: float, *, start_s: float
@@ -286,11 +303,9 @@
                 f"{run.request_id} ran {run.started_at_s - revoked_at_s:.1f} s "
                 "after its key went"
             )
-        drained_at_s = self._drained_at_s.get(run.vm)
-        if (
-            is_undisturbed
-            and drained_at_s
-            and call.sent_at_s > drained_at_s + _DRAIN_LIMIT_S
+        if is_undisturbed and any(
+            period.vm == run.vm and period.forbids(call.sent_at_s, run.started_at_s)
+            for period in self._departures
         ):
             yield f"{run.request_id} ran at {run.vm}, which leaves"
         # A resumed server starts requests that arrived while it was paused.
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -209,12 +209,25 @@
     assert "its key went" in guarantees.check(timeouts=TIMEOUTS)[0]
 
 
-def test_draining_server_gets_no_new_call():
+@pytest.mark.parametrize("returns_s", [None, 0.5])
+def test_server_that_leaves_gets_no_new_call(returns_s):
+    # Guards against a checker that forgets a departure when the server returns.
     guarantees = GuaranteeChecker(FaultWindows())
     guarantees.record_call(make_call())
     guarantees.record_run(make_run())
-    guarantees.record_drain("vm-1", START - 2.5)
-    assert "which leaves" in guarantees.check(timeouts=TIMEOUTS)[0]
+    guarantees.record_departure("vm-1", START - 2.5)
+    if returns_s is not None:
+        guarantees.record_return("vm-1", START + returns_s)
+    assert guarantees.check(timeouts=TIMEOUTS) == ["r1 ran at vm-1, which leaves"]
+
+
+def test_server_that_has_returned_gets_calls():
+    guarantees = GuaranteeChecker(FaultWindows())
+    guarantees.record_call(make_call())
+    guarantees.record_run(make_run())
+    guarantees.record_departure("vm-1", START - 2.5)
+    guarantees.record_return("vm-1", START - 0.5)
+    assert guarantees.check(timeouts=TIMEOUTS) == []
 
 
 def test_fault_window_suspends_time_bounds_of_entry_vm():
--- a/pomelolug/testing/group_server.py
+++ b/pomelolug/testing/group_server.py
@@ -72,8 +72,9 @@
     `do` is one of `dark` (stop responding until a restart), `restart` (with the
     same id), `drain`, `slow` (by the factor `x`), `garble` (corrupt a share `x`
     of the responses), `limit` (name a limit of `x` requests per second, 0 for none),
-    `leave` (state in responses that the server leaves) and `pause` (turn requests away
-    and ask for a pause of `x` seconds, 0 for no longer).
+    `leave` (state in responses that the server leaves), `unlist` (write no more entries
+    until the command to restart) and `pause` (turn requests away and ask for a pause of
+    `x` seconds, 0 for no longer).
     """
 
     do: str
@@ -88,6 +89,7 @@
         self._store = store
         self._planned = planned
         self._pending: dict[str, bytes] = {}
+        self._unlisted: set[str] = set()
         self._changed = asyncio.Event()
 
     def apply(
@@ -98,8 +100,19 @@
             if server is not None:
                 self.put(server, self._planned[vm])
 
+    def unlist(self, vm: str) -> None:
+        """Write no more entries of a server."""
+        self._unlisted.add(vm)
+        self._pending.pop(vm, None)
+
+    def list_again(self, vm: str) -> None:
+        """Write the entries of a server again."""
+        self._unlisted.discard(vm)
+
     def put(self, server: BackendServer, planned: PlannedServer) -> None:
         """Queue an entry for writing."""
+        if planned.vm in self._unlisted:
+            return
         entry = msgspec.structs.asdict(planned)
         raw = msgspec.json.decode(encode_entry(server))
         raw |= {"address": entry["address"], "zone": entry["zone"]}
@@ -223,6 +236,8 @@
             app.response_faults.request_limit_per_s = command.x
         elif command.do == "leave":
             app.response_faults.states_leaving = True
+        elif command.do == "unlist":
+            self._entry_writer.unlist(vm)
         elif command.do == "pause":
             app.response_faults.pause_s = command.x
         elif command.do == "dark":
@@ -235,6 +250,7 @@
             entry = _build_plain_entry(vm, 1, ServerState.DRAINING)
             self._entry_writer.put(entry, self._planned[vm])
         elif command.do == "restart":
+            self._entry_writer.list_again(vm)
             self._restart(vm, app)
 
     def _crash(self, vm: VmId) -> None:
