--- a/pomelolug/entry/_application.py
+++ b/pomelolug/entry/_application.py
@@ -11,17 +11,14 @@
 from pomelolug.deployment import ClientAccount, Declaration, Route, Service
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._plain import PlainForwarder
-from pomelolug.entry._poison_requests import (
-    PoisonRequestDetector,
-    QuarantinedError,
-    compute_fingerprint,
-)
+from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
 from pomelolug.entry._request_context import (
     RequestContext,
     not_run_error,
     reply_error,
     unknown_outcome_error,
 )
+from pomelolug.entry._request_identity import RequestIdentity
 from pomelolug.entry._request_record import RequestRecord
 from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._stream import StreamForwarder
@@ -166,9 +163,14 @@
         client_account = _authenticate(declaration, route, request_head)
         account = client_account.account_id if client_account is not None else None
         record.account = account
-        fingerprint = compute_fingerprint(account, exchange.target, exchange.body)
-        record.fingerprint = fingerprint
-        record.known_losses = self._poison_detector.loss_count(fingerprint)
+        identity = RequestIdentity.build(
+            account,
+            exchange.target,
+            exchange.body,
+            request_head.shared_prompt_parts,
+        )
+        record.identity = identity
+        record.known_losses = self._poison_detector.loss_count(identity.request)
         priority = route.priority
         if client_account is not None and client_account.priority is not None:
             priority = client_account.priority
@@ -185,7 +187,7 @@
             urgency=min(max(priority, 0), _LOWEST_URGENCY),
             arrived_at_s=arrived_at_s,
             deadline_at_s=arrived_at_s + timeout_s,
-            fingerprint=fingerprint,
+            identity=identity,
             record=record,
         )
 
@@ -208,7 +210,7 @@
             else self._plain_forwarder
         )
         try:
-            self._run_monitor.check(context.fingerprint)
+            self._run_monitor.check(context.identity)
             async with asyncio.timeout_at(context.deadline_at_s):
                 await forwarder.forward(context)
         except TimeoutError:
--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -4,6 +4,7 @@
 from types import TracebackType
 
 from pomelolug.deployment import BackendServer
+from pomelolug.entry._request_identity import RequestIdentity
 from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
 from pomelolug.entry._server_notices import ServerNotices, WaitCause
 from pomelolug.ids import RequestId
@@ -127,7 +128,7 @@
         Server to send to.
     request_id : RequestId
         Id that the response must repeat.
-    fingerprint : str
+    identity : RequestIdentity
         Identifies the request when its caller sends it again.
     """
 
@@ -139,7 +140,7 @@
         server: BackendServer,
         *,
         request_id: RequestId,
-        fingerprint: str,
+        identity: RequestIdentity,
     ) -> None:
         self._pool = pool
         self._run_monitor = run_monitor
@@ -147,7 +148,7 @@
         self._server = server
         self._address = server.address
         self._request_id = request_id
-        self._fingerprint = fingerprint
+        self._identity = identity
         self._connection: ClientConnection | None = None
         self._run: ServerRun | None = None
         self._reply: ServerReply | None = None
@@ -200,7 +201,7 @@
                 error.reason, run_status=RunStatus.NOT_RUN, may_have_arrived=False
             ) from error
         self._connection = connection
-        self._run_monitor.check(self._fingerprint)
+        self._run_monitor.check(self._identity)
         # The server may have stated it while the connection was opened.
         cause = self._notices.refusal_cause(self._server)
         if cause is not None:
@@ -216,7 +217,7 @@
                 error.reason, run_status=RunStatus.NOT_RUN, may_have_arrived=False
             ) from error
         self._run = self._run_monitor.begin(
-            self._fingerprint, self._server, connected_at_s=connection.opened_at_s
+            self._identity, self._server, connected_at_s=connection.opened_at_s
         )
 
     async def read_head(self) -> tuple[ServerReply, ResponseHead]:
--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -193,7 +193,7 @@
             self._notices,
             server,
             request_id=context.request_head.request_id,
-            fingerprint=context.fingerprint,
+            identity=context.identity,
         ) as attempt:
             # A pooled connection may have been closed unnoticed, and a request that
             # may run only once could then not be sent again.
--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -1,26 +1,19 @@
-"""Detection of requests that crash the servers running them.
-
-The caller of such a request may send it again under another id and through another
-node, so it is identified by its account, path and body.
-"""
+"""Detection of requests that crash the servers running them."""
 
 import collections
 import dataclasses
 import datetime
-import hashlib
 from collections.abc import Mapping, Sequence
 
 import structlog
 
 from pomelolug.clock import Clock
-from pomelolug.ids import AccountId
 
 __all__ = [
     "LOSS_RETENTION_S",
     "PoisonRequestDetector",
     "QuarantinedError",
     "SharedLoss",
-    "compute_fingerprint",
 ]
 
 _log = structlog.get_logger(__name__)
@@ -72,21 +65,6 @@
         return self._retry_after
 
 
-def compute_fingerprint(account: AccountId | None, target: bytes, body: bytes) -> str:
-    """Return a digest that identifies a request when it is sent again.
-
-    Examples
-    --------
-    >>> compute_fingerprint(None, b"/a", b"x") == compute_fingerprint(None, b"/a", b"x")
-    True
-    """
-    digest = hashlib.blake2b(digest_size=8)
-    for part in ((account or "").encode(), target, body):
-        digest.update(len(part).to_bytes(4, "big"))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 @dataclasses.dataclass(slots=True)
 class _Loss:
     """Loss of a server; `is_suspicion` until there is a sign that it has ended.
--- a/pomelolug/entry/_request_context.py
+++ b/pomelolug/entry/_request_context.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pomelolug.deployment import Declaration, Route, Service
+from pomelolug.entry._request_identity import RequestIdentity
 from pomelolug.entry._request_record import RequestRecord
 from pomelolug.entry._server_notices import ServerWait, WaitCause
 from pomelolug.errors import ErrorCode, Outcome, RequestError
@@ -35,7 +36,7 @@
     `arrived_at_s` and `deadline_at_s` are monotonic seconds of the event loop's clock,
     which `SystemClock.monotonic` returns.
     At the deadline, the caller has left or the timeout of the route has passed.
-    `fingerprint` identifies the request when its caller sends it again.
+    `identity` identifies the request when its caller sends it again.
     """
 
     exchange: Exchange
@@ -47,7 +48,7 @@
     urgency: int
     arrived_at_s: float
     deadline_at_s: float
-    fingerprint: str
+    identity: RequestIdentity
     record: RequestRecord
 
     @property
--- /dev/null
+++ b/pomelolug/entry/_request_identity.py
@@ -0,0 +1,66 @@
+"""Identity of a request, by which it is recognised when it crashes servers.
+
+The caller of such a request may send it again under another id and through another
+node, so the request itself is identified by its account, path and body. Requests that
+differ may have parts of their prompts in common.
+"""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable, Sequence
+
+from pomelolug.ids import AccountId
+
+__all__ = ["RequestIdentity", "compute_fingerprint", "compute_part_fingerprint"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestIdentity:
+    """Fingerprints of a request and of the parts of its prompt that others share."""
+
+    request: str
+    prompt_parts: tuple[str, ...] = ()
+
+    @classmethod
+    def build(
+        cls,
+        account: AccountId | None,
+        target: bytes,
+        body: bytes,
+        prompt_parts: Sequence[str] = (),
+    ) -> "RequestIdentity":
+        """Return the identity of a request.
+
+        Examples
+        --------
+        >>> one = RequestIdentity.build(None, b"/a", b"x", ["p"])
+        >>> other = RequestIdentity.build(None, b"/a", b"y", ["p"])
+        >>> one.request == other.request, one.prompt_parts == other.prompt_parts
+        (False, True)
+        """
+        parts = dict.fromkeys(map(compute_part_fingerprint, prompt_parts))
+        return cls(compute_fingerprint(account, target, body), tuple(parts))
+
+
+def compute_fingerprint(account: AccountId | None, target: bytes, body: bytes) -> str:
+    """Return a digest that identifies a request when it is sent again.
+
+    Examples
+    --------
+    >>> compute_fingerprint(None, b"/a", b"x") == compute_fingerprint(None, b"/a", b"x")
+    True
+    """
+    return _digest(((account or "").encode(), target, body))
+
+
+def compute_part_fingerprint(part: str) -> str:
+    """Return a digest that identifies a part of prompts, whatever else they hold."""
+    return _digest((b"prompt part", part.encode()))
+
+
+def _digest(values: Iterable[bytes]) -> str:
+    digest = hashlib.blake2b(digest_size=8)
+    for value in values:
+        digest.update(len(value).to_bytes(4, "big"))
+        digest.update(value)
+    return digest.hexdigest()
--- a/pomelolug/entry/_request_record.py
+++ b/pomelolug/entry/_request_record.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import Any
 
+from pomelolug.entry._request_identity import RequestIdentity
 from pomelolug.errors import ErrorCode
 from pomelolug.ids import AccountId, RequestId, VmId
 
@@ -52,7 +53,7 @@
     account: AccountId | None = None
     declaration_version: int = -1
     registry_age_s: float = 0.0
-    fingerprint: str = ""
+    identity: RequestIdentity | None = None
     known_losses: int = 0
     status: int = 0
     code: ErrorCode | None = None
@@ -67,13 +68,15 @@
 
     def log_fields(self) -> dict[str, Any]:
         """Return the fields of the log line."""
+        identity = self.identity
         return {
             "request": self.request_id,
             "route": self.route,
             "account": self.account,
             "version": self.declaration_version,
             "registry_age_s": round(self.registry_age_s, 3),
-            "fingerprint": self.fingerprint,
+            "fingerprint": identity.request if identity is not None else "",
+            "prompt_parts": identity.prompt_parts if identity is not None else (),
             "known_losses": self.known_losses,
             "status": self.status,
             "code": self.code.value if self.code is not None else "",
--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -18,6 +18,7 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, RegistryChange, ServerRegistry
 from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
+from pomelolug.entry._request_identity import RequestIdentity
 from pomelolug.ids import VmId
 from pomelolug.replicas import GroupKey, group_key
 
@@ -126,7 +127,7 @@
         # group that it was a member of.
         self._ended_at_s: dict[VmId | GroupKey, float] = {}
 
-    def check(self, fingerprint: str) -> None:
+    def check(self, identity: RequestIdentity) -> None:
         """Raise an error if a request must not be sent.
 
         Raises
@@ -134,16 +135,16 @@
         QuarantinedError
             If too many servers were lost while running it.
         """
-        left_s = self._detector.quarantine_left_s(fingerprint)
+        left_s = self._detector.quarantine_left_s(identity.request)
         if left_s > 0.0:
             raise QuarantinedError(datetime.timedelta(seconds=left_s))
 
     def begin(
-        self, fingerprint: str, server: BackendServer, *, connected_at_s: float
+        self, identity: RequestIdentity, server: BackendServer, *, connected_at_s: float
     ) -> ServerRun:
         """Return the run of a request that has just been sent to a server."""
         run = ServerRun(
-            fingerprint=fingerprint,
+            fingerprint=identity.request,
             server=server.vm,
             start_time_ms=server.start_time_ms,
             group=group_key(server.membership),
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -285,7 +285,7 @@
             self._notices,
             head,
             request_id=context.request_head.request_id,
-            fingerprint=context.fingerprint,
+            identity=context.identity,
         ) as attempt:
             await attempt.send(data, fresh=state.use_fresh_connection)
             context.record.attempts[-1].may_have_run = True
--- a/pomelolug/entry/tests/test_run_monitor.py
+++ b/pomelolug/entry/tests/test_run_monitor.py
@@ -13,6 +13,7 @@
     ServerState,
 )
 from pomelolug.entry._poison_requests import PoisonRequestDetector
+from pomelolug.entry._request_identity import RequestIdentity
 from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
 from pomelolug.ids import DomainId, GroupId, Offset, ServiceName, VmId, ZoneId
 from pomelolug.testing import LoopClock
@@ -72,7 +73,9 @@
     def begin(self, server: BackendServer, *, connected_at_s=None) -> ServerRun:
         if connected_at_s is None:
             connected_at_s = self.clock.monotonic()
-        return self.monitor.begin(REQUEST, server, connected_at_s=connected_at_s)
+        return self.monitor.begin(
+            RequestIdentity(REQUEST), server, connected_at_s=connected_at_s
+        )
 
     @property
     def losses(self) -> int:
--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -26,8 +26,9 @@
     ServerRegistry,
     ServerState,
 )
-from pomelolug.entry._poison_requests import PoisonRequestDetector, compute_fingerprint
+from pomelolug.entry._poison_requests import PoisonRequestDetector
 from pomelolug.entry._rate_limiter import RequestRateLimiter
+from pomelolug.entry._request_identity import compute_fingerprint
 from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
--- a/pomelolug/platform/_headers.py
+++ b/pomelolug/platform/_headers.py
@@ -37,6 +37,8 @@
         b"expect",
     }
 )
+_MAX_PROMPT_PARTS = 32
+"""Maximum number of parts of a prompt by which requests are compared."""
 _REPLACED_FIELDS = frozenset(
     name.lower()
     for name in (
@@ -76,6 +78,8 @@
         Prompt tokens and maximum output tokens; 0 if unknown.
     last_event_id : int or None
         Id of the event after which the caller resumes a stream.
+    shared_prompt_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share, in order.
     """
 
     request_id: RequestId
@@ -87,6 +91,7 @@
     prompt_tokens: int
     answer_tokens: int
     last_event_id: int | None
+    shared_prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -130,6 +135,9 @@
         prompt_tokens=prompt,
         answer_tokens=answer,
         last_event_id=_decode_integer(fields.get(_wire_names.LAST_EVENT_ID.lower())),
+        shared_prompt_parts=_decode_shared_prompt_parts(
+            fields.get(_wire_names.PROMPT_PREFIX.lower(), b"")
+        ),
     )
 
 
@@ -258,6 +266,13 @@
     return ModelName(_decode_text(value)) if value else None
 
 
+def _decode_shared_prompt_parts(value: bytes) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, which belongs to the request alone."""
+    parts = [part.partition(b":")[0].strip() for part in value.split(b",")]
+    shared = [_decode_text(part).lower() for part in parts[:-1] if part]
+    return tuple(shared[:_MAX_PROMPT_PARTS])
+
+
 def _decode_token_counts(value: bytes) -> tuple[int, int]:
     prompt, _, answer = value.partition(b",")
     return max(_decode_integer(prompt) or 0, 0), max(_decode_integer(answer) or 0, 0)
--- a/pomelolug/platform/_wire_names.py
+++ b/pomelolug/platform/_wire_names.py
@@ -24,6 +24,7 @@
 AUTHORIZATION = b"Authorization"
 AT_SERVER = b"At-Server"
 LENGTH_HINT = b"Length-Hint"
+# Parts of the prompt in order: id and number of tokens of each.
 PROMPT_PREFIX = b"Prompt-Prefix"
 
 READY_PATH = b"/-/ready"
--- a/pomelolug/platform/tests/test_decoding.py
+++ b/pomelolug/platform/tests/test_decoding.py
@@ -187,6 +187,24 @@
     assert head.deadline_s is None
 
 
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        (b"5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (b"5C1E:8, 91bd:4 ,e4:2", ("5c1e", "91bd")),
+        (b"e4402b7d:250", ()),
+        (b",,e4:2", ()),
+        (b"", ()),
+        (b"a:1," * 100, ("a",) * 32),
+    ],
+)
+def test_last_part_of_a_prompt_is_not_shared(value, parts):
+    # Guards against a part that belongs to one request alone, and against a list
+    # without end.
+    head = decode_request_head(b"/", [(b"Prompt-Prefix", value)])
+    assert head.shared_prompt_parts == parts
+
+
 def test_only_explicit_refusal_proves_that_request_did_not_run():
     # A plain 503 does not prove it, so it must not cause a second run.
     assert decode_server_reply(ResponseHead(421, ())).refused
