--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -293,6 +293,11 @@
             self._body_complete = True
         return data
 
+    def record_event(self) -> None:
+        """Record that a complete event of the answer has arrived."""
+        if self._run is not None:
+            self._run_monitor.record_event(self._run)
+
     def _require_connection(self) -> ClientConnection:
         if self._connection is None:
             raise AttemptError(
--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -1,4 +1,4 @@
-"""Detection of requests that crash the servers running them."""
+"""Detection of requests, and of parts of prompts, that crash servers."""
 
 import collections
 import dataclasses
@@ -24,6 +24,12 @@
 Two losses also happen to harmless requests that run beside a harmful one, for
 example when a second group is lost right after the first.
 """
+_MIN_PART_LOSS_SPAN_S = 1.5
+"""Least time between the losses for which a part of prompts is refused.
+
+Groups that are lost at the same moment, with a fabric domain, are noticed up to a
+second apart. Requests with a harmless part are answered meanwhile, which clears it.
+"""
 _FIRST_QUARANTINE_S = 300.0
 _QUARANTINE_FACTOR = 10.0
 """Factor by which each further loss prolongs a quarantine.
@@ -92,6 +98,10 @@
 class PoisonRequestDetector:
     """Counts the servers that were lost while running each request.
 
+    A fingerprint identifies a request, or a part of the prompts of several requests.
+    The losses of a part name the request too (`RequestIdentity.part_loss_id`), and
+    count only as far as both the requests and the servers differ.
+
     A loss has an id that is the same on all nodes and for all requests that the server
     was running. It may be cleared when it turns out that the server lives or that the
     request is harmless; it then stays cleared, whoever reports it again.
@@ -148,11 +158,13 @@
             known.at_s = min(known.at_s, now_s - age_s)
             return
         self._times_sent.pop(fingerprint, None)
+        count_before = _count(losses)
         losses[loss_id] = _Loss(now_s - age_s, now_s, is_suspicion, is_own_zone)
-        if len(losses) == QUARANTINE_LOSS_COUNT:
+        if count_before < QUARANTINE_LOSS_COUNT <= _count(losses):
             _log.warning(
                 "request_quarantined",
                 fingerprint=fingerprint,
+                is_prompt_part=_is_part_loss(loss_id),
                 losses=list(losses),
                 source=source,
             )
@@ -186,14 +198,14 @@
         losses = self._losses.get(fingerprint)
         if losses is None:
             return
-        if len(losses) >= QUARANTINE_LOSS_COUNT:
+        if _count(losses) >= QUARANTINE_LOSS_COUNT:
             _log.warning("request_acquitted", fingerprint=fingerprint)
         for loss_id in list(losses):
             self.clear_loss(fingerprint, loss_id)
 
     def loss_count(self, fingerprint: str) -> int:
         """Return the number of servers known to be lost while running a request."""
-        return len(self._losses.get(fingerprint, ()))
+        return _count(self._losses.get(fingerprint, {}))
 
     def quarantined_count(self) -> int:
         """Return the number of quarantined requests."""
@@ -206,9 +218,10 @@
     def quarantine_left_s(self, fingerprint: str) -> float:
         """Return the seconds until a request may be tried again, 0 if it may now."""
         losses = self._losses.get(fingerprint)
-        if losses is None or len(losses) < QUARANTINE_LOSS_COUNT:
+        count = _count(losses or {})
+        if losses is None or count < QUARANTINE_LOSS_COUNT:
             return 0.0
-        excess = len(losses) - QUARANTINE_LOSS_COUNT
+        excess = count - QUARANTINE_LOSS_COUNT
         length_s = min(
             _FIRST_QUARANTINE_S * _QUARANTINE_FACTOR**excess, LOSS_RETENTION_S
         )
@@ -301,6 +314,27 @@
         return len(losses), max(loss.at_s for loss in losses)
 
 
+def _is_part_loss(loss_id: str) -> bool:
+    return "-" in loss_id
+
+
+def _count(losses: Mapping[str, _Loss]) -> int:
+    """Return how many losses count, given all losses of one fingerprint.
+
+    For a part of prompts these are losses of different servers with different requests,
+    which are not all noticed at about the same time.
+    """
+    if not losses or not any(map(_is_part_loss, losses)):
+        return len(losses)
+    requests = {loss_id.partition("-")[0] for loss_id in losses}
+    servers = {loss_id.partition("-")[2] for loss_id in losses}
+    times_s = [loss.at_s for loss in losses.values()]
+    count = min(len(requests), len(servers))
+    if max(times_s) - min(times_s) < _MIN_PART_LOSS_SPAN_S:
+        return min(count, QUARANTINE_LOSS_COUNT - 1)
+    return count
+
+
 def _is_shared(losses: Mapping[str, _Loss]) -> bool:
     """Return whether other nodes are told of the losses of a request."""
     return len(losses) > 1 or any(not loss.is_suspicion for loss in losses.values())
--- a/pomelolug/entry/_request_identity.py
+++ b/pomelolug/entry/_request_identity.py
@@ -13,6 +13,9 @@
 
 __all__ = ["RequestIdentity", "compute_fingerprint", "compute_part_fingerprint"]
 
+_PART_LOSS_DIGITS = 8
+"""Digits of the request and of the loss in the id of a loss of a part."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestIdentity:
@@ -21,6 +24,24 @@
     request: str
     prompt_parts: tuple[str, ...] = ()
 
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """Fingerprints of the request and of its parts."""
+        return (self.request, *self.prompt_parts)
+
+    def part_loss_id(self, loss_id: str) -> str:
+        """Return the id of a loss of this request, as counted for a part of its prompt.
+
+        It names the request too, since a part is suspected only if servers were lost
+        with different requests.
+
+        Examples
+        --------
+        >>> RequestIdentity("0123456789abcdef").part_loss_id("fedcba9876543210")
+        '01234567-fedcba98'
+        """
+        return f"{self.request[:_PART_LOSS_DIGITS]}-{loss_id[:_PART_LOSS_DIGITS]}"
+
     @classmethod
     def build(
         cls,
--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -38,6 +38,8 @@
 
 Callers who leave sooner say little about the server.
 """
+_WRITING_S = 0.3
+"""Time between events after which a server has survived the beginning of an answer."""
 _END_RETENTION_S = 60.0
 _MAX_PENDING_LOSSES = 4096
 
@@ -57,16 +59,19 @@
     """The run was given up in the middle of a response."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+@dataclasses.dataclass(slots=True, eq=False)
 class ServerRun:
     """A request that was sent to a server; the times are monotonic seconds."""
 
-    fingerprint: str
+    identity: RequestIdentity
     server: VmId
     start_time_ms: int
     group: GroupKey | None
     connected_at_s: float
     began_at_s: float
+    first_event_at_s: float | None = None
+    has_written: bool = False
+    """Whether the server has survived the beginning of its answer."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,10 +85,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PendingLoss:
-    """Loss for which the registry does not show yet whether the server has ended."""
+    """Loss for which the registry does not show yet whether the server has ended.
+
+    `claims` are the fingerprints for which it counts, each with the id of the loss.
+    """
 
     run: ServerRun
-    loss_id: str
+    claims: tuple[tuple[str, str], ...]
     decidable_at_s: float
 
 
@@ -133,9 +141,10 @@
         Raises
         ------
         QuarantinedError
-            If too many servers were lost while running it.
+            If too many servers were lost while running it, or requests that have a
+            part of their prompts in common with it.
         """
-        left_s = self._detector.quarantine_left_s(identity.request)
+        left_s = max(map(self._detector.quarantine_left_s, identity.fingerprints))
         if left_s > 0.0:
             raise QuarantinedError(datetime.timedelta(seconds=left_s))
 
@@ -144,7 +153,7 @@
     ) -> ServerRun:
         """Return the run of a request that has just been sent to a server."""
         run = ServerRun(
-            fingerprint=identity.request,
+            identity=identity,
             server=server.vm,
             start_time_ms=server.start_time_ms,
             group=group_key(server.membership),
@@ -154,12 +163,26 @@
         self._running.add(run)
         return run
 
+    def record_event(self, run: ServerRun) -> None:
+        """Record that an event of the answer has arrived.
+
+        A server that goes on writing has survived the parts of the prompt.
+        """
+        now_s = self._clock.monotonic()
+        if run.first_event_at_s is None:
+            run.first_event_at_s = now_s
+        elif not run.has_written and now_s - run.first_event_at_s >= _WRITING_S:
+            run.has_written = True
+            for part in run.identity.prompt_parts:
+                self._detector.acquit(part)
+
     def finish(self, run: ServerRun, end: RunEnd) -> None:
         """Count the end of a run, unless the end of its server was counted before."""
         is_counted = run not in self._running
         self._running.discard(run)
         if end is RunEnd.ANSWERED:
-            self._detector.acquit(run.fingerprint)
+            for fingerprint in run.identity.fingerprints:
+                self._detector.acquit(fingerprint)
         elif end is not RunEnd.SURVIVED and not is_counted:
             was_silent = self._clock.monotonic() - run.began_at_s >= _SILENCE_S
             is_evident = end is RunEnd.CONNECTION_LOST or (
@@ -206,13 +229,18 @@
 
     def _record_loss(self, run: ServerRun, *, is_suspicion: bool) -> None:
         loss_id = self._identify_loss(run)
-        while self._detector.is_cleared(run.fingerprint, loss_id):
+        while self._detector.is_cleared(run.identity.request, loss_id):
             # An earlier loss with this number was none, perhaps on another node.
             self._loss_events[run.server].number += 1
             loss_id = self._identify_loss(run)
-        self._detector.record_loss(run.fingerprint, loss_id, is_suspicion=is_suspicion)
+        claims = [(run.identity.request, loss_id)]
+        if not run.has_written:
+            part_loss_id = run.identity.part_loss_id(loss_id)
+            claims += [(part, part_loss_id) for part in run.identity.prompt_parts]
+        for fingerprint, claim_id in claims:
+            self._detector.record_loss(fingerprint, claim_id, is_suspicion=is_suspicion)
         loss = _PendingLoss(
-            run, loss_id, self._clock.monotonic() + self._decision_delay_s
+            run, tuple(claims), self._clock.monotonic() + self._decision_delay_s
         )
         if self._confirm_if_ended(loss):
             return
@@ -248,9 +276,13 @@
         """Confirm a loss if its server has ended."""
         if not self._has_ended(loss.run):
             return False
-        self._detector.confirm_loss(loss.run.fingerprint, loss.loss_id)
+        self._confirm(loss)
         return True
 
+    def _confirm(self, loss: _PendingLoss) -> None:
+        for fingerprint, loss_id in loss.claims:
+            self._detector.confirm_loss(fingerprint, loss_id)
+
     def _has_ended(self, run: ServerRun) -> bool:
         """Return whether the server or a member of its group ended after the send."""
         ended_at_s = self._ended_at_s.get(run.server, float("-inf"))
@@ -267,7 +299,8 @@
             return False
         server = self._registry.servers.get(loss.run.server)
         if server is not None and server.start_time_ms == loss.run.start_time_ms:
-            self._detector.clear_loss(loss.run.fingerprint, loss.loss_id)
+            for fingerprint, loss_id in loss.claims:
+                self._detector.clear_loss(fingerprint, loss_id)
         else:
-            self._detector.confirm_loss(loss.run.fingerprint, loss.loss_id)
+            self._confirm(loss)
         return True
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -310,6 +310,7 @@
                 async for event_id, event in _read_events(attempt):
                     self._stall_detector.on_event(head.vm, watched_stream)
                     self._server_tracker.record_progress(head.vm)
+                    attempt.record_event()
                     self._forward_event(context, response_head, state, event_id, event)
                     await context.exchange.drain()
             finally:
--- /dev/null
+++ b/pomelolug/entry/tests/test_prompt_part_detection.py
@@ -0,0 +1,115 @@
+"""Which parts of prompts are refused, for patterns of losses, without a network."""
+
+import asyncio
+import random
+
+import pytest
+
+from pomelolug.entry._poison_requests import PoisonRequestDetector
+from pomelolug.entry._request_identity import RequestIdentity
+from pomelolug.testing import LoopClock
+
+pytestmark = pytest.mark.looptime
+PART = "part-digest"
+CRASHES = 5
+KNOWLEDGE_BOUND_S = 3.0
+LATE_REQUESTS = 3
+
+
+def record(detector: PoisonRequestDetector, request: str, loss: str) -> None:
+    identity = RequestIdentity(f"{request:0<16}", (PART,))
+    detector.record_loss(PART, identity.part_loss_id(f"{loss:0<16}"))
+
+
+async def test_part_is_refused_after_losses_with_different_requests():
+    # Guards against a part that is recognised only together with the whole request.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    for number in range(3):
+        assert not detector.is_quarantined(PART)
+        record(detector, f"r{number}", f"l{number}")
+        await asyncio.sleep(1.0)
+    assert detector.is_quarantined(PART)
+
+
+async def test_one_request_that_crashes_servers_does_not_condemn_its_parts():
+    # Guards against the harmless parts of a request that crashes servers by itself.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    for number in range(6):
+        record(detector, "r", f"l{number}")
+        await asyncio.sleep(1.0)
+    assert not detector.is_quarantined(PART)
+
+
+async def test_one_lost_server_does_not_condemn_the_parts_of_its_requests():
+    # Guards against a popular part of many requests that waited at one lost group.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    for number in range(6):
+        record(detector, f"r{number}", "l")
+        await asyncio.sleep(1.0)
+    assert not detector.is_quarantined(PART)
+
+
+async def test_lost_domain_does_not_condemn_popular_parts():
+    # Guards against a part that many requests share and that is refused because several
+    # groups are lost at the same moment.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    for number in range(12):
+        record(detector, f"r{number}", f"l{number % 4}")
+        await asyncio.sleep(0.1)
+    assert not detector.is_quarantined(PART)
+
+
+async def test_answer_on_a_part_clears_its_losses_on_all_nodes():
+    # Guards against a harmless part that stays suspected, or is suspected by others.
+    nodes = [PoisonRequestDetector(clock=LoopClock()) for _ in range(2)]
+    for number in range(4):
+        record(nodes[0], f"r{number}", f"l{number}")
+        await asyncio.sleep(1.0)
+    nodes[1].merge(
+        nodes[0].losses_to_send(), cleared={}, is_own_zone=True, source="node-0"
+    )
+    assert nodes[0].is_quarantined(PART)
+    nodes[1].acquit(PART)
+    nodes[0].merge(
+        {}, cleared=nodes[1].cleared_to_send(), is_own_zone=True, source="node-1"
+    )
+    assert not nodes[0].is_quarantined(PART) and not nodes[1].is_quarantined(PART)
+
+
+@pytest.mark.parametrize("random_state", range(20))
+async def test_deadly_part_is_found_among_popular_and_rare_ones(random_state):
+    # Pattern: 20 requests a second on 60 parts of uneven popularity; one in twenty also
+    # has a part that ends its server, with the two requests that wait there.
+    rng = random.Random(random_state)
+    detector = PoisonRequestDetector(clock=LoopClock())
+    parts = [f"part-{k}" for k in range(60)]
+    weights = [1.0 / (k + 1) ** 0.5 for k in range(60)]
+    crashes_s: list[float] = []
+    late = refused_harmless = 0
+    for number in range(20 * 20):
+        now_s = asyncio.get_running_loop().time()
+        (part,) = rng.choices(parts, weights)
+        is_deadly = rng.random() < 0.05
+        identity = RequestIdentity(
+            f"{number:08x}", (part, PART) if is_deadly else (part,)
+        )
+        if any(map(detector.is_quarantined, identity.fingerprints)):
+            refused_harmless += not is_deadly
+        elif is_deadly:
+            if len(crashes_s) >= CRASHES:
+                late += now_s > crashes_s[CRASHES - 1] + KNOWLEDGE_BOUND_S
+            crashes_s.append(now_s)
+            waiting = [
+                RequestIdentity(f"{number:06x}{k:02x}", (other,))
+                for k, other in enumerate(rng.choices(parts, weights, k=2))
+            ]
+            for lost in (identity, *waiting):
+                for fingerprint in lost.prompt_parts:
+                    loss_id = lost.part_loss_id(f"{len(crashes_s):08x}")
+                    detector.record_loss(fingerprint, loss_id)
+        else:
+            detector.acquit(part)
+        await asyncio.sleep(0.05)
+    assert late <= LATE_REQUESTS
+    assert refused_harmless == 0
+    assert detector.is_quarantined(PART)
