--- a/pomelolug/entry/tests/test_streams.py
+++ b/pomelolug/entry/tests/test_streams.py
@@ -6,6 +6,7 @@
 
 from pomelolug.entry.tests.harness import (
     MODEL,
+    SEAL_HEADERS,
     Harness,
     encode_caller_request,
     encode_event,
@@ -87,6 +88,50 @@
         assert last_event_ids == ["first", "1"]
 
 
+@pytest.mark.parametrize(
+    ("sent", "ending", "servers"),
+    [
+        (encode_events(), "closed", 1),
+        (encode_events(2) + encode_event(2)[:9], "closed", 2),
+        (encode_events(2) + encode_event(2)[:-1], "closed", 2),
+        (encode_events(2), "reset", 2),
+    ],
+)
+async def test_stream_without_length_or_chunks_ends_with_its_connection(
+    sent, ending, servers
+):
+    # Guards against a stream that looks complete although it broke off inside an event,
+    # and against a complete one that is run again.
+    runs = []
+
+    async def script(request):
+        runs.append(request.headers.get("last-event-id"))
+        if len(runs) > 1:
+            await send_stream(request, first=2)
+            return
+        headers = {
+            "Request-Id": request.request_id,
+            "Content-Type": "text/event-stream",
+        }
+        request.send_head("200 OK", headers | SEAL_HEADERS)
+        request.writer.write(sent)
+        await request.writer.drain()
+        await asyncio.sleep(0.05)
+        if ending == "reset":
+            request.reset()
+        else:
+            request.writer.close()
+
+    async with Harness() as h:
+        await h.add_server(script, service="llm")
+        await h.add_server(script, service="llm")
+        await h.start()
+        head, body = await h.request("/stream/x", method=b"POST", **HEADERS)
+        assert head.status == 200
+        assert body == encode_events()
+        assert runs == [None, "1"][:servers]
+
+
 async def test_stream_moves_from_a_stalled_group_before_the_caller_gives_up():
     # Guards against streams that wait 5 s until the head reports a lost member,
     # since callers leave after 2 s.
