--- a/pomelolug/experiments/process_soak/_callers.py
+++ b/pomelolug/experiments/process_soak/_callers.py
@@ -7,11 +7,17 @@
 import random
 import time
 
-from pomelolug.experiments.process_soak._calls import CallKind, CallOutcome, SentCall
+from pomelolug.experiments.process_soak._calls import (
+    TAINTED_PATH_PART,
+    CallKind,
+    CallOutcome,
+    SentCall,
+)
 from pomelolug.experiments.process_soak._cluster import ProcessCluster
 from pomelolug.experiments.process_soak._promises import GuaranteeChecker
 from pomelolug.testing import (
     CRASH_PATH_PART,
+    CRASHING_PROMPT_PART,
     encode_caller_request,
     read_response,
 )
@@ -30,6 +36,8 @@
 _MODELS = ("large", "small")
 _MAX_EVENTS = 40
 _MEAN_CRASH_PAUSE_S = 0.5
+_MEAN_TAINTED_PAUSE_S = 1.5
+_SHARED_PROMPT_PARTS = ("5a0001", "5a0002", "5a0003")
 _CRASH_ACCOUNT = ("account-a", "key-a1")
 """Account and key of the calls that crash servers; this key is never revoked."""
 
@@ -75,6 +83,14 @@
             if entry:
                 await self._send_call(self._new_crashing_call(kind, entry), {})
 
+    async def run_tainted(self) -> None:
+        """Send calls, no two alike, with a part of the prompt that crashes servers."""
+        while True:
+            await asyncio.sleep(self._rng.expovariate(1.0 / _MEAN_TAINTED_PAUSE_S))
+            entry = self._cluster.pick_entry(())
+            if entry:
+                await self._send_call(self._new_tainted_call(entry), {})
+
     async def _send_call(
         self, call: SentCall, idle_connections: dict[str, ClientConnection]
     ) -> None:
@@ -118,6 +134,7 @@
                 key=call.key,
                 deadline_ms=deadline_ms,
                 model=self._rng.choice(_MODELS) if call.event_count else "",
+                prompt_parts=self._draw_prompt_parts(call),
                 body=_call_body(call.kind, call.path, call.request_id),
             )
         )
@@ -141,6 +158,21 @@
             number, kind, f"/{kind.value}/{number}/{event_count}", account, key, entry
         )
 
+    def _draw_prompt_parts(self, call: SentCall) -> tuple[str, ...]:
+        if not call.event_count:
+            return ()
+        shared = self._rng.choice(_SHARED_PROMPT_PARTS)
+        own = f"{int(call.request_id[1:]):x}"
+        if TAINTED_PATH_PART in call.path:
+            return (shared, CRASHING_PROMPT_PART, own)
+        return (shared, own)
+
+    def _new_tainted_call(self, entry: str) -> SentCall:
+        account, key = _CRASH_ACCOUNT
+        number = next(self._request_numbers)
+        path = f"/{CallKind.STREAM.value}{TAINTED_PATH_PART}{number}/1"
+        return _make_call(number, CallKind.STREAM, path, account, key, entry)
+
     def _new_crashing_call(self, kind: CallKind, entry: str) -> SentCall:
         path = f"/{kind.value}{CRASH_PATH_PART}{1 if kind is CallKind.STREAM else 0}"
         account, key = _CRASH_ACCOUNT
--- a/pomelolug/experiments/process_soak/_calls.py
+++ b/pomelolug/experiments/process_soak/_calls.py
@@ -5,7 +5,17 @@
 
 from pomelolug.testing import CallerResponse
 
-__all__ = ["CallKind", "CallOutcome", "SentCall", "ServerRun", "TurnedAwayRequest"]
+__all__ = [
+    "TAINTED_PATH_PART",
+    "CallKind",
+    "CallOutcome",
+    "SentCall",
+    "ServerRun",
+    "TurnedAwayRequest",
+]
+
+TAINTED_PATH_PART = "/tainted/"
+"""Marks the paths of calls with a part of the prompt that crashes servers."""
 
 
 class CallKind(enum.Enum):
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from pomelolug.experiments.process_soak._calls import (
+    TAINTED_PATH_PART,
     CallKind,
     CallOutcome,
     SentCall,
@@ -36,7 +37,9 @@
 _MAX_LOSSES = 3
 """Servers that a request may crash before nodes have to refuse it."""
 _LOSS_KNOWN_S = 3.0
-"""Time after the third loss by which the nodes have to know of it."""
+"""Time after the last of these losses by which the nodes have to know of it."""
+_MAX_PART_LOSSES = 5
+"""Servers that a part of prompts may crash before nodes have to refuse it."""
 _MAX_LATE_RUNS = 3
 _SAME_CRASH_S = 1.0
 """Servers are down at least as long, so runs at one server within it crash it once."""
@@ -120,7 +123,7 @@
     def record_run(self, run: ServerRun) -> None:
         """Record a run that a server started."""
         self._runs.append(run)
-        if CRASH_PATH_PART in run.path:
+        if CRASH_PATH_PART in run.path or TAINTED_PATH_PART in run.path:
             window = self._fault_windows.open(
                 run.vm, start_s=run.started_at_s, is_planned=False
             )
@@ -221,20 +224,31 @@
             if CRASH_PATH_PART in run.path:
                 runs_by_request.setdefault((run.account, run.path), []).append(run)
         for (_, path), runs in runs_by_request.items():
-            crashed_at_s = list(_crash_times_s(runs))
-            if len(crashed_at_s) < _MAX_LOSSES:
-                continue
-            known_at_s = crashed_at_s[_MAX_LOSSES - 1] + _LOSS_KNOWN_S
-            late_runs = [
-                run
-                for run in runs
-                if run.started_at_s > known_at_s and self._was_in_touch(run)
-            ]
-            if len(late_runs) > _MAX_LATE_RUNS:
-                yield (
-                    f"{path} crashed {len(crashed_at_s)} servers and ran "
-                    f"{len(late_runs)} times after the third loss was known"
-                )
+            yield from self._late_run_violations(path, runs, _MAX_LOSSES)
+        tainted = [run for run in self._runs if TAINTED_PATH_PART in run.path]
+        tainted.sort(key=lambda run: run.started_at_s)
+        yield from self._late_run_violations(
+            "a part of prompts", tainted, _MAX_PART_LOSSES
+        )
+
+    def _late_run_violations(
+        self, name: str, runs: list[ServerRun], max_losses: int
+    ) -> Iterator[str]:
+        """Yield a violation if runs went on after `max_losses` losses were known."""
+        crashed_at_s = list(_crash_times_s(runs))
+        if len(crashed_at_s) < max_losses:
+            return
+        known_at_s = crashed_at_s[max_losses - 1] + _LOSS_KNOWN_S
+        late_runs = [
+            run
+            for run in runs
+            if run.started_at_s > known_at_s and self._was_in_touch(run)
+        ]
+        if len(late_runs) > _MAX_LATE_RUNS:
+            yield (
+                f"{name} crashed {len(crashed_at_s)} servers and ran "
+                f"{len(late_runs)} times after loss {max_losses} was known"
+            )
 
     def _was_in_touch(self, run: ServerRun) -> bool:
         call = self._calls.get(run.request_id)
--- a/pomelolug/experiments/process_soak/_run.py
+++ b/pomelolug/experiments/process_soak/_run.py
@@ -93,6 +93,7 @@
         await asyncio.sleep(_WARM_UP_S)
         tasks = [asyncio.create_task(callers.run()) for _ in range(_CALLER_COUNT)]
         tasks += [asyncio.create_task(callers.run_crashing(k)) for k in CallKind]
+        tasks.append(asyncio.create_task(callers.run_tainted()))
         tasks.append(asyncio.create_task(_watch_own_pauses(fault_windows, faults)))
         await faults.run(length_s)
         await asyncio.sleep(_RECOVERY_S)
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -249,14 +249,17 @@
 
 
 def crash(
-    guarantees: GuaranteeChecker, *times_s: float, entry: str = "entry-0"
+    guarantees: GuaranteeChecker,
+    *times_s: float,
+    entry: str = "entry-0",
+    path: str = "/safe/crash/0",
 ) -> None:
     for number, at_s in enumerate(times_s):
         request_id = f"{entry}-{at_s}"
         call = make_call(
             CallKind.SAFE,
             request_id=request_id,
-            path="/safe/crash/0",
+            path=path.format(number),
             entry=entry,
             sent_at_s=START + at_s,
             ended_at_s=START + at_s + 0.1,
@@ -280,7 +283,18 @@
     assert allowed.check(timeouts=TIMEOUTS) == []
     crash(broken, 0.0, 1.0, 2.0, 5.1, 6.0, 7.0, 8.0)
     (violation,) = broken.check(timeouts=TIMEOUTS)
-    assert "ran 4 times after the third loss was known" in violation
+    assert "ran 4 times after loss 3 was known" in violation
+
+
+def test_part_of_prompts_that_goes_on_crashing_servers_is_reported():
+    # Guards against a soak that accepts calls, no two alike, that crash servers.
+    allowed, broken = (GuaranteeChecker(FaultWindows()) for _ in range(2))
+    path = "/stream/tainted/{}/1"
+    crash(allowed, 0.0, 1.0, 2.0, 3.0, 4.0, 6.9, 7.1, 8.0, 9.0, path=path)
+    assert allowed.check(timeouts=TIMEOUTS) == []
+    crash(broken, 0.0, 1.0, 2.0, 3.0, 4.0, 7.1, 8.0, 9.0, 9.5, path=path)
+    (violation,) = broken.check(timeouts=TIMEOUTS)
+    assert "a part of prompts" in violation and "ran 4 times" in violation
 
 
 def test_crashes_through_a_disturbed_entry_vm_are_allowed():
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -9,7 +9,10 @@
 from pomelolug.testing._clock import LoopClock
 from pomelolug.testing._engine_fleet import FakeEngineFleet, FakeVm, MembershipChange
 from pomelolug.testing._fake_weight_store import FakeWeightStore
-from pomelolug.testing._group_server_app import CRASH_PATH_PART
+from pomelolug.testing._group_server_app import (
+    CRASH_PATH_PART,
+    CRASHING_PROMPT_PART,
+)
 from pomelolug.testing._group_servers import GroupServers, SimulatedServer
 from pomelolug.testing._group_simulation import ControlNode, GroupSimulation
 from pomelolug.testing._loopback_proxy import LinkFault, LoopbackProxy
@@ -19,6 +22,7 @@
 from pomelolug.testing._store_stand_in import FakeMetadataStore
 
 __all__ = [
+    "CRASHING_PROMPT_PART",
     "CRASH_PATH_PART",
     "CallerResponse",
     "ControlNode",
--- a/pomelolug/testing/_caller_http.py
+++ b/pomelolug/testing/_caller_http.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import re
+from collections.abc import Sequence
 
 from pomelolug.testing._sample_deployment import HOST
 from pomelolug.transport import (
@@ -52,6 +53,7 @@
     key: str,
     deadline_ms: int,
     model: str = "",
+    prompt_parts: Sequence[str] = (),
     body: bytes = b"",
 ) -> bytes:
     """Encode a caller's request."""
@@ -63,6 +65,9 @@
     ]
     if model:
         fields += [(b"Model", model.encode()), (b"Token-Count", b"100,20")]
+    if prompt_parts:
+        prefix = ",".join(f"{part}:40" for part in prompt_parts)
+        fields.append((b"Prompt-Prefix", prefix.encode()))
     method = b"POST" if body or model else b"GET"
     return encode_request(method, path.encode(), fields, body)
 
--- a/pomelolug/testing/_group_server_app.py
+++ b/pomelolug/testing/_group_server_app.py
@@ -22,6 +22,7 @@
 from pomelolug.transport import Exchange
 
 __all__ = [
+    "CRASHING_PROMPT_PART",
     "CRASH_PATH_PART",
     "GroupServerApp",
     "PlainServerApp",
@@ -44,6 +45,8 @@
 _NO_RESPONSE_S = 3600.0
 
 CRASH_PATH_PART = "/crash/"
+CRASHING_PROMPT_PART = "dead0001"
+"""Id of a part of prompts that crashes each server that runs a request with it."""
 """Part of the path of requests that crash each server that runs them."""
 
 RequestCallback = Callable[[dict[str, Any]], None]
@@ -166,7 +169,9 @@
                 "leaving": self.response_faults.states_leaving,
             }
         )
-        if CRASH_PATH_PART in exchange.target.decode():
+        if CRASH_PATH_PART in exchange.target.decode() or (
+            CRASHING_PROMPT_PART in fields.get("prompt-prefix", "")
+        ):
             self._on_crash(self._vm)
             await asyncio.sleep(_NO_RESPONSE_S)
 
