--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -24,6 +24,11 @@
 Two losses also happen to harmless requests that run beside a harmful one, for
 example when a second group is lost right after the first.
 """
+_LOSSES_WITH_TWO_REQUESTS = 5
+"""Number of servers lost with two different requests after which a part is refused.
+
+One request alone is refused after three.
+"""
 _MIN_PART_LOSS_SPAN_S = 1.5
 """Least time between the losses for which a part of prompts is refused.
 
@@ -322,7 +327,8 @@
     """Return how many losses count, given all losses of one fingerprint.
 
     For a part of prompts these are losses of different servers with different requests,
-    which are not all noticed at about the same time.
+    which are not all noticed at about the same time. Two requests with which five
+    servers were lost count as three.
     """
     if not losses or not any(map(_is_part_loss, losses)):
         return len(losses)
@@ -330,6 +336,8 @@
     servers = {loss_id.partition("-")[2] for loss_id in losses}
     times_s = [loss.at_s for loss in losses.values()]
     count = min(len(requests), len(servers))
+    if len(requests) > 1 and len(servers) >= _LOSSES_WITH_TWO_REQUESTS:
+        count = max(count, QUARANTINE_LOSS_COUNT)
     if max(times_s) - min(times_s) < _MIN_PART_LOSS_SPAN_S:
         return min(count, QUARANTINE_LOSS_COUNT - 1)
     return count
--- a/pomelolug/entry/tests/test_prompt_part_detection.py
+++ b/pomelolug/entry/tests/test_prompt_part_detection.py
@@ -31,6 +31,17 @@
     assert detector.is_quarantined(PART)
 
 
+async def test_part_is_refused_when_two_requests_have_crashed_five_servers():
+    # Guards against a third request that may crash three servers more, long after the
+    # fifth crash.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    for number in range(5):
+        assert not detector.is_quarantined(PART)
+        record(detector, f"r{number // 3}", f"l{number}")
+        await asyncio.sleep(0.5)
+    assert detector.is_quarantined(PART)
+
+
 async def test_one_request_that_crashes_servers_does_not_condemn_its_parts():
     # Guards against the harmless parts of a request that crashes servers by itself.
     detector = PoisonRequestDetector(clock=LoopClock())
