--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -8,6 +8,8 @@
 import structlog
 
 from pomelolug.clock import Clock
+from pomelolug.entry._prompt_part_culprits import PartLoss, find_culprits
+from pomelolug.entry._request_identity import RequestIdentity
 
 __all__ = [
     "LOSS_RETENTION_S",
@@ -24,17 +26,10 @@
 Two losses also happen to harmless requests that run beside a harmful one, for
 example when a second group is lost right after the first.
 """
-_LOSSES_WITH_TWO_REQUESTS = 5
-"""Number of servers lost with two different requests after which a part is refused.
-
-One request alone is refused after three.
-"""
-_MIN_PART_LOSS_SPAN_S = 1.5
-"""Least time between the losses for which a part of prompts is refused.
-
-Groups that are lost at the same moment, with a fabric domain, are noticed up to a
-second apart. Requests with a harmless part are answered meanwhile, which clears it.
-"""
+_PART_LOSS_COUNT = 5
+"""Number of servers lost with a part of prompts that each further one prolongs."""
+_ANSWER_RETENTION_S = 60.0
+"""Time for which an answer speaks for a part of prompts."""
 _FIRST_QUARANTINE_S = 300.0
 _QUARANTINE_FACTOR = 10.0
 """Factor by which each further loss prolongs a quarantine.
@@ -104,8 +99,8 @@
     """Counts the servers that were lost while running each request.
 
     A fingerprint identifies a request, or a part of the prompts of several requests.
-    The losses of a part name the request too (`RequestIdentity.part_loss_id`), and
-    count only as far as both the requests and the servers differ.
+    The losses of a part name the request too (`RequestIdentity.part_loss_id`);
+    `find_culprits` decides which parts are refused.
 
     A loss has an id that is the same on all nodes and for all requests that the server
     was running. It may be cleared when it turns out that the server lives or that the
@@ -124,6 +119,12 @@
         self._cleared_at_s: dict[tuple[str, str], float] = {}
         self._evicted_at_s = clock.monotonic()
         self._times_sent: collections.Counter[str] = collections.Counter()
+        # Monotonic time of the latest answer on each part of prompts.
+        self._answered_at_s: dict[str, float] = {}
+        # Sets of parts that are refused together, None if not computed yet.
+        self._culprits: list[frozenset[str]] | None = []
+        self._explained_losses: frozenset[str] = frozenset()
+        self._reported_culprits: set[frozenset[str]] = set()
 
     def record_loss(
         self,
@@ -163,13 +164,13 @@
             known.at_s = min(known.at_s, now_s - age_s)
             return
         self._times_sent.pop(fingerprint, None)
-        count_before = _count(losses)
         losses[loss_id] = _Loss(now_s - age_s, now_s, is_suspicion, is_own_zone)
-        if count_before < QUARANTINE_LOSS_COUNT <= _count(losses):
+        if _is_part_loss(loss_id):
+            self._culprits = None
+        elif len(losses) == QUARANTINE_LOSS_COUNT:
             _log.warning(
                 "request_quarantined",
                 fingerprint=fingerprint,
-                is_prompt_part=_is_part_loss(loss_id),
                 losses=list(losses),
                 source=source,
             )
@@ -186,7 +187,8 @@
         """Record that a server was not lost, or not by this request."""
         losses = self._losses.get(fingerprint)
         if losses is not None:
-            losses.pop(loss_id, None)
+            if losses.pop(loss_id, None) is not None and _is_part_loss(loss_id):
+                self._culprits = None
             if not losses:
                 del self._losses[fingerprint]
         self._cleared_at_s.setdefault((fingerprint, loss_id), self._clock.monotonic())
@@ -203,14 +205,22 @@
         losses = self._losses.get(fingerprint)
         if losses is None:
             return
-        if _count(losses) >= QUARANTINE_LOSS_COUNT:
+        if self.is_quarantined(fingerprint):
             _log.warning("request_acquitted", fingerprint=fingerprint)
         for loss_id in list(losses):
             self.clear_loss(fingerprint, loss_id)
 
+    def record_answer(self, part: str) -> None:
+        """Record that an answer was written on a part of prompts."""
+        self._answered_at_s.pop(part, None)
+        self._answered_at_s[part] = self._clock.monotonic()
+        if len(self._answered_at_s) > _MAX_REQUESTS:
+            del self._answered_at_s[next(iter(self._answered_at_s))]
+        self.acquit(part)
+
     def loss_count(self, fingerprint: str) -> int:
         """Return the number of servers known to be lost while running a request."""
-        return _count(self._losses.get(fingerprint, {}))
+        return len(self._losses.get(fingerprint, ()))
 
     def quarantined_count(self) -> int:
         """Return the number of quarantined requests."""
@@ -221,18 +231,72 @@
         return self.quarantine_left_s(fingerprint) > 0.0
 
     def quarantine_left_s(self, fingerprint: str) -> float:
-        """Return the seconds until a request may be tried again, 0 if it may now."""
+        """Return the seconds until a request or part may be tried again, 0 if now."""
         losses = self._losses.get(fingerprint)
-        count = _count(losses or {})
-        if losses is None or count < QUARANTINE_LOSS_COUNT:
+        if not losses:
+            return 0.0
+        if any(map(_is_part_loss, losses)):
+            if not any(fingerprint in culprit for culprit in self._find_culprits()):
+                return 0.0
+            loss_count = len({_to_part_loss(i, x).loss for i, x in losses.items()})
+            excess = max(loss_count - _PART_LOSS_COUNT, 0)
+        elif len(losses) < QUARANTINE_LOSS_COUNT:
             return 0.0
-        excess = count - QUARANTINE_LOSS_COUNT
+        else:
+            excess = len(losses) - QUARANTINE_LOSS_COUNT
         length_s = min(
             _FIRST_QUARANTINE_S * _QUARANTINE_FACTOR**excess, LOSS_RETENTION_S
         )
         latest_s = max(loss.at_s for loss in losses.values())
         return max(latest_s + length_s - self._clock.monotonic(), 0.0)
 
+    def refusal_left_s(self, identity: RequestIdentity) -> float:
+        """Return the seconds for which a request is refused, 0 if it is not.
+
+        It is refused for its own losses, but for those that a part of other requests
+        explains, or for the parts of its prompt.
+        """
+        parts = set(identity.prompt_parts)
+        refused = [c for c in self._find_culprits() if c <= parts]
+        if refused:
+            return max(self.quarantine_left_s(part) for c in refused for part in c)
+        own_losses = self._losses.get(identity.request, {})
+        unexplained = [
+            loss_id
+            for loss_id in own_losses
+            if identity.short_loss_id(loss_id) not in self._explained_losses
+        ]
+        if len(unexplained) < QUARANTINE_LOSS_COUNT:
+            return 0.0
+        return self.quarantine_left_s(identity.request)
+
+    def _find_culprits(self) -> list[frozenset[str]]:
+        """Return the sets of parts that are refused together, computed when needed."""
+        if self._culprits is not None:
+            return self._culprits
+        losses_by_part = {
+            part: [_to_part_loss(loss_id, loss) for loss_id, loss in losses.items()]
+            for part, losses in self._losses.items()
+            if any(map(_is_part_loss, losses))
+        }
+        oldest_s = self._clock.monotonic() - _ANSWER_RETENTION_S
+        answered = {p for p, at_s in self._answered_at_s.items() if at_s >= oldest_s}
+        self._culprits = find_culprits(losses_by_part, answered=answered)
+        self._explained_losses = frozenset(
+            loss.loss
+            for culprit in self._culprits
+            for part in culprit
+            for loss in losses_by_part[part]
+        )
+        for culprit in set(self._culprits) - self._reported_culprits:
+            self._reported_culprits.add(culprit)
+            _log.warning(
+                "prompt_parts_quarantined",
+                parts=sorted(culprit),
+                losses=[loss_id for part in culprit for loss_id in self._losses[part]],
+            )
+        return self._culprits
+
     def is_cleared(self, fingerprint: str, loss_id: str) -> bool:
         """Return whether a loss was cleared."""
         return (fingerprint, loss_id) in self._cleared_at_s
@@ -323,24 +387,9 @@
     return "-" in loss_id
 
 
-def _count(losses: Mapping[str, _Loss]) -> int:
-    """Return how many losses count, given all losses of one fingerprint.
-
-    For a part of prompts these are losses of different servers with different requests,
-    which are not all noticed at about the same time. Two requests with which five
-    servers were lost count as three.
-    """
-    if not losses or not any(map(_is_part_loss, losses)):
-        return len(losses)
-    requests = {loss_id.partition("-")[0] for loss_id in losses}
-    servers = {loss_id.partition("-")[2] for loss_id in losses}
-    times_s = [loss.at_s for loss in losses.values()]
-    count = min(len(requests), len(servers))
-    if len(requests) > 1 and len(servers) >= _LOSSES_WITH_TWO_REQUESTS:
-        count = max(count, QUARANTINE_LOSS_COUNT)
-    if max(times_s) - min(times_s) < _MIN_PART_LOSS_SPAN_S:
-        return min(count, QUARANTINE_LOSS_COUNT - 1)
-    return count
+def _to_part_loss(loss_id: str, loss: _Loss) -> PartLoss:
+    request, _, short_loss_id = loss_id.partition("-")
+    return PartLoss(request, short_loss_id, loss.at_s)
 
 
 def _is_shared(losses: Mapping[str, _Loss]) -> bool:
--- a/pomelolug/entry/_request_identity.py
+++ b/pomelolug/entry/_request_identity.py
@@ -24,11 +24,6 @@
     request: str
     prompt_parts: tuple[str, ...] = ()
 
-    @property
-    def fingerprints(self) -> tuple[str, ...]:
-        """Fingerprints of the request and of its parts."""
-        return (self.request, *self.prompt_parts)
-
     def part_loss_id(self, loss_id: str) -> str:
         """Return the id of a loss of this request, as counted for a part of its prompt.
 
@@ -40,7 +35,12 @@
         >>> RequestIdentity("0123456789abcdef").part_loss_id("fedcba9876543210")
         '01234567-fedcba98'
         """
-        return f"{self.request[:_PART_LOSS_DIGITS]}-{loss_id[:_PART_LOSS_DIGITS]}"
+        return f"{self.request[:_PART_LOSS_DIGITS]}-{self.short_loss_id(loss_id)}"
+
+    @staticmethod
+    def short_loss_id(loss_id: str) -> str:
+        """Return the id of a loss as it appears in the losses of parts."""
+        return loss_id[:_PART_LOSS_DIGITS]
 
     @classmethod
     def build(
--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -144,7 +144,7 @@
             If too many servers were lost while running it, or requests that have a
             part of their prompts in common with it.
         """
-        left_s = max(map(self._detector.quarantine_left_s, identity.fingerprints))
+        left_s = self._detector.refusal_left_s(identity)
         if left_s > 0.0:
             raise QuarantinedError(datetime.timedelta(seconds=left_s))
 
@@ -173,16 +173,15 @@
             run.first_event_at_s = now_s
         elif not run.has_written and now_s - run.first_event_at_s >= _WRITING_S:
             run.has_written = True
-            for part in run.identity.prompt_parts:
-                self._detector.acquit(part)
+            self._record_answer(run)
 
     def finish(self, run: ServerRun, end: RunEnd) -> None:
         """Count the end of a run, unless the end of its server was counted before."""
         is_counted = run not in self._running
         self._running.discard(run)
         if end is RunEnd.ANSWERED:
-            for fingerprint in run.identity.fingerprints:
-                self._detector.acquit(fingerprint)
+            self._detector.acquit(run.identity.request)
+            self._record_answer(run)
         elif end is not RunEnd.SURVIVED and not is_counted:
             was_silent = self._clock.monotonic() - run.began_at_s >= _SILENCE_S
             is_evident = end is RunEnd.CONNECTION_LOST or (
@@ -227,6 +226,10 @@
             self._undecidable_until_s = now_s + self._decision_delay_s
         self._settle(self._clear_if_alive)
 
+    def _record_answer(self, run: ServerRun) -> None:
+        for part in run.identity.prompt_parts:
+            self._detector.record_answer(part)
+
     def _record_loss(self, run: ServerRun, *, is_suspicion: bool) -> None:
         loss_id = self._identify_loss(run)
         while self._detector.is_cleared(run.identity.request, loss_id):
--- a/pomelolug/entry/tests/test_prompt_part_detection.py
+++ b/pomelolug/entry/tests/test_prompt_part_detection.py
@@ -104,7 +104,7 @@
         identity = RequestIdentity(
             f"{number:08x}", (part, PART) if is_deadly else (part,)
         )
-        if any(map(detector.is_quarantined, identity.fingerprints)):
+        if detector.refusal_left_s(identity) > 0.0:
             refused_harmless += not is_deadly
         elif is_deadly:
             if len(crashes_s) >= CRASHES:
@@ -119,8 +119,82 @@
                     loss_id = lost.part_loss_id(f"{len(crashes_s):08x}")
                     detector.record_loss(fingerprint, loss_id)
         else:
-            detector.acquit(part)
+            detector.record_answer(part)
         await asyncio.sleep(0.05)
     assert late <= LATE_REQUESTS
     assert refused_harmless == 0
     assert detector.is_quarantined(PART)
+
+
+def loses(
+    detector: PoisonRequestDetector, loss: str, *requests: tuple[str, str, str]
+) -> None:
+    """Record the loss of a server that ran requests, each with a name and two parts."""
+    for name, *parts in requests:
+        identity = RequestIdentity(f"{name:0<16}", tuple(p for p in parts if p))
+        for part in identity.prompt_parts:
+            detector.record_loss(part, identity.part_loss_id(f"{loss:0<16}"))
+
+
+def refuses(detector: PoisonRequestDetector, *parts: str) -> bool:
+    return detector.refusal_left_s(RequestIdentity("new", parts)) > 0.0
+
+
+async def test_loss_of_all_groups_at_once_condemns_only_the_part_that_explains_it():
+    # Guards against popular parts that are refused for minutes because all groups of a
+    # model were lost and no answer could clear them before the next loss.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    for group in range(6):
+        deadly = (f"d{group // 3}", "first", PART)
+        waiting = [(f"w{group}{k}", f"popular{k}", "") for k in range(8)]
+        loses(detector, f"l{group}", deadly, *waiting)
+    await asyncio.sleep(4.0)
+    loses(detector, "l9", ("d9", "other", PART), *[("w9", "popular0", "")])
+    assert refuses(detector, "other", PART)
+    for k in range(8):
+        assert not refuses(detector, f"popular{k}")
+    assert not refuses(detector, "first") and not refuses(detector, "other")
+
+
+async def test_part_that_always_comes_with_another_is_refused_only_together():
+    # Guards against the harmless first part of all requests with a part that crashes
+    # servers: a request with the first part alone has to show which one it is.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    for number in range(4):
+        loses(detector, f"l{number}", (f"d{number}", "first", PART))
+        await asyncio.sleep(1.0)
+    assert refuses(detector, "first", PART)
+    assert not refuses(detector, "first") and not refuses(detector, PART)
+    detector.record_answer("first")
+    assert refuses(detector, PART) and refuses(detector, "second", PART)
+    assert not refuses(detector, "first")
+
+
+async def test_part_that_was_answered_lately_needs_more_losses():
+    # Guards against popular parts that are refused after a domain and a further group
+    # are lost.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    detector.record_answer(PART)
+    for number in range(4):
+        loses(detector, f"l{number}", (f"r{number}", PART, ""))
+        await asyncio.sleep(1.0)
+    assert not refuses(detector, PART)
+    loses(detector, "l9", ("r9", PART, ""))
+    assert refuses(detector, PART)
+
+
+async def test_losses_that_a_part_explains_do_not_condemn_requests_beside_it():
+    # Guards against harmless requests that were moved from group to group together with
+    # one that crashes them.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    beside = RequestIdentity("beside0000000000", ("popular",))
+    for number in range(4):
+        loss_id = f"l{number:0<15}"
+        detector.record_loss(beside.request, loss_id)
+        loses(detector, loss_id, (f"d{number}", "first", PART))
+        await asyncio.sleep(0.2)
+    assert detector.refusal_left_s(beside) > 0.0
+    await asyncio.sleep(2.0)
+    loses(detector, "l9", ("d9", "first", PART))
+    assert refuses(detector, "first", PART)
+    assert detector.refusal_left_s(beside) == 0.0
