--- a/pomelolug/entry/_prompt_part_culprits.py
+++ b/pomelolug/entry/_prompt_part_culprits.py
@@ -13,11 +13,14 @@
 _MIN_LOSSES = 3
 """Servers, and requests with the part that they ran, that have to be lost."""
 _MIN_LOSSES_WITH_TWO_REQUESTS = 5
-"""Servers that have to be lost with only two requests; one is refused after three."""
+"""Servers that have to be lost with only two requests, or all at about the same time.
+
+One request alone is refused after three, and a fabric domain usually has fewer groups.
+"""
 _MIN_LOSSES_IF_ANSWERED = 5
 """Both numbers for a part on which an answer was written lately."""
 _MIN_SPAN_S = 1.5
-"""Least time between the first and the last of these losses.
+"""Least time between the first and the last of fewer losses.
 
 Groups that are lost at the same moment, with a fabric domain, are noticed up to a
 second apart. Requests with a harmless part are answered meanwhile, which clears it.
@@ -78,14 +81,14 @@
     if not losses:
         return False
     times_s = [loss.at_s for loss in losses]
-    if max(times_s) - min(times_s) < _MIN_SPAN_S:
-        return False
+    is_span_long = max(times_s) - min(times_s) >= _MIN_SPAN_S
     loss_count, request_count = len(_losses(losses)), len(_requests(losses))
+    least_count = min(loss_count, request_count)
     if is_answered:
-        return min(loss_count, request_count) >= _MIN_LOSSES_IF_ANSWERED
-    return min(loss_count, request_count) >= _MIN_LOSSES or (
-        request_count > 1 and loss_count >= _MIN_LOSSES_WITH_TWO_REQUESTS
-    )
+        return is_span_long and least_count >= _MIN_LOSSES_IF_ANSWERED
+    if request_count > 1 and loss_count >= _MIN_LOSSES_WITH_TWO_REQUESTS:
+        return True
+    return is_span_long and least_count >= _MIN_LOSSES
 
 
 def _rank(part: str, losses: Sequence[PartLoss]) -> tuple[int, int, str]:
--- a/pomelolug/entry/tests/test_prompt_part_detection.py
+++ b/pomelolug/entry/tests/test_prompt_part_detection.py
@@ -148,6 +148,9 @@
         deadly = (f"d{group // 3}", "first", PART)
         waiting = [(f"w{group}{k}", f"popular{k}", "") for k in range(8)]
         loses(detector, f"l{group}", deadly, *waiting)
+        detector.record_answer("popular0")
+    # Nothing is answered until the groups are back.
+    assert refuses(detector, "first", PART)
     await asyncio.sleep(4.0)
     loses(detector, "l9", ("d9", "other", PART), *[("w9", "popular0", "")])
     assert refuses(detector, "other", PART)
