--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -201,7 +201,9 @@
             shortest_lapse=settings.shortest_lapse,
             on_change=self._on_registry_change,
         )
-        self._poison_detector = PoisonRequestDetector(clock=clock)
+        self._poison_detector = PoisonRequestDetector(
+            clock=clock, part_quarantine_factor=self._rng.uniform(1.0, 2.0)
+        )
         self._loss_publisher = LossPublisher(
             detector=self._poison_detector,
             store=store,
--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -30,6 +30,11 @@
 """Number of servers lost with a part of prompts that each further one prolongs."""
 _ANSWER_RETENTION_S = 60.0
 """Time for which an answer speaks for a part of prompts."""
+_FIRST_PART_QUARANTINE_S = 30.0
+"""Shortest quarantine of a part of prompts.
+
+Many requests may share a part, and while it is refused no answer can clear it.
+"""
 _FIRST_QUARANTINE_S = 300.0
 _QUARANTINE_FACTOR = 10.0
 """Factor by which each further loss prolongs a quarantine.
@@ -110,10 +115,14 @@
     ----------
     clock : Clock
         Source of monotonic time.
+    part_quarantine_factor : float
+        Factor on the quarantines of parts, different on each node, so that one node
+        tries a part first and tells the others what came of it.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, part_quarantine_factor: float = 1.0) -> None:
         self._clock = clock
+        self._part_quarantine_factor = part_quarantine_factor
         self._losses: dict[str, dict[str, _Loss]] = {}
         # Monotonic time at which each loss was cleared, by request and loss id.
         self._cleared_at_s: dict[tuple[str, str], float] = {}
@@ -240,33 +249,29 @@
                 return 0.0
             loss_count = len({_to_part_loss(i, x).loss for i, x in losses.items()})
             excess = max(loss_count - _PART_LOSS_COUNT, 0)
+            first_s = _FIRST_PART_QUARANTINE_S * self._part_quarantine_factor
         elif len(losses) < QUARANTINE_LOSS_COUNT:
             return 0.0
         else:
             excess = len(losses) - QUARANTINE_LOSS_COUNT
-        length_s = min(
-            _FIRST_QUARANTINE_S * _QUARANTINE_FACTOR**excess, LOSS_RETENTION_S
-        )
+            first_s = _FIRST_QUARANTINE_S
+        length_s = min(first_s * _QUARANTINE_FACTOR**excess, LOSS_RETENTION_S)
         latest_s = max(loss.at_s for loss in losses.values())
         return max(latest_s + length_s - self._clock.monotonic(), 0.0)
 
     def refusal_left_s(self, identity: RequestIdentity) -> float:
         """Return the seconds for which a request is refused, 0 if it is not.
 
-        It is refused for its own losses, but for those that a part of other requests
-        explains, or for the parts of its prompt.
+        It is refused for its own losses, unless a part of other requests explains all
+        of them, or for the parts of its prompt.
         """
         parts = set(identity.prompt_parts)
         refused = [c for c in self._find_culprits() if c <= parts]
         if refused:
             return max(self.quarantine_left_s(part) for c in refused for part in c)
         own_losses = self._losses.get(identity.request, {})
-        unexplained = [
-            loss_id
-            for loss_id in own_losses
-            if identity.short_loss_id(loss_id) not in self._explained_losses
-        ]
-        if len(unexplained) < QUARANTINE_LOSS_COUNT:
+        short_ids = set(map(identity.short_loss_id, own_losses))
+        if short_ids <= self._explained_losses:
             return 0.0
         return self.quarantine_left_s(identity.request)
 
--- a/pomelolug/entry/tests/test_prompt_part_detection.py
+++ b/pomelolug/entry/tests/test_prompt_part_detection.py
@@ -201,3 +201,37 @@
     loses(detector, "l9", ("d9", "first", PART))
     assert refuses(detector, "first", PART)
     assert detector.refusal_left_s(beside) == 0.0
+
+
+async def test_part_is_tried_again_by_one_node_before_the_others():
+    # Guards against a popular part that is refused for long since no answer can clear
+    # it, and against all nodes trying one that crashes servers at the same moment.
+    nodes = [
+        PoisonRequestDetector(clock=LoopClock(), part_quarantine_factor=factor)
+        for factor in (1.0, 1.5)
+    ]
+    for number in range(5):
+        for node in nodes:
+            loses(node, f"l{number}", (f"r{number}", PART, ""))
+        await asyncio.sleep(1.0)
+    assert all(refuses(node, PART) for node in nodes)
+    await asyncio.sleep(30.0)
+    assert [refuses(node, PART) for node in nodes] == [False, True]
+    for node in nodes:
+        loses(node, "l9", ("r9", PART, ""))
+    await asyncio.sleep(290.0)
+    assert all(refuses(node, PART) for node in nodes)
+
+
+async def test_request_that_goes_on_crashing_servers_is_refused_beside_a_part():
+    # Guards against a request that crashes servers by itself and is excused for long,
+    # because requests with such a part ran beside it.
+    detector = PoisonRequestDetector(clock=LoopClock())
+    alone = RequestIdentity("alone00000000000")
+    for number in range(5):
+        loss_id = f"l{number:0<15}"
+        detector.record_loss(alone.request, loss_id)
+        loses(detector, loss_id, (f"d{number}", "first", PART))
+    assert refuses(detector, "first", PART)
+    detector.record_loss(alone.request, "own0000000000000")
+    assert detector.refusal_left_s(alone) > 0.0
