Keep a stalled stream until another group has sent its next event

Callers got 502, or a connection that was closed without an end, while their sound group was silent for a second or so.

Cause: a stall was taken for the loss of the group. The stall detector aborted the attempts at once, before another group had accepted the stream; if none did, because there was none, all were silent or full, or the budget of retries was used up, the answer ended.

Change: a stalled stream looks for another group while it stays with its own one, and goes on with whichever sends the next event first. The run that goes on meanwhile counts towards the attempts of the route, and the request (not the parts of its prompt) is suspected of a loss before it is sent again.

--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -154,6 +154,11 @@
         self._reply: ServerReply | None = None
         self._body_complete = False
 
+    @property
+    def server(self) -> BackendServer:
+        """Server to send to."""
+        return self._server
+
     async def __aenter__(self) -> "Attempt":
         """Return the attempt; `send` opens the connection."""
         return self
@@ -293,6 +298,11 @@
             self._body_complete = True
         return data
 
+    def record_silence(self) -> None:
+        """Record that the request is sent again, since the server is silent."""
+        if self._run is not None:
+            self._run_monitor.record_silence(self._run)
+
     def record_event(self) -> None:
         """Record that a complete event of the answer has arrived."""
         if self._run is not None:
--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -175,6 +175,15 @@
             run.has_written = True
             self._record_answer(run)
 
+    def record_silence(self, run: ServerRun) -> None:
+        """Suspect a request of a loss, since its server is silent and it is sent again.
+
+        The parts of its prompt are not suspected: the server may only pause.
+        """
+        if run in self._running:
+            claims = ((run.identity.request, self._find_loss_id(run)),)
+            self._suspect_loss(run, claims, is_suspicion=True)
+
     def finish(self, run: ServerRun, end: RunEnd) -> None:
         """Count the end of a run, unless the end of its server was counted before."""
         is_counted = run not in self._running
@@ -231,19 +240,25 @@
             self._detector.record_answer(part)
 
     def _record_loss(self, run: ServerRun, *, is_suspicion: bool) -> None:
-        loss_id = self._identify_loss(run)
-        while self._detector.is_cleared(run.identity.request, loss_id):
-            # An earlier loss with this number was none, perhaps on another node.
-            self._loss_events[run.server].number += 1
-            loss_id = self._identify_loss(run)
+        loss_id = self._find_loss_id(run)
         claims = [(run.identity.request, loss_id)]
         if not run.has_written:
             part_loss_id = run.identity.part_loss_id(loss_id)
             claims += [(part, part_loss_id) for part in run.identity.prompt_parts]
+        self._suspect_loss(run, tuple(claims), is_suspicion=is_suspicion)
+
+    def _suspect_loss(
+        self,
+        run: ServerRun,
+        claims: tuple[tuple[str, str], ...],
+        *,
+        is_suspicion: bool,
+    ) -> None:
+        """Record a loss, until the registry shows whether the server has ended."""
         for fingerprint, claim_id in claims:
             self._detector.record_loss(fingerprint, claim_id, is_suspicion=is_suspicion)
         loss = _PendingLoss(
-            run, tuple(claims), self._clock.monotonic() + self._decision_delay_s
+            run, claims, self._clock.monotonic() + self._decision_delay_s
         )
         if self._confirm_if_ended(loss):
             return
@@ -252,6 +267,15 @@
             dropped = self._pending.popleft()
             _log.warning("pending_loss_dropped", server=dropped.run.server)
 
+    def _find_loss_id(self, run: ServerRun) -> str:
+        """Return the id of the loss that ended a run, other than cleared ones."""
+        loss_id = self._identify_loss(run)
+        while self._detector.is_cleared(run.identity.request, loss_id):
+            # An earlier loss with this number was none, perhaps on another node.
+            self._loss_events[run.server].number += 1
+            loss_id = self._identify_loss(run)
+        return loss_id
+
     def _identify_loss(self, run: ServerRun) -> str:
         """Return the id of the loss that ended a run.
 
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -3,16 +3,16 @@
 import asyncio
 import datetime
 import random
-from collections.abc import AsyncIterator
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
-from pomelolug.entry._attempt import Attempt, AttemptError, RunStatus
+from pomelolug.entry._attempt import Attempt, AttemptError
 from pomelolug.entry._choice import (
     Candidate,
     GroupSelector,
     estimate_first_event_s,
 )
+from pomelolug.entry._poison_requests import QuarantinedError
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._request_context import (
     RequestContext,
@@ -24,17 +24,22 @@
 from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
+from pomelolug.entry._stream_run import (
+    RefusedError,
+    ServerError,
+    StreamRun,
+    lost_run_error,
+)
 from pomelolug.entry._watch import StallDetector
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId
-from pomelolug.platform import EventSplitter, ServerReply, response_headers
-from pomelolug.transport import ConnectionPool, ResponseHead
+from pomelolug.platform import ServerSentEvent, response_headers
+from pomelolug.transport import ConnectionPool
 
 __all__ = ["StreamForwarder"]
 
 _MAX_ATTEMPTS = 5
 """Maximum number of attempts, including those that a group refuses."""
-_MAX_ERROR_BODY_BYTES = 1024 * 1024
 _RETRY_AFTER_FULL = datetime.timedelta(seconds=1.3)
 """Retry-After time if all groups are full.
 
@@ -48,15 +53,24 @@
 _MAX_RESUME_WAIT_S = 1.0
 """Maximum time to wait for a group that can resume a stream."""
 _RESUME_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
+_RUN_ERRORS = (RefusedError, ServerError, AttemptError)
 
 
 class _StreamState:
-    """State of one stream across its attempts."""
+    """State of one stream across its runs.
+
+    `possible_runs` counts the ended runs that may have run the request. `move` looks
+    for another group while the current run pauses, and leaves the run that has taken
+    over in `replacement`.
+    """
 
     __slots__ = (
         "attempt_count",
+        "error",
         "last_event_id",
+        "move",
         "possible_runs",
+        "replacement",
         "started",
         "tried",
         "use_fresh_connection",
@@ -69,11 +83,17 @@
         self.possible_runs = 0
         self.attempt_count = 0
         self.tried: set[VmId] = set()
+        self.error: RequestError | None = None
+        self.move: asyncio.Task[None] | None = None
+        self.replacement: StreamRun | None = None
 
 
 class StreamForwarder:
     """Forwards streams and resumes them on another group when one is lost.
 
+    A group that stalls may be lost or only pause. So its stream is kept until another
+    group has sent the next event, and goes on with whichever sends it first.
+
     Parameters
     ----------
     server_tracker : ServerTracker
@@ -83,7 +103,7 @@
     retry_limiter : RetryLimiter
         Limits retries on further groups.
     stall_detector : StallDetector
-        Aborts attempts at groups that have stalled.
+        Notices groups that have stalled.
     run_monitor : RunMonitor
         Refuses requests that crash servers.
     notices : ServerNotices
@@ -128,40 +148,233 @@
             If no event was forwarded and no group accepts the request.
         """
         state = _StreamState(context.request_head.last_event_id)
-        error: RequestError | None = None
+        try:
+            while True:
+                run = await self._next_run(context, state)
+                if run is None:
+                    break
+                if await self._forward_run(context, state, run):
+                    self._retry_limiter.on_success(context)
+                    return
+                if state.replacement is None and not self._may_retry(context, state):
+                    break
+        finally:
+            await self._end_move(state)
+        self._fail(context, state, state.error)
+
+    async def _next_run(
+        self, context: RequestContext, state: _StreamState
+    ) -> StreamRun | None:
+        """Return the run to read from next, None if no group takes the request."""
+        if state.move is not None:
+            # The current run has ended while another group was looked for.
+            await state.move
+            state.move = None
+        if state.replacement is not None:
+            run, state.replacement = state.replacement, None
+            return run
+        return await self._start_run(context, state, waits=state.started)
+
+    async def _start_run(
+        self, context: RequestContext, state: _StreamState, *, waits: bool
+    ) -> StreamRun | None:
+        """Send the request to the next group that takes it, None if there is none.
+
+        Parameters
+        ----------
+        waits : bool
+            Whether to wait for a moment until a group has room.
+        """
         while state.attempt_count < _MAX_ATTEMPTS:
-            head = await self._select_head(context, state)
+            head = await self._select_head(context, state, waits=waits)
             if head is None:
-                break
+                return None
             if state.attempt_count and not self._retry_limiter.try_spend(context):
-                error = error or self._refused_error("the budget of repeats is used up")
-                break
+                message = "the budget of repeats is used up"
+                state.error = state.error or self._refused_error(message)
+                return None
             state.attempt_count += 1
             state.tried.add(head.vm)
+            run = self._create_run(context, state, head)
+            data = context.encode_for_server(
+                head.vm,
+                now_s=self._clock.monotonic(),
+                last_event_id=state.last_event_id,
+            )
             try:
-                if await self._run_attempt(context, head, state):
-                    self._retry_limiter.on_success(context)
-                    return
-                self._server_tracker.record_refusal(head.vm)
-                error = self._refused_error("no group took the request")
+                await run.send(data, fresh=state.use_fresh_connection)
             except AttemptError as failure:
-                if (
-                    failure.stale_connection
-                    and context.route.is_repeatable
-                    and not state.use_fresh_connection
+                await run.close(failure, failure.reason)
+                if failure.is_server_failure:
+                    self._server_tracker.suspect(head.vm)
+                state.error = _to_request_error(failure, state.possible_runs)
+                continue
+            except BaseException as error:
+                is_quarantined = isinstance(error, QuarantinedError)
+                await run.close(error, "quarantined" if is_quarantined else "cancelled")
+                raise
+            self._watch_run(context, state, run)
+            return run
+        return None
+
+    def _create_run(
+        self, context: RequestContext, state: _StreamState, head: BackendServer
+    ) -> StreamRun:
+        assert context.request_head.model is not None
+        record = AttemptRecord(
+            head.vm,
+            self._server_tracker.in_flight(head.vm),
+            len(self._server_tracker.heads(context.request_head.model)),
+            self._notices.request_limit_per_s(head.vm),
+        )
+        context.record.attempts.append(record)
+        load = self._server_tracker.load(head.vm)
+        load.in_flight += 1
+
+        def release() -> None:
+            load.in_flight -= 1
+
+        attempt = Attempt(
+            self._pool,
+            self._run_monitor,
+            self._notices,
+            head,
+            request_id=context.request_head.request_id,
+            identity=context.identity,
+        )
+        return StreamRun(head, attempt, record, on_close=release)
+
+    def _watch_run(
+        self, context: RequestContext, state: _StreamState, run: StreamRun
+    ) -> None:
+        """Notice stalls and events of a run whose request has just been sent."""
+        head = run.server.vm
+        can_move = context.route.is_repeatable
+        watched = self._stall_detector.add(
+            head,
+            move=(lambda: self._start_move(context, state, run)) if can_move else None,
+        )
+
+        def record_event() -> None:
+            self._stall_detector.on_event(head, watched)
+            self._server_tracker.record_progress(head)
+
+        run.observe(
+            on_event=record_event,
+            on_close=lambda: self._stall_detector.remove(head, watched),
+        )
+
+    async def _forward_run(
+        self, context: RequestContext, state: _StreamState, run: StreamRun
+    ) -> bool:
+        """Forward the events of a run; return whether the caller has its response."""
+        error: BaseException | None = None
+        result = "cancelled"
+        try:
+            while (event := await run.next_event()) is not None:
+                if state.move is not None and state.replacement is None:
+                    # The group has only paused.
+                    await self._end_move(state)
+                self._forward_event(context, run, state, event)
+                await context.exchange.drain()
+            if not state.started:
+                self._start_response(context, run, state)
+            context.exchange.finish()
+            result = "answered"
+            return True
+        except _RUN_ERRORS as caught:
+            error = caught
+            result = _result_of(caught)
+            if isinstance(caught, ServerError):
+                if not state.started and not self._can_retry_error(
+                    context, state, caught
                 ):
-                    # The same server may be tried again, so that no further one
-                    # needs to run the request.
-                    state.use_fresh_connection = True
-                    state.tried.discard(head.vm)
-                    error = _to_request_error(failure, 1)
-                    continue
-                if failure.run_status is RunStatus.MAY_HAVE_RUN:
-                    state.possible_runs += 1
-                error = _to_request_error(failure, state.possible_runs)
-                if not self._may_retry(context, state):
-                    break
-        self._fail(context, state, error)
+                    self._reply_error(context, caught)
+                    return True
+            self._record_failure(context, state, run, caught)
+            return False
+        except BaseException as caught:
+            error = caught
+            raise
+        finally:
+            await run.close(error, result)
+
+    def _record_failure(
+        self,
+        context: RequestContext,
+        state: _StreamState,
+        run: StreamRun,
+        error: RefusedError | ServerError | AttemptError,
+    ) -> None:
+        """Record why a run has ended without a response for the caller."""
+        if isinstance(error, RefusedError):
+            self._server_tracker.record_refusal(run.server.vm)
+            state.error = self._refused_error("no group took the request")
+            return
+        is_stale = isinstance(error, AttemptError) and error.stale_connection
+        if is_stale and context.route.is_repeatable and not state.use_fresh_connection:
+            # The same server may be tried again, so that no further one needs to run
+            # the request.
+            state.use_fresh_connection = True
+            state.tried.discard(run.server.vm)
+            state.error = _to_request_error(_result_of(error), 1)
+            return
+        state.possible_runs += 1
+        state.error = _to_request_error(_result_of(error), state.possible_runs)
+
+    # Moves
+
+    def _start_move(
+        self, context: RequestContext, state: _StreamState, run: StreamRun
+    ) -> None:
+        """Look for a group that goes on with a stream whose group has stalled."""
+        is_moving = state.move is not None and not state.move.done()
+        if is_moving or state.replacement is not None:
+            return
+        if self._may_retry(context, state, running=1):
+            run.record_silence()
+            state.move = asyncio.get_running_loop().create_task(
+                self._move(context, state, run)
+            )
+
+    async def _move(
+        self, context: RequestContext, state: _StreamState, run: StreamRun
+    ) -> None:
+        """Replace a run by one at another group that has sent the next event."""
+        while self._may_retry(context, state, running=1):
+            try:
+                other = await self._start_run(context, state, waits=False)
+            except QuarantinedError:
+                return
+            if other is None:
+                return
+            error: BaseException | None = None
+            result = "cancelled"
+            try:
+                await other.read_ahead()
+                state.replacement = other
+                run.abort("stalled")
+                return
+            except _RUN_ERRORS as caught:
+                error, result = caught, _result_of(caught)
+                self._record_failure(context, state, other, caught)
+            except BaseException as caught:
+                error = caught
+                state.possible_runs += 1
+                raise
+            finally:
+                if state.replacement is not other:
+                    await other.close(error, result)
+
+    async def _end_move(self, state: _StreamState) -> None:
+        """Give up the search for another group, and the run that it has found."""
+        move, state.move = state.move, None
+        if move is not None:
+            move.cancel()
+            await asyncio.gather(move, return_exceptions=True)
+        replacement, state.replacement = state.replacement, None
+        if replacement is not None:
+            await replacement.close(asyncio.CancelledError(), "cancelled")
 
     def _fail(
         self, context: RequestContext, state: _StreamState, error: RequestError | None
@@ -193,18 +406,30 @@
             1.0 - _RETRY_AFTER_JITTER, 1.0 + _RETRY_AFTER_JITTER
         )
 
-    def _may_retry(self, context: RequestContext, state: _StreamState) -> bool:
-        if not state.possible_runs:
+    def _may_retry(
+        self, context: RequestContext, state: _StreamState, *, running: int = 0
+    ) -> bool:
+        """Return whether a further group may run the request.
+
+        Parameters
+        ----------
+        running : int
+            Number of runs that go on.
+        """
+        run_count = state.possible_runs + running
+        if not run_count:
             return True
-        return (
-            context.route.is_repeatable
-            and state.possible_runs < context.route.max_attempts
-        )
+        return context.route.is_repeatable and run_count < context.route.max_attempts
+
+    def _can_retry_error(
+        self, context: RequestContext, state: _StreamState, error: ServerError
+    ) -> bool:
+        return error.head.status >= 500 and self._may_retry(context, state, running=1)
 
     async def _select_head(
-        self, context: RequestContext, state: _StreamState
+        self, context: RequestContext, state: _StreamState, *, waits: bool
     ) -> BackendServer | None:
-        """Return the head for the next attempt; a started stream waits for one."""
+        """Return the head for the next run, None if there is none."""
         until_s = self._clock.monotonic() + _MAX_RESUME_WAIT_S
         while True:
             candidate = self._group_selector.select(
@@ -212,7 +437,7 @@
             )
             if candidate is not None:
                 return candidate.server
-            if not state.started or self._clock.monotonic() >= until_s:
+            if not waits or self._clock.monotonic() >= until_s:
                 return None
             await self._clock.sleep(_RESUME_POLL_INTERVAL)
 
@@ -243,170 +468,44 @@
             self._server_tracker.heads(context.request_head.model)
         )
 
-    async def _run_attempt(
-        self, context: RequestContext, head: BackendServer, state: _StreamState
-    ) -> bool:
-        """Send to one group; return whether the caller has its response."""
-        assert context.request_head.model is not None
-        record = AttemptRecord(
-            head.vm,
-            self._server_tracker.in_flight(head.vm),
-            len(self._server_tracker.heads(context.request_head.model)),
-            self._notices.request_limit_per_s(head.vm),
-        )
-        context.record.attempts.append(record)
-        load = self._server_tracker.load(head.vm)
-        load.in_flight += 1
-        try:
-            is_answered = await self._send_and_receive(context, head, state)
-            record.result = "answered" if is_answered else "refused"
-            return is_answered
-        except AttemptError as failure:
-            record.result = failure.reason
-            if failure.run_status is RunStatus.NOT_RUN and failure.is_server_failure:
-                self._server_tracker.suspect(head.vm)
-            raise
-        except asyncio.CancelledError:
-            record.result = "cancelled"
-            raise
-        finally:
-            load.in_flight -= 1
-
-    async def _send_and_receive(
-        self, context: RequestContext, head: BackendServer, state: _StreamState
-    ) -> bool:
-        now_s = self._clock.monotonic()
-        data = context.encode_for_server(
-            head.vm, now_s=now_s, last_event_id=state.last_event_id
-        )
-        async with Attempt(
-            self._pool,
-            self._run_monitor,
-            self._notices,
-            head,
-            request_id=context.request_head.request_id,
-            identity=context.identity,
-        ) as attempt:
-            await attempt.send(data, fresh=state.use_fresh_connection)
-            context.record.attempts[-1].may_have_run = True
-            watched_stream = self._stall_detector.add(
-                head.vm, attempt, can_move=context.route.is_repeatable
-            )
-            try:
-                reply, response_head = await attempt.read_head()
-                if reply.refused:
-                    context.record.attempts[-1].may_have_run = False
-                    return False
-                if not 200 <= reply.status < 300:
-                    return await self._handle_error_response(
-                        context, attempt, reply, response_head, state
-                    )
-                if reply.encoded or not reply.sealed:
-                    raise AttemptError(
-                        "foreign_body",
-                        run_status=RunStatus.MAY_HAVE_RUN,
-                        may_have_arrived=True,
-                    )
-                async for event_id, event in _read_events(attempt):
-                    self._stall_detector.on_event(head.vm, watched_stream)
-                    self._server_tracker.record_progress(head.vm)
-                    attempt.record_event()
-                    self._forward_event(context, response_head, state, event_id, event)
-                    await context.exchange.drain()
-            finally:
-                self._stall_detector.remove(head.vm, watched_stream)
-        if not state.started:
-            self._start_response(context, response_head, state)
-        context.exchange.finish()
-        return True
-
-    async def _handle_error_response(
-        self,
-        context: RequestContext,
-        attempt: Attempt,
-        reply: ServerReply,
-        response_head: ResponseHead,
-        state: _StreamState,
-    ) -> bool:
-        """Pass an error response on, or raise `AttemptError` instead.
-
-        It raises if the response has started or a 5xx status can be retried.
-        """
-        body = await attempt.read_body(_MAX_ERROR_BODY_BYTES)
-        can_retry = (
-            context.route.is_repeatable
-            and state.possible_runs + 1 < context.route.max_attempts
-        )
-        if state.started or (reply.status >= 500 and can_retry):
-            raise AttemptError(
-                "server_failed",
-                run_status=RunStatus.MAY_HAVE_RUN,
-                may_have_arrived=True,
-            )
-        context.record.status = reply.status
-        context.exchange.reply(reply.status, response_headers(response_head), body)
-        return True
+    def _reply_error(self, context: RequestContext, error: ServerError) -> None:
+        head = error.head
+        context.record.status = head.status
+        context.exchange.reply(head.status, response_headers(head), error.body)
 
     def _start_response(
-        self, context: RequestContext, response_head: ResponseHead, state: _StreamState
+        self, context: RequestContext, run: StreamRun, state: _StreamState
     ) -> None:
         state.started = True
-        context.record.status = response_head.status
+        head = run.response_head
+        context.record.status = head.status
         context.record.first_event_s = self._clock.monotonic() - context.arrived_at_s
-        context.exchange.start(
-            response_head.status, response_headers(response_head), length=None
-        )
+        context.exchange.start(head.status, response_headers(head), length=None)
 
     def _forward_event(
         self,
         context: RequestContext,
-        response_head: ResponseHead,
+        run: StreamRun,
         state: _StreamState,
-        event_id: int | None,
-        event: bytes,
+        event: ServerSentEvent,
     ) -> None:
         """Send an event to the caller unless it has already received it.
 
         All events of a stream have ids, so what has none is not part of it.
         """
+        event_id = event.event_id
         if event_id is None:
-            raise AttemptError(
-                "event_unreadable",
-                run_status=RunStatus.MAY_HAVE_RUN,
-                may_have_arrived=True,
-            )
+            raise lost_run_error("event_unreadable")
         if state.last_event_id is not None:
             if event_id <= state.last_event_id:
                 return
             if event_id != state.last_event_id + 1:
-                raise AttemptError(
-                    "event_missing",
-                    run_status=RunStatus.MAY_HAVE_RUN,
-                    may_have_arrived=True,
-                )
+                raise lost_run_error("event_missing")
         if not state.started:
-            self._start_response(context, response_head, state)
+            self._start_response(context, run, state)
         state.last_event_id = event_id
         context.record.event_count += 1
-        context.exchange.write(event)
-
-
-async def _read_events(attempt: Attempt) -> AsyncIterator[tuple[int | None, bytes]]:
-    """Yield the id and bytes of each complete event of a body."""
-    splitter = EventSplitter()
-    while (data := await attempt.read_chunk()) is not None:
-        try:
-            events = splitter.feed(data)
-        except ValueError as error:
-            raise AttemptError(
-                "event_size", run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
-            ) from error
-        for event in events:
-            yield event.event_id, event.data
-    if splitter.pending_bytes:
-        raise AttemptError(
-            "event_cut", run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
-        )
+        context.exchange.write(event.data)
 
 
 def _engine_and_model(
@@ -436,9 +535,17 @@
     return RequestError(code, message, status=503, retry_after=retry_after)
 
 
-def _to_request_error(failure: AttemptError, possible_runs: int) -> RequestError:
+def _to_request_error(reason: str | AttemptError, possible_runs: int) -> RequestError:
+    if isinstance(reason, AttemptError):
+        reason = reason.reason
     if possible_runs:
         return unknown_outcome_error(
-            ErrorCode.BACKEND_LOST, f"the group's answer was lost: {failure.reason}"
+            ErrorCode.BACKEND_LOST, f"the group's answer was lost: {reason}"
         )
-    return not_run_error(ErrorCode.BACKEND_REFUSED, f"not sent: {failure.reason}")
+    return not_run_error(ErrorCode.BACKEND_REFUSED, f"not sent: {reason}")
+
+
+def _result_of(error: RefusedError | ServerError | AttemptError) -> str:
+    if isinstance(error, RefusedError):
+        return "refused"
+    return "server_failed" if isinstance(error, ServerError) else error.reason
--- /dev/null
+++ b/pomelolug/entry/_stream_run.py
@@ -0,0 +1,194 @@
+"""Run of a stream at one server, from the request to the last event."""
+
+from collections.abc import Callable
+
+from pomelolug.deployment import BackendServer
+from pomelolug.entry._attempt import Attempt, AttemptError, RunStatus
+from pomelolug.entry._request_record import AttemptRecord
+from pomelolug.platform import EventSplitter, ServerReply, ServerSentEvent
+from pomelolug.transport import ResponseHead
+
+__all__ = ["RefusedError", "ServerError", "StreamRun", "lost_run_error"]
+
+_MAX_ERROR_BODY_BYTES = 1024 * 1024
+
+
+class RefusedError(Exception):
+    """The server states that it has not run the request."""
+
+
+class ServerError(Exception):
+    """The server has run the request and responds with an error.
+
+    Parameters
+    ----------
+    head : ResponseHead
+        Status and header fields of the response.
+    body : bytes
+        Complete body of the response.
+    """
+
+    def __init__(self, head: ResponseHead, body: bytes) -> None:
+        super().__init__(f"status {head.status}")
+        self._head = head
+        self._body = body
+
+    @property
+    def head(self) -> ResponseHead:
+        """Status and header fields of the response."""
+        return self._head
+
+    @property
+    def body(self) -> bytes:
+        """Complete body of the response."""
+        return self._body
+
+
+class StreamRun:
+    """Run of a stream at one server.
+
+    Parameters
+    ----------
+    server : BackendServer
+        Server that runs the stream.
+    attempt : Attempt
+        Attempt that the run reads from, which `close` ends.
+    record : AttemptRecord
+        Record of the attempt.
+    on_close : callable
+        Called once when the run ends.
+    """
+
+    def __init__(
+        self,
+        server: BackendServer,
+        attempt: Attempt,
+        record: AttemptRecord,
+        *,
+        on_close: Callable[[], None],
+    ) -> None:
+        self._server = server
+        self._attempt = attempt
+        self._record = record
+        self._on_event: Callable[[], None] | None = None
+        self._on_close = [on_close]
+        self._head: ResponseHead | None = None
+        self._splitter = EventSplitter()
+        self._events: list[ServerSentEvent] = []
+        self._has_ended = False
+        self._is_closed = False
+
+    @property
+    def response_head(self) -> ResponseHead:
+        """Head of the response, which is known once an event has been read."""
+        assert self._head is not None
+        return self._head
+
+    @property
+    def server(self) -> BackendServer:
+        """Server that runs the stream."""
+        return self._server
+
+    def observe(
+        self, *, on_event: Callable[[], None], on_close: Callable[[], None]
+    ) -> None:
+        """Call `on_event` for each event that arrives, and `on_close` at the end."""
+        self._on_event = on_event
+        self._on_close.append(on_close)
+
+    async def send(self, data: bytes, *, fresh: bool) -> None:
+        """Send the request; see `Attempt.send`."""
+        await self._attempt.send(data, fresh=fresh)
+        self._record.may_have_run = True
+
+    async def read_ahead(self) -> None:
+        """Read up to the next event, which `next_event` then returns.
+
+        Raises
+        ------
+        RefusedError, ServerError, AttemptError
+            As `next_event`.
+        """
+        if self._head is None:
+            reply, self._head = await self._attempt.read_head()
+            await self._check_reply(reply, self._head)
+        while not self._events and not self._has_ended:
+            data = await self._attempt.read_chunk()
+            if data is None:
+                self._end()
+                return
+            try:
+                self._events = self._splitter.feed(data)[::-1]
+            except ValueError as error:
+                raise lost_run_error("event_size") from error
+            for _ in self._events:
+                if self._on_event is not None:
+                    self._on_event()
+                self._attempt.record_event()
+
+    async def next_event(self) -> ServerSentEvent | None:
+        """Return the next complete event, None at the end of the stream.
+
+        Raises
+        ------
+        RefusedError
+            If the server has not run the request.
+        ServerError
+            If the response is a whole error response.
+        AttemptError
+            If the connection or the response is broken.
+        """
+        if not self._events:
+            await self.read_ahead()
+        return self._events.pop() if self._events else None
+
+    def record_silence(self) -> None:
+        """Record that the request is sent again, since the server is silent."""
+        self._attempt.record_silence()
+
+    def abort(self, reason: str) -> None:
+        """End the run; a pending read fails with `reason`."""
+        self._attempt.abort(reason)
+
+    async def close(self, error: BaseException | None, result: str) -> None:
+        """End the run and record its result, unless it has been closed before.
+
+        Parameters
+        ----------
+        error : BaseException or None
+            Error that ended the run.
+        result : str
+            Short name of how it ended.
+        """
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._record.result = result
+        if isinstance(error, RefusedError):
+            self._record.may_have_run = False
+        cause = None if isinstance(error, RefusedError | ServerError) else error
+        kind = type(cause) if cause is not None else None
+        await self._attempt.__aexit__(kind, cause, None)
+        for on_close in self._on_close:
+            on_close()
+
+    async def _check_reply(self, reply: ServerReply, head: ResponseHead) -> None:
+        if reply.refused:
+            raise RefusedError
+        if not 200 <= reply.status < 300:
+            body = await self._attempt.read_body(_MAX_ERROR_BODY_BYTES)
+            raise ServerError(head, body)
+        if reply.encoded or not reply.sealed:
+            raise lost_run_error("foreign_body")
+
+    def _end(self) -> None:
+        self._has_ended = True
+        if self._splitter.pending_bytes:
+            raise lost_run_error("event_cut")
+
+
+def lost_run_error(reason: str) -> AttemptError:
+    """Return the error of a run whose response is broken."""
+    return AttemptError(
+        reason, run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
+    )
--- a/pomelolug/entry/_watch.py
+++ b/pomelolug/entry/_watch.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 
 from pomelolug.clock import Clock
-from pomelolug.entry._attempt import Attempt
 from pomelolug.ids import VmId
 
 __all__ = ["StallDetector", "WatchedStream"]
@@ -33,27 +32,29 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class WatchedStream:
-    """A stream of a group; `progress_at_s` is the time of its start or last event."""
+    """A stream of a group; `progress_at_s` is the time of its start or last event.
 
-    attempt: Attempt
-    can_move: bool
-    """Whether another group can go on with the stream."""
+    `move` is called when the group has stalled, None if no other group can go on with
+    the stream.
+    """
+
+    move: Callable[[], None] | None
     progress_at_s: float
     has_received_event: bool = False
 
 
 class StallDetector:
-    """Aborts the attempts at groups that have stalled.
+    """Asks the streams of groups that have stalled to move to another group.
 
     A group is slow rather than stalled if its events have been as far apart before. A
-    stream that no other group can go on with is not aborted: the group may recover.
+    stall does not prove that the group is lost, so no stream is ended here.
 
     Parameters
     ----------
     clock : Clock
         Source of monotonic time.
     on_stall : callable
-        Called with the head of a group before its attempts are aborted.
+        Called with the head of a group before its streams are asked to move.
     """
 
     def __init__(self, *, clock: Clock, on_stall: Callable[[VmId], None]) -> None:
@@ -63,9 +64,9 @@
         self._progress_at_s: dict[VmId, float] = {}
         self._largest_pause_s: dict[VmId, float] = {}
 
-    def add(self, head: VmId, attempt: Attempt, *, can_move: bool) -> WatchedStream:
-        """Start watching an attempt that has just been sent."""
-        stream = WatchedStream(attempt, can_move, self._clock.monotonic())
+    def add(self, head: VmId, *, move: Callable[[], None] | None) -> WatchedStream:
+        """Start watching a stream whose request has just been sent."""
+        stream = WatchedStream(move, self._clock.monotonic())
         self._streams.setdefault(head, set()).add(stream)
         return stream
 
@@ -79,7 +80,7 @@
         stream.has_received_event = True
 
     def remove(self, head: VmId, stream: WatchedStream) -> None:
-        """Stop watching an attempt."""
+        """Stop watching a stream."""
         streams = self._streams.get(head)
         if streams is not None:
             streams.discard(stream)
@@ -96,13 +97,13 @@
             now_s = self._clock.monotonic()
             # After a pause of this process, old times say nothing about the servers.
             if now_s - checked_at_s < 3 * _CHECK_INTERVAL.total_seconds():
-                self.abort_stalled()
+                self.move_stalled()
             else:
                 self._reset_timers(now_s)
             checked_at_s = now_s
 
-    def abort_stalled(self) -> None:
-        """Abort the attempts at groups that have stalled."""
+    def move_stalled(self) -> None:
+        """Ask the streams of groups that have stalled to move."""
         now_s = self._clock.monotonic()
         for head in list(self._streams):
             streams = self._streams[head]
@@ -119,8 +120,8 @@
                 self._on_stall(head)
                 for stream in list(streams):
                     stream.progress_at_s = now_s
-                    if stream.can_move:
-                        stream.attempt.abort("stalled")
+                    if stream.move is not None:
+                        stream.move()
                 self._progress_at_s.pop(head, None)
 
     def _streaming_stall_s(self, head: VmId) -> float:
--- a/pomelolug/entry/tests/test_silent_servers.py
+++ b/pomelolug/entry/tests/test_silent_servers.py
@@ -36,6 +36,11 @@
 
     async def serve_stream(self, request) -> None:
         """Send a stream; the silence begins at event `silent_at`, -1 is the head."""
+        if not request.target.startswith("/stream/"):
+            # The controller asks a stalled server for a report.
+            await self._wait()
+            request.send("404 Not Found", {})
+            return
         self.run_count += 1
         first = int(request.headers.get("last-event-id", "-1")) + 1
         if self._silent_at < 0:
@@ -151,6 +156,9 @@
 
     async def script(request):
         nonlocal is_first
+        if not request.target.startswith("/stream/"):
+            request.send("404 Not Found", {})
+            return
         servers, is_first = (silent if is_first else sound), False
         await servers.serve_stream(request)
 
@@ -171,7 +179,7 @@
 
     async def script(request):
         nonlocal refused
-        if not silent.run_count:
+        if not silent.run_count or not request.target.startswith("/stream/"):
             await silent.serve_stream(request)
             return
         refused += 1
