Keep a slow plain request until another server has answered

A repeatable request was given up after one and a half latency targets, 0.45 s in the test, whether or not another server could be asked: with one server, or without a retry left in the budget, its caller got 502 slow although the server only paused.

Change: the slow server is kept while another one is asked, and the first usable answer is passed on. A server's own 5xx is passed on if no server does better. The request is suspected of a loss before it is sent again, so that one that crashes servers silently still runs three times (test_crashing_requests.py[safe-silent] failed without this).

test_silent_servers.py::test_plain_request_outlasts_the_silence_of_all_servers[1-/safe/x] failed before and passes.

--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -1,11 +1,13 @@
 """Forwarding of requests to plain services, which have no inference engine."""
 
 import asyncio
+import dataclasses
 import random
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, Repeatability
 from pomelolug.entry._attempt import Attempt, AttemptError, RunStatus
+from pomelolug.entry._poison_requests import QuarantinedError
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._request_context import (
     RequestContext,
@@ -34,12 +36,41 @@
 _FAILURE_PENALTY = 0.5
 """Load, as a fraction of the slots, that one recent failure counts for."""
 _ATTEMPT_TIMEOUT_FACTOR = 1.5
-"""Timeout of an attempt, as a multiple of the latency target of the route.
+"""Time after which a second server is tried, as a multiple of the latency target.
 
-The final attempt of a request has no timeout besides the deadline.
+The first one may only pause, so the answer of whichever sends it first is used.
 """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """Whole response of a server."""
+
+    reply: ServerReply
+    head: ResponseHead
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class _PlainState:
+    """State of one request across its attempts.
+
+    `possible_runs` counts the ended attempts that may have run the request, and
+    `failed_answer` is the latest response with which a server reports its own failure.
+    """
+
+    tried: set[VmId] = dataclasses.field(default_factory=set)
+    running: dict[asyncio.Task[_Answer], Attempt] = dataclasses.field(
+        default_factory=dict
+    )
+    attempt_count: int = 0
+    possible_runs: int = 0
+    may_start: bool = True
+    failed_answer: _Answer | None = None
+    error: RequestError | None = None
+    quarantine: QuarantinedError | None = None
+
+
 class PlainForwarder:
     """Forwards requests to the servers of a plain service.
 
@@ -93,57 +124,142 @@
         RequestError
             If no server returned a response that can be passed on.
         """
-        tried: set[VmId] = set()
-        possible_runs = 0
-        error: RequestError | None = None
-        for attempt_index in range(_MAX_ATTEMPTS):
-            server = self._select_server(context, tried)
-            if server is None:
-                break
-            if attempt_index and not self._retry_limiter.try_spend(context):
-                break
-            tried.add(server.vm)
-            is_final = (
-                possible_runs + 1 >= context.route.max_attempts
-                or not context.route.is_repeatable
-            )
-            try:
-                reply, response_head, body = await self._run_attempt(
-                    context, server, is_final=is_final
-                )
-            except AttemptError as failure:
-                if failure.is_server_failure:
-                    self._server_tracker.record_failure(server.vm)
-                possible_runs += failure.run_status is RunStatus.MAY_HAVE_RUN
-                error = _to_request_error(failure, possible_runs)
-                if failure.run_status is RunStatus.MAY_HAVE_RUN and is_final:
+        state = _PlainState()
+        try:
+            while True:
+                if self._may_start(context, state):
+                    self._start_attempt(context, state)
+                if not state.running:
                     break
-                continue
-            if reply.refused:
-                error = not_run_error(
-                    ErrorCode.BACKEND_REFUSED, "no server took the request"
-                )
-                error = (
-                    error
-                    if not possible_runs
-                    else _backend_lost_error("the server refused a repeat")
+                answer = await self._wait_for_answer(context, state)
+                if answer is not None:
+                    self._reply(context, answer)
+                    return
+        finally:
+            for task in state.running:
+                task.cancel()
+            await asyncio.gather(*state.running, return_exceptions=True)
+        if state.failed_answer is not None:
+            self._reply(context, state.failed_answer)
+            return
+        if state.quarantine is not None:
+            raise state.quarantine
+        raise state.error or self._no_server_error(context)
+
+    def _may_start(self, context: RequestContext, state: _PlainState) -> bool:
+        """Return whether a further server may get the request now.
+
+        A server that is slow may have run the request, like one whose answer is lost.
+        """
+        run_count = state.possible_runs + len(state.running)
+        return (
+            state.may_start
+            and state.attempt_count < _MAX_ATTEMPTS
+            and (
+                not run_count
+                or (
+                    context.route.is_repeatable
+                    and run_count < context.route.max_attempts
                 )
-                continue
-            if reply.status >= 500 and not is_final:
-                self._server_tracker.record_failure(server.vm)
-                possible_runs += 1
-                error = _backend_lost_error("the servers failed")
-                continue
-            self._retry_limiter.on_success(context)
-            context.record.status = reply.status
-            context.exchange.reply(reply.status, response_headers(response_head), body)
+            )
+        )
+
+    def _start_attempt(self, context: RequestContext, state: _PlainState) -> None:
+        """Send to a further server, if there is one and the retry budget allows it."""
+        server = self._select_server(context, state.tried)
+        is_retry = state.attempt_count > 0
+        if server is None or (is_retry and not self._retry_limiter.try_spend(context)):
+            state.may_start = False
             return
-        raise error or self._no_server_error(context)
+        state.attempt_count += 1
+        state.tried.add(server.vm)
+        attempt = Attempt(
+            self._pool,
+            self._run_monitor,
+            self._notices,
+            server,
+            request_id=context.request_head.request_id,
+            identity=context.identity,
+        )
+        task = asyncio.get_running_loop().create_task(
+            self._run_attempt(context, attempt)
+        )
+        state.running[task] = attempt
 
-    async def _run_attempt(
-        self, context: RequestContext, server: BackendServer, *, is_final: bool
-    ) -> tuple[ServerReply, ResponseHead, bytes]:
-        """Send to one server; `is_final` if no other may run the request after it."""
+    async def _wait_for_answer(
+        self, context: RequestContext, state: _PlainState
+    ) -> _Answer | None:
+        """Wait until an attempt ends, or is slow while another server may be tried.
+
+        Return the answer to pass on, if there is one.
+        """
+        done, _ = await asyncio.wait(
+            state.running,
+            timeout=self._slow_after_s(context, state),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not done:
+            for attempt in state.running.values():
+                self._server_tracker.record_failure(attempt.server.vm)
+                attempt.record_silence()
+            return None
+        answers = [self._finish_attempt(context, state, task) for task in done]
+        return next((answer for answer in answers if answer is not None), None)
+
+    def _slow_after_s(
+        self, context: RequestContext, state: _PlainState
+    ) -> float | None:
+        """Return the time in seconds after which another server is tried as well."""
+        if not self._may_start(context, state):
+            return None
+        return context.route.latency_target.total_seconds() * _ATTEMPT_TIMEOUT_FACTOR
+
+    def _finish_attempt(
+        self,
+        context: RequestContext,
+        state: _PlainState,
+        task: asyncio.Task[_Answer],
+    ) -> _Answer | None:
+        """Return the answer of an attempt that has ended, None if it has none."""
+        server = state.running.pop(task).server
+        try:
+            answer = task.result()
+        except AttemptError as failure:
+            if failure.is_server_failure:
+                self._server_tracker.record_failure(server.vm)
+            state.possible_runs += failure.run_status is RunStatus.MAY_HAVE_RUN
+            state.error = _to_request_error(failure, state.possible_runs)
+            return None
+        except QuarantinedError as error:
+            # A server that is asked already may still answer.
+            state.may_start = False
+            state.quarantine = error
+            return None
+        if answer.reply.refused:
+            state.error = (
+                _backend_lost_error("the server refused a repeat")
+                if state.possible_runs
+                else not_run_error(
+                    ErrorCode.BACKEND_REFUSED, "no server took the request"
+                )
+            )
+            return None
+        if answer.reply.status >= 500 and context.route.is_repeatable:
+            self._server_tracker.record_failure(server.vm)
+            state.possible_runs += 1
+            state.failed_answer = answer
+            return None
+        return answer
+
+    def _reply(self, context: RequestContext, answer: _Answer) -> None:
+        self._retry_limiter.on_success(context)
+        status = answer.reply.status
+        context.record.status = status
+        context.exchange.reply(status, response_headers(answer.head), answer.body)
+
+    async def _run_attempt(self, context: RequestContext, attempt: Attempt) -> _Answer:
+        """Send to one server and return its whole response."""
+        server = attempt.server
         record = AttemptRecord(
             server.vm,
             self._server_tracker.in_flight(server.vm),
@@ -154,61 +270,44 @@
         load = self._server_tracker.load(server.vm)
         load.in_flight += 1
         try:
-            async with asyncio.timeout(self._attempt_timeout_s(context, is_final)):
-                result = await self._send_and_receive(context, server)
+            answer = await self._send_and_receive(context, attempt, record)
         except AttemptError as failure:
             record.result = failure.reason
             raise
-        except TimeoutError as error:
-            record.result = "slow"
-            raise AttemptError(
-                "slow", run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
-            ) from error
+        except QuarantinedError:
+            record.result = "quarantined"
+            raise
         except asyncio.CancelledError:
-            record.result = "cancelled"
+            # Another server has answered first, or the caller has left.
+            record.result = "slow" if context.exchange.has_ended else "cancelled"
             raise
         finally:
             load.in_flight -= 1
-        record.result = str(result[0].status)
-        return result
-
-    def _attempt_timeout_s(
-        self, context: RequestContext, is_final: bool
-    ) -> float | None:
-        """Return the time in seconds after which another server is tried."""
-        if is_final:
-            return None
-        return context.route.latency_target.total_seconds() * _ATTEMPT_TIMEOUT_FACTOR
+        record.result = str(answer.reply.status)
+        return answer
 
     async def _send_and_receive(
-        self, context: RequestContext, server: BackendServer
-    ) -> tuple[ServerReply, ResponseHead, bytes]:
+        self, context: RequestContext, attempt: Attempt, record: AttemptRecord
+    ) -> _Answer:
         at_most_once = context.route.repeatability is Repeatability.AT_MOST_ONCE
         data = context.encode_for_server(
-            server.vm, now_s=self._clock.monotonic(), last_event_id=None
+            attempt.server.vm, now_s=self._clock.monotonic(), last_event_id=None
         )
-        async with Attempt(
-            self._pool,
-            self._run_monitor,
-            self._notices,
-            server,
-            request_id=context.request_head.request_id,
-            identity=context.identity,
-        ) as attempt:
+        async with attempt:
             # A pooled connection may have been closed unnoticed, and a request that
             # may run only once could then not be sent again.
             await attempt.send(data, fresh=at_most_once)
-            context.record.attempts[-1].may_have_run = True
+            record.may_have_run = True
             reply, response_head = await attempt.read_head()
             body = await attempt.read_body(_MAX_BODY_BYTES, budget=self._body_budget)
         if reply.refused:
-            context.record.attempts[-1].may_have_run = False
-            return reply, response_head, body
+            record.may_have_run = False
+            return _Answer(reply, response_head, body)
         if reply.encoded or (reply.status < 300 and not reply.sealed):
             raise AttemptError(
                 "foreign_body", run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
             )
-        return reply, response_head, body
+        return _Answer(reply, response_head, body)
 
     def _select_server(
         self, context: RequestContext, tried: set[VmId]
