Reserve the addresses of test nodes, and raise the exception of one that fails

The reservation of the process soak moves to pomelolug.testing and serves both: each process that uses the harness, and each soak, reserves one /16 prefix from 127.64 to 127.249. The harness takes each address of its prefix once, in random order, also for joining harnesses and for ProcessNode. An address is not used again in a process: a trial showed that ports 8001 to 8003 of a killed node still accept connections.

Harness.start waits for the node and for the end of its task, and raises the exception of the task at once.

The whole test suite was not run.

--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -3,10 +3,12 @@
 import abc
 import asyncio
 import datetime
+import itertools
 import os
 import pathlib
 import random
 import signal
+from collections.abc import Iterator
 
 import msgspec
 
@@ -20,6 +22,7 @@
     ScriptedServer,
     format_entry_settings,
     is_ready,
+    reserve_loopback_prefix,
 )
 from pomelolug.transport import (
     ClientConnection,
@@ -35,6 +38,24 @@
 SEAL_HEADERS = {"Response-Seal": "s.1"}
 
 
+def _generate_addresses() -> Iterator[str]:
+    """Yield the addresses of a prefix that this process reserves, in random order.
+
+    No address is used twice, since the sockets of a killed node stay open until the
+    event loop of its test is gone.
+    """
+    hosts = list(itertools.product(range(1, 250), range(1, 250)))
+    random.Random(os.urandom(8)).shuffle(hosts)
+    prefix, lock = reserve_loopback_prefix()
+    with lock:
+        for third, fourth in hosts:
+            yield f"{prefix}.{third}.{fourth}"
+
+
+_addresses = _generate_addresses()
+"""Addresses of the nodes of this process; reserved when the first one is taken."""
+
+
 def route(name: str, prefix: str, kind: str, service: str, **overrides):
     return {
         "name": name,
@@ -130,8 +151,7 @@
         self._joins = joins
         self.store = joins.store if joins is not None else FakeMetadataStore()
         self.servers: list[ScriptedServer] = []
-        rng = random.Random(os.urandom(8))
-        self._ip = f"127.{rng.randrange(1, 250)}.{rng.randrange(250)}.7"
+        self._ip = next(_addresses)
         self.entry: _EntryProcess | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -215,7 +235,8 @@
     ) -> None:
         """Start the entry process; wait until it listens and has found its servers.
 
-        Without `internal_ports`, the node exchanges nothing with other nodes.
+        If the entry process fails, its exception is raised at once. Without
+        `internal_ports`, the node exchanges nothing with other nodes.
         """
         settings = NodeSettings(
             node=NodeId(f"n-{self.ip}"),
@@ -239,14 +260,25 @@
         self.entry = _EntryProcess(
             settings, NonBlockingWriter(os.dup(2)), lambda: settings
         )
-        self._task = asyncio.create_task(self.entry.run())
+        self._task = task = asyncio.create_task(self.entry.run())
         known_servers = (self._joins or self).servers
         expected_count = len(known_servers) if servers is None else servers
-        async with asyncio.timeout(5.0):
-            while not self._has_servers(expected_count):  # noqa: ASYNC110
-                await asyncio.sleep(0.02)
-            for port in (8001, 8002, 8003):
-                await self._wait_until_listening(port)
+        started = asyncio.create_task(self._wait_until_started(expected_count))
+        try:
+            async with asyncio.timeout(5.0):
+                await asyncio.wait((started, task), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            started.cancel()
+        if task.done():
+            error = None if task.cancelled() else task.exception()
+            raise error or RuntimeError("the entry process ended during its start")
+        await started
+
+    async def _wait_until_started(self, expected_count: int) -> None:
+        while not self._has_servers(expected_count):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+        for port in (8001, 8002, 8003):
+            await self._wait_until_listening(port)
 
     async def _wait_until_listening(self, port: int) -> None:
         while True:
@@ -268,7 +300,7 @@
     """A node beside those of a harness, as a process that can be stopped."""
 
     def __init__(self, joins: Harness, folder: pathlib.Path) -> None:
-        self._ip = joins.ip[:-1] + "8"
+        self._ip = next(_addresses)
         path = folder / "node.toml"
         settings = format_entry_settings(
             node="process-node",
--- a/pomelolug/experiments/process_soak/_cluster.py
+++ b/pomelolug/experiments/process_soak/_cluster.py
@@ -5,7 +5,6 @@
 import datetime
 import pathlib
 import random
-import socket
 import time
 from collections.abc import Container
 from typing import Any
@@ -28,6 +27,7 @@
     SampleDeployment,
     format_entry_settings,
     is_ready,
+    reserve_loopback_prefix,
 )
 from pomelolug.testing.group_server import PlannedServer, ServerCommand, ServerPlan
 
@@ -105,7 +105,7 @@
         self._rng = rng
         self._seed = seed
         self._entry_count = entry_count
-        self._network_prefix, self._prefix_lock = _reserve_network_prefix()
+        self._network_prefix, self._prefix_lock = reserve_loopback_prefix()
         self._store = FakeMetadataStore()
         self._deployment = SampleDeployment(version=1, keys=dict(_ACCOUNT_KEYS))
         self._probe_tasks: list[asyncio.Task[None]] = []
@@ -301,20 +301,3 @@
             entry.failed_probes = 0 if ready else entry.failed_probes + 1
             pause_s = _PROBE_INTERVAL_S - (time.monotonic() - started_at_s)
             await asyncio.sleep(max(pause_s, 0.0))
-
-
-def _reserve_network_prefix() -> tuple[str, socket.socket]:
-    """Return a free /16 prefix of the loopback network and a socket that locks it."""
-    numbers = list(range(64, 250))
-    random.SystemRandom().shuffle(numbers)
-    for number in numbers:
-        lock = socket.socket()
-        try:
-            lock.bind((f"127.{number}.0.1", 9))
-        except PermissionError:
-            lock.bind((f"127.{number}.0.1", 9009))
-        except OSError:
-            lock.close()
-            continue
-        return f"127.{number}", lock
-    raise RuntimeError("every /16 prefix from 127.64 to 127.249 is in use")
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -15,6 +15,7 @@
 )
 from pomelolug.testing._group_servers import GroupServers, SimulatedServer
 from pomelolug.testing._group_simulation import ControlNode, GroupSimulation
+from pomelolug.testing._loopback_prefix import reserve_loopback_prefix
 from pomelolug.testing._loopback_proxy import LinkFault, LoopbackProxy
 from pomelolug.testing._memory_log import LogFaults, MemoryLog
 from pomelolug.testing._sample_deployment import SampleDeployment, format_entry_settings
@@ -46,4 +47,5 @@
     "format_entry_settings",
     "is_ready",
     "read_response",
+    "reserve_loopback_prefix",
 ]
