Tell other nodes of a silent server only when its run has ended

Before a request is sent to a second server, it is suspected of the loss of the first one. Two such suspicions were told to all nodes, so that these refused a harmless request while sound servers paused, or while the links of one node were silent.

Change: a loss of a run that goes on counts on its own node only.

--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -80,13 +80,15 @@
 class _Loss:
     """Loss of a server; `is_suspicion` until there is a sign that it has ended.
 
-    `is_own_zone` tells whether this node or one of its zone noticed it.
+    `is_own_zone` tells whether this node or one of its zone noticed it, and
+    `is_running` that the server may still answer the request.
     """
 
     at_s: float
     learned_at_s: float
     is_suspicion: bool
     is_own_zone: bool
+    is_running: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,6 +144,7 @@
         *,
         age_s: float = 0.0,
         is_suspicion: bool = False,
+        is_running: bool = False,
         is_own_zone: bool = True,
         source: str = "own",
     ) -> None:
@@ -158,6 +161,8 @@
         is_suspicion : bool
             Whether the server only fell silent. The loss counts on this node, but
             others are told only if the request has another loss.
+        is_running : bool
+            Whether the server may still answer. Others are not told of the loss.
         is_own_zone : bool
             Whether the loss was noticed in the zone of this node.
         source : str
@@ -170,10 +175,13 @@
         known = losses.get(loss_id)
         if known is not None:
             known.is_suspicion = known.is_suspicion and is_suspicion
+            known.is_running = known.is_running and is_running
             known.at_s = min(known.at_s, now_s - age_s)
             return
         self._times_sent.pop(fingerprint, None)
-        losses[loss_id] = _Loss(now_s - age_s, now_s, is_suspicion, is_own_zone)
+        losses[loss_id] = _Loss(
+            now_s - age_s, now_s, is_suspicion, is_own_zone, is_running
+        )
         if _is_part_loss(loss_id):
             self._culprits = None
         elif len(losses) == QUARANTINE_LOSS_COUNT:
@@ -189,7 +197,7 @@
         """Record that a server suspected to be lost has ended."""
         loss = self._losses.get(fingerprint, {}).get(loss_id)
         if loss is not None and loss.is_suspicion:
-            loss.is_suspicion = False
+            loss.is_suspicion = loss.is_running = False
             loss.learned_at_s = self._clock.monotonic()
 
     def clear_loss(self, fingerprint: str, loss_id: str) -> None:
@@ -315,6 +323,7 @@
             for fingerprint, losses in self._losses.items()
             if _is_shared(losses)
             for loss_id, loss in losses.items()
+            if not loss.is_running
         ]
 
     def losses_to_send(self) -> dict[str, tuple[str, ...]]:
@@ -327,10 +336,10 @@
         candidates = [
             fingerprint
             for fingerprint, losses in self._losses.items()
-            if self.is_quarantined(fingerprint)
-            or (
-                _is_shared(losses)
-                and max(loss.learned_at_s for loss in losses.values()) >= oldest_s
+            if _is_shared(losses)
+            and (
+                self.is_quarantined(fingerprint)
+                or max(loss.learned_at_s for loss in losses.values()) >= oldest_s
             )
         ]
         candidates.sort(key=lambda f: (self._times_sent[f], -self.loss_count(f)))
@@ -338,7 +347,9 @@
         self._times_sent = collections.Counter(
             {f: self._times_sent[f] + (f in sent) for f in candidates}
         )
-        return {f: tuple(self._losses[f])[-_MAX_SHARED_LOSSES:] for f in sent}
+        return {
+            f: tuple(_ended_losses(self._losses[f]))[-_MAX_SHARED_LOSSES:] for f in sent
+        }
 
     def cleared_to_send(self) -> dict[str, tuple[str, ...]]:
         """Return the recently cleared losses for other nodes, by request."""
@@ -399,4 +410,10 @@
 
 def _is_shared(losses: Mapping[str, _Loss]) -> bool:
     """Return whether other nodes are told of the losses of a request."""
-    return len(losses) > 1 or any(not loss.is_suspicion for loss in losses.values())
+    ended = _ended_losses(losses)
+    return len(ended) > 1 or any(not loss.is_suspicion for loss in ended.values())
+
+
+def _ended_losses(losses: Mapping[str, _Loss]) -> dict[str, _Loss]:
+    """Return the losses of runs that have ended."""
+    return {i: loss for i, loss in losses.items() if not loss.is_running}
--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -178,11 +178,16 @@
     def record_silence(self, run: ServerRun) -> None:
         """Suspect a request of a loss, since its server is silent and it is sent again.
 
-        The parts of its prompt are not suspected: the server may only pause.
+        The server may only pause. So the parts of the prompt are not suspected, and
+        other nodes are not told.
         """
         if run in self._running:
-            claims = ((run.identity.request, self._find_loss_id(run)),)
-            self._suspect_loss(run, claims, is_suspicion=True)
+            fingerprint = run.identity.request
+            loss_id = self._find_loss_id(run)
+            self._detector.record_loss(
+                fingerprint, loss_id, is_suspicion=True, is_running=True
+            )
+            self._add_pending(run, ((fingerprint, loss_id),))
 
     def finish(self, run: ServerRun, end: RunEnd) -> None:
         """Count the end of a run, unless the end of its server was counted before."""
@@ -245,18 +250,12 @@
         if not run.has_written:
             part_loss_id = run.identity.part_loss_id(loss_id)
             claims += [(part, part_loss_id) for part in run.identity.prompt_parts]
-        self._suspect_loss(run, tuple(claims), is_suspicion=is_suspicion)
-
-    def _suspect_loss(
-        self,
-        run: ServerRun,
-        claims: tuple[tuple[str, str], ...],
-        *,
-        is_suspicion: bool,
-    ) -> None:
-        """Record a loss, until the registry shows whether the server has ended."""
         for fingerprint, claim_id in claims:
             self._detector.record_loss(fingerprint, claim_id, is_suspicion=is_suspicion)
+        self._add_pending(run, tuple(claims))
+
+    def _add_pending(self, run: ServerRun, claims: tuple[tuple[str, str], ...]) -> None:
+        """Keep a loss until the registry shows whether the server has ended."""
         loss = _PendingLoss(
             run, claims, self._clock.monotonic() + self._decision_delay_s
         )
--- a/pomelolug/entry/tests/test_poison_requests.py
+++ b/pomelolug/entry/tests/test_poison_requests.py
@@ -47,6 +47,27 @@
     assert not node.is_quarantined(request_fingerprint)
 
 
+@pytest.mark.looptime
+async def test_silence_of_servers_that_may_still_answer_is_not_told():
+    # Guards against a harmless request that other nodes refuse because it was sent to
+    # a second server while the first one paused.
+    node = PoisonRequestDetector(clock=LoopClock())
+    other = PoisonRequestDetector(clock=LoopClock())
+    request_fingerprint = compute_fingerprint(None, b"/x", b"")
+    for number in range(3):
+        node.record_loss(
+            request_fingerprint, f"s{number}", is_suspicion=True, is_running=True
+        )
+    tell(node, other)
+    assert node.is_quarantined(request_fingerprint)
+    assert node.shared_losses() == []
+    assert other.loss_count(request_fingerprint) == 0
+    for number in range(3):
+        node.record_loss(request_fingerprint, f"s{number}", is_suspicion=True)
+    tell(node, other)
+    assert other.is_quarantined(request_fingerprint)
+
+
 @pytest.mark.looptime
 async def test_quarantine_ends_and_old_losses_are_forgotten():
     # Guards against unbounded memory and a request that is refused forever.
