Move a stalled stream only for its next event

- a second group that sent a gap, an event without an id or nothing took over, so the stream broke off, or looked complete without its rest (also before the fix);
- a second group that repeated old events and then fell silent took over too;
- a rejection by the second group was dropped, and the caller waited until the deadline for a lost group; a third group was not asked while the second one was silent;
- a stream whose group was lost ended although the other group was only suspected;
- a caller who did not read made its sound groups suspects and caused a second run.

Change: the second group takes over with the event after the caller's last one. A 4xx of it is passed on at once, a 5xx if nothing better comes. If it stalls too, a third one is asked as far as the route's attempts allow. A started stream uses suspected groups when there is no other. The stall detector leaves out streams whose callers do not read.

--- a/pomelolug/entry/_server_tracker.py
+++ b/pomelolug/entry/_server_tracker.py
@@ -228,6 +228,17 @@
         """Return the heads of the open groups of a model that take a request now."""
         return self._select_accepting(self._usable_heads(model))
 
+    def suspected_heads(self, model: ModelName) -> list[BackendServer]:
+        """Return the heads of the open groups of a model that are only suspected.
+
+        They take requests if they have only paused.
+        """
+        now_s = self._clock.monotonic()
+        heads = self._heads_by_model.get(model, [])
+        return self._select_accepting(
+            [h for h in heads if self._is_suspected(h.vm, now_s)]
+        )
+
     def head_wait(self, model: ModelName) -> ServerWait | None:
         """Return the wait for a head to take a request.
 
@@ -276,6 +287,15 @@
             return False
         return vm not in self._degraded_heads
 
+    def _is_suspected(self, vm: VmId, now_s: float) -> bool:
+        """Return whether nothing but a suspicion excludes the head of an open group."""
+        if vm in self._degraded_heads:
+            return False
+        load = self.load(vm)
+        if load.full_until_s > now_s:
+            return False
+        return load.suspect_until_s > now_s or vm in self._peer_suspects
+
 
 def _is_ready(server: BackendServer) -> bool:
     return server.state is ServerState.READY
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -60,17 +60,20 @@
     """State of one stream across its runs.
 
     `possible_runs` counts the ended runs that may have run the request. `move` looks
-    for another group while the current run pauses, and leaves the run that has taken
-    over in `replacement`.
+    for another group while the `current` run pauses, and leaves the run that has taken
+    over in `replacement`. `server_error` is a whole error response that is passed on
+    if nothing better arrives.
     """
 
     __slots__ = (
         "attempt_count",
+        "current",
         "error",
         "last_event_id",
         "move",
         "possible_runs",
         "replacement",
+        "server_error",
         "started",
         "tried",
         "use_fresh_connection",
@@ -84,6 +87,8 @@
         self.attempt_count = 0
         self.tried: set[VmId] = set()
         self.error: RequestError | None = None
+        self.server_error: ServerError | None = None
+        self.current: StreamRun | None = None
         self.move: asyncio.Task[None] | None = None
         self.replacement: StreamRun | None = None
 
@@ -156,10 +161,15 @@
                 if await self._forward_run(context, state, run):
                     self._retry_limiter.on_success(context)
                     return
+                if self._has_decisive_error(state):
+                    break
                 if state.replacement is None and not self._may_retry(context, state):
                     break
         finally:
             await self._end_move(state)
+        if state.server_error is not None and not state.started:
+            self._reply_error(context, state.server_error)
+            return
         self._fail(context, state, state.error)
 
     async def _next_run(
@@ -252,15 +262,19 @@
         can_move = context.route.is_repeatable
         watched = self._stall_detector.add(
             head,
-            move=(lambda: self._start_move(context, state, run)) if can_move else None,
+            move=(lambda: self._on_stall(context, state, run)) if can_move else None,
         )
 
         def record_event() -> None:
             self._stall_detector.on_event(head, watched)
             self._server_tracker.record_progress(head)
 
+        def set_held(is_held: bool) -> None:
+            self._stall_detector.set_held(watched, is_held)
+
         run.observe(
             on_event=record_event,
+            on_hold=set_held,
             on_close=lambda: self._stall_detector.remove(head, watched),
         )
 
@@ -270,13 +284,18 @@
         """Forward the events of a run; return whether the caller has its response."""
         error: BaseException | None = None
         result = "cancelled"
+        state.current = run
         try:
             while (event := await run.next_event()) is not None:
                 if state.move is not None and state.replacement is None:
                     # The group has only paused.
                     await self._end_move(state)
                 self._forward_event(context, run, state, event)
-                await context.exchange.drain()
+                if not context.exchange.is_writable:
+                    # A caller who does not read says nothing about the group.
+                    run.hold(True)
+                    await context.exchange.drain()
+                    run.hold(False)
             if not state.started:
                 self._start_response(context, run, state)
             context.exchange.finish()
@@ -290,6 +309,7 @@
                     context, state, caught
                 ):
                     self._reply_error(context, caught)
+                    result = "answered"
                     return True
             self._record_failure(context, state, run, caught)
             return False
@@ -297,6 +317,7 @@
             error = caught
             raise
         finally:
+            state.current = None
             await run.close(error, result)
 
     def _record_failure(
@@ -311,6 +332,8 @@
             self._server_tracker.record_refusal(run.server.vm)
             state.error = self._refused_error("no group took the request")
             return
+        if isinstance(error, ServerError):
+            state.server_error = error
         is_stale = isinstance(error, AttemptError) and error.stale_connection
         if is_stale and context.route.is_repeatable and not state.use_fresh_connection:
             # The same server may be tried again, so that no further one needs to run
@@ -322,8 +345,27 @@
         state.possible_runs += 1
         state.error = _to_request_error(_result_of(error), state.possible_runs)
 
+    def _has_decisive_error(self, state: _StreamState) -> bool:
+        """Return whether a server has rejected the request for good."""
+        error = state.server_error
+        return error is not None and error.head.status < 500 and not state.started
+
     # Moves
 
+    def _on_stall(
+        self, context: RequestContext, state: _StreamState, run: StreamRun
+    ) -> None:
+        """Ask a further group if the group of a run has stalled."""
+        if run is state.current:
+            self._start_move(context, state, run)
+            return
+        # Another group was asked because of the stall of the first one.
+        running = 2 if state.current is not None else 1
+        if state.replacement is None and self._may_retry(
+            context, state, running=running
+        ):
+            run.abort("stalled")
+
     def _start_move(
         self, context: RequestContext, state: _StreamState, run: StreamRun
     ) -> None:
@@ -351,13 +393,19 @@
             error: BaseException | None = None
             result = "cancelled"
             try:
-                await other.read_ahead()
+                has_event = await other.read_after(state.last_event_id)
+                if not has_event and state.current is run:
+                    # The first group knows better whether its stream has ended.
+                    raise lost_run_error("ended_early")
                 state.replacement = other
                 run.abort("stalled")
                 return
             except _RUN_ERRORS as caught:
                 error, result = caught, _result_of(caught)
                 self._record_failure(context, state, other, caught)
+                if self._has_decisive_error(state):
+                    run.abort("stalled")
+                    return
             except BaseException as caught:
                 error = caught
                 state.possible_runs += 1
@@ -437,19 +485,29 @@
             )
             if candidate is not None:
                 return candidate.server
-            if not waits or self._clock.monotonic() >= until_s:
+            if not waits:
                 return None
+            if self._clock.monotonic() >= until_s:
+                # A suspected group may only have paused, and the stream ends otherwise.
+                suspected = self._find_candidates(context, state, suspected=True)
+                candidate = self._group_selector.select(suspected)
+                return candidate.server if candidate is not None else None
             await self._clock.sleep(_RESUME_POLL_INTERVAL)
 
     def _find_candidates(
-        self, context: RequestContext, state: _StreamState
+        self, context: RequestContext, state: _StreamState, *, suspected: bool = False
     ) -> list[Candidate]:
         engine, model = _engine_and_model(context)
         if engine is None or model is None:
             return []
         candidates = []
         target_s = context.route.latency_target.total_seconds()
-        for head in self._server_tracker.heads(model.name):
+        heads = (
+            self._server_tracker.suspected_heads(model.name)
+            if suspected
+            else self._server_tracker.heads(model.name)
+        )
+        for head in heads:
             if head.vm in state.tried:
                 continue
             in_flight = self._server_tracker.in_flight(head.vm)
--- a/pomelolug/entry/_stream_run.py
+++ b/pomelolug/entry/_stream_run.py
@@ -71,6 +71,7 @@
         self._attempt = attempt
         self._record = record
         self._on_event: Callable[[], None] | None = None
+        self._on_hold: Callable[[bool], None] | None = None
         self._on_close = [on_close]
         self._head: ResponseHead | None = None
         self._splitter = EventSplitter()
@@ -90,10 +91,15 @@
         return self._server
 
     def observe(
-        self, *, on_event: Callable[[], None], on_close: Callable[[], None]
+        self,
+        *,
+        on_event: Callable[[], None],
+        on_hold: Callable[[bool], None],
+        on_close: Callable[[], None],
     ) -> None:
-        """Call `on_event` for each event that arrives, and `on_close` at the end."""
+        """Call functions when an event arrives, on each `hold`, and at the end."""
         self._on_event = on_event
+        self._on_hold = on_hold
         self._on_close.append(on_close)
 
     async def send(self, data: bytes, *, fresh: bool) -> None:
@@ -101,30 +107,35 @@
         await self._attempt.send(data, fresh=fresh)
         self._record.may_have_run = True
 
-    async def read_ahead(self) -> None:
-        """Read up to the next event, which `next_event` then returns.
+    async def read_after(self, last_event_id: int | None) -> bool:
+        """Read up to the event that the caller needs next; `next_event` returns it.
+
+        Parameters
+        ----------
+        last_event_id : int or None
+            Id of the last event that the caller has.
+
+        Returns
+        -------
+        bool
+            Whether there is such an event, rather than the end of the stream.
 
         Raises
         ------
-        RefusedError, ServerError, AttemptError
+        RefusedError, ServerError
             As `next_event`.
+        AttemptError
+            As `next_event`, and if the next event is not the one after the last.
         """
-        if self._head is None:
-            reply, self._head = await self._attempt.read_head()
-            await self._check_reply(reply, self._head)
-        while not self._events and not self._has_ended:
-            data = await self._attempt.read_chunk()
-            if data is None:
-                self._end()
-                return
-            try:
-                self._events = self._splitter.feed(data)[::-1]
-            except ValueError as error:
-                raise lost_run_error("event_size") from error
-            for _ in self._events:
-                if self._on_event is not None:
-                    self._on_event()
-                self._attempt.record_event()
+        while (event := await self.next_event()) is not None:
+            if event.event_id is None:
+                raise lost_run_error("event_unreadable")
+            if last_event_id is None or event.event_id == last_event_id + 1:
+                self._events.append(event)
+                return True
+            if event.event_id > last_event_id:
+                raise lost_run_error("event_missing")
+        return False
 
     async def next_event(self) -> ServerSentEvent | None:
         """Return the next complete event, None at the end of the stream.
@@ -139,9 +150,14 @@
             If the connection or the response is broken.
         """
         if not self._events:
-            await self.read_ahead()
+            await self._read_events()
         return self._events.pop() if self._events else None
 
+    def hold(self, is_held: bool) -> None:
+        """State whether nothing is read, since the caller does not read."""
+        if self._on_hold is not None:
+            self._on_hold(is_held)
+
     def record_silence(self) -> None:
         """Record that the request is sent again, since the server is silent."""
         self._attempt.record_silence()
@@ -172,6 +188,25 @@
         for on_close in self._on_close:
             on_close()
 
+    async def _read_events(self) -> None:
+        """Read until an event has arrived, or the stream has ended."""
+        if self._head is None:
+            reply, self._head = await self._attempt.read_head()
+            await self._check_reply(reply, self._head)
+        while not self._events and not self._has_ended:
+            data = await self._attempt.read_chunk()
+            if data is None:
+                self._end()
+                return
+            try:
+                self._events = self._splitter.feed(data)[::-1]
+            except ValueError as error:
+                raise lost_run_error("event_size") from error
+            for _ in self._events:
+                if self._on_event is not None:
+                    self._on_event()
+                self._attempt.record_event()
+
     async def _check_reply(self, reply: ServerReply, head: ResponseHead) -> None:
         if reply.refused:
             raise RefusedError
--- a/pomelolug/entry/_watch.py
+++ b/pomelolug/entry/_watch.py
@@ -41,6 +41,8 @@
     move: Callable[[], None] | None
     progress_at_s: float
     has_received_event: bool = False
+    is_held: bool = False
+    """Whether nothing is read, since the caller does not read."""
 
 
 class StallDetector:
@@ -79,6 +81,11 @@
         stream.progress_at_s = self._progress_at_s[head] = now_s
         stream.has_received_event = True
 
+    def set_held(self, stream: WatchedStream, is_held: bool) -> None:
+        """Leave a stream out of account while its caller does not read."""
+        stream.is_held = is_held
+        stream.progress_at_s = self._clock.monotonic()
+
     def remove(self, head: VmId, stream: WatchedStream) -> None:
         """Stop watching a stream."""
         streams = self._streams.get(head)
@@ -106,7 +113,9 @@
         """Ask the streams of groups that have stalled to move."""
         now_s = self._clock.monotonic()
         for head in list(self._streams):
-            streams = self._streams[head]
+            streams = {s for s in self._streams[head] if not s.is_held}
+            if not streams:
+                continue
             oldest_s = min(stream.progress_at_s for stream in streams)
             # Progress from before all current streams does not count against them.
             progress_at_s = max(self._progress_at_s.get(head, oldest_s), oldest_s)
--- a/pomelolug/transport/_server.py
+++ b/pomelolug/transport/_server.py
@@ -135,6 +135,11 @@
                 data = b"%x\r\n%b\r\n" % (len(data), data)
             self._connection.write(data)
 
+    @property
+    def is_writable(self) -> bool:
+        """Whether the client has read enough to accept more data."""
+        return self._connection.is_writable
+
     async def drain(self) -> None:
         """Wait until the client has read enough to accept more data."""
         await self._connection.drain()
@@ -225,6 +230,11 @@
             self._handler_task or self._queue or self._incoming or self._in_head
         )
 
+    @property
+    def is_writable(self) -> bool:
+        """Whether the client has read enough to accept more data."""
+        return self._writable.is_set()
+
     def close_after_response(self) -> None:
         """Close the connection after the current or next response."""
         self._closing = True
