Pass on a server's failure when the slow server stays silent

With the first server lost without a reset and a 500 of the second, callers got 504 at their deadline instead of the 500; and a server that appeared while the first one was slow was not asked when that one broke.

Change: a reported failure is passed on when the slow server has been silent for as long as a sound one may be, or just before the deadline. Whether a further server can be asked is decided again whenever an attempt ends.

--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -40,6 +40,10 @@
 
 The first one may only pause, so the answer of whichever sends it first is used.
 """
+_MAX_PAUSE_S = 2.0
+"""Time in seconds for which a sound server may be silent."""
+_REPLY_TIME_S = 0.05
+"""Time in seconds before the deadline at which a failure is passed on at the latest."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,6 +202,8 @@
             timeout=self._slow_after_s(context, state),
             return_when=asyncio.FIRST_COMPLETED,
         )
+        if not done and state.failed_answer is not None:
+            return state.failed_answer
         if not done:
             for attempt in state.running.values():
                 self._server_tracker.record_failure(attempt.server.vm)
@@ -209,9 +215,16 @@
     def _slow_after_s(
         self, context: RequestContext, state: _PlainState
     ) -> float | None:
-        """Return the time in seconds after which another server is tried as well."""
+        """Return the time in seconds after which an attempt counts as slow.
+
+        If another server has reported its failure, that is passed on then. None if
+        there is no such failure and no other server to try.
+        """
         if not self._may_start(context, state):
-            return None
+            if state.failed_answer is None:
+                return None
+            left_s = context.deadline_at_s - self._clock.monotonic()
+            return min(max(left_s - _REPLY_TIME_S, 0.0), _MAX_PAUSE_S)
         return context.route.latency_target.total_seconds() * _ATTEMPT_TIMEOUT_FACTOR
 
     def _finish_attempt(
@@ -222,6 +235,7 @@
     ) -> _Answer | None:
         """Return the answer of an attempt that has ended, None if it has none."""
         server = state.running.pop(task).server
+        state.may_start = state.quarantine is None
         try:
             answer = task.result()
         except AttemptError as failure:
--- a/pomelolug/entry/tests/test_moved_streams.py
+++ b/pomelolug/entry/tests/test_moved_streams.py
@@ -261,3 +261,70 @@
         body = await connection.read_body(1 << 26)
         assert body == b"".join(event % number for number in range(200))
         assert run_count == 1
+
+
+async def test_failure_of_the_second_server_is_passed_on_if_the_first_is_lost():
+    # Guards against a server's own error that is replaced by a timeout.
+    run_count = 0
+
+    async def script(request):
+        nonlocal run_count
+        run_count += 1
+        if run_count == 1:
+            await asyncio.sleep(FOREVER_S)
+        send_response(request, "500 Internal Server Error", b"own error")
+
+    async with Harness() as h:
+        h.publish_declaration(make_declaration())
+        for _ in range(2):
+            await h.add_server(script)
+        await h.start()
+        head, body = await h.request("/safe/x", deadline_ms=TIMEOUT_MS)
+        assert (head.status, body) == (500, b"own error")
+
+
+async def test_sound_server_that_pauses_is_preferred_to_the_failure_of_another():
+    # Guards against an error although the server that was asked first answers.
+    run_count = 0
+
+    async def script(request):
+        nonlocal run_count
+        run_count += 1
+        if run_count == 1:
+            await asyncio.sleep(SILENCE_S)
+            send_response(request)
+            return
+        send_response(request, "500 Internal Server Error", b"own error")
+
+    async with Harness() as h:
+        h.publish_declaration(make_declaration())
+        for _ in range(2):
+            await h.add_server(script)
+        await h.start()
+        head, body = await h.request("/safe/x", deadline_ms=TIMEOUT_MS)
+        assert (head.status, body) == (200, b"whole")
+
+
+async def test_server_that_appears_later_is_asked_when_the_first_breaks():
+    # Guards against a request that fails because no second server was there when the
+    # first one became slow.
+    run_count = 0
+
+    async def script(request):
+        nonlocal run_count
+        run_count += 1
+        if run_count == 1:
+            await asyncio.sleep(1.5)
+            request.reset()
+            return
+        send_response(request)
+
+    async with Harness() as h:
+        h.publish_declaration(make_declaration())
+        await h.add_server(script)
+        await h.start()
+        answer = asyncio.create_task(h.request("/safe/x", deadline_ms=TIMEOUT_MS))
+        await asyncio.sleep(0.7)
+        await h.add_server(script)
+        head, body = await answer
+        assert (head.status, body) == (200, b"whole")
