Keep a silent group with work for 2 s before it is torn down

Callers whose streams cannot move were cut when their sound group paused: a review saw it with groups of 2 members whose heads were silent for 1.0 or 1.6 s.

Cause: after a stall the controller asks the members for reports, and one report that is not answered within 250 ms made it order the others to leave. A silent member that is not the head had the same effect.

Change: while requests are in flight at the head, silence alone ends a group only 2 s after the first stall since all members answered. Later stalls do not restart the wait. Streams that can move leave before, and callers leave a silent stream after 2 s. Without work, with a missing entry, with a broken head or with a member that has left, the group ends at once as before. A silent member of a group whose streams go on again is asked for reports until it answers, as it would otherwise count as lost when they end.

Not changed: a connection that is refused counts as silence, since the controller does not tell the two apart. A group that was marked once only, and whose requests stay in flight, is kept, because nodes mark a stalled group at least every 1.6 s.

Not run: real processes.

--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -23,10 +23,24 @@
 """Maximum age of a report that stands in for a missing registry entry."""
 _SUSPICION_S = 2.0
 """Time for which a head stays suspect after its streams were seen stalled."""
+_LONGEST_PAUSE_S = 2.0
+"""Time from the first stall for which a silent group with work may go on.
+
+A sound server may be silent for 1.6 s, and callers leave a silent stream after 2 s.
+"""
 _UNLISTED_RETENTION_S = 20.0
 """Time for which a server that left the registry is still probed."""
 
 
+@dataclasses.dataclass(slots=True)
+class _Suspicion:
+    """Monotonic times at which a group was seen stalled."""
+
+    last_at_s: float
+    silent_since_s: float | None
+    """Time of the first stall since all members answered, None before the next one."""
+
+
 class FleetView:
     """Servers of the registry, recently unlisted servers, and suspect heads.
 
@@ -67,7 +81,7 @@
         self._runs_models = runs_models
         self._listed: dict[VmId, BackendServer] = {}
         self._unlisted: dict[VmId, tuple[BackendServer, float]] = {}
-        self._suspect_heads: dict[VmId, float] = {}
+        self._suspicions: dict[VmId, _Suspicion] = {}
         self._last_model: dict[tuple[VmId, int], ModelName] = {}
 
     @property
@@ -86,11 +100,22 @@
 
     def mark_suspect(self, head: VmId) -> None:
         """Record that the streams of a group have stalled."""
-        self._suspect_heads[head] = self._clock.monotonic()
+        now_s = self._clock.monotonic()
+        if not self.is_suspect(head):
+            self._suspicions[head] = _Suspicion(last_at_s=now_s, silent_since_s=now_s)
+            return
+        suspicion = self._suspicions[head]
+        suspicion.last_at_s = now_s
+        if suspicion.silent_since_s is None:
+            suspicion.silent_since_s = now_s
 
     def is_suspect(self, head: VmId) -> bool:
         """Return whether the streams of a group stalled recently."""
-        return head in self._suspect_heads
+        suspicion = self._suspicions.get(head)
+        return (
+            suspicion is not None
+            and self._clock.monotonic() - suspicion.last_at_s < _SUSPICION_S
+        )
 
     def last_model(self, server: BackendServer) -> ModelName | None:
         """Return the model of a server's last group since its start, if known."""
@@ -172,13 +197,25 @@
         work for its head.
         """
         head = view.head
+        if head is None or self.is_suspect(head.vm) or head.vm not in self._listed:
+            return False
+        return self._in_flight(head.vm) > 0
+
+    def may_go_on(self, view: GroupView) -> bool:
+        """Return whether a stalled group with work is silent for a short time only.
+
+        A missing entry is evidence of a loss.
+        """
+        head = view.head
         if (
             head is None
-            or head.vm in self._suspect_heads
-            or head.vm not in self._listed
+            or not self.is_suspect(head.vm)
+            or not self._in_flight(head.vm)
+            or any(m.vm not in self._listed for m in view.members.values())
         ):
             return False
-        return self._in_flight(head.vm) > 0
+        since_s = self._suspicions[head.vm].silent_since_s
+        return since_s is None or self._clock.monotonic() - since_s < _LONGEST_PAUSE_S
 
     def _as_reported(self, server: BackendServer) -> BackendServer:
         """Return an unlisted server with the membership of its newest report."""
@@ -188,18 +225,17 @@
         return dataclasses.replace(server, membership=report.membership)
 
     async def probe(self, awaiting_report: Iterable[BackendServer]) -> None:
-        """Request reports from suspect, unlisted and other given servers.
+        """Request reports from suspect, lost, unlisted and other given servers.
 
         Parameters
         ----------
         awaiting_report : iterable of BackendServer
             Servers whose reports are needed before they get orders.
         """
-        now_s = self._clock.monotonic()
-        self._suspect_heads = {
-            vm: at_s
-            for vm, at_s in self._suspect_heads.items()
-            if now_s - at_s < _SUSPICION_S
+        self._suspicions = {
+            vm: suspicion
+            for vm, suspicion in self._suspicions.items()
+            if self.is_suspect(vm)
         }
         others = {
             server.vm: server
@@ -213,15 +249,40 @@
                 if not self._availability.is_paused(server)
             }
         )
+        views = list(group_views(self._listed.values()).values())
         members = {
             member.vm: member
-            for view in group_views(self._listed.values()).values()
-            if view.head is not None and view.head.vm in self._suspect_heads
+            for view in views
+            if view.head is not None and view.head.vm in self._suspicions
             for member in view.members.values()
             if not self._availability.is_paused(member)
         }
+        # The members of a group that goes on count as lost only until they answer.
+        others.update(
+            {
+                member.vm: member
+                for view in views
+                if self.is_progressing(view)
+                for member in view.members.values()
+                if self._health.is_lost(member.vm)
+                and not self._availability.is_paused(member)
+            }
+        )
         await asyncio.gather(
             self._health.probe(members.values(), are_suspect=True),
             self._health.probe(others.values()),
         )
+        for view in views:
+            self._end_silence(view)
         self._health.drop_stale()
+
+    def _end_silence(self, view: GroupView) -> None:
+        """End the silence of a group of which all members have answered since."""
+        suspicion = self._suspicions.get(view.head.vm) if view.head else None
+        if suspicion is None or suspicion.silent_since_s is None:
+            return
+        if all(
+            self._health.reported_at_s(member.vm) >= suspicion.silent_since_s
+            for member in view.members.values()
+        ):
+            suspicion.silent_since_s = None
--- a/pomelolug/replicas/_health.py
+++ b/pomelolug/replicas/_health.py
@@ -62,6 +62,11 @@
             return None
         return entry[1]
 
+    def reported_at_s(self, vm: VmId) -> float:
+        """Return the monotonic time of a server's newest report, -inf if none."""
+        entry = self._reports.get(vm)
+        return float("-inf") if entry is None else entry[0]
+
     def orders_begun(self, server: BackendServer) -> int | None:
         """Return how many orders a server has begun since its start.
 
--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -151,11 +151,13 @@
         model = engine.find_model(view.model) if view.model is not None else None
         members = list(view.members.values())
         lost = [m for m in members if not self._fleet.is_working_member(m)]
-        if self._fleet.is_progressing(view):
+        has_all_entries = model is not None and len(members) == model.group_size
+        is_serving = has_all_entries and view.head_state in _SERVING_STATES
+        if self._fleet.is_progressing(view) or (
+            is_serving and self._fleet.may_go_on(view)
+        ):
             lost = []
-        is_complete = (
-            model is not None and len(members) == model.group_size and not lost
-        )
+        is_complete = has_all_entries and not lost
         draining = [
             member
             for member in members
--- a/pomelolug/replicas/tests/test_controller.py
+++ b/pomelolug/replicas/tests/test_controller.py
@@ -1,6 +1,7 @@
 """Tests that groups stay complete, disjoint and open under faults."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -17,6 +18,9 @@
 
 pytestmark = pytest.mark.looptime
 
+STALL_S = 0.6
+"""Time after which nodes see a group stalled, again and again."""
+
 
 def head_of(fleet: GroupServers, model: str) -> VmId:
     return next(
@@ -373,3 +377,170 @@
     assert SMALL in fleet.open_groups().values()
     assert fleet.violations == []
     await node.stop()
+
+
+def silent_members(fleet: GroupServers, head: VmId, which: str) -> tuple[VmId, ...]:
+    members = fleet.servers[head].members
+    return {"head": members[:1], "member": members[-1:], "all": members}[which]
+
+
+async def fall_silent(
+    node: Node, fleet: GroupServers, head: VmId, which: str, *, silence_s: float
+) -> None:
+    """Let members be silent, and see their group stalled as often as nodes do."""
+    members = silent_members(fleet, head, which)
+    for vm in members:
+        fleet.servers[vm].reachable = False
+    for _ in range(int(silence_s / STALL_S)):
+        await asyncio.sleep(STALL_S)
+        node.controller.mark_suspect(head)
+    await asyncio.sleep(silence_s % STALL_S)
+    for vm in members:
+        fleet.servers[vm].reachable = True
+
+
+def leave_orders(fleet: GroupServers, since: int) -> list[VmId]:
+    return [vm for kind, vm, _ in fleet.orders[since:] if kind == "leave"]
+
+
+@pytest.mark.parametrize("model", [LARGE, SMALL])
+@pytest.mark.parametrize("silence_s", [1.0, 1.6])
+@pytest.mark.parametrize("which", ["head", "member", "all"])
+async def test_silent_group_with_work_keeps_its_epoch(which, silence_s, model):
+    # Guards against the teardown of a sound group that pauses, which cuts its streams.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, model)
+    node.in_flight[head] = 3
+    before = {vm: fleet.servers[vm].membership for vm in fleet.servers[head].members}
+    order_count = len(fleet.orders)
+    await fall_silent(node, fleet, head, which, silence_s=silence_s)
+    await asyncio.sleep(6.0)
+    assert leave_orders(fleet, order_count) == []
+    assert {vm: fleet.servers[vm].membership for vm in before} == before
+    node.in_flight[head] = 0
+    await asyncio.sleep(6.0)
+    assert leave_orders(fleet, order_count) == []
+    assert len(fleet.open_groups()) == 2
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_group_that_pauses_again_keeps_its_epoch():
+    # Guards against two pauses of a group that are taken for one long silence.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, SMALL)
+    node.in_flight[head] = 3
+    before = fleet.open_groups()
+    order_count = len(fleet.orders)
+    for _ in range(4):
+        await fall_silent(node, fleet, head, "head", silence_s=1.6)
+        await asyncio.sleep(0.4)
+    await asyncio.sleep(6.0)
+    assert leave_orders(fleet, order_count) == []
+    assert fleet.open_groups() == before
+    await node.stop()
+
+
+@pytest.mark.parametrize("which", ["head", "member"])
+async def test_silent_group_without_work_is_torn_down_at_once(which):
+    # Guards against a repair that waits although no stream can be cut.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, SMALL)
+    order_count = len(fleet.orders)
+    for vm in silent_members(fleet, head, which):
+        fleet.servers[vm].reachable = False
+    node.controller.mark_suspect(head)
+    await asyncio.sleep(0.5)
+    assert leave_orders(fleet, order_count)
+    await node.stop()
+
+
+@pytest.mark.parametrize("which", ["head", "member"])
+async def test_silent_group_is_torn_down_when_its_work_has_ended(which):
+    # Guards against a repair that waits although all streams have moved or ended.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, SMALL)
+    node.in_flight[head] = 3
+    order_count = len(fleet.orders)
+    for vm in silent_members(fleet, head, which):
+        fleet.servers[vm].reachable = False
+    node.controller.mark_suspect(head)
+    await asyncio.sleep(0.8)
+    assert leave_orders(fleet, order_count) == []
+    node.in_flight[head] = 0
+    await asyncio.sleep(0.3)
+    assert leave_orders(fleet, order_count)
+    await node.stop()
+
+
+@pytest.mark.parametrize("which", ["head", "member"])
+async def test_group_with_work_that_stays_silent_is_torn_down_after_two_seconds(which):
+    # Guards against a lost group that is kept because each stall restarts the wait.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, SMALL)
+    node.in_flight[head] = 3
+    order_count = len(fleet.orders)
+    silence = asyncio.create_task(
+        fall_silent(node, fleet, head, which, silence_s=10 * STALL_S)
+    )
+    await asyncio.sleep(STALL_S + 1.9)
+    assert leave_orders(fleet, order_count) == []
+    await asyncio.sleep(0.4)
+    assert leave_orders(fleet, order_count)
+    await silence
+    await asyncio.sleep(20.0)
+    assert len(fleet.open_groups()) == 2
+    assert fleet.violations == []
+    await node.stop()
+
+
+@pytest.mark.parametrize("evidence", ["entry_gone", "head_broken"])
+async def test_other_evidence_than_silence_ends_a_group_with_work_at_once(evidence):
+    # Guards against a wait for a group that is known to be lost.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, SMALL)
+    node.in_flight[head] = 3
+    order_count = len(fleet.orders)
+    member = member_of(fleet, SMALL)
+    fleet.servers[member].reachable = False
+    if evidence == "entry_gone":
+        fleet.deregister(member)
+    else:
+        membership = fleet.servers[head].membership
+        assert membership is not None
+        fleet.servers[head].membership = dataclasses.replace(
+            membership, state=GroupState.BROKEN
+        )
+        fleet.expire_entry(head)
+    node.controller.mark_suspect(head)
+    await asyncio.sleep(0.8)
+    assert leave_orders(fleet, order_count)
+    await node.stop()
+
+
+async def test_member_that_answers_after_the_suspicion_is_not_lost():
+    # Guards against the teardown of a sound group, once its streams have ended, for a
+    # silence that has passed.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, SMALL)
+    node.in_flight[head] = 3
+    before = fleet.open_groups()
+    order_count = len(fleet.orders)
+    member = member_of(fleet, SMALL)
+    fleet.servers[member].reachable = False
+    node.controller.mark_suspect(head)
+    await asyncio.sleep(4.0)
+    fleet.servers[member].reachable = True
+    await asyncio.sleep(1.0)
+    node.in_flight[head] = 0
+    await asyncio.sleep(6.0)
+    assert leave_orders(fleet, order_count) == []
+    assert fleet.open_groups() == before
+    await node.stop()
