Let sound servers of the process soak fall silent while the declaration changes

The soak paused a domain for up to 3 s, but no check told an answer that was lost in a pause from one that another fault ended.

Change: the fault "servers_silent" stops the processes of all servers or one of them for 1.0 to 1.6 s and stores another declaration meanwhile. Calls that were read by an entry VM, and ended by it with 502 or without an end before the timeout of their route, are reported if they met a silence and no other fault affected entry VM, servers or soak from 4 s before. Faults of the store do not excuse them. Fault windows of servers now name their process and kind instead of "servers", which no check read. The silences have a source of random numbers of their own, so the draws of the other faults of a seed stay; each run ends with one more silence, 5 s after the last other fault.

--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -7,14 +7,20 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 
 from pomelolug.experiments.process_soak._cluster import (
     EntryVm,
     ProcessCluster,
     ServerHandle,
 )
-from pomelolug.experiments.process_soak._disturbances import FaultWindows
+from pomelolug.experiments.process_soak._disturbances import (
+    QUIET_PERIOD_S,
+    FaultWindow,
+    FaultWindows,
+    server_targets,
+)
+from pomelolug.experiments.process_soak._processes import SoakProcess
 from pomelolug.experiments.process_soak._promises import GuaranteeChecker
 from pomelolug.platform import TOPIC_DECLARATION, TOPIC_SERVERS
 from pomelolug.testing import LinkFault
@@ -34,6 +40,8 @@
 _LIMIT_DURATION_RANGE_S = (5.0, 10.0)
 _CALM_START_S = 2.0
 """Time in which callers use all servers before the first fault."""
+_CALM_TIME_S = 1.0
+"""Time without effects of faults before an interruption, for calls to be sent."""
 _LONG_SILENCE_RANGE_S = (2.5, 4.0)
 _RECENT_RUNS = 20
 _UNLISTING_TIME_S = 0.2
@@ -44,8 +52,11 @@
 _REWRITTEN_TOPICS = (TOPIC_DECLARATION, TOPIC_SERVERS)
 _REWRITE_DELAY_RANGE_S = (0.2, 1.5)
 _UNAVAILABLE_STATUS = 503
-_SERVERS_ONLY = "servers"
-"""Target of fault windows that do not affect any entry VM."""
+_INTERRUPTION_MEAN_INTERVAL_S = 5.0
+_SILENCE_RANGE_S = (1.0, 1.6)
+"""Silences that are no disruption of sound servers."""
+_ALL_SILENT_SHARE = 0.5
+_PLAIN_TIMEOUTS_MS = (1000, 1200, 1500)
 
 
 class FaultInjector:
@@ -61,6 +72,9 @@
         Receives the time window and the targets of each fault.
     rng : random.Random
         Chooses faults, targets and durations.
+    interruption_rng : random.Random
+        Chooses the same for interruptions of servers, so that the other faults of a
+        seed do not depend on them.
     """
 
     def __init__(
@@ -69,11 +83,13 @@
         guarantees: GuaranteeChecker,
         fault_windows: FaultWindows,
         rng: random.Random,
+        interruption_rng: random.Random,
     ) -> None:
         self._cluster = cluster
         self._guarantees = guarantees
         self._fault_windows = fault_windows
         self._rng = rng
+        self._interruption_rng = interruption_rng
         self._started_at_s = time.monotonic()
         self._tasks: set[asyncio.Task[None]] = set()
         self._reserved: set[str] = set()
@@ -107,26 +123,52 @@
             "key_revoked": self._revoke_key,
             "timeouts_changed": self._change_timeouts,
         }
+        self._interruptions_by_kind: dict[str, Callable[[], Awaitable[None]]] = {
+            "servers_silent": self._silence_servers,
+        }
 
     async def run(self, length_s: float) -> None:
         """Inject faults for `length_s` seconds, then wait for the last one to end.
 
         Bounds on time apply only to entry VMs that nothing else disturbs, so a server
-        leaves before the other faults begin.
+        leaves before the other faults begin, and each kind of interruption of servers
+        happens once more after them.
         """
         await asyncio.sleep(_CALM_START_S)
         await self._inject("server_unlisted")
         until_s = time.monotonic() + length_s
-        while time.monotonic() < until_s:
-            await asyncio.sleep(self._rng.expovariate(1.0 / _MEAN_INTERVAL_S))
-            kind = self._rng.choice(list(self._faults_by_kind))
-            task = asyncio.create_task(self._inject(kind))
-            self._tasks.add(task)
+        await asyncio.gather(
+            self._inject_at_random(
+                self._faults_by_kind, _MEAN_INTERVAL_S, self._rng, until_s
+            ),
+            self._inject_at_random(
+                self._interruptions_by_kind,
+                _INTERRUPTION_MEAN_INTERVAL_S,
+                self._interruption_rng,
+                until_s,
+            ),
+        )
         await asyncio.gather(*self._tasks)
+        for kind in self._interruptions_by_kind:
+            await asyncio.sleep(QUIET_PERIOD_S + _CALM_TIME_S)
+            await self._inject(kind)
+
+    async def _inject_at_random(
+        self,
+        kinds: Iterable[str],
+        mean_interval_s: float,
+        rng: random.Random,
+        until_s: float,
+    ) -> None:
+        """Begin faults of the given kinds until a time."""
+        while time.monotonic() < until_s:
+            await asyncio.sleep(rng.expovariate(1.0 / mean_interval_s))
+            kind = rng.choice(list(kinds))
+            self._tasks.add(asyncio.create_task(self._inject(kind)))
 
     async def _inject(self, kind: str) -> None:
         self.counts[kind] += 1
-        await self._faults_by_kind[kind]()
+        await (self._faults_by_kind | self._interruptions_by_kind)[kind]()
 
     def record_event(self, text: str) -> None:
         """Add a line with the current time to the history."""
@@ -139,7 +181,7 @@
         *targets: str,
         is_planned: bool = False,
         is_of_store: bool = False,
-    ) -> AsyncIterator[None]:
+    ) -> AsyncIterator[FaultWindow]:
         """Record a fault window that spans the block."""
         window = self._fault_windows.open(
             *targets,
@@ -149,7 +191,7 @@
         )
         self.record_event(text)
         try:
-            yield
+            yield window
         finally:
             window.end_s = time.monotonic()
             self.record_event(f"over: {text}")
@@ -321,7 +363,9 @@
         if (server := self._reserve_random_server()) is None:
             return
         fault = self._rng.choice(_LINK_FAULTS)
-        async with self._fault_window(f"{server.vm} link {fault.value}", server.vm):
+        async with self._fault_window(
+            f"{server.vm} link {fault.value}", server.vm, *server_targets(server.vm)
+        ):
             server.link.delay_s = self._rng.uniform(0.02, 0.4)
             server.link.fault = fault
             await asyncio.sleep(self._random_duration_s())
@@ -329,7 +373,8 @@
         self._reserved.discard(server.vm)
 
     async def _reset_server_links(self) -> None:
-        async with self._fault_window("server links reset", _SERVERS_ONLY):
+        targets = {t for s in self._cluster.servers for t in server_targets(s.vm)}
+        async with self._fault_window("server links reset", *targets):
             for server in self._cluster.servers:
                 if self._rng.random() < 0.5:
                     server.link.reset()
@@ -337,7 +382,7 @@
     async def _lose_server(self) -> None:
         if (server := self._reserve_random_server()) is None:
             return
-        async with self._fault_window(f"{server.vm} lost", _SERVERS_ONLY):
+        async with self._fault_window(f"{server.vm} lost", *server_targets(server.vm)):
             server.is_lost = True
             self._cluster.send_command(server, "dark")
             await self._cluster.expire_server_entry(server)
@@ -349,7 +394,7 @@
         if (server := self._reserve_random_server()) is None:
             return
         async with self._fault_window(
-            f"{server.vm} restarts under its id", _SERVERS_ONLY
+            f"{server.vm} restarts under its id", *server_targets(server.vm)
         ):
             self._send_restart(server)
         self._reserved.discard(server.vm)
@@ -362,7 +407,7 @@
         if (server := self._reserve_random_server()) is None:
             return
         async with self._fault_window(
-            f"{server.vm} leaves", _SERVERS_ONLY, is_planned=True
+            f"{server.vm} leaves", *server_targets(server.vm), is_planned=True
         ):
             self._cluster.send_command(server, "drain")
             await asyncio.sleep(_DRAIN_DURATION_S)
@@ -379,7 +424,9 @@
         if (server := self._reserve_busy_server()) is None:
             return
         async with self._fault_window(
-            f"{server.vm} leaves unannounced", _SERVERS_ONLY, is_planned=True
+            f"{server.vm} leaves unannounced",
+            *server_targets(server.vm),
+            is_planned=True,
         ):
             self._cluster.send_command(server, "unlist")
             await asyncio.sleep(_UNLISTING_TIME_S)
@@ -394,7 +441,7 @@
     async def _slow_server(self) -> None:
         if (server := self._reserve_random_server()) is None:
             return
-        async with self._fault_window(f"{server.vm} slow", _SERVERS_ONLY):
+        async with self._fault_window(f"{server.vm} slow", *server_targets(server.vm)):
             self._cluster.send_command(server, "slow", self._rng.uniform(2.0, 8.0))
             await asyncio.sleep(self._random_duration_s())
             self._cluster.send_command(server, "slow", 1.0)
@@ -403,7 +450,9 @@
     async def _garble_server_answers(self) -> None:
         if (server := self._reserve_random_server()) is None:
             return
-        async with self._fault_window(f"{server.vm} garbles", _SERVERS_ONLY):
+        async with self._fault_window(
+            f"{server.vm} garbles", *server_targets(server.vm)
+        ):
             self._cluster.send_command(server, "garble", self._rng.uniform(0.1, 0.7))
             await asyncio.sleep(self._random_duration_s())
             self._cluster.send_command(server, "garble", 0.0)
@@ -414,7 +463,7 @@
             return
         limit_per_s = round(self._rng.uniform(*_LIMIT_RANGE_PER_S), 2)
         async with self._fault_window(
-            f"{server.vm} limited to {limit_per_s}/s", _SERVERS_ONLY
+            f"{server.vm} limited to {limit_per_s}/s", *server_targets(server.vm)
         ):
             self._cluster.send_command(server, "limit", limit_per_s)
             period = self._guarantees.record_limit(
@@ -430,7 +479,9 @@
         if (server := self._reserve_random_server()) is None:
             return
         async with self._fault_window(
-            f"{server.vm} states that it leaves", _SERVERS_ONLY, is_planned=True
+            f"{server.vm} states that it leaves",
+            *server_targets(server.vm),
+            is_planned=True,
         ):
             self._cluster.send_command(server, "leave")
             await asyncio.sleep(self._rng.uniform(*_STATEMENT_LEAD_RANGE_S))
@@ -454,7 +505,8 @@
         pause_s = round(self._rng.uniform(*_PAUSE_RANGE_S), 2)
         names = ", ".join(s.vm for s in servers)
         async with self._fault_window(
-            f"{names} ask for pauses of {pause_s} s", _SERVERS_ONLY
+            f"{names} ask for pauses of {pause_s} s",
+            *(target for s in servers for target in server_targets(s.vm)),
         ):
             for server in servers:
                 self._cluster.send_command(server, "pause", pause_s)
@@ -467,13 +519,44 @@
         process = self._rng.choice(self._cluster.server_processes)
         if not self._reserve(process.name):
             return
-        vms = [s.vm for s in self._cluster.servers if s.process is process]
-        async with self._fault_window(f"{process.name} paused", *vms):
+        targets = self._targets_of(process)
+        async with self._fault_window(f"{process.name} paused", *targets):
             process.signal(signal.SIGSTOP)
             await asyncio.sleep(min(self._random_duration_s(), 3.0))
             process.signal(signal.SIGCONT)
         self._reserved.discard(process.name)
 
+    async def _silence_servers(self) -> None:
+        """Let all servers of one or all processes fall silent while timeouts change."""
+        rng = self._interruption_rng
+        processes = list(self._cluster.server_processes)
+        if rng.random() >= _ALL_SILENT_SHARE:
+            processes = [rng.choice(processes)]
+        silence_s = rng.uniform(*_SILENCE_RANGE_S)
+        changes_after_s = rng.uniform(0.0, silence_s)
+        timeout_ms = rng.choice(_PLAIN_TIMEOUTS_MS)
+        processes = [p for p in processes if self._reserve(p.name)]
+        targets = [target for p in processes for target in self._targets_of(p)]
+        if not processes:
+            return
+        names = ", ".join(p.name for p in processes)
+        async with self._fault_window(f"{names} silent", *targets) as window:
+            self._guarantees.record_silence(window)
+            for process in processes:
+                process.signal(signal.SIGSTOP)
+            await asyncio.sleep(changes_after_s)
+            self.record_event("timeouts changed")
+            self._update_declaration(plain_timeout_ms=timeout_ms)
+            await asyncio.sleep(silence_s - changes_after_s)
+            for process in processes:
+                process.signal(signal.SIGCONT)
+        self._reserved -= {p.name for p in processes}
+
+    def _targets_of(self, process: SoakProcess) -> set[str]:
+        """Return the targets that stand for all servers of a process."""
+        vms = [s.vm for s in self._cluster.servers if s.process is process]
+        return {target for vm in vms for target in (vm, *server_targets(vm))}
+
     # The operator
 
     async def _revoke_key(self) -> None:
@@ -490,7 +573,7 @@
 
     async def _change_timeouts(self) -> None:
         self.record_event("timeouts changed")
-        self._update_declaration(plain_timeout_ms=self._rng.choice((1000, 1200, 1500)))
+        self._update_declaration(plain_timeout_ms=self._rng.choice(_PLAIN_TIMEOUTS_MS))
 
     def _update_declaration(self, **changes: object) -> None:
         deployment = self._cluster.deployment
--- /dev/null
+++ b/pomelolug/experiments/process_soak/_interruptions.py
@@ -0,0 +1,110 @@
+"""Checks of answers while servers are silent or links to them are cut."""
+
+from collections.abc import Container, Iterable, Iterator
+
+from pomelolug.experiments.process_soak._calls import (
+    TAINTED_PATH_PART,
+    CallKind,
+    CallOutcome,
+    SentCall,
+    ServerRun,
+)
+from pomelolug.experiments.process_soak._disturbances import (
+    QUIET_PERIOD_S,
+    SOAK_PROCESS,
+    FaultWindow,
+    FaultWindows,
+    server_targets,
+)
+from pomelolug.testing import CRASH_PATH_PART
+
+__all__ = ["is_lost_answer", "silence_violations"]
+
+_SERVER_LOST_STATUS = 502
+_ASSUMED_READ_S = 0.2
+"""Time after which a request on a new connection counts as read.
+
+A request that was read must be answered even if the entry VM is stopped as planned.
+"""
+_SHORTEST_TIMEOUT_S = {CallKind.SAFE: 1.0, CallKind.ONCE: 1.0, CallKind.STREAM: 5.0}
+"""Time from which on the timeout of a route, which changes, may have ended a call."""
+_SERVER_POOLS = {
+    CallKind.SAFE: "plain",
+    CallKind.ONCE: "plain",
+    CallKind.STREAM: "domain",
+}
+
+
+def silence_violations(
+    calls: Iterable[SentCall],
+    runs: Iterable[ServerRun],
+    silences: Iterable[FaultWindow],
+    windows: FaultWindows,
+) -> Iterator[str]:
+    """Yield the calls that were lost because their sound servers were silent.
+
+    Other faults of the entry VM or of the servers excuse them, those of the store do
+    not.
+    """
+    silences = list(silences)
+    processes: dict[str, set[str]] = {}
+    for run in runs:
+        process, _ = server_targets(run.vm)
+        processes.setdefault(run.request_id, set()).add(process)
+    for call in calls:
+        # A call that no server reports may have been sent to any server of its kind.
+        ran_at = processes.get(call.request_id, set())
+        targets = ran_at or {_SERVER_POOLS[call.kind]}
+        met = [
+            silence
+            for silence in silences
+            if silence.overlaps(call.sent_at_s, call.ended_at_s)
+            and targets & silence.targets
+        ]
+        if (
+            met
+            and not _crashes_servers(call)
+            and call.ended_at_s - call.sent_at_s < _SHORTEST_TIMEOUT_S[call.kind]
+            and _is_undisturbed(call, targets, windows, silences)
+        ):
+            if call.answer.is_complete and call.answer.status == _SERVER_LOST_STATUS:
+                yield f"{call.request_id} at {call.entry} got 502 from silent servers"
+            elif is_lost_answer(call, has_run=bool(ran_at)):
+                yield (
+                    f"{call.request_id} at {call.entry} got no whole answer from "
+                    "silent servers"
+                )
+
+
+def is_lost_answer(call: SentCall, *, has_run: bool) -> bool:
+    """Return whether a call that was read was closed without a whole answer."""
+    # A call on a reused connection may race with its closing and never be read.
+    was_read = has_run or (
+        call.is_first_on_connection
+        and call.ended_at_s - call.sent_at_s > _ASSUMED_READ_S
+    )
+    is_broken = call.outcome is CallOutcome.BROKEN and not call.answer.is_complete
+    return is_broken and was_read
+
+
+def _is_undisturbed(
+    call: SentCall,
+    servers: Iterable[str],
+    windows: FaultWindows,
+    ignored: Container[FaultWindow],
+) -> bool:
+    """Return whether no other fault of entry VM, servers or soak affected a call."""
+    start_s = call.sent_at_s - QUIET_PERIOD_S
+    return not (
+        windows.is_affected(SOAK_PROCESS, call.sent_at_s, call.ended_at_s)
+        or any(
+            windows.is_affected(
+                target, start_s, call.ended_at_s, by_store=False, ignored=ignored
+            )
+            for target in (call.entry, *servers)
+        )
+    )
+
+
+def _crashes_servers(call: SentCall) -> bool:
+    return CRASH_PATH_PART in call.path or TAINTED_PATH_PART in call.path
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -14,8 +14,15 @@
     TurnedAwayRequest,
 )
 from pomelolug.experiments.process_soak._disturbances import (
+    QUIET_PERIOD_S,
     SOAK_PROCESS,
+    FaultWindow,
     FaultWindows,
+    server_targets,
+)
+from pomelolug.experiments.process_soak._interruptions import (
+    is_lost_answer,
+    silence_violations,
 )
 from pomelolug.experiments.process_soak._statements import (
     departure_violations,
@@ -28,8 +35,6 @@
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that the request did not run and never will."""
 _ENTRY_REFUSAL_STATUSES = (401, 403, 404)
-_QUIET_PERIOD_S = 4.0
-"""Time after a fault window at which time bounds apply again."""
 _REVOCATION_LIMIT_S = 5.0
 _DRAIN_LIMIT_S = 2.0
 _CANCELLATION_LIMIT_S = 0.5
@@ -52,11 +57,6 @@
 """Requests allowed in a window beyond that."""
 _LIMIT_KNOWN_S = 0.5
 """Time after a response with a limit from which its entry VM has to keep to it."""
-_ASSUMED_READ_S = 0.2
-"""Time after which a request on a new connection counts as read.
-
-A request that was read must be answered even if the entry VM is stopped as planned.
-"""
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -104,6 +104,7 @@
         self._departures: list[DeparturePeriod] = []
         self._limit_periods: list[LimitPeriod] = []
         self._turned_away: list[TurnedAwayRequest] = []
+        self._silences: list[FaultWindow] = []
         self._reported_violations: list[str] = []
 
     @property
@@ -125,7 +126,10 @@
         self._runs.append(run)
         if CRASH_PATH_PART in run.path or TAINTED_PATH_PART in run.path:
             window = self._fault_windows.open(
-                run.vm, start_s=run.started_at_s, is_planned=False
+                run.vm,
+                *server_targets(run.vm),
+                start_s=run.started_at_s,
+                is_planned=False,
             )
             window.end_s = run.started_at_s + _CRASH_EFFECT_S
 
@@ -160,6 +164,10 @@
         self._limit_periods.append(period)
         return period
 
+    def record_silence(self, window: FaultWindow) -> None:
+        """Record the window in which sound servers fall silent and go on."""
+        self._silences.append(window)
+
     def check(self, *, timeouts: dict[CallKind, datetime.timedelta]) -> list[str]:
         """Return all violated guarantees."""
         counts = Counter(run.request_id for run in self._runs)
@@ -177,6 +185,9 @@
         violations += pause_violations(
             self._calls, self._runs, self._turned_away, self._fault_windows
         )
+        violations += silence_violations(
+            self._calls.values(), self._runs, self._silences, self._fault_windows
+        )
         return violations + list(self._containment_violations())
 
     def _limit_violations(self, period: LimitPeriod) -> Iterator[str]:
@@ -280,17 +291,10 @@
 
     def _lost_answer_violations(self, call: SentCall, runs: int) -> Iterator[str]:
         """Yield a violation if a planned stop lost the answer to `call`."""
-        if call.outcome is not CallOutcome.BROKEN or call.answer.is_complete:
-            return
-        start_s = call.sent_at_s - _QUIET_PERIOD_S
+        start_s = call.sent_at_s - QUIET_PERIOD_S
         if self._fault_windows.has_unplanned(start_s, call.ended_at_s):
             return
-        # A call on a reused connection may race with its closing and never be read.
-        was_read = runs or (
-            call.is_first_on_connection
-            and call.ended_at_s - call.sent_at_s > _ASSUMED_READ_S
-        )
-        if was_read:
+        if is_lost_answer(call, has_run=runs > 0):
             yield f"{call.request_id} at {call.entry} got no whole answer"
 
     def _run_violations(self, run: ServerRun) -> Iterator[str]:
@@ -340,7 +344,7 @@
         )
 
     def _is_affected(self, target: str, start_s: float, end_s: float) -> bool:
-        return self._fault_windows.is_affected(target, start_s - _QUIET_PERIOD_S, end_s)
+        return self._fault_windows.is_affected(target, start_s - QUIET_PERIOD_S, end_s)
 
 
 def _crash_times_s(runs: list[ServerRun]) -> Iterator[float]:
--- a/pomelolug/experiments/process_soak/_run.py
+++ b/pomelolug/experiments/process_soak/_run.py
@@ -85,7 +85,11 @@
     )
     callers = Callers(cluster, guarantees, random.Random(rng.random()))
     faults = FaultInjector(
-        cluster, guarantees, fault_windows, random.Random(rng.random())
+        cluster,
+        guarantees,
+        fault_windows,
+        random.Random(rng.random()),
+        random.Random(rng.random()),
     )
     tasks: list[asyncio.Task[None]] = []
     try:
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -403,3 +403,78 @@
     assert not find_statement_violations(is_leaving=False, life=1)
     assert not find_statement_violations(is_leaving=False, target="entry-0")
     assert not find_statement_violations(is_leaving=False, target="vm-1")
+
+
+CLOSED = {"outcome": CallOutcome.BROKEN, "answer": CallerResponse(status=200)}
+ANSWERED_502 = {"answer": CallerResponse(status=502, is_complete=True)}
+
+
+def find_silence_violations(
+    kind: CallKind = CallKind.STREAM,
+    *,
+    vm: str = "domain-0-vm-1",
+    target: str | None = None,
+    is_of_store: bool = False,
+    **changes,
+) -> list[str]:
+    """Return the violations of a call of 1.2 s whose servers are silent for 1.5 s.
+
+    It runs at `vm`, or nowhere without it; a fault affects `target` shortly before.
+    """
+    call = make_call(kind, ended_at_s=START + 1.2)
+    if "answer" in changes:
+        changes["answer"] = dataclasses.replace(changes["answer"], has_seal=True)
+    call = dataclasses.replace(call, **changes)
+    windows = FaultWindows()
+    guarantees = GuaranteeChecker(windows)
+    silence = windows.open("domain-0", "domain", start_s=START + 0.1, is_planned=False)
+    silence.end_s = START + 1.6
+    guarantees.record_silence(silence)
+    if target is not None:
+        window = windows.open(
+            *filter(None, [target]),
+            start_s=START - 2.0,
+            is_planned=False,
+            is_of_store=is_of_store,
+        )
+        window.end_s = START - 1.5
+    guarantees.record_call(call)
+    if vm:
+        guarantees.record_run(make_run(vm=vm, path=call.path))
+    timeout = datetime.timedelta(seconds=9)
+    return guarantees.check(timeouts=dict.fromkeys(CallKind, timeout))
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected_text"),
+    [(CLOSED, "got no whole answer from silent"), (ANSWERED_502, "got 502 from")],
+)
+def test_calls_that_are_lost_while_sound_servers_are_silent_are_reported(
+    changes, expected_text
+):
+    # Guards against a soak that takes a silent server for a lost one.
+    (violation,) = find_silence_violations(**changes)
+    assert violation.startswith("r1 at entry-0") and expected_text in violation
+    # A call that never ran, of which the server reports nothing, is lost as well.
+    assert find_silence_violations(vm="", **changes) == [violation]
+    # The store is no excuse, nor is another entry VM or process of servers.
+    assert find_silence_violations(target="", is_of_store=True, **changes)
+    assert find_silence_violations(target="entry-1", **changes)
+    assert find_silence_violations(target="domain-1", **changes)
+
+
+def test_calls_that_are_lost_for_another_reason_than_a_silence_are_allowed():
+    # Guards against a checker that reports allowed behaviour.
+    assert not find_silence_violations()
+    refused = CallerResponse(status=503, is_complete=True)
+    assert not find_silence_violations(answer=refused)
+    for target in ("entry-0", "domain-0", ""):
+        assert not find_silence_violations(target=target, **CLOSED)
+    assert not find_silence_violations(vm="", target="domain", **ANSWERED_502)
+    assert not find_silence_violations(vm="domain-1-vm-1", **CLOSED)
+    assert not find_silence_violations(CallKind.ONCE, vm="plain-vm-1", **ANSWERED_502)
+    # The deadline or the timeout of the route may have ended it.
+    assert not find_silence_violations(ended_at_s=START + 5.1, **CLOSED)
+    # It ended before the silence, or crashes servers.
+    assert not find_silence_violations(ended_at_s=START + 0.05, **ANSWERED_502)
+    assert not find_silence_violations(path="/stream/crash/1", **ANSWERED_502)
