Take the silence of a server for a suspicion until the registry shows its end

Cause: an attempt aborted as stalled counted as a lost connection, which is evident, names the parts of the prompt and is told to other nodes; 1.0 s without a response was evident too; and the wait of a quarantine did not depend on what it rests on.

Change: RunEnd.STALLED is a suspicion. A suspicion names the request only. When the registry shows the end of the server or of a member of its group, the parts are recorded with the time of the suspicion, unless the server has responded or the part was answered meanwhile. A silence is evident after 2.1 s without a sign of life of the server, over runs that overlap or adjoin: so the 1.5 s run of test_other_nodes_are_told_at_once_of_a_server_that_was_silent_for_long, which follows two others without a response, is still told. The Retry-After of a quarantine with fewer than three confirmed losses is at most the decision delay, 9.6 s with entries of 3.6 s; the refusal itself lasts as before. Losses that other nodes report count as confirmed, but a repetition of this node's own suspicions does not.

Before the change, test_parts_of_streams_that_left_silent_groups_are_served and test_refusal_for_silent_servers_ends_soon failed (503 for the new requests, a Retry-After above 9.6 s). Of the new cases of test_run_monitor.py, tried with CONNECTION_LOST instead of the new end, those on parts named by a silence and on the Retry-After failed.

--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -22,6 +22,8 @@
 _MAX_SKIPPED_BODY_BYTES = 4 * 1024 * 1024
 _MAX_RESPONSES = 3
 """Maximum number of responses read to find the one to this request."""
+_STALLED_REASON = "stalled"
+"""Reason of the abort of a stalled stream that another group goes on with."""
 _SURVIVED_REASONS = frozenset(
     {
         "event_missing",
@@ -321,6 +323,8 @@
         if reply is not None and (reply.refused or reply.status >= 300):
             return RunEnd.SURVIVED
         if isinstance(exc, AttemptError):
+            if exc.reason == _STALLED_REASON:
+                return RunEnd.STALLED
             survived = exc.reason in _SURVIVED_REASONS
             return RunEnd.SURVIVED if survived else RunEnd.CONNECTION_LOST
         if reply is not None and exc is None and self._body_complete:
--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -55,6 +55,8 @@
 """Maximum number of fingerprints in a message to other nodes."""
 _MAX_SHARED_LOSSES = 8
 """Maximum number of losses of a request in a message to other nodes."""
+_OWN_SOURCE = "own"
+"""Source of the losses that this node has noticed itself."""
 
 
 class QuarantinedError(Exception):
@@ -81,7 +83,8 @@
     """Loss of a server; `is_suspicion` until there is a sign that it has ended.
 
     `is_own_zone` tells whether this node or one of its zone noticed it, and
-    `is_running` that the server may still answer the request.
+    `is_running` that the server may still answer the request. `is_unconfirmed` is a
+    suspicion of this node that it has no sign for itself; other nodes may repeat it.
     """
 
     at_s: float
@@ -89,6 +92,7 @@
     is_suspicion: bool
     is_own_zone: bool
     is_running: bool = False
+    is_unconfirmed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,7 +150,7 @@
         is_suspicion: bool = False,
         is_running: bool = False,
         is_own_zone: bool = True,
-        source: str = "own",
+        source: str = _OWN_SOURCE,
     ) -> None:
         """Record the loss of a server that ran a request.
 
@@ -176,11 +180,18 @@
         if known is not None:
             known.is_suspicion = known.is_suspicion and is_suspicion
             known.is_running = known.is_running and is_running
+            if source == _OWN_SOURCE and not is_suspicion:
+                known.is_unconfirmed = False
             known.at_s = min(known.at_s, now_s - age_s)
             return
         self._times_sent.pop(fingerprint, None)
         losses[loss_id] = _Loss(
-            now_s - age_s, now_s, is_suspicion, is_own_zone, is_running
+            now_s - age_s,
+            now_s,
+            is_suspicion,
+            is_own_zone,
+            is_running,
+            is_unconfirmed=is_suspicion,
         )
         if _is_part_loss(loss_id):
             self._culprits = None
@@ -196,7 +207,10 @@
     def confirm_loss(self, fingerprint: str, loss_id: str) -> None:
         """Record that a server suspected to be lost has ended."""
         loss = self._losses.get(fingerprint, {}).get(loss_id)
-        if loss is not None and loss.is_suspicion:
+        if loss is None:
+            return
+        loss.is_unconfirmed = False
+        if loss.is_suspicion:
             loss.is_suspicion = loss.is_running = False
             loss.learned_at_s = self._clock.monotonic()
 
@@ -235,6 +249,10 @@
             del self._answered_at_s[next(iter(self._answered_at_s))]
         self.acquit(part)
 
+    def was_answered(self, part: str, *, since_s: float) -> bool:
+        """Return whether an answer was written on a part since a monotonic time."""
+        return self._answered_at_s.get(part, float("-inf")) >= since_s
+
     def loss_count(self, fingerprint: str) -> int:
         """Return the number of servers known to be lost while running a request."""
         return len(self._losses.get(fingerprint, ()))
@@ -283,6 +301,15 @@
             return 0.0
         return self.quarantine_left_s(identity.request)
 
+    def rests_on_suspicions(self, identity: RequestIdentity) -> bool:
+        """Return whether a refusal ends if this node's suspicions turn out false."""
+        parts = set(identity.prompt_parts)
+        if any(culprit <= parts for culprit in self._find_culprits()):
+            return False
+        losses = self._losses.get(identity.request, {}).values()
+        confirmed_count = sum(not loss.is_unconfirmed for loss in losses)
+        return confirmed_count < QUARANTINE_LOSS_COUNT
+
     def _find_culprits(self) -> list[frozenset[str]]:
         """Return the sets of parts that are refused together, computed when needed."""
         if self._culprits is not None:
--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -4,6 +4,9 @@
 without a usable response counts as a loss at once, whether the connection ended or the
 server only fell silent. The registry then shows whether the server has ended: its
 entry lapses, or it has another start time.
+
+A server may pause, so a silence is only a suspicion, which does not name the parts of
+the prompt until the registry shows the end.
 """
 
 import collections
@@ -33,10 +36,10 @@
 """
 _STORE_LOST_S = 3.0
 """Age of the registry's data at which the store counts as lost."""
-_SILENCE_S = 1.0
-"""Time without a response after which other nodes are told of a loss at once.
+_SILENCE_S = 2.1
+"""Time without a sign of life of a server after which its silence is evidence.
 
-Callers who leave sooner say little about the server.
+A sound server pauses for up to 1.6 s, and callers leave after 2 s.
 """
 _WRITING_S = 0.3
 """Time between events after which a server has survived the beginning of an answer."""
@@ -52,7 +55,9 @@
     SURVIVED = "survived"
     """The server refused, failed, or sent something that cannot be used."""
     CONNECTION_LOST = "connection_lost"
-    """The connection ended, or the streams of the group stalled."""
+    """The connection ended."""
+    STALLED = "stalled"
+    """The streams of the group stalled, and another group went on."""
     UNANSWERED = "unanswered"
     """The run was given up before a response began."""
     INTERRUPTED = "interrupted"
@@ -71,7 +76,7 @@
     began_at_s: float
     first_event_at_s: float | None = None
     has_written: bool = False
-    """Whether the server has survived the beginning of its answer."""
+    """Whether the server has survived the beginning of its answer, or all of it."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,6 +88,14 @@
     at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Silence:
+    """Time in which runs at a server overlapped and none of them was answered."""
+
+    since_s: float
+    until_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PendingLoss:
     """Loss for which the registry does not show yet whether the server has ended.
@@ -91,7 +104,9 @@
     """
 
     run: ServerRun
+    loss_id: str
     claims: tuple[tuple[str, str], ...]
+    at_s: float
     decidable_at_s: float
 
 
@@ -128,6 +143,9 @@
         self._clock = clock
         self._running: set[ServerRun] = set()
         self._loss_events: dict[VmId, _LossEvent] = {}
+        self._silences: dict[VmId, _Silence] = {}
+        # Monotonic time of the latest sign of life of each server.
+        self._heard_at_s: dict[VmId, float] = {}
         self._undecidable_until_s = float("-inf")
         self._pending: collections.deque[_PendingLoss] = collections.deque()
         self._servers: dict[VmId, BackendServer] = {}
@@ -146,6 +164,8 @@
         """
         left_s = self._detector.refusal_left_s(identity)
         if left_s > 0.0:
+            if self._detector.rests_on_suspicions(identity):
+                left_s = min(left_s, self._decision_delay_s)
             raise QuarantinedError(datetime.timedelta(seconds=left_s))
 
     def begin(
@@ -169,6 +189,7 @@
         A server that goes on writing has survived the parts of the prompt.
         """
         now_s = self._clock.monotonic()
+        self._heard_at_s[run.server] = now_s
         if run.first_event_at_s is None:
             run.first_event_at_s = now_s
         elif not run.has_written and now_s - run.first_event_at_s >= _WRITING_S:
@@ -187,17 +208,20 @@
             self._detector.record_loss(
                 fingerprint, loss_id, is_suspicion=True, is_running=True
             )
-            self._add_pending(run, ((fingerprint, loss_id),))
+            self._add_pending(run, loss_id, ((fingerprint, loss_id),))
 
     def finish(self, run: ServerRun, end: RunEnd) -> None:
         """Count the end of a run, unless the end of its server was counted before."""
         is_counted = run not in self._running
         self._running.discard(run)
-        if end is RunEnd.ANSWERED:
-            self._detector.acquit(run.identity.request)
-            self._record_answer(run)
-        elif end is not RunEnd.SURVIVED and not is_counted:
-            was_silent = self._clock.monotonic() - run.began_at_s >= _SILENCE_S
+        if end in (RunEnd.ANSWERED, RunEnd.SURVIVED):
+            self._heard_at_s[run.server] = self._clock.monotonic()
+            run.has_written = True
+            if end is RunEnd.ANSWERED:
+                self._detector.acquit(run.identity.request)
+                self._record_answer(run)
+        elif not is_counted:
+            was_silent = self._extend_silence(run) >= _SILENCE_S
             is_evident = end is RunEnd.CONNECTION_LOST or (
                 end is RunEnd.UNANSWERED and was_silent
             )
@@ -235,6 +259,9 @@
                 del self._ended_at_s[target]
         for vm in [v for v in self._loss_events if v not in self._registry.servers]:
             del self._loss_events[vm]
+        for times in (self._silences, self._heard_at_s):
+            for vm in [v for v in times if v not in self._registry.servers]:
+                del times[vm]
         if self._registry_age_s() > _STORE_LOST_S:
             # The lifetime of the entries may not have run on meanwhile.
             self._undecidable_until_s = now_s + self._decision_delay_s
@@ -244,21 +271,39 @@
         for part in run.identity.prompt_parts:
             self._detector.record_answer(part)
 
+    def _extend_silence(self, run: ServerRun) -> float:
+        """Return the seconds of silence of a server, of which a run is the latest."""
+        since_s = run.began_at_s
+        silence = self._silences.get(run.server)
+        if silence is not None and silence.until_s >= run.began_at_s:
+            since_s = min(since_s, silence.since_s)
+        since_s = max(since_s, self._heard_at_s.get(run.server, since_s))
+        now_s = self._clock.monotonic()
+        self._silences[run.server] = _Silence(since_s, now_s)
+        return now_s - since_s
+
     def _record_loss(self, run: ServerRun, *, is_suspicion: bool) -> None:
         loss_id = self._find_loss_id(run)
         claims = [(run.identity.request, loss_id)]
-        if not run.has_written:
-            part_loss_id = run.identity.part_loss_id(loss_id)
-            claims += [(part, part_loss_id) for part in run.identity.prompt_parts]
+        if not is_suspicion:
+            claims += self._part_claims(run, loss_id)
         for fingerprint, claim_id in claims:
             self._detector.record_loss(fingerprint, claim_id, is_suspicion=is_suspicion)
-        self._add_pending(run, tuple(claims))
+        self._add_pending(run, loss_id, tuple(claims))
+
+    def _part_claims(self, run: ServerRun, loss_id: str) -> list[tuple[str, str]]:
+        """Return the parts of a prompt for which a loss counts, each with its id."""
+        if run.has_written:
+            return []
+        part_loss_id = run.identity.part_loss_id(loss_id)
+        return [(part, part_loss_id) for part in run.identity.prompt_parts]
 
-    def _add_pending(self, run: ServerRun, claims: tuple[tuple[str, str], ...]) -> None:
+    def _add_pending(
+        self, run: ServerRun, loss_id: str, claims: tuple[tuple[str, str], ...]
+    ) -> None:
         """Keep a loss until the registry shows whether the server has ended."""
-        loss = _PendingLoss(
-            run, claims, self._clock.monotonic() + self._decision_delay_s
-        )
+        now_s = self._clock.monotonic()
+        loss = _PendingLoss(run, loss_id, claims, now_s, now_s + self._decision_delay_s)
         if self._confirm_if_ended(loss):
             return
         self._pending.append(loss)
@@ -308,6 +353,12 @@
     def _confirm(self, loss: _PendingLoss) -> None:
         for fingerprint, loss_id in loss.claims:
             self._detector.confirm_loss(fingerprint, loss_id)
+        age_s = self._clock.monotonic() - loss.at_s
+        for part, loss_id in self._part_claims(loss.run, loss.loss_id):
+            if (part, loss_id) not in loss.claims and not (
+                self._detector.was_answered(part, since_s=loss.at_s)
+            ):
+                self._detector.record_loss(part, loss_id, age_s=age_s)
 
     def _has_ended(self, run: ServerRun) -> bool:
         """Return whether the server or a member of its group ended after the send."""
--- a/pomelolug/entry/tests/test_run_monitor.py
+++ b/pomelolug/entry/tests/test_run_monitor.py
@@ -12,7 +12,7 @@
     ServerRegistry,
     ServerState,
 )
-from pomelolug.entry._poison_requests import PoisonRequestDetector
+from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
 from pomelolug.entry._request_identity import RequestIdentity
 from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
 from pomelolug.ids import DomainId, GroupId, Offset, ServiceName, VmId, ZoneId
@@ -284,3 +284,117 @@
     for end in (RunEnd.SURVIVED, RunEnd.ANSWERED):
         node.monitor.finish(node.begin(server), end)
     assert node.losses == 0
+
+
+PART = "part"
+
+
+def begin_with_part(node: Node, server: BackendServer, number: int = 0) -> ServerRun:
+    identity = RequestIdentity(f"{number:08x}".ljust(16, "0"), (PART,))
+    return node.monitor.begin(identity, server, connected_at_s=node.clock.monotonic())
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("end", [RunEnd.STALLED, RunEnd.UNANSWERED, RunEnd.INTERRUPTED])
+async def test_silence_of_servers_does_not_name_the_parts_of_prompts(end):
+    # Guards against harmless requests that are refused for a part of their prompts
+    # because many sound servers paused.
+    node = Node()
+    servers = [make_server(f"s{number}") for number in range(6)]
+    node.publish(*servers)
+    for number, server in enumerate(servers):
+        run = begin_with_part(node, server, number)
+        await asyncio.sleep(1.6)
+        node.monitor.finish(run, end)
+    node.monitor.check(RequestIdentity("f" * 16, (PART,)))
+    assert node.detector.loss_count(PART) == 0
+    assert node.detector.losses_to_send() == {}
+
+
+@pytest.mark.looptime
+async def test_end_of_silent_servers_names_the_parts_of_prompts():
+    # Guards against a part of prompts that crashes servers which end without closing
+    # their connections.
+    node = Node()
+    servers = [make_server(f"s{number}") for number in range(3)]
+    node.publish(*servers)
+    for number, server in enumerate(servers):
+        run = begin_with_part(node, server, number)
+        await asyncio.sleep(1.1)
+        node.monitor.finish(run, RunEnd.STALLED)
+    for server in servers:
+        node.remove(server.vm)
+    assert node.detector.loss_count(PART) == 3
+    assert node.detector.is_quarantined(PART)
+    assert PART in node.detector.losses_to_send()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("end", [RunEnd.ANSWERED, RunEnd.SURVIVED])
+async def test_server_that_ends_after_its_response_does_not_name_the_parts(end):
+    # Guards against parts that are suspected because a server paused, responded and
+    # then ended for another reason.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    run = begin_with_part(node, server)
+    node.monitor.record_silence(run)
+    node.monitor.finish(run, end)
+    node.remove("s1")
+    assert node.detector.loss_count(PART) == 0
+
+
+@pytest.mark.looptime
+async def test_end_of_a_silent_server_does_not_name_parts_answered_meanwhile():
+    # Guards against a part that is suspected anew, although another server has written
+    # an answer on it since the silence.
+    node = Node()
+    server, other = make_server(), make_server("s2")
+    node.publish(server, other)
+    node.monitor.finish(begin_with_part(node, server, 1), RunEnd.STALLED)
+    await asyncio.sleep(0.5)
+    node.monitor.finish(begin_with_part(node, other, 2), RunEnd.ANSWERED)
+    node.remove("s1")
+    assert node.detector.loss_count(PART) == 0
+
+
+@pytest.mark.looptime
+async def test_short_runs_at_a_server_that_responds_do_not_add_up_to_a_silence():
+    # Guards against a report to other nodes for callers who leave early one after the
+    # other, while the server responds to others or is not asked.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    for is_heard in (True, False):
+        for _ in range(4):
+            run = node.begin(server, connected_at_s=0.0)
+            await asyncio.sleep(1.0)
+            node.monitor.finish(run, RunEnd.UNANSWERED)
+            if is_heard:
+                other = begin_with_part(node, server)
+                node.monitor.finish(other, RunEnd.ANSWERED)
+            else:
+                await asyncio.sleep(0.1)
+    assert not node.told
+
+
+@pytest.mark.looptime
+async def test_refusal_for_silent_servers_says_when_they_are_examined():
+    # Guards against callers that are sent away for minutes because servers paused,
+    # also after other nodes have repeated what they were told.
+    node = Node()
+    servers = [make_server(f"s{number}") for number in range(4)]
+    node.publish(*servers)
+    for server in servers:
+        node.monitor.finish(node.begin(server), RunEnd.UNANSWERED)
+    node.detector.merge(
+        node.detector.losses_to_send(), cleared={}, is_own_zone=True, source="peer"
+    )
+    with pytest.raises(QuarantinedError) as caught:
+        node.monitor.check(RequestIdentity(REQUEST))
+    assert caught.value.retry_after <= ENTRY_LIFETIME + datetime.timedelta(seconds=6)
+    for server in servers:
+        node.remove(server.vm)
+    with pytest.raises(QuarantinedError) as caught:
+        node.monitor.check(RequestIdentity(REQUEST))
+    assert caught.value.retry_after > datetime.timedelta(seconds=290)
--- a/pomelolug/entry/tests/test_silent_servers.py
+++ b/pomelolug/entry/tests/test_silent_servers.py
@@ -22,6 +22,8 @@
 SILENCE_S = 1.6
 """Less than the 2 s after which callers leave."""
 DEADLINE_MS = 5000
+SETTLED_AFTER_S = 9.6
+"""Time after which the registry shows whether a silent server has ended."""
 
 
 class SilentServers:
@@ -223,6 +225,96 @@
             assert await request(number) == (200, WHOLE_STREAM)
 
 
+async def test_parts_of_streams_that_left_silent_groups_are_served():
+    # Guards against harmless requests that are refused for a part of their prompts
+    # because streams with it moved away from groups that only paused.
+    request_count = 8
+    run_count = 0
+    silent_groups = set()
+    headers = STREAM_HEADERS | {"Prompt_Prefix": "5c1e07a2:40,91bd3f06:60"}
+
+    def make_script(group: int, silent: SilentServers, sound: SilentServers):
+        async def script(request):
+            nonlocal run_count
+            if not request.target.startswith("/stream/"):
+                request.send("404 Not Found", {})
+                return
+            run_count += 1
+            if run_count <= request_count:
+                silent_groups.add(group)
+                await silent.serve_stream(request)
+            else:
+                await sound.serve_stream(request)
+
+        return script
+
+    silent, sound = SilentServers(-1), SilentServers(EVENT_COUNT)
+    async with Harness() as h:
+        h.publish_declaration(long_declaration())
+        for group in range(2 * request_count):
+            await h.add_server(make_script(group, silent, sound), service="llm")
+        await h.start()
+
+        async def request(number: int):
+            head, body = await h.request(
+                f"/stream/{number}",
+                method=b"POST",
+                request_id=f"r{number}",
+                body=b"%d" % number,
+                deadline_ms=DEADLINE_MS,
+                **headers,
+            )
+            return head.status, body
+
+        streams = [asyncio.create_task(request(n)) for n in range(request_count)]
+        async with asyncio.timeout(SILENCE_S):
+            while run_count < 2 * request_count:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        # The moved streams have begun, but not gone on for long.
+        await asyncio.sleep(2 * EVENT_INTERVAL_S)
+        assert len(silent_groups) >= 5
+        new = range(request_count, request_count + 6)
+        answers = await asyncio.gather(*(request(number) for number in new))
+        assert answers == [(200, WHOLE_STREAM)] * len(new)
+        assert await asyncio.gather(*streams) == [(200, WHOLE_STREAM)] * request_count
+
+
+async def test_refusal_for_silent_servers_ends_soon():
+    # Guards against callers that are sent away for minutes because their equal requests
+    # ran at servers that paused.
+    servers = SilentServers(0)
+    async with Harness() as h:
+        h.publish_declaration(long_declaration())
+        for _ in range(4):
+            await h.add_server(servers.serve_plain)
+        await h.start()
+
+        async def request(number: int):
+            await asyncio.sleep(0.12 * number)
+            connection = await h.connect()
+            connection.send(
+                encode_caller_request(
+                    "/safe/x", request_id=f"r{number}", deadline_ms=DEADLINE_MS
+                )
+            )
+            try:
+                # The first callers leave.
+                async with asyncio.timeout(0.7 if number < 4 else None):
+                    head = await connection.read_head()
+            except TimeoutError:
+                return 0, 0.0
+            finally:
+                connection.abort()
+            return head.status, float(head.get(b"Retry-After") or b"0")
+
+        answers = await asyncio.gather(*(request(number) for number in range(12)))
+        assert all(status in (0, 200, 503) for status, _ in answers)
+        assert all(wait_s <= SETTLED_AFTER_S for _, wait_s in answers)
+        await asyncio.sleep(1.5)
+        status, wait_s = await request(0)
+        assert status == 200 or 0.0 < wait_s <= SETTLED_AFTER_S
+
+
 async def test_caller_who_leaves_a_silent_server_ends_the_run():
     # Guards against a run that goes on after its caller has left, while its server is
     # silent and a second one has been asked.
