Decide from probes whether a node reaches any backend server

Cause: a node whose links to all servers are lost takes what it sees for failures of the servers. Nothing tells it that the fault is its own.

Change: ServerContact probes up to four servers of different domains, zones and services after trouble at two servers within 2 s. If no connection opens, the node is cut off, until half of the connections of a later round open. No caller uses it yet.

--- /dev/null
+++ b/pomelolug/entry/_server_contact.py
@@ -0,0 +1,205 @@
+"""Whether this node reaches the backend servers at all.
+
+The links of a node to all servers may fail while callers, the store and other nodes
+still reach it. What the node then sees of the servers says nothing about them.
+"""
+
+import asyncio
+import collections
+import datetime
+import random
+from collections.abc import Awaitable, Callable
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.deployment import BackendServer, ServerRegistry, ServerState
+from pomelolug.ids import VmId
+
+__all__ = ["ServerContact"]
+
+_log = structlog.get_logger(__name__)
+
+_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+_LONGEST_CHECK_S = 0.3
+"""Length of a check interval in seconds that shows a pause of this process."""
+_TROUBLE_PERIOD_S = 2.0
+"""Period in seconds in which trouble at several servers is taken together."""
+_MIN_TROUBLED_SERVERS = 2
+"""Servers in trouble that cause a probe; one alone may have failed itself."""
+_MAX_PROBED_SERVERS = 4
+"""Servers probed at once: enough that not all of them fail for causes of their own."""
+_MIN_ROUND_INTERVAL_S = 0.25
+"""Shortest time in seconds between the starts of two rounds of probes.
+
+Servers that fail one after another cause no more connections than that.
+"""
+_RETURN_PROBE_INTERVAL_S = 0.5
+"""Time in seconds between rounds while cut off, so that a return is noticed soon."""
+_LONGEST_ROUND_TIMEOUTS = 2
+"""Length of a round, in time limits of a probe, that shows a pause of this process."""
+_MAX_DOUBT_S = 5.0
+"""Longest time in seconds before the links are found lost that is in doubt.
+
+Stalls and requests without a response are noticed up to a few seconds late.
+"""
+
+
+class ServerContact:
+    """Decides whether this node reaches any backend server.
+
+    Trouble at several servers makes it open a connection to a few others. If none of
+    them opens, the node is cut off, until at least half of those probed later do.
+
+    Parameters
+    ----------
+    registry : ServerRegistry
+        Servers as read from the store.
+    probe : callable
+        Coroutine function that opens a new connection to a server, and returns
+        whether it opened.
+    probe_timeout : datetime.timedelta
+        Time limit of a probe.
+    on_change : callable
+        Called with whether the node is cut off, when this changes.
+    clock : Clock
+        Source of monotonic time.
+    rng : random.Random
+        Draws the servers to probe.
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: ServerRegistry,
+        probe: Callable[[BackendServer], Awaitable[bool]],
+        probe_timeout: datetime.timedelta,
+        on_change: Callable[[bool], None],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._registry = registry
+        self._probe = probe
+        self._longest_round_s = _LONGEST_ROUND_TIMEOUTS * probe_timeout.total_seconds()
+        self._on_change = on_change
+        self._clock = clock
+        self._rng = rng
+        self._is_cut_off = False
+        # Monotonic time of the latest trouble at each server.
+        self._trouble_at_s: dict[VmId, float] = {}
+        self._round_began_at_s = float("-inf")
+        self._reached_at_s = float("-inf")
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this node reaches no server."""
+        return self._is_cut_off
+
+    @property
+    def doubtful_since_s(self) -> float:
+        """Monotonic time in seconds since which the links may have been lost.
+
+        If the node is cut off, what it has seen of the servers since then may be due
+        to its links.
+        """
+        return max(self._reached_at_s, self._clock.monotonic() - _MAX_DOUBT_S)
+
+    def report_trouble(self, vm: VmId) -> None:
+        """Record that a connection failed or was reset, or that a group stalled."""
+        self._trouble_at_s[vm] = self._clock.monotonic()
+
+    async def run(self) -> None:
+        """Probe servers when there is trouble or the node is cut off."""
+        while True:
+            began_at_s = self._clock.monotonic()
+            await self._clock.sleep(_CHECK_INTERVAL)
+            now_s = self._clock.monotonic()
+            if now_s - began_at_s > _LONGEST_CHECK_S:
+                # After a pause of this process, old times say nothing of the links.
+                self._trouble_at_s.clear()
+            elif self._is_round_due(now_s):
+                await self._run_round()
+
+    def _is_round_due(self, now_s: float) -> bool:
+        since_last_s = now_s - self._round_began_at_s
+        if self._is_cut_off:
+            return since_last_s >= _RETURN_PROBE_INTERVAL_S
+        self._forget_old_trouble(now_s)
+        return (
+            len(self._trouble_at_s) >= _MIN_TROUBLED_SERVERS
+            and since_last_s >= _MIN_ROUND_INTERVAL_S
+        )
+
+    def _forget_old_trouble(self, now_s: float) -> None:
+        oldest_s = now_s - _TROUBLE_PERIOD_S
+        self._trouble_at_s = {
+            vm: at_s for vm, at_s in self._trouble_at_s.items() if at_s >= oldest_s
+        }
+
+    async def _run_round(self) -> None:
+        """Probe some servers concurrently and decide from the results."""
+        began_at_s = self._round_began_at_s = self._clock.monotonic()
+        self._forget_old_trouble(began_at_s)
+        servers = self._draw_servers()
+        if not servers:
+            return
+        results = await asyncio.gather(*map(self._probe, servers))
+        opened_count = sum(results)
+        now_s = self._clock.monotonic()
+        if not opened_count and now_s - began_at_s > self._longest_round_s:
+            # Time limits that passed during a pause of this process prove nothing.
+            self._trouble_at_s.clear()
+            return
+        if opened_count:
+            self._reached_at_s = now_s
+            self._trouble_at_s.clear()
+        if self._is_cut_off:
+            is_cut_off = 2 * opened_count < len(servers)
+        else:
+            is_cut_off = not opened_count
+        if is_cut_off != self._is_cut_off:
+            self._change(is_cut_off, len(servers), len(servers) - opened_count)
+
+    def _change(self, is_cut_off: bool, probe_count: int, failed_count: int) -> None:
+        self._is_cut_off = is_cut_off
+        counts = {"probes": probe_count, "failed": failed_count}
+        if is_cut_off:
+            _log.warning("servers_out_of_reach", **counts)
+        else:
+            _log.info("servers_in_reach", **counts)
+        self._on_change(is_cut_off)
+
+    def _draw_servers(self) -> list[BackendServer]:
+        """Return servers that are unlikely to fail together, drawn at random.
+
+        Servers without trouble come first. Among them, those that have the fewest
+        places and services in common with the servers already drawn.
+        """
+        candidates = [
+            server
+            for server in self._registry.servers.values()
+            if server.state is ServerState.READY
+        ]
+        self._rng.shuffle(candidates)
+        drawn: list[BackendServer] = []
+        counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        while candidates and len(drawn) < _MAX_PROBED_SERVERS:
+            server = min(
+                candidates,
+                key=lambda s: (
+                    s.vm in self._trouble_at_s or self._registry.is_lapsed(s.vm),
+                    sum(counts[trait] for trait in _traits(s)),
+                ),
+            )
+            candidates.remove(server)
+            drawn.append(server)
+            counts.update(_traits(server))
+        return drawn
+
+
+def _traits(server: BackendServer) -> tuple[tuple[str, str], ...]:
+    return (
+        ("domain", server.domain),
+        ("zone", server.zone),
+        ("service", server.service),
+    )
