Let nodes know which nodes of all zones reach the servers

Cause: a node that is cut off from the servers does not know which other node could serve its requests, and nodes of a zone that is cut off as a whole know none at all.

Change: a status says whether its node reaches the servers, and a relay lists exits of its zone and of the others. PeerCoordinator.forwarding_addresses orders them.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -238,6 +238,7 @@
             holds_lease=lambda: self._lease.is_held,
             is_serving=lambda: self._request_handler.has_received_request,
             can_reach_store=self._can_reach_store,
+            reaches_servers=lambda: True,
             on_suspect=self._controller.mark_suspect,
             on_nodes=self._on_nodes,
             departures=self._departures,
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -9,6 +9,11 @@
 import structlog
 
 from pomelolug.clock import Clock
+from pomelolug.entry._exit_nodes import (
+    order_forwarding_addresses,
+    sample_other_exits,
+    sample_zone_exits,
+)
 from pomelolug.entry._peer_gossip import PeerGossip
 from pomelolug.entry._poison_requests import PoisonRequestDetector
 from pomelolug.entry._relay import RelaySource
@@ -91,7 +96,7 @@
         Load and suspicions to exchange.
     store : MetadataStore
         Store in which nodes register their addresses.
-    is_stopping, holds_lease, is_serving, can_reach_store : callable
+    is_stopping, holds_lease, is_serving, can_reach_store, reaches_servers : callable
         Return the state of this node for its status.
     on_suspect : callable
         Called with each head that a peer reports as suspected.
@@ -119,6 +124,7 @@
         holds_lease: Callable[[], bool],
         is_serving: Callable[[], bool],
         can_reach_store: Callable[[], bool],
+        reaches_servers: Callable[[], bool],
         on_suspect: Callable[[VmId], None],
         on_nodes: Callable[[int, list[NodeId]], None],
         departures: Departures,
@@ -136,6 +142,7 @@
         self._peer_held_lease_at_s = clock.monotonic()
         self._is_serving = is_serving
         self._can_reach_store = can_reach_store
+        self._reaches_servers = reaches_servers
         self._on_suspect = on_suspect
         self._on_nodes = on_nodes
         self._registered_count = 0
@@ -242,6 +249,20 @@
         )
         return store_retry_delay(zone_nodes, self._rng)
 
+    def forwarding_addresses(self) -> list[str]:
+        """Return the addresses of nodes to pass requests to, best first.
+
+        They are datagram addresses, `host:port`, of nodes that reach the servers.
+        Forwarded requests are received at the same host and port over TCP.
+        """
+        return order_forwarding_addresses(
+            self._gossip.live_statuses,
+            own_address=self._datagram_address,
+            zone=self._settings.zone,
+            reaches_servers=self._reaches_servers(),
+            rng=self._rng,
+        )
+
     def announce(self) -> None:
         """Send the status of this node to its peers without delay."""
         self._gossip.send_soon()
@@ -421,9 +442,25 @@
             zone_limits=limits.zone_reports() if is_relay else {},
             other_limits=limits.other_zone_reports() if is_relay else {},
             leaving=self._notices.leaving.reports(),
+            reaches_servers=self._reaches_servers(),
+            exits=self._sample_zone_exits() if is_relay else (),
+            other_exits=sample_other_exits(
+                self._gossip.live_statuses, zone=self._settings.zone, rng=self._rng
+            )
+            if is_relay
+            else (),
             peers=peers,
         )
 
+    def _sample_zone_exits(self) -> tuple[str, ...]:
+        is_exit = self._reaches_servers() and not self._is_stopping()
+        return sample_zone_exits(
+            self._gossip.live_statuses,
+            own_addresses=[self._datagram_address] if is_exit else [],
+            zone=self._settings.zone,
+            rng=self._rng,
+        )
+
     def _is_lease_held_in_zone(self) -> bool:
         zone = self._settings.zone
         return any(s.duty for s in self._gossip.live_statuses if s.zone == zone)
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -83,6 +83,12 @@
     """Limits that servers stated in all other zones, as known to the relay."""
     leaving: dict[str, LeavingReport] = {}
     """Servers that have stated that they are about to leave."""
+    reaches_servers: bool = True
+    """Whether the node reaches backend servers."""
+    exits: tuple[str, ...] = ()
+    """Datagram addresses of at most 8 exits of the relay's zone."""
+    other_exits: tuple[str, ...] = ()
+    """The same of all other zones, as known to the relay, at most 12."""
     peers: tuple[str, ...] = ()
     """Datagram addresses of a sample of other nodes."""
 
