Take nothing that a cut-off node sees of the servers for evidence

Cause: a node whose links to all servers are lost reports sound groups as suspected and counts the ends of its runs as losses, so other nodes probe the groups and may refuse harmless requests. As the active controller it gives orders that arrive nowhere.

Change: its own suspicions are neither sent nor accepted; a relay still forwards those of others. Runs in whose time the links were lost are no losses, and those of the last seconds are withdrawn, unless the registry shows that the server has ended: a request that crashes servers still counts. Cleared losses take turns in the messages, since a node may take back more than fit in one. A cut-off node gives the controller lease up if another node reaches the servers; if it is the only relay, the longest-running node of its zone stands in. ServerContact is built but does not run yet.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -15,7 +15,12 @@
 import uvloop
 
 from pomelolug.clock import Clock, SystemClock
-from pomelolug.deployment import Declaration, RegistryChange, ServerRegistry
+from pomelolug.deployment import (
+    BackendServer,
+    Declaration,
+    RegistryChange,
+    ServerRegistry,
+)
 from pomelolug.entry._application import RequestHandler
 from pomelolug.entry._choice import GroupSelector
 from pomelolug.entry._internal_endpoints import InternalEndpoints
@@ -28,6 +33,7 @@
 from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._run_monitor import RunMonitor
+from pomelolug.entry._server_contact import ServerContact
 from pomelolug.entry._server_limits import ServerLimits
 from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
@@ -57,6 +63,7 @@
 from pomelolug.transport import (
     ConnectionPool,
     Handler,
+    HttpConnectionError,
     HttpServerLimits,
     ServerConnection,
 )
@@ -214,11 +221,13 @@
         self._pool = ConnectionPool(
             max_idle=_MAX_IDLE, connect_timeout=_CONNECT_TIMEOUT
         )
+        self._build_server_contact()
         self._run_monitor = RunMonitor(
             detector=self._poison_detector,
             registry=self._registry,
             registry_age_s=lambda: self._server_feed.age_s,
             entry_lifetime=settings.server_entry_lifetime,
+            contact=self._server_contact,
             clock=clock,
         )
         self._stall_detector = StallDetector(clock=clock, on_stall=self._on_stall)
@@ -238,7 +247,7 @@
             holds_lease=lambda: self._lease.is_held,
             is_serving=lambda: self._request_handler.has_received_request,
             can_reach_store=self._can_reach_store,
-            reaches_servers=lambda: True,
+            reaches_servers=lambda: not self._server_contact.is_cut_off,
             on_suspect=self._controller.mark_suspect,
             on_nodes=self._on_nodes,
             departures=self._departures,
@@ -256,6 +265,28 @@
             feeds=self._feeds,
         )
 
+    def _build_server_contact(self) -> None:
+        self._probe_pool = ConnectionPool(
+            max_idle=datetime.timedelta(0), connect_timeout=_CONNECT_TIMEOUT
+        )
+        self._server_contact = ServerContact(
+            registry=self._registry,
+            probe=self._probe,
+            probe_timeout=_CONNECT_TIMEOUT,
+            on_change=self._on_contact_change,
+            clock=self._clock,
+            rng=self._rng,
+        )
+
+    async def _probe(self, server: BackendServer) -> bool:
+        """Return whether a new connection to a server opens."""
+        try:
+            connection = await self._probe_pool.acquire(server.address, fresh=True)
+        except HttpConnectionError:
+            return False
+        connection.close()
+        return True
+
     def _build_notices(self) -> None:
         settings = self._settings
         self._server_limits = ServerLimits(
@@ -534,23 +565,42 @@
         _log.warning(
             "group_stalled", head=head, in_flight=self._server_tracker.in_flight(head)
         )
+        if self._server_contact.is_cut_off:
+            return
         self._server_tracker.suspect(head)
         self._controller.mark_suspect(head)
         self._peer_coordinator.announce()
 
+    def _on_contact_change(self, is_cut_off: bool) -> None:
+        """Take back what the loss of the links looked like, and tell the peers."""
+        if is_cut_off:
+            since_s = self._server_contact.doubtful_since_s
+            self._server_tracker.clear_suspicions(since_s=since_s)
+            self._run_monitor.withdraw_losses(since_s=since_s)
+        self._peer_coordinator.announce()
+
     def _is_eligible_for_lease(self) -> bool:
         """Return whether this node may be a candidate for the controller lease.
 
         Each change among the candidates may move the lease, and a successor has to
         wait for servers that its predecessor has freed. So a node does not become a
         candidate while another one holds the lease, and a candidate remains one
-        until it stops or loses the store.
+        until it stops or loses the store, or the servers while another node reaches
+        them, since its orders then arrive nowhere.
         """
         if self._lifecycle.is_stopping or not self._can_reach_store():
             return False
+        if (
+            self._server_contact.is_cut_off
+            and self._peer_coordinator.forwarding_addresses()
+        ):
+            return False
         if self._lease.is_candidate:
             return True
-        is_stable = self._peer_coordinator.relay_tenure_s >= _MIN_RELAY_TENURE_S
+        is_stable = (
+            self._peer_coordinator.relay_tenure_s >= _MIN_RELAY_TENURE_S
+            or self._peer_coordinator.is_relay_stand_in
+        )
         return is_stable and self._peer_coordinator.may_claim_lease
 
     def _can_reach_store(self) -> bool:
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/_peer_coordinator.py
@@ -200,6 +200,26 @@
             return 0.0
         return max(self._clock.monotonic() - self._relay_since_s, 0.0)
 
+    @property
+    def is_relay_stand_in(self) -> bool:
+        """Whether this node may be a candidate for the lease instead of its relay.
+
+        True while the relay is cut off from the servers, on the longest-running node
+        of the zone that reaches the servers and the store.
+        """
+        relay = self._relay_peer()
+        if relay is None or relay.reaches_servers or not self._reaches_servers():
+            return False
+        own_seniority = (self._started_ms, self._settings.node)
+        return all(
+            own_seniority < (status.started_ms, status.node)
+            for status in self._gossip.live_statuses
+            if status.zone == self._settings.zone
+            and status.reaches_servers
+            and status.store
+            and not status.stopping
+        )
+
     @property
     def may_claim_lease(self) -> bool:
         """Whether the controller lease is free and this node may claim it.
@@ -410,6 +430,8 @@
 
     def _build_status(self, serial: int, peers: tuple[str, ...]) -> NodeStatus:
         is_relay = self.is_relay
+        reaches_servers = self._reaches_servers()
+        tracker = self._server_tracker
         limits = self._notices.limits
         return NodeStatus(
             node=self._settings.node,
@@ -427,14 +449,15 @@
             duty=self._holds_lease(),
             zone_duty=is_relay
             and (self._holds_lease() or self._is_lease_held_in_zone()),
-            load=self._server_tracker.own_loads(),
-            zone_load=self._server_tracker.zone_loads() if is_relay else {},
-            other_load=self._server_tracker.other_zone_loads() if is_relay else {},
-            suspects=self._server_tracker.suspects(),
-            zone_suspects=self._server_tracker.zone_suspects() if is_relay else (),
-            other_suspects=self._server_tracker.other_zone_suspects()
+            load=tracker.own_loads(),
+            zone_load=tracker.zone_loads() if is_relay else {},
+            other_load=tracker.other_zone_loads() if is_relay else {},
+            # What a node that is cut off sees of the servers is no evidence.
+            suspects=tracker.suspects() if reaches_servers else (),
+            zone_suspects=tracker.zone_suspects(with_own=reaches_servers)
             if is_relay
             else (),
+            other_suspects=tracker.other_zone_suspects() if is_relay else (),
             cleared=self._poison_detector.cleared_to_send(),
             strikes=self._poison_detector.losses_to_send(),
             releases=self._departures.ages_s(),
@@ -442,7 +465,7 @@
             zone_limits=limits.zone_reports() if is_relay else {},
             other_limits=limits.other_zone_reports() if is_relay else {},
             leaving=self._notices.leaving.reports(),
-            reaches_servers=self._reaches_servers(),
+            reaches_servers=reaches_servers,
             exits=self._sample_zone_exits() if is_relay else (),
             other_exits=sample_other_exits(
                 self._gossip.live_statuses, zone=self._settings.zone, rng=self._rng
@@ -466,7 +489,8 @@
         return any(s.duty for s in self._gossip.live_statuses if s.zone == zone)
 
     def _on_status(self, status: NodeStatus) -> None:
-        for head in {*status.suspects, *status.zone_suspects, *status.other_suspects}:
+        own_suspects = status.suspects if status.reaches_servers else ()
+        for head in {*own_suspects, *status.zone_suspects, *status.other_suspects}:
             self._on_suspect(VmId(head))
         self._departures.merge(status.releases)
         self._notices.merge(status)
@@ -534,6 +558,8 @@
 ) -> bool:
     """Return whether a relay has run longer than all relays among its peers.
 
+    Relays that cannot claim the lease do not count.
+
     Parameters
     ----------
     own_seniority : tuple of int and str
@@ -544,7 +570,7 @@
     return all(
         own_seniority < (s.started_ms, s.node)
         for s in statuses
-        if s.relay and s.store and not s.stopping
+        if s.relay and s.store and s.reaches_servers and not s.stopping
     )
 
 
--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/_poison_requests.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import datetime
+import itertools
 from collections.abc import Mapping, Sequence
 
 import structlog
@@ -132,6 +133,9 @@
         self._losses: dict[str, dict[str, _Loss]] = {}
         # Monotonic time at which each loss was cleared, by request and loss id.
         self._cleared_at_s: dict[tuple[str, str], float] = {}
+        self._times_cleared_sent: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._evicted_at_s = clock.monotonic()
         self._times_sent: collections.Counter[str] = collections.Counter()
         # Monotonic time of the latest answer on each part of prompts.
@@ -379,15 +383,29 @@
         }
 
     def cleared_to_send(self) -> dict[str, tuple[str, ...]]:
-        """Return the recently cleared losses for other nodes, by request."""
+        """Return the recently cleared losses for the next message, by request.
+
+        If there are too many, those that were sent less often come first.
+        """
         oldest_s = self._clock.monotonic() - _SHARING_PERIOD_S
+        candidates = list(
+            itertools.takewhile(
+                lambda key: self._cleared_at_s[key] >= oldest_s,
+                reversed(self._cleared_at_s),
+            )
+        )
+        candidates.sort(key=lambda key: self._times_cleared_sent[key])
         cleared: dict[str, tuple[str, ...]] = {}
-        for (fingerprint, loss_id), cleared_at_s in reversed(
-            self._cleared_at_s.items()
-        ):
-            if cleared_at_s < oldest_s or len(cleared) >= _MAX_SHARED_REQUESTS:
-                break
-            cleared[fingerprint] = (*cleared.get(fingerprint, ()), loss_id)
+        sent: collections.Counter[tuple[str, str]] = collections.Counter()
+        for fingerprint, loss_id in candidates:
+            loss_ids = cleared.get(fingerprint, ())
+            is_full = len(cleared) >= _MAX_SHARED_REQUESTS and not loss_ids
+            if not is_full and len(loss_ids) < _MAX_SHARED_LOSSES:
+                cleared[fingerprint] = (*loss_ids, loss_id)
+                sent[fingerprint, loss_id] += 1
+        self._times_cleared_sent = collections.Counter(
+            {key: self._times_cleared_sent[key] + sent[key] for key in candidates}
+        )
         return cleared
 
     def merge(
--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/_run_monitor.py
@@ -7,6 +7,9 @@
 
 A server may pause, so a silence is only a suspicion, which does not name the parts of
 the prompt until the registry shows the end.
+
+While the node is cut off from the servers, the end of a run says nothing about its
+server. Only the registry then shows a loss.
 """
 
 import collections
@@ -22,6 +25,7 @@
 from pomelolug.deployment import BackendServer, RegistryChange, ServerRegistry
 from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
 from pomelolug.entry._request_identity import RequestIdentity
+from pomelolug.entry._server_contact import ServerContact
 from pomelolug.ids import VmId
 from pomelolug.replicas import GroupKey, group_key
 
@@ -101,12 +105,13 @@
     """Loss for which the registry does not show yet whether the server has ended.
 
     `claims` are the fingerprints for which it counts, each with the id of the loss.
+    There are none if the links of this node may have ended the run.
     """
 
     run: ServerRun
     loss_id: str
     claims: tuple[tuple[str, str], ...]
-    at_s: float
+    recorded_at_s: float
     decidable_at_s: float
 
 
@@ -123,6 +128,8 @@
         Returns the age of the registry's data in seconds.
     entry_lifetime : datetime.timedelta
         Time after which the entry of a silent server lapses.
+    contact : ServerContact
+        Whether this node reaches the servers.
     clock : Clock
         Source of monotonic time.
     """
@@ -134,11 +141,13 @@
         registry: ServerRegistry,
         registry_age_s: Callable[[], float],
         entry_lifetime: datetime.timedelta,
+        contact: ServerContact,
         clock: Clock,
     ) -> None:
         self._detector = detector
         self._registry = registry
         self._registry_age_s = registry_age_s
+        self._contact = contact
         self._decision_delay_s = entry_lifetime.total_seconds() + _ENTRY_READ_DELAY_S
         self._clock = clock
         self._running: set[ServerRun] = set()
@@ -153,6 +162,11 @@
         # group that it was a member of.
         self._ended_at_s: dict[VmId | GroupKey, float] = {}
 
+    @property
+    def contact(self) -> ServerContact:
+        """Whether this node reaches the servers."""
+        return self._contact
+
     def check(self, identity: RequestIdentity) -> None:
         """Raise an error if a request must not be sent.
 
@@ -203,12 +217,7 @@
         other nodes are not told.
         """
         if run in self._running:
-            fingerprint = run.identity.request
-            loss_id = self._find_loss_id(run)
-            self._detector.record_loss(
-                fingerprint, loss_id, is_suspicion=True, is_running=True
-            )
-            self._add_pending(run, loss_id, ((fingerprint, loss_id),))
+            self._record_loss(run, is_suspicion=True, is_running=True)
 
     def finish(self, run: ServerRun, end: RunEnd) -> None:
         """Count the end of a run, unless the end of its server was counted before."""
@@ -227,6 +236,19 @@
             )
             self._record_loss(run, is_suspicion=not is_evident)
 
+    def withdraw_losses(self, *, since_s: float) -> None:
+        """Clear the losses since a monotonic time that the registry does not confirm.
+
+        They count again if the registry shows later that the server has ended.
+        """
+        pending = list(self._pending)
+        self._pending.clear()
+        for loss in pending:
+            if loss.claims and loss.recorded_at_s >= since_s:
+                self._clear(loss)
+                loss = dataclasses.replace(loss, claims=())
+            self._pending.append(loss)
+
     def on_registry_change(self, change: RegistryChange) -> None:
         """Note which servers have ended, and confirm the losses that they explain."""
         ended = list(change.removed)
@@ -282,28 +304,26 @@
         self._silences[run.server] = _Silence(since_s, now_s)
         return now_s - since_s
 
-    def _record_loss(self, run: ServerRun, *, is_suspicion: bool) -> None:
+    def _record_loss(
+        self, run: ServerRun, *, is_suspicion: bool, is_running: bool = False
+    ) -> None:
+        """Record a loss, until the registry shows whether the server has ended."""
         loss_id = self._find_loss_id(run)
-        claims = [(run.identity.request, loss_id)]
-        if not is_suspicion:
-            claims += self._part_claims(run, loss_id)
+        claims: list[tuple[str, str]] = []
+        if not self._contact.was_cut_off_since(run.began_at_s):
+            claims.append((run.identity.request, loss_id))
+            if not is_suspicion:
+                claims += self._part_claims(run, loss_id)
         for fingerprint, claim_id in claims:
-            self._detector.record_loss(fingerprint, claim_id, is_suspicion=is_suspicion)
-        self._add_pending(run, loss_id, tuple(claims))
-
-    def _part_claims(self, run: ServerRun, loss_id: str) -> list[tuple[str, str]]:
-        """Return the parts of a prompt for which a loss counts, each with its id."""
-        if run.has_written:
-            return []
-        part_loss_id = run.identity.part_loss_id(loss_id)
-        return [(part, part_loss_id) for part in run.identity.prompt_parts]
-
-    def _add_pending(
-        self, run: ServerRun, loss_id: str, claims: tuple[tuple[str, str], ...]
-    ) -> None:
-        """Keep a loss until the registry shows whether the server has ended."""
+            self._detector.record_loss(
+                fingerprint,
+                claim_id,
+                is_suspicion=is_suspicion,
+                is_running=is_running,
+            )
         now_s = self._clock.monotonic()
-        loss = _PendingLoss(run, loss_id, claims, now_s, now_s + self._decision_delay_s)
+        decidable_at_s = now_s + self._decision_delay_s
+        loss = _PendingLoss(run, loss_id, tuple(claims), now_s, decidable_at_s)
         if self._confirm_if_ended(loss):
             return
         self._pending.append(loss)
@@ -311,6 +331,13 @@
             dropped = self._pending.popleft()
             _log.warning("pending_loss_dropped", server=dropped.run.server)
 
+    def _part_claims(self, run: ServerRun, loss_id: str) -> list[tuple[str, str]]:
+        """Return the parts of a prompt for which a loss counts, each with its id."""
+        if run.has_written:
+            return []
+        part_loss_id = run.identity.part_loss_id(loss_id)
+        return [(part, part_loss_id) for part in run.identity.prompt_parts]
+
     def _find_loss_id(self, run: ServerRun) -> str:
         """Return the id of the loss that ended a run, other than cleared ones."""
         loss_id = self._identify_loss(run)
@@ -351,14 +378,23 @@
         return True
 
     def _confirm(self, loss: _PendingLoss) -> None:
-        for fingerprint, loss_id in loss.claims:
-            self._detector.confirm_loss(fingerprint, loss_id)
-        age_s = self._clock.monotonic() - loss.at_s
-        for part, loss_id in self._part_claims(loss.run, loss.loss_id):
-            if (part, loss_id) not in loss.claims and not (
-                self._detector.was_answered(part, since_s=loss.at_s)
+        loss_id = loss.loss_id
+        if not loss.claims:
+            # It did not count, or was withdrawn under its first id.
+            loss_id = self._find_loss_id(loss.run)
+            self._detector.record_loss(loss.run.identity.request, loss_id)
+        for fingerprint, claim_id in loss.claims:
+            self._detector.confirm_loss(fingerprint, claim_id)
+        age_s = self._clock.monotonic() - loss.recorded_at_s
+        for part, claim_id in self._part_claims(loss.run, loss_id):
+            if (part, claim_id) not in loss.claims and not (
+                self._detector.was_answered(part, since_s=loss.recorded_at_s)
             ):
-                self._detector.record_loss(part, loss_id, age_s=age_s)
+                self._detector.record_loss(part, claim_id, age_s=age_s)
+
+    def _clear(self, loss: _PendingLoss) -> None:
+        for fingerprint, loss_id in loss.claims:
+            self._detector.clear_loss(fingerprint, loss_id)
 
     def _has_ended(self, run: ServerRun) -> bool:
         """Return whether the server or a member of its group ended after the send."""
@@ -376,8 +412,7 @@
             return False
         server = self._registry.servers.get(loss.run.server)
         if server is not None and server.start_time_ms == loss.run.start_time_ms:
-            for fingerprint, loss_id in loss.claims:
-                self._detector.clear_loss(fingerprint, loss_id)
+            self._clear(loss)
         else:
             self._confirm(loss)
         return True
--- a/pomelolug/entry/_server_contact.py
+++ b/pomelolug/entry/_server_contact.py
@@ -89,6 +89,7 @@
         self._trouble_at_s: dict[VmId, float] = {}
         self._round_began_at_s = float("-inf")
         self._reached_at_s = float("-inf")
+        self._returned_at_s = float("-inf")
 
     @property
     def is_cut_off(self) -> bool:
@@ -104,6 +105,10 @@
         """
         return max(self._reached_at_s, self._clock.monotonic() - _MAX_DOUBT_S)
 
+    def was_cut_off_since(self, time_s: float) -> bool:
+        """Return whether the node was cut off at any moment since a monotonic time."""
+        return self._is_cut_off or self._returned_at_s >= time_s
+
     def report_trouble(self, vm: VmId) -> None:
         """Record that a connection failed or was reset, or that a group stalled."""
         self._trouble_at_s[vm] = self._clock.monotonic()
@@ -166,6 +171,7 @@
         if is_cut_off:
             _log.warning("servers_out_of_reach", **counts)
         else:
+            self._returned_at_s = self._clock.monotonic()
             _log.info("servers_in_reach", **counts)
         self._on_change(is_cut_off)
 
--- a/pomelolug/entry/_server_tracker.py
+++ b/pomelolug/entry/_server_tracker.py
@@ -108,6 +108,13 @@
         """Send no requests to a head until it makes progress or the suspicion ends."""
         self.load(vm).suspect_until_s = self._clock.monotonic() + _SUSPICION_TIMEOUT_S
 
+    def clear_suspicions(self, *, since_s: float) -> None:
+        """End the suspicions of this node that began at or after a monotonic time."""
+        oldest_end_s = since_s + _SUSPICION_TIMEOUT_S
+        for load in self._loads.values():
+            if load.suspect_until_s >= oldest_end_s:
+                load.suspect_until_s = float("-inf")
+
     def record_refusal(self, vm: VmId) -> None:
         """Send no requests for a moment to a server that has just refused one."""
         self.load(vm).full_until_s = self._clock.monotonic() + _REFUSAL_BACKOFF_S
@@ -140,9 +147,13 @@
         """Return the requests in flight of the nodes of other zones, by server."""
         return dict(self._other_zone_loads)
 
-    def zone_suspects(self) -> tuple[str, ...]:
-        """Return the heads suspected first-hand by nodes of this zone."""
-        return tuple(sorted({*self.suspects(), *self._zone_suspects}))
+    def zone_suspects(self, *, with_own: bool = True) -> tuple[str, ...]:
+        """Return the heads suspected first-hand by nodes of this zone.
+
+        Without its own suspicions if `with_own` is false.
+        """
+        own_suspects = self.suspects() if with_own else ()
+        return tuple(sorted({*own_suspects, *self._zone_suspects}))
 
     def other_zone_suspects(self) -> tuple[str, ...]:
         """Return the heads suspected first-hand by nodes of other zones."""
@@ -153,6 +164,8 @@
     ) -> None:
         """Replace the load and the suspected heads that peers report.
 
+        The suspicions of a node that is cut off are ignored. What it forwards counts.
+
         Parameters
         ----------
         statuses : iterable of NodeStatus
@@ -170,7 +183,8 @@
         for status in statuses:
             if status.zone == zone:
                 zone_loads.update(status.load)
-                zone_suspects.update(status.suspects)
+                if status.reaches_servers:
+                    zone_suspects.update(status.suspects)
                 if status.relay:
                     relayed_loads = status.other_load
                     other_zone_suspects.update(status.other_suspects)
--- a/pomelolug/entry/tests/test_peer_coordinator.py
+++ b/pomelolug/entry/tests/test_peer_coordinator.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import time
+from collections.abc import Callable
+
+import pytest
 
 from pomelolug.entry._peer_coordinator import (
     is_lease_held_by_peer,
     is_longest_running_relay,
 )
-from pomelolug.entry.tests.harness import Harness
-from pomelolug.ids import ZoneId
+from pomelolug.entry.tests.harness import Harness, send_response
+from pomelolug.ids import VmId, ZoneId
 from pomelolug.messages import NodeStatus, encode
 
 JOIN_PATH = "/-/log-join"
@@ -70,3 +73,74 @@
             while JOIN_PATH not in harness.store.requested_paths:  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
         sender.close()
+
+
+def test_relay_that_is_cut_off_from_the_servers_does_not_claim_the_lease():
+    # Guards against a free lease that all relays leave to one that gives no orders.
+    relay = status(relay=True, reaches_servers=False)
+    assert is_longest_running_relay((relay.started_ms + 1, "n1"), [relay])
+
+
+async def wait_until(condition: Callable[[], bool], *, within_s: float = 5.0) -> None:
+    async with asyncio.timeout(within_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+def cut_off(harness: Harness) -> None:
+    """Let a node take itself for cut off; its probes would open otherwise."""
+    assert harness.entry is not None
+    contact = harness.entry._server_contact
+    contact._is_cut_off = True
+    contact._probe = lambda server: asyncio.sleep(0, result=False)
+
+
+@pytest.mark.parametrize("zones", [("z1", "z1"), ("z1", "z2")])
+async def test_lease_moves_from_a_node_that_is_cut_off_from_the_servers(zones):
+    # Guards against groups that are not repaired, since no order of the active
+    # controller arrives, also if it is the only relay.
+    async with Harness() as first, Harness(joins=first) as second:
+        await first.add_server(send_response)
+        await first.start(zone=zones[0])
+        assert first.entry is not None
+        await wait_until(lambda: first.entry._lease.is_held)
+        await second.start(zone=zones[1], seeds=(f"{first.ip}:8003",))
+        assert second.entry is not None
+        await wait_until(lambda: first.entry._peer_coordinator.live_peers)
+        await asyncio.sleep(1.5)
+        assert first.entry._lease.is_held
+        cut_off(first)
+        await wait_until(lambda: second.entry._lease.is_held)
+        assert not first.entry._lease.is_held
+
+
+async def test_node_that_is_cut_off_alone_keeps_the_lease():
+    # Guards against a fleet without an active controller when all servers end at once.
+    async with Harness() as h:
+        await h.add_server(send_response)
+        await h.start()
+        assert h.entry is not None
+        await wait_until(lambda: h.entry._lease.is_held)
+        cut_off(h)
+        await asyncio.sleep(2.0)
+        assert h.entry._lease.is_held
+
+
+async def test_suspicions_of_a_node_that_is_cut_off_cause_no_probes():
+    # Guards against groups that are taken apart because one node has lost its links.
+    async with Harness() as h:
+        await h.start()
+        assert h.entry is not None
+        coordinator, suspected = h.entry._peer_coordinator, []
+        coordinator._on_suspect = suspected.append
+        cut = status(
+            reaches_servers=False, relay=True, suspects=("a",), zone_suspects=("b",)
+        )
+        coordinator._on_status(cut)
+        assert suspected == ["b"]
+        h.entry._server_tracker.suspect(VmId("c"))
+        assert coordinator._build_status(1, ()).zone_suspects == ("c",)
+        cut_off(h)
+        own = coordinator._build_status(2, ())
+        assert not own.reaches_servers
+        assert own.suspects == own.zone_suspects == own.exits == ()
--- a/pomelolug/entry/tests/test_poison_requests.py
+++ b/pomelolug/entry/tests/test_poison_requests.py
@@ -191,3 +191,25 @@
     node.record_loss("new", "s9")
     tell(node, peer)
     assert peer.loss_count("new") == 1
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(("requests", "losses"), [(40, 1), (1, 20)])
+async def test_all_losses_that_are_cleared_at_once_are_cleared_on_other_nodes(
+    requests, losses
+):
+    # Guards against losses that stay on other nodes when a node that was cut off from
+    # all servers takes back more of them than fit in a message.
+    node, peer = (PoisonRequestDetector(clock=LoopClock()) for _ in range(2))
+    fingerprints = [f"f{request}" for request in range(requests)]
+    for fingerprint in fingerprints:
+        for number in range(losses):
+            node.record_loss(fingerprint, f"s{number}")
+            peer.record_loss(fingerprint, f"s{number}")
+    for fingerprint in fingerprints:
+        for number in range(losses):
+            node.clear_loss(fingerprint, f"s{number}")
+    for _ in range(3):
+        tell(node, peer)
+        await asyncio.sleep(0.3)
+    assert sum(map(peer.loss_count, fingerprints)) == 0
--- a/pomelolug/entry/tests/test_run_monitor.py
+++ b/pomelolug/entry/tests/test_run_monitor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import random
 
 import pytest
 
@@ -15,6 +16,7 @@
 from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
 from pomelolug.entry._request_identity import RequestIdentity
 from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
+from pomelolug.entry._server_contact import ServerContact
 from pomelolug.ids import DomainId, GroupId, Offset, ServiceName, VmId, ZoneId
 from pomelolug.testing import LoopClock
 
@@ -49,15 +51,34 @@
         self.registry = ServerRegistry(clock=self.clock)
         self.registry_age_s = 0.0
         self.detector = PoisonRequestDetector(clock=self.clock)
+        self.reaches_servers = True
+        self.contact = ServerContact(
+            registry=self.registry,
+            probe=self._probe,
+            probe_timeout=datetime.timedelta(seconds=0.3),
+            on_change=lambda is_cut_off: None,
+            clock=self.clock,
+            rng=random.Random(1),
+        )
         self.monitor = RunMonitor(
             detector=self.detector,
             registry=self.registry,
             registry_age_s=lambda: self.registry_age_s,
             entry_lifetime=ENTRY_LIFETIME,
+            contact=self.contact,
             clock=self.clock,
         )
         self._offset = 0
 
+    async def set_links(self, *, up: bool) -> None:
+        """Let the links to the servers fail or return, and the node notice it."""
+        self.reaches_servers = up
+        await self.contact._run_round()
+        assert self.contact.is_cut_off != up
+
+    async def _probe(self, server: BackendServer) -> bool:
+        return self.reaches_servers
+
     def publish(self, *servers: BackendServer) -> None:
         for server in servers:
             self._apply(server.vm, server)
@@ -398,3 +419,108 @@
     with pytest.raises(QuarantinedError) as caught:
         node.monitor.check(RequestIdentity(REQUEST))
     assert caught.value.retry_after > datetime.timedelta(seconds=290)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "end", [RunEnd.UNANSWERED, RunEnd.INTERRUPTED, RunEnd.CONNECTION_LOST]
+)
+@pytest.mark.parametrize("ends", ["cut_off", "after_return"])
+async def test_run_that_lost_links_may_have_ended_is_no_loss(end, ends):
+    # Guards against harmless requests that are refused because a node was cut off from
+    # all servers while it ran them.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    runs = [node.begin(server) for _ in range(3)]
+    await asyncio.sleep(1.5)
+    await node.set_links(up=False)
+    if ends == "after_return":
+        await asyncio.sleep(2.0)
+        await node.set_links(up=True)
+    for run in runs:
+        node.monitor.finish(run, end)
+    assert node.losses == 0
+    await settle(node)
+    assert node.losses == 0
+
+
+@pytest.mark.looptime
+async def test_loss_after_the_return_of_the_links_counts():
+    # Guards against a request that crashes servers and is not refused any more.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    await node.set_links(up=False)
+    await asyncio.sleep(1.0)
+    await node.set_links(up=True)
+    await asyncio.sleep(0.1)
+    node.monitor.finish(node.begin(server), RunEnd.CONNECTION_LOST)
+    assert node.losses == 1
+
+
+@pytest.mark.looptime
+async def test_losses_shortly_before_the_links_are_found_lost_are_withdrawn():
+    # Guards against harmless requests that other nodes refuse because this node took
+    # the loss of its links for losses of servers.
+    node, peer = Node(), Node()
+    server, earlier = make_server(), make_server("s2")
+    node.publish(server, earlier)
+    node.monitor.finish(node.begin(earlier), RunEnd.CONNECTION_LOST)
+    await asyncio.sleep(1.0)
+    since_s = node.clock.monotonic()
+    node.monitor.finish(node.begin(server), RunEnd.CONNECTION_LOST)
+    assert node.losses == 2
+
+    def tell_peer() -> None:
+        peer.detector.merge(
+            node.detector.losses_to_send(),
+            cleared=node.detector.cleared_to_send(),
+            is_own_zone=True,
+            source="node",
+        )
+
+    tell_peer()
+    assert peer.losses == 2
+    await node.set_links(up=False)
+    node.monitor.withdraw_losses(since_s=since_s)
+    tell_peer()
+    assert node.losses == peer.losses == 1
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("when", ["withdrawn", "cut_off", "running"])
+async def test_loss_that_the_registry_shows_counts_while_the_links_are_lost(when):
+    # Guards against a request that crashes servers and is not counted, because the
+    # node that ran it was cut off afterwards.
+    node = Node()
+    server = make_server()
+    node.publish(server, make_server("s2"))
+    run = node.begin(server)
+    if when == "withdrawn":
+        node.monitor.finish(run, RunEnd.CONNECTION_LOST)
+    await node.set_links(up=False)
+    node.monitor.withdraw_losses(since_s=0.0)
+    if when == "cut_off":
+        node.monitor.finish(run, RunEnd.CONNECTION_LOST)
+    assert node.losses == 0
+    await asyncio.sleep(3.6)
+    node.remove("s1")
+    assert node.losses == 1
+    assert node.told
+    await settle(node)
+    assert node.losses == 1
+
+
+@pytest.mark.looptime
+async def test_confirmed_loss_is_not_withdrawn():
+    # Guards against the loss of a crashed server that is taken back.
+    node = Node()
+    server = make_server()
+    node.publish(server, make_server("s2"))
+    node.monitor.finish(node.begin(server), RunEnd.CONNECTION_LOST)
+    await asyncio.sleep(1.0)
+    node.remove("s1")
+    await node.set_links(up=False)
+    node.monitor.withdraw_losses(since_s=0.0)
+    assert node.losses == 1
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -1,5 +1,6 @@
 """Tests of the load and suspicions that nodes exchange through their statuses."""
 
+import asyncio
 import random
 
 import pytest
@@ -39,7 +40,7 @@
     )
 
 
-def status(tracker: ServerTracker, zone: str, *, relay: bool) -> NodeStatus:
+def status(tracker: ServerTracker, zone: str, *, relay: bool, **changes) -> NodeStatus:
     return NodeStatus(
         node=zone,
         started_ms=1,
@@ -55,6 +56,7 @@
         suspects=tracker.suspects(),
         zone_suspects=tracker.zone_suspects() if relay else (),
         other_suspects=tracker.other_zone_suspects() if relay else (),
+        **changes,
     )
 
 
@@ -106,3 +108,43 @@
             tracker.apply_peer_statuses(others + same_zone, zone=ZoneId(zone))
         zone_peer.apply_peer_statuses([statuses[0]], zone=ZoneId("a"))
     assert {tracker.in_flight(HEAD) for tracker in [*relays.values(), zone_peer]} == {9}
+
+
+async def test_suspicions_of_a_node_that_is_cut_off_are_ignored():
+    # Guards against sound groups that get no requests because one node has lost its
+    # links to all servers, and against suspicions that its zone reports no more.
+    cut_off, sound, relay, other_relay = (make_tracker() for _ in range(4))
+    cut_off.suspect(HEAD)
+    cut_off_status = status(cut_off, "a", relay=False, reaches_servers=False)
+    relay.apply_peer_statuses([cut_off_status], zone=ZoneId("a"))
+    assert relay.zone_suspects() == ()
+    other_relay.apply_peer_statuses([status(relay, "a", relay=True)], zone=ZoneId("b"))
+    assert other_relay.other_zone_suspects() == ()
+    sound.suspect(HEAD)
+    relay.apply_peer_statuses(
+        [cut_off_status, status(sound, "a", relay=False)], zone=ZoneId("a")
+    )
+    relay_status = status(relay, "a", relay=True, reaches_servers=False)
+    other_relay.apply_peer_statuses([relay_status], zone=ZoneId("b"))
+    assert other_relay.other_zone_suspects() == (HEAD,)
+
+
+async def test_relay_that_is_cut_off_leaves_out_its_own_suspicions():
+    # Guards against suspicions of a relay that go on as those of its zone.
+    relay, peer, other = make_tracker(), make_tracker(), VmId("other")
+    relay.suspect(HEAD)
+    peer.suspect(other)
+    relay.apply_peer_statuses([status(peer, "a", relay=False)], zone=ZoneId("a"))
+    assert set(relay.zone_suspects()) == {HEAD, other}
+    assert relay.zone_suspects(with_own=False) == (other,)
+
+
+async def test_suspicions_since_the_trouble_began_are_taken_back():
+    # Guards against groups that this node does not use after its links have returned,
+    # and against a group that it uses although it stalled before.
+    tracker, earlier = make_tracker(), VmId("earlier")
+    tracker.suspect(earlier)
+    await asyncio.sleep(1.0)
+    tracker.suspect(HEAD)
+    tracker.clear_suspicions(since_s=1.0)
+    assert tracker.suspects() == (earlier,)
