Test that reset requests alone show that a node is cut off

Cause: without the report of resets, all tests of lost links still passed, since the refused connections of the next requests are reported too.

--- a/pomelolug/entry/tests/test_lost_links.py
+++ b/pomelolug/entry/tests/test_lost_links.py
@@ -238,6 +238,26 @@
         links.stop()
 
 
+async def test_reset_requests_alone_show_that_a_node_is_cut_off():
+    # Guards against a node that notices the loss of its links only when it sends its
+    # next requests. These may run only once, so they are not sent again.
+    async with Harness() as h:
+        links = ServerLinks(h)
+        await links.start()
+        await h.start()
+        connections = [await h.connect() for _ in range(SERVER_COUNT)]
+        for number, connection in enumerate(connections):
+            connection.send(
+                encode_caller_request(
+                    "/once/slow", method=b"POST", request_id=f"r{number}"
+                )
+            )
+        await asyncio.sleep(0.3)
+        await links.lose("reset")
+        await wait_for_reach(h, False, within_s=1.0)
+        links.stop()
+
+
 async def test_two_servers_that_end_do_not_cut_a_node_off():
     # Guards against a node that passes its requests on because some servers ended.
     async with Harness() as h:
