Take requests that other nodes forward, and send one to another node

Cause: a node may lose its links to all backend servers for seconds while its callers and the other nodes still reach it. It needs a way to have another node handle its callers' requests.

Change: a node listens on the first of its internal ports over TCP, and handles what arrives there like a request of its own caller, but refuses it as not run when it stops or knows only an older declaration than the sender, and with 400 when the field Pomelolug-Forwarded is missing or unreadable. Its own errors carry Pomelolug-Outcome. The code backend_unreachable tells servers that were not reached from servers that refused. No caller or server sends or receives the two fields. The port takes heads 256 bytes larger than the callers' port, since the sender adds fields, and its refusals of unreadable requests carry Pomelolug-Outcome too.

--- a/pomelolug/entry/_application.py
+++ b/pomelolug/entry/_application.py
@@ -10,6 +10,7 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import ClientAccount, Declaration, Route, Service
 from pomelolug.entry._metrics import EntryMetrics
+from pomelolug.entry._peer_forwarding import ForwardedRequest, decode_forwarded
 from pomelolug.entry._plain import PlainForwarder
 from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
 from pomelolug.entry._request_context import (
@@ -56,6 +57,8 @@
         Refuses requests that crash servers.
     metrics : EntryMetrics
         Metrics of the process.
+    is_stopping : callable
+        Returns whether a planned stop has begun.
     clock : Clock
         Source of monotonic time.
     rng : random.Random
@@ -72,6 +75,7 @@
         poison_detector: PoisonRequestDetector,
         run_monitor: RunMonitor,
         metrics: EntryMetrics,
+        is_stopping: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -82,6 +86,7 @@
         self._poison_detector = poison_detector
         self._run_monitor = run_monitor
         self._metrics = metrics
+        self._is_stopping = is_stopping
         self._clock = clock
         self._rng = rng
         self._in_flight = 0
@@ -112,10 +117,23 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request; the task is cancelled when the caller disconnects."""
+        await self._handle(exchange, is_forwarded=False)
+
+    async def handle_forwarded(self, exchange: Exchange) -> None:
+        """Handle a request that another node forwards for its caller.
+
+        It is handled like one of a caller of this node, but never passed on again. An
+        error that this node makes itself states its outcome in a header field.
+        """
+        await self._handle(exchange, is_forwarded=True)
+
+    async def _handle(self, exchange: Exchange, *, is_forwarded: bool) -> None:
         arrived_at_s = self._clock.monotonic()
         request_head = decode_request_head(exchange.target, exchange.headers)
         record = RequestRecord(
-            request_head.request_id, registry_age_s=self._server_feed.age_s
+            request_head.request_id,
+            registry_age_s=self._server_feed.age_s,
+            is_forwarded=is_forwarded,
         )
         self._request_count += 1
         self._in_flight += 1
@@ -123,9 +141,14 @@
         assert task is not None
         self._tasks.add(task)
         try:
-            context = self._build_context(exchange, request_head, record, arrived_at_s)
+            forwarded = self._accept_forwarded(exchange) if is_forwarded else None
+            context = self._build_context(
+                exchange, request_head, record, arrived_at_s, forwarded
+            )
             await self._forward(context)
         except RequestError as error:
+            if is_forwarded:
+                error = _name_unreached_servers(error, record)
             _record_and_reply_error(exchange, request_head, record, error)
         except asyncio.CancelledError:
             if self._is_ending and not exchange.has_started:
@@ -143,12 +166,35 @@
             self._tasks.discard(task)
             self._record_outcome(record, arrived_at_s)
 
+    def _accept_forwarded(self, exchange: Exchange) -> ForwardedRequest:
+        """Return what another node states about a request, unless it is refused.
+
+        Raises
+        ------
+        RequestError
+            If this node stops, cannot read what the other node states, or knows only
+            an older declaration, which would come into force again for the caller.
+        """
+        if self._is_stopping():
+            raise not_run_error(ErrorCode.DRAINING, "the node stops")
+        forwarded = decode_forwarded(exchange.headers)
+        if forwarded is None:
+            raise _client_error(
+                400, ErrorCode.BAD_REQUEST, "the field of a forwarded request is wrong"
+            )
+        if forwarded.declaration_version > self._declarations.version:
+            raise not_run_error(
+                ErrorCode.NO_CONFIGURATION, "only an older declaration is known"
+            )
+        return forwarded
+
     def _build_context(
         self,
         exchange: Exchange,
         request_head: RequestHead,
         record: RequestRecord,
         arrived_at_s: float,
+        forwarded: ForwardedRequest | None,
     ) -> RequestContext:
         declaration = self._declarations.current
         if declaration is None:
@@ -189,6 +235,8 @@
             deadline_at_s=arrived_at_s + timeout_s,
             identity=identity,
             record=record,
+            is_forwarded=forwarded is not None,
+            prior_runs=forwarded.possible_runs if forwarded is not None else 0,
         )
 
     def _select_service(self, declaration: Declaration, route: Route) -> Service:
@@ -285,6 +333,23 @@
     return not_run_error(ErrorCode.DRAINING, message)
 
 
+def _name_unreached_servers(error: RequestError, record: RequestRecord) -> RequestError:
+    """Return the error for another node, which may reach the servers elsewhere.
+
+    A refusal by servers has the same code as servers that this node did not reach,
+    and only in the latter case is it useful to ask a further node.
+    """
+    if error.code is not ErrorCode.BACKEND_REFUSED or not record.has_reached_no_server:
+        return error
+    return RequestError(
+        ErrorCode.BACKEND_UNREACHABLE,
+        "no server was reached",
+        status=error.status,
+        outcome=error.outcome,
+        retry_after=error.retry_after,
+    )
+
+
 def _cut_stream(context: RequestContext) -> None:
     context.record.code = ErrorCode.STREAM_CUT
     context.exchange.abort()
@@ -307,6 +372,7 @@
         error,
         request_head,
         retry_after.total_seconds() if retry_after is not None else None,
+        is_forwarded=record.is_forwarded,
     )
 
 
--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/_attempt.py
@@ -1,7 +1,9 @@
 """Attempt to send a request to one server and read the response."""
 
+import abc
 import enum
 from types import TracebackType
+from typing import Self
 
 from pomelolug.deployment import BackendServer
 from pomelolug.entry._request_identity import RequestIdentity
@@ -17,8 +19,16 @@
     ResponseHead,
 )
 
-__all__ = ["Attempt", "AttemptError", "RunStatus"]
+__all__ = [
+    "CONNECTION_END_REASONS",
+    "Attempt",
+    "AttemptError",
+    "BaseAttempt",
+    "RunStatus",
+]
 
+CONNECTION_END_REASONS = frozenset({"closed", "reset"})
+"""Reasons of a connection that the other side has ended."""
 _MAX_SKIPPED_BODY_BYTES = 4 * 1024 * 1024
 _MAX_RESPONSES = 3
 """Maximum number of responses read to find the one to this request."""
@@ -110,13 +120,147 @@
         return self._may_have_arrived
 
 
-class Attempt:
-    """Request to one server, used as an asynchronous context manager.
+class BaseAttempt(abc.ABC):
+    """Request on one connection of a pool, used as an asynchronous context manager.
 
     On exit, the connection returns to the pool if the whole response was read.
-    Otherwise it is aborted, which makes the server stop processing the request. Every
-    request to a server is sent through an attempt, so that each run is counted whatever
-    its kind and its end.
+    Otherwise it is aborted, which makes the receiver stop processing the request.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Pool of connections.
+    address : str
+        Address that the request is sent to.
+    request_id : RequestId
+        Id of the request, which its responses repeat.
+    """
+
+    def __init__(
+        self, pool: ConnectionPool, address: str, *, request_id: RequestId
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._request_id = request_id
+        self._connection: ClientConnection | None = None
+        self._body_complete = False
+
+    async def __aenter__(self) -> Self:
+        """Return the attempt; `send` opens the connection."""
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Return the connection to the pool or abort it."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        if self._body_complete:
+            self._pool.release(self._address, connection)
+        else:
+            connection.abort()
+
+    @abc.abstractmethod
+    async def send(self, data: bytes, *, fresh: bool) -> None:
+        """Send a complete request; `fresh` requires a new connection.
+
+        Raises
+        ------
+        AttemptError
+            If the request was not sent, which proves that it did not run.
+        """
+
+    @abc.abstractmethod
+    async def read_head(self) -> tuple[ServerReply, ResponseHead]:
+        """Return the head of the response to this request.
+
+        Raises
+        ------
+        AttemptError
+            If none arrives.
+        """
+
+    @abc.abstractmethod
+    def record_event(self) -> None:
+        """Record that a complete event of the answer has arrived."""
+
+    def abort(self, reason: str) -> None:
+        """Abort the connection; a pending read fails with `reason`."""
+        if self._connection is not None:
+            self._connection.abort(reason)
+
+    async def read_body(
+        self, limit: int, *, budget: BufferBudget | None = None
+    ) -> bytes:
+        """Return the complete body, at most `limit` bytes and within the budget.
+
+        Raises
+        ------
+        AttemptError
+            If the body is incomplete or too large.
+        """
+        try:
+            data = await self._require_connection().read_body(limit, budget=budget)
+        except HttpConnectionError as error:
+            raise self._lost_error(error) from error
+        self._body_complete = True
+        return data
+
+    async def read_chunk(self) -> bytes | None:
+        """Return what has arrived of the body, None at its end.
+
+        Raises
+        ------
+        AttemptError
+            If the body is incomplete.
+        """
+        try:
+            data = await self._require_connection().read_available()
+        except HttpConnectionError as error:
+            raise self._lost_error(error) from error
+        if data is None:
+            self._body_complete = True
+        return data
+
+    def _require_connection(self) -> ClientConnection:
+        if self._connection is None:
+            raise AttemptError(
+                "not_sent", run_status=RunStatus.NOT_RUN, may_have_arrived=False
+            )
+        return self._connection
+
+    def _lost_error(
+        self, error: HttpConnectionError, *, stale_connection: bool = False
+    ) -> AttemptError:
+        """Return the error of a request that was sent and has no whole response."""
+        return AttemptError(
+            self._lost_reason(error),
+            run_status=RunStatus.MAY_HAVE_RUN,
+            may_have_arrived=True,
+            stale_connection=stale_connection,
+        )
+
+    def _lost_head_error(self, error: HttpConnectionError) -> AttemptError:
+        """Return the error of a request that was sent and has no response head."""
+        return self._lost_error(
+            error,
+            stale_connection=error.reason in CONNECTION_END_REASONS
+            and self._require_connection().is_reused,
+        )
+
+    def _lost_reason(self, error: HttpConnectionError) -> str:
+        return error.reason
+
+
+class Attempt(BaseAttempt):
+    """Request to one server, used as an asynchronous context manager.
+
+    Every request to a server is sent through an attempt, so that each run is counted
+    whatever its kind and its end.
 
     Parameters
     ----------
@@ -144,27 +288,19 @@
         request_id: RequestId,
         identity: RequestIdentity,
     ) -> None:
-        self._pool = pool
+        super().__init__(pool, server.address, request_id=request_id)
         self._run_monitor = run_monitor
         self._notices = notices
         self._server = server
-        self._address = server.address
-        self._request_id = request_id
         self._identity = identity
-        self._connection: ClientConnection | None = None
         self._run: ServerRun | None = None
         self._reply: ServerReply | None = None
-        self._body_complete = False
 
     @property
     def server(self) -> BackendServer:
         """Server to send to."""
         return self._server
 
-    async def __aenter__(self) -> "Attempt":
-        """Return the attempt; `send` opens the connection."""
-        return self
-
     async def __aexit__(
         self,
         exc_type: type[BaseException] | None,
@@ -177,18 +313,7 @@
         if self._run is not None:
             self._run_monitor.finish(self._run, self._classify_end(exc))
             self._run = None
-        connection, self._connection = self._connection, None
-        if connection is None:
-            return
-        if self._body_complete:
-            self._pool.release(self._address, connection)
-        else:
-            connection.abort()
-
-    def abort(self, reason: str) -> None:
-        """Abort the connection; a pending read fails with `reason`."""
-        if self._connection is not None:
-            self._connection.abort(reason)
+        await super().__aexit__(exc_type, exc, traceback)
 
     async def send(self, data: bytes, *, fresh: bool) -> None:
         """Send a complete request.
@@ -253,58 +378,16 @@
                 connection.expect_another_response()
                 await connection.skip_body(_MAX_SKIPPED_BODY_BYTES)
         except HttpConnectionError as error:
-            connection_ended = error.reason in ("reset", "closed")
-            raise AttemptError(
-                error.reason,
-                run_status=RunStatus.MAY_HAVE_RUN,
-                may_have_arrived=True,
-                stale_connection=connection_ended and connection.is_reused,
-            ) from error
+            raise self._lost_head_error(error) from error
         raise AttemptError(
             "foreign_responses",
             run_status=RunStatus.MAY_HAVE_RUN,
             may_have_arrived=True,
         )
 
-    async def read_body(
-        self, limit: int, *, budget: BufferBudget | None = None
-    ) -> bytes:
-        """Return the complete body, at most `limit` bytes and within the budget.
-
-        Raises
-        ------
-        AttemptError
-            If the body is incomplete or too large.
-        """
-        try:
-            data = await self._require_connection().read_body(limit, budget=budget)
-        except HttpConnectionError as error:
-            raise AttemptError(
-                error.reason, run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
-            ) from error
-        self._body_complete = True
-        return data
-
-    async def read_chunk(self) -> bytes | None:
-        """Return what has arrived of the body, None at its end.
-
-        Raises
-        ------
-        AttemptError
-            If the body is incomplete.
-        """
-        try:
-            data = await self._require_connection().read_available()
-        except HttpConnectionError as error:
-            raise AttemptError(
-                error.reason, run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
-            ) from error
-        if data is None:
-            self._body_complete = True
-        return data
-
     def record_silence(self) -> None:
         """Record that the request is sent again, since the server is silent."""
+        self._report_trouble()
         if self._run is not None:
             self._run_monitor.record_silence(self._run)
 
@@ -313,13 +396,6 @@
         if self._run is not None:
             self._run_monitor.record_event(self._run)
 
-    def _require_connection(self) -> ClientConnection:
-        if self._connection is None:
-            raise AttemptError(
-                "not_sent", run_status=RunStatus.NOT_RUN, may_have_arrived=False
-            )
-        return self._connection
-
     def _report_trouble(self) -> None:
         self._run_monitor.contact.report_trouble(self._server.vm)
 
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -28,6 +28,7 @@
 from pomelolug.entry._loss_publisher import LossPublisher
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._peer_coordinator import PeerCoordinator
+from pomelolug.entry._peer_forwarding import encode_outcome
 from pomelolug.entry._plain import PlainForwarder
 from pomelolug.entry._poison_requests import PoisonRequestDetector
 from pomelolug.entry._rate_limiter import RequestRateLimiter
@@ -41,7 +42,7 @@
 from pomelolug.entry._stream import StreamForwarder
 from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
 from pomelolug.entry._watch import StallDetector
-from pomelolug.errors import InvalidInputError
+from pomelolug.errors import ErrorCode, InvalidInputError, Outcome
 from pomelolug.feeds import RecordSource, TopicFeed
 from pomelolug.ids import ModelName, NodeId, VmId
 from pomelolug.platform import (
@@ -52,6 +53,7 @@
     MetadataStore,
     NodeSettings,
     StoreControllerElection,
+    outcome_headers,
 )
 from pomelolug.replicas import (
     ControllerLease,
@@ -77,6 +79,16 @@
 _ORDER_TIMEOUT = datetime.timedelta(milliseconds=450)
 _REPORT_TIMEOUT = datetime.timedelta(milliseconds=250)
 """Reports occupy no slot and take a few milliseconds unless a packet is lost."""
+_MAX_PEER_IDLE = datetime.timedelta(seconds=10)
+"""Longest idle time of a reused connection to a node, which keeps it for 15 s.
+
+A declaration may set another idle timeout than these 15 s.
+"""
+_MAX_ADDED_HEADER_BYTES = 256
+"""Size of the fields that a node adds to a request that it forwards, with a margin.
+
+With it, a request that a node has accepted is not too large for another one.
+"""
 _MAX_IDLE = datetime.timedelta(milliseconds=900)
 """Longest idle time of a reused connection, since servers close idle ones."""
 _HOUSEKEEPING_INTERVAL = datetime.timedelta(milliseconds=50)
@@ -145,6 +157,7 @@
         self._rng = random.Random()
         self._metrics = EntryMetrics()
         self._limits = HttpServerLimits()
+        self._forwarding_limits = HttpServerLimits()
         self._connections: set[ServerConnection] = set()
         self._group_sizes: dict[ModelName, int] = {}
 
@@ -156,8 +169,11 @@
         loop.add_signal_handler(signal.SIGINT, self._lifecycle.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         caller_listener = await self._listen(
-            self._settings.caller_address, self._request_handler.handle
+            self._settings.caller_address,
+            self._request_handler.handle,
+            limits=self._limits,
         )
+        listeners = [caller_listener, *await self._listen_for_peers()]
         await self._listen_internal()
         await self._peer_coordinator.bind(loop)
         tasks = [
@@ -167,7 +183,7 @@
         await self._lifecycle.wait_for_stop()
         await self._lease.stop()
         await self._lifecycle.drain(
-            caller_listener, self._connections, lambda: self._request_handler.in_flight
+            listeners, self._connections, lambda: self._request_handler.in_flight
         )
         if self._request_handler.in_flight:
             self._request_handler.end_all()
@@ -222,6 +238,9 @@
             max_idle=_MAX_IDLE, connect_timeout=_CONNECT_TIMEOUT
         )
         self._build_server_contact()
+        self._forwarding_pool = ConnectionPool(
+            max_idle=_MAX_PEER_IDLE, connect_timeout=_CONNECT_TIMEOUT
+        )
         self._run_monitor = RunMonitor(
             detector=self._poison_detector,
             registry=self._registry,
@@ -398,6 +417,7 @@
             poison_detector=self._poison_detector,
             run_monitor=self._run_monitor,
             metrics=self._metrics,
+            is_stopping=lambda: self._lifecycle.is_stopping,
             clock=clock,
             rng=self._rng,
         )
@@ -470,6 +490,7 @@
             rounds += 1
             if rounds % _ROUNDS_PER_SWEEP == 0:
                 self._pool.close_expired()
+                self._forwarding_pool.close_expired()
                 self._run_monitor.settle_overdue()
                 self._notices.forget_expired()
                 self._metrics.in_flight.set(self._request_handler.in_flight)
@@ -484,11 +505,37 @@
                     len(self._server_limits.limited_servers())
                 )
 
-    async def _listen(self, address: str, handler: Handler) -> asyncio.Server:
+    async def _listen_for_peers(self) -> list[asyncio.Server]:
+        """Listen for the requests that other nodes forward, if there is a port."""
+        settings = self._settings
+        if not settings.internal_ports:
+            return []
+        # A request refused before it was fully read has not run.
+        outcome = encode_outcome(Outcome.NOT_RUN, ErrorCode.BAD_REQUEST)
+        listener = await self._listen(
+            f"{settings.ip}:{settings.internal_ports[0]}",
+            self._request_handler.handle_forwarded,
+            limits=self._forwarding_limits,
+            refusal_headers=outcome_headers(outcome),
+        )
+        return [listener]
+
+    async def _listen(
+        self,
+        address: str,
+        handler: Handler,
+        *,
+        limits: HttpServerLimits,
+        refusal_headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> asyncio.Server:
         host, _, port = address.rpartition(":")
         return await asyncio.get_running_loop().create_server(
             lambda: ServerConnection(
-                handler, self._limits, self._connections, self._on_unreadable_request
+                handler,
+                limits,
+                self._connections,
+                self._on_unreadable_request,
+                refusal_headers,
             ),
             host,
             int(port),
@@ -526,10 +573,12 @@
         self._metrics.answers.labels(str(status), "unreadable").inc()
 
     def _on_declaration(self, declaration: Declaration) -> None:
-        self._limits.max_header_bytes = declaration.max_header_bytes
-        self._limits.max_body_bytes = declaration.max_body_bytes
-        self._limits.header_timeout_s = declaration.header_timeout.total_seconds()
-        self._limits.idle_timeout_s = declaration.idle_timeout.total_seconds()
+        for limits in (self._limits, self._forwarding_limits):
+            limits.max_header_bytes = declaration.max_header_bytes
+            limits.max_body_bytes = declaration.max_body_bytes
+            limits.header_timeout_s = declaration.header_timeout.total_seconds()
+            limits.idle_timeout_s = declaration.idle_timeout.total_seconds()
+        self._forwarding_limits.max_header_bytes += _MAX_ADDED_HEADER_BYTES
         self._group_sizes = {
             model.name: model.group_size
             for service in declaration.engine_services()
--- a/pomelolug/entry/_lifecycle.py
+++ b/pomelolug/entry/_lifecycle.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import datetime
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -69,7 +69,7 @@
 
     async def drain(
         self,
-        listener: asyncio.Server,
+        listeners: Iterable[asyncio.Server],
         connections: set[ServerConnection],
         in_flight: Callable[[], int],
     ) -> None:
@@ -85,7 +85,8 @@
             for connection in list(connections):
                 connection.close_after_response()
             await self._clock.sleep(_POLL_INTERVAL)
-        listener.close()
+        for listener in listeners:
+            listener.close()
         while self._clock.monotonic() - started_at_s < self._grace_s - _KILL_MARGIN_S:
             for connection in list(connections):
                 connection.close_if_idle()
--- a/pomelolug/entry/_request_context.py
+++ b/pomelolug/entry/_request_context.py
@@ -7,12 +7,23 @@
 import msgspec
 
 from pomelolug.deployment import Declaration, Route, Service
+from pomelolug.entry._peer_forwarding import (
+    ForwardedRequest,
+    encode_forwarded,
+    encode_outcome,
+)
 from pomelolug.entry._request_identity import RequestIdentity
 from pomelolug.entry._request_record import RequestRecord
 from pomelolug.entry._server_notices import ServerWait, WaitCause
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import AccountId, VmId
-from pomelolug.platform import RequestHead, forwarded_headers, refusal_headers
+from pomelolug.platform import (
+    RequestHead,
+    forwarded_headers,
+    outcome_headers,
+    peer_headers,
+    refusal_headers,
+)
 from pomelolug.transport import Exchange, encode_request
 
 __all__ = [
@@ -37,6 +48,8 @@
     which `SystemClock.monotonic` returns.
     At the deadline, the caller has left or the timeout of the route has passed.
     `identity` identifies the request when its caller sends it again.
+    `is_forwarded` is true if another node sent the request, which must not be passed
+    on again. `prior_runs` is the number of runs that may have happened before.
     """
 
     exchange: Exchange
@@ -50,6 +63,8 @@
     deadline_at_s: float
     identity: RequestIdentity
     record: RequestRecord
+    is_forwarded: bool = False
+    prior_runs: int = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -72,14 +87,47 @@
             self.exchange.method, self.exchange.target, headers, self.exchange.body
         )
 
+    def encode_for_peer(
+        self, *, now_s: float, last_event_id: int | None, possible_runs: int
+    ) -> bytes:
+        """Return the encoded request for another node.
+
+        Parameters
+        ----------
+        now_s : float
+            Current monotonic time, from which the remaining time follows.
+        last_event_id : int or None
+            Id of the last event that the caller has.
+        possible_runs : int
+            Number of times that the request may have run so far.
+        """
+        forwarded = ForwardedRequest(
+            declaration_version=self.declaration.version, possible_runs=possible_runs
+        )
+        headers = peer_headers(
+            self.exchange.headers,
+            remaining_s=self.deadline_at_s - now_s,
+            last_event_id=last_event_id,
+            forwarded=encode_forwarded(forwarded),
+        )
+        return encode_request(
+            self.exchange.method, self.exchange.target, headers, self.exchange.body
+        )
+
 
 def reply_error(
     exchange: Exchange,
     error: RequestError,
     request_head: RequestHead,
     retry_after_s: float | None = None,
+    *,
+    is_forwarded: bool = False,
 ) -> None:
-    """Send an error response with a JSON body."""
+    """Send an error response with a JSON body.
+
+    If another node forwarded the request, a header field states the outcome and marks
+    the response as an error of this node rather than of a server.
+    """
     body = msgspec.json.encode(
         {
             "error": {
@@ -90,9 +138,10 @@
             }
         }
     )
-    exchange.reply(
-        error.status, refusal_headers(request_head.request_id, retry_after_s), body
-    )
+    headers = refusal_headers(request_head.request_id, retry_after_s)
+    if is_forwarded:
+        headers += outcome_headers(encode_outcome(error.outcome, error.code))
+    exchange.reply(error.status, headers, body)
 
 
 def not_run_error(code: ErrorCode, message: str) -> RequestError:
--- a/pomelolug/entry/_request_record.py
+++ b/pomelolug/entry/_request_record.py
@@ -10,6 +10,10 @@
 __all__ = ["AttemptRecord", "RequestRecord"]
 
 _RUNNING = "running"
+_UNREACHED_RESULTS = frozenset(
+    {"closed_before_send", "connect_refused", "connect_timeout"}
+)
+"""Results of attempts that had no connection to the server on which to send."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,6 +31,11 @@
     result: str = _RUNNING
     may_have_run: bool = False
 
+    @property
+    def has_reached_server(self) -> bool:
+        """Whether there was a connection to the server on which to send."""
+        return self.result not in _UNREACHED_RESULTS
+
     def log_fields(self) -> dict[str, Any]:
         """Return the fields of the log line."""
         fields: dict[str, Any] = {
@@ -45,7 +54,8 @@
     """Routing, attempts and result of one request.
 
     `known_losses` counts the servers that were known, when the request arrived, to have
-    been lost while running it.
+    been lost while running it. `is_forwarded` is true if another node, rather than a
+    caller, sent it.
     """
 
     request_id: RequestId
@@ -55,12 +65,20 @@
     registry_age_s: float = 0.0
     identity: RequestIdentity | None = None
     known_losses: int = 0
+    is_forwarded: bool = False
     status: int = 0
     code: ErrorCode | None = None
     first_event_s: float | None = None
     event_count: int = 0
     attempts: list[AttemptRecord] = dataclasses.field(default_factory=list)
 
+    @property
+    def has_reached_no_server(self) -> bool:
+        """Whether the request was tried, and no server could be connected to."""
+        return bool(self.attempts) and not any(
+            attempt.has_reached_server for attempt in self.attempts
+        )
+
     def mark_last_attempt(self, result: str) -> None:
         """Set the result of an attempt that ended without one."""
         if self.attempts and self.attempts[-1].result == _RUNNING:
@@ -78,6 +96,7 @@
             "fingerprint": identity.request if identity is not None else "",
             "prompt_parts": identity.prompt_parts if identity is not None else (),
             "known_losses": self.known_losses,
+            "forwarded": self.is_forwarded,
             "status": self.status,
             "code": self.code.value if self.code is not None else "",
             "first_s": round(self.first_event_s, 4)
--- a/pomelolug/errors/_codes.py
+++ b/pomelolug/errors/_codes.py
@@ -49,6 +49,7 @@
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     RETRY_BUDGET_EXHAUSTED = "retry_budget_exhausted"
     BACKEND_REFUSED = "backend_refused"
+    BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_LOST = "backend_lost"
     STREAM_CUT = "stream_cut"
     CALLER_TOO_SLOW = "caller_too_slow"
--- a/pomelolug/platform/_headers.py
+++ b/pomelolug/platform/_headers.py
@@ -14,10 +14,15 @@
     "RequestHead",
     "ServerReply",
     "decode_request_head",
+    "decode_retry_after",
     "decode_server_notice",
     "decode_server_reply",
     "decode_store_era",
+    "find_forwarded_field",
+    "find_outcome_field",
     "forwarded_headers",
+    "outcome_headers",
+    "peer_headers",
     "refusal_headers",
     "response_headers",
 ]
@@ -37,6 +42,10 @@
         b"expect",
     }
 )
+_INTERNAL_FIELDS = frozenset(
+    name.lower() for name in (_wire_names.FORWARDED, _wire_names.OUTCOME)
+)
+"""Fields between nodes, which neither servers nor callers send or receive."""
 _MAX_PROMPT_PARTS = 32
 """Maximum number of parts of a prompt by which requests are compared."""
 _REPLACED_FIELDS = frozenset(
@@ -50,6 +59,9 @@
         _wire_names.REQUEST_URGENCY,
     )
 )
+_REPLACED_FOR_PEER = frozenset(
+    name.lower() for name in (_wire_names.DEADLINE_MS, _wire_names.LAST_EVENT_ID)
+)
 _MAX_DEADLINE_MS = 86_400_000.0
 _MAX_PAUSE_S = 86_400.0
 """Longest pause of a server, in seconds; a longer one is shortened to it."""
@@ -152,22 +164,66 @@
 ) -> list[tuple[bytes, bytes]]:
     """Return the header fields of a request for a server.
 
-    Hop-by-hop fields of the caller's connection are removed. Fields that this
-    system sets are replaced, and the caller's API key is not forwarded.
+    Hop-by-hop fields of the caller's connection and fields between nodes are removed.
+    Fields that this system sets are replaced, and the caller's API key is not
+    forwarded.
     """
-    dropped = _HOP_BY_HOP_FIELDS | _REPLACED_FIELDS
-    fields = [(k, v) for k, v in headers if k.lower() not in dropped]
-    fields.append((_wire_names.DEADLINE_MS, b"%d" % max(int(remaining_s * 1000), 1)))
+    fields = _replace_fields(
+        headers,
+        replaced=_REPLACED_FIELDS,
+        remaining_s=remaining_s,
+        last_event_id=last_event_id,
+    )
     fields.append((_wire_names.EXPECT_INSTANCE, server.encode()))
     if account is not None:
         fields.append((_wire_names.TENANT, account.encode()))
-    if last_event_id is not None:
-        fields.append((_wire_names.LAST_EVENT_ID, b"%d" % last_event_id))
     if urgency is not None:
         fields.append((_wire_names.REQUEST_URGENCY, b"%d" % urgency))
     return fields
 
 
+def peer_headers(
+    headers: Iterable[tuple[bytes, bytes]],
+    *,
+    remaining_s: float,
+    last_event_id: int | None,
+    forwarded: bytes,
+) -> list[tuple[bytes, bytes]]:
+    """Return the header fields of a request that another node shall handle.
+
+    The other node handles it like a request of its own caller, so the API key stays.
+    `forwarded` is the value of the field by which it recognizes the request.
+    """
+    fields = _replace_fields(
+        headers,
+        replaced=_REPLACED_FOR_PEER,
+        remaining_s=remaining_s,
+        last_event_id=last_event_id,
+    )
+    fields.append((_wire_names.FORWARDED, forwarded))
+    return fields
+
+
+def find_forwarded_field(headers: Iterable[tuple[bytes, bytes]]) -> bytes | None:
+    """Return the value of the field of a forwarded request.
+
+    It is None if the field is missing or repeated.
+    """
+    name = _wire_names.FORWARDED.lower()
+    values = [v for k, v in headers if k.lower() == name]
+    return values[0] if len(values) == 1 else None
+
+
+def outcome_headers(outcome: bytes) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the header fields that mark an error made by a node for another one."""
+    return ((_wire_names.OUTCOME, outcome),)
+
+
+def find_outcome_field(head: ResponseHead) -> bytes | None:
+    """Return the value of the field that marks an error of another node, or None."""
+    return head.get(_wire_names.OUTCOME)
+
+
 def decode_server_reply(head: ResponseHead) -> ServerReply:
     """Decode the status and header fields of a server's response."""
     request = head.get(_wire_names.REQUEST_ID)
@@ -206,9 +262,18 @@
     return era if era is not None and era >= 0 else None
 
 
+def decode_retry_after(head: ResponseHead) -> datetime.timedelta | None:
+    """Return the Retry-After of an error that a node made, None if it has none."""
+    seconds = _decode_rate(head.get(_wire_names.RETRY_AFTER))
+    if seconds is None:
+        return None
+    return datetime.timedelta(seconds=min(seconds, _MAX_PAUSE_S))
+
+
 def response_headers(head: ResponseHead) -> tuple[tuple[bytes, bytes], ...]:
     """Return a server's header fields that go to the caller."""
-    return tuple((k, v) for k, v in head.headers if k.lower() not in _HOP_BY_HOP_FIELDS)
+    dropped = _HOP_BY_HOP_FIELDS | _INTERNAL_FIELDS
+    return tuple((k, v) for k, v in head.headers if k.lower() not in dropped)
 
 
 def refusal_headers(
@@ -223,6 +288,22 @@
     return tuple(fields)
 
 
+def _replace_fields(
+    headers: Iterable[tuple[bytes, bytes]],
+    *,
+    replaced: frozenset[bytes],
+    remaining_s: float,
+    last_event_id: int | None,
+) -> list[tuple[bytes, bytes]]:
+    """Return a caller's fields that are passed on, with deadline and last event."""
+    dropped = _HOP_BY_HOP_FIELDS | _INTERNAL_FIELDS | replaced
+    fields = [(k, v) for k, v in headers if k.lower() not in dropped]
+    fields.append((_wire_names.DEADLINE_MS, b"%d" % max(int(remaining_s * 1000), 1)))
+    if last_event_id is not None:
+        fields.append((_wire_names.LAST_EVENT_ID, b"%d" % last_event_id))
+    return fields
+
+
 def _decode_text(value: bytes | None) -> str:
     return value.decode("latin-1") if value is not None else ""
 
--- a/pomelolug/platform/_wire_names.py
+++ b/pomelolug/platform/_wire_names.py
@@ -26,6 +26,10 @@
 LENGTH_HINT = b"Length-Hint"
 # Parts of the prompt in order: id and number of tokens of each.
 PROMPT_PREFIX = b"Prompt-Prefix"
+# This system's own fields, sent between its nodes only: declaration and runs of a
+# request that a node passes on, and outcome and code of an error of the other node.
+FORWARDED = b"Pomelolug-Forwarded"
+OUTCOME = b"Pomelolug-Outcome"
 
 READY_PATH = b"/-/ready"
 REPORT_PATH = b"/-/report"
--- a/pomelolug/transport/_server.py
+++ b/pomelolug/transport/_server.py
@@ -186,6 +186,8 @@
         Open connections, to which the connection adds itself until it is closed.
     on_refused : callable
         Called with the status if a request is refused before it was fully read.
+    refusal_headers : tuple of (bytes, bytes)
+        Header fields of the response to such a request.
     """
 
     def __init__(
@@ -194,11 +196,13 @@
         limits: HttpServerLimits,
         connections: "set[ServerConnection]",
         on_refused: Callable[[int], None],
+        refusal_headers: tuple[tuple[bytes, bytes], ...] = (),
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._connections = connections
         self._on_refused = on_refused
+        self._refusal_headers = refusal_headers
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -416,9 +420,10 @@
         self._closing = True
         self._on_refused(status)
         if self._handler_task is None and self._transport is not None:
+            fields = b"".join(b"%b: %b\r\n" % field for field in self._refusal_headers)
             self.write(
-                b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-                % (status, _REASON_PHRASES[status])
+                b"HTTP/1.1 %d %b\r\n%bContent-Length: 0\r\nConnection: close\r\n\r\n"
+                % (status, _REASON_PHRASES[status], fields)
             )
             self._transport.close()
 
