--- a/pomelolug/platform/tests/test_wire_names.py
+++ b/pomelolug/platform/tests/test_wire_names.py
@@ -11,6 +11,7 @@
     r"|log-append|log-newest|log-read|log-join|log-commit|/-/|keyed\."
     r"|path_prefix|target_latency_ms|max_attempts\"|gap_target_ms|api_keys"
     r"|retain_count|close_mode|cold_remaining|Server-Limit|Store-Era|POMELOLUG_SETTINGS"
+    r"|Pomelolug-"
 )
 
 
