Pass requests on to other nodes while no server is reached

Cause: a node sent requests to servers only itself. When it suspected all groups, or no connection opened, it refused, although other nodes reached all servers.

Change: a node that is cut off passes its requests on to a node that reaches the servers, and so does one to which two servers in a row did not open a connection, or that suspects all groups of the model. The other node handles them like requests of its own callers and never passes them on again. A stream goes on there after its last event. What may have run before counts towards the attempts of the route on both nodes, and a request that may run only once is passed on only if it has not been sent.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -33,6 +33,7 @@
 from pomelolug.entry._poison_requests import PoisonRequestDetector
 from pomelolug.entry._rate_limiter import RequestRateLimiter
 from pomelolug.entry._repeats import RetryLimiter
+from pomelolug.entry._request_exits import RequestExits
 from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._server_contact import ServerContact
 from pomelolug.entry._server_limits import ServerLimits
@@ -387,12 +388,20 @@
             node_count=max(len(settings.peer_seeds), 1) * 3,
             on_denied=self._metrics.repeats_denied.inc,
         )
+        exits = RequestExits(
+            contact=self._server_contact,
+            list_addresses=lambda: self._peer_coordinator.forwarding_addresses(),
+            pool=self._forwarding_pool,
+            clock=clock,
+            rng=self._rng,
+        )
         plain_forwarder = PlainForwarder(
             server_tracker=self._server_tracker,
             pool=self._pool,
             retry_limiter=self._retry_limiter,
             run_monitor=self._run_monitor,
             notices=self._notices,
+            exits=exits,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -406,6 +415,7 @@
             run_monitor=self._run_monitor,
             notices=self._notices,
             group_selector=self._group_selector,
+            exits=exits,
             clock=clock,
             rng=self._rng,
         )
--- a/pomelolug/entry/_peer_forwarding.py
+++ b/pomelolug/entry/_peer_forwarding.py
@@ -88,13 +88,15 @@
         """The error of the other node."""
         return self._error
 
+    @property
+    def has_not_run(self) -> bool:
+        """Whether the other node states that no server has run the request."""
+        return self._error.outcome is Outcome.NOT_RUN
+
     @property
     def may_try_another(self) -> bool:
         """Whether a further node may succeed, and this one has not run the request."""
-        return (
-            self._error.outcome is Outcome.NOT_RUN
-            and self._error.code in _ELSEWHERE_CODES
-        )
+        return self.has_not_run and self._error.code in _ELSEWHERE_CODES
 
 
 class PeerAttempt(BaseAttempt):
--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -7,6 +7,7 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, Repeatability
 from pomelolug.entry._attempt import Attempt, AttemptError, RunStatus
+from pomelolug.entry._peer_forwarding import PeerRefusalError
 from pomelolug.entry._poison_requests import QuarantinedError
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._request_context import (
@@ -15,11 +16,12 @@
     server_wait_error,
     unknown_outcome_error,
 )
+from pomelolug.entry._request_exits import MAX_UNREACHED_SERVERS, RequestExits
 from pomelolug.entry._request_record import AttemptRecord
 from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._server_notices import ServerNotices
 from pomelolug.entry._server_tracker import ServerTracker
-from pomelolug.errors import ErrorCode, RequestError
+from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId, ZoneId
 from pomelolug.platform import ServerReply, response_headers
 from pomelolug.transport import BufferBudget, ConnectionPool, ResponseHead
@@ -60,6 +62,7 @@
     """State of one request across its attempts.
 
     `possible_runs` counts the ended attempts that may have run the request, and
+    `unreached_count` the servers to which no connection has opened in a row.
     `failed_answer` is the latest response with which a server reports its own failure.
     """
 
@@ -69,6 +72,7 @@
     )
     attempt_count: int = 0
     possible_runs: int = 0
+    unreached_count: int = 0
     may_start: bool = True
     failed_answer: _Answer | None = None
     error: RequestError | None = None
@@ -90,6 +94,8 @@
         Refuses requests that crash servers.
     notices : ServerNotices
         What servers state about the requests that they take.
+    exits : RequestExits
+        Other nodes that get requests if this one reaches no server.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -106,6 +112,7 @@
         retry_limiter: RetryLimiter,
         run_monitor: RunMonitor,
         notices: ServerNotices,
+        exits: RequestExits,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -115,6 +122,7 @@
         self._retry_limiter = retry_limiter
         self._run_monitor = run_monitor
         self._notices = notices
+        self._exits = exits
         self._clock = clock
         self._zone = zone
         self._rng = rng
@@ -129,43 +137,136 @@
             If no server returned a response that can be passed on.
         """
         state = _PlainState()
+        is_answered = False
+        if not self._exits.is_needed(context):
+            is_answered = await self._ask_servers(context, state)
+        if not is_answered and self._may_ask_nodes(context, state):
+            is_answered = await self._ask_nodes(context, state)
+        if is_answered:
+            return
+        if state.failed_answer is not None:
+            self._reply(context, state.failed_answer)
+            return
+        if state.quarantine is not None:
+            raise state.quarantine
+        raise state.error or self._no_server_error(context)
+
+    async def _ask_servers(self, context: RequestContext, state: _PlainState) -> bool:
+        """Send to servers; return whether the caller has the response of one."""
         try:
             while True:
                 if self._may_start(context, state):
                     self._start_attempt(context, state)
                 if not state.running:
-                    break
+                    return False
                 answer = await self._wait_for_answer(context, state)
                 if answer is not None:
                     self._reply(context, answer)
-                    return
+                    return True
         finally:
             for task in state.running:
                 task.cancel()
             await asyncio.gather(*state.running, return_exceptions=True)
-        if state.failed_answer is not None:
-            self._reply(context, state.failed_answer)
-            return
-        if state.quarantine is not None:
-            raise state.quarantine
-        raise state.error or self._no_server_error(context)
+
+    # Other nodes
+
+    def _may_ask_nodes(self, context: RequestContext, state: _PlainState) -> bool:
+        return (
+            state.failed_answer is None
+            and state.quarantine is None
+            and self._exits.may_use(context, unreached_count=state.unreached_count)
+        )
+
+    async def _ask_nodes(self, context: RequestContext, state: _PlainState) -> bool:
+        """Pass the request on to other nodes, since this one reaches no server.
+
+        Return whether the caller has the response of a server.
+
+        Raises
+        ------
+        RequestError
+            If another node decides that the request is not answered.
+        """
+        tried: set[str] = set()
+        while self._may_run_again(context, state):
+            address = self._exits.select(tried)
+            if address is None:
+                break
+            if state.possible_runs and not self._retry_limiter.try_spend(context):
+                break
+            tried.add(address)
+            try:
+                answer = await self._send_to_node(context, state, address)
+            except AttemptError as failure:
+                self._exits.avoid(address)
+                if failure.run_status is RunStatus.MAY_HAVE_RUN:
+                    state.possible_runs += 1
+                    state.error = _to_request_error(failure, state.possible_runs)
+            except PeerRefusalError as refusal:
+                if not refusal.may_try_another:
+                    raise _with_prior_runs(refusal.error, state) from None
+                self._exits.avoid(address)
+            else:
+                self._reply(context, answer)
+                return True
+        if not state.possible_runs:
+            state.error = self._exits.unreachable_error()
+        return False
+
+    async def _send_to_node(
+        self, context: RequestContext, state: _PlainState, address: str
+    ) -> _Answer:
+        """Pass the request on to a node, and return the response of a server."""
+        attempt, record = self._exits.create_attempt(context, address)
+        data = context.encode_for_peer(
+            now_s=self._clock.monotonic(),
+            last_event_id=None,
+            possible_runs=context.prior_runs + state.possible_runs,
+        )
+        at_most_once = context.route.repeatability is Repeatability.AT_MOST_ONCE
+        try:
+            async with attempt:
+                await attempt.send(data, fresh=at_most_once)
+                record.may_have_run = True
+                reply, head = await attempt.read_head()
+                body = await attempt.read_body(
+                    _MAX_BODY_BYTES, budget=self._body_budget
+                )
+        except AttemptError as failure:
+            record.result = failure.reason
+            raise
+        except PeerRefusalError as refusal:
+            record.result = refusal.error.code.value
+            record.may_have_run = not refusal.has_not_run
+            raise
+        except asyncio.CancelledError:
+            record.result = "cancelled"
+            raise
+        record.result = str(reply.status)
+        if reply.encoded or (reply.status < 300 and not reply.sealed):
+            raise AttemptError(
+                "foreign_body", run_status=RunStatus.MAY_HAVE_RUN, may_have_arrived=True
+            )
+        return _Answer(reply, head, body)
+
+    # Servers
 
     def _may_start(self, context: RequestContext, state: _PlainState) -> bool:
         """Return whether a further server may get the request now.
 
         A server that is slow may have run the request, like one whose answer is lost.
         """
-        run_count = state.possible_runs + len(state.running)
         return (
             state.may_start
             and state.attempt_count < _MAX_ATTEMPTS
-            and (
-                not run_count
-                or (
-                    context.route.is_repeatable
-                    and run_count < context.route.max_attempts
-                )
-            )
+            and state.unreached_count < MAX_UNREACHED_SERVERS
+            and self._may_run_again(context, state)
+        )
+
+    def _may_run_again(self, context: RequestContext, state: _PlainState) -> bool:
+        run_count = context.prior_runs + state.possible_runs + len(state.running)
+        return not run_count or (
+            context.route.is_repeatable and run_count < context.route.max_attempts
         )
 
     def _start_attempt(self, context: RequestContext, state: _PlainState) -> None:
@@ -241,7 +342,11 @@
         except AttemptError as failure:
             if failure.is_server_failure:
                 self._server_tracker.record_failure(server.vm)
-            state.possible_runs += failure.run_status is RunStatus.MAY_HAVE_RUN
+            if failure.run_status is RunStatus.MAY_HAVE_RUN:
+                state.possible_runs += 1
+                state.unreached_count = 0
+            elif failure.is_server_failure:
+                state.unreached_count += 1
             state.error = _to_request_error(failure, state.possible_runs)
             return None
         except QuarantinedError as error:
@@ -357,5 +462,12 @@
     return not_run_error(ErrorCode.BACKEND_REFUSED, f"not sent: {failure.reason}")
 
 
+def _with_prior_runs(error: RequestError, state: _PlainState) -> RequestError:
+    """Return the error of another node, given what may have run before it."""
+    if state.possible_runs and error.outcome is Outcome.NOT_RUN:
+        return _backend_lost_error(f"not answered elsewhere: {error}")
+    return error
+
+
 def _backend_lost_error(message: str) -> RequestError:
     return unknown_outcome_error(ErrorCode.BACKEND_LOST, message)
--- a/pomelolug/entry/_request_record.py
+++ b/pomelolug/entry/_request_record.py
@@ -21,7 +21,8 @@
     """Server selected for one attempt, and the result.
 
     `may_have_run` is set when the request has been sent, and cleared if the server
-    refuses it. `limit_per_s` is the limit of the server, None if it has none.
+    refuses it. `limit_per_s` is the limit of the server, None if it has none. `node` is
+    the address of the node that the request was passed on to instead of a server.
     """
 
     server: VmId
@@ -30,6 +31,7 @@
     limit_per_s: float | None = None
     result: str = _RUNNING
     may_have_run: bool = False
+    node: str = ""
 
     @property
     def has_reached_server(self) -> bool:
@@ -38,6 +40,8 @@
 
     def log_fields(self) -> dict[str, Any]:
         """Return the fields of the log line."""
+        if self.node:
+            return {"node": self.node, "result": self.result}
         fields: dict[str, Any] = {
             "server": self.server,
             "in_flight": self.in_flight,
--- a/pomelolug/entry/_server_tracker.py
+++ b/pomelolug/entry/_server_tracker.py
@@ -260,6 +260,14 @@
         """
         return self._notices.shortest_wait(self._usable_heads(model))
 
+    def suspects_all_heads(self, model: ModelName) -> bool:
+        """Return whether a model has open groups, and this node suspects all heads."""
+        heads = self._heads_by_model.get(model, ())
+        now_s = self._clock.monotonic()
+        return bool(heads) and all(
+            self.load(head.vm).suspect_until_s > now_s for head in heads
+        )
+
     def open_groups(self) -> int:
         """Return the number of open groups."""
         return sum(len(heads) for heads in self._heads_by_model.values())
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import random
+from typing import TypeAlias
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
@@ -12,6 +13,7 @@
     GroupSelector,
     estimate_first_event_s,
 )
+from pomelolug.entry._peer_forwarding import PeerRefusalError
 from pomelolug.entry._poison_requests import QuarantinedError
 from pomelolug.entry._repeats import RetryLimiter
 from pomelolug.entry._request_context import (
@@ -20,6 +22,7 @@
     server_wait_error,
     unknown_outcome_error,
 )
+from pomelolug.entry._request_exits import MAX_UNREACHED_SERVERS, RequestExits
 from pomelolug.entry._request_record import AttemptRecord
 from pomelolug.entry._run_monitor import RunMonitor
 from pomelolug.entry._server_notices import ServerNotices
@@ -53,7 +56,8 @@
 _MAX_RESUME_WAIT_S = 1.0
 """Maximum time to wait for a group that can resume a stream."""
 _RESUME_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
-_RUN_ERRORS = (RefusedError, ServerError, AttemptError)
+_RUN_ERRORS = (RefusedError, ServerError, PeerRefusalError, AttemptError)
+_RunError: TypeAlias = RefusedError | ServerError | PeerRefusalError | AttemptError
 
 
 class _StreamState:
@@ -62,13 +66,16 @@
     `possible_runs` counts the ended runs that may have run the request. `move` looks
     for another group while the `current` run pauses, and leaves the run that has taken
     over in `replacement`. `server_error` is a whole error response that is passed on
-    if nothing better arrives.
+    if nothing better arrives. `unreached_count` counts the servers to which no
+    connection has opened in a row, and `is_refused` tells whether another node has
+    decided that the request is not served.
     """
 
     __slots__ = (
         "attempt_count",
         "current",
         "error",
+        "is_refused",
         "last_event_id",
         "move",
         "possible_runs",
@@ -76,6 +83,8 @@
         "server_error",
         "started",
         "tried",
+        "tried_nodes",
+        "unreached_count",
         "use_fresh_connection",
     )
 
@@ -86,6 +95,9 @@
         self.possible_runs = 0
         self.attempt_count = 0
         self.tried: set[VmId] = set()
+        self.tried_nodes: set[str] = set()
+        self.unreached_count = 0
+        self.is_refused = False
         self.error: RequestError | None = None
         self.server_error: ServerError | None = None
         self.current: StreamRun | None = None
@@ -115,6 +127,8 @@
         What servers state about the requests that they take.
     group_selector : GroupSelector
         Selects the group of an attempt.
+    exits : RequestExits
+        Other nodes that get requests if this one reaches no server.
     clock : Clock
         Source of monotonic time.
     rng : random.Random
@@ -131,6 +145,7 @@
         run_monitor: RunMonitor,
         notices: ServerNotices,
         group_selector: GroupSelector,
+        exits: RequestExits,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -141,6 +156,7 @@
         self._run_monitor = run_monitor
         self._notices = notices
         self._group_selector = group_selector
+        self._exits = exits
         self._clock = clock
         self._rng = rng
 
@@ -183,19 +199,80 @@
         if state.replacement is not None:
             run, state.replacement = state.replacement, None
             return run
-        return await self._start_run(context, state, waits=state.started)
+        is_resumed = state.started or (
+            context.is_forwarded and state.last_event_id is not None
+        )
+        return await self._start_run(context, state, waits=is_resumed)
 
     async def _start_run(
         self, context: RequestContext, state: _StreamState, *, waits: bool
     ) -> StreamRun | None:
         """Send the request to the next group that takes it, None if there is none.
 
+        Another node gets it if this one does not reach the groups.
+
         Parameters
         ----------
         waits : bool
             Whether to wait for a moment until a group has room.
         """
-        while state.attempt_count < _MAX_ATTEMPTS:
+        if self._may_use_exits(context, state):
+            run = await self._start_run_at_node(context, state)
+            if run is not None or self._exits.is_needed(context):
+                return run
+        run = await self._start_run_at_group(context, state, waits=waits)
+        if run is None and self._may_use_exits(context, state):
+            return await self._start_run_at_node(context, state)
+        return run
+
+    def _may_use_exits(self, context: RequestContext, state: _StreamState) -> bool:
+        model = context.request_head.model
+        has_suspects_only = (
+            model is not None and self._server_tracker.suspects_all_heads(model)
+        )
+        return (
+            has_suspects_only
+            and not context.is_forwarded
+            or self._exits.may_use(context, unreached_count=state.unreached_count)
+        )
+
+    async def _start_run_at_node(
+        self, context: RequestContext, state: _StreamState
+    ) -> StreamRun | None:
+        """Pass the request on to another node, None if none takes it."""
+        while (address := self._exits.select(state.tried_nodes)) is not None:
+            if state.possible_runs and not self._retry_limiter.try_spend(context):
+                return None
+            state.tried_nodes.add(address)
+            attempt, record = self._exits.create_attempt(context, address)
+            run = StreamRun(address, attempt, record, on_close=_do_nothing)
+            data = context.encode_for_peer(
+                now_s=self._clock.monotonic(),
+                last_event_id=state.last_event_id,
+                possible_runs=context.prior_runs + state.possible_runs,
+            )
+            try:
+                is_fresh = state.use_fresh_connection or not context.route.is_repeatable
+                await run.send(data, fresh=is_fresh)
+            except AttemptError as failure:
+                await run.close(failure, failure.reason)
+                self._exits.avoid(address)
+                continue
+            except BaseException as error:
+                await run.close(error, "cancelled")
+                raise
+            return run
+        if self._exits.is_needed(context):
+            state.error = self._exits.unreachable_error()
+        return None
+
+    async def _start_run_at_group(
+        self, context: RequestContext, state: _StreamState, *, waits: bool
+    ) -> StreamRun | None:
+        while (
+            state.attempt_count < _MAX_ATTEMPTS
+            and state.unreached_count < MAX_UNREACHED_SERVERS
+        ):
             head = await self._select_head(context, state, waits=waits)
             if head is None:
                 return None
@@ -217,13 +294,15 @@
                 await run.close(failure, failure.reason)
                 if failure.is_server_failure:
                     self._server_tracker.suspect(head.vm)
+                    state.unreached_count += 1
                 state.error = _to_request_error(failure, state.possible_runs)
                 continue
             except BaseException as error:
                 is_quarantined = isinstance(error, QuarantinedError)
                 await run.close(error, "quarantined" if is_quarantined else "cancelled")
                 raise
-            self._watch_run(context, state, run)
+            state.unreached_count = 0
+            self._watch_run(context, state, run, head.vm)
             return run
         return None
 
@@ -255,10 +334,13 @@
         return StreamRun(head, attempt, record, on_close=release)
 
     def _watch_run(
-        self, context: RequestContext, state: _StreamState, run: StreamRun
+        self,
+        context: RequestContext,
+        state: _StreamState,
+        run: StreamRun,
+        head: VmId,
     ) -> None:
         """Notice stalls and events of a run whose request has just been sent."""
-        head = run.server.vm
         can_move = context.route.is_repeatable
         watched = self._stall_detector.add(
             head,
@@ -325,11 +407,15 @@
         context: RequestContext,
         state: _StreamState,
         run: StreamRun,
-        error: RefusedError | ServerError | AttemptError,
+        error: _RunError,
     ) -> None:
         """Record why a run has ended without a response for the caller."""
+        if isinstance(error, PeerRefusalError):
+            self._record_peer_refusal(state, run, error)
+            return
         if isinstance(error, RefusedError):
-            self._server_tracker.record_refusal(run.server.vm)
+            if isinstance(run.target, BackendServer):
+                self._server_tracker.record_refusal(run.target.vm)
             state.error = self._refused_error("no group took the request")
             return
         if isinstance(error, ServerError):
@@ -339,7 +425,10 @@
             # The same server may be tried again, so that no further one needs to run
             # the request.
             state.use_fresh_connection = True
-            state.tried.discard(run.server.vm)
+            if isinstance(run.target, BackendServer):
+                state.tried.discard(run.target.vm)
+            else:
+                state.tried_nodes.discard(run.target)
             state.error = _to_request_error(_result_of(error), 1)
             return
         state.possible_runs += 1
@@ -350,6 +439,20 @@
         error = state.server_error
         return error is not None and error.head.status < 500 and not state.started
 
+    def _record_peer_refusal(
+        self, state: _StreamState, run: StreamRun, refusal: PeerRefusalError
+    ) -> None:
+        """Record the error of another node, which decides unless it is cut off too."""
+        assert isinstance(run.target, str)
+        state.error = refusal.error
+        if refusal.may_try_another:
+            self._exits.avoid(run.target)
+            return
+        if not refusal.has_not_run:
+            state.possible_runs += 1
+        # While an earlier run goes on, other nodes may still be asked.
+        state.is_refused = state.current in (None, run)
+
     # Moves
 
     def _on_stall(
@@ -464,7 +567,9 @@
         running : int
             Number of runs that go on.
         """
-        run_count = state.possible_runs + running
+        run_count = context.prior_runs + state.possible_runs + running
+        if state.is_refused:
+            return False
         if not run_count:
             return True
         return context.route.is_repeatable and run_count < context.route.max_attempts
@@ -566,6 +671,10 @@
         context.exchange.write(event.data)
 
 
+def _do_nothing() -> None:
+    """Do nothing: the other node counts the load of the run."""
+
+
 def _engine_and_model(
     context: RequestContext,
 ) -> tuple[EngineProfile | None, ModelProfile | None]:
@@ -603,7 +712,9 @@
     return not_run_error(ErrorCode.BACKEND_REFUSED, f"not sent: {reason}")
 
 
-def _result_of(error: RefusedError | ServerError | AttemptError) -> str:
+def _result_of(error: _RunError) -> str:
+    if isinstance(error, PeerRefusalError):
+        return error.error.code.value
     if isinstance(error, RefusedError):
         return "refused"
     return "server_failed" if isinstance(error, ServerError) else error.reason
--- a/pomelolug/entry/_stream_run.py
+++ b/pomelolug/entry/_stream_run.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from pomelolug.deployment import BackendServer
-from pomelolug.entry._attempt import Attempt, AttemptError, RunStatus
+from pomelolug.entry._attempt import Attempt, AttemptError, BaseAttempt, RunStatus
+from pomelolug.entry._peer_forwarding import PeerRefusalError
 from pomelolug.entry._request_record import AttemptRecord
 from pomelolug.platform import EventSplitter, ServerReply, ServerSentEvent
 from pomelolug.transport import ResponseHead
@@ -49,9 +50,9 @@
 
     Parameters
     ----------
-    server : BackendServer
-        Server that runs the stream.
-    attempt : Attempt
+    target : BackendServer or str
+        Server that runs the stream, or address of the node that it is passed on to.
+    attempt : BaseAttempt
         Attempt that the run reads from, which `close` ends.
     record : AttemptRecord
         Record of the attempt.
@@ -61,13 +62,13 @@
 
     def __init__(
         self,
-        server: BackendServer,
-        attempt: Attempt,
+        target: BackendServer | str,
+        attempt: BaseAttempt,
         record: AttemptRecord,
         *,
         on_close: Callable[[], None],
     ) -> None:
-        self._server = server
+        self._target = target
         self._attempt = attempt
         self._record = record
         self._on_event: Callable[[], None] | None = None
@@ -86,9 +87,9 @@
         return self._head
 
     @property
-    def server(self) -> BackendServer:
-        """Server that runs the stream."""
-        return self._server
+    def target(self) -> BackendServer | str:
+        """Server that runs the stream, or address of the node it is passed on to."""
+        return self._target
 
     def observe(
         self,
@@ -122,7 +123,7 @@
 
         Raises
         ------
-        RefusedError, ServerError
+        RefusedError, ServerError, PeerRefusalError
             As `next_event`.
         AttemptError
             As `next_event`, and if the next event is not the one after the last.
@@ -146,6 +147,8 @@
             If the server has not run the request.
         ServerError
             If the response is a whole error response.
+        PeerRefusalError
+            If another node makes an error instead of a server.
         AttemptError
             If the connection or the response is broken.
         """
@@ -160,7 +163,8 @@
 
     def record_silence(self) -> None:
         """Record that the request is sent again, since the server is silent."""
-        self._attempt.record_silence()
+        if isinstance(self._attempt, Attempt):
+            self._attempt.record_silence()
 
     def abort(self, reason: str) -> None:
         """End the run; a pending read fails with `reason`."""
@@ -180,9 +184,12 @@
             return
         self._is_closed = True
         self._record.result = result
-        if isinstance(error, RefusedError):
+        if isinstance(error, RefusedError) or (
+            isinstance(error, PeerRefusalError) and error.has_not_run
+        ):
             self._record.may_have_run = False
-        cause = None if isinstance(error, RefusedError | ServerError) else error
+        is_whole = isinstance(error, RefusedError | ServerError | PeerRefusalError)
+        cause = None if is_whole else error
         kind = type(cause) if cause is not None else None
         await self._attempt.__aexit__(kind, cause, None)
         for on_close in self._on_close:
