--- a/pomelolug/entry/_server_tracker.py
+++ b/pomelolug/entry/_server_tracker.py
@@ -260,12 +260,18 @@
         """
         return self._notices.shortest_wait(self._usable_heads(model))
 
-    def suspects_all_heads(self, model: ModelName) -> bool:
-        """Return whether a model has open groups, and this node suspects all heads."""
+    def is_left_without_heads(self, model: ModelName) -> bool:
+        """Return whether suspicions exclude all open groups of a model.
+
+        At least one of them is a suspicion of this node, so another node may see the
+        groups work.
+        """
         heads = self._heads_by_model.get(model, ())
         now_s = self._clock.monotonic()
-        return bool(heads) and all(
-            self.load(head.vm).suspect_until_s > now_s for head in heads
+        return (
+            any(self.load(head.vm).suspect_until_s > now_s for head in heads)
+            and not any(self._is_usable(head.vm, now_s) for head in heads)
+            and not any(self.load(head.vm).full_until_s > now_s for head in heads)
         )
 
     def open_groups(self) -> int:
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -228,7 +228,7 @@
     def _may_use_exits(self, context: RequestContext, state: _StreamState) -> bool:
         model = context.request_head.model
         has_suspects_only = (
-            model is not None and self._server_tracker.suspects_all_heads(model)
+            model is not None and self._server_tracker.is_left_without_heads(model)
         )
         return (
             has_suspects_only
