Probe servers of replica groups by their reports

A link may accept connections and pass nothing, and a node may reach the plain servers only; an opened connection to any server counted as reaching the servers then.

Change: the probes ask servers in fabric domains for a report, for longer than a sound server pauses, and use other servers only if there are none. A round ends as soon as the answers decide it.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -19,6 +19,7 @@
     BackendServer,
     Declaration,
     RegistryChange,
+    ServerNotice,
     ServerRegistry,
 )
 from pomelolug.entry._application import RequestHandler
@@ -80,6 +81,11 @@
 _ORDER_TIMEOUT = datetime.timedelta(milliseconds=450)
 _REPORT_TIMEOUT = datetime.timedelta(milliseconds=250)
 """Reports occupy no slot and take a few milliseconds unless a packet is lost."""
+_PROBE_TIMEOUT = datetime.timedelta(seconds=1.8)
+"""Time limit of a report that shows whether a server is reached.
+
+A sound server may be silent for 1.6 s.
+"""
 _MAX_PEER_IDLE = datetime.timedelta(seconds=10)
 """Longest idle time of a reused connection to a node, which keeps it for 15 s.
 
@@ -290,17 +296,34 @@
         self._probe_pool = ConnectionPool(
             max_idle=datetime.timedelta(0), connect_timeout=_CONNECT_TIMEOUT
         )
+        self._probe_control = HttpServerControl(
+            pool=self._probe_pool,
+            order_timeout=_ORDER_TIMEOUT,
+            report_timeout=_PROBE_TIMEOUT,
+            on_notice=self._record_control_notice,
+        )
         self._server_contact = ServerContact(
             registry=self._registry,
             probe=self._probe,
-            probe_timeout=_CONNECT_TIMEOUT,
+            probe_timeout=_CONNECT_TIMEOUT + _PROBE_TIMEOUT,
             on_change=self._on_contact_change,
             clock=self._clock,
             rng=self._rng,
         )
 
+    def _record_control_notice(
+        self, server: BackendServer, notice: ServerNotice
+    ) -> None:
+        self._notices.record(server, notice, sent_at_s=self._clock.monotonic())
+
     async def _probe(self, server: BackendServer) -> bool:
-        """Return whether a new connection to a server opens."""
+        """Return whether a server is reached over a new connection.
+
+        A server in a fabric domain has to send its report, since a connection may open
+        and then pass nothing.
+        """
+        if server.domain:
+            return await self._probe_control.report(server) is not None
         try:
             connection = await self._probe_pool.acquire(server.address, fresh=True)
         except HttpConnectionError:
@@ -449,9 +472,7 @@
             pool=ConnectionPool(max_idle=_MAX_IDLE, connect_timeout=_CONNECT_TIMEOUT),
             order_timeout=_ORDER_TIMEOUT,
             report_timeout=_REPORT_TIMEOUT,
-            on_notice=lambda server, notice: self._notices.record(
-                server, notice, sent_at_s=clock.monotonic()
-            ),
+            on_notice=self._record_control_notice,
         )
         self._controller = ReplicaGroupController(
             lease=self._lease,
@@ -500,6 +521,7 @@
             rounds += 1
             if rounds % _ROUNDS_PER_SWEEP == 0:
                 self._pool.close_expired()
+                self._probe_pool.close_expired()
                 self._forwarding_pool.close_expired()
                 self._run_monitor.settle_overdue()
                 self._notices.forget_expired()
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -100,7 +100,7 @@
         )
         self.servers_out_of_reach = prometheus_client.Gauge(
             f"{name}_servers_out_of_reach",
-            "1 if no connection to any server opens, else 0.",
+            "1 if no server is reached, else 0.",
             registry=self._registry,
         )
         self.lapsed_servers = prometheus_client.Gauge(
--- a/pomelolug/entry/_server_contact.py
+++ b/pomelolug/entry/_server_contact.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import datetime
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -48,8 +49,8 @@
 class ServerContact:
     """Decides whether this node reaches any backend server.
 
-    Trouble at several servers makes it open a connection to a few others. If none of
-    them opens, the node is cut off, until at least half of those probed later do.
+    Trouble at several servers makes it probe a few others. If it reaches none of them,
+    the node is cut off, until it reaches at least half of those probed later.
 
     Parameters
     ----------
@@ -57,7 +58,7 @@
         Servers as read from the store.
     probe : callable
         Coroutine function that opens a new connection to a server, and returns
-        whether it opened.
+        whether the server was reached.
     probe_timeout : datetime.timedelta
         Time limit of a probe.
     on_change : callable
@@ -149,8 +150,9 @@
         servers = self._draw_servers()
         if not servers:
             return
-        results = await asyncio.gather(*map(self._probe, servers))
-        opened_count = sum(results)
+        opened_count = await self._count_reached(
+            servers, enough=math.ceil(len(servers) / 2) if self._is_cut_off else 1
+        )
         now_s = self._clock.monotonic()
         if not opened_count and now_s - began_at_s > self._longest_round_s:
             # Time limits that passed during a pause of this process prove nothing.
@@ -166,6 +168,24 @@
         if is_cut_off != self._is_cut_off:
             self._change(is_cut_off, len(servers), len(servers) - opened_count)
 
+    async def _count_reached(self, servers: list[BackendServer], *, enough: int) -> int:
+        """Probe servers concurrently until `enough` are reached; return how many are.
+
+        A probe of a silent server takes long, so the others decide if they can.
+        """
+        tasks = [asyncio.ensure_future(self._probe(server)) for server in servers]
+        reached_count = 0
+        try:
+            for result in asyncio.as_completed(tasks):
+                reached_count += await result
+                if reached_count >= enough:
+                    break
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        return reached_count
+
     def _change(self, is_cut_off: bool, probe_count: int, failed_count: int) -> None:
         self._is_cut_off = is_cut_off
         counts = {"probes": probe_count, "failed": failed_count}
@@ -181,14 +201,17 @@
     def _draw_servers(self) -> list[BackendServer]:
         """Return servers that are unlikely to fail together, drawn at random.
 
-        Servers without trouble come first. Among them, those that have the fewest
-        places and services in common with the servers already drawn.
+        Only servers in a fabric domain are drawn if there are any, since they answer
+        probes without taking a slot. Servers without trouble come first. Among them,
+        those that have the fewest places and services in common with the servers
+        already drawn.
         """
         candidates = [
             server
             for server in self._registry.servers.values()
             if server.state is ServerState.READY
         ]
+        candidates = [c for c in candidates if c.domain] or candidates
         self._rng.shuffle(candidates)
         drawn: list[BackendServer] = []
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
