Cut entry VMs of the process soak off from all servers

Links failed for one server or for all entry VMs alike; no entry VM lost its links to all servers while callers, the store and the others reached it.

Change: the fault "entry_cut_from_servers" cuts one, several or all but one entry VMs off for 4 to 8 s: connections hold their bytes and new ones hang, or they are reset and new ones refused, or they go on and new ones are refused. All entry VMs connect from 127.0.0.1 to the same proxies, so these tell the entry VM by the process that owns a connection; ProcessConnections compares both addresses there, since entry VMs share ports towards different servers. A proxy cannot keep a connection from being established: one that is to hang or to be refused is accepted, then held or reset. From 3 s after a cut began until its end, the share of calls answered with 200 at the cut-off entry VMs must be two thirds of that at the others. Calls with a revoked key, calls that crash servers and calls through entry VMs with another fault do not count; at least 10 calls on both sides are needed, and the shortfall has to exceed two standard deviations, because some twenty calls vary by as much as the bound. Each run ends with a silence and, 5 s later, a cut of 8 s. The last of the random interruptions begins no later than the time for faults ends.

--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -23,7 +23,7 @@
 from pomelolug.experiments.process_soak._processes import SoakProcess
 from pomelolug.experiments.process_soak._promises import GuaranteeChecker
 from pomelolug.platform import TOPIC_DECLARATION, TOPIC_SERVERS
-from pomelolug.testing import LinkFault
+from pomelolug.testing import LinkCut, LinkFault, ProcessConnections
 
 __all__ = ["FaultInjector"]
 
@@ -56,6 +56,7 @@
 _SILENCE_RANGE_S = (1.0, 1.6)
 """Silences that are no disruption of sound servers."""
 _ALL_SILENT_SHARE = 0.5
+_CUT_RANGE_S = (4.0, 8.0)
 _PLAIN_TIMEOUTS_MS = (1000, 1200, 1500)
 
 
@@ -125,6 +126,7 @@
         }
         self._interruptions_by_kind: dict[str, Callable[[], Awaitable[None]]] = {
             "servers_silent": self._silence_servers,
+            "entry_cut_from_servers": self._cut_entries_off,
         }
 
     async def run(self, length_s: float) -> None:
@@ -149,9 +151,12 @@
             ),
         )
         await asyncio.gather(*self._tasks)
-        for kind in self._interruptions_by_kind:
-            await asyncio.sleep(QUIET_PERIOD_S + _CALM_TIME_S)
-            await self._inject(kind)
+        await asyncio.sleep(QUIET_PERIOD_S + _CALM_TIME_S)
+        await self._inject("servers_silent")
+        await asyncio.sleep(QUIET_PERIOD_S + _CALM_TIME_S)
+        # The longest cut, because an entry VM gets few calls in a second.
+        self.counts["entry_cut_from_servers"] += 1
+        await self._cut_entries_off(duration_s=_CUT_RANGE_S[1])
 
     async def _inject_at_random(
         self,
@@ -162,7 +167,9 @@
     ) -> None:
         """Begin faults of the given kinds until a time."""
         while time.monotonic() < until_s:
-            await asyncio.sleep(rng.expovariate(1.0 / mean_interval_s))
+            remaining_s = until_s - time.monotonic()
+            interval_s = rng.expovariate(1.0 / mean_interval_s)
+            await asyncio.sleep(min(interval_s, remaining_s))
             kind = rng.choice(list(kinds))
             self._tasks.add(asyncio.create_task(self._inject(kind)))
 
@@ -552,6 +559,35 @@
                 process.signal(signal.SIGCONT)
         self._reserved -= {p.name for p in processes}
 
+    async def _cut_entries_off(self, *, duration_s: float | None = None) -> None:
+        """Cut the links of one, several or all but one entry VMs to all servers."""
+        rng = self._interruption_rng
+        chosen = list(self._cluster.entries)
+        rng.shuffle(chosen)
+        most = len(chosen) - 1
+        chosen = chosen[: rng.choice((1, rng.randint(1, most), most))]
+        way = rng.choice(list(LinkCut))
+        if duration_s is None:
+            duration_s = rng.uniform(*_CUT_RANGE_S)
+        if not self._reserve("server links"):
+            return
+        entries = [e for e in chosen if self._reserve(e.name)]
+        links = [server.link for server in self._cluster.servers]
+        names = [e.name for e in entries]
+        if entries:
+            cut_off = ProcessConnections(e.process.pid for e in entries)
+            cut_off.read()
+            async with self._fault_window(
+                f"{', '.join(names)} cut off from servers: {way.value}", *names
+            ) as window:
+                self._guarantees.record_cut(window)
+                for link in links:
+                    link.cut(way, cut_off)
+                await asyncio.sleep(duration_s)
+                for link in links:
+                    link.mend()
+        self._reserved -= {"server links", *names}
+
     def _targets_of(self, process: SoakProcess) -> set[str]:
         """Return the targets that stand for all servers of a process."""
         vms = [s.vm for s in self._cluster.servers if s.process is process]
--- a/pomelolug/experiments/process_soak/_interruptions.py
+++ b/pomelolug/experiments/process_soak/_interruptions.py
@@ -1,5 +1,6 @@
 """Checks of answers while servers are silent or links to them are cut."""
 
+import math
 from collections.abc import Container, Iterable, Iterator
 
 from pomelolug.experiments.process_soak._calls import (
@@ -18,7 +19,7 @@
 )
 from pomelolug.testing import CRASH_PATH_PART
 
-__all__ = ["is_lost_answer", "silence_violations"]
+__all__ = ["cut_violations", "is_lost_answer", "silence_violations"]
 
 _SERVER_LOST_STATUS = 502
 _ASSUMED_READ_S = 0.2
@@ -28,6 +29,13 @@
 """
 _SHORTEST_TIMEOUT_S = {CallKind.SAFE: 1.0, CallKind.ONCE: 1.0, CallKind.STREAM: 5.0}
 """Time from which on the timeout of a route, which changes, may have ended a call."""
+_CUT_KNOWN_S = 3.0
+"""Time after the beginning of a cut from which calls have to be served."""
+_MIN_SERVED_RATIO = 2 / 3
+_MIN_CUT_CALLS = 10
+"""Calls at cut-off entry VMs and at others without which shares are not compared."""
+_CHANCE_DEVIATIONS = 2.0
+"""Standard deviations by which chance may lower a share of so few calls."""
 _SERVER_POOLS = {
     CallKind.SAFE: "plain",
     CallKind.ONCE: "plain",
@@ -76,6 +84,44 @@
                 )
 
 
+def cut_violations(
+    calls: Iterable[SentCall], cuts: Iterable[FaultWindow], windows: FaultWindows
+) -> Iterator[str]:
+    """Yield the cuts in which too few calls at cut-off entry VMs were served.
+
+    Only calls with a valid key whose entry VM has no other fault count. Faults of
+    servers and the store concern all entry VMs.
+    """
+    calls = [
+        call
+        for call in calls
+        if call.outcome not in (CallOutcome.LEFT, CallOutcome.UNFINISHED)
+        and not _crashes_servers(call)
+    ]
+    for cut in cuts:
+        served: dict[bool, list[bool]] = {True: [], False: []}
+        for call in calls:
+            until_s = cut.end_s if cut.end_s is not None else call.sent_at_s
+            if (
+                cut.start_s + _CUT_KNOWN_S <= call.sent_at_s <= until_s
+                and _is_undisturbed(call, (), windows, (cut,))
+            ):
+                is_served = call.answer.is_complete and call.answer.status == 200
+                served[call.entry in cut.targets].append(is_served)
+        count, other_count = len(served[True]), len(served[False])
+        if min(count, other_count) < _MIN_CUT_CALLS:
+            continue
+        share, other = sum(served[True]) / count, sum(served[False]) / other_count
+        least = _MIN_SERVED_RATIO * other
+        variance = least * (1 - least) / count
+        variance += _MIN_SERVED_RATIO**2 * other * (1 - other) / other_count
+        if share < least - _CHANCE_DEVIATIONS * math.sqrt(variance):
+            yield (
+                f"{', '.join(sorted(cut.targets))} without links to servers served "
+                f"{share:.0%} of {count} calls, others {other:.0%} of {other_count}"
+            )
+
+
 def is_lost_answer(call: SentCall, *, has_run: bool) -> bool:
     """Return whether a call that was read was closed without a whole answer."""
     # A call on a reused connection may race with its closing and never be read.
--- a/pomelolug/experiments/process_soak/_processes.py
+++ b/pomelolug/experiments/process_soak/_processes.py
@@ -54,6 +54,11 @@
         """Name of the process."""
         return self._name
 
+    @property
+    def pid(self) -> int:
+        """Id of the process while it runs, else 0."""
+        return self._process.pid if self._process is not None else 0
+
     @property
     def is_running(self) -> bool:
         """Whether the process has been started and has not exited."""
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -21,6 +21,7 @@
     server_targets,
 )
 from pomelolug.experiments.process_soak._interruptions import (
+    cut_violations,
     is_lost_answer,
     silence_violations,
 )
@@ -105,6 +106,7 @@
         self._limit_periods: list[LimitPeriod] = []
         self._turned_away: list[TurnedAwayRequest] = []
         self._silences: list[FaultWindow] = []
+        self._cuts: list[FaultWindow] = []
         self._reported_violations: list[str] = []
 
     @property
@@ -168,6 +170,10 @@
         """Record the window in which sound servers fall silent and go on."""
         self._silences.append(window)
 
+    def record_cut(self, window: FaultWindow) -> None:
+        """Record the window in which entry VMs, its targets, reach no server."""
+        self._cuts.append(window)
+
     def check(self, *, timeouts: dict[CallKind, datetime.timedelta]) -> list[str]:
         """Return all violated guarantees."""
         counts = Counter(run.request_id for run in self._runs)
@@ -188,6 +194,8 @@
         violations += silence_violations(
             self._calls.values(), self._runs, self._silences, self._fault_windows
         )
+        valid = [c for c in self._calls.values() if c.key not in self._revoked_at_s]
+        violations += cut_violations(valid, self._cuts, self._fault_windows)
         return violations + list(self._containment_violations())
 
     def _limit_violations(self, period: LimitPeriod) -> Iterator[str]:
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -478,3 +478,68 @@
     # It ended before the silence, or crashes servers.
     assert not find_silence_violations(ended_at_s=START + 0.05, **ANSWERED_502)
     assert not find_silence_violations(path="/stream/crash/1", **ANSWERED_502)
+
+
+def find_cut_violations(
+    served: int, others_served: int, *, count: int = 20, target: str = "", **changes
+) -> list[str]:
+    """Return the unserved calls of a cut of `entry-0` and `entry-1` that lasts 7 s.
+
+    Each of four entry VMs gets `count` calls from 3.0 s after the cut began, of which
+    the given number is served, and as many that are not served before and afterwards.
+    A fault affects `target` all the while.
+    """
+    windows = FaultWindows()
+    guarantees = GuaranteeChecker(windows)
+    cut = windows.open("entry-0", "entry-1", start_s=START, is_planned=False)
+    cut.end_s = START + 7.0
+    guarantees.record_cut(cut)
+    if target:
+        windows.open(target, start_s=START, is_planned=False)
+    for entry in range(4):
+        counts_by_start_s = {
+            0.5: 0,
+            3.0: served if entry < 2 else others_served,
+            7.5: 0,
+        }
+        for start_s, served_count in counts_by_start_s.items():
+            for number in range(count):
+                name = f"r{entry}-{start_s}-{number}"
+                call = make_call(
+                    CallKind.SAFE,
+                    request_id=name,
+                    entry=f"entry-{entry}",
+                    sent_at_s=START + start_s + number / 100,
+                    ended_at_s=START + start_s + 1.0,
+                )
+                status = 200 if number < served_count else 503
+                call.answer = dataclasses.replace(
+                    call.answer, request_id=name, status=status
+                )
+                guarantees.record_call(dataclasses.replace(call, **changes))
+    found = guarantees.check(timeouts=TIMEOUTS)
+    return [line for line in found if "without links" in line]
+
+
+def test_cut_after_which_too_few_calls_are_served_is_reported():
+    # Guards against a soak that takes refusals of cut-off entry VMs for service.
+    assert find_cut_violations(8, 18) == [
+        "entry-0, entry-1 without links to servers served 40% of 40 calls, others 90% "
+        "of 40"
+    ]
+    assert find_cut_violations(9, 18) == []
+    # The more calls there are, the closer is the bound to two thirds of the others.
+    assert find_cut_violations(52, 90, count=100)
+    assert find_cut_violations(53, 90, count=100) == []
+    # Faults of one of the entry VMs, the servers or the store are no excuse.
+    assert find_cut_violations(5, 18, target="entry-0")
+    assert find_cut_violations(5, 18, target="entry-3")
+    assert find_cut_violations(5, 18, target="domain-0")
+
+
+def test_cuts_without_enough_undisturbed_calls_are_not_judged():
+    # Guards against a checker that blames a cut for other faults or for chance.
+    assert not find_cut_violations(0, 4, count=4)
+    assert not find_cut_violations(0, 18, target="soak")
+    assert not find_cut_violations(0, 18, path="/safe/crash/1")
+    assert not find_cut_violations(0, 18, outcome=CallOutcome.LEFT)
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -16,8 +16,9 @@
 from pomelolug.testing._group_servers import GroupServers, SimulatedServer
 from pomelolug.testing._group_simulation import ControlNode, GroupSimulation
 from pomelolug.testing._loopback_prefix import reserve_loopback_prefix
-from pomelolug.testing._loopback_proxy import LinkFault, LoopbackProxy
+from pomelolug.testing._loopback_proxy import LinkCut, LinkFault, LoopbackProxy
 from pomelolug.testing._memory_log import LogFaults, MemoryLog
+from pomelolug.testing._process_connections import ProcessConnections
 from pomelolug.testing._sample_deployment import SampleDeployment, format_entry_settings
 from pomelolug.testing._scripted_server import ReceivedRequest, ScriptedServer
 from pomelolug.testing._store_stand_in import FakeMetadataStore
@@ -33,12 +34,14 @@
     "FakeWeightStore",
     "GroupServers",
     "GroupSimulation",
+    "LinkCut",
     "LinkFault",
     "LogFaults",
     "LoopClock",
     "LoopbackProxy",
     "MembershipChange",
     "MemoryLog",
+    "ProcessConnections",
     "ReceivedRequest",
     "SampleDeployment",
     "ScriptedServer",
