--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -152,11 +152,12 @@
         )
         await asyncio.gather(*self._tasks)
         await asyncio.sleep(QUIET_PERIOD_S + _CALM_TIME_S)
-        await self._inject("servers_silent")
+        # The longest ones, because an entry VM gets few calls in a second.
+        self.counts["servers_silent"] += 1
+        await self._silence_servers(is_longest=True)
         await asyncio.sleep(QUIET_PERIOD_S + _CALM_TIME_S)
-        # The longest cut, because an entry VM gets few calls in a second.
         self.counts["entry_cut_from_servers"] += 1
-        await self._cut_entries_off(duration_s=_CUT_RANGE_S[1])
+        await self._cut_entries_off(is_longest=True)
 
     async def _inject_at_random(
         self,
@@ -533,13 +534,18 @@
             process.signal(signal.SIGCONT)
         self._reserved.discard(process.name)
 
-    async def _silence_servers(self) -> None:
-        """Let all servers of one or all processes fall silent while timeouts change."""
+    async def _silence_servers(self, *, is_longest: bool = False) -> None:
+        """Let all servers of one or all processes fall silent while timeouts change.
+
+        The longest silence is one of all processes.
+        """
         rng = self._interruption_rng
         processes = list(self._cluster.server_processes)
-        if rng.random() >= _ALL_SILENT_SHARE:
+        if not is_longest and rng.random() >= _ALL_SILENT_SHARE:
             processes = [rng.choice(processes)]
-        silence_s = rng.uniform(*_SILENCE_RANGE_S)
+        silence_s = (
+            _SILENCE_RANGE_S[1] if is_longest else rng.uniform(*_SILENCE_RANGE_S)
+        )
         changes_after_s = rng.uniform(0.0, silence_s)
         timeout_ms = rng.choice(_PLAIN_TIMEOUTS_MS)
         processes = [p for p in processes if self._reserve(p.name)]
@@ -559,7 +565,7 @@
                 process.signal(signal.SIGCONT)
         self._reserved -= {p.name for p in processes}
 
-    async def _cut_entries_off(self, *, duration_s: float | None = None) -> None:
+    async def _cut_entries_off(self, *, is_longest: bool = False) -> None:
         """Cut the links of one, several or all but one entry VMs to all servers."""
         rng = self._interruption_rng
         chosen = list(self._cluster.entries)
@@ -567,8 +573,7 @@
         most = len(chosen) - 1
         chosen = chosen[: rng.choice((1, rng.randint(1, most), most))]
         way = rng.choice(list(LinkCut))
-        if duration_s is None:
-            duration_s = rng.uniform(*_CUT_RANGE_S)
+        duration_s = _CUT_RANGE_S[1] if is_longest else rng.uniform(*_CUT_RANGE_S)
         if not self._reserve("server links"):
             return
         entries = [e for e in chosen if self._reserve(e.name)]
