State the running attempt of a stream that moves to another node

- A stream that moved to another node while its first run went on stated no possible run and cost no retry, so the other node could use all attempts of the route: test_stream_that_moves_to_another_node_states_its_running_attempt.
- Retries to which no connection opened were charged to the retry budget, although they reached no server.
- Probes asked servers that want a pause, and a refused report counted as a server that was not reached: test_server_control.py and a test in test_server_contact.py.
- A node that is cut off no longer counts and logs stalls of groups.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -305,6 +305,7 @@
         self._server_contact = ServerContact(
             registry=self._registry,
             probe=self._probe,
+            is_paused=lambda server: self._notices.is_paused(server),
             probe_timeout=_CONNECT_TIMEOUT + _PROBE_TIMEOUT,
             on_change=self._on_contact_change,
             clock=self._clock,
@@ -319,11 +320,11 @@
     async def _probe(self, server: BackendServer) -> bool:
         """Return whether a server is reached over a new connection.
 
-        A server in a fabric domain has to send its report, since a connection may open
-        and then pass nothing.
+        A server in a fabric domain has to respond to a request for its report, since a
+        connection may open and then pass nothing.
         """
         if server.domain:
-            return await self._probe_control.report(server) is not None
+            return await self._probe_control.responds(server)
         try:
             connection = await self._probe_pool.acquire(server.address, fresh=True)
         except HttpConnectionError:
@@ -521,7 +522,6 @@
             rounds += 1
             if rounds % _ROUNDS_PER_SWEEP == 0:
                 self._pool.close_expired()
-                self._probe_pool.close_expired()
                 self._forwarding_pool.close_expired()
                 self._run_monitor.settle_overdue()
                 self._notices.forget_expired()
@@ -644,13 +644,14 @@
         self._group_selector.set_zone_node_count(len(zone_nodes) + 1)
 
     def _on_stall(self, head: VmId) -> None:
+        if self._server_contact.is_cut_off:
+            # The stall is due to the links of this node.
+            return
         self._metrics.stalls.inc()
         _log.warning(
             "group_stalled", head=head, in_flight=self._server_tracker.in_flight(head)
         )
         self._server_contact.report_trouble(head)
-        if self._server_contact.is_cut_off:
-            return
         self._server_tracker.suspect(head)
         self._controller.mark_suspect(head)
         self._peer_coordinator.announce()
--- a/pomelolug/entry/_plain.py
+++ b/pomelolug/entry/_plain.py
@@ -63,6 +63,7 @@
 
     `possible_runs` counts the ended attempts that may have run the request, and
     `unreached_count` the servers to which no connection has opened in a row.
+    `has_unused_retry` tells whether the latest attempt has reached no server.
     `failed_answer` is the latest response with which a server reports its own failure.
     """
 
@@ -73,6 +74,7 @@
     attempt_count: int = 0
     possible_runs: int = 0
     unreached_count: int = 0
+    has_unused_retry: bool = False
     may_start: bool = True
     failed_answer: _Answer | None = None
     error: RequestError | None = None
@@ -192,13 +194,14 @@
             address = self._exits.select(tried)
             if address is None:
                 break
-            if state.possible_runs and not self._retry_limiter.try_spend(context):
+            if state.possible_runs and not self._try_spend(context, state):
                 break
             tried.add(address)
             try:
                 answer = await self._send_to_node(context, state, address)
             except AttemptError as failure:
                 self._exits.avoid(address)
+                state.has_unused_retry = failure.run_status is RunStatus.NOT_RUN
                 if failure.run_status is RunStatus.MAY_HAVE_RUN:
                     state.possible_runs += 1
                     state.error = _to_request_error(failure, state.possible_runs)
@@ -209,7 +212,7 @@
             else:
                 self._reply(context, answer)
                 return True
-        if not state.possible_runs:
+        if not state.possible_runs and (tried or self._exits.is_needed(context)):
             state.error = self._exits.unreachable_error()
         return False
 
@@ -223,10 +226,10 @@
             last_event_id=None,
             possible_runs=context.prior_runs + state.possible_runs,
         )
-        at_most_once = context.route.repeatability is Repeatability.AT_MOST_ONCE
         try:
             async with attempt:
-                await attempt.send(data, fresh=at_most_once)
+                # A kept connection may have been closed unnoticed.
+                await attempt.send(data, fresh=True)
                 record.may_have_run = True
                 reply, head = await attempt.read_head()
                 body = await attempt.read_body(
@@ -273,7 +276,7 @@
         """Send to a further server, if there is one and the retry budget allows it."""
         server = self._select_server(context, state.tried)
         is_retry = state.attempt_count > 0
-        if server is None or (is_retry and not self._retry_limiter.try_spend(context)):
+        if server is None or (is_retry and not self._try_spend(context, state)):
             state.may_start = False
             return
         state.attempt_count += 1
@@ -291,6 +294,13 @@
         )
         state.running[task] = attempt
 
+    def _try_spend(self, context: RequestContext, state: _PlainState) -> bool:
+        """Take a retry from the budget, unless the latest one has reached no server."""
+        if state.has_unused_retry:
+            state.has_unused_retry = False
+            return True
+        return self._retry_limiter.try_spend(context)
+
     async def _wait_for_answer(
         self, context: RequestContext, state: _PlainState
     ) -> _Answer | None:
@@ -345,8 +355,9 @@
             if failure.run_status is RunStatus.MAY_HAVE_RUN:
                 state.possible_runs += 1
                 state.unreached_count = 0
-            elif failure.is_server_failure:
-                state.unreached_count += 1
+            else:
+                state.has_unused_retry = True
+                state.unreached_count += failure.is_server_failure
             state.error = _to_request_error(failure, state.possible_runs)
             return None
         except QuarantinedError as error:
--- a/pomelolug/entry/_server_contact.py
+++ b/pomelolug/entry/_server_contact.py
@@ -61,6 +61,8 @@
         whether the server was reached.
     probe_timeout : datetime.timedelta
         Time limit of a probe.
+    is_paused : callable
+        Returns whether a server wants no requests for a while, so is not probed.
     on_change : callable
         Called with whether the node is cut off, when this changes.
     clock : Clock
@@ -75,6 +77,7 @@
         registry: ServerRegistry,
         probe: Callable[[BackendServer], Awaitable[bool]],
         probe_timeout: datetime.timedelta,
+        is_paused: Callable[[BackendServer], bool] = lambda server: False,
         on_change: Callable[[bool], None],
         clock: Clock,
         rng: random.Random,
@@ -82,6 +85,7 @@
         self._registry = registry
         self._probe = probe
         self._longest_round_s = _LONGEST_ROUND_TIMEOUTS * probe_timeout.total_seconds()
+        self._is_paused = is_paused
         self._on_change = on_change
         self._clock = clock
         self._rng = rng
@@ -150,23 +154,23 @@
         servers = self._draw_servers()
         if not servers:
             return
-        opened_count = await self._count_reached(
+        reached_count = await self._count_reached(
             servers, enough=math.ceil(len(servers) / 2) if self._is_cut_off else 1
         )
         now_s = self._clock.monotonic()
-        if not opened_count and now_s - began_at_s > self._longest_round_s:
+        if not reached_count and now_s - began_at_s > self._longest_round_s:
             # Time limits that passed during a pause of this process prove nothing.
             self._trouble_at_s.clear()
             return
-        if opened_count:
+        if reached_count:
             self._reached_at_s = now_s
             self._trouble_at_s.clear()
         if self._is_cut_off:
-            is_cut_off = 2 * opened_count < len(servers)
+            is_cut_off = 2 * reached_count < len(servers)
         else:
-            is_cut_off = not opened_count
+            is_cut_off = not reached_count
         if is_cut_off != self._is_cut_off:
-            self._change(is_cut_off, len(servers), len(servers) - opened_count)
+            self._change(is_cut_off, len(servers), len(servers) - reached_count)
 
     async def _count_reached(self, servers: list[BackendServer], *, enough: int) -> int:
         """Probe servers concurrently until `enough` are reached; return how many are.
@@ -209,7 +213,7 @@
         candidates = [
             server
             for server in self._registry.servers.values()
-            if server.state is ServerState.READY
+            if server.state is ServerState.READY and not self._is_paused(server)
         ]
         candidates = [c for c in candidates if c.domain] or candidates
         self._rng.shuffle(candidates)
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -67,14 +67,16 @@
     for another group while the `current` run pauses, and leaves the run that has taken
     over in `replacement`. `server_error` is a whole error response that is passed on
     if nothing better arrives. `unreached_count` counts the servers to which no
-    connection has opened in a row, and `is_refused` tells whether another node has
-    decided that the request is not served.
+    connection has opened in a row, and `has_unused_retry` tells whether the latest
+    attempt has reached none. `is_refused` tells whether another node has decided that
+    the request is not served.
     """
 
     __slots__ = (
         "attempt_count",
         "current",
         "error",
+        "has_unused_retry",
         "is_refused",
         "last_event_id",
         "move",
@@ -97,6 +99,7 @@
         self.tried: set[VmId] = set()
         self.tried_nodes: set[str] = set()
         self.unreached_count = 0
+        self.has_unused_retry = False
         self.is_refused = False
         self.error: RequestError | None = None
         self.server_error: ServerError | None = None
@@ -227,21 +230,19 @@
 
     def _may_use_exits(self, context: RequestContext, state: _StreamState) -> bool:
         model = context.request_head.model
-        has_suspects_only = (
-            model is not None and self._server_tracker.is_left_without_heads(model)
-        )
-        return (
-            has_suspects_only
-            and not context.is_forwarded
-            or self._exits.may_use(context, unreached_count=state.unreached_count)
-        )
+        if context.is_forwarded:
+            return False
+        if model is not None and self._server_tracker.is_left_without_heads(model):
+            return True
+        return self._exits.may_use(context, unreached_count=state.unreached_count)
 
     async def _start_run_at_node(
         self, context: RequestContext, state: _StreamState
     ) -> StreamRun | None:
         """Pass the request on to another node, None if none takes it."""
         while (address := self._exits.select(state.tried_nodes)) is not None:
-            if state.possible_runs and not self._retry_limiter.try_spend(context):
+            possible_runs = state.possible_runs + (state.current is not None)
+            if possible_runs and not self._try_spend(context, state):
                 return None
             state.tried_nodes.add(address)
             attempt, record = self._exits.create_attempt(context, address)
@@ -249,20 +250,21 @@
             data = context.encode_for_peer(
                 now_s=self._clock.monotonic(),
                 last_event_id=state.last_event_id,
-                possible_runs=context.prior_runs + state.possible_runs,
+                possible_runs=context.prior_runs + possible_runs,
             )
             try:
                 is_fresh = state.use_fresh_connection or not context.route.is_repeatable
                 await run.send(data, fresh=is_fresh)
             except AttemptError as failure:
                 await run.close(failure, failure.reason)
+                state.has_unused_retry = True
                 self._exits.avoid(address)
                 continue
             except BaseException as error:
                 await run.close(error, "cancelled")
                 raise
             return run
-        if self._exits.is_needed(context):
+        if self._exits.is_needed(context) or state.tried_nodes:
             state.error = self._exits.unreachable_error()
         return None
 
@@ -276,7 +278,7 @@
             head = await self._select_head(context, state, waits=waits)
             if head is None:
                 return None
-            if state.attempt_count and not self._retry_limiter.try_spend(context):
+            if state.attempt_count and not self._try_spend(context, state):
                 message = "the budget of repeats is used up"
                 state.error = state.error or self._refused_error(message)
                 return None
@@ -292,6 +294,7 @@
                 await run.send(data, fresh=state.use_fresh_connection)
             except AttemptError as failure:
                 await run.close(failure, failure.reason)
+                state.has_unused_retry = True
                 if failure.is_server_failure:
                     self._server_tracker.suspect(head.vm)
                     state.unreached_count += 1
@@ -306,6 +309,13 @@
             return run
         return None
 
+    def _try_spend(self, context: RequestContext, state: _StreamState) -> bool:
+        """Take a retry from the budget, unless the latest one has reached no server."""
+        if state.has_unused_retry:
+            state.has_unused_retry = False
+            return True
+        return self._retry_limiter.try_spend(context)
+
     def _create_run(
         self, context: RequestContext, state: _StreamState, head: BackendServer
     ) -> StreamRun:
--- a/pomelolug/entry/tests/test_cut_off_from_servers.py
+++ b/pomelolug/entry/tests/test_cut_off_from_servers.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from pomelolug.entry._request_context import RequestContext
 from pomelolug.entry.tests.harness import (
     MODEL,
     CallerOfNode,
@@ -328,6 +329,29 @@
         assert max(gaps_s) < 2.0
 
 
+async def test_stream_that_moves_to_another_node_states_its_running_attempt(
+    monkeypatch,
+):
+    # Guards against a stream that runs more often than its route allows, since the
+    # other node does not know of the run that has not ended.
+    stated_runs = []
+    encode = RequestContext.encode_for_peer
+
+    def record(self, **values):
+        stated_runs.append(values["possible_runs"])
+        return encode(self, **values)
+
+    monkeypatch.setattr(RequestContext, "encode_for_peer", record)
+    async with run_nodes("z1", "z1", event_count=12, event_interval_s=0.1) as d:
+        answer = asyncio.create_task(
+            send(d.nodes[0], "stream", "moved", deadline_ms=TIMEOUT_MS)
+        )
+        await asyncio.sleep(0.4)
+        d.cut(LinkCut.SILENT, 0)
+        assert count_served(d, [("stream", await answer)]) == 1
+        assert stated_runs == [1]
+
+
 @pytest.mark.parametrize("kind", LinkCut, ids=lambda kind: kind.value)
 async def test_restored_node_serves_by_itself(kind):
     # Guards against a node that depends on others after its links are restored.
--- a/pomelolug/entry/tests/test_server_contact.py
+++ b/pomelolug/entry/tests/test_server_contact.py
@@ -49,8 +49,10 @@
         self.probed: list[BackendServer] = []
         self.running = 0
         self.changes: list[tuple[float, bool]] = []
+        self.paused: set[str] = set()
         self.contact = ServerContact(
             registry=self.registry,
+            is_paused=lambda server: server.vm in self.paused,
             probe=self._probe,
             probe_timeout=datetime.timedelta(seconds=PROBE_S),
             on_change=lambda cut: self.changes.append((self.clock.monotonic(), cut)),
@@ -104,6 +106,16 @@
             assert lines[-1]["probes"] == lines[-1]["failed"] == 4
 
 
+async def test_servers_that_asked_for_a_pause_are_not_probed():
+    # Guards against requests to servers that want none.
+    async with make_links() as links:
+        links.paused = {"s2", "s3", "s4"}
+        links.report("s0", "s1")
+        await asyncio.sleep(0.4)
+        assert links.probed
+        assert not {server.vm for server in links.probed} & links.paused
+
+
 async def test_trouble_at_one_server_probes_nothing():
     # Guards against probes, and lost links, for the failure of a single server.
     async with make_links() as links:
--- a/pomelolug/platform/_server_control.py
+++ b/pomelolug/platform/_server_control.py
@@ -174,16 +174,21 @@
             server, fence, orders_begun, {"operation": "stage", "model": model}
         )
 
+    async def responds(self, server: BackendServer) -> bool:
+        """Return whether a server responds in time over a new connection.
+
+        Whatever it responds to the request for its report, it is reached.
+        """
+        request = _encode_report_request(server)
+        try:
+            await self._call(server, request, self._report_timeout_s, fresh=True)
+        except (HttpConnectionError, TimeoutError):
+            return False
+        return True
+
     async def report(self, server: BackendServer) -> ServerReport | None:
         """Return the server's report, or None if it does not respond in time."""
-        request = encode_request(
-            b"GET",
-            _wire_names.REPORT_PATH,
-            [
-                (b"Host", server.address.encode()),
-                (_wire_names.EXPECT_INSTANCE, server.vm.encode()),
-            ],
-        )
+        request = _encode_report_request(server)
         try:
             head, body = await self._call(
                 server, request, self._report_timeout_s, fresh=False
@@ -246,6 +251,17 @@
         return head, body
 
 
+def _encode_report_request(server: BackendServer) -> bytes:
+    return encode_request(
+        b"GET",
+        _wire_names.REPORT_PATH,
+        [
+            (b"Host", server.address.encode()),
+            (_wire_names.EXPECT_INSTANCE, server.vm.encode()),
+        ],
+    )
+
+
 def _decode_report(data: bytes) -> ServerReport:
     raw = msgspec.json.decode(data, type=_Report)
     return ServerReport(
--- /dev/null
+++ b/pomelolug/platform/tests/test_server_control.py
@@ -0,0 +1,61 @@
+"""Requests of the controller and of probes to servers."""
+
+import datetime
+
+import pytest
+
+from pomelolug.deployment import BackendServer, ServerState
+from pomelolug.ids import DomainId, ServiceName, VmId, ZoneId
+from pomelolug.platform import HttpServerControl
+from pomelolug.testing import ScriptedServer
+from pomelolug.transport import ConnectionPool
+
+TIMEOUT = datetime.timedelta(milliseconds=300)
+
+
+def make_server(address: str) -> BackendServer:
+    return BackendServer(
+        vm=VmId("vm-1"),
+        start_time_ms=1,
+        service=ServiceName("llm"),
+        address=address,
+        zone=ZoneId("z1"),
+        domain=DomainId("d"),
+        state=ServerState.READY,
+        slots=1,
+        staged=frozenset(),
+        model=None,
+        membership=None,
+    )
+
+
+@pytest.mark.parametrize("status", ["200 OK", "503 Service Unavailable", "404 No"])
+async def test_server_that_refuses_its_report_is_reached(status):
+    # Guards against a node that counts as cut off because servers refuse reports.
+    async def script(request):
+        request.send(status, {}, b"no report")
+
+    assert await probe(script)
+
+
+async def test_server_that_accepts_a_connection_and_is_silent_is_not_reached():
+    # Guards against a link that passes nothing and counts as sound.
+    async def script(request):
+        await request.wait_closed()
+
+    assert not await probe(script)
+
+
+async def probe(script) -> bool:
+    server = ScriptedServer(script)
+    await server.start()
+    control = HttpServerControl(
+        pool=ConnectionPool(max_idle=TIMEOUT, connect_timeout=TIMEOUT),
+        order_timeout=TIMEOUT,
+        report_timeout=TIMEOUT,
+        on_notice=lambda server, notice: None,
+    )
+    try:
+        return await control.responds(make_server(server.address))
+    finally:
+        server.stop()
