--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/_stream.py
@@ -33,6 +33,7 @@
     StreamRun,
     lost_run_error,
 )
+from pomelolug.entry._stream_state import StreamState
 from pomelolug.entry._watch import StallDetector
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId
@@ -60,54 +61,6 @@
 _RunError: TypeAlias = RefusedError | ServerError | PeerRefusalError | AttemptError
 
 
-class _StreamState:
-    """State of one stream across its runs.
-
-    `possible_runs` counts the ended runs that may have run the request. `move` looks
-    for another group while the `current` run pauses, and leaves the run that has taken
-    over in `replacement`. `server_error` is a whole error response that is passed on
-    if nothing better arrives. `unreached_count` counts the servers to which no
-    connection has opened in a row, and `has_unused_retry` tells whether the latest
-    attempt has reached none. `is_refused` tells whether another node has decided that
-    the request is not served.
-    """
-
-    __slots__ = (
-        "attempt_count",
-        "current",
-        "error",
-        "has_unused_retry",
-        "is_refused",
-        "last_event_id",
-        "move",
-        "possible_runs",
-        "replacement",
-        "server_error",
-        "started",
-        "tried",
-        "tried_nodes",
-        "unreached_count",
-        "use_fresh_connection",
-    )
-
-    def __init__(self, last_event_id: int | None) -> None:
-        self.last_event_id = last_event_id
-        self.started = False
-        self.use_fresh_connection = False
-        self.possible_runs = 0
-        self.attempt_count = 0
-        self.tried: set[VmId] = set()
-        self.tried_nodes: set[str] = set()
-        self.unreached_count = 0
-        self.has_unused_retry = False
-        self.is_refused = False
-        self.error: RequestError | None = None
-        self.server_error: ServerError | None = None
-        self.current: StreamRun | None = None
-        self.move: asyncio.Task[None] | None = None
-        self.replacement: StreamRun | None = None
-
-
 class StreamForwarder:
     """Forwards streams and resumes them on another group when one is lost.
 
@@ -171,7 +124,7 @@
         RequestError
             If no event was forwarded and no group accepts the request.
         """
-        state = _StreamState(context.request_head.last_event_id)
+        state = StreamState(context.request_head.last_event_id)
         try:
             while True:
                 run = await self._next_run(context, state)
@@ -192,7 +145,7 @@
         self._fail(context, state, state.error)
 
     async def _next_run(
-        self, context: RequestContext, state: _StreamState
+        self, context: RequestContext, state: StreamState
     ) -> StreamRun | None:
         """Return the run to read from next, None if no group takes the request."""
         if state.move is not None:
@@ -208,7 +161,7 @@
         return await self._start_run(context, state, waits=is_resumed)
 
     async def _start_run(
-        self, context: RequestContext, state: _StreamState, *, waits: bool
+        self, context: RequestContext, state: StreamState, *, waits: bool
     ) -> StreamRun | None:
         """Send the request to the next group that takes it, None if there is none.
 
@@ -228,7 +181,7 @@
             return await self._start_run_at_node(context, state)
         return run
 
-    def _may_use_exits(self, context: RequestContext, state: _StreamState) -> bool:
+    def _may_use_exits(self, context: RequestContext, state: StreamState) -> bool:
         model = context.request_head.model
         if context.is_forwarded:
             return False
@@ -237,7 +190,7 @@
         return self._exits.may_use(context, unreached_count=state.unreached_count)
 
     async def _start_run_at_node(
-        self, context: RequestContext, state: _StreamState
+        self, context: RequestContext, state: StreamState
     ) -> StreamRun | None:
         """Pass the request on to another node, None if none takes it."""
         while (address := self._exits.select(state.tried_nodes)) is not None:
@@ -264,12 +217,15 @@
                 await run.close(error, "cancelled")
                 raise
             return run
-        if self._exits.is_needed(context) or state.tried_nodes:
+        has_no_group = (
+            state.error is not None and state.error.code is ErrorCode.NO_GROUP
+        )
+        if self._exits.is_needed(context) or (state.tried_nodes and not has_no_group):
             state.error = self._exits.unreachable_error()
         return None
 
     async def _start_run_at_group(
-        self, context: RequestContext, state: _StreamState, *, waits: bool
+        self, context: RequestContext, state: StreamState, *, waits: bool
     ) -> StreamRun | None:
         while (
             state.attempt_count < _MAX_ATTEMPTS
@@ -309,7 +265,7 @@
             return run
         return None
 
-    def _try_spend(self, context: RequestContext, state: _StreamState) -> bool:
+    def _try_spend(self, context: RequestContext, state: StreamState) -> bool:
         """Take a retry from the budget, unless the latest one has reached no server."""
         if state.has_unused_retry:
             state.has_unused_retry = False
@@ -317,7 +273,7 @@
         return self._retry_limiter.try_spend(context)
 
     def _create_run(
-        self, context: RequestContext, state: _StreamState, head: BackendServer
+        self, context: RequestContext, state: StreamState, head: BackendServer
     ) -> StreamRun:
         assert context.request_head.model is not None
         record = AttemptRecord(
@@ -346,7 +302,7 @@
     def _watch_run(
         self,
         context: RequestContext,
-        state: _StreamState,
+        state: StreamState,
         run: StreamRun,
         head: VmId,
     ) -> None:
@@ -371,7 +327,7 @@
         )
 
     async def _forward_run(
-        self, context: RequestContext, state: _StreamState, run: StreamRun
+        self, context: RequestContext, state: StreamState, run: StreamRun
     ) -> bool:
         """Forward the events of a run; return whether the caller has its response."""
         error: BaseException | None = None
@@ -415,7 +371,7 @@
     def _record_failure(
         self,
         context: RequestContext,
-        state: _StreamState,
+        state: StreamState,
         run: StreamRun,
         error: _RunError,
     ) -> None:
@@ -444,13 +400,13 @@
         state.possible_runs += 1
         state.error = _to_request_error(_result_of(error), state.possible_runs)
 
-    def _has_decisive_error(self, state: _StreamState) -> bool:
+    def _has_decisive_error(self, state: StreamState) -> bool:
         """Return whether a server has rejected the request for good."""
         error = state.server_error
         return error is not None and error.head.status < 500 and not state.started
 
     def _record_peer_refusal(
-        self, state: _StreamState, run: StreamRun, refusal: PeerRefusalError
+        self, state: StreamState, run: StreamRun, refusal: PeerRefusalError
     ) -> None:
         """Record the error of another node, which decides unless it is cut off too."""
         assert isinstance(run.target, str)
@@ -466,7 +422,7 @@
     # Moves
 
     def _on_stall(
-        self, context: RequestContext, state: _StreamState, run: StreamRun
+        self, context: RequestContext, state: StreamState, run: StreamRun
     ) -> None:
         """Ask a further group if the group of a run has stalled."""
         if run is state.current:
@@ -480,7 +436,7 @@
             run.abort("stalled")
 
     def _start_move(
-        self, context: RequestContext, state: _StreamState, run: StreamRun
+        self, context: RequestContext, state: StreamState, run: StreamRun
     ) -> None:
         """Look for a group that goes on with a stream whose group has stalled."""
         is_moving = state.move is not None and not state.move.done()
@@ -493,7 +449,7 @@
             )
 
     async def _move(
-        self, context: RequestContext, state: _StreamState, run: StreamRun
+        self, context: RequestContext, state: StreamState, run: StreamRun
     ) -> None:
         """Replace a run by one at another group that has sent the next event."""
         while self._may_retry(context, state, running=1):
@@ -527,7 +483,7 @@
                 if state.replacement is not other:
                     await other.close(error, result)
 
-    async def _end_move(self, state: _StreamState) -> None:
+    async def _end_move(self, state: StreamState) -> None:
         """Give up the search for another group, and the run that it has found."""
         move, state.move = state.move, None
         if move is not None:
@@ -538,7 +494,7 @@
             await replacement.close(asyncio.CancelledError(), "cancelled")
 
     def _fail(
-        self, context: RequestContext, state: _StreamState, error: RequestError | None
+        self, context: RequestContext, state: StreamState, error: RequestError | None
     ) -> None:
         """Cut the stream if it has started, otherwise raise the error to report."""
         if state.started:
@@ -568,7 +524,7 @@
         )
 
     def _may_retry(
-        self, context: RequestContext, state: _StreamState, *, running: int = 0
+        self, context: RequestContext, state: StreamState, *, running: int = 0
     ) -> bool:
         """Return whether a further group may run the request.
 
@@ -585,12 +541,12 @@
         return context.route.is_repeatable and run_count < context.route.max_attempts
 
     def _can_retry_error(
-        self, context: RequestContext, state: _StreamState, error: ServerError
+        self, context: RequestContext, state: StreamState, error: ServerError
     ) -> bool:
         return error.head.status >= 500 and self._may_retry(context, state, running=1)
 
     async def _select_head(
-        self, context: RequestContext, state: _StreamState, *, waits: bool
+        self, context: RequestContext, state: StreamState, *, waits: bool
     ) -> BackendServer | None:
         """Return the head for the next run, None if there is none."""
         until_s = self._clock.monotonic() + _MAX_RESUME_WAIT_S
@@ -610,7 +566,7 @@
             await self._clock.sleep(_RESUME_POLL_INTERVAL)
 
     def _find_candidates(
-        self, context: RequestContext, state: _StreamState, *, suspected: bool = False
+        self, context: RequestContext, state: StreamState, *, suspected: bool = False
     ) -> list[Candidate]:
         engine, model = _engine_and_model(context)
         if engine is None or model is None:
@@ -647,7 +603,7 @@
         context.exchange.reply(head.status, response_headers(head), error.body)
 
     def _start_response(
-        self, context: RequestContext, run: StreamRun, state: _StreamState
+        self, context: RequestContext, run: StreamRun, state: StreamState
     ) -> None:
         state.started = True
         head = run.response_head
@@ -659,7 +615,7 @@
         self,
         context: RequestContext,
         run: StreamRun,
-        state: _StreamState,
+        state: StreamState,
         event: ServerSentEvent,
     ) -> None:
         """Send an event to the caller unless it has already received it.
--- /dev/null
+++ b/pomelolug/entry/_stream_state.py
@@ -0,0 +1,57 @@
+"""State of one stream across its runs."""
+
+import asyncio
+
+from pomelolug.entry._stream_run import ServerError, StreamRun
+from pomelolug.errors import RequestError
+from pomelolug.ids import VmId
+
+__all__ = ["StreamState"]
+
+
+class StreamState:
+    """State of one stream across its runs.
+
+    `possible_runs` counts the ended runs that may have run the request. `move` looks
+    for another group while the `current` run pauses, and leaves the run that has taken
+    over in `replacement`. `server_error` is a whole error response that is passed on
+    if nothing better arrives. `unreached_count` counts the servers to which no
+    connection has opened in a row, and `has_unused_retry` tells whether the latest
+    attempt has reached none. `is_refused` tells whether another node has decided that
+    the request is not served.
+    """
+
+    __slots__ = (
+        "attempt_count",
+        "current",
+        "error",
+        "has_unused_retry",
+        "is_refused",
+        "last_event_id",
+        "move",
+        "possible_runs",
+        "replacement",
+        "server_error",
+        "started",
+        "tried",
+        "tried_nodes",
+        "unreached_count",
+        "use_fresh_connection",
+    )
+
+    def __init__(self, last_event_id: int | None) -> None:
+        self.last_event_id = last_event_id
+        self.started = False
+        self.use_fresh_connection = False
+        self.possible_runs = 0
+        self.attempt_count = 0
+        self.tried: set[VmId] = set()
+        self.tried_nodes: set[str] = set()
+        self.unreached_count = 0
+        self.has_unused_retry = False
+        self.is_refused = False
+        self.error: RequestError | None = None
+        self.server_error: ServerError | None = None
+        self.current: StreamRun | None = None
+        self.move: asyncio.Task[None] | None = None
+        self.replacement: StreamRun | None = None
--- a/pomelolug/gateway/tests/test_model_flow.py
+++ b/pomelolug/gateway/tests/test_model_flow.py
@@ -65,6 +65,26 @@
     assert engine_request.resume_from == 2
 
 
+async def test_stream_outlasts_the_pause_of_its_only_group():
+    # Guards against a stream that is given up because its sound group pauses.
+    engine = ScriptedEngine(
+        [
+            lambda engine_request: [
+                *token_events("r1", engine_request.resume_from, 2),
+                Delay(1.6),
+                *token_events("r1", 2, 4),
+                StreamEnd("r1", 4, "stop"),
+            ]
+        ]
+    )
+    harness = ModelHandlerHarness(engine)
+    harness.update(status("g1"))
+    sink = ListSink()
+    await harness.handler.handle(request(), sink)
+    assert sink.end_token_count == 4
+    assert len(engine.requests) == 1
+
+
 async def test_stream_that_cannot_be_resumed_ends_with_an_error():
     harness = ModelHandlerHarness(ScriptedEngine([cut_after(2)]))
     harness.update(status("g1"))
