Sort the modules of the entry process into packages

They now lie by subject: losses (which request a server was lost to), servers, peers and requests. Modules only move; imports between packages go through the public names of each package.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -22,28 +22,29 @@
     ServerNotice,
     ServerRegistry,
 )
-from pomelolug.entry._application import RequestHandler
-from pomelolug.entry._choice import GroupSelector
 from pomelolug.entry._internal_endpoints import InternalEndpoints
 from pomelolug.entry._lifecycle import Lifecycle
-from pomelolug.entry._loss_publisher import LossPublisher
 from pomelolug.entry._metrics import EntryMetrics
-from pomelolug.entry._peer_coordinator import PeerCoordinator
-from pomelolug.entry._peer_forwarding import encode_outcome
-from pomelolug.entry._plain import PlainForwarder
-from pomelolug.entry._poison_requests import PoisonRequestDetector
-from pomelolug.entry._rate_limiter import RequestRateLimiter
-from pomelolug.entry._repeats import RetryLimiter
-from pomelolug.entry._request_exits import RequestExits
-from pomelolug.entry._run_monitor import RunMonitor
-from pomelolug.entry._server_contact import ServerContact
-from pomelolug.entry._server_limits import ServerLimits
-from pomelolug.entry._server_notices import ServerNotices
-from pomelolug.entry._server_tracker import ServerTracker
-from pomelolug.entry._store_contact import StoreContact
-from pomelolug.entry._stream import StreamForwarder
 from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
-from pomelolug.entry._watch import StallDetector
+from pomelolug.entry.losses import LossPublisher, PoisonRequestDetector, RunMonitor
+from pomelolug.entry.peers import PeerCoordinator, StoreContact
+from pomelolug.entry.requests import (
+    PlainForwarder,
+    RequestExits,
+    RequestHandler,
+    RetryLimiter,
+    StreamForwarder,
+    encode_outcome,
+)
+from pomelolug.entry.servers import (
+    GroupSelector,
+    RequestRateLimiter,
+    ServerContact,
+    ServerLimits,
+    ServerNotices,
+    ServerTracker,
+    StallDetector,
+)
 from pomelolug.errors import ErrorCode, InvalidInputError, Outcome
 from pomelolug.feeds import RecordSource, TopicFeed
 from pomelolug.ids import ModelName, NodeId, VmId
--- a/pomelolug/entry/_internal_endpoints.py
+++ b/pomelolug/entry/_internal_endpoints.py
@@ -8,11 +8,14 @@
 from pomelolug.deployment import ServerRegistry
 from pomelolug.entry._lifecycle import Lifecycle
 from pomelolug.entry._metrics import EntryMetrics
-from pomelolug.entry._peer_coordinator import DECLARATION_PATH, PeerCoordinator
-from pomelolug.entry._relay import RECORDS_PATH, serve_records
-from pomelolug.entry._server_contact import ServerContact
-from pomelolug.entry._server_tracker import ServerTracker
 from pomelolug.entry._topic_consumers import DeclarationCache
+from pomelolug.entry.peers import (
+    DECLARATION_PATH,
+    RECORDS_PATH,
+    PeerCoordinator,
+    serve_records,
+)
+from pomelolug.entry.servers import ServerContact, ServerTracker
 from pomelolug.feeds import TopicFeed
 from pomelolug.platform import READY_PATH
 from pomelolug.replicas import ControllerLease, group_views
--- a/pomelolug/entry/_loss_publisher.py
+++ b/pomelolug/entry/losses/_loss_publisher.py
@@ -10,7 +10,10 @@
 import structlog
 
 from pomelolug.clock import Clock
-from pomelolug.entry._poison_requests import LOSS_RETENTION_S, PoisonRequestDetector
+from pomelolug.entry.losses._poison_requests import (
+    LOSS_RETENTION_S,
+    PoisonRequestDetector,
+)
 from pomelolug.errors import PlatformError
 from pomelolug.feeds import Record
 from pomelolug.platform import TOPIC_LOSSES, MetadataStore
--- a/pomelolug/entry/_poison_requests.py
+++ b/pomelolug/entry/losses/_poison_requests.py
@@ -9,8 +9,8 @@
 import structlog
 
 from pomelolug.clock import Clock
-from pomelolug.entry._prompt_part_culprits import PartLoss, find_culprits
-from pomelolug.entry._request_identity import RequestIdentity
+from pomelolug.entry.losses._prompt_part_culprits import PartLoss, find_culprits
+from pomelolug.entry.losses._request_identity import RequestIdentity
 
 __all__ = [
     "LOSS_RETENTION_S",
--- a/pomelolug/entry/_run_monitor.py
+++ b/pomelolug/entry/losses/_run_monitor.py
@@ -23,9 +23,12 @@
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, RegistryChange, ServerRegistry
-from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
-from pomelolug.entry._request_identity import RequestIdentity
-from pomelolug.entry._server_contact import ServerContact
+from pomelolug.entry.losses._poison_requests import (
+    PoisonRequestDetector,
+    QuarantinedError,
+)
+from pomelolug.entry.losses._request_identity import RequestIdentity
+from pomelolug.entry.servers import ServerContact
 from pomelolug.ids import VmId
 from pomelolug.replicas import GroupKey, group_key
 
--- a/pomelolug/entry/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -9,17 +9,16 @@
 import structlog
 
 from pomelolug.clock import Clock
-from pomelolug.entry._exit_nodes import (
+from pomelolug.entry._topic_consumers import DeclarationCache
+from pomelolug.entry.losses import PoisonRequestDetector
+from pomelolug.entry.peers._exit_nodes import (
     order_forwarding_addresses,
     sample_other_exits,
     sample_zone_exits,
 )
-from pomelolug.entry._peer_gossip import PeerGossip
-from pomelolug.entry._poison_requests import PoisonRequestDetector
-from pomelolug.entry._relay import RelaySource
-from pomelolug.entry._server_notices import ServerNotices
-from pomelolug.entry._server_tracker import ServerTracker
-from pomelolug.entry._topic_consumers import DeclarationCache
+from pomelolug.entry.peers._peer_gossip import PeerGossip
+from pomelolug.entry.peers._relay import RelaySource
+from pomelolug.entry.servers import ServerNotices, ServerTracker
 from pomelolug.errors import PlatformError
 from pomelolug.feeds import RecordBatch, RecordSource
 from pomelolug.ids import NodeId, VmId, ZoneId
--- a/pomelolug/entry/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -10,20 +10,23 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import ClientAccount, Declaration, Route, Service
 from pomelolug.entry._metrics import EntryMetrics
-from pomelolug.entry._peer_forwarding import ForwardedRequest, decode_forwarded
-from pomelolug.entry._plain import PlainForwarder
-from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
-from pomelolug.entry._request_context import (
+from pomelolug.entry._topic_consumers import DeclarationCache
+from pomelolug.entry.losses import (
+    PoisonRequestDetector,
+    QuarantinedError,
+    RequestIdentity,
+    RunMonitor,
+)
+from pomelolug.entry.requests._peer_forwarding import ForwardedRequest, decode_forwarded
+from pomelolug.entry.requests._plain import PlainForwarder
+from pomelolug.entry.requests._request_context import (
     RequestContext,
     not_run_error,
     reply_error,
     unknown_outcome_error,
 )
-from pomelolug.entry._request_identity import RequestIdentity
-from pomelolug.entry._request_record import RequestRecord
-from pomelolug.entry._run_monitor import RunMonitor
-from pomelolug.entry._stream import StreamForwarder
-from pomelolug.entry._topic_consumers import DeclarationCache
+from pomelolug.entry.requests._request_record import RequestRecord
+from pomelolug.entry.requests._stream import StreamForwarder
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.feeds import TopicFeed
 from pomelolug.ids import AccountId
--- a/pomelolug/entry/_attempt.py
+++ b/pomelolug/entry/requests/_attempt.py
@@ -6,9 +6,8 @@
 from typing import Self
 
 from pomelolug.deployment import BackendServer
-from pomelolug.entry._request_identity import RequestIdentity
-from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
-from pomelolug.entry._server_notices import ServerNotices, WaitCause
+from pomelolug.entry.losses import RequestIdentity, RunEnd, RunMonitor, ServerRun
+from pomelolug.entry.servers import ServerNotices, WaitCause
 from pomelolug.ids import RequestId
 from pomelolug.platform import ServerReply, decode_server_reply
 from pomelolug.transport import (
--- a/pomelolug/entry/_peer_forwarding.py
+++ b/pomelolug/entry/requests/_peer_forwarding.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from pomelolug.entry._attempt import (
+from pomelolug.entry.requests._attempt import (
     CONNECTION_END_REASONS,
     AttemptError,
     BaseAttempt,
--- a/pomelolug/entry/_repeats.py
+++ b/pomelolug/entry/requests/_repeats.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from pomelolug.clock import Clock
-from pomelolug.entry._request_context import RequestContext
+from pomelolug.entry.requests._request_context import RequestContext
 from pomelolug.ids import AccountId, PoolId, WorkClassName
 from pomelolug.retries import RetryBudget
 
--- a/pomelolug/entry/_request_context.py
+++ b/pomelolug/entry/requests/_request_context.py
@@ -7,14 +7,14 @@
 import msgspec
 
 from pomelolug.deployment import Declaration, Route, Service
-from pomelolug.entry._peer_forwarding import (
+from pomelolug.entry.losses import RequestIdentity
+from pomelolug.entry.requests._peer_forwarding import (
     ForwardedRequest,
     encode_forwarded,
     encode_outcome,
 )
-from pomelolug.entry._request_identity import RequestIdentity
-from pomelolug.entry._request_record import RequestRecord
-from pomelolug.entry._server_notices import ServerWait, WaitCause
+from pomelolug.entry.requests._request_record import RequestRecord
+from pomelolug.entry.servers import ServerWait, WaitCause
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import AccountId, VmId
 from pomelolug.platform import (
--- a/pomelolug/entry/_request_exits.py
+++ b/pomelolug/entry/requests/_request_exits.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable, Collection
 
 from pomelolug.clock import Clock
-from pomelolug.entry._peer_forwarding import PeerAttempt
-from pomelolug.entry._request_context import RequestContext
-from pomelolug.entry._request_record import AttemptRecord
-from pomelolug.entry._server_contact import ServerContact
+from pomelolug.entry.requests._peer_forwarding import PeerAttempt
+from pomelolug.entry.requests._request_context import RequestContext
+from pomelolug.entry.requests._request_record import AttemptRecord
+from pomelolug.entry.servers import ServerContact
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId
 from pomelolug.transport import ConnectionPool
--- a/pomelolug/entry/_request_record.py
+++ b/pomelolug/entry/requests/_request_record.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import Any
 
-from pomelolug.entry._request_identity import RequestIdentity
+from pomelolug.entry.losses import RequestIdentity
 from pomelolug.errors import ErrorCode
 from pomelolug.ids import AccountId, RequestId, VmId
 
--- a/pomelolug/entry/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -7,34 +7,33 @@
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
-from pomelolug.entry._attempt import Attempt, AttemptError
-from pomelolug.entry._choice import (
-    Candidate,
-    GroupSelector,
-    estimate_first_event_s,
-)
-from pomelolug.entry._peer_forwarding import PeerRefusalError
-from pomelolug.entry._poison_requests import QuarantinedError
-from pomelolug.entry._repeats import RetryLimiter
-from pomelolug.entry._request_context import (
+from pomelolug.entry.losses import QuarantinedError, RunMonitor
+from pomelolug.entry.requests._attempt import Attempt, AttemptError
+from pomelolug.entry.requests._peer_forwarding import PeerRefusalError
+from pomelolug.entry.requests._repeats import RetryLimiter
+from pomelolug.entry.requests._request_context import (
     RequestContext,
     not_run_error,
     server_wait_error,
     unknown_outcome_error,
 )
-from pomelolug.entry._request_exits import MAX_UNREACHED_SERVERS, RequestExits
-from pomelolug.entry._request_record import AttemptRecord
-from pomelolug.entry._run_monitor import RunMonitor
-from pomelolug.entry._server_notices import ServerNotices
-from pomelolug.entry._server_tracker import ServerTracker
-from pomelolug.entry._stream_run import (
+from pomelolug.entry.requests._request_exits import MAX_UNREACHED_SERVERS, RequestExits
+from pomelolug.entry.requests._request_record import AttemptRecord
+from pomelolug.entry.requests._stream_run import (
     RefusedError,
     ServerError,
     StreamRun,
     lost_run_error,
 )
-from pomelolug.entry._stream_state import StreamState
-from pomelolug.entry._watch import StallDetector
+from pomelolug.entry.requests._stream_state import StreamState
+from pomelolug.entry.servers import (
+    Candidate,
+    GroupSelector,
+    ServerNotices,
+    ServerTracker,
+    StallDetector,
+    estimate_first_event_s,
+)
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId
 from pomelolug.platform import ServerSentEvent, response_headers
--- a/pomelolug/entry/_stream_run.py
+++ b/pomelolug/entry/requests/_stream_run.py
@@ -3,9 +3,14 @@
 from collections.abc import Callable
 
 from pomelolug.deployment import BackendServer
-from pomelolug.entry._attempt import Attempt, AttemptError, BaseAttempt, RunStatus
-from pomelolug.entry._peer_forwarding import PeerRefusalError
-from pomelolug.entry._request_record import AttemptRecord
+from pomelolug.entry.requests._attempt import (
+    Attempt,
+    AttemptError,
+    BaseAttempt,
+    RunStatus,
+)
+from pomelolug.entry.requests._peer_forwarding import PeerRefusalError
+from pomelolug.entry.requests._request_record import AttemptRecord
 from pomelolug.platform import EventSplitter, ServerReply, ServerSentEvent
 from pomelolug.transport import ResponseHead
 
--- a/pomelolug/entry/_stream_state.py
+++ b/pomelolug/entry/requests/_stream_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pomelolug.entry._stream_run import ServerError, StreamRun
+from pomelolug.entry.requests._stream_run import ServerError, StreamRun
 from pomelolug.errors import RequestError
 from pomelolug.ids import VmId
 
--- /dev/null
+++ b/pomelolug/entry/servers/__init__.py
@@ -0,0 +1,51 @@
+"""What a node knows of the backend servers."""
+
+from pomelolug.entry.servers._choice import (
+    Candidate,
+    GroupSelector,
+    estimate_event_interval_s,
+    estimate_first_event_s,
+)
+from pomelolug.entry.servers._leaving_servers import (
+    LeavingServers,
+)
+from pomelolug.entry.servers._rate_limiter import (
+    RequestRateLimiter,
+)
+from pomelolug.entry.servers._server_contact import (
+    ServerContact,
+)
+from pomelolug.entry.servers._server_limits import (
+    ServerLimits,
+)
+from pomelolug.entry.servers._server_notices import (
+    ServerNotices,
+    ServerWait,
+    WaitCause,
+)
+from pomelolug.entry.servers._server_pauses import (
+    ServerPauses,
+)
+from pomelolug.entry.servers._server_tracker import (
+    ServerTracker,
+)
+from pomelolug.entry.servers._watch import (
+    StallDetector,
+)
+
+__all__ = [
+    "Candidate",
+    "GroupSelector",
+    "LeavingServers",
+    "RequestRateLimiter",
+    "ServerContact",
+    "ServerLimits",
+    "ServerNotices",
+    "ServerPauses",
+    "ServerTracker",
+    "ServerWait",
+    "StallDetector",
+    "WaitCause",
+    "estimate_event_interval_s",
+    "estimate_first_event_s",
+]
--- a/pomelolug/entry/_rate_limiter.py
+++ b/pomelolug/entry/servers/_rate_limiter.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 
 from pomelolug.clock import Clock
-from pomelolug.entry._server_limits import ServerLimits
+from pomelolug.entry.servers._server_limits import ServerLimits
 from pomelolug.ids import NodeId, VmId, ZoneId
 from pomelolug.rendezvous import rendezvous
 
--- a/pomelolug/entry/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -13,10 +13,10 @@
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, ServerNotice, StatedAvailability
-from pomelolug.entry._leaving_servers import LeavingServers
-from pomelolug.entry._rate_limiter import RequestRateLimiter
-from pomelolug.entry._server_limits import ServerLimits
-from pomelolug.entry._server_pauses import ServerPauses
+from pomelolug.entry.servers._leaving_servers import LeavingServers
+from pomelolug.entry.servers._rate_limiter import RequestRateLimiter
+from pomelolug.entry.servers._server_limits import ServerLimits
+from pomelolug.entry.servers._server_pauses import ServerPauses
 from pomelolug.ids import VmId
 from pomelolug.messages import NodeStatus
 
--- a/pomelolug/entry/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -11,7 +11,7 @@
     ServerRegistry,
     ServerState,
 )
-from pomelolug.entry._server_notices import ServerNotices, ServerWait
+from pomelolug.entry.servers._server_notices import ServerNotices, ServerWait
 from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.replicas import GroupKey, group_views
--- a/pomelolug/entry/tests/choice_simulation.py
+++ b/pomelolug/entry/tests/choice_simulation.py
@@ -14,7 +14,7 @@
     ModelProfile,
     ServerState,
 )
-from pomelolug.entry._choice import (
+from pomelolug.entry.servers import (
     Candidate,
     GroupSelector,
     estimate_event_interval_s,
--- a/pomelolug/entry/tests/test_choice.py
+++ b/pomelolug/entry/tests/test_choice.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pomelolug.entry._choice import Candidate, GroupSelector
+from pomelolug.entry.servers import Candidate, GroupSelector
 from pomelolug.entry.tests.choice_simulation import ChoiceSimulation, _Group
 from pomelolug.ids import ZoneId
 
--- a/pomelolug/entry/tests/test_cut_off_from_servers.py
+++ b/pomelolug/entry/tests/test_cut_off_from_servers.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from pomelolug.entry._request_context import RequestContext
+from pomelolug.entry.requests import RequestContext
 from pomelolug.entry.tests.harness import (
     MODEL,
     CallerOfNode,
--- a/pomelolug/entry/tests/test_endless_responses.py
+++ b/pomelolug/entry/tests/test_endless_responses.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pomelolug.deployment import OrderResult
-from pomelolug.entry._relay import RelaySource
+from pomelolug.entry.peers import RelaySource
 from pomelolug.entry.tests.backend import make_backend_server, make_server_control
 from pomelolug.entry.tests.harness import Harness, send_response, start_stream
 from pomelolug.entry.tests.stating_server import KINDS, Answer, StatingServer, send
--- a/pomelolug/entry/tests/test_exit_nodes.py
+++ b/pomelolug/entry/tests/test_exit_nodes.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pomelolug.entry._exit_nodes import (
+from pomelolug.entry.peers import (
     order_forwarding_addresses,
     sample_other_exits,
     sample_zone_exits,
--- a/pomelolug/entry/tests/test_forwarded_requests.py
+++ b/pomelolug/entry/tests/test_forwarded_requests.py
@@ -8,17 +8,18 @@
 import pytest
 import structlog
 
-from pomelolug.entry._attempt import AttemptError, RunStatus
-from pomelolug.entry._peer_forwarding import (
+from pomelolug.entry.requests import (
+    AttemptError,
     ForwardedRequest,
     PeerAttempt,
     PeerRefusalError,
+    RequestContext,
+    RunStatus,
     decode_forwarded,
     decode_outcome,
     encode_forwarded,
     encode_outcome,
 )
-from pomelolug.entry._request_context import RequestContext
 from pomelolug.entry.tests.harness import (
     API_KEY,
     HOST,
--- a/pomelolug/entry/tests/test_loss_publisher.py
+++ b/pomelolug/entry/tests/test_loss_publisher.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from pomelolug.entry._loss_publisher import LossPublisher
-from pomelolug.entry._poison_requests import PoisonRequestDetector
+from pomelolug.entry.losses import LossPublisher, PoisonRequestDetector
 from pomelolug.errors import ErrorCode
 from pomelolug.feeds import Record, SourceUnavailableError
 from pomelolug.ids import Offset
--- a/pomelolug/entry/tests/test_paused_servers.py
+++ b/pomelolug/entry/tests/test_paused_servers.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from pomelolug.entry._server_pauses import ServerPauses
+from pomelolug.entry.servers import ServerPauses
 from pomelolug.entry.tests.backend import make_backend_server
 from pomelolug.entry.tests.harness import Harness, ProcessNode
 from pomelolug.entry.tests.stating_server import KINDS, StatingServer, send, send_for
--- a/pomelolug/entry/tests/test_peer_coordinator.py
+++ b/pomelolug/entry/tests/test_peer_coordinator.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pomelolug.entry._peer_coordinator import (
+from pomelolug.entry.peers import (
     is_lease_held_by_peer,
     is_longest_running_relay,
 )
--- a/pomelolug/entry/tests/test_peer_gossip.py
+++ b/pomelolug/entry/tests/test_peer_gossip.py
@@ -5,7 +5,7 @@
 import random
 
 from pomelolug.clock import Clock
-from pomelolug.entry._peer_gossip import PeerGossip
+from pomelolug.entry.peers import PeerGossip
 from pomelolug.ids import ZoneId
 from pomelolug.messages import NodeStatus, encode
 
--- a/pomelolug/entry/tests/test_poison_requests.py
+++ b/pomelolug/entry/tests/test_poison_requests.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from pomelolug.entry._poison_requests import PoisonRequestDetector
-from pomelolug.entry._request_identity import compute_fingerprint
+from pomelolug.entry.losses import PoisonRequestDetector, compute_fingerprint
 from pomelolug.entry.tests.harness import MODEL, Harness, encode_event, start_stream
 from pomelolug.ids import AccountId
 from pomelolug.testing import LoopClock
--- a/pomelolug/entry/tests/test_prompt_part_detection.py
+++ b/pomelolug/entry/tests/test_prompt_part_detection.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from pomelolug.entry._poison_requests import PoisonRequestDetector
-from pomelolug.entry._request_identity import RequestIdentity
+from pomelolug.entry.losses import PoisonRequestDetector, RequestIdentity
 from pomelolug.testing import LoopClock
 
 pytestmark = pytest.mark.looptime
--- a/pomelolug/entry/tests/test_rate_limiter.py
+++ b/pomelolug/entry/tests/test_rate_limiter.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from pomelolug.entry._rate_limiter import RequestRateLimiter
-from pomelolug.entry._server_limits import ServerLimits
+from pomelolug.entry.servers import RequestRateLimiter, ServerLimits
 from pomelolug.ids import NodeId, VmId, ZoneId
 from pomelolug.testing import LoopClock
 
--- a/pomelolug/entry/tests/test_repeats.py
+++ b/pomelolug/entry/tests/test_repeats.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pomelolug.entry._repeats import RetryLimiter
+from pomelolug.entry.requests import RetryLimiter
 from pomelolug.testing import LoopClock
 
 RESERVE = 306.0
--- a/pomelolug/entry/tests/test_restarted_node.py
+++ b/pomelolug/entry/tests/test_restarted_node.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pomelolug.entry._leaving_servers import LeavingServers
+from pomelolug.entry.servers import LeavingServers
 from pomelolug.entry.tests.backend import make_backend_server
 from pomelolug.entry.tests.harness import API_KEY, Harness, declaration
 from pomelolug.entry.tests.stating_server import KINDS, StatingServer, send, send_for
--- a/pomelolug/entry/tests/test_run_monitor.py
+++ b/pomelolug/entry/tests/test_run_monitor.py
@@ -13,10 +13,15 @@
     ServerRegistry,
     ServerState,
 )
-from pomelolug.entry._poison_requests import PoisonRequestDetector, QuarantinedError
-from pomelolug.entry._request_identity import RequestIdentity
-from pomelolug.entry._run_monitor import RunEnd, RunMonitor, ServerRun
-from pomelolug.entry._server_contact import ServerContact
+from pomelolug.entry.losses import (
+    PoisonRequestDetector,
+    QuarantinedError,
+    RequestIdentity,
+    RunEnd,
+    RunMonitor,
+    ServerRun,
+)
+from pomelolug.entry.servers import ServerContact
 from pomelolug.ids import DomainId, GroupId, Offset, ServiceName, VmId, ZoneId
 from pomelolug.testing import LoopClock
 
--- a/pomelolug/entry/tests/test_server_contact.py
+++ b/pomelolug/entry/tests/test_server_contact.py
@@ -10,7 +10,7 @@
 import structlog.testing
 
 from pomelolug.deployment import BackendServer, ServerRegistry, ServerState
-from pomelolug.entry._server_contact import ServerContact
+from pomelolug.entry.servers import ServerContact
 from pomelolug.entry.tests.backend import make_backend_server
 from pomelolug.ids import DomainId, Offset, ServiceName, VmId, ZoneId
 from pomelolug.testing import LoopClock
--- a/pomelolug/entry/tests/test_server_limits.py
+++ b/pomelolug/entry/tests/test_server_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pomelolug.entry._server_limits import ServerLimits
+from pomelolug.entry.servers import ServerLimits
 from pomelolug.ids import VmId, ZoneId
 from pomelolug.messages import NodeStatus, decode, encode
 from pomelolug.testing import LoopClock
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -6,10 +6,12 @@
 import pytest
 
 from pomelolug.deployment import ServerRegistry
-from pomelolug.entry._rate_limiter import RequestRateLimiter
-from pomelolug.entry._server_limits import ServerLimits
-from pomelolug.entry._server_notices import ServerNotices
-from pomelolug.entry._server_tracker import ServerTracker
+from pomelolug.entry.servers import (
+    RequestRateLimiter,
+    ServerLimits,
+    ServerNotices,
+    ServerTracker,
+)
 from pomelolug.ids import NodeId, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.testing import LoopClock
--- a/pomelolug/entry/tests/test_stall_detector.py
+++ b/pomelolug/entry/tests/test_stall_detector.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pomelolug.entry._watch import StallDetector
+from pomelolug.entry.servers import StallDetector
 from pomelolug.ids import VmId
 from pomelolug.testing import LoopClock
 
--- a/pomelolug/entry/tests/test_store_outage.py
+++ b/pomelolug/entry/tests/test_store_outage.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pomelolug.entry._peer_coordinator import store_retry_delay
+from pomelolug.entry.peers import store_retry_delay
 from pomelolug.errors import ErrorCode
 from pomelolug.feeds import (
     Record,
--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -26,12 +26,13 @@
     ServerRegistry,
     ServerState,
 )
-from pomelolug.entry._poison_requests import PoisonRequestDetector
-from pomelolug.entry._rate_limiter import RequestRateLimiter
-from pomelolug.entry._request_identity import compute_fingerprint
-from pomelolug.entry._server_limits import ServerLimits
-from pomelolug.entry._server_notices import ServerNotices
-from pomelolug.entry._server_tracker import ServerTracker
+from pomelolug.entry.losses import PoisonRequestDetector, compute_fingerprint
+from pomelolug.entry.servers import (
+    RequestRateLimiter,
+    ServerLimits,
+    ServerNotices,
+    ServerTracker,
+)
 from pomelolug.experiments._slopes import (
     LinearFit,
     fit_line,
