Give delay estimates of groups an interface

Choosing a group asked the declared figures directly. An estimator that learns from answers needs a place to step in, so the stream forwarder now gets a DelayEstimator. DeclaredDelayEstimator holds the functions that lay in servers/_choice.py; nothing else changes.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -28,6 +28,7 @@
 from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
 from pomelolug.entry.losses import LossPublisher, PoisonRequestDetector, RunMonitor
 from pomelolug.entry.peers import PeerCoordinator, StoreContact
+from pomelolug.entry.performance import DeclaredDelayEstimator
 from pomelolug.entry.requests import (
     PlainForwarder,
     RequestExits,
@@ -440,6 +441,7 @@
             run_monitor=self._run_monitor,
             notices=self._notices,
             group_selector=self._group_selector,
+            delay_estimator=DeclaredDelayEstimator(),
             exits=exits,
             clock=clock,
             rng=self._rng,
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -8,6 +8,7 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
 from pomelolug.entry.losses import QuarantinedError, RunMonitor
+from pomelolug.entry.performance import DelayEstimator
 from pomelolug.entry.requests._attempt import Attempt, AttemptError
 from pomelolug.entry.requests._peer_forwarding import PeerRefusalError
 from pomelolug.entry.requests._repeats import RetryLimiter
@@ -32,7 +33,6 @@
     ServerNotices,
     ServerTracker,
     StallDetector,
-    estimate_first_event_s,
 )
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId
@@ -82,6 +82,8 @@
         What servers state about the requests that they take.
     group_selector : GroupSelector
         Selects the group of an attempt.
+    delay_estimator : DelayEstimator
+        Expected delays at the groups.
     exits : RequestExits
         Other nodes that get requests if this one reaches no server.
     clock : Clock
@@ -100,6 +102,7 @@
         run_monitor: RunMonitor,
         notices: ServerNotices,
         group_selector: GroupSelector,
+        delay_estimator: DelayEstimator,
         exits: RequestExits,
         clock: Clock,
         rng: random.Random,
@@ -111,6 +114,7 @@
         self._run_monitor = run_monitor
         self._notices = notices
         self._group_selector = group_selector
+        self._delay_estimator = delay_estimator
         self._exits = exits
         self._clock = clock
         self._rng = rng
@@ -581,12 +585,17 @@
             if head.vm in state.tried:
                 continue
             in_flight = self._server_tracker.in_flight(head.vm)
-            expected_delay_s = estimate_first_event_s(
-                engine, model, in_flight, context.request_head.prompt_tokens
+            expected_delay_s = self._delay_estimator.first_event_s(
+                head,
+                engine,
+                model,
+                in_flight=in_flight,
+                prompt_tokens=context.request_head.prompt_tokens,
             )
             # A request beyond the slots also delays all requests behind it, so it
             # is sent only if it can meet the latency target.
-            if in_flight < engine.slots or expected_delay_s <= target_s:
+            limit = self._delay_estimator.limit(head, engine)
+            if in_flight < limit or expected_delay_s <= target_s:
                 candidates.append(Candidate(head, expected_delay_s))
         return candidates
 
--- a/pomelolug/entry/servers/__init__.py
+++ b/pomelolug/entry/servers/__init__.py
@@ -3,8 +3,6 @@
 from pomelolug.entry.servers._choice import (
     Candidate,
     GroupSelector,
-    estimate_event_interval_s,
-    estimate_first_event_s,
 )
 from pomelolug.entry.servers._leaving_servers import (
     LeavingServers,
@@ -46,6 +44,4 @@
     "ServerWait",
     "StallDetector",
     "WaitCause",
-    "estimate_event_interval_s",
-    "estimate_first_event_s",
 ]
--- a/pomelolug/entry/tests/choice_simulation.py
+++ b/pomelolug/entry/tests/choice_simulation.py
@@ -14,11 +14,13 @@
     ModelProfile,
     ServerState,
 )
+from pomelolug.entry.performance import (
+    estimate_event_interval_s,
+    estimate_first_event_s,
+)
 from pomelolug.entry.servers import (
     Candidate,
     GroupSelector,
-    estimate_event_interval_s,
-    estimate_first_event_s,
 )
 from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId, ZoneId
 from pomelolug.replicas.tests.simulated_node import ENGINE, seconds
