Let one node of each zone assign streams to groups

Nodes chose groups by loads that are about as old as a stream takes.

A dispatcher now counts the streams of its zone and assigns groups on request. Nodes choose for themselves without a reply.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -26,9 +26,10 @@
 from pomelolug.entry._lifecycle import Lifecycle
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
+from pomelolug.entry.dispatch import GroupDispatcher
 from pomelolug.entry.losses import LossPublisher, PoisonRequestDetector, RunMonitor
 from pomelolug.entry.peers import PeerCoordinator, StoreContact
-from pomelolug.entry.performance import DeclaredDelayEstimator
+from pomelolug.entry.performance import DeclaredDelayEstimator, DelayEstimator
 from pomelolug.entry.requests import (
     PlainForwarder,
     RequestExits,
@@ -259,6 +260,15 @@
             clock=clock,
         )
         self._stall_detector = StallDetector(clock=clock, on_stall=self._on_stall)
+        self._delay_estimator: DelayEstimator = DeclaredDelayEstimator()
+        self._group_dispatcher = GroupDispatcher(
+            tracker=self._server_tracker,
+            estimator=self._delay_estimator,
+            declaration=lambda: self._declarations.current,
+            zone=settings.zone,
+            clock=clock,
+            rng=self._rng,
+        )
         self._build_forwarders()
         self._build_controller()
         self._lifecycle = Lifecycle(
@@ -281,6 +291,7 @@
             departures=self._departures,
             poison_detector=self._poison_detector,
             notices=self._notices,
+            dispatcher=self._group_dispatcher,
         )
         self._internal_endpoints = InternalEndpoints(
             lifecycle=self._lifecycle,
@@ -441,7 +452,8 @@
             run_monitor=self._run_monitor,
             notices=self._notices,
             group_selector=self._group_selector,
-            delay_estimator=DeclaredDelayEstimator(),
+            delay_estimator=self._delay_estimator,
+            dispatch=lambda: self._peer_coordinator.dispatch,
             exits=exits,
             clock=clock,
             rng=self._rng,
--- /dev/null
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -0,0 +1,204 @@
+"""Assignment of streams to the groups of a zone by one of its nodes.
+
+The loads that nodes report are about as old as a stream takes, so nodes that choose for
+themselves overload single groups while others have room. A dispatcher counts the
+streams that it assigns, without a delay.
+"""
+
+import collections
+import dataclasses
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from pomelolug.clock import Clock
+from pomelolug.deployment import BackendServer, Declaration
+from pomelolug.entry.dispatch._ledger import AssignmentLedger, Holder
+from pomelolug.entry.performance import DelayEstimator
+from pomelolug.entry.servers import ServerTracker
+from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
+from pomelolug.messages import NodeStatus
+
+__all__ = ["Decision", "GroupDispatcher", "Question"]
+
+_LOAD_COST_S = 0.05
+"""Expected delay, in seconds, that counts as much as all slots of a group.
+
+Delays hardly differ while a group has free slots, so streams are spread by load.
+"""
+_TIE_TOLERANCE_S = 0.001
+_MAX_OVERTIME_S = 2.0
+"""Time in seconds by which a stream may outlast the longest timeout of a route."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Question:
+    """Stream that needs a group.
+
+    Parameters
+    ----------
+    service, model : ServiceName, ModelName
+        Service and model of the stream.
+    prompt_tokens : int
+        Size of the prompt, 0 if unknown.
+    target_s : float
+        Time left to the first event by the latency target, in seconds.
+    excluded : sequence of VmId
+        Heads that the stream is not sent to.
+    """
+
+    service: ServiceName
+    model: ModelName
+    prompt_tokens: int
+    target_s: float
+    excluded: Sequence[VmId] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """Head of the assigned group, None if there is none.
+
+    `has_groups` tells whether there are open groups; without a head they are full.
+    """
+
+    head: VmId | None
+    has_groups: bool
+
+
+class GroupDispatcher:
+    """Assigns streams to the open groups of a zone.
+
+    Parameters
+    ----------
+    tracker : ServerTracker
+        Open groups.
+    estimator : DelayEstimator
+        Expected delays at the groups, and how many requests they take well.
+    declaration : callable
+        Returns the declaration in force, None before the first one.
+    zone : ZoneId
+        Zone whose groups are assigned.
+    clock : Clock
+        Source of monotonic time.
+    rng : random.Random
+        Selects among equal groups.
+    """
+
+    def __init__(
+        self,
+        *,
+        tracker: ServerTracker,
+        estimator: DelayEstimator,
+        declaration: Callable[[], Declaration | None],
+        zone: ZoneId,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._tracker = tracker
+        self._estimator = estimator
+        self._declaration = declaration
+        self._zone = zone
+        self._clock = clock
+        self._rng = rng
+        self._ledger = AssignmentLedger()
+        self._unassigned: dict[str, int] = {}
+        self._zone_processes: set[Holder] = set()
+
+    @property
+    def open_assignments(self) -> int:
+        """Number of assigned streams that have not ended."""
+        return len(self._ledger)
+
+    def decide(self, holder: Holder, serial: int, question: Question) -> Decision:
+        """Assign a stream to the group that serves it best.
+
+        A repeated question gets the same answer again.
+        """
+        known = self._ledger.find(holder, serial)
+        if known is not None:
+            return Decision(known, has_groups=True)
+        head, has_groups = self._choose(question)
+        if head is not None:
+            self._ledger.add(holder, serial, head.vm, now_s=self._clock.monotonic())
+        return Decision(head.vm if head is not None else None, has_groups)
+
+    def end(self, holder: Holder, serials: Sequence[int]) -> None:
+        """Record that assigned streams have ended."""
+        self._ledger.end(holder, serials)
+
+    def update(
+        self,
+        statuses: Sequence[NodeStatus],
+        *,
+        own: Holder,
+        own_unassigned: Mapping[str, int],
+    ) -> None:
+        """Apply what the nodes of the zone report.
+
+        Parameters
+        ----------
+        statuses : sequence of NodeStatus
+            Latest status of each live node of the zone.
+        own : Holder
+            This process.
+        own_unassigned : mapping of str to int
+            Requests of this node that no dispatcher has assigned, by server.
+        """
+        now_s = self._clock.monotonic()
+        unassigned = collections.Counter(own_unassigned)
+        zone_processes = {own}
+        for status in statuses:
+            holder = Holder(status.datagram, status.started_ms)
+            zone_processes.add(holder)
+            self._ledger.reconcile(holder, status.load, now_s=now_s)
+            unassigned.update(status.unassigned)
+        self._unassigned = dict(unassigned)
+        for holder in self._ledger.holders():
+            if holder in self._zone_processes and holder not in zone_processes:
+                self._ledger.drop_process(holder)
+        self._zone_processes = zone_processes
+        declaration = self._declaration()
+        if declaration is not None:
+            longest_s = max(
+                (r.timeout.total_seconds() for r in declaration.routes), default=0.0
+            )
+            self._ledger.expire(before_s=now_s - longest_s - _MAX_OVERTIME_S)
+
+    def clear(self) -> None:
+        """Drop all state, since another node is the dispatcher."""
+        self._ledger.clear()
+        self._unassigned = {}
+        self._zone_processes = set()
+
+    def in_flight(self, vm: VmId) -> int:
+        """Return the number of requests at a group."""
+        return self._ledger.count(vm) + self._unassigned.get(vm, 0)
+
+    def _choose(self, question: Question) -> tuple[BackendServer | None, bool]:
+        declaration = self._declaration()
+        service = declaration and declaration.services.get(question.service)
+        engine = service.engine if service else None
+        model = engine.find_model(question.model) if engine is not None else None
+        if engine is None or model is None:
+            return None, False
+        heads = [h for h in self._tracker.heads(model.name) if h.zone == self._zone]
+        scores: list[tuple[float, BackendServer]] = []
+        for head in heads:
+            if head.vm in question.excluded:
+                continue
+            in_flight = self.in_flight(head.vm)
+            delay_s = self._estimator.first_event_s(
+                head,
+                engine,
+                model,
+                in_flight=in_flight,
+                prompt_tokens=question.prompt_tokens,
+            )
+            limit = self._estimator.limit(head, engine)
+            if in_flight < limit or delay_s <= question.target_s:
+                load = in_flight / max(limit, 1)
+                scores.append((delay_s + _LOAD_COST_S * load, head))
+        if not scores:
+            return None, bool(heads)
+        lowest_s = min(score_s for score_s, _ in scores)
+        best = [h for score_s, h in scores if score_s <= lowest_s + _TIE_TOLERANCE_S]
+        return self._rng.choice(best), True
--- /dev/null
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -0,0 +1,316 @@
+"""Questions to dispatchers and their answers, as datagrams between nodes."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import TypeAlias
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.entry.dispatch._dispatcher import Decision, GroupDispatcher, Question
+from pomelolug.entry.dispatch._ledger import Holder
+from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
+from pomelolug.messages import (
+    DispatchEnd,
+    DispatchReply,
+    DispatchRequest,
+)
+
+__all__ = [
+    "Assignment",
+    "DispatchEndpoint",
+    "DispatchMessage",
+    "DispatcherAddresses",
+]
+
+DispatchMessage: TypeAlias = DispatchRequest | DispatchReply | DispatchEnd
+
+_log = structlog.get_logger(__name__)
+
+_REPLY_TIMEOUT_S = 0.03
+"""Time limit of a question, in seconds.
+
+A reply takes a few milliseconds. Without one the node chooses the group itself.
+"""
+_MAX_FAILURES = 2
+"""Questions in a row without a reply after which a dispatcher is avoided."""
+_AVOIDANCE_S = 1.0
+_MAX_EXCLUDED = 16
+"""Servers that a question excludes at most; a request has fewer attempts."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatcherAddresses:
+    """Datagram addresses of the dispatchers as known to this node.
+
+    `local` is None if this node assigns the groups of its zone itself, and an empty
+    string if the zone has too few nodes for a dispatcher.
+    """
+
+    local: str | None = ""
+    others: Mapping[ZoneId, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Assignment:
+    """Group that a dispatcher has assigned to a stream; `end` must be called once.
+
+    `head` is None if all groups that could be asked for are full.
+    """
+
+    head: VmId | None
+    on_end: Callable[[], None] | None = None
+
+    def end(self) -> None:
+        """Tell the dispatcher that the stream has ended or was not sent."""
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end()
+
+
+class DispatchEndpoint:
+    """Asks dispatchers for groups, and answers for the dispatcher of this node.
+
+    Parameters
+    ----------
+    dispatcher : GroupDispatcher
+        Decides while this node is the dispatcher of its zone.
+    holder : Holder
+        This process.
+    send : callable
+        Sends a message to the datagram address of a node.
+    clock : Clock
+        Source of monotonic time.
+    rng : random.Random
+        Order in which the dispatchers of other zones are asked.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatcher: GroupDispatcher,
+        holder: Holder,
+        send: Callable[[DispatchMessage, str], None],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._rng = rng
+        self._self = holder
+        self._send = send
+        self._clock = clock
+        self._addresses = DispatcherAddresses()
+        self._serial = 0
+        self._replies: dict[int, asyncio.Future[DispatchReply]] = {}
+        self._failures: dict[str, int] = {}
+        self._avoided_until_s: dict[str, float] = {}
+        # Streams of this node by the dispatcher of its zone and by the head.
+        self._assigned: dict[tuple[str | None, VmId], int] = {}
+        self.timeout_count = 0
+
+    @property
+    def holder(self) -> Holder:
+        """Process of this node, as dispatchers know it."""
+        return self._self
+
+    @property
+    def is_enabled(self) -> bool:
+        """Whether the zone has a dispatcher."""
+        return self._addresses.local is None or bool(self._addresses.local)
+
+    @property
+    def local_dispatcher(self) -> str:
+        """Datagram address of the zone's dispatcher, empty if there is none."""
+        local = self._addresses.local
+        return self._self.address if local is None else local
+
+    @property
+    def other_dispatchers(self) -> Mapping[ZoneId, str]:
+        """Datagram addresses of the dispatchers of other zones."""
+        return self._addresses.others
+
+    @property
+    def is_dispatcher(self) -> bool:
+        """Whether this node is the dispatcher of its zone."""
+        return self._addresses.local is None
+
+    def set_addresses(self, addresses: DispatcherAddresses) -> None:
+        """Use other dispatchers from now on."""
+        if addresses.local != self._addresses.local:
+            _log.info(
+                "dispatcher_changed",
+                dispatcher=self._self.address
+                if addresses.local is None
+                else addresses.local,
+            )
+            if self._addresses.local is None:
+                self._dispatcher.clear()
+        self._addresses = addresses
+
+    def unassigned(self, own_loads: Mapping[str, int]) -> dict[str, int]:
+        """Return the requests that the zone's dispatcher has not assigned, by server.
+
+        Parameters
+        ----------
+        own_loads : mapping of str to int
+            Requests of this node in flight, by server.
+        """
+        local = self._addresses.local
+        counts = {
+            vm: count - self._assigned.get((local, VmId(vm)), 0)
+            for vm, count in own_loads.items()
+        }
+        return {vm: count for vm, count in counts.items() if count > 0}
+
+    async def assign(self, question: Question) -> Assignment | None:
+        """Return the group for a stream.
+
+        Returns
+        -------
+        Assignment or None
+            Without a head if all groups of the zone are full, and none of another zone
+            was assigned; None if the zone's dispatcher has not replied or knows no
+            groups, so that the node chooses among all zones itself.
+        """
+        local = self._addresses.local
+        if local == "":
+            return None
+        assignment, is_full = await self._ask(local, question)
+        if assignment is not None or not is_full:
+            return assignment
+        others = list(self._addresses.others.values())
+        self._rng.shuffle(others)
+        for address in others:
+            assignment, _ = await self._ask(address, question)
+            if assignment is not None:
+                return assignment
+        return Assignment(None)
+
+    def receive(self, message: DispatchMessage) -> None:
+        """Answer a question, or pass a reply to the stream that waits for it."""
+        if isinstance(message, DispatchReply):
+            future = self._replies.get(message.serial)
+            if future is not None and not future.done():
+                future.set_result(message)
+            return
+        holder = Holder(message.sender, message.started_ms)
+        if isinstance(message, DispatchEnd):
+            self._dispatcher.end(holder, message.serials)
+        elif self.is_dispatcher:
+            decision = self._dispatcher.decide(
+                holder, message.serial, _decode_question(message)
+            )
+            reply = DispatchReply(
+                serial=message.serial,
+                server=decision.head or "",
+                has_groups=decision.has_groups,
+            )
+            self._send(reply, message.sender)
+
+    async def _ask(
+        self, address: str | None, question: Question
+    ) -> tuple[Assignment | None, bool]:
+        """Return the assignment of one dispatcher, and whether it has groups."""
+        self._serial += 1
+        serial = self._serial
+        if address is None:
+            decision = self._dispatcher.decide(self._self, serial, question)
+        else:
+            reply = await self._query(address, serial, question)
+            if reply is None:
+                return None, False
+            head = VmId(reply.server) if reply.server else None
+            decision = Decision(head, reply.has_groups)
+        if decision.head is None:
+            return None, decision.has_groups
+        return self._hold(address, serial, decision.head), True
+
+    async def _query(
+        self, address: str, serial: int, question: Question
+    ) -> DispatchReply | None:
+        """Return the reply of another node, None without one in time."""
+        now_s = self._clock.monotonic()
+        if self._avoided_until_s.get(address, now_s) > now_s:
+            return None
+        future: asyncio.Future[DispatchReply]
+        future = asyncio.get_running_loop().create_future()
+        self._replies[serial] = future
+        is_answered = False
+        try:
+            self._send(self._encode_question(serial, question), address)
+            async with asyncio.timeout(_REPLY_TIMEOUT_S):
+                reply = await future
+            is_answered = True
+            self._failures.pop(address, None)
+            return reply
+        except TimeoutError:
+            self._record_failure(address)
+            return None
+        finally:
+            del self._replies[serial]
+            if not is_answered:
+                self._send_end(address, serial)
+
+    def _record_failure(self, address: str) -> None:
+        self.timeout_count += 1
+        self._failures[address] = self._failures.get(address, 0) + 1
+        if self._failures[address] < _MAX_FAILURES:
+            return
+        del self._failures[address]
+        self._avoided_until_s = {
+            address: self._clock.monotonic() + _AVOIDANCE_S,
+            **{
+                a: until_s
+                for a, until_s in self._avoided_until_s.items()
+                if until_s > self._clock.monotonic() and a != address
+            },
+        }
+        _log.info("dispatcher_avoided", dispatcher=address)
+
+    def _hold(self, address: str | None, serial: int, head: VmId) -> Assignment:
+        key = (address, head)
+        self._assigned[key] = self._assigned.get(key, 0) + 1
+
+        def end() -> None:
+            self._assigned[key] -= 1
+            if not self._assigned[key]:
+                del self._assigned[key]
+            if address is None:
+                self._dispatcher.end(self._self, [serial])
+            else:
+                self._send_end(address, serial)
+
+        return Assignment(head, end)
+
+    def _encode_question(self, serial: int, question: Question) -> DispatchRequest:
+        return DispatchRequest(
+            serial=serial,
+            sender=self._self.address,
+            started_ms=self._self.started_ms,
+            service=question.service,
+            model=question.model,
+            prompt_tokens=question.prompt_tokens,
+            target_s=round(question.target_s, 4),
+            excluded=tuple(question.excluded[:_MAX_EXCLUDED]),
+        )
+
+    def _send_end(self, address: str, serial: int) -> None:
+        message = DispatchEnd(
+            sender=self._self.address,
+            started_ms=self._self.started_ms,
+            serials=(serial,),
+        )
+        self._send(message, address)
+
+
+def _decode_question(message: DispatchRequest) -> Question:
+    excluded: Sequence[str] = message.excluded[:_MAX_EXCLUDED]
+    return Question(
+        service=ServiceName(message.service),
+        model=ModelName(message.model),
+        prompt_tokens=message.prompt_tokens,
+        target_s=message.target_s,
+        excluded=[VmId(vm) for vm in excluded],
+    )
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -10,7 +10,9 @@
 
 from pomelolug.clock import Clock
 from pomelolug.entry._topic_consumers import DeclarationCache
+from pomelolug.entry.dispatch import DispatchEndpoint, GroupDispatcher, Holder
 from pomelolug.entry.losses import PoisonRequestDetector
+from pomelolug.entry.peers._dispatchers import find_dispatchers
 from pomelolug.entry.peers._exit_nodes import (
     order_forwarding_addresses,
     sample_other_exits,
@@ -108,6 +110,8 @@
         Requests that were in flight when servers were lost.
     notices : ServerNotices
         What servers state about the requests that they take.
+    dispatcher : GroupDispatcher
+        Assigns streams while this node is the dispatcher of its zone.
     """
 
     def __init__(
@@ -129,6 +133,7 @@
         departures: Departures,
         poison_detector: PoisonRequestDetector,
         notices: ServerNotices,
+        dispatcher: GroupDispatcher,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -161,6 +166,15 @@
             clock=clock,
             rng=rng,
             on_status=self._on_status,
+            on_dispatch_message=lambda message: self._dispatch.receive(message),
+        )
+        self._dispatcher = dispatcher
+        self._dispatch = DispatchEndpoint(
+            dispatcher=dispatcher,
+            holder=Holder(self._datagram_address, self._started_ms),
+            send=self._gossip.send,
+            clock=clock,
+            rng=rng,
         )
         self._fetch_task: asyncio.Task[None] | None = None
         self._pool = ConnectionPool(
@@ -178,6 +192,11 @@
         """Latest status of each live peer."""
         return self._gossip.live_statuses
 
+    @property
+    def dispatch(self) -> DispatchEndpoint:
+        """Asks the dispatchers of the zones for groups."""
+        return self._dispatch
+
     @property
     def has_serving_peer(self) -> bool:
         """Whether a live peer reports that a caller has sent a request."""
@@ -349,6 +368,7 @@
                 self._could_reach_store = self._can_reach_store()
                 self.announce()
             self._report_nodes()
+            self._update_dispatch()
             if is_lease_held_by_peer(
                 self._gossip.live_statuses, zone=self._settings.zone
             ):
@@ -357,6 +377,32 @@
                 self._announced_lease = self._holds_lease()
                 self.announce()
 
+    def _update_dispatch(self) -> None:
+        """Follow changes of the dispatchers, and tell the own one of the loads."""
+        statuses = self._gossip.live_statuses
+        zone = self._settings.zone
+        own = NodeStatus(
+            node=self._settings.node,
+            started_ms=self._started_ms,
+            serial=0,
+            zone=zone,
+            address=self._settings.peer_address,
+            datagram=self._datagram_address,
+            declaration=self._declarations.version,
+            stopping=self._is_stopping(),
+            reaches_servers=self._reaches_servers(),
+            dispatches=True,
+        )
+        self._dispatch.set_addresses(find_dispatchers(statuses, own=own, zone=zone))
+        if self._dispatch.is_dispatcher:
+            self._dispatcher.update(
+                [status for status in statuses if status.zone == zone],
+                own=self._dispatch.holder,
+                own_unassigned=self._dispatch.unassigned(
+                    self._server_tracker.own_loads()
+                ),
+            )
+
     def _report_nodes(self) -> None:
         """Report the live nodes of the zone, and how many nodes there are in all.
 
@@ -471,6 +517,15 @@
             )
             if is_relay
             else (),
+            dispatches=True,
+            unassigned=self._dispatch.unassigned(tracker.own_loads()),
+            dispatcher=self._dispatch.local_dispatcher if is_relay else "",
+            other_dispatchers={
+                str(name): address
+                for name, address in self._dispatch.other_dispatchers.items()
+            }
+            if is_relay
+            else {},
             peers=peers,
         )
 
--- a/pomelolug/entry/peers/_peer_gossip.py
+++ b/pomelolug/entry/peers/_peer_gossip.py
@@ -17,9 +17,17 @@
 import structlog
 
 from pomelolug.clock import Clock
+from pomelolug.entry.dispatch import DispatchMessage
 from pomelolug.errors import PeerError
 from pomelolug.ids import ZoneId
-from pomelolug.messages import NodeStatus, decode, encode
+from pomelolug.messages import (
+    DispatchEnd,
+    DispatchReply,
+    DispatchRequest,
+    NodeStatus,
+    decode,
+    encode,
+)
 
 __all__ = ["PeerGossip", "PeerState"]
 
@@ -70,6 +78,8 @@
         Samples the peers that a status lists.
     on_status : callable
         Called with each new status of a peer.
+    on_dispatch_message : callable
+        Called with each message to or from a dispatcher.
     """
 
     def __init__(
@@ -82,6 +92,7 @@
         clock: Clock,
         rng: random.Random,
         on_status: Callable[[NodeStatus], None],
+        on_dispatch_message: Callable[[DispatchMessage], None],
     ) -> None:
         self._make_status = make_status
         self._address = address
@@ -90,6 +101,7 @@
         self._clock = clock
         self._rng = rng
         self._on_status = on_status
+        self._on_dispatch_message = on_dispatch_message
         self._transport: asyncio.DatagramTransport | None = None
         self._peers: dict[str, PeerState] = {}
         # Monotonic time at which each address was added or last sent a status.
@@ -141,12 +153,31 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Store the status of a peer unless it is malformed or out of order."""
+        """Store the status of a peer, or pass another message on."""
         try:
-            status = decode(data, NodeStatus)
+            message = decode(
+                data, NodeStatus, DispatchRequest, DispatchReply, DispatchEnd
+            )
         except PeerError as error:
             _log.warning("peer_message_refused", peer=addr[0], reason=str(error))
             return
+        if isinstance(message, NodeStatus):
+            self._receive_status(message)
+        elif isinstance(message, DispatchRequest | DispatchReply | DispatchEnd):
+            self._on_dispatch_message(message)
+
+    def send(self, message: DispatchMessage, address: str) -> None:
+        """Send a message to the datagram address of a node."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        host, _, port = address.rpartition(":")
+        if not port.isdigit():
+            _log.warning("peer_address_invalid", address=address)
+            return
+        self._transport.sendto(encode(message), (host, int(port)))
+
+    def _receive_status(self, status: NodeStatus) -> None:
+        """Store the status of a peer unless it is out of order."""
         if status.datagram == self._address:
             return
         known = self._peers.get(status.datagram)
--- a/pomelolug/entry/requests/_request_record.py
+++ b/pomelolug/entry/requests/_request_record.py
@@ -20,8 +20,9 @@
 class AttemptRecord:
     """Server selected for one attempt, and the result.
 
-    `may_have_run` is set when the request has been sent, and cleared if the server
-    refuses it. `limit_per_s` is the limit of the server, None if it has none. `node` is
+    `is_assigned` is true if a dispatcher has assigned the server. `may_have_run` is
+    set when the request has been sent, and cleared if the server refuses it.
+    `limit_per_s` is the limit of the server, None if it has none. `node` is
     the address of the node that the request was passed on to instead of a server.
     """
 
@@ -29,6 +30,7 @@
     in_flight: int
     candidate_count: int
     limit_per_s: float | None = None
+    is_assigned: bool = False
     result: str = _RUNNING
     may_have_run: bool = False
     node: str = ""
@@ -46,6 +48,7 @@
             "server": self.server,
             "in_flight": self.in_flight,
             "candidates": self.candidate_count,
+            "assigned": self.is_assigned,
             "result": self.result,
         }
         if self.limit_per_s is not None:
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -1,12 +1,15 @@
 """Forwarding of streams from replica groups."""
 
 import asyncio
+import dataclasses
 import datetime
 import random
+from collections.abc import Callable
 from typing import TypeAlias
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
+from pomelolug.entry.dispatch import Assignment, DispatchEndpoint, Question
 from pomelolug.entry.losses import QuarantinedError, RunMonitor
 from pomelolug.entry.performance import DelayEstimator
 from pomelolug.entry.requests._attempt import Attempt, AttemptError
@@ -60,6 +63,19 @@
 _RunError: TypeAlias = RefusedError | ServerError | PeerRefusalError | AttemptError
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SelectedGroup:
+    """Head of the group of a run, and the assignment if a dispatcher has made one."""
+
+    head: BackendServer
+    assignment: Assignment | None = None
+
+    def end(self) -> None:
+        """Tell the dispatcher that the run has ended or was not started."""
+        if self.assignment is not None:
+            self.assignment.end()
+
+
 class StreamForwarder:
     """Forwards streams and resumes them on another group when one is lost.
 
@@ -84,6 +100,8 @@
         Selects the group of an attempt.
     delay_estimator : DelayEstimator
         Expected delays at the groups.
+    dispatch : callable
+        Returns the endpoint that asks dispatchers for groups.
     exits : RequestExits
         Other nodes that get requests if this one reaches no server.
     clock : Clock
@@ -103,6 +121,7 @@
         notices: ServerNotices,
         group_selector: GroupSelector,
         delay_estimator: DelayEstimator,
+        dispatch: Callable[[], DispatchEndpoint],
         exits: RequestExits,
         clock: Clock,
         rng: random.Random,
@@ -115,6 +134,7 @@
         self._notices = notices
         self._group_selector = group_selector
         self._delay_estimator = delay_estimator
+        self._dispatch = dispatch
         self._exits = exits
         self._clock = clock
         self._rng = rng
@@ -234,16 +254,18 @@
             state.attempt_count < _MAX_ATTEMPTS
             and state.unreached_count < MAX_UNREACHED_SERVERS
         ):
-            head = await self._select_head(context, state, waits=waits)
-            if head is None:
+            selected = await self._select_group(context, state, waits=waits)
+            if selected is None:
                 return None
+            head = selected.head
             if state.attempt_count and not self._try_spend(context, state):
+                selected.end()
                 message = "the budget of repeats is used up"
                 state.error = state.error or self._refused_error(message)
                 return None
             state.attempt_count += 1
             state.tried.add(head.vm)
-            run = self._create_run(context, state, head)
+            run = self._create_run(context, state, selected)
             data = context.encode_for_server(
                 head.vm,
                 now_s=self._clock.monotonic(),
@@ -276,14 +298,16 @@
         return self._retry_limiter.try_spend(context)
 
     def _create_run(
-        self, context: RequestContext, state: StreamState, head: BackendServer
+        self, context: RequestContext, state: StreamState, selected: _SelectedGroup
     ) -> StreamRun:
+        head = selected.head
         assert context.request_head.model is not None
         record = AttemptRecord(
             head.vm,
             self._server_tracker.in_flight(head.vm),
             len(self._server_tracker.heads(context.request_head.model)),
             self._notices.request_limit_per_s(head.vm),
+            is_assigned=selected.assignment is not None,
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(head.vm)
@@ -291,6 +315,7 @@
 
         def release() -> None:
             load.in_flight -= 1
+            selected.end()
 
         attempt = Attempt(
             self._pool,
@@ -548,26 +573,62 @@
     ) -> bool:
         return error.head.status >= 500 and self._may_retry(context, state, running=1)
 
-    async def _select_head(
+    async def _select_group(
         self, context: RequestContext, state: StreamState, *, waits: bool
-    ) -> BackendServer | None:
-        """Return the head for the next run, None if there is none."""
+    ) -> _SelectedGroup | None:
+        """Return the group of the next run, None if there is none."""
         until_s = self._clock.monotonic() + _MAX_RESUME_WAIT_S
         while True:
-            candidate = self._group_selector.select(
-                self._find_candidates(context, state)
-            )
-            if candidate is not None:
-                return candidate.server
-            if not waits:
-                return None
+            selected = await self._try_select_group(context, state)
+            if selected is not None or not waits:
+                return selected
             if self._clock.monotonic() >= until_s:
                 # A suspected group may only have paused, and the stream ends otherwise.
                 suspected = self._find_candidates(context, state, suspected=True)
                 candidate = self._group_selector.select(suspected)
-                return candidate.server if candidate is not None else None
+                return _SelectedGroup(candidate.server) if candidate else None
             await self._clock.sleep(_RESUME_POLL_INTERVAL)
 
+    async def _try_select_group(
+        self, context: RequestContext, state: StreamState
+    ) -> _SelectedGroup | None:
+        """Return the group that a dispatcher assigns, or that this node chooses."""
+        assignment = await self._ask_dispatchers(context, state)
+        if assignment is not None:
+            if assignment.head is None:
+                return None
+            head = self._find_head(context, state, assignment.head)
+            if head is not None:
+                return _SelectedGroup(head, assignment)
+            assignment.end()
+        candidate = self._group_selector.select(self._find_candidates(context, state))
+        return _SelectedGroup(candidate.server) if candidate is not None else None
+
+    async def _ask_dispatchers(
+        self, context: RequestContext, state: StreamState
+    ) -> Assignment | None:
+        model = context.request_head.model
+        if model is None or not self._dispatch().is_enabled:
+            return None
+        question = Question(
+            service=context.service.name,
+            model=model,
+            prompt_tokens=context.request_head.prompt_tokens,
+            target_s=context.route.latency_target.total_seconds(),
+            excluded=sorted(state.tried),
+        )
+        return await self._dispatch().assign(question)
+
+    def _find_head(
+        self, context: RequestContext, state: StreamState, vm: VmId
+    ) -> BackendServer | None:
+        """Return an assigned head, None if this node may not send to it now."""
+        model = context.request_head.model
+        if model is None or vm in state.tried:
+            return None
+        heads = self._server_tracker.heads(model)
+        return next((head for head in heads if head.vm == vm), None)
+
     def _find_candidates(
         self, context: RequestContext, state: StreamState, *, suspected: bool = False
     ) -> list[Candidate]:
--- a/pomelolug/entry/tests/test_peer_gossip.py
+++ b/pomelolug/entry/tests/test_peer_gossip.py
@@ -72,6 +72,7 @@
             clock=self.clock,
             rng=random.Random(1),
             on_status=lambda status: None,
+            on_dispatch_message=lambda message: None,
         )
         self.gossip.connection_made(self.transport)
 
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -16,6 +16,9 @@
 )
 from pomelolug.messages._configuration_generated import ConfigurationChange
 from pomelolug.messages._entry_generated import (
+    DispatchEnd,
+    DispatchReply,
+    DispatchRequest,
     FeedBatch,
     FeedRecord,
     LeavingReport,
@@ -66,6 +69,9 @@
     "ConfigurationChange",
     "DemandReport",
     "Digest",
+    "DispatchEnd",
+    "DispatchReply",
+    "DispatchRequest",
     "Dissolution",
     "Drain",
     "Envelope",
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -5,7 +5,16 @@
 
 from pomelolug.messages._codec import Message
 
-__all__ = ["FeedBatch", "FeedRecord", "LeavingReport", "LimitReport", "NodeStatus"]
+__all__ = [
+    "DispatchEnd",
+    "DispatchReply",
+    "DispatchRequest",
+    "FeedBatch",
+    "FeedRecord",
+    "LeavingReport",
+    "LimitReport",
+    "NodeStatus",
+]
 
 
 class LimitReport(Message, frozen=True, kw_only=True):
@@ -89,10 +98,61 @@
     """Datagram addresses of at most 8 exits of the relay's zone."""
     other_exits: tuple[str, ...] = ()
     """The same of all other zones, as known to the relay, at most 12."""
+    dispatches: bool = False
+    """Whether the node can be the dispatcher of its zone."""
+    unassigned: dict[str, int] = {}
+    """The node's requests that the zone's dispatcher has not assigned, by server."""
+    dispatcher: str = ""
+    """Datagram address of the dispatcher of the relay's zone; empty without one."""
+    other_dispatchers: dict[str, str] = {}
+    """The same of other zones as known to the relay, by zone."""
     peers: tuple[str, ...] = ()
     """Datagram addresses of a sample of other nodes."""
 
 
+class DispatchRequest(Message, frozen=True, kw_only=True):
+    """Question of a node to a dispatcher, which group a stream is to go to."""
+
+    sender: str
+    """Datagram address of the node."""
+    serial: int
+    """Number of the question, unique in the life of the node's process."""
+    started_ms: int
+    """Start time of the node's process, in milliseconds since 1970."""
+    service: str
+    """Service of the stream."""
+    model: str
+    """Model of the stream."""
+    prompt_tokens: int
+    """Size of the prompt; 0 if unknown."""
+    target_s: float
+    """Time left to the first event by the latency target, in seconds."""
+    excluded: tuple[str, ...] = ()
+    """Servers that the node does not send this stream to."""
+
+
+class DispatchReply(Message, frozen=True, kw_only=True):
+    """Answer of a dispatcher."""
+
+    serial: int
+    """Number of the question."""
+    server: str = ""
+    """Head of the assigned group; empty if there is none."""
+    has_groups: bool = True
+    """Whether the dispatcher knows open groups; without a server, all are full."""
+
+
+class DispatchEnd(Message, frozen=True, kw_only=True):
+    """Notice of a node to a dispatcher that assigned streams have ended."""
+
+    sender: str
+    """Datagram address of the node."""
+    started_ms: int
+    """Start time of the node's process, in milliseconds since 1970."""
+    serials: tuple[int, ...]
+    """Numbers of the questions that the streams were assigned to."""
+
+
 class FeedRecord(Message, frozen=True, kw_only=True):
     """Record of a keyed topic."""
 
