Keep the dispatcher of a zone when other nodes are lost, and prepare a stand-in

Heads that the asking node suspects are now part of its question; before, an assignment that it could not use was thrown away.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -262,7 +262,7 @@
         self._stall_detector = StallDetector(clock=clock, on_stall=self._on_stall)
         self._delay_estimator: DelayEstimator = DeclaredDelayEstimator()
         self._group_dispatcher = GroupDispatcher(
-            tracker=self._server_tracker,
+            heads=lambda service, model: self._server_tracker.open_heads(model),
             estimator=self._delay_estimator,
             declaration=lambda: self._declarations.current,
             zone=settings.zone,
--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -14,7 +14,6 @@
 from pomelolug.deployment import BackendServer, Declaration
 from pomelolug.entry.dispatch._ledger import AssignmentLedger, Holder
 from pomelolug.entry.performance import DelayEstimator
-from pomelolug.entry.servers import ServerTracker
 from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 
@@ -69,8 +68,9 @@
 
     Parameters
     ----------
-    tracker : ServerTracker
-        Open groups.
+    heads : callable
+        Returns the heads of the open groups of a service and a model of all zones.
+        Nodes exclude those that they suspect.
     estimator : DelayEstimator
         Expected delays at the groups, and how many requests they take well.
     declaration : callable
@@ -86,14 +86,14 @@
     def __init__(
         self,
         *,
-        tracker: ServerTracker,
+        heads: Callable[[ServiceName, ModelName], Sequence[BackendServer]],
         estimator: DelayEstimator,
         declaration: Callable[[], Declaration | None],
         zone: ZoneId,
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        self._tracker = tracker
+        self._heads = heads
         self._estimator = estimator
         self._declaration = declaration
         self._zone = zone
@@ -131,6 +131,7 @@
         *,
         own: Holder,
         own_unassigned: Mapping[str, int],
+        is_stand_in: bool = False,
     ) -> None:
         """Apply what the nodes of the zone report.
 
@@ -142,6 +143,9 @@
             This process.
         own_unassigned : mapping of str to int
             Requests of this node that no dispatcher has assigned, by server.
+        is_stand_in : bool
+            Whether another node is the dispatcher of the zone. What it has assigned
+            does not count as unassigned in the statuses.
         """
         now_s = self._clock.monotonic()
         unassigned = collections.Counter(own_unassigned)
@@ -150,7 +154,11 @@
             holder = Holder(status.datagram, status.started_ms)
             zone_processes.add(holder)
             self._ledger.reconcile(holder, status.load, now_s=now_s)
-            unassigned.update(status.unassigned)
+            unassigned.update(
+                self._ledger.subtract(holder, status.load)
+                if is_stand_in
+                else status.unassigned
+            )
         self._unassigned = dict(unassigned)
         for holder in self._ledger.holders():
             if holder in self._zone_processes and holder not in zone_processes:
@@ -180,7 +188,11 @@
         model = engine.find_model(question.model) if engine is not None else None
         if engine is None or model is None:
             return None, False
-        heads = [h for h in self._tracker.heads(model.name) if h.zone == self._zone]
+        heads = [
+            head
+            for head in self._heads(question.service, model.name)
+            if head.zone == self._zone
+        ]
         scores: list[tuple[float, BackendServer]] = []
         for head in heads:
             if head.vm in question.excluded:
--- a/pomelolug/entry/dispatch/_endpoint.py
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -37,19 +37,19 @@
 _MAX_FAILURES = 2
 """Questions in a row without a reply after which a dispatcher is avoided."""
 _AVOIDANCE_S = 1.0
-_MAX_EXCLUDED = 16
-"""Servers that a question excludes at most; a request has fewer attempts."""
+_MAX_EXCLUDED = 32
+"""Servers that a question excludes at most, so that it fits into a datagram."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatcherAddresses:
     """Datagram addresses of the dispatchers as known to this node.
 
-    `local` is None if this node assigns the groups of its zone itself, and an empty
-    string if the zone has too few nodes for a dispatcher.
+    `local` has the dispatcher of the zone and its stand-in, which is asked while the
+    dispatcher does not reply. It is empty if the zone has too few nodes.
     """
 
-    local: str | None = ""
+    local: tuple[str, ...] = ()
     others: Mapping[ZoneId, str] = dataclasses.field(default_factory=dict)
 
 
@@ -106,8 +106,8 @@
         self._replies: dict[int, asyncio.Future[DispatchReply]] = {}
         self._failures: dict[str, int] = {}
         self._avoided_until_s: dict[str, float] = {}
-        # Streams of this node by the dispatcher of its zone and by the head.
-        self._assigned: dict[tuple[str | None, VmId], int] = {}
+        # Streams of this node by the dispatcher and by the head.
+        self._assigned: dict[tuple[str, VmId], int] = {}
         self.timeout_count = 0
 
     @property
@@ -118,13 +118,12 @@
     @property
     def is_enabled(self) -> bool:
         """Whether the zone has a dispatcher."""
-        return self._addresses.local is None or bool(self._addresses.local)
+        return bool(self._addresses.local)
 
     @property
     def local_dispatcher(self) -> str:
         """Datagram address of the zone's dispatcher, empty if there is none."""
-        local = self._addresses.local
-        return self._self.address if local is None else local
+        return next(iter(self._addresses.local), "")
 
     @property
     def other_dispatchers(self) -> Mapping[ZoneId, str]:
@@ -134,20 +133,24 @@
     @property
     def is_dispatcher(self) -> bool:
         """Whether this node is the dispatcher of its zone."""
-        return self._addresses.local is None
-
-    def set_addresses(self, addresses: DispatcherAddresses) -> None:
-        """Use other dispatchers from now on."""
-        if addresses.local != self._addresses.local:
-            _log.info(
-                "dispatcher_changed",
-                dispatcher=self._self.address
-                if addresses.local is None
-                else addresses.local,
-            )
-            if self._addresses.local is None:
-                self._dispatcher.clear()
+        return self.local_dispatcher == self._self.address
+
+    @property
+    def is_stand_in(self) -> bool:
+        """Whether this node is asked while the dispatcher does not reply."""
+        return self._self.address in self._addresses.local[1:]
+
+    def set_addresses(self, addresses: DispatcherAddresses) -> bool:
+        """Use other dispatchers from now on; return whether the zone's has changed."""
+        previous = self.local_dispatcher
+        had_state = self._self.address in self._addresses.local
         self._addresses = addresses
+        if had_state and self._self.address not in addresses.local:
+            self._dispatcher.clear()
+        if self.local_dispatcher == previous:
+            return False
+        _log.info("dispatcher_changed", dispatcher=self.local_dispatcher)
+        return True
 
     def unassigned(self, own_loads: Mapping[str, int]) -> dict[str, int]:
         """Return the requests that the zone's dispatcher has not assigned, by server.
@@ -157,7 +160,7 @@
         own_loads : mapping of str to int
             Requests of this node in flight, by server.
         """
-        local = self._addresses.local
+        local = self.local_dispatcher
         counts = {
             vm: count - self._assigned.get((local, VmId(vm)), 0)
             for vm, count in own_loads.items()
@@ -174,12 +177,14 @@
             was assigned; None if the zone's dispatcher has not replied or knows no
             groups, so that the node chooses among all zones itself.
         """
-        local = self._addresses.local
-        if local == "":
+        for local in self._addresses.local:
+            assignment, is_full = await self._ask(local, question)
+            if assignment is not None:
+                return assignment
+            if is_full:
+                break
+        else:
             return None
-        assignment, is_full = await self._ask(local, question)
-        if assignment is not None or not is_full:
-            return assignment
         others = list(self._addresses.others.values())
         self._rng.shuffle(others)
         for address in others:
@@ -198,10 +203,12 @@
         holder = Holder(message.sender, message.started_ms)
         if isinstance(message, DispatchEnd):
             self._dispatcher.end(holder, message.serials)
-        elif self.is_dispatcher:
-            decision = self._dispatcher.decide(
-                holder, message.serial, _decode_question(message)
-            )
+        else:
+            # A node that is no dispatcher by its own knowledge has no counts.
+            decision = Decision(None, has_groups=False)
+            if self._self.address in self._addresses.local:
+                question = _decode_question(message)
+                decision = self._dispatcher.decide(holder, message.serial, question)
             reply = DispatchReply(
                 serial=message.serial,
                 server=decision.head or "",
@@ -210,12 +217,12 @@
             self._send(reply, message.sender)
 
     async def _ask(
-        self, address: str | None, question: Question
+        self, address: str, question: Question
     ) -> tuple[Assignment | None, bool]:
         """Return the assignment of one dispatcher, and whether it has groups."""
         self._serial += 1
         serial = self._serial
-        if address is None:
+        if address == self._self.address:
             decision = self._dispatcher.decide(self._self, serial, question)
         else:
             reply = await self._query(address, serial, question)
@@ -269,7 +276,7 @@
         }
         _log.info("dispatcher_avoided", dispatcher=address)
 
-    def _hold(self, address: str | None, serial: int, head: VmId) -> Assignment:
+    def _hold(self, address: str, serial: int, head: VmId) -> Assignment:
         key = (address, head)
         self._assigned[key] = self._assigned.get(key, 0) + 1
 
@@ -277,7 +284,7 @@
             self._assigned[key] -= 1
             if not self._assigned[key]:
                 del self._assigned[key]
-            if address is None:
+            if address == self._self.address:
                 self._dispatcher.end(self._self, [serial])
             else:
                 self._send_end(address, serial)
--- a/pomelolug/entry/dispatch/_ledger.py
+++ b/pomelolug/entry/dispatch/_ledger.py
@@ -111,6 +111,14 @@
         for vm, serials in settled.items():
             self.end(holder, serials[: max(len(serials) - load.get(vm, 0), 0)])
 
+    def subtract(self, holder: Holder, load: Mapping[str, int]) -> dict[str, int]:
+        """Return the load of a node less its assignments, by server."""
+        assigned = collections.Counter(
+            assignment.vm for assignment in self._assignments.get(holder, {}).values()
+        )
+        counts = {vm: count - assigned[VmId(vm)] for vm, count in load.items()}
+        return {vm: count for vm, count in counts.items() if count > 0}
+
     def expire(self, *, before_s: float) -> None:
         """Drop the assignments made before a monotonic time in seconds."""
         for holder, assignments in list(self._assignments.items()):
--- a/pomelolug/entry/peers/__init__.py
+++ b/pomelolug/entry/peers/__init__.py
@@ -1,5 +1,6 @@
 """What a node knows of the other entry VMs and of the store."""
 
+from pomelolug.entry.peers._dispatchers import MIN_ZONE_NODES, find_dispatchers
 from pomelolug.entry.peers._exit_nodes import (
     order_forwarding_addresses,
     sample_other_exits,
@@ -25,11 +26,13 @@
 )
 
 __all__ = [
+    "MIN_ZONE_NODES",
     "DECLARATION_PATH",
     "PeerCoordinator",
     "PeerGossip",
     "RECORDS_PATH",
     "RelaySource",
+    "find_dispatchers",
     "StoreContact",
     "is_lease_held_by_peer",
     "is_longest_running_relay",
--- a/pomelolug/entry/peers/_dispatchers.py
+++ b/pomelolug/entry/peers/_dispatchers.py
@@ -5,23 +5,25 @@
 from pomelolug.entry.dispatch import DispatcherAddresses
 from pomelolug.ids import ZoneId
 from pomelolug.messages import NodeStatus
+from pomelolug.rendezvous import rendezvous
 
-__all__ = ["find_dispatchers", "find_zone_dispatcher"]
+__all__ = ["MIN_ZONE_NODES", "find_dispatchers", "find_zone_dispatchers"]
 
 MIN_ZONE_NODES = 6
 """Nodes of a zone from which on it has a dispatcher.
 
 With fewer nodes, statuses are frequent, and a node sees much of the load itself.
 """
-_RANK = 1
-"""Rank of the dispatcher by running time; the longest-running node is the relay."""
+_DISPATCHERS_PER_ZONE = 2
+"""The dispatcher of a zone, and the node that is asked while it does not reply."""
 
 
-def find_zone_dispatcher(
+def find_zone_dispatchers(
     statuses: Iterable[NodeStatus], *, own: NodeStatus, zone: ZoneId
-) -> str:
-    """Return the datagram address of the dispatcher of a zone, empty without one.
+) -> tuple[str, ...]:
+    """Return the datagram addresses of the dispatcher of a zone and of its stand-in.
 
+    They change only if one of the two is lost, or a node comes that precedes it.
     Nodes that do not know the same nodes may use two dispatchers for a while. Each of
     them then lacks the streams that the other one has assigned until they are reported.
 
@@ -36,15 +38,14 @@
     """
     nodes = [s for s in statuses if s.zone == zone] + [own]
     if len(nodes) < MIN_ZONE_NODES:
-        return ""
-    candidates = sorted(
-        (s.started_ms, s.node, s.datagram)
+        return ()
+    addresses = {
+        s.node: s.datagram
         for s in nodes
         if s.dispatches and s.reaches_servers and not s.stopping
-    )
-    if not candidates:
-        return ""
-    return candidates[min(_RANK, len(candidates) - 1)][2]
+    }
+    chosen = rendezvous(f"dispatcher/{zone}", addresses, _DISPATCHERS_PER_ZONE)
+    return tuple(addresses[node] for node in chosen)
 
 
 def find_dispatchers(
@@ -54,7 +55,7 @@
 
     Those of other zones are named by their relays, and by the relay of this zone.
     """
-    address = find_zone_dispatcher(statuses, own=own, zone=zone)
+    local = find_zone_dispatchers(statuses, own=own, zone=zone)
     others: dict[ZoneId, str] = {}
     for status in statuses:
         if status.zone == zone and status.relay:
@@ -65,7 +66,6 @@
         if status.zone != zone and status.relay and status.dispatcher:
             others[ZoneId(status.zone)] = status.dispatcher
     others.pop(zone, None)
-    local = None if address == own.datagram and address else address
     return DispatcherAddresses(
         local, {name: other for name, other in sorted(others.items()) if other}
     )
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -393,14 +393,18 @@
             reaches_servers=self._reaches_servers(),
             dispatches=True,
         )
-        self._dispatch.set_addresses(find_dispatchers(statuses, own=own, zone=zone))
-        if self._dispatch.is_dispatcher:
+        addresses = find_dispatchers(statuses, own=own, zone=zone)
+        if self._dispatch.set_addresses(addresses):
+            # The new dispatcher needs the load of all nodes.
+            self.announce()
+        if self._dispatch.is_dispatcher or self._dispatch.is_stand_in:
             self._dispatcher.update(
                 [status for status in statuses if status.zone == zone],
                 own=self._dispatch.holder,
                 own_unassigned=self._dispatch.unassigned(
                     self._server_tracker.own_loads()
                 ),
+                is_stand_in=self._dispatch.is_stand_in,
             )
 
     def _report_nodes(self) -> None:
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -38,7 +38,7 @@
     StallDetector,
 )
 from pomelolug.errors import ErrorCode, Outcome, RequestError
-from pomelolug.ids import VmId
+from pomelolug.ids import ModelName, VmId
 from pomelolug.platform import ServerSentEvent, response_headers
 from pomelolug.transport import ConnectionPool
 
@@ -615,10 +615,19 @@
             model=model,
             prompt_tokens=context.request_head.prompt_tokens,
             target_s=context.route.latency_target.total_seconds(),
-            excluded=sorted(state.tried),
+            excluded=self._excluded_heads(model, state),
         )
         return await self._dispatch().assign(question)
 
+    def _excluded_heads(self, model: ModelName, state: StreamState) -> list[VmId]:
+        """Return the heads of open groups that this node does not send a run to."""
+        usable = {head.vm for head in self._server_tracker.heads(model)}
+        return [
+            head.vm
+            for head in self._server_tracker.open_heads(model)
+            if head.vm in state.tried or head.vm not in usable
+        ]
+
     def _find_head(
         self, context: RequestContext, state: StreamState, vm: VmId
     ) -> BackendServer | None:
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -242,6 +242,13 @@
         """Return the heads of the open groups of a model that take a request now."""
         return self._select_accepting(self._usable_heads(model))
 
+    def open_heads(self, model: ModelName) -> list[BackendServer]:
+        """Return the heads of the open groups of a model, suspected ones included.
+
+        Only those that state that they take no requests now are left out.
+        """
+        return self._select_accepting(self._heads_by_model.get(model, []))
+
     def suspected_heads(self, model: ModelName) -> list[BackendServer]:
         """Return the heads of the open groups of a model that are only suspected.
 
