--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -547,6 +547,12 @@
                 self._metrics.quarantined_requests.set(
                     self._poison_detector.quarantined_count()
                 )
+                self._metrics.open_assignments.set(
+                    self._group_dispatcher.open_assignments
+                )
+                self._metrics.dispatch_timeouts.set(
+                    self._peer_coordinator.dispatch.timeout_count
+                )
                 self._metrics.lapsed_servers.set(self._registry.lapsed_count)
                 self._metrics.limited_servers.set(
                     len(self._server_limits.limited_servers())
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -103,6 +103,21 @@
             "1 if no server is reached, else 0.",
             registry=self._registry,
         )
+        self.assigned_attempts = prometheus_client.Counter(
+            f"{name}_assigned_attempts",
+            "Runs of streams at groups that a dispatcher has assigned.",
+            registry=self._registry,
+        )
+        self.open_assignments = prometheus_client.Gauge(
+            f"{name}_open_assignments",
+            "Streams that this node has assigned as a dispatcher.",
+            registry=self._registry,
+        )
+        self.dispatch_timeouts = prometheus_client.Gauge(
+            f"{name}_dispatch_timeouts",
+            "Questions to dispatchers without a reply, since the start.",
+            registry=self._registry,
+        )
         self.lapsed_servers = prometheus_client.Gauge(
             f"{name}_lapsed_servers",
             "Servers that are kept although their entry was removed.",
--- a/pomelolug/entry/dispatch/_endpoint.py
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -108,13 +108,18 @@
         self._avoided_until_s: dict[str, float] = {}
         # Streams of this node by the dispatcher and by the head.
         self._assigned: dict[tuple[str, VmId], int] = {}
-        self.timeout_count = 0
+        self._timeout_count = 0
 
     @property
     def holder(self) -> Holder:
         """Process of this node, as dispatchers know it."""
         return self._self
 
+    @property
+    def timeout_count(self) -> int:
+        """Number of questions without a reply."""
+        return self._timeout_count
+
     @property
     def is_enabled(self) -> bool:
         """Whether the zone has a dispatcher."""
@@ -261,7 +266,7 @@
                 self._send_end(address, serial)
 
     def _record_failure(self, address: str) -> None:
-        self.timeout_count += 1
+        self._timeout_count += 1
         self._failures[address] = self._failures.get(address, 0) + 1
         if self._failures[address] < _MAX_FAILURES:
             return
--- a/pomelolug/entry/requests/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -304,6 +304,8 @@
             self._metrics.first_event_seconds.observe(record.first_event_s)
         for index, attempt in enumerate(record.attempts):
             self._metrics.attempts.labels(attempt.result).inc()
+            if attempt.is_assigned:
+                self._metrics.assigned_attempts.inc()
             if attempt.limit_per_s is not None:
                 self._metrics.limited_attempts.inc()
             if index:
