Ask a dispatcher once more if a node cannot use the assigned group

A node that knew another state of a group dropped the assignment and chose by old loads. The log names how each group was chosen, so that such choices can be counted.

--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -103,9 +103,10 @@
             "1 if no server is reached, else 0.",
             registry=self._registry,
         )
-        self.assigned_attempts = prometheus_client.Counter(
-            f"{name}_assigned_attempts",
-            "Runs of streams at groups that a dispatcher has assigned.",
+        self.group_choices = prometheus_client.Counter(
+            f"{name}_group_choices",
+            "Requests at servers by how the server was chosen.",
+            ["choice"],
             registry=self._registry,
         )
         self.open_assignments = prometheus_client.Gauge(
--- a/pomelolug/entry/requests/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -304,8 +304,7 @@
             self._metrics.first_event_seconds.observe(record.first_event_s)
         for index, attempt in enumerate(record.attempts):
             self._metrics.attempts.labels(attempt.result).inc()
-            if attempt.is_assigned:
-                self._metrics.assigned_attempts.inc()
+            self._metrics.group_choices.labels(attempt.choice.value).inc()
             if attempt.limit_per_s is not None:
                 self._metrics.limited_attempts.inc()
             if index:
--- a/pomelolug/entry/requests/_request_record.py
+++ b/pomelolug/entry/requests/_request_record.py
@@ -1,13 +1,14 @@
 """Records of a request and its attempts, for the log line and the metrics."""
 
 import dataclasses
+import enum
 from typing import Any
 
 from pomelolug.entry.losses import RequestIdentity
 from pomelolug.errors import ErrorCode
 from pomelolug.ids import AccountId, RequestId, VmId
 
-__all__ = ["AttemptRecord", "RequestRecord"]
+__all__ = ["AttemptRecord", "GroupChoice", "RequestRecord"]
 
 _RUNNING = "running"
 _UNREACHED_RESULTS = frozenset(
@@ -16,21 +17,36 @@
 """Results of attempts that had no connection to the server on which to send."""
 
 
+class GroupChoice(enum.Enum):
+    """How the group of a run was chosen."""
+
+    OWN = "own"
+    """By the node, in a zone without a dispatcher."""
+    ASSIGNED = "assigned"
+    """By a dispatcher."""
+    NO_REPLY = "no_reply"
+    """By the node, since no dispatcher replied that has groups."""
+    UNUSABLE = "unusable"
+    """By the node, since it may not send to the assigned group."""
+    SUSPECTED = "suspected"
+    """By the node, among the groups that are suspected, for a stream that has begun."""
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptRecord:
     """Server selected for one attempt, and the result.
 
-    `is_assigned` is true if a dispatcher has assigned the server. `may_have_run` is
-    set when the request has been sent, and cleared if the server refuses it.
-    `limit_per_s` is the limit of the server, None if it has none. `node` is
-    the address of the node that the request was passed on to instead of a server.
+    `choice` tells how the group of a stream was chosen. `may_have_run` is set when the
+    request has been sent, and cleared if the server refuses it. `limit_per_s` is the
+    limit of the server, None if it has none. `node` is the address of the node that
+    the request was passed on to instead of a server.
     """
 
     server: VmId
     in_flight: int
     candidate_count: int
     limit_per_s: float | None = None
-    is_assigned: bool = False
+    choice: GroupChoice = GroupChoice.OWN
     result: str = _RUNNING
     may_have_run: bool = False
     node: str = ""
@@ -48,7 +64,7 @@
             "server": self.server,
             "in_flight": self.in_flight,
             "candidates": self.candidate_count,
-            "assigned": self.is_assigned,
+            "choice": self.choice.value,
             "result": self.result,
         }
         if self.limit_per_s is not None:
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -22,7 +22,7 @@
     unknown_outcome_error,
 )
 from pomelolug.entry.requests._request_exits import MAX_UNREACHED_SERVERS, RequestExits
-from pomelolug.entry.requests._request_record import AttemptRecord
+from pomelolug.entry.requests._request_record import AttemptRecord, GroupChoice
 from pomelolug.entry.requests._stream_run import (
     RefusedError,
     ServerError,
@@ -56,6 +56,8 @@
 """Retry-After time if no group of the model is open."""
 _RETRY_AFTER_JITTER = 0.15
 """Relative jitter of these times, so that callers do not retry simultaneously."""
+_MAX_QUESTIONS = 2
+"""Assignments that a node asks for until it chooses a group by itself."""
 _MAX_RESUME_WAIT_S = 1.0
 """Maximum time to wait for a group that can resume a stream."""
 _RESUME_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
@@ -68,6 +70,7 @@
     """Head of the group of a run, and the assignment if a dispatcher has made one."""
 
     head: BackendServer
+    choice: GroupChoice
     assignment: Assignment | None = None
 
     def end(self) -> None:
@@ -307,7 +310,7 @@
             self._server_tracker.in_flight(head.vm),
             len(self._server_tracker.heads(context.request_head.model)),
             self._notices.request_limit_per_s(head.vm),
-            is_assigned=selected.assignment is not None,
+            choice=selected.choice,
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(head.vm)
@@ -586,54 +589,70 @@
                 # A suspected group may only have paused, and the stream ends otherwise.
                 suspected = self._find_candidates(context, state, suspected=True)
                 candidate = self._group_selector.select(suspected)
-                return _SelectedGroup(candidate.server) if candidate else None
+                return (
+                    _SelectedGroup(candidate.server, GroupChoice.SUSPECTED)
+                    if candidate is not None
+                    else None
+                )
             await self._clock.sleep(_RESUME_POLL_INTERVAL)
 
     async def _try_select_group(
         self, context: RequestContext, state: StreamState
     ) -> _SelectedGroup | None:
         """Return the group that a dispatcher assigns, or that this node chooses."""
-        assignment = await self._ask_dispatchers(context, state)
-        if assignment is not None:
-            if assignment.head is None:
-                return None
-            head = self._find_head(context, state, assignment.head)
-            if head is not None:
-                return _SelectedGroup(head, assignment)
-            assignment.end()
-        candidate = self._group_selector.select(self._find_candidates(context, state))
-        return _SelectedGroup(candidate.server) if candidate is not None else None
-
-    async def _ask_dispatchers(
-        self, context: RequestContext, state: StreamState
-    ) -> Assignment | None:
+        choice = GroupChoice.OWN
         model = context.request_head.model
-        if model is None or not self._dispatch().is_enabled:
+        if model is not None and self._dispatch().is_enabled:
+            choice = GroupChoice.NO_REPLY
+            unusable: set[VmId] = set()
+            while len(unusable) < _MAX_QUESTIONS:
+                question = self._build_question(context, state, model, unusable)
+                assignment = await self._dispatch().assign(question)
+                if assignment is None:
+                    break
+                if assignment.head is None:
+                    return None
+                head = self._find_head(model, state, assignment.head)
+                if head is not None:
+                    return _SelectedGroup(head, GroupChoice.ASSIGNED, assignment)
+                choice = GroupChoice.UNUSABLE
+                unusable.add(assignment.head)
+                assignment.end()
+        candidate = self._group_selector.select(self._find_candidates(context, state))
+        if candidate is None:
             return None
-        question = Question(
-            service=context.service.name,
-            model=model,
-            prompt_tokens=context.request_head.prompt_tokens,
-            target_s=context.route.latency_target.total_seconds(),
-            excluded=self._excluded_heads(model, state),
-        )
-        return await self._dispatch().assign(question)
+        return _SelectedGroup(candidate.server, choice)
 
-    def _excluded_heads(self, model: ModelName, state: StreamState) -> list[VmId]:
-        """Return the heads of open groups that this node does not send a run to."""
-        usable = {head.vm for head in self._server_tracker.heads(model)}
-        return [
+    def _build_question(
+        self,
+        context: RequestContext,
+        state: StreamState,
+        model: ModelName,
+        unusable: set[VmId],
+    ) -> Question:
+        """Return the question for a group that this node may send a run to."""
+        usable = {head.vm for head in self._server_tracker.heads(model)} - unusable
+        excluded = [
             head.vm
             for head in self._server_tracker.open_heads(model)
             if head.vm in state.tried or head.vm not in usable
         ]
+        return Question(
+            service=context.service.name,
+            model=model,
+            prompt_tokens=context.request_head.prompt_tokens,
+            target_s=context.route.latency_target.total_seconds(),
+            excluded=[*unusable, *excluded],
+        )
 
     def _find_head(
-        self, context: RequestContext, state: StreamState, vm: VmId
+        self, model: ModelName, state: StreamState, vm: VmId
     ) -> BackendServer | None:
-        """Return an assigned head, None if this node may not send to it now."""
-        model = context.request_head.model
-        if model is None or vm in state.tried:
+        """Return an assigned head, None if this node may not send to it now.
+
+        The dispatcher may know more recent entries of servers, or older ones.
+        """
+        if vm in state.tried:
             return None
         heads = self._server_tracker.heads(model)
         return next((head for head in heads if head.vm == vm), None)
