--- a/pomelolug/entry/dispatch/_endpoint.py
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -178,25 +178,31 @@
         Returns
         -------
         Assignment or None
-            Without a head if all groups of the zone are full, and none of another zone
-            was assigned; None if the zone's dispatcher has not replied or knows no
-            groups, so that the node chooses among all zones itself.
+            Without a head if the groups of all zones that have any are full; None if
+            the dispatchers of the zone have not replied, or none is known that has
+            groups, so that the node chooses itself.
         """
+        has_reply = has_groups = False
         for local in self._addresses.local:
-            assignment, is_full = await self._ask(local, question)
-            if assignment is not None:
-                return assignment
-            if is_full:
+            reply = await self._ask(local, question)
+            if reply is None:
+                continue
+            has_reply = True
+            if isinstance(reply, Assignment):
+                return reply
+            has_groups = reply
+            if has_groups:
                 break
-        else:
+        if not has_reply:
             return None
         others = list(self._addresses.others.values())
         self._rng.shuffle(others)
         for address in others:
-            assignment, _ = await self._ask(address, question)
-            if assignment is not None:
-                return assignment
-        return Assignment(None)
+            reply = await self._ask(address, question)
+            if isinstance(reply, Assignment):
+                return reply
+            has_groups = has_groups or bool(reply)
+        return Assignment(None) if has_groups else None
 
     def receive(self, message: DispatchMessage) -> None:
         """Answer a question, or pass a reply to the stream that waits for it."""
@@ -221,10 +227,11 @@
             )
             self._send(reply, message.sender)
 
-    async def _ask(
-        self, address: str, question: Question
-    ) -> tuple[Assignment | None, bool]:
-        """Return the assignment of one dispatcher, and whether it has groups."""
+    async def _ask(self, address: str, question: Question) -> Assignment | bool | None:
+        """Return the assignment of one dispatcher, or whether it has groups.
+
+        None without a reply.
+        """
         self._serial += 1
         serial = self._serial
         if address == self._self.address:
@@ -232,12 +239,12 @@
         else:
             reply = await self._query(address, serial, question)
             if reply is None:
-                return None, False
+                return None
             head = VmId(reply.server) if reply.server else None
             decision = Decision(head, reply.has_groups)
         if decision.head is None:
-            return None, decision.has_groups
-        return self._hold(address, serial, decision.head), True
+            return decision.has_groups
+        return self._hold(address, serial, decision.head)
 
     async def _query(
         self, address: str, serial: int, question: Question
--- a/pomelolug/entry/dispatch/tests/test_endpoint.py
+++ b/pomelolug/entry/dispatch/tests/test_endpoint.py
@@ -111,10 +111,24 @@
     assert network.dispatchers["e"].open_assignments == SLOTS
 
 
-async def test_node_without_groups_in_its_zone_chooses_itself():
-    # Guards against refusals in a zone whose groups are all gone.
-    _, node = make_pair(groups=0)
+async def test_node_without_groups_in_its_zone_uses_those_of_others():
+    # Guards against refusals, and against choices by old loads, in a zone whose groups
+    # are all gone or evacuated.
+    network, node = make_pair(groups=0)
     assert await node.assign(make_question()) is None
+    network.add("e", groups=1).set_addresses(DispatcherAddresses(("e",)))
+    node.set_addresses(DispatcherAddresses(("d",), {ZoneId("b"): "e"}))
+    assert (await node.assign(make_question())).head is not None
+
+
+async def test_node_whose_dispatchers_are_silent_chooses_at_once():
+    # Guards against further questions to other zones, which take their time too.
+    network, node = make_pair()
+    network.add("e").set_addresses(DispatcherAddresses(("e",)))
+    node.set_addresses(DispatcherAddresses(("d",), {ZoneId("b"): "e"}))
+    network.silent.add("d")
+    assert await node.assign(make_question()) is None
+    assert network.question_count == 1
 
 
 async def test_streams_of_an_earlier_dispatcher_are_reported_to_the_next():
