Send nothing to the servers of evacuated zones

The operator's record op/evacuate/ZONE was read by nobody, so requests went on to the servers of the zone for as long as it lasted.

EvacuatedZones keeps the evacuated zones together with the offset of the store up to which they are known. ServerNotices asks it for every request, retry, resumption and forwarded request, once more right before sending. Nodes that do not reach the store learn zones and offset from the statuses of their peers; the higher offset decides, with the era of the store, and never the order of arrival. The controller forms no groups and loads no weights in such a zone, and does not count its groups as capacity; running groups and streams stay. With all zones evacuated, requests are refused at once as not run, and Retry-After grows with the time that the evacuation has lasted.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -25,7 +25,11 @@
 from pomelolug.entry._internal_endpoints import InternalEndpoints
 from pomelolug.entry._lifecycle import Lifecycle
 from pomelolug.entry._metrics import EntryMetrics
-from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
+from pomelolug.entry._topic_consumers import (
+    DeclarationCache,
+    EvacuationUpdater,
+    RegistryUpdater,
+)
 from pomelolug.entry.losses import LossPublisher, PoisonRequestDetector, RunMonitor
 from pomelolug.entry.peers import PeerCoordinator, StoreContact
 from pomelolug.entry.performance import DeclaredDelayEstimator
@@ -38,6 +42,7 @@
     encode_outcome,
 )
 from pomelolug.entry.servers import (
+    EvacuatedZones,
     GroupSelector,
     RequestRateLimiter,
     ServerContact,
@@ -292,6 +297,7 @@
             peer_coordinator=self._peer_coordinator,
             feeds=self._feeds,
             server_contact=self._server_contact,
+            evacuated_zones=self._evacuated_zones,
         )
 
     def _build_server_contact(self) -> None:
@@ -307,7 +313,9 @@
         self._server_contact = ServerContact(
             registry=self._registry,
             probe=self._probe,
-            is_paused=lambda server: self._notices.is_paused(server),
+            is_paused=lambda server: (
+                self._notices.is_paused(server) or self._notices.is_evacuated(server)
+            ),
             probe_timeout=_CONNECT_TIMEOUT + _PROBE_TIMEOUT,
             on_change=self._on_contact_change,
             clock=self._clock,
@@ -349,21 +357,29 @@
             clock=self._clock,
             rng=self._rng,
         )
+        self._evacuated_zones = EvacuatedZones(
+            known_zones=settings.zones,
+            clock=self._clock,
+            on_change=self._on_evacuation,
+        )
         self._notices = ServerNotices(
             limits=self._server_limits,
             rate_limiter=self._rate_limiter,
+            evacuated_zones=self._evacuated_zones,
             clock=self._clock,
             rng=self._rng,
             on_leaving=self._on_leaving_server,
         )
 
     def _build_feeds(self) -> None:
+        evacuation_updater = EvacuationUpdater(evacuated_zones=self._evacuated_zones)
         self._declaration_feed = TopicFeed(
             topic=TOPIC_DECLARATION,
             select_source=lambda: self._peer_coordinator.record_source(),
             clock=self._clock,
             read_pause=lambda: _SHORT_READ_PAUSE,
             on_records=self._declarations.apply_records,
+            on_batch=evacuation_updater.apply_batch,
             on_failure=self._on_declaration_read_failure,
             on_success=lambda source: self._store_contact.record(
                 source, succeeded=True
@@ -485,6 +501,7 @@
             health=ServerHealth(control=server_control, clock=clock),
             departures=self._departures,
             availability=self._notices,
+            is_evacuated=self._notices.is_evacuated,
             clock=clock,
             declaration=lambda: self._declarations.current,
             stall_timeout=settings.stall_timeout,
@@ -641,6 +658,11 @@
         self._announce()
         self._controller.wake()
 
+    def _on_evacuation(self) -> None:
+        self._metrics.evacuated_zones.set(len(self._evacuated_zones.zones))
+        self._announce()
+        self._controller.wake()
+
     def _on_nodes(self, count: int, zone_nodes: list[NodeId]) -> None:
         self._retry_limiter.set_node_count(count)
         self._rate_limiter.set_nodes(count=count, zone_nodes=zone_nodes)
--- a/pomelolug/entry/_internal_endpoints.py
+++ b/pomelolug/entry/_internal_endpoints.py
@@ -15,7 +15,7 @@
     PeerCoordinator,
     serve_records,
 )
-from pomelolug.entry.servers import ServerContact, ServerTracker
+from pomelolug.entry.servers import EvacuatedZones, ServerContact, ServerTracker
 from pomelolug.feeds import TopicFeed
 from pomelolug.platform import READY_PATH
 from pomelolug.replicas import ControllerLease, group_views
@@ -43,6 +43,7 @@
         peer_coordinator: PeerCoordinator,
         feeds: Mapping[str, TopicFeed],
         server_contact: ServerContact,
+        evacuated_zones: EvacuatedZones,
     ) -> None:
         self._lifecycle = lifecycle
         self._declarations = declarations
@@ -53,6 +54,7 @@
         self._peer_coordinator = peer_coordinator
         self._feeds = feeds
         self._server_contact = server_contact
+        self._evacuated_zones = evacuated_zones
 
     async def handle_readiness(self, exchange: Exchange) -> None:
         """Answer 200 if the node is ready for callers, else 503 with the reason."""
@@ -87,6 +89,7 @@
             "relay": self._peer_coordinator.is_relay,
             "ready": self._lifecycle.unready_reason() or "ready",
             "reaches_servers": not self._server_contact.is_cut_off,
+            "evacuated_zones": sorted(self._evacuated_zones.zones),
             "forms_groups": self._lease.is_held,
             "peers": {p.node: p.declaration for p in self._peer_coordinator.live_peers},
             "suspects": self._server_tracker.suspects(),
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -103,6 +103,11 @@
             "1 if no server is reached, else 0.",
             registry=self._registry,
         )
+        self.evacuated_zones = prometheus_client.Gauge(
+            f"{name}_evacuated_zones",
+            "Zones whose servers get no requests, by order of the operator.",
+            registry=self._registry,
+        )
         self.lapsed_servers = prometheus_client.Gauge(
             f"{name}_lapsed_servers",
             "Servers that are kept although their entry was removed.",
--- a/pomelolug/entry/_topic_consumers.py
+++ b/pomelolug/entry/_topic_consumers.py
@@ -11,12 +11,18 @@
     RegistryChange,
     ServerRegistry,
 )
+from pomelolug.entry.servers import EvacuatedZones, EvacuationChange
 from pomelolug.errors import InvalidInputError
-from pomelolug.feeds import Record
+from pomelolug.feeds import Record, RecordBatch
 from pomelolug.ids import Offset, VmId
-from pomelolug.platform import KEY_DECLARATION, decode_declaration, decode_server
+from pomelolug.platform import (
+    KEY_DECLARATION,
+    decode_declaration,
+    decode_evacuated_zone,
+    decode_server,
+)
 
-__all__ = ["DeclarationCache", "RegistryUpdater"]
+__all__ = ["DeclarationCache", "EvacuationUpdater", "RegistryUpdater"]
 
 _log = structlog.get_logger(__name__)
 
@@ -81,6 +87,30 @@
         self._on_change(declaration)
 
 
+class EvacuationUpdater:
+    """Applies the operator's orders to evacuate zones.
+
+    Parameters
+    ----------
+    evacuated_zones : EvacuatedZones
+        Zones to update.
+    """
+
+    def __init__(self, *, evacuated_zones: EvacuatedZones) -> None:
+        self._evacuated_zones = evacuated_zones
+
+    def apply_batch(self, batch: RecordBatch, is_snapshot: bool) -> None:
+        """Apply the orders of one read; other records only move the offset."""
+        changes = [
+            EvacuationChange(record.offset, zone, record.value is not None)
+            for record in batch.records
+            if (zone := decode_evacuated_zone(record.key)) is not None
+        ]
+        self._evacuated_zones.apply(
+            changes, read_up_to=batch.end, is_snapshot=is_snapshot
+        )
+
+
 class RegistryUpdater:
     """Applies the servers' entries to the registry.
 
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -432,6 +432,7 @@
         reaches_servers = self._reaches_servers()
         tracker = self._server_tracker
         limits = self._notices.limits
+        evacuated_zones, evacuations_read = self._notices.evacuated_zones.report()
         return NodeStatus(
             node=self._settings.node,
             started_ms=self._started_ms,
@@ -464,6 +465,8 @@
             zone_limits=limits.zone_reports() if is_relay else {},
             other_limits=limits.other_zone_reports() if is_relay else {},
             leaving=self._notices.leaving.reports(),
+            evacuated_zones=evacuated_zones,
+            evacuations_read=evacuations_read,
             reaches_servers=reaches_servers,
             exits=self._sample_zone_exits() if is_relay else (),
             other_exits=sample_other_exits(
--- a/pomelolug/entry/requests/_attempt.py
+++ b/pomelolug/entry/requests/_attempt.py
@@ -51,6 +51,7 @@
 _WITHDRAWN_REASONS = {
     WaitCause.LEAVING: "server_leaving",
     WaitCause.PAUSE: "server_paused",
+    WaitCause.EVACUATED: "zone_evacuated",
 }
 
 
--- a/pomelolug/entry/requests/_request_context.py
+++ b/pomelolug/entry/requests/_request_context.py
@@ -37,6 +37,7 @@
 _WAIT_CODES = {
     WaitCause.LIMIT: ErrorCode.SERVER_LIMIT,
     WaitCause.PAUSE: ErrorCode.SERVER_PAUSED,
+    WaitCause.EVACUATED: ErrorCode.ZONES_EVACUATED,
 }
 
 
--- a/pomelolug/entry/servers/__init__.py
+++ b/pomelolug/entry/servers/__init__.py
@@ -4,6 +4,10 @@
     Candidate,
     GroupSelector,
 )
+from pomelolug.entry.servers._evacuations import (
+    EvacuatedZones,
+    EvacuationChange,
+)
 from pomelolug.entry.servers._leaving_servers import (
     LeavingServers,
 )
@@ -33,6 +37,8 @@
 
 __all__ = [
     "Candidate",
+    "EvacuatedZones",
+    "EvacuationChange",
     "GroupSelector",
     "LeavingServers",
     "RequestRateLimiter",
--- a/pomelolug/entry/servers/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -1,7 +1,8 @@
-"""Whether a server takes a request now, given what servers state in their responses.
+"""Whether a server takes a request now, given what servers and the operator state.
 
-A server may limit its requests per second, ask for a pause, or be about to leave. Every
-path to a server asks here before it chooses one.
+A server may limit its requests per second, ask for a pause, or be about to leave, and
+the operator may evacuate its zone. Every path to a server asks here before it chooses
+one.
 """
 
 import dataclasses
@@ -13,6 +14,7 @@
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, ServerNotice, StatedAvailability
+from pomelolug.entry.servers._evacuations import EvacuatedZones
 from pomelolug.entry.servers._leaving_servers import LeavingServers
 from pomelolug.entry.servers._rate_limiter import RequestRateLimiter
 from pomelolug.entry.servers._server_limits import ServerLimits
@@ -28,6 +30,8 @@
 """Time over which callers return to a limited server, as a fraction of the wait."""
 _PAUSE_RETURN_SPREAD = 0.5
 """The same after a pause, as a fraction of its length: callers collect during it."""
+_EVACUATION_RETURN_SPREAD = 0.5
+"""The same while all zones are evacuated: callers collect as during a pause."""
 
 
 class WaitCause(enum.Enum):
@@ -36,6 +40,7 @@
     LIMIT = "limit"
     PAUSE = "pause"
     LEAVING = "leaving"
+    EVACUATED = "evacuated"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +71,8 @@
         Limits that servers set on their requests.
     rate_limiter : RequestRateLimiter
         Share of this node in these limits.
+    evacuated_zones : EvacuatedZones
+        Zones whose servers get no requests.
     clock : Clock
         Source of monotonic time.
     rng : random.Random
@@ -79,12 +86,14 @@
         *,
         limits: ServerLimits,
         rate_limiter: RequestRateLimiter,
+        evacuated_zones: EvacuatedZones,
         clock: Clock,
         rng: random.Random,
         on_leaving: Callable[[], None],
     ) -> None:
         self._limits = limits
         self._rate_limiter = rate_limiter
+        self._evacuated_zones = evacuated_zones
         self._leaving = LeavingServers(clock=clock)
         self._pauses = ServerPauses(clock=clock, rng=rng)
         self._on_leaving = on_leaving
@@ -99,6 +108,15 @@
         """Servers that are about to leave."""
         return self._leaving
 
+    @property
+    def evacuated_zones(self) -> EvacuatedZones:
+        """Zones whose servers get no requests."""
+        return self._evacuated_zones
+
+    def is_evacuated(self, server: BackendServer) -> bool:
+        """Return whether the zone of a server is evacuated."""
+        return self._evacuated_zones.contains(server.zone)
+
     def is_leaving(self, server: BackendServer) -> bool:
         """Return whether a server has stated that it is about to leave."""
         return self._leaving.is_leaving(server)
@@ -118,12 +136,18 @@
         """
         if self.is_leaving(server):
             return WaitCause.LEAVING
+        if self.is_evacuated(server):
+            return WaitCause.EVACUATED
         return WaitCause.PAUSE if self.is_paused(server) else None
 
     def find_wait(self, server: BackendServer) -> ServerWait | None:
         """Return how long a server takes no request, None if it takes one now."""
         if self.is_leaving(server):
             return ServerWait(WaitCause.LEAVING, float("inf"), 0.0)
+        if self.is_evacuated(server):
+            wait_s = self._evacuated_zones.expected_wait_s(server.zone)
+            spread_s = _EVACUATION_RETURN_SPREAD * wait_s
+            return ServerWait(WaitCause.EVACUATED, wait_s, spread_s)
         limit_wait_s = self._rate_limiter.wait_s(server.vm)
         pause = self._pauses.find(server)
         if pause is not None and pause.left_s >= limit_wait_s:
@@ -188,12 +212,18 @@
     def merge(self, status: NodeStatus) -> None:
         """Apply what a peer reports."""
         self._limits.merge(status)
+        self._evacuated_zones.merge(
+            status.evacuated_zones,
+            read_up_to=status.evacuations_read,
+            source=status.node,
+        )
         if self._leaving.merge(status.leaving, source=status.node):
             self._on_leaving()
 
     def forget_expired(self) -> None:
         """Forget statements that no longer hold."""
         self._limits.forget_expired()
+        self._evacuated_zones.forget_expired()
         self._rate_limiter.drop_unlimited()
         self._leaving.forget_expired()
         self._pauses.forget_ended()
--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -189,13 +189,23 @@
     def publish_declaration(self, value) -> None:
         self.store.put("keyed.op", "config", msgspec.json.encode(value))
 
-    async def add_server(self, script, *, service: str = "plain", vm: str = "") -> str:
+    def evacuate(self, zone: str) -> None:
+        """Order that nothing more is sent to the servers of a zone."""
+        self.store.put("keyed.op", f"evacuate/{zone}", b"{}")
+
+    def take_back(self, zone: str) -> None:
+        """Remove the order to evacuate a zone."""
+        self.store.put("keyed.op", f"evacuate/{zone}", b"")
+
+    async def add_server(
+        self, script, *, service: str = "plain", vm: str = "", zone: str = "z1"
+    ) -> str:
         """Add a server; for the service `llm` it forms an open group of one member."""
         server = ScriptedServer(script)
         await server.start()
         self.servers.append(server)
         name = vm or f"vm-{len(self.servers)}"
-        self.publish_server(name, server.address, service=service)
+        self.publish_server(name, server.address, service=service, zone=zone)
         return name
 
     def publish_server(
@@ -206,12 +216,13 @@
         service: str = "plain",
         born: int = 1,
         state: str = "ready",
+        zone: str = "z1",
     ) -> None:
         """Write the entry of a server to the store; `born` changes if it restarts."""
         record = {
             "service": service,
             "address": address,
-            "zone": "z1",
+            "zone": zone,
             "state": state,
             "slots": 4,
             "born": born,
--- a/pomelolug/entry/tests/stating_server.py
+++ b/pomelolug/entry/tests/stating_server.py
@@ -31,19 +31,27 @@
         self.refuses = False
         self.fails = False
         self.takes_s = 0.0
+        self.zone = "z1"
         self.arrivals_s: list[float] = []
         self.name = ""
         self._address = ""
 
     async def add_to(self, harness: Harness) -> None:
-        self.name = await harness.add_server(self._run, service=_SERVICES[self.kind])
+        self.name = await harness.add_server(
+            self._run, service=_SERVICES[self.kind], zone=self.zone
+        )
         self._address = harness.servers[-1].address
 
     def publish(self, harness: Harness, *, born: int = 1, state: str = "ready") -> None:
         """Write the entry of the server again; `born` changes if it has restarted."""
         service = _SERVICES[self.kind]
         harness.publish_server(
-            self.name, self._address, service=service, born=born, state=state
+            self.name,
+            self._address,
+            service=service,
+            born=born,
+            state=state,
+            zone=self.zone,
         )
 
     def count_after(self, start_s: float) -> int:
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -7,6 +7,7 @@
 
 from pomelolug.deployment import ServerRegistry
 from pomelolug.entry.servers import (
+    EvacuatedZones,
     RequestRateLimiter,
     ServerLimits,
     ServerNotices,
@@ -33,6 +34,9 @@
     notices = ServerNotices(
         limits=rate_limiter.limits,
         rate_limiter=rate_limiter,
+        evacuated_zones=EvacuatedZones(
+            known_zones=(), clock=clock, on_change=lambda: None
+        ),
         clock=clock,
         rng=random.Random(0),
         on_leaving=lambda: None,
--- a/pomelolug/errors/_codes.py
+++ b/pomelolug/errors/_codes.py
@@ -43,6 +43,7 @@
     QUEUE_FULL = "queue_full"
     SERVER_LIMIT = "server_limit"
     SERVER_PAUSED = "server_paused"
+    ZONES_EVACUATED = "zones_evacuated"
     DEADLINE_UNMEETABLE = "deadline_unmeetable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ACCOUNT_LIMIT = "account_limit"
--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -28,6 +28,7 @@
 )
 from pomelolug.entry.losses import PoisonRequestDetector, compute_fingerprint
 from pomelolug.entry.servers import (
+    EvacuatedZones,
     RequestRateLimiter,
     ServerLimits,
     ServerNotices,
@@ -129,6 +130,9 @@
     return ServerNotices(
         limits=rate_limiter.limits,
         rate_limiter=rate_limiter,
+        evacuated_zones=EvacuatedZones(
+            known_zones=(), clock=_ProcessClock(), on_change=lambda: None
+        ),
         clock=_ProcessClock(),
         rng=random.Random(0),
         on_leaving=lambda: None,
--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -57,6 +57,9 @@
         come close together.
     on_records : callable
         Called with the new records, in order.
+    on_batch : callable, optional
+        Called first with each batch that was read, with or without records, and with
+        whether it is a snapshot of all keys.
     on_failure : callable
         Called with a source that failed or returned stale data.
     on_success : callable, optional
@@ -79,6 +82,7 @@
         on_failure: Callable[[RecordSource], None],
         retry_delay: Callable[[RecordSource], datetime.timedelta],
         on_success: Callable[[RecordSource], None] = lambda source: None,
+        on_batch: Callable[[RecordBatch, bool], None] = lambda batch, is_snapshot: None,
         restore_delay: datetime.timedelta = datetime.timedelta(0),
     ) -> None:
         self._topic = topic
@@ -86,6 +90,7 @@
         self._clock = clock
         self._read_pause = read_pause
         self._on_records = on_records
+        self._on_batch = on_batch
         self._on_failure = on_failure
         self._on_success = on_success
         self._retry_delay = retry_delay
@@ -193,6 +198,7 @@
     async def _read(
         self, source: RecordSource, wait: datetime.timedelta
     ) -> RecordBatch:
+        is_snapshot = self._offset is None
         if self._offset is None:
             batch = await source.read_newest(self._topic)
             removals = self._log.reset(batch)
@@ -202,6 +208,7 @@
             self._log.extend(batch)
             records = list(batch.records)
         self._offset = max(batch.end, self._offset or batch.end)
+        self._on_batch(batch, is_snapshot)
         if records:
             self._on_records(records)
         return batch
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -83,6 +83,10 @@
     """Limits that servers stated in all other zones, as known to the relay."""
     leaving: dict[str, LeavingReport] = {}
     """Servers that have stated that they are about to leave."""
+    evacuated_zones: tuple[str, ...] = ()
+    """Zones whose servers get no requests, as of `evacuations_read`."""
+    evacuations_read: int = -1
+    """Offset up to which the node knows the evacuations; -1 if it has seen none."""
     reaches_servers: bool = True
     """Whether the node reaches backend servers."""
     exits: tuple[str, ...] = ()
--- a/pomelolug/platform/__init__.py
+++ b/pomelolug/platform/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from pomelolug.platform._declaration import decode_declaration
+from pomelolug.platform._evacuations import decode_evacuated_zone
 from pomelolug.platform._headers import (
     RequestHead,
     ServerReply,
@@ -56,6 +57,7 @@
     "TOPIC_NODES",
     "TOPIC_SERVERS",
     "decode_declaration",
+    "decode_evacuated_zone",
     "decode_request_head",
     "decode_retry_after",
     "decode_server",
--- a/pomelolug/platform/_settings.py
+++ b/pomelolug/platform/_settings.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for each process."""
 
 import datetime
+import math
 import pathlib
 import tomllib
 from typing import Any
@@ -30,6 +31,8 @@
     drain_ms: float = 2000.0
     # Time after which a declaration is in force.
     config_ms: float = 2000.0
+    # Time after which the servers of an evacuated zone get no requests.
+    evacuate_ms: float = math.inf
     stall_ms: float = 5000.0
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50.0
@@ -133,7 +136,7 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_reserve=bounds.budget_slack,
         longest_record_delay=datetime.timedelta(
-            milliseconds=min(bounds.drain_ms, bounds.config_ms)
+            milliseconds=min(bounds.drain_ms, bounds.config_ms, bounds.evacuate_ms)
         ),
         server_entry_lifetime=_HEARTBEATS_PER_LIFETIME * heartbeat,
         shortest_lapse=(_HEARTBEATS_PER_LIFETIME - _LONGEST_HEARTBEAT) * heartbeat,
--- a/pomelolug/platform/_wire_names.py
+++ b/pomelolug/platform/_wire_names.py
@@ -37,6 +37,8 @@
 
 TOPIC_DECLARATION = "keyed.op"
 KEY_DECLARATION = "config"
+# Followed by the name of an availability zone whose servers get no requests.
+KEY_EVACUATION_PREFIX = "evacuate/"
 TOPIC_SERVERS = "keyed.servers"
 # This system's own topic: addresses of the entry VMs, by node name.
 TOPIC_NODES = "keyed.nodes"
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -96,6 +96,9 @@
         Departures from groups whose heads do not answer.
     availability : StatedAvailability
         What servers have stated about whether they take requests.
+    is_evacuated : callable
+        Returns whether the zone of a server is evacuated. No groups are formed and no
+        weights are loaded there, and its groups do not count as capacity.
     clock : Clock
         Source of monotonic time.
     declaration : callable
@@ -120,6 +123,7 @@
         health: ServerHealth,
         departures: Departures,
         availability: StatedAvailability,
+        is_evacuated: Callable[[BackendServer], bool],
         clock: Clock,
         declaration: Callable[[], Declaration | None],
         stall_timeout: datetime.timedelta,
@@ -138,6 +142,7 @@
             registry=registry,
             health=health,
             availability=availability,
+            is_evacuated=is_evacuated,
             clock=clock,
             in_flight=in_flight,
             runs_models=self._runs_models,
@@ -288,10 +293,12 @@
         for key, view in views.items():
             if view.model is None or self._teardown.is_ending(key):
                 continue
-            servers_in_groups[view.model] = servers_in_groups.get(view.model, 0) + len(
-                view.members
-            )
+            if not self._fleet.is_group_in_evacuated_zone(view):
+                servers_in_groups[view.model] = servers_in_groups.get(
+                    view.model, 0
+                ) + len(view.members)
             if view.head is not None:
+                # Requests in an evacuated zone are followed by others elsewhere.
                 requests = self._in_flight(view.head.vm)
                 in_flight[view.model] = in_flight.get(view.model, 0) + requests
         for formation in self._formations.values():
@@ -300,7 +307,7 @@
                 servers_in_groups[name] = (
                     servers_in_groups.get(name, 0) + formation.model.group_size
                 )
-        usable_count = sum(self._fleet.is_usable(server) for server in servers)
+        usable_count = sum(self._fleet.may_join(server) for server in servers)
         servers_needed = needed_servers(
             engine.models, in_flight, slots=engine.slots, server_count=usable_count
         )
@@ -333,13 +340,13 @@
             vm
             for vm, server in zip(formation.members, servers, strict=True)
             if server is None
-            or not self._fleet.is_usable(server)
+            or not self._fleet.may_join(server)
             or server.start_time_ms != formation.start_times_ms[vm]
             or self._has_newer_epoch(server, formation.key[1])
             or _was_taken(server, formation)
         ]
         if failed or now_s > formation.deadline_s:
-            self._abandon(formation, "member_lost" if failed else "timeout", failed)
+            self._abandon(formation, self._failure_reason(failed), failed)
             return []
         view = views.get(formation.key)
         listed = [s for s in servers if s is not None]
@@ -377,6 +384,12 @@
             "group_given_up", formation.key, reason=reason, failed=failed
         )
 
+    def _failure_reason(self, failed: list[VmId]) -> str:
+        servers = [self._fleet.listed.get(vm) for vm in failed]
+        if any(s is not None and self._fleet.is_in_evacuated_zone(s) for s in servers):
+            return "zone_evacuated"
+        return "member_lost" if failed else "timeout"
+
     def _has_newer_epoch(self, server: BackendServer, epoch: int) -> bool:
         return server.membership is not None and server.membership.epoch > epoch
 
--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -55,6 +55,8 @@
         Lost servers and newest reports.
     availability : StatedAvailability
         What servers have stated about whether they take requests.
+    is_evacuated : callable
+        Returns whether the zone of a server is evacuated.
     clock : Clock
         Source of monotonic time.
     in_flight : callable
@@ -69,6 +71,7 @@
         registry: ServerRegistry,
         health: ServerHealth,
         availability: StatedAvailability,
+        is_evacuated: Callable[[BackendServer], bool],
         clock: Clock,
         in_flight: Callable[[VmId], int],
         runs_models: Callable[[ServiceName], bool],
@@ -76,6 +79,7 @@
         self._registry = registry
         self._health = health
         self._availability = availability
+        self._is_evacuated = is_evacuated
         self._clock = clock
         self._in_flight = in_flight
         self._runs_models = runs_models
@@ -161,6 +165,18 @@
             server
         )
 
+    def may_join(self, server: BackendServer) -> bool:
+        """Return whether a server may get orders to join a group or to load weights."""
+        return self.is_usable(server) and not self._is_evacuated(server)
+
+    def is_in_evacuated_zone(self, server: BackendServer) -> bool:
+        """Return whether the zone of a server is evacuated."""
+        return self._is_evacuated(server)
+
+    def is_group_in_evacuated_zone(self, view: GroupView) -> bool:
+        """Return whether the zone of a member of a group is evacuated."""
+        return any(map(self._is_evacuated, view.members.values()))
+
     def is_usable(self, server: BackendServer) -> bool:
         """Return whether a server is able to join a group."""
         return (
--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -187,6 +187,8 @@
         head = view.head
         if head is None or model is None or not view.is_ready(model.group_size):
             return []
+        if self._fleet.is_group_in_evacuated_zone(view):
+            return []
         return (
             [self._orders.open(view.key, head)]
             if self._orders.try_reserve(head.vm)
@@ -276,7 +278,7 @@
 
     def is_free(self, server: BackendServer) -> bool:
         """Return whether a server is free to join a new group."""
-        if not self._fleet.is_usable(server) or self._is_in_formation(server.vm):
+        if not self._fleet.may_join(server) or self._is_in_formation(server.vm):
             return False
         now_s = self._clock.monotonic()
         membership = server.membership
--- a/pomelolug/replicas/tests/simulated_node.py
+++ b/pomelolug/replicas/tests/simulated_node.py
@@ -13,7 +13,7 @@
     Service,
     StatedAvailability,
 )
-from pomelolug.ids import ModelName, Offset, ServiceName, VmId
+from pomelolug.ids import DomainId, ModelName, Offset, ServiceName, VmId
 from pomelolug.replicas import (
     ControllerElection,
     ControllerLease,
@@ -124,6 +124,8 @@
         self.health = ServerHealth(control=fleet, clock=clock)
         self.departures = Departures(clock=clock)
         self.statements = Statements()
+        self.evacuated_domains: set[DomainId] = set()
+        """Fabric domains that lie in evacuated zones."""
         self.in_flight: dict[str, int] = {}
         self.serving = False
         self.controller = ReplicaGroupController(
@@ -133,6 +135,7 @@
             health=self.health,
             departures=self.departures,
             availability=self.statements,
+            is_evacuated=lambda server: server.domain in self.evacuated_domains,
             clock=clock,
             declaration=lambda: DECLARATION,
             stall_timeout=STALL_TIMEOUT,
--- a/pomelolug/replicas/tests/test_controller.py
+++ b/pomelolug/replicas/tests/test_controller.py
@@ -554,3 +554,88 @@
     assert leave_orders(fleet, order_count) == []
     assert fleet.open_groups() == before
     await node.stop()
+
+
+def new_orders(fleet: GroupServers, seen: int) -> list[tuple[str, VmId]]:
+    return [(kind, vm) for kind, vm, _ in fleet.orders[seen:]]
+
+
+def vms_of(fleet: GroupServers, domain: str) -> set[VmId]:
+    return {s.vm for s in fleet.servers.values() if s.domain == domain}
+
+
+async def test_evacuated_zone_keeps_its_groups_and_gets_no_orders():
+    # Guards against a teardown of groups whose streams still run, and against groups
+    # and loads in a zone that is about to be lost.
+    fleet = make_fleet(domains=2)
+    node = await start_node(fleet, groups=4)
+    open_before = fleet.open_groups()
+    seen = len(fleet.orders)
+    node.evacuated_domains.add("d0")
+    fleet.add("s0-90", "d0")
+    await asyncio.sleep(60.0)
+    ordered = {vm for _, vm in new_orders(fleet, seen)}
+    assert ordered & vms_of(fleet, "d0") == set()
+    assert open_before.items() <= fleet.open_groups().items()
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_groups_and_loads_go_elsewhere_ahead_of_the_loss_of_a_zone():
+    # Guards against spares elsewhere that stay without weights, since the groups of the
+    # evacuated zone still count as capacity.
+    fleet = make_fleet(domains=2)
+    node = await start_node(fleet, groups=4)
+    for server in fleet.servers.values():
+        if server.membership and server.membership.state is GroupState.OPEN:
+            node.in_flight[server.vm] = 4
+    node.evacuated_domains.add("d0")
+    seen = len(fleet.orders)
+    for number in range(2):
+        fleet.add(f"s1-9{number}", "d1")
+    # One load of the weights, and not the loads of spares for other groups first.
+    await wait_until_open(fleet, 5, timeout_s=20.0)
+    assert "stage" in {kind for kind, _ in new_orders(fleet, seen)}
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_group_in_formation_is_given_up_when_its_zone_is_evacuated():
+    # Guards against a group that opens in the zone, also by a new active controller,
+    # and against members that are lost for good once the zone is taken back.
+    fleet = make_fleet()
+    node = Node(fleet)
+    while not any(kind == "join" for kind, _, _ in fleet.orders):  # noqa: ASYNC110
+        await asyncio.sleep(0.05)
+    assert not fleet.open_groups()
+    node.evacuated_domains.add("d0")
+    await asyncio.sleep(30.0)
+    successor = Node(fleet, generation=2)
+    successor.evacuated_domains.add("d0")
+    node.election.is_assigned = False
+    await asyncio.sleep(30.0)
+    assert not any(kind == "open" for kind, _, _ in fleet.orders)
+    successor.evacuated_domains.clear()
+    await wait_until_open(fleet, 2, timeout_s=60.0)
+    assert fleet.violations == []
+    await node.stop()
+    await successor.stop()
+
+
+async def test_member_lost_in_an_evacuated_zone_is_replaced_after_its_end():
+    # Guards against repairs in a zone that is about to be lost, and against a group
+    # that stays closed when the zone is taken back.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    node.evacuated_domains.add("d0")
+    head = head_of(fleet, SMALL)
+    fleet.kill(member_of(fleet, SMALL))
+    node.controller.mark_suspect(head)
+    seen = len(fleet.orders)
+    await asyncio.sleep(20.0)
+    kinds = {kind for kind, _ in new_orders(fleet, seen)}
+    assert kinds <= {"leave"}
+    node.evacuated_domains.clear()
+    await wait_until_open(fleet, 2, timeout_s=2.0)
+    assert fleet.violations == []
+    await node.stop()
