--- a/pomelolug/experiments/process_soak/_cluster.py
+++ b/pomelolug/experiments/process_soak/_cluster.py
@@ -13,13 +13,15 @@
 from pomelolug.experiments.process_soak._calls import ServerRun, TurnedAwayRequest
 from pomelolug.experiments.process_soak._processes import SoakProcess
 from pomelolug.experiments.process_soak._promises import GuaranteeChecker
-from pomelolug.ids import VmId
+from pomelolug.ids import VmId, ZoneId
 from pomelolug.platform import (
     KEY_DECLARATION,
     SETTINGS_VARIABLE,
     TOPIC_DECLARATION,
     TOPIC_SERVERS,
+    decode_evacuated_zone,
     decode_server,
+    evacuation_key,
 )
 from pomelolug.testing import (
     FakeMetadataStore,
@@ -119,6 +121,11 @@
         """The store."""
         return self._store
 
+    @property
+    def zones(self) -> list[str]:
+        """Availability zones."""
+        return [f"zone-{number}" for number in range(_ZONE_COUNT)]
+
     @property
     def deployment(self) -> SampleDeployment:
         """Declaration in the store."""
@@ -152,6 +159,14 @@
         self._deployment = deployment
         self._store.put(TOPIC_DECLARATION, KEY_DECLARATION, deployment.encode())
 
+    def evacuate(self, zone: str) -> None:
+        """Order that nothing more is sent to the servers of a zone."""
+        self._store.put(TOPIC_DECLARATION, evacuation_key(ZoneId(zone)), b"{}")
+
+    def take_back(self, zone: str) -> None:
+        """Remove the order to evacuate a zone."""
+        self._store.put(TOPIC_DECLARATION, evacuation_key(ZoneId(zone)), b"")
+
     def send_command(self, server: ServerHandle, do: str, x: float = 0.0) -> None:
         """Send the command `do` with the parameter `x` to a server."""
         server.process.send(ServerCommand(do=do, vm=server.vm, x=x))
@@ -255,10 +270,17 @@
         )
 
     def _on_store_record(self, topic: str, key: str, value: bytes) -> None:
-        """Record whether a server has no entry, or one that announces a drain."""
+        """Record evacuations, and the zones and departures of servers."""
+        zone = decode_evacuated_zone(key) if topic == TOPIC_DECLARATION else None
+        if zone is not None and value:
+            self._guarantees.evacuations.record_evacuation(zone, time.monotonic())
+        elif zone is not None:
+            self._guarantees.evacuations.record_end(zone, time.monotonic())
         if topic != TOPIC_SERVERS:
             return
         server = decode_server(VmId(key), value) if value else None
+        if server is not None:
+            self._guarantees.evacuations.record_server(key, server.zone)
         if server is None or server.state is ServerState.DRAINING:
             self._guarantees.record_departure(key, time.monotonic())
         else:
--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import random
 import signal
 import time
@@ -40,6 +41,9 @@
 _LIMIT_DURATION_RANGE_S = (5.0, 10.0)
 _CALM_START_S = 2.0
 """Time in which callers use all servers before the first fault."""
+_EVACUATION_S = 6.0
+"""Length of an evacuation, twice the time in which nodes have to act on it."""
+_BETWEEN_EVACUATIONS_S = 4.0
 _CALM_TIME_S = 1.0
 """Time without effects of faults before an interruption, for calls to be sent."""
 _LONG_SILENCE_RANGE_S = (2.5, 4.0)
@@ -134,7 +138,7 @@
 
         Bounds on time apply only to entry VMs that nothing else disturbs, so a server
         leaves before the other faults begin, and each kind of interruption of servers
-        happens once more after them.
+        happens once more after them, and so does an evacuation.
         """
         await asyncio.sleep(_CALM_START_S)
         await self._inject("server_unlisted")
@@ -149,6 +153,7 @@
                 self._interruption_rng,
                 until_s,
             ),
+            self._evacuate_in_turn(until_s),
         )
         await asyncio.gather(*self._tasks)
         await asyncio.sleep(QUIET_PERIOD_S + _CALM_TIME_S)
@@ -158,6 +163,24 @@
         await asyncio.sleep(QUIET_PERIOD_S + _CALM_TIME_S)
         self.counts["entry_cut_from_servers"] += 1
         await self._cut_entries_off(is_longest=True)
+        await asyncio.sleep(QUIET_PERIOD_S)
+        await self._evacuate(self._cluster.zones[0])
+
+    async def _evacuate_in_turn(self, until_s: float) -> None:
+        """Evacuate one zone after the other until a time, beside all faults."""
+        for zone in itertools.cycle(self._cluster.zones):
+            await self._evacuate(zone)
+            await asyncio.sleep(_BETWEEN_EVACUATIONS_S)
+            if time.monotonic() >= until_s:
+                return
+
+    async def _evacuate(self, zone: str) -> None:
+        self.counts["zone_evacuated"] += 1
+        self.record_event(f"{zone} evacuated")
+        self._cluster.evacuate(zone)
+        await asyncio.sleep(_EVACUATION_S)
+        self._cluster.take_back(zone)
+        self.record_event(f"{zone} taken back")
 
     async def _inject_at_random(
         self,
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -20,6 +20,7 @@
     FaultWindows,
     server_targets,
 )
+from pomelolug.experiments.process_soak._evacuations import EvacuationChecker
 from pomelolug.experiments.process_soak._interruptions import (
     cut_violations,
     is_lost_answer,
@@ -108,6 +109,12 @@
         self._silences: list[FaultWindow] = []
         self._cuts: list[FaultWindow] = []
         self._reported_violations: list[str] = []
+        self._evacuations = EvacuationChecker()
+
+    @property
+    def evacuations(self) -> EvacuationChecker:
+        """Evacuations of zones."""
+        return self._evacuations
 
     @property
     def calls(self) -> list[SentCall]:
@@ -194,6 +201,9 @@
         violations += silence_violations(
             self._calls.values(), self._runs, self._silences, self._fault_windows
         )
+        violations += self._evacuations.violations(
+            self._calls, self._runs, self._fault_windows
+        )
         valid = [c for c in self._calls.values() if c.key not in self._revoked_at_s]
         violations += cut_violations(valid, self._cuts, self._fault_windows)
         return violations + list(self._containment_violations())
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -99,6 +99,51 @@
     assert not find_limit_violations("entry-0", target="entry-0")
 
 
+def find_evacuation_violations(
+    *, sent_after_s: float, zone: str = "z1", ended_after_s: float = 60.0, **fault: str
+) -> list[str]:
+    """Return the violations of a call to a server of an evacuated zone."""
+    fault_windows = FaultWindows()
+    if fault:
+        window = fault_windows.open(fault["target"], start_s=START, is_planned=False)
+        window.end_s = START + 8.0
+    guarantees = GuaranteeChecker(fault_windows)
+    guarantees.evacuations.record_server("vm-1", zone)
+    guarantees.evacuations.record_evacuation("z1", START)
+    guarantees.evacuations.record_end("z1", START + ended_after_s)
+    at_s = START + sent_after_s
+    guarantees.record_call(make_call(sent_at_s=at_s, ended_at_s=at_s + 0.1))
+    guarantees.record_run(make_run(started_at_s=at_s + 0.01))
+    return guarantees.check(timeouts=TIMEOUTS)
+
+
+def test_requests_to_an_evacuated_zone_are_reported():
+    assert find_evacuation_violations(sent_after_s=3.5) == [
+        "r1 ran at vm-1 in z1 3.5 s after its evacuation"
+    ]
+    assert not find_evacuation_violations(sent_after_s=2.5)
+    assert not find_evacuation_violations(sent_after_s=3.5, zone="z2")
+    assert not find_evacuation_violations(sent_after_s=3.5, ended_after_s=3.0)
+    assert find_evacuation_violations(sent_after_s=3.5, target="entry-1")
+    assert not find_evacuation_violations(sent_after_s=3.5, target="entry-0")
+
+
+@pytest.mark.parametrize("zone", ["z1", "z2"])
+def test_zone_that_is_not_used_again_is_reported(zone):
+    guarantees = GuaranteeChecker(FaultWindows())
+    guarantees.evacuations.record_server("vm-1", zone)
+    guarantees.evacuations.record_evacuation("z1", START - 10.0)
+    guarantees.evacuations.record_end("z1", START - 5.0)
+    for number in range(60):
+        name = f"r{number}"
+        call = make_call(request_id=name)
+        call.answer = dataclasses.replace(call.answer, request_id=name)
+        guarantees.record_call(call)
+        guarantees.record_run(make_run(request_id=name))
+    expected = [] if zone == "z1" else ["z1 was not used again after its evacuation"]
+    assert guarantees.check(timeouts=TIMEOUTS) == expected
+
+
 def make_run(**changes) -> ServerRun:
     run = ServerRun(
         request_id="r1",
--- a/pomelolug/platform/__init__.py
+++ b/pomelolug/platform/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from pomelolug.platform._declaration import decode_declaration
-from pomelolug.platform._evacuations import decode_evacuated_zone
+from pomelolug.platform._evacuations import decode_evacuated_zone, evacuation_key
 from pomelolug.platform._headers import (
     RequestHead,
     ServerReply,
@@ -62,6 +62,7 @@
     "decode_retry_after",
     "decode_server",
     "decode_server_reply",
+    "evacuation_key",
     "find_forwarded_field",
     "find_outcome_field",
     "forwarded_headers",
--- a/pomelolug/platform/_evacuations.py
+++ b/pomelolug/platform/_evacuations.py
@@ -3,7 +3,7 @@
 from pomelolug.ids import ZoneId
 from pomelolug.platform._wire_names import KEY_EVACUATION_PREFIX
 
-__all__ = ["decode_evacuated_zone"]
+__all__ = ["decode_evacuated_zone", "evacuation_key"]
 
 
 def decode_evacuated_zone(key: str) -> ZoneId | None:
@@ -19,3 +19,8 @@
     if not key.startswith(KEY_EVACUATION_PREFIX):
         return None
     return ZoneId(key.removeprefix(KEY_EVACUATION_PREFIX)) or None
+
+
+def evacuation_key(zone: ZoneId) -> str:
+    """Return the key of the record that evacuates a zone."""
+    return KEY_EVACUATION_PREFIX + zone
--- a/pomelolug/platform/tests/test_decoding.py
+++ b/pomelolug/platform/tests/test_decoding.py
@@ -11,6 +11,7 @@
 from pomelolug.platform import (
     EventSplitter,
     decode_declaration,
+    decode_evacuated_zone,
     decode_request_head,
     decode_server,
     decode_server_reply,
@@ -53,6 +54,29 @@
     assert settings.longest_record_delay.total_seconds() == pytest.approx(2.0)
 
 
+def test_node_acts_on_records_within_the_shortest_bound(tmp_path):
+    # Guards against reads that wait longer than an evacuation allows.
+    text = SETTINGS.replace("grace_s = 8", "grace_s = 8\nevacuate_ms = 1500")
+    settings = load_settings(write_settings(tmp_path, text))
+    assert settings.longest_record_delay.total_seconds() == pytest.approx(1.5)
+
+
+@pytest.mark.parametrize(
+    ("key", "zone"),
+    [
+        ("evacuate/zone-a", "zone-a"),
+        ("evacuate/a/b", "a/b"),
+        ("evacuate/", None),
+        ("evacuate", None),
+        ("config", None),
+        ("", None),
+    ],
+)
+def test_zone_of_an_evacuation_comes_from_the_key(key, zone):
+    # Guards against foreign records that evacuate a zone without a name.
+    assert decode_evacuated_zone(key) == zone
+
+
 @pytest.mark.parametrize(
     ("text", "place"),
     [
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -19,7 +19,11 @@
 from pomelolug.testing._loopback_proxy import LinkCut, LinkFault, LoopbackProxy
 from pomelolug.testing._memory_log import LogFaults, MemoryLog
 from pomelolug.testing._process_connections import ProcessConnections
-from pomelolug.testing._sample_deployment import SampleDeployment, format_entry_settings
+from pomelolug.testing._sample_deployment import (
+    EVACUATION_TIME_S,
+    SampleDeployment,
+    format_entry_settings,
+)
 from pomelolug.testing._scripted_server import ReceivedRequest, ScriptedServer
 from pomelolug.testing._store_stand_in import FakeMetadataStore
 
@@ -28,6 +32,7 @@
     "CRASH_PATH_PART",
     "CallerResponse",
     "ControlNode",
+    "EVACUATION_TIME_S",
     "FakeEngineFleet",
     "FakeMetadataStore",
     "FakeVm",
--- a/pomelolug/testing/_sample_deployment.py
+++ b/pomelolug/testing/_sample_deployment.py
@@ -5,11 +5,13 @@
 
 import msgspec
 
-__all__ = ["SampleDeployment", "format_entry_settings"]
+__all__ = ["EVACUATION_TIME_S", "SampleDeployment", "format_entry_settings"]
 
 HOST = "h.example"
 GRACE_PERIOD_S = 8.0
 STALL_TIMEOUT_S = 2.0
+EVACUATION_TIME_S = 3.0
+"""Time after which the servers of an evacuated zone get no requests."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -105,4 +107,5 @@
         f'[listen]\nfront = "{ip}:8001"\nready = "{ip}:8002"\ncontrol = "{ip}:8003"\n'
         f'[platform]\naddress = "{store}"\nmin_ttl_ms = 1000\n'
         f"[bounds]\ngrace_s = {GRACE_PERIOD_S}\nstall_ms = {STALL_TIMEOUT_S * 1000}\n"
+        f"evacuate_ms = {EVACUATION_TIME_S * 1000}\n"
     )
