--- a/pomelolug/entry/peers/_relay.py
+++ b/pomelolug/entry/peers/_relay.py
@@ -67,16 +67,26 @@
         return f"relay {self._address}"
 
     async def read_newest(self, topic: str) -> RecordBatch:
-        """Return the newest record of each key, fetched page by page."""
+        """Return the newest record of each key, fetched page by page.
+
+        The pages together are not a consistent snapshot. What the relay has read since
+        the first page still has to be read, so the end is that of the first page.
+        """
         records: list[Record] = []
+        log_end: int | None = None
         # Despite its name, the offset is inclusive: a page starts at `after`.
         after = 0
         while True:
             query = {"topic": topic, "after": str(after)}
-            batch, more = await self._fetch(query, 0.0)
+            page = await self._fetch(query, 0.0)
+            batch = _to_batch(page)
             records += batch.records
-            if not more:
-                return dataclasses.replace(batch, records=tuple(records))
+            if log_end is None:
+                log_end = page.log_end
+            if not page.more:
+                # A relay of an earlier version does not send the end of its log.
+                end = batch.end if log_end is None else Offset(log_end)
+                return dataclasses.replace(batch, records=tuple(records), end=end)
             after = batch.end
 
     async def read(
@@ -85,12 +95,9 @@
         """Return the records from offset `first` on, waiting for one if needed."""
         wait_s = wait.total_seconds()
         query = {"topic": topic, "from": str(first), "wait_s": f"{wait_s:.3f}"}
-        batch, _ = await self._fetch(query, wait_s)
-        return batch
+        return _to_batch(await self._fetch(query, wait_s))
 
-    async def _fetch(
-        self, query: Mapping[str, str], wait_s: float
-    ) -> tuple[RecordBatch, bool]:
+    async def _fetch(self, query: Mapping[str, str], wait_s: float) -> FeedBatch:
         target = RECORDS_PATH + b"?" + urllib.parse.urlencode(query).encode()
         request = encode_request(b"GET", target, [(b"Host", self._address.encode())])
         try:
@@ -107,11 +114,7 @@
                 ErrorCode.LOG_INCOMPLETE,
                 f"relay {self._address} no longer has the requested records",
             )
-        records = tuple(Record(Offset(r.offset), r.key, r.value) for r in batch.records)
-        return (
-            RecordBatch(records, Offset(batch.end), batch.age_s, batch.stale),
-            batch.more,
-        )
+        return batch
 
     async def _send_request(self, request: bytes) -> bytes:
         connection = await self._pool.acquire(self._address)
@@ -128,6 +131,11 @@
         return data
 
 
+def _to_batch(page: FeedBatch) -> RecordBatch:
+    records = tuple(Record(Offset(r.offset), r.key, r.value) for r in page.records)
+    return RecordBatch(records, Offset(page.end), page.age_s, page.stale)
+
+
 async def serve_records(exchange: Exchange, feeds: Mapping[str, TopicFeed]) -> None:
     """Answer a peer that reads records from this node."""
     query_string = exchange.target.partition(b"?")[2].decode("latin-1")
@@ -192,5 +200,6 @@
         end=end,
         age_s=batch.age_s,
         stale=batch.is_stale,
+        log_end=batch.end if is_snapshot else None,
         more=is_snapshot and is_truncated,
     )
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -256,17 +256,22 @@
     def head_wait(self, model: ModelName) -> ServerWait | None:
         """Return the wait for a head to take a request.
 
-        None if one does now, if there is none or if all of them leave.
+        None if one does now, if there is none or if all of them leave. An evacuation
+        counts only if it concerns all heads, since others may just be full.
         """
-        return self._notices.shortest_wait(self._usable_heads(model))
+        heads = self._usable_heads(model)
+        if self._heads_elsewhere(model):
+            heads = [h for h in heads if not self._notices.is_evacuated(h)]
+        return self._notices.shortest_wait(heads)
 
     def is_left_without_heads(self, model: ModelName) -> bool:
         """Return whether suspicions exclude all open groups of a model.
 
+        Groups in evacuated zones are left out, since no node uses them.
         At least one of them is a suspicion of this node, so another node may see the
         groups work.
         """
-        heads = self._heads_by_model.get(model, ())
+        heads = self._heads_elsewhere(model)
         now_s = self._clock.monotonic()
         return (
             any(self.load(head.vm).suspect_until_s > now_s for head in heads)
@@ -289,6 +294,11 @@
     def _select_accepting(self, servers: list[BackendServer]) -> list[BackendServer]:
         return [s for s in servers if self._notices.accepts_request(s)]
 
+    def _heads_elsewhere(self, model: ModelName) -> list[BackendServer]:
+        """Return the heads of the open groups of a model outside evacuated zones."""
+        heads = self._heads_by_model.get(model, [])
+        return [h for h in heads if not self._notices.is_evacuated(h)]
+
     def _usable_heads(self, model: ModelName) -> list[BackendServer]:
         """Return the heads of the open groups of a model that are not suspected."""
         now_s = self._clock.monotonic()
--- a/pomelolug/entry/tests/test_evacuated_zones.py
+++ b/pomelolug/entry/tests/test_evacuated_zones.py
@@ -27,6 +27,8 @@
 FAILOVER_S = 3.0
 """The same for a node that first has to find another source of records."""
 SENDING_S = 1.0
+NO_GROUP_WAIT_S = 2.3
+"""Longest time after which callers return if groups are full or there is none."""
 SETTLED_S = 1.2
 """Time in which nodes find each other and wait for records."""
 
@@ -337,3 +339,23 @@
         await asyncio.sleep(ACTS_S)
         assert h.entry._declarations.version == 2
         await assert_unused(evacuated, other, h)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_evacuation_is_no_reason_to_return_late_to_other_zones(kind):
+    # Guards against callers who are sent away for as long as an evacuation lasts,
+    # although servers elsewhere are only full for a moment.
+    async with Harness() as h:
+        await add_server(h, kind, "z1")
+        other = await add_server(h, kind, "z2")
+        other.refuses = True
+        await h.start()
+        h.evacuate("z1")
+        # Callers of evacuated zones would be told to wait for as long as this.
+        await asyncio.sleep(4.0)
+        answers = await send_for(SENDING_S, kind, h, pause_s=0.01)
+        assert {answer.status for answer in answers} == {503}
+        assert not [a for a in answers if a.retry_after_s > NO_GROUP_WAIT_S]
+        other.refuses = False
+        await asyncio.sleep(0.5)
+        assert (await send(h, kind, "later")).status == 200
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -119,6 +119,8 @@
     """Time since the relay last received data from the store, in seconds."""
     stale: bool = False
     """Whether the relay has lost the store, or waits for it longer than usual."""
+    log_end: int | None = None
+    """Offset after the last record of the relay, for the pages of a snapshot."""
     more: bool = False
     """Whether the snapshot continues at `end`."""
     lost: bool = False
