--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -92,6 +92,10 @@
     """Limits that servers stated in all other zones, as known to the relay."""
     leaving: dict[str, LeavingReport] = {}
     """Servers that have stated that they are about to leave."""
+    evacuated_zones: tuple[str, ...] = ()
+    """Zones whose servers get no requests, as of `evacuations_read`."""
+    evacuations_read: int = -1
+    """Offset up to which the node knows the evacuations; -1 if it has seen none."""
     reaches_servers: bool = True
     """Whether the node reaches backend servers."""
     exits: tuple[str, ...] = ()
@@ -175,6 +179,8 @@
     """Time since the relay last received data from the store, in seconds."""
     stale: bool = False
     """Whether the relay has lost the store, or waits for it longer than usual."""
+    log_end: int | None = None
+    """Offset after the last record of the relay, for the pages of a snapshot."""
     more: bool = False
     """Whether the snapshot continues at `end`."""
     lost: bool = False
