Bound what all nodes send to a cold server

The share of a node in a server's own limit becomes a share in any bound: rate, window and accepted requests are those of a RequestBound, and ServerLimits and ColdServers are its two sources. The strictest of them holds. A request counts when its server is chosen, and towards bounds that became known while it connected.

The few nodes that send to a cold server are chosen among the registered nodes by name, so that nodes that do not hear each other choose the same ones; a node that does not know the names sends it nothing.

Odd values of the new fields leave the rest of an entry, report or response valid.

Changed tests: test_rate_limiter.py and test_server_tracker.py construct the limiter with its sources instead of the limits alone; no check differs.

--- a/pomelolug/deployment/_declaration.py
+++ b/pomelolug/deployment/_declaration.py
@@ -174,12 +174,31 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
-    """A service, run by a pool of backend servers."""
+    """A service, run by a pool of backend servers.
+
+    Parameters
+    ----------
+    name : ServiceName
+        Name of the service.
+    health_path : str
+        Path at which a server tells whether it is healthy.
+    max_connections : int
+        Connections that a server accepts from all callers together.
+    engine : EngineProfile or None
+        Capacity of the replica groups; None if the service has none.
+    cold_time : datetime.timedelta
+        Time for which a server is cold after its start.
+    cold_requests_per_s : float
+        Requests per second that a cold server bears from all nodes together; 0 if the
+        service names no such limit.
+    """
 
     name: ServiceName
     health_path: str
     max_connections: int
     engine: EngineProfile | None
+    cold_time: datetime.timedelta = datetime.timedelta(0)
+    cold_requests_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/pomelolug/deployment/_notice.py
+++ b/pomelolug/deployment/_notice.py
@@ -24,12 +24,21 @@
         from this node.
     has_invalid_pause : bool
         Whether the server named a pause that is not a positive number of seconds.
+    cold_for : datetime.timedelta or None
+        Time for which the server stays cold; None if it does not say it.
+    has_invalid_cold_time : bool
+        Whether the server named a time that is not a number of 0 or more.
+    start_time_ms : int
+        Unix time of the server's start in milliseconds, 0 if it does not say it.
     """
 
     request_limit_per_s: float | None = None
     is_leaving: bool = False
     pause: datetime.timedelta | None = None
     has_invalid_pause: bool = False
+    cold_for: datetime.timedelta | None = None
+    has_invalid_cold_time: bool = False
+    start_time_ms: int = 0
 
 
 class StatedAvailability(abc.ABC):
--- a/pomelolug/deployment/_registry.py
+++ b/pomelolug/deployment/_registry.py
@@ -21,13 +21,15 @@
 class RegistryChange:
     """Servers that were added, changed or removed by one update.
 
-    `lapsed` servers are kept although their entry was removed.
+    `lapsed` servers are kept although their entry was removed. `renewed` holds all
+    servers whose entry was written, changed or not.
     """
 
     added: tuple[BackendServer, ...] = ()
     changed: tuple[BackendServer, ...] = ()
     removed: tuple[BackendServer, ...] = ()
     lapsed: tuple[BackendServer, ...] = ()
+    renewed: tuple[BackendServer, ...] = ()
 
     def __bool__(self) -> bool:
         return bool(self.added or self.changed or self.removed)
@@ -89,6 +91,7 @@
         changed: list[BackendServer] = []
         removed: list[BackendServer] = []
         lapsed: list[BackendServer] = []
+        renewed: list[BackendServer] = []
         for vm, offset, server in records:
             if offset <= self._offsets.get(vm, -1):
                 continue
@@ -100,12 +103,17 @@
                 continue
             self._lapsed_at_s.pop(vm, None)
             self._servers[vm] = server
+            renewed.append(server)
             if previous is None:
                 added.append(server)
             elif previous != server:
                 changed.append(server)
         return RegistryChange(
-            tuple(added), tuple(changed), tuple(removed), tuple(lapsed)
+            tuple(added),
+            tuple(changed),
+            tuple(removed),
+            tuple(lapsed),
+            tuple(renewed),
         )
 
     def expire(self) -> RegistryChange:
--- a/pomelolug/deployment/_servers.py
+++ b/pomelolug/deployment/_servers.py
@@ -1,6 +1,7 @@
 """Backend servers, as described by the entries that they publish."""
 
 import dataclasses
+import datetime
 import enum
 
 from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId, ZoneId
@@ -65,6 +66,11 @@
         Model that the server's replica group runs.
     membership : GroupMembership or None
         Membership in a replica group.
+    cold_for : datetime.timedelta or None
+        Time for which the server stays cold, as of its entry; None if the entry does
+        not say it. It falls with each renewal, so it is left out of comparisons.
+    has_invalid_cold_time : bool
+        Whether the entry names a time that is not a number of 0 or more.
     """
 
     vm: VmId
@@ -78,3 +84,5 @@
     staged: frozenset[ModelName]
     model: ModelName | None
     membership: GroupMembership | None
+    cold_for: datetime.timedelta | None = dataclasses.field(default=None, compare=False)
+    has_invalid_cold_time: bool = dataclasses.field(default=False, compare=False)
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -38,6 +38,7 @@
     encode_outcome,
 )
 from pomelolug.entry.servers import (
+    ColdServers,
     GroupSelector,
     RequestRateLimiter,
     ServerContact,
@@ -232,6 +233,7 @@
             registry=self._registry,
             shortest_lapse=settings.shortest_lapse,
             on_change=self._on_registry_change,
+            on_entry=self._notices.record_entry,
         )
         self._poison_detector = PoisonRequestDetector(
             clock=clock, part_quarantine_factor=self._rng.uniform(1.0, 2.0)
@@ -278,6 +280,7 @@
             reaches_servers=lambda: not self._server_contact.is_cut_off,
             on_suspect=self._controller.mark_suspect,
             on_nodes=self._on_nodes,
+            needs_node_names=lambda: self._cold_servers.has_services,
             departures=self._departures,
             poison_detector=self._poison_detector,
             notices=self._notices,
@@ -341,8 +344,15 @@
             clock=self._clock,
             on_news=self._announce,
         )
+        self._cold_servers = ColdServers(
+            zone=settings.zone,
+            clock=self._clock,
+            accepted_factor=settings.cold_accepted_factor,
+            excess_requests=settings.cold_excess_requests,
+            on_news=self._announce,
+        )
         self._rate_limiter = RequestRateLimiter(
-            limits=self._server_limits,
+            sources=(self._server_limits, self._cold_servers),
             node=settings.node,
             zone=settings.zone,
             zones=settings.zones,
@@ -351,6 +361,7 @@
         )
         self._notices = ServerNotices(
             limits=self._server_limits,
+            cold_servers=self._cold_servers,
             rate_limiter=self._rate_limiter,
             clock=self._clock,
             rng=self._rng,
@@ -522,6 +533,8 @@
             self._registry_updater.report_store_status(
                 is_fresh=self._server_feed.is_fresh, age_s=self._server_feed.age_s
             )
+            if self._server_feed.is_fresh:
+                self._cold_servers.finish_first_reading()
             rounds += 1
             if rounds % _ROUNDS_PER_SWEEP == 0:
                 self._pool.close_expired()
@@ -539,6 +552,9 @@
                 self._metrics.limited_servers.set(
                     len(self._server_limits.limited_servers())
                 )
+                self._metrics.cold_servers.set(
+                    len(self._cold_servers.bounded_servers())
+                )
 
     async def _listen_for_peers(self) -> list[asyncio.Server]:
         """Listen for the requests that other nodes forward, if there is a port."""
@@ -620,6 +636,7 @@
             if service.engine is not None
             for model in service.engine.models
         }
+        self._cold_servers.set_services(declaration.services)
         self._server_tracker.refresh(self._group_sizes)
         self._peer_coordinator.announce()
 
@@ -632,6 +649,7 @@
         self._run_monitor.on_registry_change(change)
         self._controller.wake()
         for server in change.removed:
+            self._notices.record_removal(server)
             self._pool.close_idle(server.address)
 
     def _announce(self) -> None:
@@ -641,9 +659,13 @@
         self._announce()
         self._controller.wake()
 
-    def _on_nodes(self, count: int, zone_nodes: list[NodeId]) -> None:
+    def _on_nodes(
+        self, count: int, zone_nodes: list[NodeId], registered: frozenset[NodeId]
+    ) -> None:
         self._retry_limiter.set_node_count(count)
-        self._rate_limiter.set_nodes(count=count, zone_nodes=zone_nodes)
+        self._rate_limiter.set_nodes(
+            count=count, zone_nodes=zone_nodes, registered=registered
+        )
         self._group_selector.set_zone_node_count(len(zone_nodes) + 1)
 
     def _on_stall(self, head: VmId) -> None:
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -98,6 +98,16 @@
             "Servers that limit their requests per second.",
             registry=self._registry,
         )
+        self.cold_servers = prometheus_client.Gauge(
+            f"{name}_cold_servers",
+            "Servers that are cold, so that they bear fewer requests.",
+            registry=self._registry,
+        )
+        self.cold_attempts = prometheus_client.Counter(
+            f"{name}_cold_attempts",
+            "Requests sent to cold servers.",
+            registry=self._registry,
+        )
         self.servers_out_of_reach = prometheus_client.Gauge(
             f"{name}_servers_out_of_reach",
             "1 if no server is reached, else 0.",
--- a/pomelolug/entry/_topic_consumers.py
+++ b/pomelolug/entry/_topic_consumers.py
@@ -92,6 +92,8 @@
         Shortest time without the store in which the entry of a live server can lapse.
     on_change : callable
         Called with each change of the registry.
+    on_entry : callable
+        Called with each server whose entry was written, before `on_change`.
     """
 
     def __init__(
@@ -100,8 +102,10 @@
         registry: ServerRegistry,
         shortest_lapse: datetime.timedelta,
         on_change: Callable[[RegistryChange], None],
+        on_entry: Callable[[BackendServer], None] = lambda server: None,
     ) -> None:
         self._registry = registry
+        self._on_entry = on_entry
         self._shortest_lapse_s = shortest_lapse.total_seconds()
         self._on_change = on_change
         self._unreadable_vms: set[VmId] = set()
@@ -149,6 +153,8 @@
             _log.warning("server_entry_unreadable", server=vm)
 
     def _publish(self, change: RegistryChange) -> None:
+        for server in change.renewed:
+            self._on_entry(server)
         for server in change.lapsed:
             _log.info("server_lapsed", server=server.vm, service=server.service)
         if not change:
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -100,8 +100,10 @@
     on_suspect : callable
         Called with each head that a peer reports as suspected.
     on_nodes : callable
-        Called with the known number of nodes in all zones, and with the live nodes of
-        this zone.
+        Called with the known number of nodes in all zones, with the live nodes of this
+        zone, and with the registered nodes of all zones that this node has read.
+    needs_node_names : callable
+        Returns whether every node has to know all registered nodes by name.
     departures : Departures
         Departures of members from groups whose heads do not answer.
     poison_detector : PoisonRequestDetector
@@ -125,7 +127,8 @@
         can_reach_store: Callable[[], bool],
         reaches_servers: Callable[[], bool],
         on_suspect: Callable[[VmId], None],
-        on_nodes: Callable[[int, list[NodeId]], None],
+        on_nodes: Callable[[int, list[NodeId], frozenset[NodeId]], None],
+        needs_node_names: Callable[[], bool],
         departures: Departures,
         poison_detector: PoisonRequestDetector,
         notices: ServerNotices,
@@ -144,7 +147,9 @@
         self._reaches_servers = reaches_servers
         self._on_suspect = on_suspect
         self._on_nodes = on_nodes
-        self._registered_count = 0
+        self._registered: frozenset[NodeId] = frozenset()
+        self._count_at_reading = 0
+        self._needs_node_names = needs_node_names
         self._departures = departures
         self._poison_detector = poison_detector
         self._notices = notices
@@ -363,16 +368,20 @@
         The number is the largest that this node or a peer knows of.
         """
         live = self._gossip.live_statuses
-        reported_counts = [status.nodes for status in live]
         zone_nodes = [
             NodeId(status.node)
             for status in live
             if status.zone == self._settings.zone and not status.stopping
         ]
         self._on_nodes(
-            max(self._registered_count, len(live) + 1, *reported_counts), zone_nodes
+            max(self._known_count(), len(live) + 1), zone_nodes, self._registered
         )
 
+    def _known_count(self) -> int:
+        """Return the largest number of registered nodes that any node knows of."""
+        reported_counts = [status.nodes for status in self._gossip.live_statuses]
+        return max(len(self._registered), *reported_counts, 0)
+
     async def _run_registration(self) -> None:
         """Register this node's address in the store and read those of the others.
 
@@ -400,16 +409,29 @@
                 await self._clock.sleep(_REGISTRATION_RETRY)
                 continue
             addresses = [r.value.decode("latin-1") for r in batch.records if r.value]
-            self._registered_count = len(addresses)
+            self._registered = frozenset(
+                NodeId(r.key) for r in batch.records if r.value
+            )
+            self._count_at_reading = self._known_count()
             self._gossip.add_addresses(addresses)
             self._gossip.send_soon()
             until_s = self._clock.monotonic() + pause.total_seconds()
             pause = _REGISTRATION_INTERVAL
-            while not self.is_relay or (
-                era == self._store.era and self._clock.monotonic() < until_s
-            ):
+            while self._clock.monotonic() < until_s or not self._needs_nodes():
+                if self.is_relay and era != self._store.era:
+                    break
                 await self._clock.sleep(_REGISTRATION_RETRY)
 
+    def _needs_nodes(self) -> bool:
+        """Return whether the registered nodes have to be read again.
+
+        The relay keeps its zone up to date on their number. The others read them only
+        if more have registered, and if their names are needed.
+        """
+        return self.is_relay or (
+            self._needs_node_names() and self._known_count() > self._count_at_reading
+        )
+
     async def _register_zone_again(self, batch: RecordBatch) -> None:
         """Register the live nodes of the zone that a restored store lacks."""
         registered = {record.key for record in batch.records if record.value}
@@ -431,7 +453,7 @@
         is_relay = self.is_relay
         reaches_servers = self._reaches_servers()
         tracker = self._server_tracker
-        limits = self._notices.limits
+        limits, cold = self._notices.limits, self._notices.cold_servers
         return NodeStatus(
             node=self._settings.node,
             started_ms=self._started_ms,
@@ -444,7 +466,7 @@
             stopping=self._is_stopping(),
             store=self._can_reach_store(),
             relay=is_relay,
-            nodes=self._registered_count,
+            nodes=len(self._registered),
             duty=self._holds_lease(),
             zone_duty=is_relay
             and (self._holds_lease() or self._is_lease_held_in_zone()),
@@ -463,6 +485,9 @@
             limits=limits.own_reports(),
             zone_limits=limits.zone_reports() if is_relay else {},
             other_limits=limits.other_zone_reports() if is_relay else {},
+            cold=cold.own_reports(),
+            zone_cold=cold.zone_reports() if is_relay else {},
+            other_cold=cold.other_zone_reports() if is_relay else {},
             leaving=self._notices.leaving.reports(),
             reaches_servers=reaches_servers,
             exits=self._sample_zone_exits() if is_relay else (),
--- a/pomelolug/entry/requests/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -306,6 +306,8 @@
             self._metrics.attempts.labels(attempt.result).inc()
             if attempt.limit_per_s is not None:
                 self._metrics.limited_attempts.inc()
+            if attempt.is_cold:
+                self._metrics.cold_attempts.inc()
             if index:
                 reason = record.attempts[index - 1].result
                 self._metrics.repeats.labels(reason).inc()
--- a/pomelolug/entry/requests/_attempt.py
+++ b/pomelolug/entry/requests/_attempt.py
@@ -49,6 +49,8 @@
 
 
 _WITHDRAWN_REASONS = {
+    WaitCause.LIMIT: "server_limited",
+    WaitCause.COLD: "server_cold",
     WaitCause.LEAVING: "server_leaving",
     WaitCause.PAUSE: "server_paused",
 }
@@ -326,7 +328,9 @@
             If the request must not be sent, since it crashes servers.
         """
         # Counted before the first await, since the choice of the server relies on it.
-        self._notices.count_request(self._server)
+        counted = self._notices.take_request(self._server)
+        if counted is None:
+            raise _withdrawn_error(self._notices.bound_cause(self._server))
         try:
             connection = await self._pool.acquire(self._address, fresh=fresh)
         except HttpConnectionError as error:
@@ -339,11 +343,9 @@
         # The server may have stated it while the connection was opened.
         cause = self._notices.refusal_cause(self._server)
         if cause is not None:
-            raise AttemptError(
-                _WITHDRAWN_REASONS[cause],
-                run_status=RunStatus.NOT_RUN,
-                may_have_arrived=False,
-            )
+            raise _withdrawn_error(cause)
+        if not self._notices.confirm_request(self._server, counted):
+            raise _withdrawn_error(self._notices.bound_cause(self._server))
         try:
             connection.send(data)
         except HttpConnectionError as error:
@@ -430,3 +432,12 @@
         # it, or any on a connection in use again, could belong to another request.
         is_reused = self._require_connection().is_reused
         return reply.request_id is None and reply.status >= 400 and not is_reused
+
+
+def _withdrawn_error(cause: WaitCause) -> AttemptError:
+    """Return the error of a request that was not sent since the server takes none."""
+    return AttemptError(
+        _WITHDRAWN_REASONS[cause],
+        run_status=RunStatus.NOT_RUN,
+        may_have_arrived=False,
+    )
--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -33,6 +33,8 @@
 """Maximum size of all bodies in assembly, of the 200 MB of a small entry VM."""
 _CROSS_ZONE_PENALTY = 0.1
 """Load, as a fraction of the slots, that a server in another zone must save."""
+_COLD_PENALTY = 0.25
+"""Load, as a fraction of the slots, that a cold server must save, since it is slow."""
 _FAILURE_PENALTY = 0.5
 """Load, as a fraction of the slots, that one recent failure counts for."""
 _ATTEMPT_TIMEOUT_FACTOR = 1.5
@@ -356,7 +358,7 @@
             else:
                 state.has_unused_retry = True
                 state.unreached_count += failure.is_server_failure
-            state.error = _to_request_error(failure, state.possible_runs)
+            state.error = self._attempt_error(context, state, failure)
             return None
         except QuarantinedError as error:
             # A server that is asked already may still answer.
@@ -393,6 +395,7 @@
             self._server_tracker.in_flight(server.vm),
             len(self._server_tracker.servers(context.service.name)),
             self._notices.request_limit_per_s(server.vm),
+            self._notices.is_cold(server),
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(server.vm)
@@ -449,6 +452,16 @@
             return None
         return min(servers, key=lambda s: (self._score(s), self._rng.random()))
 
+    def _attempt_error(
+        self, context: RequestContext, state: _PlainState, failure: AttemptError
+    ) -> RequestError:
+        """Return the error of a failed attempt, with the wait if no server takes it."""
+        if not failure.is_server_failure and not state.possible_runs:
+            wait = self._server_tracker.server_wait(context.service.name)
+            if wait is not None:
+                return server_wait_error(wait, self._rng)
+        return _to_request_error(failure, state.possible_runs)
+
     def _no_server_error(self, context: RequestContext) -> RequestError:
         wait = self._server_tracker.server_wait(context.service.name)
         if wait is not None:
@@ -461,6 +474,7 @@
         return (
             load
             + zone_penalty
+            + (_COLD_PENALTY if self._notices.is_cold(server) else 0.0)
             + _FAILURE_PENALTY * self._server_tracker.failure_score(server.vm)
         )
 
--- a/pomelolug/entry/requests/_request_context.py
+++ b/pomelolug/entry/requests/_request_context.py
@@ -36,6 +36,7 @@
 
 _WAIT_CODES = {
     WaitCause.LIMIT: ErrorCode.SERVER_LIMIT,
+    WaitCause.COLD: ErrorCode.SERVER_COLD,
     WaitCause.PAUSE: ErrorCode.SERVER_PAUSED,
 }
 
--- a/pomelolug/entry/requests/_request_record.py
+++ b/pomelolug/entry/requests/_request_record.py
@@ -21,14 +21,16 @@
     """Server selected for one attempt, and the result.
 
     `may_have_run` is set when the request has been sent, and cleared if the server
-    refuses it. `limit_per_s` is the limit of the server, None if it has none. `node` is
-    the address of the node that the request was passed on to instead of a server.
+    refuses it. `limit_per_s` is the limit of the server, None if it has none. `is_cold`
+    tells whether the server is cold. `node` is the address of the node that the request
+    was passed on to instead of a server.
     """
 
     server: VmId
     in_flight: int
     candidate_count: int
     limit_per_s: float | None = None
+    is_cold: bool = False
     result: str = _RUNNING
     may_have_run: bool = False
     node: str = ""
@@ -50,6 +52,8 @@
         }
         if self.limit_per_s is not None:
             fields["limit_per_s"] = self.limit_per_s
+        if self.is_cold:
+            fields["cold"] = True
         return fields
 
 
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -43,6 +43,11 @@
 
 _MAX_ATTEMPTS = 5
 """Maximum number of attempts, including those that a group refuses."""
+_COLD_PENALTY_S = 0.05
+"""Expected delay, in seconds, that the group of a cold head must save.
+
+It is slower than the estimate says, which does not know by how much.
+"""
 _RETRY_AFTER_FULL = datetime.timedelta(seconds=1.3)
 """Retry-After time if all groups are full.
 
@@ -257,7 +262,7 @@
                 if failure.is_server_failure:
                     self._server_tracker.suspect(head.vm)
                     state.unreached_count += 1
-                state.error = _to_request_error(failure, state.possible_runs)
+                state.error = self._attempt_error(context, state, failure)
                 continue
             except BaseException as error:
                 is_quarantined = isinstance(error, QuarantinedError)
@@ -284,6 +289,7 @@
             self._server_tracker.in_flight(head.vm),
             len(self._server_tracker.heads(context.request_head.model)),
             self._notices.request_limit_per_s(head.vm),
+            self._notices.is_cold(head),
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(head.vm)
@@ -518,6 +524,17 @@
         retry_after = _RETRY_AFTER_FULL if has_groups else _RETRY_AFTER_NO_GROUP
         return _no_group_error(has_groups, self._add_jitter(retry_after))
 
+    def _attempt_error(
+        self, context: RequestContext, state: StreamState, failure: AttemptError
+    ) -> RequestError:
+        """Return the error of a request not sent, with the wait if no head takes it."""
+        model = context.request_head.model
+        if not failure.is_server_failure and not state.possible_runs and model:
+            wait = self._server_tracker.head_wait(model)
+            if wait is not None:
+                return server_wait_error(wait, self._rng)
+        return _to_request_error(failure, state.possible_runs)
+
     def _refused_error(self, message: str) -> RequestError:
         return _backend_refused_error(message, self._add_jitter(_RETRY_AFTER_FULL))
 
@@ -596,7 +613,8 @@
             # is sent only if it can meet the latency target.
             limit = self._delay_estimator.limit(head, engine)
             if in_flight < limit or expected_delay_s <= target_s:
-                candidates.append(Candidate(head, expected_delay_s))
+                penalty_s = _COLD_PENALTY_S if self._notices.is_cold(head) else 0.0
+                candidates.append(Candidate(head, expected_delay_s + penalty_s))
         return candidates
 
     def _has_working_groups(self, context: RequestContext) -> bool:
--- a/pomelolug/entry/servers/__init__.py
+++ b/pomelolug/entry/servers/__init__.py
@@ -4,12 +4,20 @@
     Candidate,
     GroupSelector,
 )
+from pomelolug.entry.servers._cold_servers import (
+    ColdServers,
+)
 from pomelolug.entry.servers._leaving_servers import (
     LeavingServers,
 )
 from pomelolug.entry.servers._rate_limiter import (
     RequestRateLimiter,
 )
+from pomelolug.entry.servers._request_bound import (
+    BoundKind,
+    BoundSource,
+    RequestBound,
+)
 from pomelolug.entry.servers._server_contact import (
     ServerContact,
 )
@@ -32,9 +40,13 @@
 )
 
 __all__ = [
+    "BoundKind",
+    "BoundSource",
     "Candidate",
+    "ColdServers",
     "GroupSelector",
     "LeavingServers",
+    "RequestBound",
     "RequestRateLimiter",
     "ServerContact",
     "ServerLimits",
--- a/pomelolug/entry/servers/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -1,7 +1,7 @@
 """Whether a server takes a request now, given what servers state in their responses.
 
-A server may limit its requests per second, ask for a pause, or be about to leave. Every
-path to a server asks here before it chooses one.
+A server may limit its requests per second, be cold, ask for a pause, or be about to
+leave. Every path to a server asks here before it chooses one.
 """
 
 import dataclasses
@@ -13,8 +13,10 @@
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, ServerNotice, StatedAvailability
+from pomelolug.entry.servers._cold_servers import ColdServers
 from pomelolug.entry.servers._leaving_servers import LeavingServers
 from pomelolug.entry.servers._rate_limiter import RequestRateLimiter
+from pomelolug.entry.servers._request_bound import BoundKind
 from pomelolug.entry.servers._server_limits import ServerLimits
 from pomelolug.entry.servers._server_pauses import ServerPauses
 from pomelolug.ids import VmId
@@ -25,7 +27,8 @@
 _log = structlog.get_logger(__name__)
 
 _LIMIT_RETURN_SPREAD = 0.3
-"""Time over which callers return to a limited server, as a fraction of the wait."""
+"""Time over which callers return to a limited or cold server, as a fraction of the
+wait."""
 _PAUSE_RETURN_SPREAD = 0.5
 """The same after a pause, as a fraction of its length: callers collect during it."""
 
@@ -34,10 +37,14 @@
     """Why a server takes no request now."""
 
     LIMIT = "limit"
+    COLD = "cold"
     PAUSE = "pause"
     LEAVING = "leaving"
 
 
+_CAUSES = {BoundKind.LIMIT: WaitCause.LIMIT, BoundKind.COLD: WaitCause.COLD}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerWait:
     """Time until a server takes a request.
@@ -64,8 +71,10 @@
     ----------
     limits : ServerLimits
         Limits that servers set on their requests.
+    cold_servers : ColdServers
+        Servers that are cold.
     rate_limiter : RequestRateLimiter
-        Share of this node in these limits.
+        Share of this node in what these servers accept.
     clock : Clock
         Source of monotonic time.
     rng : random.Random
@@ -78,12 +87,14 @@
         self,
         *,
         limits: ServerLimits,
+        cold_servers: ColdServers,
         rate_limiter: RequestRateLimiter,
         clock: Clock,
         rng: random.Random,
         on_leaving: Callable[[], None],
     ) -> None:
         self._limits = limits
+        self._cold_servers = cold_servers
         self._rate_limiter = rate_limiter
         self._leaving = LeavingServers(clock=clock)
         self._pauses = ServerPauses(clock=clock, rng=rng)
@@ -94,6 +105,11 @@
         """Limits that servers set on their requests."""
         return self._limits
 
+    @property
+    def cold_servers(self) -> ColdServers:
+        """Servers that are cold."""
+        return self._cold_servers
+
     @property
     def leaving(self) -> LeavingServers:
         """Servers that are about to leave."""
@@ -107,6 +123,10 @@
         """Return whether a server wants no requests from this node for a while."""
         return self._pauses.find(server) is not None
 
+    def is_cold(self, server: BackendServer) -> bool:
+        """Return whether a server is cold and its service declares what it bears."""
+        return self._cold_servers.find_bound(server.vm) is not None
+
     def accepts_request(self, server: BackendServer) -> bool:
         """Return whether a server takes a request of this node now."""
         return self.find_wait(server) is None
@@ -114,7 +134,7 @@
     def refusal_cause(self, server: BackendServer) -> WaitCause | None:
         """Return why a server that was chosen must not get the request any more.
 
-        Limits are left out, since the request has been counted when it was sent.
+        Limits and coldness are left out, since `confirm_request` counts towards them.
         """
         if self.is_leaving(server):
             return WaitCause.LEAVING
@@ -124,14 +144,15 @@
         """Return how long a server takes no request, None if it takes one now."""
         if self.is_leaving(server):
             return ServerWait(WaitCause.LEAVING, float("inf"), 0.0)
-        limit_wait_s = self._rate_limiter.wait_s(server.vm)
+        bound_wait = self._rate_limiter.find_wait(server.vm)
+        bound_wait_s = bound_wait[1] if bound_wait is not None else 0.0
         pause = self._pauses.find(server)
-        if pause is not None and pause.left_s >= limit_wait_s:
+        if pause is not None and pause.left_s >= bound_wait_s:
             spread_s = _PAUSE_RETURN_SPREAD * pause.length_s
             return ServerWait(WaitCause.PAUSE, pause.left_s, spread_s)
-        if limit_wait_s > 0.0:
-            spread_s = _LIMIT_RETURN_SPREAD * limit_wait_s
-            return ServerWait(WaitCause.LIMIT, limit_wait_s, spread_s)
+        if bound_wait is not None:
+            spread_s = _LIMIT_RETURN_SPREAD * bound_wait_s
+            return ServerWait(_CAUSES[bound_wait[0]], bound_wait_s, spread_s)
         return None
 
     def shortest_wait(self, servers: Iterable[BackendServer]) -> ServerWait | None:
@@ -145,9 +166,40 @@
             return None
         return min(finite, key=lambda wait: wait.wait_s)
 
-    def count_request(self, server: BackendServer) -> None:
-        """Count a request that is sent to a server."""
-        self._rate_limiter.record_request(server.vm)
+    def take_request(self, server: BackendServer) -> frozenset[BoundKind] | None:
+        """Count a request that is about to be sent to a server.
+
+        Requests of the same moment may all have chosen the server.
+
+        Returns
+        -------
+        frozenset of BoundKind or None
+            Bounds towards which the request counts, None if the server takes no more.
+        """
+        return self._rate_limiter.try_take(server.vm)
+
+    def confirm_request(
+        self, server: BackendServer, counted: frozenset[BoundKind]
+    ) -> bool:
+        """Return whether a server still takes a request that is sent now.
+
+        The request is counted towards bounds that have become known since it was taken.
+        """
+        return self._rate_limiter.try_take(server.vm, counted) is not None
+
+    def bound_cause(self, server: BackendServer) -> WaitCause:
+        """Return why a server takes no more requests, if a bound is the cause."""
+        wait = self._rate_limiter.find_wait(server.vm)
+        return _CAUSES[wait[0]] if wait is not None else WaitCause.LIMIT
+
+    def record_entry(self, server: BackendServer) -> None:
+        """Record the entry of a server."""
+        if self._cold_servers.record_entry(server):
+            self._limits.record_restart(server.vm)
+
+    def record_removal(self, server: BackendServer) -> None:
+        """Record that the entry of a server has been removed."""
+        self._cold_servers.record_removal(server.vm)
 
     def record(
         self,
@@ -176,6 +228,8 @@
             self._pauses.record(server, notice.pause)
         elif notice.has_invalid_pause:
             _log.warning("server_pause_ignored", server=server.vm)
+        if self._cold_servers.record_notice(server, notice):
+            self._limits.record_restart(server.vm)
         if notice.request_limit_per_s is not None or confirms_no_limit:
             self._limits.record_response(
                 server.vm, notice.request_limit_per_s, sent_at_s=sent_at_s
@@ -188,12 +242,14 @@
     def merge(self, status: NodeStatus) -> None:
         """Apply what a peer reports."""
         self._limits.merge(status)
+        self._cold_servers.merge(status)
         if self._leaving.merge(status.leaving, source=status.node):
             self._on_leaving()
 
     def forget_expired(self) -> None:
         """Forget statements that no longer hold."""
         self._limits.forget_expired()
+        self._cold_servers.forget_expired()
         self._rate_limiter.drop_unlimited()
         self._leaving.forget_expired()
         self._pauses.forget_ended()
--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -189,13 +189,15 @@
     def publish_declaration(self, value) -> None:
         self.store.put("keyed.op", "config", msgspec.json.encode(value))
 
-    async def add_server(self, script, *, service: str = "plain", vm: str = "") -> str:
+    async def add_server(
+        self, script, *, service: str = "plain", vm: str = "", **fields
+    ) -> str:
         """Add a server; for the service `llm` it forms an open group of one member."""
         server = ScriptedServer(script)
         await server.start()
         self.servers.append(server)
         name = vm or f"vm-{len(self.servers)}"
-        self.publish_server(name, server.address, service=service)
+        self.publish_server(name, server.address, service=service, **fields)
         return name
 
     def publish_server(
@@ -206,8 +208,12 @@
         service: str = "plain",
         born: int = 1,
         state: str = "ready",
+        **fields,
     ) -> None:
-        """Write the entry of a server to the store; `born` changes if it restarts."""
+        """Write the entry of a server to the store; `born` changes if it restarts.
+
+        Further `fields` become part of the entry.
+        """
         record = {
             "service": service,
             "address": address,
@@ -221,6 +227,7 @@
             group = {"name": f"g-{name}", "epoch": born, "rank": 0, "state": "open"}
             models = [{"name": MODEL, "version": 1, "adapters": []}]
             record |= {"domain": "d", "group": group, "models": models}
+        record |= fields
         self.store.put("keyed.servers", name, msgspec.json.encode(record))
 
     async def start(
@@ -232,6 +239,8 @@
         seeds: tuple[str, ...] = (),
         internal_ports: tuple[int, ...] = (8004, 8010),
         stop_grace_s: float = 8.0,
+        cold_accepted_factor: float = 1.0,
+        cold_excess_requests: float = 0.0,
     ) -> None:
         """Start the entry process; wait until it listens and has found its servers.
 
@@ -256,6 +265,8 @@
             server_entry_lifetime=datetime.timedelta(seconds=3.6),
             shortest_lapse=datetime.timedelta(seconds=2.1),
             least_lease=datetime.timedelta(seconds=1),
+            cold_accepted_factor=cold_accepted_factor,
+            cold_excess_requests=cold_excess_requests,
         )
         self.entry = _EntryProcess(
             settings, NonBlockingWriter(os.dup(2)), lambda: settings
--- a/pomelolug/entry/tests/stating_server.py
+++ b/pomelolug/entry/tests/stating_server.py
@@ -22,7 +22,8 @@
     """Server whose responses carry `headers`, and which notes when requests arrive.
 
     It refuses requests if `refuses`, fails them after the first event or with status
-    500 if `fails`, and holds them open for `takes_s`.
+    500 if `fails`, and holds them open for `takes_s`. It answers requests for its
+    report with `report`, if that is not None.
     """
 
     def __init__(self, kind: str, **headers: str) -> None:
@@ -31,31 +32,47 @@
         self.refuses = False
         self.fails = False
         self.takes_s = 0.0
+        self.report: bytes | None = None
         self.arrivals_s: list[float] = []
         self.name = ""
         self._address = ""
 
-    async def add_to(self, harness: Harness) -> None:
-        self.name = await harness.add_server(self._run, service=_SERVICES[self.kind])
+    async def add_to(self, harness: Harness, **fields) -> None:
+        self.name = await harness.add_server(
+            self._run, service=_SERVICES[self.kind], **fields
+        )
         self._address = harness.servers[-1].address
 
-    def publish(self, harness: Harness, *, born: int = 1, state: str = "ready") -> None:
+    def publish(
+        self, harness: Harness, *, born: int = 1, state: str = "ready", **fields
+    ) -> None:
         """Write the entry of the server again; `born` changes if it has restarted."""
         service = _SERVICES[self.kind]
         harness.publish_server(
-            self.name, self._address, service=service, born=born, state=state
+            self.name, self._address, service=service, born=born, state=state, **fields
         )
 
     def count_after(self, start_s: float) -> int:
         return sum(t >= start_s for t in self.arrivals_s)
 
+    def most_in_window(self, window_s: float, *, since_s: float) -> int:
+        """Return the most arrivals in a window that begins at `since_s` or later."""
+        times = [t for t in self.arrivals_s if t >= since_s]
+        return max(
+            (sum(start <= t < start + window_s for t in times) for start in times),
+            default=0,
+        )
+
     def _wire_headers(self) -> dict[str, str]:
         return {name.replace("_", "-"): text for name, text in self.headers.items()}
 
     async def _run(self, request) -> None:
         if not request.target.startswith(f"/{self.kind}/"):
             # A report or an order of the controller.
-            request.send("404 Not Found", {})
+            if self.report is None:
+                request.send("404 Not Found", {})
+            else:
+                request.send("200 OK", self._wire_headers(), self.report)
             return
         self.arrivals_s.append(time.monotonic())
         if self.refuses:
--- a/pomelolug/entry/tests/test_rate_limiter.py
+++ b/pomelolug/entry/tests/test_rate_limiter.py
@@ -31,7 +31,7 @@
         self.name = NodeId(name)
         self.limits = ServerLimits(zone=zone, clock=clock, on_news=lambda: None)
         self.limiter = RequestRateLimiter(
-            limits=self.limits,
+            sources=(self.limits,),
             node=self.name,
             zone=zone,
             zones=zones,
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -7,6 +7,7 @@
 
 from pomelolug.deployment import ServerRegistry
 from pomelolug.entry.servers import (
+    ColdServers,
     RequestRateLimiter,
     ServerLimits,
     ServerNotices,
@@ -22,8 +23,16 @@
 
 def make_tracker() -> ServerTracker:
     clock, zone = LoopClock(), ZoneId("a")
+    limits = ServerLimits(zone=zone, clock=clock, on_news=lambda: None)
+    cold_servers = ColdServers(
+        zone=zone,
+        clock=clock,
+        accepted_factor=1.5,
+        excess_requests=5.0,
+        on_news=lambda: None,
+    )
     rate_limiter = RequestRateLimiter(
-        limits=ServerLimits(zone=zone, clock=clock, on_news=lambda: None),
+        sources=(limits, cold_servers),
         node=NodeId("n"),
         zone=zone,
         zones=(),
@@ -31,7 +40,8 @@
         rng=random.Random(0),
     )
     notices = ServerNotices(
-        limits=rate_limiter.limits,
+        limits=limits,
+        cold_servers=cold_servers,
         rate_limiter=rate_limiter,
         clock=clock,
         rng=random.Random(0),
--- a/pomelolug/errors/_codes.py
+++ b/pomelolug/errors/_codes.py
@@ -42,6 +42,7 @@
     NO_GROUP = "no_group"
     QUEUE_FULL = "queue_full"
     SERVER_LIMIT = "server_limit"
+    SERVER_COLD = "server_cold"
     SERVER_PAUSED = "server_paused"
     DEADLINE_UNMEETABLE = "deadline_unmeetable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -28,6 +28,7 @@
 )
 from pomelolug.entry.losses import PoisonRequestDetector, compute_fingerprint
 from pomelolug.entry.servers import (
+    ColdServers,
     RequestRateLimiter,
     ServerLimits,
     ServerNotices,
@@ -111,23 +112,32 @@
     return registry
 
 
-def _make_rate_limiter() -> RequestRateLimiter:
+def _make_rate_limiter() -> tuple[RequestRateLimiter, ServerLimits, ColdServers]:
     clock, zone = _ProcessClock(), ZoneId("z")
     limits = ServerLimits(zone=zone, clock=clock, on_news=lambda: None)
-    return RequestRateLimiter(
-        limits=limits,
+    cold_servers = ColdServers(
+        zone=zone,
+        clock=clock,
+        accepted_factor=1.5,
+        excess_requests=5.0,
+        on_news=lambda: None,
+    )
+    rate_limiter = RequestRateLimiter(
+        sources=(limits, cold_servers),
         node=NodeId("n"),
         zone=zone,
         zones=(),
         clock=clock,
         rng=random.Random(0),
     )
+    return rate_limiter, limits, cold_servers
 
 
 def _make_notices() -> ServerNotices:
-    rate_limiter = _make_rate_limiter()
+    rate_limiter, limits, cold_servers = _make_rate_limiter()
     return ServerNotices(
-        limits=rate_limiter.limits,
+        limits=limits,
+        cold_servers=cold_servers,
         rate_limiter=rate_limiter,
         clock=_ProcessClock(),
         rng=random.Random(0),
@@ -242,19 +252,21 @@
     ]
 
 
-def _make_limited(count: int) -> tuple[RequestRateLimiter, list[VmId]]:
+def _make_limited(
+    count: int,
+) -> tuple[RequestRateLimiter, ServerLimits, list[VmId]]:
     """Return the limiter of a node at the planned size, with limited servers."""
-    limiter = _make_rate_limiter()
+    limiter, limits, _ = _make_rate_limiter()
     zone_nodes = [NodeId(f"n{number}") for number in range(_PLANNED_ZONE_NODES)]
     limiter.set_nodes(count=_PLANNED_NODES, zone_nodes=zone_nodes)
     servers = [VmId(f"i-{number:010x}") for number in range(count)]
     for vm in servers:
-        limiter.limits.record_response(vm, _LIMIT_PER_S, sent_at_s=0.0)
-    return limiter, servers
+        limits.record_response(vm, _LIMIT_PER_S, sent_at_s=0.0)
+    return limiter, limits, servers
 
 
 def _make_limit_checks(count: int) -> Callable[[], object]:
-    limiter, servers = _make_limited(count)
+    limiter, _, servers = _make_limited(count)
     return lambda: [limiter.wait_s(vm) for vm in servers]
 
 
@@ -262,8 +274,8 @@
     counts = (1, 2, 4, 8)
     sizes = []
     for count in counts:
-        limiter, _ = _make_limited(count)
-        reports = limiter.limits.own_reports()
+        _, limits, _ = _make_limited(count)
+        reports = limits.own_reports()
         status = msgspec.structs.replace(
             _make_status(0), limits=reports, zone_limits=reports, other_limits=reports
         )
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -16,6 +16,7 @@
 )
 from pomelolug.messages._configuration_generated import ConfigurationChange
 from pomelolug.messages._entry_generated import (
+    ColdReport,
     FeedBatch,
     FeedRecord,
     LeavingReport,
@@ -63,6 +64,7 @@
     "ClaimRequest",
     "ClaimUpdate",
     "ClaimVerdict",
+    "ColdReport",
     "ConfigurationChange",
     "DemandReport",
     "Digest",
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -5,7 +5,14 @@
 
 from pomelolug.messages._codec import Message
 
-__all__ = ["FeedBatch", "FeedRecord", "LeavingReport", "LimitReport", "NodeStatus"]
+__all__ = [
+    "ColdReport",
+    "FeedBatch",
+    "FeedRecord",
+    "LeavingReport",
+    "LimitReport",
+    "NodeStatus",
+]
 
 
 class LimitReport(Message, frozen=True, kw_only=True):
@@ -17,6 +24,15 @@
     """Time since the server's response, in seconds."""
 
 
+class ColdReport(Message, frozen=True, kw_only=True):
+    """A server that is cold, so that it bears fewer requests."""
+
+    start_time_ms: int
+    """Start of the server, in milliseconds since 1970; 0 if unknown."""
+    remaining_s: float
+    """Time for which the server stays cold, in seconds."""
+
+
 class LeavingReport(Message, frozen=True, kw_only=True):
     """A server that has stated that it is about to leave."""
 
@@ -81,6 +97,12 @@
     """Limits that servers stated in the relay's whole zone."""
     other_limits: dict[str, LimitReport] = {}
     """Limits that servers stated in all other zones, as known to the relay."""
+    cold: dict[str, ColdReport] = {}
+    """Servers that are cold, as known to the node itself."""
+    zone_cold: dict[str, ColdReport] = {}
+    """Servers that are cold, as known in the relay's whole zone."""
+    other_cold: dict[str, ColdReport] = {}
+    """Servers that are cold, as known in all other zones to the relay."""
     leaving: dict[str, LeavingReport] = {}
     """Servers that have stated that they are about to leave."""
     reaches_servers: bool = True
--- a/pomelolug/platform/_declaration.py
+++ b/pomelolug/platform/_declaration.py
@@ -92,6 +92,10 @@
     health_path: str = "/health"
     # Limit for all callers of the service together.
     max_conns: int = 100
+    # Time for which a server is cold after its start, and the requests per second
+    # that it bears meanwhile from all callers; 0 if the service has no cold servers.
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _Engine | None = None
 
 
@@ -174,6 +178,8 @@
         name=ServiceName(raw.name),
         health_path=raw.health_path,
         max_connections=raw.max_conns,
+        cold_time=datetime.timedelta(seconds=max(raw.cold_start_s, 0.0)),
+        cold_requests_per_s=max(raw.cold_per_s, 0.0),
         engine=_decode_engine(raw.engine) if raw.engine is not None else None,
     )
 
--- a/pomelolug/platform/_headers.py
+++ b/pomelolug/platform/_headers.py
@@ -8,6 +8,7 @@
 from pomelolug.deployment import ServerNotice
 from pomelolug.ids import AccountId, ModelName, RequestId, VmId
 from pomelolug.platform import _wire_names
+from pomelolug.platform._cold_times import decode_cold_time
 from pomelolug.transport import ResponseHead
 
 __all__ = [
@@ -66,6 +67,7 @@
 _MAX_PAUSE_S = 86_400.0
 """Longest pause of a server, in seconds; a longer one is shortened to it."""
 _UNAVAILABLE_STATUS = 503
+_OTHER_SERVER_STATUS = 421
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -232,7 +234,8 @@
         status=head.status,
         request_id=RequestId(_decode_text(request)) if request is not None else None,
         sealed=head.get(_wire_names.RESPONSE_SEAL) is not None,
-        refused=head.status == 421 or head.get(_wire_names.NOT_EXECUTED) is not None,
+        refused=head.status == _OTHER_SERVER_STATUS
+        or head.get(_wire_names.NOT_EXECUTED) is not None,
         encoded=head.get(b"content-encoding") is not None,
         at_fault=VmId(_decode_text(at_fault)) if at_fault is not None else None,
         notice=decode_server_notice(head),
@@ -243,16 +246,23 @@
     """Return what a server states about itself in a response.
 
     A pause counts only in a response that turns the request away. It is a number of
-    seconds: a date would depend on the clocks of both VMs.
+    seconds: a date would depend on the clocks of both VMs. A response from another
+    server than the one addressed says nothing of the latter's coldness.
     """
     retry_after = head.get(_wire_names.RETRY_AFTER)
     names_pause = head.status == _UNAVAILABLE_STATUS and retry_after is not None
     pause_s = _decode_pause_s(retry_after) if names_pause else None
+    is_addressee = head.status != _OTHER_SERVER_STATUS
+    cold_for, has_invalid_cold_time = decode_cold_time(
+        head.get(_wire_names.COLD_MS) if is_addressee else None
+    )
     return ServerNotice(
         request_limit_per_s=_decode_rate(head.get(_wire_names.SERVER_LIMIT)),
         is_leaving=(head.get(_wire_names.SERVER_LEAVING) or b"").strip() == b"1",
         pause=datetime.timedelta(seconds=pause_s) if pause_s is not None else None,
         has_invalid_pause=names_pause and pause_s is None,
+        cold_for=cold_for,
+        has_invalid_cold_time=has_invalid_cold_time,
     )
 
 
--- a/pomelolug/platform/_server_control.py
+++ b/pomelolug/platform/_server_control.py
@@ -18,6 +18,7 @@
 )
 from pomelolug.ids import GroupId, ModelName, VmId
 from pomelolug.platform import _wire_names
+from pomelolug.platform._cold_times import decode_cold_time
 from pomelolug.platform._headers import decode_server_notice
 from pomelolug.transport import (
     ConnectionPool,
@@ -63,6 +64,8 @@
     group: _Group | None = None
     staged: tuple[str, ...] = ()
     models: tuple[_Model, ...] = ()
+    # Of any type, so that an odd value does not make the report unreadable.
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b"")
 
 
 class HttpServerControl(ServerControl):
@@ -195,7 +198,11 @@
             )
             if head.status != 200:
                 return None
-            return _decode_report(body)
+            raw = msgspec.json.decode(body, type=_Report)
+            notice = _decode_report_notice(raw)
+            if notice != ServerNotice():
+                self._on_notice(server, notice)
+            return _convert_report(raw)
         except (HttpConnectionError, TimeoutError, msgspec.DecodeError):
             return None
 
@@ -262,8 +269,16 @@
     )
 
 
-def _decode_report(data: bytes) -> ServerReport:
-    raw = msgspec.json.decode(data, type=_Report)
+def _decode_report_notice(raw: _Report) -> ServerNotice:
+    cold_for, has_invalid_cold_time = decode_cold_time(bytes(raw.cold_remaining_ms))
+    return ServerNotice(
+        cold_for=cold_for,
+        has_invalid_cold_time=has_invalid_cold_time,
+        start_time_ms=raw.born,
+    )
+
+
+def _convert_report(raw: _Report) -> ServerReport:
     return ServerReport(
         orders_begun=raw.seq,
         start_time_ms=raw.born,
--- a/pomelolug/platform/_servers.py
+++ b/pomelolug/platform/_servers.py
@@ -9,6 +9,7 @@
     ServerState,
 )
 from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId, ZoneId
+from pomelolug.platform._cold_times import decode_cold_time
 
 __all__ = ["decode_server"]
 
@@ -39,6 +40,8 @@
     staged: tuple[str, ...] = ()
     models: tuple[_Model, ...] = ()
     group: _Group | None = None
+    # Of any type, so that an odd value does not make a sound server invisible.
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b"")
 
 
 def decode_server(vm: VmId, data: bytes) -> BackendServer | None:
@@ -54,6 +57,7 @@
     host, _, port = raw.address.rpartition(":")
     if not host or not port.isdigit() or not raw.service:
         return None
+    cold_for, has_invalid_cold_time = decode_cold_time(bytes(raw.cold_remaining_ms))
     return BackendServer(
         vm=vm,
         start_time_ms=raw.born,
@@ -66,6 +70,8 @@
         staged=frozenset(ModelName(name) for name in raw.staged),
         model=ModelName(raw.models[0].name) if raw.models else None,
         membership=_decode_membership(raw.group),
+        cold_for=cold_for,
+        has_invalid_cold_time=has_invalid_cold_time,
     )
 
 
--- a/pomelolug/platform/_settings.py
+++ b/pomelolug/platform/_settings.py
@@ -33,6 +33,10 @@
     stall_ms: float = 5000.0
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50.0
+    # Requests that a cold server accepts in any second, as a multiple of what it
+    # bears, and beyond that.
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -89,6 +93,10 @@
     """Shortest time without the store in which the entry of a live server can lapse."""
     least_lease: datetime.timedelta
     """Shortest time to live that the store accepts for a membership."""
+    cold_accepted_factor: float = 1.0
+    """Requests that a cold server accepts in a second, as a multiple of its limit."""
+    cold_excess_requests: float = 0.0
+    """Requests that a cold server accepts in a second beyond that."""
 
 
 def load_settings(path: pathlib.Path) -> NodeSettings:
@@ -138,6 +146,8 @@
         server_entry_lifetime=_HEARTBEATS_PER_LIFETIME * heartbeat,
         shortest_lapse=(_HEARTBEATS_PER_LIFETIME - _LONGEST_HEARTBEAT) * heartbeat,
         least_lease=datetime.timedelta(milliseconds=file.platform.min_ttl_ms),
+        cold_accepted_factor=bounds.cold_overage,
+        cold_excess_requests=bounds.cold_slack,
     )
 
 
--- a/pomelolug/platform/_wire_names.py
+++ b/pomelolug/platform/_wire_names.py
@@ -14,6 +14,8 @@
 SERVER_LIMIT = b"Server-Limit"
 # Set by a server that is about to leave, in all its responses.
 SERVER_LEAVING = b"Server-Leaving"
+# Milliseconds for which a server stays cold.
+COLD_MS = b"Cold-Ms"
 # Rises when the store goes back to an older copy.
 STORE_ERA = b"Store-Era"
 INSTANCE_ID = b"Instance-Id"
