--- a/pomelolug/entry/tests/stating_server.py
+++ b/pomelolug/entry/tests/stating_server.py
@@ -34,6 +34,7 @@
         self.takes_s = 0.0
         self.report: bytes | None = None
         self.arrivals_s: list[float] = []
+        self.request_ids: list[str] = []
         self.name = ""
         self._address = ""
 
@@ -75,6 +76,7 @@
                 request.send("200 OK", self._wire_headers(), self.report)
             return
         self.arrivals_s.append(time.monotonic())
+        self.request_ids.append(request.request_id)
         if self.refuses:
             headers = {"Not-Executed": "1"} | self._wire_headers()
             request.send(
@@ -107,10 +109,13 @@
 
 
 class Answer:
-    """Status and Retry-After of a response, and how long it took."""
+    """Status, Retry-After and body of a response, and how long it took."""
 
-    def __init__(self, status: int, retry_after_s: float, took_s: float) -> None:
+    def __init__(
+        self, status: int, retry_after_s: float, took_s: float, body: bytes
+    ) -> None:
         self.status = status
+        self.body = body
         self.retry_after_s = retry_after_s
         self.took_s = took_s
 
@@ -123,7 +128,7 @@
     started_s = time.monotonic()
     connection = await node.connect()
     try:
-        head, _ = await node.request(
+        head, body = await node.request(
             f"/{kind}/x",
             method=b"GET" if kind == "safe" else b"POST",
             request_id=name,
@@ -135,7 +140,7 @@
         connection.close()
     retry_after = head.get(b"Retry-After") if head.status == 503 else None
     retry_after_s = float(retry_after or b"nan")
-    return Answer(head.status, retry_after_s, time.monotonic() - started_s)
+    return Answer(head.status, retry_after_s, time.monotonic() - started_s, body)
 
 
 async def send_for(
