Let servers come back cold in the process soak

Plain servers, one or all, start again under their ids and are cold for 3 to 6 s; the soak checks from what the servers saw that entry VMs in touch sent each of them no more than it accepts in any second. A generator of its own chooses them, so that the other faults of a seed stay as they were.

--- a/pomelolug/experiments/process_soak/_cluster.py
+++ b/pomelolug/experiments/process_soak/_cluster.py
@@ -22,6 +22,8 @@
     decode_server,
 )
 from pomelolug.testing import (
+    COLD_ACCEPTED_FACTOR,
+    COLD_EXCESS_REQUESTS,
     FakeMetadataStore,
     LoopbackProxy,
     SampleDeployment,
@@ -47,6 +49,8 @@
     "account-c": ("key-c1",),
 }
 _START_TIMEOUT_S = 20.0
+_COLD_REQUESTS_PER_S = 2.0
+"""Requests per second that a cold server bears, well below its share of the calls."""
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -107,7 +111,11 @@
         self._entry_count = entry_count
         self._network_prefix, self._prefix_lock = reserve_loopback_prefix()
         self._store = FakeMetadataStore()
-        self._deployment = SampleDeployment(version=1, keys=dict(_ACCOUNT_KEYS))
+        self._deployment = SampleDeployment(
+            version=1,
+            keys=dict(_ACCOUNT_KEYS),
+            cold_requests_per_s=_COLD_REQUESTS_PER_S,
+        )
         self._probe_tasks: list[asyncio.Task[None]] = []
         self.entries: list[EntryVm] = []
         self.servers: list[ServerHandle] = []
@@ -129,6 +137,12 @@
         """All processes of the run."""
         return [*self.server_processes, *(entry.process for entry in self.entries)]
 
+    @property
+    def cold_accepted_requests(self) -> float:
+        """Requests that a cold server accepts in a second from all entry VMs."""
+        rate_per_s = self._deployment.cold_requests_per_s
+        return rate_per_s * COLD_ACCEPTED_FACTOR + COLD_EXCESS_REQUESTS
+
     def pick_entry(self, connected_entries: Container[str]) -> str:
         """Return a random entry VM in rotation or with an open connection, or ""."""
         usable = [
--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -53,6 +53,8 @@
 _REWRITE_DELAY_RANGE_S = (0.2, 1.5)
 _UNAVAILABLE_STATUS = 503
 _INTERRUPTION_MEAN_INTERVAL_S = 5.0
+_COLD_RETURN_MEAN_INTERVAL_S = 6.0
+_COLD_RANGE_S = (3.0, 6.0)
 _SILENCE_RANGE_S = (1.0, 1.6)
 """Silences that are no disruption of sound servers."""
 _ALL_SILENT_SHARE = 0.5
@@ -76,6 +78,8 @@
     interruption_rng : random.Random
         Chooses the same for interruptions of servers, so that the other faults of a
         seed do not depend on them.
+    cold_rng : random.Random
+        Chooses the same for servers that come back cold.
     """
 
     def __init__(
@@ -85,12 +89,14 @@
         fault_windows: FaultWindows,
         rng: random.Random,
         interruption_rng: random.Random,
+        cold_rng: random.Random,
     ) -> None:
         self._cluster = cluster
         self._guarantees = guarantees
         self._fault_windows = fault_windows
         self._rng = rng
         self._interruption_rng = interruption_rng
+        self._cold_rng = cold_rng
         self._started_at_s = time.monotonic()
         self._tasks: set[asyncio.Task[None]] = set()
         self._reserved: set[str] = set()
@@ -128,6 +134,9 @@
             "servers_silent": self._silence_servers,
             "entry_cut_from_servers": self._cut_entries_off,
         }
+        self._cold_returns_by_kind: dict[str, Callable[[], Awaitable[None]]] = {
+            "servers_return_cold": self._let_servers_return_cold,
+        }
 
     async def run(self, length_s: float) -> None:
         """Inject faults for `length_s` seconds, then wait for the last one to end.
@@ -149,6 +158,12 @@
                 self._interruption_rng,
                 until_s,
             ),
+            self._inject_at_random(
+                self._cold_returns_by_kind,
+                _COLD_RETURN_MEAN_INTERVAL_S,
+                self._cold_rng,
+                until_s,
+            ),
         )
         await asyncio.gather(*self._tasks)
         await asyncio.sleep(QUIET_PERIOD_S + _CALM_TIME_S)
@@ -176,7 +191,8 @@
 
     async def _inject(self, kind: str) -> None:
         self.counts[kind] += 1
-        await (self._faults_by_kind | self._interruptions_by_kind)[kind]()
+        kinds = self._faults_by_kind | self._interruptions_by_kind
+        await (kinds | self._cold_returns_by_kind)[kind]()
 
     def record_event(self, text: str) -> None:
         """Add a line with the current time to the history."""
@@ -407,6 +423,32 @@
             self._send_restart(server)
         self._reserved.discard(server.vm)
 
+    async def _let_servers_return_cold(self) -> None:
+        """Restart plain servers, one or all of them, which are cold for a while."""
+        servers = [s for s in self._cluster.servers if s.vm.startswith("plain")]
+        if self._cold_rng.random() < 0.5:
+            servers = [self._cold_rng.choice(servers)]
+        cold_s = round(self._cold_rng.uniform(*_COLD_RANGE_S), 2)
+        servers = [s for s in servers if self._reserve(s.vm)]
+        if not servers:
+            return
+        names = [s.vm for s in servers]
+        targets = {target for vm in names for target in server_targets(vm)}
+        async with self._fault_window(
+            f"{', '.join(names)} cold for {cold_s} s", *sorted(targets)
+        ):
+            for server in servers:
+                server.is_lost = False
+                self._cluster.send_command(server, "restart", cold_s)
+                self._guarantees.record_coldness(
+                    server.vm,
+                    self._cluster.cold_accepted_requests,
+                    start_s=time.monotonic(),
+                    length_s=cold_s,
+                )
+            await asyncio.sleep(cold_s)
+        self._reserved.difference_update(names)
+
     def _send_restart(self, server: ServerHandle) -> None:
         server.is_lost = False
         self._cluster.send_command(server, "restart")
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -56,6 +56,9 @@
 """Requests allowed in a window, as a multiple of the limit of a server."""
 _LIMIT_EXCESS = 5
 """Requests allowed in a window beyond that."""
+_COLD_WINDOW_S = 1.0
+_COLD_KNOWN_S = 1.0
+"""Time after which the entry of a server that has just started is known everywhere."""
 _LIMIT_KNOWN_S = 0.5
 """Time after a response with a limit from which its entry VM has to keep to it."""
 
@@ -74,6 +77,16 @@
         return self.start_s <= at_s and (self.end_s is None or at_s <= self.end_s)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _ColdPeriod:
+    """Period in which a server is cold and accepts so many requests in a second."""
+
+    vm: str
+    accepted_requests: float
+    start_s: float
+    end_s: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class DeparturePeriod:
     """Period in which the entry of a server said that it drains, or was gone."""
@@ -104,6 +117,7 @@
         self._revoked_at_s: dict[str, float] = {}
         self._departures: list[DeparturePeriod] = []
         self._limit_periods: list[LimitPeriod] = []
+        self._cold_periods: list[_ColdPeriod] = []
         self._turned_away: list[TurnedAwayRequest] = []
         self._silences: list[FaultWindow] = []
         self._cuts: list[FaultWindow] = []
@@ -166,6 +180,19 @@
         self._limit_periods.append(period)
         return period
 
+    def record_coldness(
+        self, vm: str, accepted_requests: float, *, start_s: float, length_s: float
+    ) -> None:
+        """Record that `vm` is cold and how many requests it accepts in a second."""
+        self._cold_periods.append(
+            _ColdPeriod(
+                vm=vm,
+                accepted_requests=accepted_requests,
+                start_s=start_s,
+                end_s=start_s + length_s,
+            )
+        )
+
     def record_silence(self, window: FaultWindow) -> None:
         """Record the window in which sound servers fall silent and go on."""
         self._silences.append(window)
@@ -187,6 +214,8 @@
             violations += self._run_violations(run)
         for period in self._limit_periods:
             violations += self._limit_violations(period)
+        for cold_period in self._cold_periods:
+            violations += self._cold_violations(cold_period)
         violations += departure_violations(self._calls, self._runs, self._fault_windows)
         violations += pause_violations(
             self._calls, self._runs, self._turned_away, self._fault_windows
@@ -236,6 +265,28 @@
                 f"in {_LIMIT_WINDOW_S:.0f} s"
             )
 
+    def _cold_violations(self, period: _ColdPeriod) -> Iterator[str]:
+        """Yield a violation if entry VMs in touch sent too much to a cold server."""
+        counted_at_s = [
+            run.started_at_s
+            for run in self._runs
+            if run.vm == period.vm
+            and period.start_s + _COLD_KNOWN_S <= run.started_at_s <= period.end_s
+            and self._was_in_touch_since(run, period.start_s)
+        ]
+        most = max(
+            (
+                sum(start_s <= at_s < start_s + _COLD_WINDOW_S for at_s in counted_at_s)
+                for start_s in counted_at_s
+            ),
+            default=0,
+        )
+        if most > period.accepted_requests:
+            yield (
+                f"{period.vm} was cold, accepts {period.accepted_requests:.0f} "
+                f"requests in {_COLD_WINDOW_S:.0f} s and got {most}"
+            )
+
     def _containment_violations(self) -> Iterator[str]:
         """Yield the requests that undisturbed entry VMs let crash too many servers."""
         runs_by_request: dict[tuple[str, str], list[ServerRun]] = {}
@@ -276,6 +327,12 @@
             call.entry, call.sent_at_s, run.started_at_s
         )
 
+    def _was_in_touch_since(self, run: ServerRun, since_s: float) -> bool:
+        call = self._calls.get(run.request_id)
+        return call is not None and not self._is_affected(
+            call.entry, min(since_s, call.sent_at_s), run.started_at_s
+        )
+
     def _execution_violations(self, call: SentCall, runs: int) -> Iterator[str]:
         if call.kind is CallKind.ONCE and runs > 1:
             yield f"{call.request_id} ran {runs} times and may run once"
--- a/pomelolug/experiments/process_soak/_run.py
+++ b/pomelolug/experiments/process_soak/_run.py
@@ -90,6 +90,7 @@
         fault_windows,
         random.Random(rng.random()),
         random.Random(rng.random()),
+        random.Random(rng.random()),
     )
     tasks: list[asyncio.Task[None]] = []
     try:
--- a/pomelolug/experiments/process_soak/tests/test_promises.py
+++ b/pomelolug/experiments/process_soak/tests/test_promises.py
@@ -83,6 +83,38 @@
     return guarantees.check(timeouts=TIMEOUTS)
 
 
+def find_cold_violations(*entries: str, interval_s: float, **fault: str) -> list[str]:
+    """Return the violations of a cold server that accepts 5 requests in a second."""
+    fault_windows = FaultWindows()
+    if fault:
+        window = fault_windows.open(fault["target"], start_s=START, is_planned=False)
+        window.end_s = START + 8.0
+    guarantees = GuaranteeChecker(fault_windows)
+    guarantees.record_coldness("vm-1", 5.0, start_s=START, length_s=4.0)
+    for entry in entries:
+        for number in range(round(8.0 / interval_s)):
+            name = f"{entry}-{number}"
+            at_s = START + number * interval_s
+            call = make_call(
+                request_id=name, entry=entry, sent_at_s=at_s, ended_at_s=at_s + 0.1
+            )
+            call.answer = dataclasses.replace(call.answer, request_id=name)
+            guarantees.record_call(call)
+            guarantees.record_run(make_run(request_id=name, started_at_s=at_s + 0.01))
+    return guarantees.check(timeouts=TIMEOUTS)
+
+
+def test_requests_beyond_what_a_cold_server_accepts_are_reported():
+    # Guards against a soak that misses entry VMs that exceed the bound together.
+    assert find_cold_violations("entry-0", "entry-1", interval_s=0.25) == [
+        "vm-1 was cold, accepts 5 requests in 1 s and got 8"
+    ]
+    assert not find_cold_violations("entry-0", interval_s=0.25)
+    assert not find_cold_violations(
+        "entry-0", "entry-1", interval_s=0.25, target="entry-1"
+    )
+
+
 def test_requests_beyond_the_limit_of_a_server_are_reported():
     assert find_limit_violations("entry-0") == [
         "vm-1 limits requests to 1.0/s and got 16 in 4 s"
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -19,11 +19,18 @@
 from pomelolug.testing._loopback_proxy import LinkCut, LinkFault, LoopbackProxy
 from pomelolug.testing._memory_log import LogFaults, MemoryLog
 from pomelolug.testing._process_connections import ProcessConnections
-from pomelolug.testing._sample_deployment import SampleDeployment, format_entry_settings
+from pomelolug.testing._sample_deployment import (
+    COLD_ACCEPTED_FACTOR,
+    COLD_EXCESS_REQUESTS,
+    SampleDeployment,
+    format_entry_settings,
+)
 from pomelolug.testing._scripted_server import ReceivedRequest, ScriptedServer
 from pomelolug.testing._store_stand_in import FakeMetadataStore
 
 __all__ = [
+    "COLD_ACCEPTED_FACTOR",
+    "COLD_EXCESS_REQUESTS",
     "CRASHING_PROMPT_PART",
     "CRASH_PATH_PART",
     "CallerResponse",
--- a/pomelolug/testing/_sample_deployment.py
+++ b/pomelolug/testing/_sample_deployment.py
@@ -5,11 +5,20 @@
 
 import msgspec
 
-__all__ = ["SampleDeployment", "format_entry_settings"]
+__all__ = [
+    "COLD_ACCEPTED_FACTOR",
+    "COLD_EXCESS_REQUESTS",
+    "SampleDeployment",
+    "format_entry_settings",
+]
 
 HOST = "h.example"
 GRACE_PERIOD_S = 8.0
 STALL_TIMEOUT_S = 2.0
+COLD_ACCEPTED_FACTOR = 1.5
+COLD_EXCESS_REQUESTS = 2.0
+"""Requests that a cold server accepts in a second, as a multiple of what it bears, and
+beyond that."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -24,12 +33,15 @@
         API keys of each client account.
     plain_timeout_ms, stream_timeout_ms : int
         Longest time to a response on a plain or a streaming route.
+    cold_requests_per_s : float
+        Requests per second that a cold server bears; 0 if no server is ever cold.
     """
 
     version: int
     keys: dict[str, tuple[str, ...]]
     plain_timeout_ms: int = 1500
     stream_timeout_ms: int = 5000
+    cold_requests_per_s: float = 0.0
 
     def encode(self) -> bytes:
         """Encode the declaration as the metadata store holds it."""
@@ -38,8 +50,12 @@
                 "version": self.version,
                 "routes": self._routes(),
                 "services": [
-                    {"name": "plain"},
-                    {"name": "llm", "engine": self.engine_profile()},
+                    {"name": "plain", "cold_per_s": self.cold_requests_per_s},
+                    {
+                        "name": "llm",
+                        "engine": self.engine_profile(),
+                        "cold_per_s": self.cold_requests_per_s,
+                    },
                 ],
                 "limits": {"max_header_bytes": 8192, "max_body_bytes": 100_000},
                 "tenants": [
@@ -105,4 +121,5 @@
         f'[listen]\nfront = "{ip}:8001"\nready = "{ip}:8002"\ncontrol = "{ip}:8003"\n'
         f'[platform]\naddress = "{store}"\nmin_ttl_ms = 1000\n'
         f"[bounds]\ngrace_s = {GRACE_PERIOD_S}\nstall_ms = {STALL_TIMEOUT_S * 1000}\n"
+        f"cold_overage = {COLD_ACCEPTED_FACTOR}\ncold_slack = {COLD_EXCESS_REQUESTS}\n"
     )
--- a/pomelolug/testing/group_server.py
+++ b/pomelolug/testing/group_server.py
@@ -70,11 +70,11 @@
     """Command to one server.
 
     `do` is one of `dark` (stop responding until a restart), `restart` (with the
-    same id), `drain`, `slow` (by the factor `x`), `garble` (corrupt a share `x`
-    of the responses), `limit` (name a limit of `x` requests per second, 0 for none),
-    `leave` (state in responses that the server leaves), `unlist` (write no more entries
-    until the command to restart) and `pause` (turn requests away and ask for a pause of
-    `x` seconds, 0 for no longer).
+    same id, and cold for `x` seconds), `drain`, `slow` (by the factor `x`), `garble`
+    (corrupt a share `x` of the responses), `limit` (name a limit of `x` requests per
+    second, 0 for none), `leave` (state in responses that the server leaves), `unlist`
+    (write no more entries until the command to restart) and `pause` (turn requests away
+    and ask for a pause of `x` seconds, 0 for no longer).
     """
 
     do: str
@@ -90,6 +90,8 @@
         self._planned = planned
         self._pending: dict[str, bytes] = {}
         self._unlisted: set[str] = set()
+        # Monotonic times until which servers are cold.
+        self.cold_until_s: dict[str, float] = {}
         self._changed = asyncio.Event()
 
     def apply(
@@ -116,6 +118,9 @@
         entry = msgspec.structs.asdict(planned)
         raw = msgspec.json.decode(encode_entry(server))
         raw |= {"address": entry["address"], "zone": entry["zone"]}
+        cold_until_s = self.cold_until_s.get(planned.vm, 0.0)
+        cold_s = max(cold_until_s - time.monotonic(), 0.0)
+        raw["cold_remaining_ms"] = round(cold_s * 1000)
         self._pending[planned.vm] = msgspec.json.encode(raw)
         self._changed.set()
 
@@ -251,6 +256,7 @@
             self._entry_writer.put(entry, self._planned[vm])
         elif command.do == "restart":
             self._entry_writer.list_again(vm)
+            self._entry_writer.cold_until_s[vm] = time.monotonic() + command.x
             self._restart(vm, app)
 
     def _crash(self, vm: VmId) -> None:
