Merge the bound on requests to cold servers

The dispatcher offers heads whatever its own share of their limits, since shares differ between nodes.

--- a/pomelolug/entry/requests/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -307,6 +307,8 @@
             self._metrics.group_choices.labels(attempt.choice.value).inc()
             if attempt.limit_per_s is not None:
                 self._metrics.limited_attempts.inc()
+            if attempt.is_cold:
+                self._metrics.cold_attempts.inc()
             if index:
                 reason = record.attempts[index - 1].result
                 self._metrics.repeats.labels(reason).inc()
--- a/pomelolug/entry/servers/__init__.py
+++ b/pomelolug/entry/servers/__init__.py
@@ -4,6 +4,9 @@
     Candidate,
     GroupSelector,
 )
+from pomelolug.entry.servers._cold_servers import (
+    ColdServers,
+)
 from pomelolug.entry.servers._evacuations import (
     EvacuatedZones,
     EvacuationChange,
@@ -14,6 +17,11 @@
 from pomelolug.entry.servers._rate_limiter import (
     RequestRateLimiter,
 )
+from pomelolug.entry.servers._request_bound import (
+    BoundKind,
+    BoundSource,
+    RequestBound,
+)
 from pomelolug.entry.servers._server_contact import (
     ServerContact,
 )
@@ -36,11 +44,15 @@
 )
 
 __all__ = [
+    "BoundKind",
+    "BoundSource",
     "Candidate",
     "EvacuatedZones",
     "EvacuationChange",
+    "ColdServers",
     "GroupSelector",
     "LeavingServers",
+    "RequestBound",
     "RequestRateLimiter",
     "ServerContact",
     "ServerLimits",
--- a/pomelolug/entry/servers/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -1,8 +1,8 @@
 """Whether a server takes a request now, given what servers and the operator state.
 
-A server may limit its requests per second, ask for a pause, or be about to leave, and
-the operator may evacuate its zone. Every path to a server asks here before it chooses
-one.
+A server may limit its requests per second, be cold, ask for a pause, or be about to
+leave, and the operator may evacuate its zone. Every path to a server asks here before
+it chooses one.
 """
 
 import dataclasses
@@ -14,9 +14,11 @@
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, ServerNotice, StatedAvailability
+from pomelolug.entry.servers._cold_servers import ColdServers
 from pomelolug.entry.servers._evacuations import EvacuatedZones
 from pomelolug.entry.servers._leaving_servers import LeavingServers
 from pomelolug.entry.servers._rate_limiter import RequestRateLimiter
+from pomelolug.entry.servers._request_bound import BoundKind
 from pomelolug.entry.servers._server_limits import ServerLimits
 from pomelolug.entry.servers._server_pauses import ServerPauses
 from pomelolug.ids import VmId
@@ -27,7 +29,8 @@
 _log = structlog.get_logger(__name__)
 
 _LIMIT_RETURN_SPREAD = 0.3
-"""Time over which callers return to a limited server, as a fraction of the wait."""
+"""Time over which callers return to a limited or cold server, as a fraction of the
+wait."""
 _PAUSE_RETURN_SPREAD = 0.5
 """The same after a pause, as a fraction of its length: callers collect during it."""
 _EVACUATION_RETURN_SPREAD = 0.5
@@ -38,11 +41,15 @@
     """Why a server takes no request now."""
 
     LIMIT = "limit"
+    COLD = "cold"
     PAUSE = "pause"
     LEAVING = "leaving"
     EVACUATED = "evacuated"
 
 
+_CAUSES = {BoundKind.LIMIT: WaitCause.LIMIT, BoundKind.COLD: WaitCause.COLD}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerWait:
     """Time until a server takes a request.
@@ -69,8 +76,10 @@
     ----------
     limits : ServerLimits
         Limits that servers set on their requests.
+    cold_servers : ColdServers
+        Servers that are cold.
     rate_limiter : RequestRateLimiter
-        Share of this node in these limits.
+        Share of this node in what these servers accept.
     evacuated_zones : EvacuatedZones
         Zones whose servers get no requests.
     clock : Clock
@@ -85,6 +94,7 @@
         self,
         *,
         limits: ServerLimits,
+        cold_servers: ColdServers,
         rate_limiter: RequestRateLimiter,
         evacuated_zones: EvacuatedZones,
         clock: Clock,
@@ -92,6 +102,7 @@
         on_leaving: Callable[[], None],
     ) -> None:
         self._limits = limits
+        self._cold_servers = cold_servers
         self._rate_limiter = rate_limiter
         self._evacuated_zones = evacuated_zones
         self._leaving = LeavingServers(clock=clock)
@@ -103,6 +114,11 @@
         """Limits that servers set on their requests."""
         return self._limits
 
+    @property
+    def cold_servers(self) -> ColdServers:
+        """Servers that are cold."""
+        return self._cold_servers
+
     @property
     def leaving(self) -> LeavingServers:
         """Servers that are about to leave."""
@@ -125,6 +141,10 @@
         """Return whether a server wants no requests from this node for a while."""
         return self._pauses.find(server) is not None
 
+    def is_cold(self, server: BackendServer) -> bool:
+        """Return whether a server is cold and its service declares what it bears."""
+        return self._cold_servers.find_bound(server.vm) is not None
+
     def accepts_request(self, server: BackendServer) -> bool:
         """Return whether a server takes a request of this node now."""
         return self.find_wait(server) is None
@@ -132,7 +152,7 @@
     def refusal_cause(self, server: BackendServer) -> WaitCause | None:
         """Return why a server that was chosen must not get the request any more.
 
-        Limits are left out, since the request has been counted when it was sent.
+        Limits and coldness are left out, since `confirm_request` counts towards them.
         """
         if self.is_leaving(server):
             return WaitCause.LEAVING
@@ -148,14 +168,15 @@
             wait_s = self._evacuated_zones.expected_wait_s(server.zone)
             spread_s = _EVACUATION_RETURN_SPREAD * wait_s
             return ServerWait(WaitCause.EVACUATED, wait_s, spread_s)
-        limit_wait_s = self._rate_limiter.wait_s(server.vm)
+        bound_wait = self._rate_limiter.find_wait(server.vm)
+        bound_wait_s = bound_wait[1] if bound_wait is not None else 0.0
         pause = self._pauses.find(server)
-        if pause is not None and pause.left_s >= limit_wait_s:
+        if pause is not None and pause.left_s >= bound_wait_s:
             spread_s = _PAUSE_RETURN_SPREAD * pause.length_s
             return ServerWait(WaitCause.PAUSE, pause.left_s, spread_s)
-        if limit_wait_s > 0.0:
-            spread_s = _LIMIT_RETURN_SPREAD * limit_wait_s
-            return ServerWait(WaitCause.LIMIT, limit_wait_s, spread_s)
+        if bound_wait is not None:
+            spread_s = _LIMIT_RETURN_SPREAD * bound_wait_s
+            return ServerWait(_CAUSES[bound_wait[0]], bound_wait_s, spread_s)
         return None
 
     def shortest_wait(self, servers: Iterable[BackendServer]) -> ServerWait | None:
@@ -169,9 +190,40 @@
             return None
         return min(finite, key=lambda wait: wait.wait_s)
 
-    def count_request(self, server: BackendServer) -> None:
-        """Count a request that is sent to a server."""
-        self._rate_limiter.record_request(server.vm)
+    def take_request(self, server: BackendServer) -> frozenset[BoundKind] | None:
+        """Count a request that is about to be sent to a server.
+
+        Requests of the same moment may all have chosen the server.
+
+        Returns
+        -------
+        frozenset of BoundKind or None
+            Bounds towards which the request counts, None if the server takes no more.
+        """
+        return self._rate_limiter.try_take(server.vm)
+
+    def confirm_request(
+        self, server: BackendServer, counted: frozenset[BoundKind]
+    ) -> bool:
+        """Return whether a server still takes a request that is sent now.
+
+        The request is counted towards bounds that have become known since it was taken.
+        """
+        return self._rate_limiter.try_take(server.vm, counted) is not None
+
+    def bound_cause(self, server: BackendServer) -> WaitCause:
+        """Return why a server takes no more requests, if a bound is the cause."""
+        wait = self._rate_limiter.find_wait(server.vm)
+        return _CAUSES[wait[0]] if wait is not None else WaitCause.LIMIT
+
+    def record_entry(self, server: BackendServer) -> None:
+        """Record the entry of a server."""
+        if self._cold_servers.record_entry(server):
+            self._limits.record_restart(server.vm)
+
+    def record_removal(self, server: BackendServer) -> None:
+        """Record that the entry of a server has been removed."""
+        self._cold_servers.record_removal(server.vm)
 
     def record(
         self,
@@ -200,6 +252,8 @@
             self._pauses.record(server, notice.pause)
         elif notice.has_invalid_pause:
             _log.warning("server_pause_ignored", server=server.vm)
+        if self._cold_servers.record_notice(server, notice):
+            self._limits.record_restart(server.vm)
         if notice.request_limit_per_s is not None or confirms_no_limit:
             self._limits.record_response(
                 server.vm, notice.request_limit_per_s, sent_at_s=sent_at_s
@@ -217,6 +271,7 @@
             read_up_to=status.evacuations_read,
             source=status.node,
         )
+        self._cold_servers.merge(status)
         if self._leaving.merge(status.leaving, source=status.node):
             self._on_leaving()
 
@@ -224,6 +279,7 @@
         """Forget statements that no longer hold."""
         self._limits.forget_expired()
         self._evacuated_zones.forget_expired()
+        self._cold_servers.forget_expired()
         self._rate_limiter.drop_unlimited()
         self._leaving.forget_expired()
         self._pauses.forget_ended()
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -243,11 +243,17 @@
         return self._select_accepting(self._usable_heads(model))
 
     def open_heads(self, model: ModelName) -> list[BackendServer]:
-        """Return the heads of the open groups of a model, suspected ones included.
+        """Return the heads of the open groups of a model that any node may send to.
 
-        Only those that state that they take no requests now are left out.
+        Those that leave or lie in an evacuated zone are left out. What a suspicion, a
+        pause or a share of a limit excludes differs between nodes.
         """
-        return self._select_accepting(self._heads_by_model.get(model, []))
+        return [
+            head
+            for head in self._heads_by_model.get(model, [])
+            if not self._notices.is_leaving(head)
+            and not self._notices.is_evacuated(head)
+        ]
 
     def suspected_heads(self, model: ModelName) -> list[BackendServer]:
         """Return the heads of the open groups of a model that are only suspected.
--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -198,14 +198,14 @@
         self.store.put("keyed.op", f"evacuate/{zone}", b"")
 
     async def add_server(
-        self, script, *, service: str = "plain", vm: str = "", zone: str = "z1"
+        self, script, *, service: str = "plain", vm: str = "", **fields
     ) -> str:
         """Add a server; for the service `llm` it forms an open group of one member."""
         server = ScriptedServer(script)
         await server.start()
         self.servers.append(server)
         name = vm or f"vm-{len(self.servers)}"
-        self.publish_server(name, server.address, service=service, zone=zone)
+        self.publish_server(name, server.address, service=service, **fields)
         return name
 
     def publish_server(
@@ -217,8 +217,12 @@
         born: int = 1,
         state: str = "ready",
         zone: str = "z1",
+        **fields,
     ) -> None:
-        """Write the entry of a server to the store; `born` changes if it restarts."""
+        """Write the entry of a server to the store; `born` changes if it restarts.
+
+        Further `fields` become part of the entry.
+        """
         record = {
             "service": service,
             "address": address,
@@ -232,6 +236,7 @@
             group = {"name": f"g-{name}", "epoch": born, "rank": 0, "state": "open"}
             models = [{"name": MODEL, "version": 1, "adapters": []}]
             record |= {"domain": "d", "group": group, "models": models}
+        record |= fields
         self.store.put("keyed.servers", name, msgspec.json.encode(record))
 
     async def start(
@@ -243,6 +248,8 @@
         seeds: tuple[str, ...] = (),
         internal_ports: tuple[int, ...] = (8004, 8010),
         stop_grace_s: float = 8.0,
+        cold_accepted_factor: float = 1.0,
+        cold_excess_requests: float = 0.0,
     ) -> None:
         """Start the entry process; wait until it listens and has found its servers.
 
@@ -267,6 +274,8 @@
             server_entry_lifetime=datetime.timedelta(seconds=3.6),
             shortest_lapse=datetime.timedelta(seconds=2.1),
             least_lease=datetime.timedelta(seconds=1),
+            cold_accepted_factor=cold_accepted_factor,
+            cold_excess_requests=cold_excess_requests,
         )
         self.entry = _EntryProcess(
             settings, NonBlockingWriter(os.dup(2)), lambda: settings
--- a/pomelolug/entry/tests/stating_server.py
+++ b/pomelolug/entry/tests/stating_server.py
@@ -22,7 +22,8 @@
     """Server whose responses carry `headers`, and which notes when requests arrive.
 
     It refuses requests if `refuses`, fails them after the first event or with status
-    500 if `fails`, and holds them open for `takes_s`.
+    500 if `fails`, and holds them open for `takes_s`. It answers requests for its
+    report with `report`, if that is not None.
     """
 
     def __init__(self, kind: str, **headers: str) -> None:
@@ -32,17 +33,22 @@
         self.fails = False
         self.takes_s = 0.0
         self.zone = "z1"
+        self.report: bytes | None = None
         self.arrivals_s: list[float] = []
+        self.request_ids: list[str] = []
         self.name = ""
         self._address = ""
 
-    async def add_to(self, harness: Harness) -> None:
+    async def add_to(self, harness: Harness, **fields) -> None:
+        fields = {"zone": self.zone} | fields
         self.name = await harness.add_server(
-            self._run, service=_SERVICES[self.kind], zone=self.zone
+            self._run, service=_SERVICES[self.kind], **fields
         )
         self._address = harness.servers[-1].address
 
-    def publish(self, harness: Harness, *, born: int = 1, state: str = "ready") -> None:
+    def publish(
+        self, harness: Harness, *, born: int = 1, state: str = "ready", **fields
+    ) -> None:
         """Write the entry of the server again; `born` changes if it has restarted."""
         service = _SERVICES[self.kind]
         harness.publish_server(
@@ -51,21 +57,33 @@
             service=service,
             born=born,
             state=state,
-            zone=self.zone,
+            **({"zone": self.zone} | fields),
         )
 
     def count_after(self, start_s: float) -> int:
         return sum(t >= start_s for t in self.arrivals_s)
 
+    def most_in_window(self, window_s: float, *, since_s: float) -> int:
+        """Return the most arrivals in a window that begins at `since_s` or later."""
+        times = [t for t in self.arrivals_s if t >= since_s]
+        return max(
+            (sum(start <= t < start + window_s for t in times) for start in times),
+            default=0,
+        )
+
     def _wire_headers(self) -> dict[str, str]:
         return {name.replace("_", "-"): text for name, text in self.headers.items()}
 
     async def _run(self, request) -> None:
         if not request.target.startswith(f"/{self.kind}/"):
             # A report or an order of the controller.
-            request.send("404 Not Found", {})
+            if self.report is None:
+                request.send("404 Not Found", {})
+            else:
+                request.send("200 OK", self._wire_headers(), self.report)
             return
         self.arrivals_s.append(time.monotonic())
+        self.request_ids.append(request.request_id)
         if self.refuses:
             headers = {"Not-Executed": "1"} | self._wire_headers()
             request.send(
@@ -98,10 +116,13 @@
 
 
 class Answer:
-    """Status and Retry-After of a response, and how long it took."""
+    """Status, Retry-After and body of a response, and how long it took."""
 
-    def __init__(self, status: int, retry_after_s: float, took_s: float) -> None:
+    def __init__(
+        self, status: int, retry_after_s: float, took_s: float, body: bytes
+    ) -> None:
         self.status = status
+        self.body = body
         self.retry_after_s = retry_after_s
         self.took_s = took_s
 
@@ -114,7 +135,7 @@
     started_s = time.monotonic()
     connection = await node.connect()
     try:
-        head, _ = await node.request(
+        head, body = await node.request(
             f"/{kind}/x",
             method=b"GET" if kind == "safe" else b"POST",
             request_id=name,
@@ -126,7 +147,7 @@
         connection.close()
     retry_after = head.get(b"Retry-After") if head.status == 503 else None
     retry_after_s = float(retry_after or b"nan")
-    return Answer(head.status, retry_after_s, time.monotonic() - started_s)
+    return Answer(head.status, retry_after_s, time.monotonic() - started_s, body)
 
 
 async def send_for(
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -20,6 +20,8 @@
 from pomelolug.testing._memory_log import LogFaults, MemoryLog
 from pomelolug.testing._process_connections import ProcessConnections
 from pomelolug.testing._sample_deployment import (
+    COLD_ACCEPTED_FACTOR,
+    COLD_EXCESS_REQUESTS,
     EVACUATION_TIME_S,
     SampleDeployment,
     format_entry_settings,
@@ -28,6 +30,8 @@
 from pomelolug.testing._store_stand_in import FakeMetadataStore
 
 __all__ = [
+    "COLD_ACCEPTED_FACTOR",
+    "COLD_EXCESS_REQUESTS",
     "CRASHING_PROMPT_PART",
     "CRASH_PATH_PART",
     "CallerResponse",
