Let a test make an answer without a body again

The answer of stating_server.py had gained a required body, and test_endless_responses.py makes one itself when a stream ends with its connection, so that case failed with a TypeError whenever that branch was taken.

--- a/pomelolug/entry/tests/stating_server.py
+++ b/pomelolug/entry/tests/stating_server.py
@@ -112,7 +112,7 @@
     """Status, Retry-After and body of a response, and how long it took."""
 
     def __init__(
-        self, status: int, retry_after_s: float, took_s: float, body: bytes
+        self, status: int, retry_after_s: float, took_s: float, body: bytes = b""
     ) -> None:
         self.status = status
         self.body = body
