Pass requests on while the links to the servers are silent

A node whose links to all servers accept connections and pass nothing served 0 of its callers' requests: they ended with 504.

Cause: only a connection that fails, a stall or a second attempt counted as trouble, so an unsafe request showed nothing, and a request with a timeout of 2 s ended before its connection failed. Probes of plain servers took a connection that opened for a server that is reached. Streams spent their two attempts on two silent links.

Change: the node also counts which servers respond. If two have not for 0.3 s, and no other server has, it probes some. Without a response within 0.4 s it is in doubt: other nodes get the new requests, and if none takes one, the servers do. Probes of plain servers ask for the health check. A stalled stream waits for the probes if no server responds. What a node sees in doubt is no evidence, and its own requests are left out of the load that it reports, since they filled the slots of sound groups at other nodes. Doubt ends with the first response, so servers that pause for 1.6 s are not lost.

Changed existing tests: test_server_control.py asks for the result of `probe`, which replaces `responds`. ServerLinks counts a request when it passes rather than when it is written into a silent link, since a link that opens and passes nothing holds it.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -56,6 +56,7 @@
     HttpServerControl,
     MetadataStore,
     NodeSettings,
+    ProbeResult,
     StoreControllerElection,
     outcome_headers,
 )
@@ -69,7 +70,6 @@
 from pomelolug.transport import (
     ConnectionPool,
     Handler,
-    HttpConnectionError,
     HttpServerLimits,
     ServerConnection,
 )
@@ -275,7 +275,7 @@
             holds_lease=lambda: self._lease.is_held,
             is_serving=lambda: self._request_handler.has_received_request,
             can_reach_store=self._can_reach_store,
-            reaches_servers=lambda: not self._server_contact.is_cut_off,
+            reaches_servers=self._reaches_servers,
             on_suspect=self._controller.mark_suspect,
             on_nodes=self._on_nodes,
             departures=self._departures,
@@ -309,7 +309,9 @@
             probe=self._probe,
             is_paused=lambda server: self._notices.is_paused(server),
             probe_timeout=_CONNECT_TIMEOUT + _PROBE_TIMEOUT,
+            has_peers=lambda: self._peer_coordinator.has_peers,
             on_change=self._on_contact_change,
+            on_doubt=self._on_contact_doubt,
             clock=self._clock,
             rng=self._rng,
         )
@@ -322,17 +324,22 @@
     async def _probe(self, server: BackendServer) -> bool:
         """Return whether a server is reached over a new connection.
 
-        A server in a fabric domain has to respond to a request for its report, since a
-        connection may open and then pass nothing.
+        It has to respond, since a connection may open and then pass nothing. The health
+        check of a plain server may wait for a slot, so a response of any server to a
+        request will do as well.
         """
         if server.domain:
-            return await self._probe_control.responds(server)
-        try:
-            connection = await self._probe_pool.acquire(server.address, fresh=True)
-        except HttpConnectionError:
-            return False
-        connection.close()
-        return True
+            result = await self._probe_control.probe(server)
+            return result is ProbeResult.RESPONDED
+        began_at_s = self._clock.monotonic()
+        declaration = self._declarations.current
+        service = declaration and declaration.services.get(server.service)
+        result = await self._probe_control.probe(
+            server, health_path=service.health_path if service else None
+        )
+        if result is ProbeResult.OPENED:
+            return self._server_contact.has_heard_since(began_at_s)
+        return result is ProbeResult.RESPONDED
 
     def _build_notices(self) -> None:
         settings = self._settings
@@ -647,8 +654,9 @@
         self._group_selector.set_zone_node_count(len(zone_nodes) + 1)
 
     def _on_stall(self, head: VmId) -> None:
-        if self._server_contact.is_cut_off:
-            # The stall is due to the links of this node.
+        if not self._reaches_servers():
+            # The stall may be due to the links of this node.
+            self._server_contact.report_trouble(head)
             return
         self._metrics.stalls.inc()
         _log.warning(
@@ -669,6 +677,16 @@
         self._metrics.servers_out_of_reach.set(is_cut_off)
         self._peer_coordinator.announce()
 
+    def _on_contact_doubt(self, is_in_doubt: bool) -> None:
+        """Count the times at which all servers are silent, and tell the peers."""
+        if is_in_doubt:
+            self._metrics.server_silences.inc()
+        self._peer_coordinator.announce()
+
+    def _reaches_servers(self) -> bool:
+        contact = self._server_contact
+        return not (contact.is_cut_off or contact.is_in_doubt)
+
     def _is_eligible_for_lease(self) -> bool:
         """Return whether this node may be a candidate for the controller lease.
 
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -103,6 +103,11 @@
             "1 if no server is reached, else 0.",
             registry=self._registry,
         )
+        self.server_silences = prometheus_client.Counter(
+            f"{name}_server_silences",
+            "Times at which no server responded to requests or probes.",
+            registry=self._registry,
+        )
         self.lapsed_servers = prometheus_client.Gauge(
             f"{name}_lapsed_servers",
             "Servers that are kept although their entry was removed.",
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -178,6 +178,11 @@
         """Latest status of each live peer."""
         return self._gossip.live_statuses
 
+    @property
+    def has_peers(self) -> bool:
+        """Whether any other node is live."""
+        return bool(self._gossip.live_statuses)
+
     @property
     def has_serving_peer(self) -> bool:
         """Whether a live peer reports that a caller has sent a request."""
@@ -448,8 +453,9 @@
             duty=self._holds_lease(),
             zone_duty=is_relay
             and (self._holds_lease() or self._is_lease_held_in_zone()),
-            load=tracker.own_loads(),
-            zone_load=tracker.zone_loads() if is_relay else {},
+            # Nor do requests over lost links show what runs at the servers.
+            load=tracker.own_loads() if reaches_servers else {},
+            zone_load=tracker.zone_loads(with_own=reaches_servers) if is_relay else {},
             other_load=tracker.other_zone_loads() if is_relay else {},
             # What a node that is cut off sees of the servers is no evidence.
             suspects=tracker.suspects() if reaches_servers else (),
--- a/pomelolug/entry/requests/_attempt.py
+++ b/pomelolug/entry/requests/_attempt.py
@@ -353,6 +353,7 @@
         self._run = self._run_monitor.begin(
             self._identity, self._server, connected_at_s=connection.opened_at_s
         )
+        self._run_monitor.contact.record_request(self._server.vm)
 
     async def read_head(self) -> tuple[ServerReply, ResponseHead]:
         """Return the head of the response to this request.
@@ -369,6 +370,7 @@
         try:
             for _ in range(_MAX_RESPONSES):
                 head = await connection.read_head()
+                self._run_monitor.contact.record_response(self._server.vm)
                 reply = decode_server_reply(head)
                 if self._is_own_response(reply):
                     self._reply = reply
@@ -392,6 +394,7 @@
 
     def record_event(self) -> None:
         """Record that a complete event of the answer has arrived."""
+        self._run_monitor.contact.record_response(self._server.vm)
         if self._run is not None:
             self._run_monitor.record_event(self._run)
 
--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -138,10 +138,12 @@
         """
         state = _PlainState()
         is_answered = False
-        if not self._exits.is_needed(context):
-            is_answered = await self._ask_servers(context, state)
-        if not is_answered and self._may_ask_nodes(context, state):
+        if self._may_ask_nodes(context, state):
             is_answered = await self._ask_nodes(context, state)
+        if not is_answered and not self._exits.is_needed(context):
+            is_answered = await self._ask_servers(context, state)
+            if not is_answered and self._may_ask_nodes(context, state):
+                is_answered = await self._ask_nodes(context, state)
         if is_answered:
             return
         if state.failed_answer is not None:
--- a/pomelolug/entry/requests/_request_exits.py
+++ b/pomelolug/entry/requests/_request_exits.py
@@ -66,6 +66,14 @@
         self._rng = rng
         self._avoided_until_s: dict[str, float] = {}
 
+    async def check_contact(self, context: RequestContext) -> None:
+        """Wait until it is known whether a further server is worth a run.
+
+        A request whose server is silent would lose it on another silent link.
+        """
+        if not context.is_forwarded:
+            await self._contact.check()
+
     def is_needed(self, context: RequestContext) -> bool:
         """Return whether a request cannot be sent to any server from this node."""
         return self._contact.is_cut_off and not context.is_forwarded
@@ -73,6 +81,9 @@
     def may_use(self, context: RequestContext, *, unreached_count: int) -> bool:
         """Return whether another node may get a request.
 
+        So it may if this node is in doubt whether it reaches the servers. If no other
+        node takes the request, the servers still get it then.
+
         Parameters
         ----------
         context : RequestContext
@@ -82,7 +93,11 @@
         """
         if context.is_forwarded:
             return False
-        return self._contact.is_cut_off or unreached_count >= MAX_UNREACHED_SERVERS
+        return (
+            self._contact.is_cut_off
+            or self._contact.is_in_doubt
+            or unreached_count >= MAX_UNREACHED_SERVERS
+        )
 
     def select(self, tried: Collection[str]) -> str | None:
         """Return the address of a node that was not tried yet, None if none is left."""
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -455,6 +455,7 @@
         self, context: RequestContext, state: StreamState, run: StreamRun
     ) -> None:
         """Replace a run by one at another group that has sent the next event."""
+        await self._exits.check_contact(context)
         while self._may_retry(context, state, running=1):
             try:
                 other = await self._start_run(context, state, waits=False)
--- a/pomelolug/entry/servers/_server_contact.py
+++ b/pomelolug/entry/servers/_server_contact.py
@@ -2,6 +2,10 @@
 
 The links of a node to all servers may fail while callers, the store and other nodes
 still reach it. What the node then sees of the servers says nothing about them.
+
+Links may also pass nothing although connections open and stay open. So a node that
+waits for several servers and hears from none at all probes some of them. It is in
+doubt until one of them responds or the probes have failed.
 """
 
 import asyncio
@@ -30,6 +34,21 @@
 """Servers in trouble that cause a probe; one alone may have failed itself."""
 _MAX_PROBED_SERVERS = 4
 """Servers probed at once: enough that not all of them fail for causes of their own."""
+_SILENCE_S = 0.3
+"""Time in seconds without a word from any server after which the links may be lost.
+
+With the time until doubt, it is below the shortest timeouts of routes, about 0.8 s.
+"""
+_DOUBT_DELAY_S = 0.4
+"""Time in seconds after which probes without a response put the links in doubt.
+
+Servers respond to probes within a few milliseconds, unless they pause.
+"""
+_SILENT_ROUND_INTERVAL_S = 1.0
+"""Shortest time in seconds from a response to a probe to probes because of silence.
+
+Nodes with few requests, which take long, often hear from no server.
+"""
 _MIN_ROUND_INTERVAL_S = 0.25
 """Shortest time in seconds between the starts of two rounds of probes.
 
@@ -49,8 +68,9 @@
 class ServerContact:
     """Decides whether this node reaches any backend server.
 
-    Trouble at several servers makes it probe a few others. If it reaches none of them,
-    the node is cut off, until it reaches at least half of those probed later.
+    Trouble at several servers, or the silence of all, makes it probe a few others. If
+    it reaches none of them, the node is cut off, until it reaches at least half of
+    those probed later.
 
     Parameters
     ----------
@@ -63,8 +83,13 @@
         Time limit of a probe.
     is_paused : callable
         Returns whether a server wants no requests for a while, so is not probed.
+    has_peers : callable
+        Returns whether other nodes are known, which could take requests. Without them,
+        silence alone causes no probes.
     on_change : callable
         Called with whether the node is cut off, when this changes.
+    on_doubt : callable
+        Called with whether the node is in doubt, when this changes.
     clock : Clock
         Source of monotonic time.
     rng : random.Random
@@ -78,7 +103,9 @@
         probe: Callable[[BackendServer], Awaitable[bool]],
         probe_timeout: datetime.timedelta,
         is_paused: Callable[[BackendServer], bool] = lambda server: False,
+        has_peers: Callable[[], bool] = lambda: True,
         on_change: Callable[[bool], None],
+        on_doubt: Callable[[bool], None] = lambda is_in_doubt: None,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -86,12 +113,21 @@
         self._probe = probe
         self._longest_round_s = _LONGEST_ROUND_TIMEOUTS * probe_timeout.total_seconds()
         self._is_paused = is_paused
+        self._has_peers = has_peers
         self._on_change = on_change
+        self._on_doubt = on_doubt
         self._clock = clock
         self._rng = rng
         self._is_cut_off = False
         # Monotonic time of the latest trouble at each server.
         self._trouble_at_s: dict[VmId, float] = {}
+        # Monotonic time of the first request to each server that has not responded
+        # since.
+        self._waiting_since_s: dict[VmId, float] = {}
+        self._heard_at_s = float("-inf")
+        self._is_in_doubt = False
+        # Callers of `check`, which wait until it is known whether a server responds.
+        self._checks: set[asyncio.Future[None]] = set()
         self._round_began_at_s = float("-inf")
         self._reached_at_s = float("-inf")
         self._returned_at_s = float("-inf")
@@ -102,6 +138,14 @@
         """Whether this node reaches no server."""
         return self._is_cut_off
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether no server has responded lately, neither to requests nor to probes.
+
+        All servers may pause, or the links may be lost, which further probes show.
+        """
+        return self._is_in_doubt
+
     @property
     def doubtful_since_s(self) -> float:
         """Monotonic time in seconds at which the links may have been lost.
@@ -112,8 +156,45 @@
         return self._doubtful_since_s
 
     def was_cut_off_since(self, time_s: float) -> bool:
-        """Return whether the node was cut off at any moment since a monotonic time."""
-        return self._is_cut_off or self._returned_at_s >= time_s
+        """Return whether the node may have been cut off since a monotonic time."""
+        is_doubtful = self._is_cut_off or self._is_in_doubt
+        return is_doubtful or self._returned_at_s >= time_s
+
+    def has_heard_since(self, time_s: float) -> bool:
+        """Return whether any server has responded to a request since a time."""
+        return self._heard_at_s >= time_s
+
+    def record_request(self, vm: VmId) -> None:
+        """Record that a request was sent to a server."""
+        self._waiting_since_s.setdefault(vm, self._clock.monotonic())
+
+    def record_response(self, vm: VmId) -> None:
+        """Record that a part of a response has arrived from a server."""
+        self._heard_at_s = self._clock.monotonic()
+        self._waiting_since_s.pop(vm, None)
+        self._end_doubt()
+        self._end_checks()
+
+    async def check(self) -> None:
+        """Wait until the present silence of all servers is explained, or in doubt.
+
+        Returns at once if a server has responded a moment ago, or if no other node is
+        known.
+        """
+        latest_s = max(self._heard_at_s, self._reached_at_s)
+        if (
+            self._is_cut_off
+            or self._is_in_doubt
+            or self._clock.monotonic() - latest_s < _SILENCE_S
+            or not self._has_peers()
+        ):
+            return
+        check = asyncio.get_running_loop().create_future()
+        self._checks.add(check)
+        try:
+            await check
+        finally:
+            self._checks.discard(check)
 
     def report_trouble(self, vm: VmId) -> None:
         """Record that a connection failed or was reset, or that a group stalled."""
@@ -127,7 +208,7 @@
             now_s = self._clock.monotonic()
             if now_s - began_at_s > _LONGEST_CHECK_S:
                 # After a pause of this process, old times say nothing of the links.
-                self._trouble_at_s.clear()
+                self._forget_signs()
             elif self._is_round_due(now_s):
                 await self._run_round()
 
@@ -135,11 +216,33 @@
         since_last_s = now_s - self._round_began_at_s
         if self._is_cut_off:
             return since_last_s >= _RETURN_PROBE_INTERVAL_S
+        if since_last_s < _MIN_ROUND_INTERVAL_S:
+            return False
+        if self._checks:
+            return True
         self._forget_old_trouble(now_s)
-        return (
-            len(self._trouble_at_s) >= _MIN_TROUBLED_SERVERS
-            and since_last_s >= _MIN_ROUND_INTERVAL_S
-        )
+        troubled = {*self._trouble_at_s, *self._find_silent_servers(now_s)}
+        return len(troubled) >= _MIN_TROUBLED_SERVERS
+
+    def _find_silent_servers(self, now_s: float) -> list[VmId]:
+        """Return the servers that have not responded, if none has for a while."""
+        if (
+            now_s - self._heard_at_s < _SILENCE_S
+            or now_s - self._reached_at_s < _SILENT_ROUND_INTERVAL_S
+            or not self._has_peers()
+        ):
+            return []
+        oldest_s = now_s - _SILENCE_S
+        return [
+            vm
+            for vm, at_s in self._waiting_since_s.items()
+            if at_s <= oldest_s and vm in self._registry.servers
+        ]
+
+    def _forget_signs(self) -> None:
+        """Forget what seemed to show that links are lost."""
+        self._trouble_at_s.clear()
+        self._waiting_since_s.clear()
 
     def _forget_old_trouble(self, now_s: float) -> None:
         oldest_s = now_s - _TROUBLE_PERIOD_S
@@ -153,24 +256,28 @@
         self._forget_old_trouble(began_at_s)
         servers = self._draw_servers()
         if not servers:
+            self._end_checks()
             return
-        reached_count = await self._count_reached(
-            servers, enough=math.ceil(len(servers) / 2) if self._is_cut_off else 1
-        )
+        enough = math.ceil(len(servers) / 2) if self._is_cut_off else 1
+        reached_count = await self._count_reached(servers, enough=enough)
         now_s = self._clock.monotonic()
         if not reached_count and now_s - began_at_s > self._longest_round_s:
             # Time limits that passed during a pause of this process prove nothing.
-            self._trouble_at_s.clear()
+            self._forget_signs()
+            self._end_doubt()
+            self._end_checks()
             return
         if reached_count:
             self._reached_at_s = now_s
-            self._trouble_at_s.clear()
+            self._forget_signs()
         if self._is_cut_off:
             is_cut_off = 2 * reached_count < len(servers)
         else:
             is_cut_off = not reached_count
         if is_cut_off != self._is_cut_off:
             self._change(is_cut_off, len(servers), len(servers) - reached_count)
+        self._end_doubt()
+        self._end_checks()
 
     async def _count_reached(self, servers: list[BackendServer], *, enough: int) -> int:
         """Probe servers concurrently until `enough` are reached; return how many are.
@@ -178,18 +285,49 @@
         A probe of a silent server takes long, so the others decide if they can.
         """
         tasks = [asyncio.ensure_future(self._probe(server)) for server in servers]
+        doubting = asyncio.ensure_future(self._begin_doubt_later(len(servers)))
         reached_count = 0
         try:
             for result in asyncio.as_completed(tasks):
-                reached_count += await result
+                if await result:
+                    reached_count += 1
+                    doubting.cancel()
                 if reached_count >= enough:
                     break
         finally:
-            for task in tasks:
+            for task in (*tasks, doubting):
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, doubting, return_exceptions=True)
         return reached_count
 
+    async def _begin_doubt_later(self, probe_count: int) -> None:
+        """Doubt the links if no server responds for a moment."""
+        began_at_s = self._clock.monotonic()
+        await self._clock.sleep(datetime.timedelta(seconds=_DOUBT_DELAY_S))
+        passed_s = self._clock.monotonic() - began_at_s
+        was_paused = passed_s > _DOUBT_DELAY_S + _LONGEST_CHECK_S
+        if self._is_cut_off or was_paused or self._heard_at_s >= began_at_s:
+            return
+        self._is_in_doubt = True
+        _log.info(
+            "servers_silent", probes=probe_count, waiting=len(self._waiting_since_s)
+        )
+        self._on_doubt(True)
+        self._end_checks()
+
+    def _end_doubt(self) -> None:
+        if self._is_in_doubt:
+            self._is_in_doubt = False
+            self._returned_at_s = self._clock.monotonic()
+            if not self._is_cut_off:
+                _log.info("servers_heard")
+            self._on_doubt(False)
+
+    def _end_checks(self) -> None:
+        for check in self._checks:
+            if not check.done():
+                check.set_result(None)
+
     def _change(self, is_cut_off: bool, probe_count: int, failed_count: int) -> None:
         self._is_cut_off = is_cut_off
         counts = {"probes": probe_count, "failed": failed_count}
@@ -216,6 +354,8 @@
             if server.state is ServerState.READY and not self._is_paused(server)
         ]
         candidates = [c for c in candidates if c.domain] or candidates
+        silent = self._find_silent_servers(self._clock.monotonic())
+        troubled = {*self._trouble_at_s, *silent}
         self._rng.shuffle(candidates)
         drawn: list[BackendServer] = []
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
@@ -223,7 +363,7 @@
             server = min(
                 candidates,
                 key=lambda s: (
-                    s.vm in self._trouble_at_s or self._registry.is_lapsed(s.vm),
+                    s.vm in troubled or self._registry.is_lapsed(s.vm),
                     sum(counts[trait] for trait in _traits(s)),
                 ),
             )
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -137,10 +137,14 @@
         age_s = self._clock.monotonic() - load.last_failure_at_s
         return load.failure_score * 0.5 ** (age_s / _FAILURE_HALF_LIFE_S)
 
-    def zone_loads(self) -> dict[str, int]:
-        """Return the requests in flight of all nodes of this zone, by server."""
+    def zone_loads(self, *, with_own: bool = True) -> dict[str, int]:
+        """Return the requests in flight of all nodes of this zone, by server.
+
+        Without those of this node if `with_own` is false.
+        """
         loads: collections.Counter[str] = collections.Counter(self._zone_peer_loads)
-        loads.update(self.own_loads())
+        if with_own:
+            loads.update(self.own_loads())
         return dict(loads)
 
     def other_zone_loads(self) -> dict[str, int]:
--- a/pomelolug/entry/tests/server_links.py
+++ b/pomelolug/entry/tests/server_links.py
@@ -31,6 +31,8 @@
     """Established connections are reset; new ones are refused."""
     NEW_REFUSED = "new_refused"
     """Established connections work; new ones are refused."""
+    ACCEPTED = "accepted"
+    """As `SILENT`, but new connections open, and what is sent is acknowledged."""
 
 
 class ServerLinks:
@@ -55,7 +57,7 @@
         self._changed = asyncio.Event()
         self._links: set[_Link] = set()
         self.sent_ids: collections.Counter[str] = collections.Counter()
-        """How often the node has sent each request id to a server."""
+        """How often each request id has passed to a server."""
         self.passed_on_ids: collections.Counter[str] = collections.Counter()
         """How often the node has sent each request id to another address."""
 
@@ -72,8 +74,8 @@
         """Cut the links to all servers."""
         self._set_kind(kind)
         for link in list(self._links):
-            if kind is LinkCut.SILENT:
-                link.silence()
+            if kind in (LinkCut.SILENT, LinkCut.ACCEPTED):
+                link.silence(acknowledges=kind is LinkCut.ACCEPTED)
             elif kind is LinkCut.RESET:
                 link.reset()
 
@@ -93,7 +95,7 @@
     ) -> "tuple[_Link, asyncio.Protocol]":
         """Open a connection for the node as `create_connection` of the loop does."""
         is_to_server = f"{host}:{port}" in {s.address for s in self._root.servers}
-        while is_to_server and self._kind is not None:
+        while is_to_server and self._kind not in (None, LinkCut.ACCEPTED):
             if self._kind is not LinkCut.SILENT:
                 raise ConnectionRefusedError
             await self._changed.wait()
@@ -108,8 +110,8 @@
         except BaseException:
             self._links.discard(link)
             raise
-        if is_to_server and self._kind is LinkCut.SILENT:
-            link.silence()
+        if is_to_server and self._kind in (LinkCut.SILENT, LinkCut.ACCEPTED):
+            link.silence(acknowledges=self._kind is LinkCut.ACCEPTED)
         elif is_to_server and self._kind is LinkCut.RESET:
             link.reset()
         return link, link.protocol
@@ -132,16 +134,18 @@
         self._sent_ids = sent_ids
         self._transport: asyncio.Transport | None = None
         self._is_silent = False
+        self._acknowledges = False
         self._is_closed = False
         self._is_lost = False
         self._reads = True
         self._held: list[bytes] = []
         self._error: Exception | None = None
 
-    def silence(self) -> None:
-        """Let no byte pass."""
+    def silence(self, *, acknowledges: bool) -> None:
+        """Let no byte pass; acknowledge what the node sends or not."""
         if self._transport is not None and not self._is_lost:
             self._is_silent = True
+            self._acknowledges = acknowledges
             self._transport.pause_reading()
 
     def reset(self) -> None:
@@ -161,6 +165,8 @@
         if self._is_closed:
             self._transport.abort()
             return
+        for data in self._held:
+            self._count_requests(data)
         self._transport.writelines(self._held)
         self._held.clear()
         if self._reads:
@@ -186,13 +192,12 @@
     # asyncio.Transport
 
     def write(self, data: Any) -> None:
-        for request_id in _REQUEST_ID.findall(bytes(data)):
-            self._sent_ids[request_id.decode()] += 1
         assert self._transport is not None
         if not self._is_silent:
+            self._count_requests(bytes(data))
             self._transport.write(data)
         elif not self._is_closed:
-            if not self._held:
+            if not self._held and not self._acknowledges:
                 loop = asyncio.get_running_loop()
                 loop.call_later(_USER_TIMEOUT_S, self._fail_unacknowledged)
             self._held.append(bytes(data))
@@ -228,6 +233,10 @@
 
     # internals
 
+    def _count_requests(self, data: bytes) -> None:
+        for request_id in _REQUEST_ID.findall(data):
+            self._sent_ids[request_id.decode()] += 1
+
     def _end(self, *, abort: bool) -> None:
         """Close the connection; the server learns it when the link is restored."""
         assert self._transport is not None
--- a/pomelolug/entry/tests/test_server_contact.py
+++ b/pomelolug/entry/tests/test_server_contact.py
@@ -49,13 +49,17 @@
         self.probed: list[BackendServer] = []
         self.running = 0
         self.changes: list[tuple[float, bool]] = []
+        self.doubts: list[tuple[float, bool]] = []
+        self.has_peers = True
         self.paused: set[str] = set()
         self.contact = ServerContact(
             registry=self.registry,
             is_paused=lambda server: server.vm in self.paused,
             probe=self._probe,
             probe_timeout=datetime.timedelta(seconds=PROBE_S),
+            has_peers=lambda: self.has_peers,
             on_change=lambda cut: self.changes.append((self.clock.monotonic(), cut)),
+            on_doubt=lambda doubt: self.doubts.append((self.clock.monotonic(), doubt)),
             clock=self.clock,
             rng=random.Random(1),
         )
@@ -68,6 +72,10 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
+    def send(self, *vms: str) -> None:
+        for vm in vms:
+            self.contact.record_request(VmId(vm))
+
     async def cut(self) -> None:
         """Let the node be cut off."""
         self.report("s0", "s1")
@@ -284,3 +292,92 @@
         returned_s = links.changes[1][0]
         assert links.contact.was_cut_off_since(returned_s - 0.01)
         assert not links.contact.was_cut_off_since(returned_s + 0.01)
+
+
+SILENT_PROBE_S = 0.59
+"""Time of a probe of a server that is silent, below the time limit of a round."""
+
+
+async def test_silence_of_all_servers_puts_the_links_in_doubt():
+    # Guards against links that pass nothing and are noticed only when requests over
+    # them have timed out.
+    with structlog.testing.capture_logs() as lines:
+        async with make_links(probe_s=SILENT_PROBE_S) as links:
+            links.send("s0", "s1")
+            await asyncio.sleep(0.8)
+            assert links.contact.is_in_doubt
+            assert not links.contact.is_cut_off
+            assert links.contact.was_cut_off_since(links.clock.monotonic())
+            await asyncio.sleep(0.2)
+            assert links.contact.is_cut_off
+            assert not links.contact.is_in_doubt
+            events = [line["event"] for line in lines]
+            assert events == ["servers_silent", "servers_out_of_reach"]
+
+
+async def test_response_during_the_probes_ends_the_doubt():
+    # Guards against a node that passes all requests on because its servers paused.
+    async with make_links(probe_s=SILENT_PROBE_S) as links:
+        links.send("s0", "s1")
+        await asyncio.sleep(0.8)
+        links.contact.record_response(VmId("s1"))
+        assert [doubt for _, doubt in links.doubts] == [True, False]
+        assert not links.contact.is_in_doubt
+
+
+@pytest.mark.parametrize("heard", ["s0", "s5"])
+async def test_servers_that_respond_to_others_are_not_probed(heard):
+    # Guards against probes for requests that take long while servers respond.
+    async with make_links() as links:
+        for _ in range(50):
+            links.send("s0", "s1", "s2")
+            links.contact.record_response(VmId(heard))
+            await asyncio.sleep(0.1)
+        assert not links.rounds
+
+
+async def test_probes_for_silence_are_rare_while_servers_respond_to_them():
+    # Guards against many probes by a node whose few requests take long.
+    async with make_links() as links:
+        links.reachable = {f"s{number}" for number in range(6)}
+        for _ in range(100):
+            links.send("s0", "s1")
+            await asyncio.sleep(0.1)
+        assert 5 <= len(links.rounds) <= 10
+        assert links.doubts == links.changes == []
+
+
+async def test_silence_of_one_server_or_without_peers_causes_no_probe():
+    # Guards against probes whose result changes nothing.
+    async with make_links() as links:
+        links.send("s0")
+        await asyncio.sleep(1.0)
+        links.has_peers = False
+        links.send("s1", "s2")
+        await asyncio.sleep(1.0)
+        assert not links.rounds
+
+
+@pytest.mark.parametrize(
+    ("reachable", "longest_s", "is_in_doubt"),
+    [({f"s{number}" for number in range(6)}, 0.1, False), (set(), 0.5, True)],
+)
+async def test_check_waits_for_a_response_or_doubt(reachable, longest_s, is_in_doubt):
+    # Guards against a stream that loses its last run on a further silent link.
+    async with make_links(probe_s=SILENT_PROBE_S) as links:
+        links.reachable = reachable
+        await asyncio.sleep(1.0)
+        async with asyncio.timeout(longest_s):
+            await links.contact.check()
+        assert links.contact.is_in_doubt is is_in_doubt
+
+
+async def test_check_of_links_in_use_returns_at_once():
+    # Guards against moves of streams that wait for probes they do not need.
+    async with make_links() as links:
+        links.contact.record_response(VmId("s0"))
+        await links.contact.check()
+        links.has_peers = False
+        await asyncio.sleep(1.0)
+        await links.contact.check()
+        assert not links.rounds
--- a/pomelolug/platform/__init__.py
+++ b/pomelolug/platform/__init__.py
@@ -19,7 +19,7 @@
     refusal_headers,
     response_headers,
 )
-from pomelolug.platform._server_control import HttpServerControl
+from pomelolug.platform._server_control import HttpServerControl, ProbeResult
 from pomelolug.platform._servers import decode_server
 from pomelolug.platform._settings import NodeSettings, load_settings
 from pomelolug.platform._store import (
@@ -41,6 +41,7 @@
 __all__ = [
     "EventSplitter",
     "HttpServerControl",
+    "ProbeResult",
     "KEY_DECLARATION",
     "MetadataStore",
     "NodeSettings",
--- a/pomelolug/platform/_server_control.py
+++ b/pomelolug/platform/_server_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import enum
 from collections.abc import Callable
 from typing import Any
 
@@ -26,10 +27,12 @@
     encode_request,
 )
 
-__all__ = ["HttpServerControl"]
+__all__ = ["HttpServerControl", "ProbeResult"]
 
 _MAX_REPORT_BYTES = 64 * 1024
 _OTHER_SERVER_STATUS = 421
+_CONNECT_FAILURES = frozenset({"connect_refused", "connect_timeout"})
+"""Reasons of connections that have not opened."""
 
 _RESULT_BY_STATUS = {
     200: OrderResult.SATISFIED,
@@ -65,6 +68,16 @@
     models: tuple[_Model, ...] = ()
 
 
+class ProbeResult(enum.Enum):
+    """What a probe of a server has shown."""
+
+    RESPONDED = "responded"
+    OPENED = "opened"
+    """A connection has opened, but no response has arrived."""
+    NOT_CONNECTED = "not_connected"
+    """No connection has opened."""
+
+
 class HttpServerControl(ServerControl):
     """Sends orders and requests reports over HTTP.
 
@@ -174,17 +187,33 @@
             server, fence, orders_begun, {"operation": "stage", "model": model}
         )
 
-    async def responds(self, server: BackendServer) -> bool:
+    async def probe(
+        self, server: BackendServer, *, health_path: str | None = None
+    ) -> ProbeResult:
         """Return whether a server responds in time over a new connection.
 
-        Whatever it responds to the request for its report, it is reached.
+        Whatever it responds, it is reached.
+
+        Parameters
+        ----------
+        server : BackendServer
+            Server to probe.
+        health_path : str or None
+            Path of its health check, which may wait for a slot. None to ask for its
+            report, which needs none.
         """
-        request = _encode_report_request(server)
+        if health_path is None:
+            request = _encode_report_request(server)
+        else:
+            request = _encode_get_request(server, health_path.encode())
         try:
             await self._call(server, request, self._report_timeout_s, fresh=True)
-        except (HttpConnectionError, TimeoutError):
-            return False
-        return True
+        except TimeoutError:
+            return ProbeResult.OPENED
+        except HttpConnectionError as error:
+            is_open = error.reason not in _CONNECT_FAILURES
+            return ProbeResult.OPENED if is_open else ProbeResult.NOT_CONNECTED
+        return ProbeResult.RESPONDED
 
     async def report(self, server: BackendServer) -> ServerReport | None:
         """Return the server's report, or None if it does not respond in time."""
@@ -222,7 +251,7 @@
                 server, request, self._order_timeout_s, fresh=True
             )
         except HttpConnectionError as error:
-            if error.reason in ("connect_refused", "connect_timeout"):
+            if error.reason in _CONNECT_FAILURES:
                 return OrderResult.UNREACHABLE
             return OrderResult.UNKNOWN
         except TimeoutError:
@@ -252,9 +281,13 @@
 
 
 def _encode_report_request(server: BackendServer) -> bytes:
+    return _encode_get_request(server, _wire_names.REPORT_PATH)
+
+
+def _encode_get_request(server: BackendServer, path: bytes) -> bytes:
     return encode_request(
         b"GET",
-        _wire_names.REPORT_PATH,
+        path,
         [
             (b"Host", server.address.encode()),
             (_wire_names.EXPECT_INSTANCE, server.vm.encode()),
--- a/pomelolug/platform/tests/test_server_control.py
+++ b/pomelolug/platform/tests/test_server_control.py
@@ -6,7 +6,7 @@
 
 from pomelolug.deployment import BackendServer, ServerState
 from pomelolug.ids import DomainId, ServiceName, VmId, ZoneId
-from pomelolug.platform import HttpServerControl
+from pomelolug.platform import HttpServerControl, ProbeResult
 from pomelolug.testing import ScriptedServer
 from pomelolug.transport import ConnectionPool
 
@@ -56,6 +56,7 @@
         on_notice=lambda server, notice: None,
     )
     try:
-        return await control.responds(make_server(server.address))
+        result = await control.probe(make_server(server.address))
+        return result is ProbeResult.RESPONDED
     finally:
         server.stop()
