Forget the earlier start of a server that has started again

A server may start again under its id with another start time. A node went on with what it knew of it before: requests in flight, the suspicion of its head, the pause after a refusal, its failures, what peers had reported, requests that it still waited for, and kept connections. A group with the name and epoch of before counted as complete although its members had not been ready since the new start of its head.

Change: the registry names the servers that have started again. The node closes kept connections to them and waits for no request of before; the tracker begins a new entry, which requests of before do not share, and drops what peers had reported. They report anew once they have learned of the start, as each node does this by itself.

Pauses, statements of leaving and losses already name the start that they concern.

--- a/pomelolug/deployment/_registry.py
+++ b/pomelolug/deployment/_registry.py
@@ -21,13 +21,15 @@
 class RegistryChange:
     """Servers that were added, changed or removed by one update.
 
-    `lapsed` servers are kept although their entry was removed.
+    `lapsed` servers are kept although their entry was removed. `restarted` are the
+    earlier descriptions of servers that have started again under their id.
     """
 
     added: tuple[BackendServer, ...] = ()
     changed: tuple[BackendServer, ...] = ()
     removed: tuple[BackendServer, ...] = ()
     lapsed: tuple[BackendServer, ...] = ()
+    restarted: tuple[BackendServer, ...] = ()
 
     def __bool__(self) -> bool:
         return bool(self.added or self.changed or self.removed)
@@ -89,6 +91,7 @@
         changed: list[BackendServer] = []
         removed: list[BackendServer] = []
         lapsed: list[BackendServer] = []
+        restarted: list[BackendServer] = []
         for vm, offset, server in records:
             if offset <= self._offsets.get(vm, -1):
                 continue
@@ -104,8 +107,14 @@
                 added.append(server)
             elif previous != server:
                 changed.append(server)
+                if previous.start_time_ms != server.start_time_ms:
+                    restarted.append(previous)
         return RegistryChange(
-            tuple(added), tuple(changed), tuple(removed), tuple(lapsed)
+            tuple(added),
+            tuple(changed),
+            tuple(removed),
+            tuple(lapsed),
+            tuple(restarted),
         )
 
     def expire(self) -> RegistryChange:
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -638,8 +638,9 @@
         self._server_tracker.refresh(self._group_sizes)
         self._run_monitor.on_registry_change(change)
         self._controller.wake()
-        for server in change.removed:
+        for server in (*change.removed, *change.restarted):
             self._pool.close_idle(server.address)
+            self._server_contact.forget_server(server.vm)
 
     def _announce(self) -> None:
         self._peer_coordinator.announce()
--- a/pomelolug/entry/servers/_server_contact.py
+++ b/pomelolug/entry/servers/_server_contact.py
@@ -175,6 +175,11 @@
         self._end_doubt()
         self._end_checks()
 
+    def forget_server(self, vm: VmId) -> None:
+        """Forget what was seen of a server that has ended."""
+        self._trouble_at_s.pop(vm, None)
+        self._waiting_since_s.pop(vm, None)
+
     async def check(self) -> None:
         """Wait until the present silence of all servers is explained, or in doubt.
 
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -14,7 +14,7 @@
 from pomelolug.entry.servers._server_notices import ServerNotices, ServerWait
 from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
-from pomelolug.replicas import GroupKey, group_views
+from pomelolug.replicas import GroupKey, group_key, group_views
 
 __all__ = ["ServerLoad", "ServerTracker"]
 
@@ -70,6 +70,7 @@
         self._notices = notices
         self._clock = clock
         self._loads: dict[VmId, ServerLoad] = {}
+        self._start_times_ms: dict[VmId, int] = {}
         self._peer_loads: dict[VmId, int] = {}
         self._zone_peer_loads: dict[str, int] = {}
         self._other_zone_loads: dict[str, int] = {}
@@ -214,6 +215,7 @@
             Number of members of a group, by model.
         """
         servers = self._registry.servers
+        self._forget_earlier_starts()
         views = group_views(servers.values())
         heads_by_model: dict[ModelName, list[BackendServer]] = {}
         self._degraded_heads.clear()
@@ -241,6 +243,28 @@
         for vm in [v for v in self._loads if v not in servers]:
             if not self._loads[vm].in_flight:
                 del self._loads[vm]
+        for vm in [v for v in self._start_times_ms if v not in servers]:
+            if vm not in self._loads:
+                del self._start_times_ms[vm]
+
+    def _forget_earlier_starts(self) -> None:
+        """Forget the load and the outcomes at servers that have started again.
+
+        Requests of before keep the entry that they have. Peers report what they know
+        of the server anew once they have learned of its start.
+        """
+        for vm, server in self._registry.servers.items():
+            known_ms = self._start_times_ms.get(vm)
+            self._start_times_ms[vm] = server.start_time_ms
+            if known_ms is None or known_ms == server.start_time_ms:
+                continue
+            self._loads.pop(vm, None)
+            self._peer_loads.pop(vm, None)
+            self._peer_suspects.discard(vm)
+            # A group that it has joined since is complete once all are ready again.
+            key = group_key(server.membership)
+            if key is not None:
+                self._completed_groups.discard(key)
 
     def heads(self, model: ModelName) -> list[BackendServer]:
         """Return the heads of the open groups of a model that take a request now."""
--- a/pomelolug/entry/tests/test_server_contact.py
+++ b/pomelolug/entry/tests/test_server_contact.py
@@ -381,3 +381,14 @@
         await asyncio.sleep(1.0)
         await links.contact.check()
         assert not links.rounds
+
+
+async def test_server_that_has_ended_is_not_waited_for():
+    # Guards against probes for a request to an earlier start of a server.
+    async with make_links() as links:
+        links.send("s0")
+        links.report("s0")
+        links.contact.forget_server(VmId("s0"))
+        links.send("s1")
+        await asyncio.sleep(1.0)
+        assert not links.rounds
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -1,23 +1,27 @@
 """Tests of the load and suspicions that nodes exchange through their statuses."""
 
 import asyncio
+import dataclasses
 import random
 
+import msgspec
 import pytest
 
-from pomelolug.deployment import ServerRegistry
+from pomelolug.deployment import GroupMembership, GroupState, ServerRegistry
 from pomelolug.entry.servers import (
     RequestRateLimiter,
     ServerLimits,
     ServerNotices,
     ServerTracker,
 )
-from pomelolug.ids import NodeId, VmId, ZoneId
+from pomelolug.entry.tests.backend import make_backend_server
+from pomelolug.ids import DomainId, GroupId, ModelName, NodeId, Offset, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.testing import LoopClock
 
 pytestmark = pytest.mark.looptime
 HEAD = VmId("head")
+MODEL = ModelName("m")
 
 
 def make_tracker() -> ServerTracker:
@@ -150,3 +154,66 @@
     tracker.suspect(HEAD)
     tracker.clear_suspicions(since_s=1.0)
     assert tracker.suspects() == (earlier,)
+
+
+def list_server(tracker: ServerTracker, *, born: int, offset: int, **changes) -> None:
+    server = dataclasses.replace(
+        make_backend_server(), vm=HEAD, start_time_ms=born, **changes
+    )
+    tracker._registry.apply([(HEAD, Offset(offset), server)])
+    tracker.refresh({MODEL: 2})
+
+
+async def test_load_and_outcomes_end_with_a_start_of_the_server():
+    # Guards against a server that has started again and gets fewer requests, or none,
+    # for what was seen of it before.
+    tracker = make_tracker()
+    list_server(tracker, born=1, offset=1)
+    before = tracker.load(HEAD)
+    before.in_flight += 3
+    tracker.suspect(HEAD)
+    tracker.record_refusal(HEAD)
+    tracker.record_failure(HEAD)
+    peer = status(make_tracker(), "a", relay=False)
+    peer = msgspec.structs.replace(peer, load={HEAD: 5}, suspects=(HEAD,))
+    tracker.apply_peer_statuses([peer], zone=ZoneId("a"))
+    assert tracker.in_flight(HEAD) == 8
+    list_server(tracker, born=2, offset=2)
+    assert tracker.in_flight(HEAD) == 0
+    assert tracker.failure_score(HEAD) == 0.0
+    assert tracker.own_loads() == {}
+    assert tracker.suspects() == ()
+    # A request of before ends now.
+    before.in_flight -= 1
+    assert tracker.in_flight(HEAD) == 0
+
+
+async def test_load_stays_while_the_entry_of_a_server_changes():
+    # Guards against counts that are lost with each change of an entry.
+    tracker = make_tracker()
+    tracker.load(HEAD).in_flight += 1
+    list_server(tracker, born=1, offset=1)
+    list_server(tracker, born=1, offset=2, slots=7)
+    assert tracker.in_flight(HEAD) == 1
+
+
+async def test_group_that_a_restarted_head_lists_again_has_to_become_complete():
+    # Guards against requests at a group whose members are not ready since its head has
+    # started again under the same name and epoch.
+    tracker = make_tracker()
+    open_group = {"model": MODEL, "domain": DomainId("d")}
+    membership = GroupMembership(GroupId("g"), 1, 0, GroupState.OPEN)
+    other = dataclasses.replace(
+        make_backend_server(),
+        vm=VmId("member"),
+        membership=dataclasses.replace(membership, rank=1, state=GroupState.READY),
+        **open_group,
+    )
+    tracker._registry.apply([(other.vm, Offset(0), other)])
+    list_server(tracker, born=1, offset=1, membership=membership, **open_group)
+    assert [head.vm for head in tracker.heads(MODEL)] == [HEAD]
+    joining = dataclasses.replace(other.membership, state=GroupState.JOINING)
+    other = dataclasses.replace(other, membership=joining)
+    tracker._registry.apply([(other.vm, Offset(2), other)])
+    list_server(tracker, born=2, offset=3, membership=membership, **open_group)
+    assert tracker.heads(MODEL) == []
