Choose the heads of groups by service and model

A group whose entry names another service than the route got the route's streams if it held the same model.

Cause: heads were chosen by the model alone, and groups were assembled from the servers of all services, so that an entry of another service could also take the place of a head, or of a member that lacks. Sizes of groups were kept by model, so that one of two services with the same model had the size of the other.

Change: the tracker assembles groups for each service and keeps heads and sizes by service and model; the stream forwarder asks for both. A formation of the controller belongs to its service, which alone advances and counts it.

No test of the controller with two services is added.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -40,6 +40,7 @@
 from pomelolug.entry.servers import (
     GroupSelector,
     RequestRateLimiter,
+    ServedModel,
     ServerContact,
     ServerLimits,
     ServerNotices,
@@ -48,7 +49,7 @@
 )
 from pomelolug.errors import ErrorCode, InvalidInputError, Outcome
 from pomelolug.feeds import RecordSource, TopicFeed
-from pomelolug.ids import ModelName, NodeId, VmId
+from pomelolug.ids import NodeId, VmId
 from pomelolug.platform import (
     TOPIC_DECLARATION,
     TOPIC_LOSSES,
@@ -168,7 +169,7 @@
         self._limits = HttpServerLimits()
         self._forwarding_limits = HttpServerLimits()
         self._connections: set[ServerConnection] = set()
-        self._group_sizes: dict[ModelName, int] = {}
+        self._group_sizes: dict[ServedModel, int] = {}
 
     async def run(self) -> None:
         """Start all components, wait for the stop request, and stop them in order."""
@@ -622,7 +623,7 @@
             limits.idle_timeout_s = declaration.idle_timeout.total_seconds()
         self._forwarding_limits.max_header_bytes += _MAX_ADDED_HEADER_BYTES
         self._group_sizes = {
-            model.name: model.group_size
+            (service.name, model.name): model.group_size
             for service in declaration.engine_services()
             if service.engine is not None
             for model in service.engine.models
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -188,7 +188,9 @@
         model = context.request_head.model
         if context.is_forwarded:
             return False
-        if model is not None and self._server_tracker.is_left_without_heads(model):
+        service = context.service.name
+        tracker = self._server_tracker
+        if model is not None and tracker.is_left_without_heads(service, model):
             return True
         return self._exits.may_use(context, unreached_count=state.unreached_count)
 
@@ -282,7 +284,11 @@
         record = AttemptRecord(
             head.vm,
             self._server_tracker.in_flight(head.vm),
-            len(self._server_tracker.heads(context.request_head.model)),
+            len(
+                self._server_tracker.heads(
+                    context.service.name, context.request_head.model
+                )
+            ),
             self._notices.request_limit_per_s(head.vm),
         )
         context.record.attempts.append(record)
@@ -512,7 +518,9 @@
     def _no_head_error(self, context: RequestContext) -> RequestError:
         """Return the error of a request for which no head was selected."""
         model = context.request_head.model
-        wait = self._server_tracker.head_wait(model) if model is not None else None
+        wait = None
+        if model is not None:
+            wait = self._server_tracker.head_wait(context.service.name, model)
         if wait is not None:
             return server_wait_error(wait, self._rng)
         has_groups = self._has_working_groups(context)
@@ -578,9 +586,9 @@
         candidates = []
         target_s = context.route.latency_target.total_seconds()
         heads = (
-            self._server_tracker.suspected_heads(model.name)
+            self._server_tracker.suspected_heads(context.service.name, model.name)
             if suspected
-            else self._server_tracker.heads(model.name)
+            else self._server_tracker.heads(context.service.name, model.name)
         )
         for head in heads:
             if head.vm in state.tried:
@@ -603,7 +611,7 @@
     def _has_working_groups(self, context: RequestContext) -> bool:
         """Return whether the model has groups; all are full if none was selected."""
         return context.request_head.model is not None and bool(
-            self._server_tracker.heads(context.request_head.model)
+            self._server_tracker.heads(context.service.name, context.request_head.model)
         )
 
     def _reply_error(self, context: RequestContext, error: ServerError) -> None:
--- a/pomelolug/entry/servers/__init__.py
+++ b/pomelolug/entry/servers/__init__.py
@@ -25,6 +25,7 @@
     ServerPauses,
 )
 from pomelolug.entry.servers._server_tracker import (
+    ServedModel,
     ServerTracker,
 )
 from pomelolug.entry.servers._watch import (
@@ -40,6 +41,7 @@
     "ServerLimits",
     "ServerNotices",
     "ServerPauses",
+    "ServedModel",
     "ServerTracker",
     "ServerWait",
     "StallDetector",
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 from collections.abc import Iterable, Mapping
+from typing import TypeAlias
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import (
@@ -16,7 +17,10 @@
 from pomelolug.messages import NodeStatus
 from pomelolug.replicas import GroupKey, group_key, group_views
 
-__all__ = ["ServerLoad", "ServerTracker"]
+__all__ = ["ServedModel", "ServerLoad", "ServerTracker"]
+
+ServedModel: TypeAlias = tuple[ServiceName, ModelName]
+"""A model and its service; several services may run the same model."""
 
 _SUSPICION_TIMEOUT_S = 6.0
 """Longest time for which a head is suspected.
@@ -78,8 +82,8 @@
         self._zone_suspects: frozenset[str] = frozenset()
         self._other_zone_suspects: tuple[str, ...] = ()
         # Listed groups of which all members have once been ready.
-        self._completed_groups: set[GroupKey] = set()
-        self._heads_by_model: dict[ModelName, list[BackendServer]] = {}
+        self._completed_groups: set[tuple[ServiceName, GroupKey]] = set()
+        self._heads: dict[ServedModel, list[BackendServer]] = {}
         # Open heads of completed groups that now lack a listed member.
         self._degraded_heads: set[VmId] = set()
         self._servers_by_service: dict[ServiceName, list[BackendServer]] = {}
@@ -206,35 +210,17 @@
         total = zone_loads + collections.Counter(self._other_zone_loads)
         self._peer_loads = {VmId(vm): count for vm, count in total.items()}
 
-    def refresh(self, group_sizes: Mapping[ModelName, int]) -> None:
+    def refresh(self, group_sizes: Mapping[ServedModel, int]) -> None:
         """Recompute the open groups and ready servers from the registry.
 
         Parameters
         ----------
-        group_sizes : mapping of ModelName to int
-            Number of members of a group, by model.
+        group_sizes : mapping of ServedModel to int
+            Number of members of a group, by service and model.
         """
         servers = self._registry.servers
         self._forget_earlier_starts()
-        views = group_views(servers.values())
-        heads_by_model: dict[ModelName, list[BackendServer]] = {}
-        self._degraded_heads.clear()
-        completed_groups = set()
-        for key, view in views.items():
-            size = group_sizes.get(view.model) if view.model is not None else None
-            if size is not None and view.is_ready(size):
-                completed_groups.add(key)
-            elif key in self._completed_groups:
-                completed_groups.add(key)
-            head = view.head
-            if head is None or key not in completed_groups or view.model is None:
-                continue
-            if view.head_state is GroupState.OPEN and _is_ready(head):
-                heads_by_model.setdefault(view.model, []).append(head)
-                if len(view.members) != size:
-                    self._degraded_heads.add(head.vm)
-        self._completed_groups = completed_groups
-        self._heads_by_model = heads_by_model
+        self._refresh_heads(group_sizes)
         servers_by_service: dict[ServiceName, list[BackendServer]] = {}
         for server in servers.values():
             if server.membership is None and _is_ready(server):
@@ -247,6 +233,36 @@
             if vm not in self._loads:
                 del self._start_times_ms[vm]
 
+    def _refresh_heads(self, group_sizes: Mapping[ServedModel, int]) -> None:
+        """Recompute the open groups, each of which consists of servers of one service.
+
+        An entry of another service may name any group, rank and model.
+        """
+        members: dict[ServiceName, list[BackendServer]] = {}
+        for server in self._registry.servers.values():
+            if server.membership is not None:
+                members.setdefault(server.service, []).append(server)
+        self._heads = {}
+        self._degraded_heads.clear()
+        completed_groups = set()
+        for service, servers in members.items():
+            for key, view in group_views(servers).items():
+                if view.model is None:
+                    continue
+                size = group_sizes.get((service, view.model))
+                if (size is not None and view.is_ready(size)) or (
+                    (service, key) in self._completed_groups
+                ):
+                    completed_groups.add((service, key))
+                head = view.head
+                if head is None or (service, key) not in completed_groups:
+                    continue
+                if view.head_state is GroupState.OPEN and _is_ready(head):
+                    self._heads.setdefault((service, view.model), []).append(head)
+                    if len(view.members) != size:
+                        self._degraded_heads.add(head.vm)
+        self._completed_groups = completed_groups
+
     def _forget_earlier_starts(self) -> None:
         """Forget the load and the outcomes at servers that have started again.
 
@@ -264,37 +280,39 @@
             # A group that it has joined since is complete once all are ready again.
             key = group_key(server.membership)
             if key is not None:
-                self._completed_groups.discard(key)
+                self._completed_groups.discard((server.service, key))
 
-    def heads(self, model: ModelName) -> list[BackendServer]:
-        """Return the heads of the open groups of a model that take a request now."""
-        return self._select_accepting(self._usable_heads(model))
+    def heads(self, service: ServiceName, model: ModelName) -> list[BackendServer]:
+        """Return the heads of the open groups that take a request now."""
+        return self._select_accepting(self._usable_heads(service, model))
 
-    def suspected_heads(self, model: ModelName) -> list[BackendServer]:
-        """Return the heads of the open groups of a model that are only suspected.
+    def suspected_heads(
+        self, service: ServiceName, model: ModelName
+    ) -> list[BackendServer]:
+        """Return the heads of the open groups that are only suspected.
 
         They take requests if they have only paused.
         """
         now_s = self._clock.monotonic()
-        heads = self._heads_by_model.get(model, [])
+        heads = self._heads.get((service, model), [])
         return self._select_accepting(
             [h for h in heads if self._is_suspected(h.vm, now_s)]
         )
 
-    def head_wait(self, model: ModelName) -> ServerWait | None:
+    def head_wait(self, service: ServiceName, model: ModelName) -> ServerWait | None:
         """Return the wait for a head to take a request.
 
         None if one does now, if there is none or if all of them leave.
         """
-        return self._notices.shortest_wait(self._usable_heads(model))
+        return self._notices.shortest_wait(self._usable_heads(service, model))
 
-    def is_left_without_heads(self, model: ModelName) -> bool:
-        """Return whether suspicions exclude all open groups of a model.
+    def is_left_without_heads(self, service: ServiceName, model: ModelName) -> bool:
+        """Return whether suspicions exclude all open groups of a service and model.
 
         At least one of them is a suspicion of this node, so another node may see the
         groups work.
         """
-        heads = self._heads_by_model.get(model, ())
+        heads = self._heads.get((service, model), ())
         now_s = self._clock.monotonic()
         return (
             any(self.load(head.vm).suspect_until_s > now_s for head in heads)
@@ -304,7 +322,7 @@
 
     def open_groups(self) -> int:
         """Return the number of open groups."""
-        return sum(len(heads) for heads in self._heads_by_model.values())
+        return sum(len(heads) for heads in self._heads.values())
 
     def servers(self, service: ServiceName) -> list[BackendServer]:
         """Return the servers that take a request now, of a service without groups."""
@@ -317,12 +335,14 @@
     def _select_accepting(self, servers: list[BackendServer]) -> list[BackendServer]:
         return [s for s in servers if self._notices.accepts_request(s)]
 
-    def _usable_heads(self, model: ModelName) -> list[BackendServer]:
-        """Return the heads of the open groups of a model that are not suspected."""
+    def _usable_heads(
+        self, service: ServiceName, model: ModelName
+    ) -> list[BackendServer]:
+        """Return the heads of the open groups that are not suspected."""
         now_s = self._clock.monotonic()
         return [
             h
-            for h in self._heads_by_model.get(model, ())
+            for h in self._heads.get((service, model), ())
             if self._is_usable(h.vm, now_s)
         ]
 
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -7,7 +7,12 @@
 import msgspec
 import pytest
 
-from pomelolug.deployment import GroupMembership, GroupState, ServerRegistry
+from pomelolug.deployment import (
+    BackendServer,
+    GroupMembership,
+    GroupState,
+    ServerRegistry,
+)
 from pomelolug.entry.servers import (
     RequestRateLimiter,
     ServerLimits,
@@ -15,13 +20,24 @@
     ServerTracker,
 )
 from pomelolug.entry.tests.backend import make_backend_server
-from pomelolug.ids import DomainId, GroupId, ModelName, NodeId, Offset, VmId, ZoneId
+from pomelolug.ids import (
+    DomainId,
+    GroupId,
+    ModelName,
+    NodeId,
+    Offset,
+    ServiceName,
+    VmId,
+    ZoneId,
+)
 from pomelolug.messages import NodeStatus
 from pomelolug.testing import LoopClock
 
 pytestmark = pytest.mark.looptime
 HEAD = VmId("head")
 MODEL = ModelName("m")
+SERVICE = make_backend_server().service
+OTHER_SERVICE = ServiceName("other")
 
 
 def make_tracker() -> ServerTracker:
@@ -161,7 +177,7 @@
         make_backend_server(), vm=HEAD, start_time_ms=born, **changes
     )
     tracker._registry.apply([(HEAD, Offset(offset), server)])
-    tracker.refresh({MODEL: 2})
+    tracker.refresh({(SERVICE, MODEL): 2})
 
 
 async def test_load_and_outcomes_end_with_a_start_of_the_server():
@@ -211,9 +227,51 @@
     )
     tracker._registry.apply([(other.vm, Offset(0), other)])
     list_server(tracker, born=1, offset=1, membership=membership, **open_group)
-    assert [head.vm for head in tracker.heads(MODEL)] == [HEAD]
+    assert [head.vm for head in tracker.heads(SERVICE, MODEL)] == [HEAD]
     joining = dataclasses.replace(other.membership, state=GroupState.JOINING)
     other = dataclasses.replace(other, membership=joining)
     tracker._registry.apply([(other.vm, Offset(2), other)])
     list_server(tracker, born=2, offset=3, membership=membership, **open_group)
-    assert tracker.heads(MODEL) == []
+    assert tracker.heads(SERVICE, MODEL) == []
+
+
+def make_member(vm: str, rank: int, **changes) -> BackendServer:
+    state = GroupState.READY if rank else GroupState.OPEN
+    membership = GroupMembership(GroupId("g"), 1, rank, state)
+    return dataclasses.replace(
+        make_backend_server(),
+        **{"vm": VmId(vm), "model": MODEL, "membership": membership} | changes,
+    )
+
+
+def apply_members(tracker: ServerTracker, *members: BackendServer) -> None:
+    tracker._registry.apply([(m.vm, Offset(n), m) for n, m in enumerate(members)])
+    tracker.refresh({(SERVICE, MODEL): 2, (OTHER_SERVICE, MODEL): 1})
+
+
+async def test_services_with_the_same_model_have_their_own_heads():
+    # Guards against requests for one service that run at another one.
+    tracker = make_tracker()
+    group = GroupMembership(GroupId("h"), 1, 0, GroupState.OPEN)
+    apply_members(
+        tracker,
+        make_member("head", 0),
+        make_member("member", 1),
+        make_member("other", 0, service=OTHER_SERVICE, membership=group),
+    )
+    assert [h.vm for h in tracker.heads(SERVICE, MODEL)] == ["head"]
+    assert [h.vm for h in tracker.heads(OTHER_SERVICE, MODEL)] == ["other"]
+    assert tracker.heads(ServiceName("unknown"), MODEL) == []
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+async def test_entry_of_another_service_takes_no_place_in_a_group(rank):
+    # Guards against an entry of another writer that replaces the head of a group, or
+    # completes one that lacks a member.
+    tracker = make_tracker()
+    foreign = make_member("foreign", rank, service=OTHER_SERVICE)
+    apply_members(tracker, make_member("head", 0), make_member("member", 1), foreign)
+    assert [h.vm for h in tracker.heads(SERVICE, MODEL)] == ["head"]
+    incomplete = make_tracker()
+    apply_members(incomplete, make_member("head", 0), foreign)
+    assert incomplete.heads(SERVICE, MODEL) == []
--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -59,6 +59,7 @@
 GROUP_SIZE = 8
 _DOMAIN_SIZE = 27
 _MODEL = ModelName("model")
+_SERVICE = ServiceName("llm")
 _SERVER_COUNTS = (75, 150, 300, 600)
 _LOSS_COUNTS = (125, 250, 500, 1000)
 _PLANNED_NODES = 390
@@ -90,7 +91,7 @@
     return BackendServer(
         vm=VmId(f"i-{number:010x}"),
         start_time_ms=1,
-        service=ServiceName("llm"),
+        service=_SERVICE,
         address="10.1.2.3:8080",
         zone=ZoneId("z"),
         domain=DomainId(f"d{number // _DOMAIN_SIZE}"),
@@ -141,7 +142,7 @@
         notices=_make_notices(),
         clock=_ProcessClock(),
     )
-    return lambda: server_tracker.refresh({_MODEL: GROUP_SIZE})
+    return lambda: server_tracker.refresh({(_SERVICE, _MODEL): GROUP_SIZE})
 
 
 def _make_group_views(count: int) -> Callable[[], object]:
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -64,6 +64,7 @@
     """A group that this node is forming; the first member is the head."""
 
     key: GroupKey
+    service: ServiceName
     model: ModelProfile
     members: tuple[VmId, ...]
     start_times_ms: dict[VmId, int]
@@ -259,7 +260,7 @@
         }
         orders: list[Coroutine[Any, Any, None]] = []
         for formation in list(self._formations.values()):
-            if formation.model in engine.models:
+            if formation.service == name and formation.model in engine.models:
                 orders += self._advance_formation(formation, views)
         for key, view in views.items():
             if key not in self._formations:
@@ -271,7 +272,7 @@
         free = [s for s in free if s.domain not in unverified_domains]
         if not self._has_settled(name, servers):
             free = _servers_in_sufficient_domains(free, engine)
-        demand = self._demand(engine, servers, views)
+        demand = self._demand(name, engine, servers, views)
         orders += self._formation_orders(engine, free, views, demand)
         load_budget = self._load_budget(engine, views)
         orders += self._spares.staging_orders(engine, free, views, demand, load_budget)
@@ -279,6 +280,7 @@
 
     def _demand(
         self,
+        service: ServiceName,
         engine: EngineProfile,
         servers: list[BackendServer],
         views: Mapping[GroupKey, GroupView],
@@ -295,6 +297,8 @@
                 requests = self._in_flight(view.head.vm)
                 in_flight[view.model] = in_flight.get(view.model, 0) + requests
         for formation in self._formations.values():
+            if formation.service != service:
+                continue
             name = formation.model.name
             if formation.key not in views or views[formation.key].model is None:
                 servers_in_groups[name] = (
@@ -440,6 +444,7 @@
         )
         formation = _Formation(
             key=key,
+            service=group.members[0].server.service,
             model=group.model,
             members=tuple(m.server.vm for m in group.members),
             start_times_ms={m.server.vm: m.server.start_time_ms for m in group.members},
