Ignore server entries that would end readers or requests

An entry of another writer could end the reader of the servers' topic (nested too deeply: RecursionError in the feed), raise an unexpected error in the opening of a connection (a port above 65535: OverflowError; a digit outside of ASCII: ValueError), and add fields to requests (line breaks in the address or in the key).

Change: such entries name no server, as entries with wrong types did before, nor do entries with numbers below 0 or above 2**53. A declaration that is nested too deeply is refused like other malformed ones.

Added to an existing parametrized test: nine malformed entries.

--- a/pomelolug/entry/tests/test_foreign_entries.py
+++ b/pomelolug/entry/tests/test_foreign_entries.py
@@ -1,5 +1,7 @@
 """Entries of servers that another writer has put into the store."""
 
+import asyncio
+
 import msgspec
 import pytest
 
@@ -13,6 +15,8 @@
 )
 from pomelolug.testing import ScriptedServer
 
+LEARNED_S = 0.6
+"""Time in which a node reads a new entry."""
 STREAM_HEADERS = {"Model": MODEL, "Token_Count": "100,50"}
 
 
@@ -65,3 +69,30 @@
             assert [target for target in runs if not target.startswith("/-/")] == []
     finally:
         foreign.stop()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\xff",
+        b'{"x":' + b"[" * 20_000 + b"]" * 20_000 + b"}",
+        b'{"service": "plain", "address": "127.0.0.1:70000", "state": "ready"}',
+        b'{"service": "plain", "address": "127.0.0.1:\xc2\xb2", "state": "ready"}',
+        b'{"service": "plain", "address": "127.0.0.1:1", "state": "unheard"}',
+    ],
+    ids=["bytes", "nested", "port", "digit", "state"],
+)
+async def test_entry_that_names_no_server_leaves_the_others_in_use(data):
+    # Guards against a reader that ends, and requests that fail, for one entry.
+    async with Harness() as h:
+        await h.add_server(serve, vm="plain-1")
+        h.store.put("keyed.servers", "foreign", data)
+        await h.start(servers=1)
+        await h.add_server(serve, vm="plain-2")
+        h.store.put("keyed.servers", "foreign-2", data)
+        await asyncio.sleep(LEARNED_S)
+        assert h.entry is not None
+        assert set(h.entry._registry.servers) == {"plain-1", "plain-2"}
+        for number in range(20):
+            head, _ = await h.request("/once/x", request_id=f"r{number}")
+            assert head.status == 200
--- a/pomelolug/platform/_declaration.py
+++ b/pomelolug/platform/_declaration.py
@@ -126,7 +126,7 @@
     """
     try:
         raw = msgspec.json.decode(data, type=_DeclarationRecord, strict=False)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         message, _, place = str(error).partition(" - at ")
         finding = Finding(location=place.strip("`"), value="", problem=message)
         raise InvalidInputError(ErrorCode.CONFIGURATION_INVALID, [finding]) from error
--- a/pomelolug/platform/_servers.py
+++ b/pomelolug/platform/_servers.py
@@ -1,5 +1,7 @@
 """Decoding of the entries that backend servers write to the store."""
 
+from typing import Annotated
+
 import msgspec
 
 from pomelolug.deployment import (
@@ -13,10 +15,16 @@
 __all__ = ["decode_server"]
 
 
+_MAX_INTEGER = 2**53
+"""Largest integer that all readers of JSON carry exactly."""
+_MAX_PORT = 65535
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+
+
 class _Group(msgspec.Struct, frozen=True):
     name: str
-    epoch: int
-    rank: int
+    epoch: _Count
+    rank: _Count
     state: GroupState
 
 
@@ -31,10 +39,10 @@
     address: str
     state: ServerState
     zone: str = ""
-    slots: int = 1
+    slots: _Count = 1
     # Unix time of the start in milliseconds; distinguishes a restarted server from
     # an earlier one with the same id.
-    born: int = 0
+    born: _Count = 0
     domain: str = ""
     staged: tuple[str, ...] = ()
     models: tuple[_Model, ...] = ()
@@ -49,10 +57,9 @@
     """
     try:
         raw = msgspec.json.decode(data, type=_ServerEntry)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
-    host, _, port = raw.address.rpartition(":")
-    if not host or not port.isdigit() or not raw.service:
+    if not (_is_token(vm) and _is_address(raw.address) and raw.service):
         return None
     return BackendServer(
         vm=vm,
@@ -69,6 +76,18 @@
     )
 
 
+def _is_token(text: str) -> bool:
+    """Return whether a text is fit for a header field: visible ASCII, no spaces."""
+    return text.isascii() and text.isprintable() and bool(text) and " " not in text
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    if not host or not _is_token(text) or not port.isdigit():
+        return False
+    return len(port) <= len(str(_MAX_PORT)) and 0 < int(port) <= _MAX_PORT
+
+
 def _decode_membership(raw: _Group | None) -> GroupMembership | None:
     if raw is None:
         return None
--- a/pomelolug/platform/tests/test_decoding.py
+++ b/pomelolug/platform/tests/test_decoding.py
@@ -149,6 +149,15 @@
         {"address": None},
         {"group": {"name": "g"}},
         {"born": "soon"},
+        {"born": -1},
+        {"born": 10**30},
+        {"slots": 10**30},
+        {"group": ENTRY["group"] | {"epoch": 10**30}},
+        {"group": ENTRY["group"] | {"rank": -1}},
+        {"address": "10.0.0.1:70000"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:\u00b2"},
+        {"address": "10.0.0.1\r\nX: y:80"},
     ],
 )
 def test_invalid_server_entry_is_ignored(change):
@@ -157,6 +166,24 @@
     assert decode_server(VmId("a"), b"\x00\xff") is None
 
 
+@pytest.mark.parametrize(
+    "vm",
+    ["", "a b", "a\r\nX: y", "\ud800", "\u00e4"],
+    ids=["empty", "space", "line", "surrogate", "letter"],
+)
+def test_key_that_is_no_server_id_is_ignored(vm):
+    # Requests name the server in a header field, which such a key would break.
+    assert decode_server(VmId(vm), msgspec.json.encode(ENTRY)) is None
+
+
+def test_deeply_nested_records_are_ignored():
+    # Such a record of another writer must not end the reader of the topic.
+    data = b'{"x":' + b"[" * 200_000 + b"]" * 200_000 + b"}"
+    assert decode_server(VmId("a"), data) is None
+    with pytest.raises(InvalidInputError):
+        decode_declaration(data)
+
+
 def test_api_key_and_connection_fields_are_not_forwarded():
     # A server must not see the caller's API key, and a caller must not be able to forge
     # the account.
