--- a/pomelolug/deployment/_registry.py
+++ b/pomelolug/deployment/_registry.py
@@ -22,7 +22,8 @@
     """Servers that were added, changed or removed by one update.
 
     `lapsed` servers are kept although their entry was removed. `renewed` holds all
-    servers whose entry was written, changed or not.
+    servers whose entry was written, changed or not. `restarted` are the earlier
+    descriptions of servers that have started again under their id.
     """
 
     added: tuple[BackendServer, ...] = ()
@@ -30,6 +31,7 @@
     removed: tuple[BackendServer, ...] = ()
     lapsed: tuple[BackendServer, ...] = ()
     renewed: tuple[BackendServer, ...] = ()
+    restarted: tuple[BackendServer, ...] = ()
 
     def __bool__(self) -> bool:
         return bool(self.added or self.changed or self.removed)
@@ -92,6 +94,7 @@
         removed: list[BackendServer] = []
         lapsed: list[BackendServer] = []
         renewed: list[BackendServer] = []
+        restarted: list[BackendServer] = []
         for vm, offset, server in records:
             if offset <= self._offsets.get(vm, -1):
                 continue
@@ -108,12 +111,15 @@
                 added.append(server)
             elif previous != server:
                 changed.append(server)
+                if previous.start_time_ms != server.start_time_ms:
+                    restarted.append(previous)
         return RegistryChange(
             tuple(added),
             tuple(changed),
             tuple(removed),
             tuple(lapsed),
             tuple(renewed),
+            tuple(restarted),
         )
 
     def expire(self) -> RegistryChange:
--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -47,6 +47,7 @@
     EvacuatedZones,
     GroupSelector,
     RequestRateLimiter,
+    ServedModel,
     ServerContact,
     ServerLimits,
     ServerNotices,
@@ -55,7 +56,7 @@
 )
 from pomelolug.errors import ErrorCode, InvalidInputError, Outcome
 from pomelolug.feeds import RecordSource, TopicFeed
-from pomelolug.ids import ModelName, NodeId, VmId
+from pomelolug.ids import NodeId, VmId
 from pomelolug.platform import (
     TOPIC_DECLARATION,
     TOPIC_LOSSES,
@@ -63,6 +64,7 @@
     HttpServerControl,
     MetadataStore,
     NodeSettings,
+    ProbeResult,
     StoreControllerElection,
     outcome_headers,
 )
@@ -76,7 +78,6 @@
 from pomelolug.transport import (
     ConnectionPool,
     Handler,
-    HttpConnectionError,
     HttpServerLimits,
     ServerConnection,
 )
@@ -175,7 +176,7 @@
         self._limits = HttpServerLimits()
         self._forwarding_limits = HttpServerLimits()
         self._connections: set[ServerConnection] = set()
-        self._group_sizes: dict[ModelName, int] = {}
+        self._group_sizes: dict[ServedModel, int] = {}
 
     async def run(self) -> None:
         """Start all components, wait for the stop request, and stop them in order."""
@@ -269,7 +270,9 @@
         self._stall_detector = StallDetector(clock=clock, on_stall=self._on_stall)
         self._delay_estimator: DelayEstimator = DeclaredDelayEstimator()
         self._group_dispatcher = GroupDispatcher(
-            heads=lambda service, model: self._server_tracker.open_heads(model),
+            heads=lambda service, model: self._server_tracker.open_heads(
+                service, model
+            ),
             estimator=self._delay_estimator,
             declaration=lambda: self._declarations.current,
             zone=settings.zone,
@@ -292,7 +295,7 @@
             holds_lease=lambda: self._lease.is_held,
             is_serving=lambda: self._request_handler.has_received_request,
             can_reach_store=self._can_reach_store,
-            reaches_servers=lambda: not self._server_contact.is_cut_off,
+            reaches_servers=self._reaches_servers,
             on_suspect=self._controller.mark_suspect,
             on_nodes=self._on_nodes,
             needs_node_names=lambda: self._cold_servers.has_services,
@@ -331,7 +334,9 @@
                 self._notices.is_paused(server) or self._notices.is_evacuated(server)
             ),
             probe_timeout=_CONNECT_TIMEOUT + _PROBE_TIMEOUT,
+            has_peers=lambda: self._peer_coordinator.has_peers,
             on_change=self._on_contact_change,
+            on_doubt=self._on_contact_doubt,
             clock=self._clock,
             rng=self._rng,
         )
@@ -344,17 +349,22 @@
     async def _probe(self, server: BackendServer) -> bool:
         """Return whether a server is reached over a new connection.
 
-        A server in a fabric domain has to respond to a request for its report, since a
-        connection may open and then pass nothing.
+        It has to respond, since a connection may open and then pass nothing. The health
+        check of a plain server may wait for a slot, so a response of any server to a
+        request will do as well.
         """
         if server.domain:
-            return await self._probe_control.responds(server)
-        try:
-            connection = await self._probe_pool.acquire(server.address, fresh=True)
-        except HttpConnectionError:
-            return False
-        connection.close()
-        return True
+            result = await self._probe_control.probe(server)
+            return result is ProbeResult.RESPONDED
+        began_at_s = self._clock.monotonic()
+        declaration = self._declarations.current
+        service = declaration and declaration.services.get(server.service)
+        result = await self._probe_control.probe(
+            server, health_path=service.health_path if service else None
+        )
+        if result is ProbeResult.OPENED:
+            return self._server_contact.has_heard_since(began_at_s)
+        return result is ProbeResult.RESPONDED
 
     def _build_notices(self) -> None:
         settings = self._settings
@@ -666,7 +676,7 @@
             limits.idle_timeout_s = declaration.idle_timeout.total_seconds()
         self._forwarding_limits.max_header_bytes += _MAX_ADDED_HEADER_BYTES
         self._group_sizes = {
-            model.name: model.group_size
+            (service.name, model.name): model.group_size
             for service in declaration.engine_services()
             if service.engine is not None
             for model in service.engine.models
@@ -685,7 +695,9 @@
         self._controller.wake()
         for server in change.removed:
             self._notices.record_removal(server)
+        for server in (*change.removed, *change.restarted):
             self._pool.close_idle(server.address)
+            self._server_contact.forget_server(server.vm)
 
     def _announce(self) -> None:
         self._peer_coordinator.announce()
@@ -709,8 +721,9 @@
         self._group_selector.set_zone_node_count(len(zone_nodes) + 1)
 
     def _on_stall(self, head: VmId) -> None:
-        if self._server_contact.is_cut_off:
-            # The stall is due to the links of this node.
+        if not self._reaches_servers():
+            # The stall may be due to the links of this node.
+            self._server_contact.report_trouble(head)
             return
         self._metrics.stalls.inc()
         _log.warning(
@@ -731,6 +744,16 @@
         self._metrics.servers_out_of_reach.set(is_cut_off)
         self._peer_coordinator.announce()
 
+    def _on_contact_doubt(self, is_in_doubt: bool) -> None:
+        """Count the times at which all servers are silent, and tell the peers."""
+        if is_in_doubt:
+            self._metrics.server_silences.inc()
+        self._peer_coordinator.announce()
+
+    def _reaches_servers(self) -> bool:
+        contact = self._server_contact
+        return not (contact.is_cut_off or contact.is_in_doubt)
+
     def _is_eligible_for_lease(self) -> bool:
         """Return whether this node may be a candidate for the controller lease.
 
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -134,6 +134,11 @@
             "Zones whose servers get no requests, by order of the operator.",
             registry=self._registry,
         )
+        self.server_silences = prometheus_client.Counter(
+            f"{name}_server_silences",
+            "Times at which no server responded to requests or probes.",
+            registry=self._registry,
+        )
         self.lapsed_servers = prometheus_client.Gauge(
             f"{name}_lapsed_servers",
             "Servers that are kept although their entry was removed.",
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -216,7 +216,9 @@
         model = context.request_head.model
         if context.is_forwarded:
             return False
-        if model is not None and self._server_tracker.is_left_without_heads(model):
+        service = context.service.name
+        tracker = self._server_tracker
+        if model is not None and tracker.is_left_without_heads(service, model):
             return True
         return self._exits.may_use(context, unreached_count=state.unreached_count)
 
@@ -313,7 +315,11 @@
         record = AttemptRecord(
             head.vm,
             self._server_tracker.in_flight(head.vm),
-            len(self._server_tracker.heads(context.request_head.model)),
+            len(
+                self._server_tracker.heads(
+                    context.service.name, context.request_head.model
+                )
+            ),
             self._notices.request_limit_per_s(head.vm),
             self._notices.is_cold(head),
             choice=selected.choice,
@@ -489,6 +495,7 @@
         self, context: RequestContext, state: StreamState, run: StreamRun
     ) -> None:
         """Replace a run by one at another group that has sent the next event."""
+        await self._exits.check_contact(context)
         while self._may_retry(context, state, running=1):
             try:
                 other = await self._start_run(context, state, waits=False)
@@ -545,7 +552,9 @@
     def _no_head_error(self, context: RequestContext) -> RequestError:
         """Return the error of a request for which no head was selected."""
         model = context.request_head.model
-        wait = self._server_tracker.head_wait(model) if model is not None else None
+        wait = None
+        if model is not None:
+            wait = self._server_tracker.head_wait(context.service.name, model)
         if wait is not None:
             return server_wait_error(wait, self._rng)
         has_groups = self._has_working_groups(context)
@@ -558,7 +567,7 @@
         """Return the error of a request not sent, with the wait if no head takes it."""
         model = context.request_head.model
         if not failure.is_server_failure and not state.possible_runs and model:
-            wait = self._server_tracker.head_wait(model)
+            wait = self._server_tracker.head_wait(context.service.name, model)
             if wait is not None:
                 return server_wait_error(wait, self._rng)
         return _to_request_error(failure, state.possible_runs)
@@ -629,7 +638,7 @@
                     break
                 if assignment.head is None:
                     return None
-                head = self._find_head(model, state, assignment.head)
+                head = self._find_head(context, state, assignment.head)
                 if head is not None:
                     return _SelectedGroup(head, GroupChoice.ASSIGNED, assignment)
                 choice = GroupChoice.UNUSABLE
@@ -648,14 +657,17 @@
         unusable: set[VmId],
     ) -> Question:
         """Return the question for a group that this node may send a run to."""
-        usable = {head.vm for head in self._server_tracker.heads(model)} - unusable
+        service = context.service.name
+        usable = {
+            head.vm for head in self._server_tracker.heads(service, model)
+        } - unusable
         excluded = [
             head.vm
-            for head in self._server_tracker.open_heads(model)
+            for head in self._server_tracker.open_heads(service, model)
             if head.vm in state.tried or head.vm not in usable
         ]
         return Question(
-            service=context.service.name,
+            service=service,
             model=model,
             prompt_tokens=context.request_head.prompt_tokens,
             target_s=context.route.latency_target.total_seconds(),
@@ -663,15 +675,16 @@
         )
 
     def _find_head(
-        self, model: ModelName, state: StreamState, vm: VmId
+        self, context: RequestContext, state: StreamState, vm: VmId
     ) -> BackendServer | None:
         """Return an assigned head, None if this node may not send to it now.
 
         The dispatcher may know more recent entries of servers, or older ones.
         """
-        if vm in state.tried:
+        model = context.request_head.model
+        if model is None or vm in state.tried:
             return None
-        heads = self._server_tracker.heads(model)
+        heads = self._server_tracker.heads(context.service.name, model)
         return next((head for head in heads if head.vm == vm), None)
 
     def _find_candidates(
@@ -683,9 +696,9 @@
         candidates = []
         target_s = context.route.latency_target.total_seconds()
         heads = (
-            self._server_tracker.suspected_heads(model.name)
+            self._server_tracker.suspected_heads(context.service.name, model.name)
             if suspected
-            else self._server_tracker.heads(model.name)
+            else self._server_tracker.heads(context.service.name, model.name)
         )
         for head in heads:
             if head.vm in state.tried:
@@ -709,7 +722,7 @@
     def _has_working_groups(self, context: RequestContext) -> bool:
         """Return whether the model has groups; all are full if none was selected."""
         return context.request_head.model is not None and bool(
-            self._server_tracker.heads(context.request_head.model)
+            self._server_tracker.heads(context.service.name, context.request_head.model)
         )
 
     def _reply_error(self, context: RequestContext, error: ServerError) -> None:
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 from collections.abc import Iterable, Mapping
+from typing import TypeAlias
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import (
@@ -14,9 +15,12 @@
 from pomelolug.entry.servers._server_notices import ServerNotices, ServerWait
 from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
-from pomelolug.replicas import GroupKey, group_views
+from pomelolug.replicas import GroupKey, group_key, group_views
 
-__all__ = ["ServerLoad", "ServerTracker"]
+__all__ = ["ServedModel", "ServerLoad", "ServerTracker"]
+
+ServedModel: TypeAlias = tuple[ServiceName, ModelName]
+"""A model and its service; several services may run the same model."""
 
 _SUSPICION_TIMEOUT_S = 6.0
 """Longest time for which a head is suspected.
@@ -70,6 +74,7 @@
         self._notices = notices
         self._clock = clock
         self._loads: dict[VmId, ServerLoad] = {}
+        self._start_times_ms: dict[VmId, int] = {}
         self._peer_loads: dict[VmId, int] = {}
         self._zone_peer_loads: dict[str, int] = {}
         self._other_zone_loads: dict[str, int] = {}
@@ -77,8 +82,8 @@
         self._zone_suspects: frozenset[str] = frozenset()
         self._other_zone_suspects: tuple[str, ...] = ()
         # Listed groups of which all members have once been ready.
-        self._completed_groups: set[GroupKey] = set()
-        self._heads_by_model: dict[ModelName, list[BackendServer]] = {}
+        self._completed_groups: set[tuple[ServiceName, GroupKey]] = set()
+        self._heads: dict[ServedModel, list[BackendServer]] = {}
         # Open heads of completed groups that now lack a listed member.
         self._degraded_heads: set[VmId] = set()
         self._servers_by_service: dict[ServiceName, list[BackendServer]] = {}
@@ -137,10 +142,14 @@
         age_s = self._clock.monotonic() - load.last_failure_at_s
         return load.failure_score * 0.5 ** (age_s / _FAILURE_HALF_LIFE_S)
 
-    def zone_loads(self) -> dict[str, int]:
-        """Return the requests in flight of all nodes of this zone, by server."""
+    def zone_loads(self, *, with_own: bool = True) -> dict[str, int]:
+        """Return the requests in flight of all nodes of this zone, by server.
+
+        Without those of this node if `with_own` is false.
+        """
         loads: collections.Counter[str] = collections.Counter(self._zone_peer_loads)
-        loads.update(self.own_loads())
+        if with_own:
+            loads.update(self.own_loads())
         return dict(loads)
 
     def other_zone_loads(self) -> dict[str, int]:
@@ -201,34 +210,17 @@
         total = zone_loads + collections.Counter(self._other_zone_loads)
         self._peer_loads = {VmId(vm): count for vm, count in total.items()}
 
-    def refresh(self, group_sizes: Mapping[ModelName, int]) -> None:
+    def refresh(self, group_sizes: Mapping[ServedModel, int]) -> None:
         """Recompute the open groups and ready servers from the registry.
 
         Parameters
         ----------
-        group_sizes : mapping of ModelName to int
-            Number of members of a group, by model.
+        group_sizes : mapping of ServedModel to int
+            Number of members of a group, by service and model.
         """
         servers = self._registry.servers
-        views = group_views(servers.values())
-        heads_by_model: dict[ModelName, list[BackendServer]] = {}
-        self._degraded_heads.clear()
-        completed_groups = set()
-        for key, view in views.items():
-            size = group_sizes.get(view.model) if view.model is not None else None
-            if size is not None and view.is_ready(size):
-                completed_groups.add(key)
-            elif key in self._completed_groups:
-                completed_groups.add(key)
-            head = view.head
-            if head is None or key not in completed_groups or view.model is None:
-                continue
-            if view.head_state is GroupState.OPEN and _is_ready(head):
-                heads_by_model.setdefault(view.model, []).append(head)
-                if len(view.members) != size:
-                    self._degraded_heads.add(head.vm)
-        self._completed_groups = completed_groups
-        self._heads_by_model = heads_by_model
+        self._forget_earlier_starts()
+        self._refresh_heads(group_sizes)
         servers_by_service: dict[ServiceName, list[BackendServer]] = {}
         for server in servers.values():
             if server.membership is None and _is_ready(server):
@@ -237,54 +229,108 @@
         for vm in [v for v in self._loads if v not in servers]:
             if not self._loads[vm].in_flight:
                 del self._loads[vm]
+        for vm in [v for v in self._start_times_ms if v not in servers]:
+            if vm not in self._loads:
+                del self._start_times_ms[vm]
+
+    def _refresh_heads(self, group_sizes: Mapping[ServedModel, int]) -> None:
+        """Recompute the open groups, each of which consists of servers of one service.
+
+        An entry of another service may name any group, rank and model.
+        """
+        members: dict[ServiceName, list[BackendServer]] = {}
+        for server in self._registry.servers.values():
+            if server.membership is not None:
+                members.setdefault(server.service, []).append(server)
+        self._heads = {}
+        self._degraded_heads.clear()
+        completed_groups = set()
+        for service, servers in members.items():
+            for key, view in group_views(servers).items():
+                if view.model is None:
+                    continue
+                size = group_sizes.get((service, view.model))
+                if (size is not None and view.is_ready(size)) or (
+                    (service, key) in self._completed_groups
+                ):
+                    completed_groups.add((service, key))
+                head = view.head
+                if head is None or (service, key) not in completed_groups:
+                    continue
+                if view.head_state is GroupState.OPEN and _is_ready(head):
+                    self._heads.setdefault((service, view.model), []).append(head)
+                    if len(view.members) != size:
+                        self._degraded_heads.add(head.vm)
+        self._completed_groups = completed_groups
+
+    def _forget_earlier_starts(self) -> None:
+        """Forget the load and the outcomes at servers that have started again.
+
+        Requests of before keep the entry that they have. Peers report what they know
+        of the server anew once they have learned of its start.
+        """
+        for vm, server in self._registry.servers.items():
+            known_ms = self._start_times_ms.get(vm)
+            self._start_times_ms[vm] = server.start_time_ms
+            if known_ms is None or known_ms == server.start_time_ms:
+                continue
+            self._loads.pop(vm, None)
+            self._peer_loads.pop(vm, None)
+            self._peer_suspects.discard(vm)
+            # A group that it has joined since is complete once all are ready again.
+            key = group_key(server.membership)
+            if key is not None:
+                self._completed_groups.discard((server.service, key))
 
-    def heads(self, model: ModelName) -> list[BackendServer]:
-        """Return the heads of the open groups of a model that take a request now."""
-        return self._select_accepting(self._usable_heads(model))
+    def heads(self, service: ServiceName, model: ModelName) -> list[BackendServer]:
+        """Return the heads of the open groups that take a request now."""
+        return self._select_accepting(self._usable_heads(service, model))
 
-    def open_heads(self, model: ModelName) -> list[BackendServer]:
-        """Return the heads of the open groups of a model that any node may send to.
+    def open_heads(self, service: ServiceName, model: ModelName) -> list[BackendServer]:
+        """Return the heads of the open groups that any node may send to.
 
         Those that leave or lie in an evacuated zone are left out. What a suspicion, a
         pause or a share of a limit excludes differs between nodes.
         """
         return [
             head
-            for head in self._heads_by_model.get(model, [])
+            for head in self._heads.get((service, model), [])
             if not self._notices.is_leaving(head)
             and not self._notices.is_evacuated(head)
         ]
 
-    def suspected_heads(self, model: ModelName) -> list[BackendServer]:
-        """Return the heads of the open groups of a model that are only suspected.
+    def suspected_heads(
+        self, service: ServiceName, model: ModelName
+    ) -> list[BackendServer]:
+        """Return the heads of the open groups that are only suspected.
 
         They take requests if they have only paused.
         """
         now_s = self._clock.monotonic()
-        heads = self._heads_by_model.get(model, [])
+        heads = self._heads.get((service, model), [])
         return self._select_accepting(
             [h for h in heads if self._is_suspected(h.vm, now_s)]
         )
 
-    def head_wait(self, model: ModelName) -> ServerWait | None:
+    def head_wait(self, service: ServiceName, model: ModelName) -> ServerWait | None:
         """Return the wait for a head to take a request.
 
         None if one does now, if there is none or if all of them leave. An evacuation
         counts only if it concerns all heads, since others may just be full.
         """
-        heads = self._usable_heads(model)
-        if self._heads_elsewhere(model):
+        heads = self._usable_heads(service, model)
+        if self._heads_elsewhere(service, model):
             heads = [h for h in heads if not self._notices.is_evacuated(h)]
         return self._notices.shortest_wait(heads)
 
-    def is_left_without_heads(self, model: ModelName) -> bool:
-        """Return whether suspicions exclude all open groups of a model.
+    def is_left_without_heads(self, service: ServiceName, model: ModelName) -> bool:
+        """Return whether suspicions exclude all open groups of a service and model.
 
         Groups in evacuated zones are left out, since no node uses them.
         At least one of them is a suspicion of this node, so another node may see the
         groups work.
         """
-        heads = self._heads_elsewhere(model)
+        heads = self._heads_elsewhere(service, model)
         now_s = self._clock.monotonic()
         return (
             any(self.load(head.vm).suspect_until_s > now_s for head in heads)
@@ -294,7 +340,7 @@
 
     def open_groups(self) -> int:
         """Return the number of open groups."""
-        return sum(len(heads) for heads in self._heads_by_model.values())
+        return sum(len(heads) for heads in self._heads.values())
 
     def servers(self, service: ServiceName) -> list[BackendServer]:
         """Return the servers that take a request now, of a service without groups."""
@@ -307,17 +353,21 @@
     def _select_accepting(self, servers: list[BackendServer]) -> list[BackendServer]:
         return [s for s in servers if self._notices.accepts_request(s)]
 
-    def _heads_elsewhere(self, model: ModelName) -> list[BackendServer]:
-        """Return the heads of the open groups of a model outside evacuated zones."""
-        heads = self._heads_by_model.get(model, [])
+    def _heads_elsewhere(
+        self, service: ServiceName, model: ModelName
+    ) -> list[BackendServer]:
+        """Return the heads of the open groups outside evacuated zones."""
+        heads = self._heads.get((service, model), [])
         return [h for h in heads if not self._notices.is_evacuated(h)]
 
-    def _usable_heads(self, model: ModelName) -> list[BackendServer]:
-        """Return the heads of the open groups of a model that are not suspected."""
+    def _usable_heads(
+        self, service: ServiceName, model: ModelName
+    ) -> list[BackendServer]:
+        """Return the heads of the open groups that are not suspected."""
         now_s = self._clock.monotonic()
         return [
             h
-            for h in self._heads_by_model.get(model, ())
+            for h in self._heads.get((service, model), ())
             if self._is_usable(h.vm, now_s)
         ]
 
