Take back losses that the silence of all servers explains

When all servers fell silent for 1.6 s at two nodes, a repeatable plain request was refused as quarantined at both: second attempts count as suspicions of the request, and three silent servers were enough.

Change: when a node begins to doubt its links, it takes back the losses since the last response of any server. Losses at servers that are silent while others respond count as before.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -680,9 +680,11 @@
         self._peer_coordinator.announce()
 
     def _on_contact_doubt(self, is_in_doubt: bool) -> None:
-        """Count the times at which all servers are silent, and tell the peers."""
+        """Take back what the silence of all servers looked like, and tell the peers."""
         if is_in_doubt:
             self._metrics.server_silences.inc()
+            since_s = self._server_contact.last_heard_s
+            self._run_monitor.withdraw_losses(since_s=since_s)
         self._peer_coordinator.announce()
 
     def _reaches_servers(self) -> bool:
--- a/pomelolug/entry/servers/_server_contact.py
+++ b/pomelolug/entry/servers/_server_contact.py
@@ -160,6 +160,11 @@
         is_doubtful = self._is_cut_off or self._is_in_doubt
         return is_doubtful or self._returned_at_s >= time_s
 
+    @property
+    def last_heard_s(self) -> float:
+        """Monotonic time of the latest response of any server, also to a probe."""
+        return max(self._heard_at_s, self._reached_at_s)
+
     def has_heard_since(self, time_s: float) -> bool:
         """Return whether any server has responded to a request since a time."""
         return self._heard_at_s >= time_s
@@ -186,11 +191,10 @@
         Returns at once if a server has responded a moment ago, or if no other node is
         known.
         """
-        latest_s = max(self._heard_at_s, self._reached_at_s)
         if (
             self._is_cut_off
             or self._is_in_doubt
-            or self._clock.monotonic() - latest_s < _SILENCE_S
+            or self._clock.monotonic() - self.last_heard_s < _SILENCE_S
             or not self._has_peers()
         ):
             return
--- a/pomelolug/entry/tests/test_silent_links.py
+++ b/pomelolug/entry/tests/test_silent_links.py
@@ -10,6 +10,7 @@
     count_served,
     run_nodes,
     send_many,
+    warm_up,
 )
 from pomelolug.entry.tests.server_links import LinkCut
 
@@ -75,3 +76,25 @@
         for node in d.nodes:
             assert node.entry is not None
             assert node.entry._poison_detector.quarantined_count() == 0
+
+
+@pytest.mark.parametrize("route", ROUTES)
+async def test_requests_outlast_the_silence_of_all_servers_at_all_nodes(route):
+    # Guards against nodes that refuse requests, or pass them to and fro, because all
+    # servers fall silent for 1.6 s and go on.
+    async with run_nodes("z1", "z1", timeout_ms=6000, **servers_of(route)) as d:
+        await warm_up(d, (route,))
+        d.cut(LinkCut.ACCEPTED, 0, 1)
+        sending = [
+            asyncio.create_task(
+                send_many(
+                    node, (route,), "silent", count=8, interval_s=0.2, deadline_ms=6000
+                )
+            )
+            for node in d.nodes
+        ]
+        await asyncio.sleep(1.6)
+        for links in d.links:
+            links.restore()
+        for answers in await asyncio.gather(*sending):
+            assert count_served(d, answers) == len(answers), answers
