Learn the speed of servers from the requests of all nodes

Expected delays came from the declared figures of the engine alone, so a slow group got as much work as any other. Each node now records the times to first events, the intervals between events and the plain answers of its own requests, compares them with what is usual at this node, and exchanges the evidence in NodeStatus. Groups are compared by the declared delay at the same share of a learned limit; plain servers by load times the learned service time.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -28,7 +28,7 @@
 from pomelolug.entry._topic_consumers import DeclarationCache, RegistryUpdater
 from pomelolug.entry.losses import LossPublisher, PoisonRequestDetector, RunMonitor
 from pomelolug.entry.peers import PeerCoordinator, StoreContact
-from pomelolug.entry.performance import DeclaredDelayEstimator
+from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.requests import (
     PlainForwarder,
     RequestExits,
@@ -224,6 +224,13 @@
         )
         self._registry = ServerRegistry(clock=clock)
         self._build_notices()
+        self._delay_estimator = LearnedDelayEstimator(
+            zone=settings.zone,
+            clock=clock,
+            on_sample=lambda measure: self._metrics.delay_samples.labels(
+                measure.value
+            ).inc(),
+        )
         self._server_tracker = ServerTracker(
             registry=self._registry, notices=self._notices, clock=clock
         )
@@ -281,6 +288,7 @@
             departures=self._departures,
             poison_detector=self._poison_detector,
             notices=self._notices,
+            delay_estimator=self._delay_estimator,
         )
         self._internal_endpoints = InternalEndpoints(
             lifecycle=self._lifecycle,
@@ -427,6 +435,7 @@
             retry_limiter=self._retry_limiter,
             run_monitor=self._run_monitor,
             notices=self._notices,
+            delay_estimator=self._delay_estimator,
             exits=exits,
             clock=clock,
             zone=settings.zone,
@@ -441,7 +450,7 @@
             run_monitor=self._run_monitor,
             notices=self._notices,
             group_selector=self._group_selector,
-            delay_estimator=DeclaredDelayEstimator(),
+            delay_estimator=self._delay_estimator,
             exits=exits,
             clock=clock,
             rng=self._rng,
@@ -519,6 +528,7 @@
         while True:
             await self._clock.sleep(_HOUSEKEEPING_INTERVAL)
             self._writer.write_pending()
+            self._delay_estimator.tick()
             self._registry_updater.report_store_status(
                 is_fresh=self._server_feed.is_fresh, age_s=self._server_feed.age_s
             )
@@ -536,6 +546,9 @@
                     self._poison_detector.quarantined_count()
                 )
                 self._metrics.lapsed_servers.set(self._registry.lapsed_count)
+                performance = self._delay_estimator.summary()
+                self._metrics.slow_servers.set(performance.limited)
+                self._metrics.server_speed_spread.set(performance.spread)
                 self._metrics.limited_servers.set(
                     len(self._server_limits.limited_servers())
                 )
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -98,6 +98,22 @@
             "Servers that limit their requests per second.",
             registry=self._registry,
         )
+        self.delay_samples = prometheus_client.Counter(
+            f"{name}_delay_samples",
+            "Delays from which the speed of servers is learned, by what was measured.",
+            ["measure"],
+            registry=self._registry,
+        )
+        self.slow_servers = prometheus_client.Gauge(
+            f"{name}_slow_servers",
+            "Servers whose learned limit is far below the declared one.",
+            registry=self._registry,
+        )
+        self.server_speed_spread = prometheus_client.Gauge(
+            f"{name}_server_speed_spread",
+            "Largest learned factor on the delay of a server over the smallest one.",
+            registry=self._registry,
+        )
         self.servers_out_of_reach = prometheus_client.Gauge(
             f"{name}_servers_out_of_reach",
             "1 if no server is reached, else 0.",
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -18,6 +18,7 @@
 )
 from pomelolug.entry.peers._peer_gossip import PeerGossip
 from pomelolug.entry.peers._relay import RelaySource
+from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.servers import ServerNotices, ServerTracker
 from pomelolug.errors import PlatformError
 from pomelolug.feeds import RecordBatch, RecordSource
@@ -108,6 +109,8 @@
         Requests that were in flight when servers were lost.
     notices : ServerNotices
         What servers state about the requests that they take.
+    delay_estimator : LearnedDelayEstimator
+        Evidence on the speed of servers to exchange.
     """
 
     def __init__(
@@ -129,6 +132,7 @@
         departures: Departures,
         poison_detector: PoisonRequestDetector,
         notices: ServerNotices,
+        delay_estimator: LearnedDelayEstimator,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -148,6 +152,7 @@
         self._departures = departures
         self._poison_detector = poison_detector
         self._notices = notices
+        self._delay_estimator = delay_estimator
         self._started_ms = time.time_ns() // 1_000_000
         self._datagram_port = (
             settings.internal_ports[0] if settings.internal_ports else 0
@@ -432,6 +437,9 @@
         reaches_servers = self._reaches_servers()
         tracker = self._server_tracker
         limits = self._notices.limits
+        speeds = self._delay_estimator.take_reports(
+            is_relay=is_relay, reaches_servers=reaches_servers
+        )
         return NodeStatus(
             node=self._settings.node,
             started_ms=self._started_ms,
@@ -463,6 +471,9 @@
             limits=limits.own_reports(),
             zone_limits=limits.zone_reports() if is_relay else {},
             other_limits=limits.other_zone_reports() if is_relay else {},
+            speeds=speeds.own,
+            zone_speeds=speeds.zone,
+            other_speeds=speeds.other,
             leaving=self._notices.leaving.reports(),
             reaches_servers=reaches_servers,
             exits=self._sample_zone_exits() if is_relay else (),
@@ -493,6 +504,7 @@
             self._on_suspect(VmId(head))
         self._departures.merge(status.releases)
         self._notices.merge(status)
+        self._delay_estimator.merge(status)
         self._poison_detector.merge(
             status.strikes,
             cleared=status.cleared,
--- a/pomelolug/entry/performance/_base.py
+++ b/pomelolug/entry/performance/_base.py
@@ -1,6 +1,7 @@
 """Interface of what is known of the speed of servers."""
 
 import abc
+import datetime
 
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
 
@@ -34,6 +35,29 @@
             Size of the prompt.
         """
 
+    def choice_delay_s(
+        self,
+        head: BackendServer,
+        engine: EngineProfile,
+        model: ModelProfile,
+        *,
+        in_flight: int,
+        prompt_tokens: int,
+        target: datetime.timedelta,
+    ) -> float:
+        """Return the delay by which a group is compared with others, in seconds.
+
+        Parameters
+        ----------
+        head, engine, model, in_flight, prompt_tokens
+            As `first_event_s`, which it is unless a subclass knows better.
+        target : datetime.timedelta
+            Latency target of the request.
+        """
+        return self.first_event_s(
+            head, engine, model, in_flight=in_flight, prompt_tokens=prompt_tokens
+        )
+
     @abc.abstractmethod
     def limit(self, head: BackendServer, engine: EngineProfile) -> int:
         """Return the number of requests up to which a group takes more of them well."""
--- /dev/null
+++ b/pomelolug/entry/performance/_learned.py
@@ -0,0 +1,617 @@
+"""Delays and limits of servers as learned from the requests of all nodes."""
+
+import dataclasses
+import datetime
+import math
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from pomelolug.clock import Clock
+from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
+from pomelolug.entry.performance._base import DelayEstimator
+from pomelolug.entry.performance._common import CommonDelay
+from pomelolug.entry.performance._declared import estimate_first_event_s
+from pomelolug.entry.performance._evidence import (
+    BAND_COUNT,
+    Evidence,
+    EvidenceKey,
+    PendingEvidence,
+    decode_evidence,
+    evidence_key,
+)
+from pomelolug.entry.performance._load_curve import LoadCurve
+from pomelolug.entry.performance._observation import (
+    Measure,
+    PlainObservation,
+    StreamObservation,
+)
+from pomelolug.ids import ModelName, VmId, ZoneId
+from pomelolug.messages import NodeStatus
+
+__all__ = ["LearnedDelayEstimator", "PerformanceSummary", "SpeedReports"]
+
+_log = structlog.get_logger(__name__)
+
+_REFRESH_INTERVAL_S = 0.25
+"""Interval at which factors and limits are computed from the evidence."""
+_PRIOR_WEIGHT = 4.0
+"""Requests that the usual speed counts for, against those seen at a server."""
+_TOLERATED_LOG_RATIO = 0.15
+"""Log ratio that counts as none, so that noise does not order equal servers."""
+_LIMIT_SLACK = 1.15
+"""Factor by which a server may be slower at its declared limit."""
+_MIN_LIMIT_SHARE = 0.2
+"""Least limit as a share of the slots, so that a slow server shows its recovery."""
+_LOW_LIMIT_SHARE, _RESTORED_LIMIT_SHARE = 0.6, 0.85
+"""Shares of the slots at which a limit is logged as low, and as restored."""
+_COMFORTABLE_SHARE = 0.7
+"""Share of the latency target up to which a slow server is in time like any other."""
+_MAX_OWN_RECORDS = 4
+"""Records on servers in the status of a node, 24 bytes."""
+_MAX_OWN_LOAD_RECORDS = 2
+"""Records on loads in the status of a node, 12 bytes."""
+_MAX_RELAYED_RECORDS = 12
+"""Records on servers of a zone, or of all others, in a relay's status, 72 bytes."""
+_MAX_RELAYED_LOAD_RECORDS = 4
+"""Records on loads, as above, 24 bytes."""
+_LOAD_HALF_LIFE_S = 6.0
+"""Time in which evidence on a load of all servers loses half of its weight."""
+_MAX_LOAD_WEIGHT = 60.0
+"""Most requests that it counts for."""
+_MAX_KEYS = 4096
+"""Maximum number of servers with evidence."""
+_LOW_LOAD, _HIGH_LOAD = 0.25, 0.75
+"""Loads, as shares of the slots, for which the evidence of one band holds alone."""
+_SILENCE_S = 0.5
+"""Excess over the usual delay from which a pause of a sound server may explain it."""
+_SILENCE_WEIGHT = 0.25
+"""Weight of a first event that a pause of the server may have delayed."""
+_INTERVAL_WEIGHT = 0.3
+"""Weight of a mean interval between events; a stream has several of them."""
+_MAX_TICK_DELAY_S = 0.2
+"""Time without a tick after which this process was stopped or is overloaded."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpeedReports:
+    """Evidence for a status: of this node, of its zone and of all other zones."""
+
+    own: bytes
+    zone: bytes
+    other: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PerformanceSummary:
+    """Counts for the metrics.
+
+    Parameters
+    ----------
+    servers : int
+        Servers with evidence.
+    limited : int
+        Servers whose learned limit is low.
+    spread : float
+        Largest learned factor of a server over the smallest one, 1 without evidence.
+    """
+
+    servers: int
+    limited: int
+    spread: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Server:
+    """What is known of one server; `log_factors` and `limit` are computed from it."""
+
+    server: BackendServer
+    key: EvidenceKey
+    kind: str
+    curve: LoadCurve
+    slots: int
+    log_factors: tuple[float, float] = (0.0, 0.0)
+    is_usual: bool = True
+    limit: int = 0
+    is_low: bool = False
+
+
+class _Pending:
+    """Evidence for the next status, on servers and on loads."""
+
+    def __init__(self) -> None:
+        self._servers = PendingEvidence()
+        self._loads = PendingEvidence()
+
+    def add(
+        self,
+        key: EvidenceKey,
+        band: int,
+        weight: float,
+        value: float,
+        *,
+        is_load: bool,
+    ) -> None:
+        pending = self._loads if is_load else self._servers
+        pending.add(key, band, weight, value)
+
+    def take(self, max_servers: int, max_loads: int) -> bytes:
+        return self._servers.take(max_servers) + self._loads.take(max_loads)
+
+    def clear(self) -> None:
+        self._servers.clear()
+        self._loads.clear()
+
+
+class _DeclaredCurve:
+    """Declared delay without the prompt, by the number of requests in flight."""
+
+    def __init__(self, engine: EngineProfile, model: ModelProfile) -> None:
+        self.engine = engine
+        self.model = model
+        self._delays_s: dict[int, float] = {}
+        self._prefill_s = model.time_factor / max(engine.prefill_tokens_per_s, 1.0)
+
+    def first_event_s(self, in_flight: int, prompt_tokens: int) -> float:
+        delay_s = self._delays_s.get(in_flight)
+        if delay_s is None:
+            delay_s = estimate_first_event_s(self.engine, self.model, in_flight, 0)
+            self._delays_s[in_flight] = delay_s
+        return delay_s + self._prefill_s * prompt_tokens
+
+
+class LearnedDelayEstimator(DelayEstimator):
+    """Delays relative to the declared ones, and limits, learned by all nodes together.
+
+    The delay of a request is the usual one of all servers of its kind, which this node
+    learns from its own requests, times a factor of the server at its load. The factors
+    rest on the evidence of all nodes, each relative to what is usual at that node, and
+    are relative to the other servers again. So neither a slow node nor a slowdown of
+    all servers condemns any of them.
+
+    Parameters
+    ----------
+    zone : ZoneId
+        Zone of this node.
+    clock : Clock
+        Source of monotonic time.
+    on_sample : callable
+        Called with each kind of measure that is recorded.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: ZoneId,
+        clock: Clock,
+        on_sample: Callable[[Measure], None] = lambda measure: None,
+    ) -> None:
+        self._zone = zone
+        self._clock = clock
+        self._on_sample = on_sample
+        self._common: dict[tuple[Measure, str], CommonDelay] = {}
+        self._evidence: dict[EvidenceKey, Evidence] = {}
+        self._servers: dict[VmId, _Server] = {}
+        self._curves: dict[ModelName, _DeclaredCurve] = {}
+        # First observed time of each route of plain servers.
+        self._expected_answers_s: dict[str, float] = {}
+        self._load_curves: dict[str, LoadCurve] = {}
+        self._load_keys: set[EvidenceKey] = set()
+        self._own_pending = _Pending()
+        self._zone_pending = _Pending()
+        self._other_pending = _Pending()
+        self._refreshed_at_s = clock.monotonic()
+        self._ticked_at_s: float | None = None
+        self._disturbed_at_s = float("-inf")
+
+    # Use
+
+    def first_event_s(
+        self,
+        head: BackendServer,
+        engine: EngineProfile,
+        model: ModelProfile,
+        *,
+        in_flight: int,
+        prompt_tokens: int,
+    ) -> float:
+        """Return the learned time to the first event, in seconds."""
+        entry = self._find(head, model.name, engine.slots)
+        curve = self._curve(engine, model)
+        usual_s = self._usual_s(curve, model, in_flight, prompt_tokens)
+        usual_s *= entry.curve.factor(in_flight, entry.slots)
+        return usual_s if entry.is_usual else usual_s * _factor(entry, in_flight)
+
+    def choice_delay_s(
+        self,
+        head: BackendServer,
+        engine: EngineProfile,
+        model: ModelProfile,
+        *,
+        in_flight: int,
+        prompt_tokens: int,
+        target: datetime.timedelta,
+    ) -> float:
+        """Return the delay by which a group is compared with others, in seconds.
+
+        It is the declared one at the same share of the learned limit, so that servers
+        of different speed get as much work as they take, and equal ones are compared
+        by the declared figures. Only the part of a server's slowness that comes near
+        the target is added: a fast server gains nothing for a caller who is in time.
+        """
+        entry = self._find(head, model.name, engine.slots)
+        curve = self._curve(engine, model)
+        if entry.is_usual:
+            return curve.first_event_s(in_flight, prompt_tokens)
+        share = math.ceil(in_flight * entry.slots / entry.limit)
+        delay_s = curve.first_event_s(share, prompt_tokens)
+        usual_s = self._usual_s(curve, model, in_flight, prompt_tokens)
+        slow_s = usual_s * _factor(entry, in_flight)
+        comfort_s = _COMFORTABLE_SHARE * target.total_seconds()
+        return delay_s + max(slow_s - max(usual_s, comfort_s), 0.0)
+
+    def limit(self, head: BackendServer, engine: EngineProfile) -> int:
+        """Return the number of requests of all nodes that a group takes well."""
+        return self._find(head, head.model or "", engine.slots).limit
+
+    def service_factor(self, server: BackendServer, *, in_flight: int) -> float:
+        """Return the service time of a plain server over the usual one."""
+        entry = self._find(server, server.service, server.slots)
+        return 1.0 if entry.is_usual else _factor(entry, in_flight)
+
+    def plain_limit(self, server: BackendServer) -> int:
+        """Return the number of requests of all nodes that a plain server takes well."""
+        return self._find(server, server.service, server.slots).limit
+
+    def summary(self) -> PerformanceSummary:
+        """Return counts for the metrics."""
+        self._refresh_if_due()
+        factors = [
+            math.exp(f) for s in self._servers.values() for f in s.log_factors
+        ] or [1.0]
+        return PerformanceSummary(
+            servers=sum(s.key in self._evidence for s in self._servers.values()),
+            limited=sum(s.is_low for s in self._servers.values()),
+            spread=max(factors) / min(factors),
+        )
+
+    # Recording
+
+    def begin_stream(
+        self,
+        head: BackendServer,
+        engine: EngineProfile,
+        model: ModelProfile,
+        *,
+        in_flight: int,
+        prompt_tokens: int,
+    ) -> StreamObservation:
+        """Return the observation of a stream whose request has just been sent.
+
+        Parameters
+        ----------
+        head, engine, model, prompt_tokens
+            As `first_event_s`.
+        in_flight : int
+            Requests of all nodes at the group when it was chosen, without this one.
+        """
+        entry = self._find(head, model.name, engine.slots)
+        curve = self._curve(engine, model)
+        expected_s = curve.first_event_s(in_flight, prompt_tokens)
+        # The interval is part of the expected first event; the ratio alone counts.
+        interval_s = curve.first_event_s(min(in_flight, engine.slots - 1), 0) / 1.5
+
+        def record(
+            measure: Measure, observed_s: float, since_s: float, weight: float
+        ) -> None:
+            expected = expected_s if measure is Measure.FIRST_EVENT else interval_s
+            self._record(
+                entry,
+                model.name,
+                measure,
+                in_flight,
+                expected,
+                observed_s,
+                since_s,
+                weight,
+            )
+
+        return StreamObservation(clock=self._clock, record=record)
+
+    def begin_answer(
+        self, server: BackendServer, route: str, *, in_flight: int
+    ) -> PlainObservation:
+        """Return the observation of a request to a plain server that is being sent."""
+        entry = self._find(server, server.service, server.slots)
+
+        def record(
+            measure: Measure, observed_s: float, since_s: float, weight: float
+        ) -> None:
+            # There is no declared service time, so the usual one is relative to the
+            # first one seen.
+            expected_s = self._expected_answers_s.setdefault(route, observed_s)
+            self._record(
+                entry,
+                route,
+                measure,
+                in_flight,
+                expected_s,
+                observed_s,
+                since_s,
+                weight,
+            )
+
+        return PlainObservation(clock=self._clock, record=record)
+
+    def tick(self) -> None:
+        """Note that this process runs; it has to be called every few 10 ms.
+
+        Times measured across a pause of this process say nothing about servers.
+        """
+        self._check_pause(self._clock.monotonic())
+        self._ticked_at_s = self._clock.monotonic()
+
+    # Exchange with other nodes
+
+    def take_reports(self, *, is_relay: bool, reaches_servers: bool) -> SpeedReports:
+        """Return the evidence that has come since the last status.
+
+        A lost status loses it, which costs some requests' worth of evidence.
+        """
+        own = self._own_pending.take(_MAX_OWN_RECORDS, _MAX_OWN_LOAD_RECORDS)
+        if not is_relay:
+            self._zone_pending.clear()
+            self._other_pending.clear()
+            return SpeedReports(own if reaches_servers else b"", b"", b"")
+        return SpeedReports(
+            own if reaches_servers else b"",
+            self._zone_pending.take(_MAX_RELAYED_RECORDS, _MAX_RELAYED_LOAD_RECORDS),
+            self._other_pending.take(_MAX_RELAYED_RECORDS, _MAX_RELAYED_LOAD_RECORDS),
+        )
+
+    def merge(self, status: NodeStatus) -> None:
+        """Add the evidence that a peer reports."""
+        if status.zone == self._zone:
+            if status.reaches_servers:
+                self._merge(status.speeds, self._zone_pending)
+            if status.relay:
+                self._merge(status.other_speeds, None)
+        elif status.relay:
+            self._merge(status.zone_speeds, self._other_pending)
+
+    def _merge(self, data: bytes, pending: _Pending | None) -> None:
+        max_records = _MAX_RELAYED_RECORDS + _MAX_RELAYED_LOAD_RECORDS
+        for key, band, weight, value in decode_evidence(data, max_records=max_records):
+            self._add_evidence(key, band, weight, value)
+            if pending is not None:
+                is_load = key in self._load_keys
+                pending.add(key, band, weight, value, is_load=is_load)
+
+    # Learning
+
+    def _record(
+        self,
+        entry: _Server,
+        kind: str,
+        measure: Measure,
+        in_flight: int,
+        expected_s: float,
+        observed_s: float,
+        since_s: float,
+        weight: float,
+    ) -> None:
+        """Learn from one observed delay, unless this process has paused during it."""
+        now_s = self._clock.monotonic()
+        self._check_pause(now_s)
+        if since_s <= self._disturbed_at_s:
+            return
+        self._on_sample(measure)
+        common = self._common.get((measure, kind))
+        if common is None:
+            common = self._common[measure, kind] = CommonDelay(now_s)
+        band = _band(entry, in_flight)
+        has_load = measure is not Measure.INTERVAL
+        load_factor = entry.curve.factor(in_flight, entry.slots) if has_load else 1.0
+        server_factor = math.exp(entry.log_factors[band])
+        log_ratio = common.log_ratio(expected_s, observed_s)
+        usual_s = common.predict_s(expected_s)
+        if measure is Measure.INTERVAL:
+            weight *= _INTERVAL_WEIGHT
+        elif observed_s - usual_s > _SILENCE_S:
+            weight *= _SILENCE_WEIGHT
+        common.add(expected_s, observed_s / (server_factor * load_factor), now_s)
+        self._report_evidence(
+            entry.key, band, weight, log_ratio - math.log(load_factor), is_load=False
+        )
+        if has_load:
+            key = entry.curve.key(in_flight, entry.slots)
+            excess = entry.curve.excess(usual_s * server_factor, observed_s)
+            self._report_evidence(key, 0, weight, excess, is_load=True)
+
+    def _report_evidence(
+        self,
+        key: EvidenceKey,
+        band: int,
+        weight: float,
+        value: float,
+        *,
+        is_load: bool,
+    ) -> None:
+        """Add own evidence here and to the next status."""
+        self._add_evidence(key, band, weight, value)
+        self._own_pending.add(key, band, weight, value, is_load=is_load)
+        self._zone_pending.add(key, band, weight, value, is_load=is_load)
+
+    def _add_evidence(
+        self, key: EvidenceKey, band: int, weight: float, value: float
+    ) -> None:
+        now_s = self._clock.monotonic()
+        evidence = self._evidence.get(key)
+        if evidence is None:
+            if len(self._evidence) >= _MAX_KEYS:
+                return
+            evidence = self._evidence[key] = (
+                Evidence(
+                    now_s, half_life_s=_LOAD_HALF_LIFE_S, max_weight=_MAX_LOAD_WEIGHT
+                )
+                if key in self._load_keys
+                else Evidence(now_s)
+            )
+        evidence.add(band, weight, value, now_s)
+
+    def _check_pause(self, now_s: float) -> None:
+        if (
+            self._ticked_at_s is not None
+            and now_s - self._ticked_at_s > _MAX_TICK_DELAY_S
+        ):
+            self._disturbed_at_s = now_s
+
+    def _find(self, server: BackendServer, kind: str, slots: int) -> _Server:
+        """Return the entry of a server, a new one after its restart or regrouping."""
+        self._refresh_if_due()
+        entry = self._servers.get(server.vm)
+        if entry is not None:
+            if entry.server is server:
+                return entry
+            key = evidence_key(server)
+            if entry.key == key and entry.slots == slots and entry.kind == kind:
+                entry.server = server
+                return entry
+        load_curve = self._load_curves.get(kind)
+        if load_curve is None:
+            load_curve = self._load_curves[kind] = LoadCurve(kind)
+            self._load_keys.update(load_curve.keys)
+        entry = _Server(
+            server, evidence_key(server), kind, load_curve, slots, limit=slots
+        )
+        self._servers[server.vm] = entry
+        return entry
+
+    def _curve(self, engine: EngineProfile, model: ModelProfile) -> _DeclaredCurve:
+        curve = self._curves.get(model.name)
+        if curve is None or curve.engine is not engine or curve.model is not model:
+            curve = self._curves[model.name] = _DeclaredCurve(engine, model)
+        return curve
+
+    def _usual_s(
+        self,
+        curve: _DeclaredCurve,
+        model: ModelProfile,
+        in_flight: int,
+        prompt_tokens: int,
+    ) -> float:
+        """Return the time to the first event that is usual at this node, in seconds."""
+        declared_s = curve.first_event_s(in_flight, prompt_tokens)
+        common = self._common.get((Measure.FIRST_EVENT, model.name))
+        return declared_s if common is None else common.predict_s(declared_s)
+
+    def _refresh_if_due(self) -> None:
+        now_s = self._clock.monotonic()
+        if now_s - self._refreshed_at_s < _REFRESH_INTERVAL_S:
+            return
+        self._refreshed_at_s = now_s
+        for key in list(self._evidence):
+            evidence = self._evidence[key]
+            evidence.decay(now_s)
+            if evidence.is_negligible:
+                del self._evidence[key]
+        # What says nothing is built again when it is needed; the rest may have left.
+        for vm in [
+            vm
+            for vm, entry in self._servers.items()
+            if entry.is_usual and entry.key not in self._evidence
+        ]:
+            del self._servers[vm]
+        kinds: dict[str, list[_Server]] = {}
+        for entry in self._servers.values():
+            kinds.setdefault(entry.kind, []).append(entry)
+        for load_curve in self._load_curves.values():
+            load_curve.refresh(self._evidence)
+        for entries in kinds.values():
+            self._refresh_kind(entries)
+
+    def _refresh_kind(self, entries: list[_Server]) -> None:
+        """Compute the factors and limits of the servers of one kind."""
+        centers = [self._center(entries, band) for band in range(BAND_COUNT)]
+        for entry in entries:
+            evidence = self._evidence.get(entry.key)
+            low = high = 0.0
+            if evidence is not None:
+                low = evidence.shrunk_mean(
+                    0, prior=centers[0], prior_weight=_PRIOR_WEIGHT
+                )
+                low -= centers[0]
+                high = evidence.shrunk_mean(
+                    1, prior=centers[1] + low, prior_weight=_PRIOR_WEIGHT
+                )
+                high -= centers[1]
+            entry.log_factors = (_tolerate(low), _tolerate(high))
+            entry.is_usual = entry.log_factors == (0.0, 0.0)
+            entry.limit = _limit(entry)
+            self._log_limit(entry)
+
+    def _center(self, entries: Iterable[_Server], band: int) -> float:
+        """Return the weighted median of the log ratios, the lower one of two."""
+        ratios = []
+        for entry in entries:
+            evidence = self._evidence.get(entry.key)
+            if evidence is not None and evidence.weight(band) >= 1.0:
+                ratio = evidence.shrunk_mean(band, prior=0.0, prior_weight=0.0)
+                ratios.append((ratio, min(evidence.weight(band), _PRIOR_WEIGHT)))
+        ratios.sort()
+        half = sum(weight for _, weight in ratios) / 2
+        for ratio, weight in ratios:
+            half -= weight
+            if half <= 1e-9:
+                return ratio
+        return 0.0
+
+    def _log_limit(self, entry: _Server) -> None:
+        if not entry.is_low and entry.limit < _LOW_LIMIT_SHARE * entry.slots:
+            entry.is_low = True
+            event = "server_slow"
+        elif entry.is_low and entry.limit >= _RESTORED_LIMIT_SHARE * entry.slots:
+            entry.is_low = False
+            event = "server_speed_restored"
+        else:
+            return
+        _log.info(
+            event,
+            server=entry.server.vm,
+            limit=entry.limit,
+            slots=entry.slots,
+            factors=[round(math.exp(f), 2) for f in entry.log_factors],
+        )
+
+
+def _band(entry: _Server, in_flight: int) -> int:
+    return int(2 * in_flight >= entry.slots)
+
+
+def _factor(entry: _Server, in_flight: int) -> float:
+    """Return the factor of a server at a load, between those of the two bands."""
+    low, high = entry.log_factors
+    load = in_flight / max(entry.slots, 1)
+    share = min(max((load - _LOW_LOAD) / (_HIGH_LOAD - _LOW_LOAD), 0.0), 1.0)
+    return math.exp(low + share * (high - low))
+
+
+def _tolerate(log_ratio: float) -> float:
+    excess = max(abs(log_ratio) - _TOLERATED_LOG_RATIO, 0.0)
+    return math.copysign(excess, log_ratio) if excess else 0.0
+
+
+def _limit(entry: _Server) -> int:
+    """Return the load up to which a server ends as many requests as a full usual one.
+
+    A server that takes twice as long takes half as many well: with them, a request
+    that has to wait for one of them waits as long as at a usual server.
+    """
+    slots = entry.slots
+    if entry.is_usual:
+        return slots
+    least = max(math.ceil(_MIN_LIMIT_SHARE * slots), 1)
+    for count in range(slots, least, -1):
+        if count * _factor(entry, count) <= _LIMIT_SLACK * slots:
+            return count
+    return min(least, slots)
--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -7,6 +7,7 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, Repeatability
 from pomelolug.entry.losses import QuarantinedError, RunMonitor
+from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.requests._attempt import Attempt, AttemptError, RunStatus
 from pomelolug.entry.requests._peer_forwarding import PeerRefusalError
 from pomelolug.entry.requests._repeats import RetryLimiter
@@ -35,6 +36,8 @@
 """Load, as a fraction of the slots, that a server in another zone must save."""
 _FAILURE_PENALTY = 0.5
 """Load, as a fraction of the slots, that one recent failure counts for."""
+_OVER_LIMIT_PENALTY = 0.5
+"""Load, as a fraction of the slots, that being above the learned limit counts for."""
 _ATTEMPT_TIMEOUT_FACTOR = 1.5
 """Time after which a second server is tried, as a multiple of the latency target.
 
@@ -94,6 +97,8 @@
         Refuses requests that crash servers.
     notices : ServerNotices
         What servers state about the requests that they take.
+    delay_estimator : LearnedDelayEstimator
+        Service times and limits of the servers, learned from the answers.
     exits : RequestExits
         Other nodes that get requests if this one reaches no server.
     clock : Clock
@@ -112,6 +117,7 @@
         retry_limiter: RetryLimiter,
         run_monitor: RunMonitor,
         notices: ServerNotices,
+        delay_estimator: LearnedDelayEstimator,
         exits: RequestExits,
         clock: Clock,
         zone: ZoneId,
@@ -122,6 +128,7 @@
         self._retry_limiter = retry_limiter
         self._run_monitor = run_monitor
         self._notices = notices
+        self._delay_estimator = delay_estimator
         self._exits = exits
         self._clock = clock
         self._zone = zone
@@ -397,6 +404,9 @@
         context.record.attempts.append(record)
         load = self._server_tracker.load(server.vm)
         load.in_flight += 1
+        observation = self._delay_estimator.begin_answer(
+            server, context.route.name, in_flight=record.in_flight
+        )
         try:
             answer = await self._send_and_receive(context, attempt, record)
         except AttemptError as failure:
@@ -408,10 +418,13 @@
         except asyncio.CancelledError:
             # Another server has answered first, or the caller has left.
             record.result = "slow" if context.exchange.has_ended else "cancelled"
+            if context.exchange.has_ended:
+                observation.give_up()
             raise
         finally:
             load.in_flight -= 1
         record.result = str(answer.reply.status)
+        observation.end(is_sound=not answer.reply.refused and answer.reply.status < 300)
         return answer
 
     async def _send_and_receive(
@@ -456,7 +469,14 @@
         return not_run_error(ErrorCode.NO_GROUP, "no server of the service is ready")
 
     def _score(self, server: BackendServer) -> float:
-        load = self._server_tracker.in_flight(server.vm) / max(server.slots, 1)
+        in_flight = self._server_tracker.in_flight(server.vm)
+        slots = max(server.slots, 1)
+        factor = self._delay_estimator.service_factor(server, in_flight=in_flight)
+        # With this request, a slow server has as much work as its time is longer.
+        load = ((in_flight + 1) * factor - 1) / slots
+        limit = self._delay_estimator.plain_limit(server)
+        if limit < slots and in_flight >= limit:
+            load += _OVER_LIMIT_PENALTY
         zone_penalty = 0.0 if server.zone == self._zone else _CROSS_ZONE_PENALTY
         return (
             load
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -8,7 +8,7 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
 from pomelolug.entry.losses import QuarantinedError, RunMonitor
-from pomelolug.entry.performance import DelayEstimator
+from pomelolug.entry.performance import LearnedDelayEstimator, StreamObservation
 from pomelolug.entry.requests._attempt import Attempt, AttemptError
 from pomelolug.entry.requests._peer_forwarding import PeerRefusalError
 from pomelolug.entry.requests._repeats import RetryLimiter
@@ -35,7 +35,6 @@
     StallDetector,
 )
 from pomelolug.errors import ErrorCode, Outcome, RequestError
-from pomelolug.ids import VmId
 from pomelolug.platform import ServerSentEvent, response_headers
 from pomelolug.transport import ConnectionPool
 
@@ -82,8 +81,8 @@
         What servers state about the requests that they take.
     group_selector : GroupSelector
         Selects the group of an attempt.
-    delay_estimator : DelayEstimator
-        Expected delays at the groups.
+    delay_estimator : LearnedDelayEstimator
+        Expected delays at the groups, learned from the streams.
     exits : RequestExits
         Other nodes that get requests if this one reaches no server.
     clock : Clock
@@ -102,7 +101,7 @@
         run_monitor: RunMonitor,
         notices: ServerNotices,
         group_selector: GroupSelector,
-        delay_estimator: DelayEstimator,
+        delay_estimator: LearnedDelayEstimator,
         exits: RequestExits,
         clock: Clock,
         rng: random.Random,
@@ -264,7 +263,7 @@
                 await run.close(error, "quarantined" if is_quarantined else "cancelled")
                 raise
             state.unreached_count = 0
-            self._watch_run(context, state, run, head.vm)
+            self._watch_run(context, state, run, head)
             return run
         return None
 
@@ -307,10 +306,12 @@
         context: RequestContext,
         state: StreamState,
         run: StreamRun,
-        head: VmId,
+        server: BackendServer,
     ) -> None:
         """Notice stalls and events of a run whose request has just been sent."""
+        head = server.vm
         can_move = context.route.is_repeatable
+        observation = self._observe_delays(context, run, server)
         watched = self._stall_detector.add(
             head,
             move=(lambda: self._on_stall(context, state, run)) if can_move else None,
@@ -319,14 +320,29 @@
         def record_event() -> None:
             self._stall_detector.on_event(head, watched)
             self._server_tracker.record_progress(head)
+            observation.record_event()
 
         def set_held(is_held: bool) -> None:
             self._stall_detector.set_held(watched, is_held)
+            observation.set_held(is_held)
 
-        run.observe(
-            on_event=record_event,
-            on_hold=set_held,
-            on_close=lambda: self._stall_detector.remove(head, watched),
+        def close() -> None:
+            self._stall_detector.remove(head, watched)
+            observation.end(is_sound=run.record.result == "answered")
+
+        run.observe(on_event=record_event, on_hold=set_held, on_close=close)
+
+    def _observe_delays(
+        self, context: RequestContext, run: StreamRun, head: BackendServer
+    ) -> StreamObservation:
+        engine, model = _engine_and_model(context)
+        assert engine is not None and model is not None
+        return self._delay_estimator.begin_stream(
+            head,
+            engine,
+            model,
+            in_flight=run.record.in_flight,
+            prompt_tokens=context.request_head.prompt_tokens,
         )
 
     async def _forward_run(
@@ -596,7 +612,15 @@
             # is sent only if it can meet the latency target.
             limit = self._delay_estimator.limit(head, engine)
             if in_flight < limit or expected_delay_s <= target_s:
-                candidates.append(Candidate(head, expected_delay_s))
+                choice_delay_s = self._delay_estimator.choice_delay_s(
+                    head,
+                    engine,
+                    model,
+                    in_flight=in_flight,
+                    prompt_tokens=context.request_head.prompt_tokens,
+                    target=context.route.latency_target,
+                )
+                candidates.append(Candidate(head, choice_delay_s))
         return candidates
 
     def _has_working_groups(self, context: RequestContext) -> bool:
--- a/pomelolug/entry/requests/_stream_run.py
+++ b/pomelolug/entry/requests/_stream_run.py
@@ -96,6 +96,11 @@
         """Server that runs the stream, or address of the node it is passed on to."""
         return self._target
 
+    @property
+    def record(self) -> AttemptRecord:
+        """Record of the attempt."""
+        return self._record
+
     def observe(
         self,
         *,
--- a/pomelolug/entry/tests/choice_simulation.py
+++ b/pomelolug/entry/tests/choice_simulation.py
@@ -1,11 +1,14 @@
 """Many nodes that choose groups for streams on loads that are up to a second old."""
 
+import datetime
+import functools
 import heapq
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
+from pomelolug.clock import Clock
 from pomelolug.deployment import (
     BackendServer,
     EngineProfile,
@@ -15,14 +18,17 @@
     ServerState,
 )
 from pomelolug.entry.performance import (
+    DeclaredDelayEstimator,
+    LearnedDelayEstimator,
+    StreamObservation,
     estimate_event_interval_s,
-    estimate_first_event_s,
 )
 from pomelolug.entry.servers import (
     Candidate,
     GroupSelector,
 )
 from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId, ZoneId
+from pomelolug.messages import NodeStatus
 from pomelolug.replicas.tests.simulated_node import ENGINE, seconds
 
 __all__ = ["ENGINE_OF_TEST", "MODEL", "ChoiceSimulation"]
@@ -77,15 +83,58 @@
             membership=GroupMembership(GroupId(vm), 1, 0, GroupState.OPEN),
         )
         self.slowdown = slowdown
+        self.full_slowdown = 1.0
+        """Further factor if more than half of the slots are taken."""
         self.running = 0
+        self.served = 0
         self.waiting: list[Callable[[], None]] = []
 
+    def interval_s(self) -> float:
+        """Return the time between two events at the present load."""
+        slowdown = self.slowdown
+        if 2 * self.running > SLOTS:
+            slowdown *= self.full_slowdown
+        return slowdown * estimate_event_interval_s(ENGINE_OF_TEST, MODEL, self.running)
+
+
+class _SimulationClock(Clock):
+    """Virtual time of a simulation."""
+
+    def __init__(self, now_s: Callable[[], float]) -> None:
+        self._now_s = now_s
+
+    def monotonic(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._now_s()
+
+    def now(self) -> datetime.datetime:
+        """Return the virtual time after 1970."""
+        return datetime.datetime.fromtimestamp(self._now_s(), datetime.UTC)
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Fail, since nothing waits in a simulation."""
+        raise NotImplementedError
+
 
 class _Node:
     """Own requests of a node, and what it knows of those of other nodes."""
 
-    def __init__(self, zone: ZoneId, zone_nodes: int, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: ZoneId,
+        zone_nodes: int,
+        rng: random.Random,
+        clock: Clock,
+        *,
+        learns: bool,
+        is_relay: bool,
+    ) -> None:
+        self.name = name
         self.zone = zone
+        self.is_relay = is_relay
+        self.learned = LearnedDelayEstimator(zone=zone, clock=clock) if learns else None
+        self.estimator = self.learned or DeclaredDelayEstimator()
         self.own: Counter[VmId] = Counter()
         self.reported: Counter[VmId] = Counter()
         self.selector = GroupSelector(zone=zone, rng=rng)
@@ -106,6 +155,14 @@
         Streams that arrive in a second.
     slow_groups : int
         Number of groups that take three times as long, which the nodes do not know.
+    slowdowns : sequence of float
+        Factors on the times of the groups, given to them in turn and in random order;
+        the nodes do not know them.
+    degrading_groups : int
+        Number of groups that take three times as long when more than half full.
+    learns : bool
+        Whether the nodes learn the speed of the groups, rather than take the declared
+        one.
     seed : int
         Seed of all draws.
     """
@@ -118,10 +175,14 @@
         zones: int = 5,
         groups_per_zone: int = 22,
         slow_groups: int = 0,
+        slowdowns: Sequence[float] = (),
+        degrading_groups: int = 0,
+        learns: bool = False,
         seed: int = 0,
     ) -> None:
         self._rng = random.Random(seed)
         self._now_s = 0.0
+        clock = _SimulationClock(lambda: self._now_s)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._rate_per_s = rate_per_s
@@ -133,9 +194,26 @@
         ]
         for group in self._rng.sample(self._groups, slow_groups):
             group.slowdown = 3.0
+        if slowdowns:
+            self._set_slowdowns(slowdowns)
+        if degrading_groups:
+            for group in self._rng.sample(self._groups, degrading_groups):
+                group.full_slowdown = 3.0
+        self._groups_by_vm = {group.server.vm: group for group in self._groups}
         zone_of_node = [names[number % zones] for number in range(nodes)]
         counts = Counter(zone_of_node)
-        self._nodes = [_Node(z, counts[z], self._rng) for z in zone_of_node]
+        self._nodes = [
+            _Node(
+                f"n{number}",
+                zone,
+                counts[zone],
+                self._rng,
+                clock,
+                learns=learns,
+                is_relay=number < zones,
+            )
+            for number, zone in enumerate(zone_of_node)
+        ]
         self._reports: dict[ZoneId, dict[ZoneId, Counter[VmId]]] = {
             zone: {} for zone in names
         }
@@ -143,6 +221,8 @@
         self.first_event_s: list[float] = []
         self.refused = 0
         self.turned_away = 0
+        self.report_bytes = 0
+        self.report_count = 0
 
     @property
     def late_share(self) -> float:
@@ -150,6 +230,29 @@
         late = sum(t > TARGET_S for t in self.first_event_s) + self.refused
         return late / max(len(self.first_event_s) + self.refused, 1)
 
+    @property
+    def estimators(self) -> list[LearnedDelayEstimator]:
+        """What each node has learned."""
+        return [node.learned for node in self._nodes if node.learned is not None]
+
+    @property
+    def groups(self) -> list[_Group]:
+        """The groups."""
+        return self._groups
+
+    def change_slowdowns(self, at_s: float, slowdowns: Sequence[float]) -> None:
+        """Set the factors on the times of the groups at a virtual time in seconds."""
+        self._call_later(at_s - self._now_s, lambda: self._set_slowdowns(slowdowns))
+
+    def forget_delays(self, at_s: float) -> None:
+        """Count late streams anew from a virtual time in seconds."""
+
+        def forget() -> None:
+            self.first_event_s.clear()
+            self.refused = self.turned_away = 0
+
+        self._call_later(at_s - self._now_s, forget)
+
     def run(self, until_s: float) -> None:
         """Run until a virtual time in seconds."""
         self._arrive()
@@ -161,6 +264,12 @@
             self._now_s, _, callback = heapq.heappop(self._events)
             callback()
 
+    def _set_slowdowns(self, slowdowns: Sequence[float]) -> None:
+        for number, group in enumerate(
+            self._rng.sample(self._groups, len(self._groups))
+        ):
+            group.slowdown = slowdowns[number % len(slowdowns)]
+
     def _call_later(self, delay_s: float, callback: Callable[[], None]) -> None:
         entry = (self._now_s + delay_s, next(self._sequence), callback)
         heapq.heappush(self._events, entry)
@@ -168,10 +277,41 @@
     def _report(self, node: _Node) -> Callable[[], None]:
         def report() -> None:
             node.reported = Counter(node.own)
+            if node.learned is not None:
+                self._report_speeds(node, node.learned)
             self._call_later(self._period_s, report)
 
         return report
 
+    def _report_speeds(self, node: _Node, learned: LearnedDelayEstimator) -> None:
+        """Deliver a status with what a node has learned, to the other zones later."""
+        reports = learned.take_reports(is_relay=node.is_relay, reaches_servers=True)
+        self.report_bytes += sum(map(len, (reports.own, reports.zone, reports.other)))
+        self.report_count += 1
+        status = NodeStatus(
+            node=node.name,
+            started_ms=1,
+            serial=1,
+            zone=node.zone,
+            address="",
+            datagram=node.name,
+            declaration=1,
+            relay=node.is_relay,
+            speeds=reports.own,
+            zone_speeds=reports.zone,
+            other_speeds=reports.other,
+        )
+        for other in self._nodes:
+            if other is node or other.learned is None:
+                continue
+            if other.zone == node.zone:
+                other.learned.merge(status)
+            elif node.is_relay and other.is_relay:
+                delay_s = self._period_s * self._rng.random()
+                self._call_later(
+                    delay_s, functools.partial(other.learned.merge, status)
+                )
+
     def _relay(self, zone: ZoneId) -> Callable[[], None]:
         def relay() -> None:
             total = self._zone_load(zone)
@@ -206,39 +346,74 @@
         candidates = []
         for group in self._groups:
             in_flight = load[group.server.vm]
-            delay_s = estimate_first_event_s(
-                ENGINE_OF_TEST, MODEL, in_flight, PROMPT_TOKENS
+            delay_s = node.estimator.first_event_s(
+                group.server,
+                ENGINE_OF_TEST,
+                MODEL,
+                in_flight=in_flight,
+                prompt_tokens=PROMPT_TOKENS,
             )
+            limit = node.estimator.limit(group.server, ENGINE_OF_TEST)
             if group.server.vm not in tried and (
-                in_flight < SLOTS or delay_s <= TARGET_S
+                in_flight < limit or delay_s <= TARGET_S
             ):
+                delay_s = node.estimator.choice_delay_s(
+                    group.server,
+                    ENGINE_OF_TEST,
+                    MODEL,
+                    in_flight=in_flight,
+                    prompt_tokens=PROMPT_TOKENS,
+                    target=seconds(TARGET_S),
+                )
                 candidates.append(Candidate(group.server, delay_s))
         candidate = node.selector.select(candidates)
         if candidate is None or len(tried) > 3:
             self.refused += 1
             return
-        group = next(g for g in self._groups if g.server is candidate.server)
+        group = self._groups_by_vm[candidate.server.vm]
         if group.running + len(group.waiting) >= 2 * SLOTS:
             self.turned_away += 1
             self._send(node, arrived_s, tried | {group.server.vm})
             return
+        in_flight = load[group.server.vm]
         node.own[group.server.vm] += 1
-        self._start_or_wait(group, node, arrived_s)
+        observation = None
+        if node.learned is not None:
+            observation = node.learned.begin_stream(
+                group.server,
+                ENGINE_OF_TEST,
+                MODEL,
+                in_flight=in_flight,
+                prompt_tokens=PROMPT_TOKENS,
+            )
+        self._start_or_wait(group, node, arrived_s, observation)
 
-    def _start_or_wait(self, group: _Group, node: _Node, arrived_s: float) -> None:
+    def _start_or_wait(
+        self,
+        group: _Group,
+        node: _Node,
+        arrived_s: float,
+        observation: StreamObservation | None,
+    ) -> None:
         def start() -> None:
             group.running += 1
-            interval_s = group.slowdown * estimate_event_interval_s(
-                ENGINE_OF_TEST, MODEL, group.running
-            )
+            group.served += 1
+            interval_s = group.interval_s()
             first_s = interval_s * (0.5 + self._rng.random()) + 0.01
             self.first_event_s.append(self._now_s + first_s - arrived_s)
             events = max(self._rng.expovariate(1 / EVENTS), 1.0)
             self._call_later(first_s + events * interval_s, end)
+            if observation is not None:
+                for number in range(int(events) + 1):
+                    self._call_later(
+                        first_s + number * interval_s, observation.record_event
+                    )
 
         def end() -> None:
             group.running -= 1
             node.own[group.server.vm] -= 1
+            if observation is not None:
+                observation.end(is_sound=True)
             if group.waiting:
                 group.waiting.pop(0)()
 
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -81,6 +81,12 @@
     """Limits that servers stated in the relay's whole zone."""
     other_limits: dict[str, LimitReport] = {}
     """Limits that servers stated in all other zones, as known to the relay."""
+    speeds: bytes = b""
+    """Records of the speed of servers, as seen by the node since its last status."""
+    zone_speeds: bytes = b""
+    """The same of the relay's whole zone."""
+    other_speeds: bytes = b""
+    """The same of all other zones, as known to the relay."""
     leaving: dict[str, LeavingReport] = {}
     """Servers that have stated that they are about to leave."""
     reaches_servers: bool = True
