Compare slow groups by the work that they have

The choice scaled the known load by slots over the learned limit, which counts requests at groups that slow down only from half their slots too high. Load times factor counts each at its present speed. The usual delay is kept per model, and intervals are recorded for twelve events, which saves time.

--- a/pomelolug/entry/performance/_learned.py
+++ b/pomelolug/entry/performance/_learned.py
@@ -143,21 +143,28 @@
         self._loads.clear()
 
 
-class _DeclaredCurve:
-    """Declared delay without the prompt, by the number of requests in flight."""
+class _GroupDelay:
+    """Time to the first event at a usual group of a model, by its load.
+
+    `offset_s` and `factor` lead from the declared time to the one that is usual at
+    this node, as last learned.
+    """
 
     def __init__(self, engine: EngineProfile, model: ModelProfile) -> None:
         self.engine = engine
         self.model = model
-        self._delays_s: dict[int, float] = {}
+        self.offset_s = 0.0
+        self.factor = 1.0
+        self._waits_s: dict[int, float] = {}
         self._prefill_s = model.time_factor / max(engine.prefill_tokens_per_s, 1.0)
 
-    def first_event_s(self, in_flight: int, prompt_tokens: int) -> float:
-        delay_s = self._delays_s.get(in_flight)
-        if delay_s is None:
-            delay_s = estimate_first_event_s(self.engine, self.model, in_flight, 0)
-            self._delays_s[in_flight] = delay_s
-        return delay_s + self._prefill_s * prompt_tokens
+    def declared_s(self, in_flight: int, prompt_tokens: int) -> float:
+        """Return the declared time in seconds."""
+        wait_s = self._waits_s.get(in_flight)
+        if wait_s is None:
+            wait_s = estimate_first_event_s(self.engine, self.model, in_flight, 0)
+            self._waits_s[in_flight] = wait_s
+        return wait_s + self._prefill_s * prompt_tokens
 
 
 class LearnedDelayEstimator(DelayEstimator):
@@ -192,7 +199,7 @@
         self._common: dict[tuple[Measure, str], CommonDelay] = {}
         self._evidence: dict[EvidenceKey, Evidence] = {}
         self._servers: dict[VmId, _Server] = {}
-        self._curves: dict[ModelName, _DeclaredCurve] = {}
+        self._group_delays: dict[ModelName, _GroupDelay] = {}
         # First observed time of each route of plain servers.
         self._expected_answers_s: dict[str, float] = {}
         self._load_curves: dict[str, LoadCurve] = {}
@@ -216,9 +223,12 @@
         prompt_tokens: int,
     ) -> float:
         """Return the learned time to the first event, in seconds."""
+        self._refresh_if_due()
         entry = self._find(head, model.name, engine.slots)
-        curve = self._curve(engine, model)
-        usual_s = self._usual_s(curve, model, in_flight, prompt_tokens)
+        delay = self._group_delay(engine, model)
+        usual_s = delay.offset_s + delay.factor * delay.declared_s(
+            in_flight, prompt_tokens
+        )
         usual_s *= entry.curve.factor(in_flight, entry.slots)
         return usual_s if entry.is_usual else usual_s * _factor(entry, in_flight)
 
@@ -234,28 +244,32 @@
     ) -> float:
         """Return the delay by which a group is compared with others, in seconds.
 
-        It is the declared one at the same share of the learned limit, so that servers
-        of different speed get as much work as they take, and equal ones are compared
-        by the declared figures. Only the part of a server's slowness that comes near
-        the target is added: a fast server gains nothing for a caller who is in time.
+        It is the declared one at the load that a usual server would have with as much
+        work: a slow server's requests count for more. So equal servers are compared by
+        the declared figures alone. Of a server's slowness, only what comes near the
+        target is added: a fast server gains nothing for a caller who is in time.
         """
         entry = self._find(head, model.name, engine.slots)
-        curve = self._curve(engine, model)
+        delay = self._group_delay(engine, model)
+        declared_s = delay.declared_s(in_flight, prompt_tokens)
         if entry.is_usual:
-            return curve.first_event_s(in_flight, prompt_tokens)
-        share = math.ceil(in_flight * entry.slots / entry.limit)
-        delay_s = curve.first_event_s(share, prompt_tokens)
-        usual_s = self._usual_s(curve, model, in_flight, prompt_tokens)
-        slow_s = usual_s * _factor(entry, in_flight)
+            return declared_s
+        factor = _factor(entry, in_flight)
+        if factor <= 1.0:
+            return declared_s
+        delay_s = delay.declared_s(math.ceil(in_flight * factor), prompt_tokens)
+        usual_s = delay.offset_s + delay.factor * declared_s
         comfort_s = _COMFORTABLE_SHARE * target.total_seconds()
-        return delay_s + max(slow_s - max(usual_s, comfort_s), 0.0)
+        return delay_s + max(usual_s * factor - max(usual_s, comfort_s), 0.0)
 
     def limit(self, head: BackendServer, engine: EngineProfile) -> int:
         """Return the number of requests of all nodes that a group takes well."""
+        self._refresh_if_due()
         return self._find(head, head.model or "", engine.slots).limit
 
     def service_factor(self, server: BackendServer, *, in_flight: int) -> float:
         """Return the service time of a plain server over the usual one."""
+        self._refresh_if_due()
         entry = self._find(server, server.service, server.slots)
         return 1.0 if entry.is_usual else _factor(entry, in_flight)
 
@@ -296,10 +310,10 @@
             Requests of all nodes at the group when it was chosen, without this one.
         """
         entry = self._find(head, model.name, engine.slots)
-        curve = self._curve(engine, model)
-        expected_s = curve.first_event_s(in_flight, prompt_tokens)
-        # The interval is part of the expected first event; the ratio alone counts.
-        interval_s = curve.first_event_s(min(in_flight, engine.slots - 1), 0) / 1.5
+        delay = self._group_delay(engine, model)
+        expected_s = delay.declared_s(in_flight, prompt_tokens)
+        # The first event of a short prompt takes 1.5 intervals; the ratio alone counts.
+        interval_s = delay.declared_s(min(in_flight, engine.slots - 1), 0) / 1.5
 
         def record(
             measure: Measure, observed_s: float, since_s: float, weight: float
@@ -468,10 +482,9 @@
 
     def _find(self, server: BackendServer, kind: str, slots: int) -> _Server:
         """Return the entry of a server, a new one after its restart or regrouping."""
-        self._refresh_if_due()
         entry = self._servers.get(server.vm)
         if entry is not None:
-            if entry.server is server:
+            if entry.server is server and entry.slots == slots:
                 return entry
             key = evidence_key(server)
             if entry.key == key and entry.slots == slots and entry.kind == kind:
@@ -487,23 +500,11 @@
         self._servers[server.vm] = entry
         return entry
 
-    def _curve(self, engine: EngineProfile, model: ModelProfile) -> _DeclaredCurve:
-        curve = self._curves.get(model.name)
-        if curve is None or curve.engine is not engine or curve.model is not model:
-            curve = self._curves[model.name] = _DeclaredCurve(engine, model)
-        return curve
-
-    def _usual_s(
-        self,
-        curve: _DeclaredCurve,
-        model: ModelProfile,
-        in_flight: int,
-        prompt_tokens: int,
-    ) -> float:
-        """Return the time to the first event that is usual at this node, in seconds."""
-        declared_s = curve.first_event_s(in_flight, prompt_tokens)
-        common = self._common.get((Measure.FIRST_EVENT, model.name))
-        return declared_s if common is None else common.predict_s(declared_s)
+    def _group_delay(self, engine: EngineProfile, model: ModelProfile) -> _GroupDelay:
+        delay = self._group_delays.get(model.name)
+        if delay is None or delay.engine is not engine or delay.model is not model:
+            delay = self._group_delays[model.name] = _GroupDelay(engine, model)
+        return delay
 
     def _refresh_if_due(self) -> None:
         now_s = self._clock.monotonic()
@@ -527,6 +528,10 @@
             kinds.setdefault(entry.kind, []).append(entry)
         for load_curve in self._load_curves.values():
             load_curve.refresh(self._evidence)
+        for delay in self._group_delays.values():
+            common = self._common.get((Measure.FIRST_EVENT, delay.model.name))
+            if common is not None:
+                delay.offset_s, delay.factor = common.offset_s, common.factor
         for entries in kinds.values():
             self._refresh_kind(entries)
 
--- a/pomelolug/entry/performance/_observation.py
+++ b/pomelolug/entry/performance/_observation.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Measure", "PlainObservation", "StreamObservation"]
 
-_EVENTS_PER_INTERVAL = 8
+_EVENTS_PER_INTERVAL = 12
 """Events after which their mean interval is recorded."""
 _MAX_INTERVAL_AGE_S = 0.4
 """Time after which it is recorded with fewer events, so that a slowdown shows."""
--- a/pomelolug/entry/tests/choice_simulation.py
+++ b/pomelolug/entry/tests/choice_simulation.py
@@ -160,6 +160,8 @@
         the nodes do not know them.
     degrading_groups : int
         Number of groups that take three times as long when more than half full.
+    undeclared_s : float
+        Part of the time to a first event that the declared figures leave out.
     learns : bool
         Whether the nodes learn the speed of the groups, rather than take the declared
         one.
@@ -177,6 +179,7 @@
         slow_groups: int = 0,
         slowdowns: Sequence[float] = (),
         degrading_groups: int = 0,
+        undeclared_s: float = 0.0,
         learns: bool = False,
         seed: int = 0,
     ) -> None:
@@ -186,6 +189,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._rate_per_s = rate_per_s
+        self._undeclared_s = undeclared_s
         names = [ZoneId(f"z{number}") for number in range(zones)]
         self._groups = [
             _Group(f"{zone}-{number}", zone, 1.0)
@@ -400,6 +404,7 @@
             group.served += 1
             interval_s = group.interval_s()
             first_s = interval_s * (0.5 + self._rng.random()) + 0.01
+            first_s += group.slowdown * self._undeclared_s
             self.first_event_s.append(self._now_s + first_s - arrived_s)
             events = max(self._rng.expovariate(1 / EVENTS), 1.0)
             self._call_later(first_s + events * interval_s, end)
