--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -33,7 +33,7 @@
 from pomelolug.entry.dispatch import GroupDispatcher
 from pomelolug.entry.losses import LossPublisher, PoisonRequestDetector, RunMonitor
 from pomelolug.entry.peers import PeerCoordinator, StoreContact
-from pomelolug.entry.performance import DeclaredDelayEstimator, DelayEstimator
+from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.requests import (
     PlainForwarder,
     RequestExits,
@@ -232,6 +232,13 @@
         )
         self._registry = ServerRegistry(clock=clock)
         self._build_notices()
+        self._delay_estimator = LearnedDelayEstimator(
+            zone=settings.zone,
+            clock=clock,
+            on_sample=lambda measure: self._metrics.delay_samples.labels(
+                measure.value
+            ).inc(),
+        )
         self._server_tracker = ServerTracker(
             registry=self._registry, notices=self._notices, clock=clock
         )
@@ -268,7 +275,6 @@
             clock=clock,
         )
         self._stall_detector = StallDetector(clock=clock, on_stall=self._on_stall)
-        self._delay_estimator: DelayEstimator = DeclaredDelayEstimator()
         self._group_dispatcher = GroupDispatcher(
             heads=lambda service, model: self._server_tracker.open_heads(
                 service, model
@@ -303,6 +309,7 @@
             poison_detector=self._poison_detector,
             notices=self._notices,
             dispatcher=self._group_dispatcher,
+            delay_estimator=self._delay_estimator,
         )
         self._internal_endpoints = InternalEndpoints(
             lifecycle=self._lifecycle,
@@ -475,6 +482,7 @@
             retry_limiter=self._retry_limiter,
             run_monitor=self._run_monitor,
             notices=self._notices,
+            delay_estimator=self._delay_estimator,
             exits=exits,
             clock=clock,
             zone=settings.zone,
@@ -569,6 +577,7 @@
         while True:
             await self._clock.sleep(_HOUSEKEEPING_INTERVAL)
             self._writer.write_pending()
+            self._delay_estimator.tick()
             self._registry_updater.report_store_status(
                 is_fresh=self._server_feed.is_fresh, age_s=self._server_feed.age_s
             )
@@ -594,6 +603,9 @@
                     self._peer_coordinator.dispatch.timeout_count
                 )
                 self._metrics.lapsed_servers.set(self._registry.lapsed_count)
+                performance = self._delay_estimator.summary()
+                self._metrics.slow_servers.set(performance.limited)
+                self._metrics.server_speed_spread.set(performance.spread)
                 self._metrics.limited_servers.set(
                     len(self._server_limits.limited_servers())
                 )
--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import datetime
 import random
 from collections.abc import Callable, Mapping, Sequence
 
@@ -198,12 +199,13 @@
             if head.vm in question.excluded:
                 continue
             in_flight = self.in_flight(head.vm)
-            delay_s = self._estimator.first_event_s(
+            delay_s = self._estimator.choice_delay_s(
                 head,
                 engine,
                 model,
                 in_flight=in_flight,
                 prompt_tokens=question.prompt_tokens,
+                target=datetime.timedelta(seconds=question.target_s),
             )
             limit = self._estimator.limit(head, engine)
             if in_flight < limit or delay_s <= question.target_s:
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -20,6 +20,7 @@
 )
 from pomelolug.entry.peers._peer_gossip import PeerGossip
 from pomelolug.entry.peers._relay import RelaySource
+from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.servers import ServerNotices, ServerTracker
 from pomelolug.errors import PlatformError
 from pomelolug.feeds import RecordBatch, RecordSource
@@ -114,6 +115,8 @@
         What servers state about the requests that they take.
     dispatcher : GroupDispatcher
         Assigns streams while this node is the dispatcher of its zone.
+    delay_estimator : LearnedDelayEstimator
+        Evidence on the speed of servers to exchange.
     """
 
     def __init__(
@@ -137,6 +140,7 @@
         poison_detector: PoisonRequestDetector,
         notices: ServerNotices,
         dispatcher: GroupDispatcher,
+        delay_estimator: LearnedDelayEstimator,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -158,6 +162,7 @@
         self._departures = departures
         self._poison_detector = poison_detector
         self._notices = notices
+        self._delay_estimator = delay_estimator
         self._started_ms = time.time_ns() // 1_000_000
         self._datagram_port = (
             settings.internal_ports[0] if settings.internal_ports else 0
@@ -510,6 +515,9 @@
         tracker = self._server_tracker
         limits, cold = self._notices.limits, self._notices.cold_servers
         evacuated_zones, evacuations_read = self._notices.evacuated_zones.report()
+        speeds = self._delay_estimator.take_reports(
+            is_relay=is_relay, reaches_servers=reaches_servers
+        )
         return NodeStatus(
             node=self._settings.node,
             started_ms=self._started_ms,
@@ -545,6 +553,9 @@
             cold=cold.own_reports(),
             zone_cold=cold.zone_reports() if is_relay else {},
             other_cold=cold.other_zone_reports() if is_relay else {},
+            speeds=speeds.own,
+            zone_speeds=speeds.zone,
+            other_speeds=speeds.other,
             leaving=self._notices.leaving.reports(),
             evacuated_zones=evacuated_zones,
             evacuations_read=evacuations_read,
@@ -586,6 +597,7 @@
             self._on_suspect(VmId(head))
         self._departures.merge(status.releases)
         self._notices.merge(status)
+        self._delay_estimator.merge(status)
         self._poison_detector.merge(
             status.strikes,
             cleared=status.cleared,
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -11,7 +11,7 @@
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
 from pomelolug.entry.dispatch import Assignment, DispatchEndpoint, Question
 from pomelolug.entry.losses import QuarantinedError, RunMonitor
-from pomelolug.entry.performance import DelayEstimator
+from pomelolug.entry.performance import LearnedDelayEstimator, StreamObservation
 from pomelolug.entry.requests._attempt import Attempt, AttemptError
 from pomelolug.entry.requests._peer_forwarding import PeerRefusalError
 from pomelolug.entry.requests._repeats import RetryLimiter
@@ -106,8 +106,8 @@
         What servers state about the requests that they take.
     group_selector : GroupSelector
         Selects the group of an attempt.
-    delay_estimator : DelayEstimator
-        Expected delays at the groups.
+    delay_estimator : LearnedDelayEstimator
+        Expected delays at the groups, learned from the streams.
     dispatch : callable
         Returns the endpoint that asks dispatchers for groups.
     exits : RequestExits
@@ -128,7 +128,7 @@
         run_monitor: RunMonitor,
         notices: ServerNotices,
         group_selector: GroupSelector,
-        delay_estimator: DelayEstimator,
+        delay_estimator: LearnedDelayEstimator,
         dispatch: Callable[[], DispatchEndpoint],
         exits: RequestExits,
         clock: Clock,
@@ -296,7 +296,7 @@
                 await run.close(error, "quarantined" if is_quarantined else "cancelled")
                 raise
             state.unreached_count = 0
-            self._watch_run(context, state, run, head.vm)
+            self._watch_run(context, state, run, head)
             return run
         return None
 
@@ -347,10 +347,12 @@
         context: RequestContext,
         state: StreamState,
         run: StreamRun,
-        head: VmId,
+        server: BackendServer,
     ) -> None:
         """Notice stalls and events of a run whose request has just been sent."""
+        head = server.vm
         can_move = context.route.is_repeatable
+        observation = self._observe_delays(context, run, server)
         watched = self._stall_detector.add(
             head,
             move=(lambda: self._on_stall(context, state, run)) if can_move else None,
@@ -359,14 +361,29 @@
         def record_event() -> None:
             self._stall_detector.on_event(head, watched)
             self._server_tracker.record_progress(head)
+            observation.record_event()
 
         def set_held(is_held: bool) -> None:
             self._stall_detector.set_held(watched, is_held)
+            observation.set_held(is_held)
 
-        run.observe(
-            on_event=record_event,
-            on_hold=set_held,
-            on_close=lambda: self._stall_detector.remove(head, watched),
+        def close() -> None:
+            self._stall_detector.remove(head, watched)
+            observation.end(is_sound=run.record.result == "answered")
+
+        run.observe(on_event=record_event, on_hold=set_held, on_close=close)
+
+    def _observe_delays(
+        self, context: RequestContext, run: StreamRun, head: BackendServer
+    ) -> StreamObservation:
+        engine, model = _engine_and_model(context)
+        assert engine is not None and model is not None
+        return self._delay_estimator.begin_stream(
+            head,
+            engine,
+            model,
+            in_flight=run.record.in_flight,
+            prompt_tokens=context.request_head.prompt_tokens,
         )
 
     async def _forward_run(
@@ -704,19 +721,20 @@
             if head.vm in state.tried:
                 continue
             in_flight = self._server_tracker.in_flight(head.vm)
-            expected_delay_s = self._delay_estimator.first_event_s(
+            delay_s = self._delay_estimator.choice_delay_s(
                 head,
                 engine,
                 model,
                 in_flight=in_flight,
                 prompt_tokens=context.request_head.prompt_tokens,
+                target=context.route.latency_target,
             )
-            # A request beyond the slots also delays all requests behind it, so it
-            # is sent only if it can meet the latency target.
+            # A request beyond the limit also delays all requests behind it, so it is
+            # sent only if it may meet the latency target.
             limit = self._delay_estimator.limit(head, engine)
-            if in_flight < limit or expected_delay_s <= target_s:
+            if in_flight < limit or delay_s <= target_s:
                 penalty_s = _COLD_PENALTY_S if self._notices.is_cold(head) else 0.0
-                candidates.append(Candidate(head, expected_delay_s + penalty_s))
+                candidates.append(Candidate(head, delay_s + penalty_s))
         return candidates
 
     def _has_working_groups(self, context: RequestContext) -> bool:
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -106,6 +106,12 @@
     """Servers that are cold, as known in the relay's whole zone."""
     other_cold: dict[str, ColdReport] = {}
     """Servers that are cold, as known in all other zones to the relay."""
+    speeds: bytes = b""
+    """Records of the speed of servers, as seen by the node since its last status."""
+    zone_speeds: bytes = b""
+    """The same of the relay's whole zone."""
+    other_speeds: bytes = b""
+    """The same of all other zones, as known to the relay."""
     leaving: dict[str, LeavingReport] = {}
     """Servers that have stated that they are about to leave."""
     evacuated_zones: tuple[str, ...] = ()
