Refuse at a full zone by account and urgency

At a full zone whoever came first got the slots, so an account with a third of the traffic took a third of a burst from the others, and less urgent streams the places of urgent ones. The dispatcher knows the open streams of its zone, so it keeps room for accounts below their share and for more urgent kinds. AccountShares moves from admission to a package of its own, since admission imports what entry VMs do not have; its tests move with it unchanged. Replies carry the exact load, from which speeds are learned.

--- a/pomelolug/admission/_pool.py
+++ b/pomelolug/admission/_pool.py
@@ -2,11 +2,11 @@
 
 import math
 
-from pomelolug.admission._accounts import AccountShares
 from pomelolug.admission._estimate import RateMeter, WaitEstimator
 from pomelolug.admission._fair_queue import FairQueue, Waiter
 from pomelolug.admission._request import AdmissionRequest
 from pomelolug.configuration import WorkClass
+from pomelolug.fairness import AccountShares
 from pomelolug.ids import AccountId, RequestId, WorkClassName
 
 __all__ = ["PoolQueue"]
--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import datetime
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 
@@ -15,7 +16,8 @@
 from pomelolug.deployment import BackendServer, Declaration
 from pomelolug.entry.dispatch._ledger import AssignmentLedger, Holder
 from pomelolug.entry.performance import DelayEstimator
-from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
+from pomelolug.fairness import AccountShares
+from pomelolug.ids import AccountId, ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 
 __all__ = ["Decision", "GroupDispatcher", "Question"]
@@ -25,6 +27,10 @@
 
 Delays hardly differ while a group has free slots, so streams are spread by load.
 """
+_URGENT_RESERVE = 0.05
+"""Fraction of all slots that streams leave to more urgent ones, which cannot wait."""
+_URGENT_PERIOD_S = 10.0
+"""Time in seconds after a stream for which more of its urgency are expected."""
 _TIE_TOLERANCE_S = 0.001
 _MAX_OVERTIME_S = 2.0
 """Time in seconds by which a stream may outlast the longest timeout of a route."""
@@ -44,6 +50,10 @@
         Time left to the first event by the latency target, in seconds.
     excluded : sequence of VmId
         Heads that the stream is not sent to.
+    account : AccountId
+        Client account, empty if there is none.
+    urgency : int
+        Urgency of the stream; 0 is the most urgent.
     """
 
     service: ServiceName
@@ -51,17 +61,58 @@
     prompt_tokens: int
     target_s: float
     excluded: Sequence[VmId] = ()
+    account: AccountId = AccountId("")
+    urgency: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
     """Head of the assigned group, None if there is none.
 
-    `has_groups` tells whether there are open groups; without a head they are full.
+    `has_groups` tells whether there are open groups; without a head they have no room
+    for the stream. `load` is the number of requests at the group before this one.
     """
 
     head: VmId | None
     has_groups: bool
+    load: int = 0
+
+
+class _Pool:
+    """Streams of one model of a service in the zone, by account and urgency."""
+
+    def __init__(self) -> None:
+        self.accounts = AccountShares()
+        self._asked_at_s: dict[int, float] = {}
+
+    def record_question(self, question: Question, *, now_s: float) -> None:
+        """Record that an account needs a group."""
+        self.accounts.on_request(question.account, weight=1.0, now_s=now_s)
+        self._asked_at_s[question.urgency] = now_s
+
+    def reserved_slots(
+        self, question: Question, *, free: int, slots: int, now_s: float
+    ) -> int:
+        """Return the free slots that a stream must leave to others.
+
+        Parameters
+        ----------
+        question : Question
+            The stream.
+        free, slots : int
+            Free slots and all slots of the groups.
+        now_s : float
+            Current monotonic time in seconds.
+        """
+        for_accounts = self.accounts.reserved_slots(
+            question.account, free=free, now_s=now_s
+        )
+        has_more_urgent = any(
+            urgency < question.urgency and now_s - asked_at_s < _URGENT_PERIOD_S
+            for urgency, asked_at_s in self._asked_at_s.items()
+        )
+        for_urgent = math.ceil(_URGENT_RESERVE * slots) if has_more_urgent else 0
+        return max(for_accounts, for_urgent)
 
 
 class GroupDispatcher:
@@ -101,6 +152,7 @@
         self._clock = clock
         self._rng = rng
         self._ledger = AssignmentLedger()
+        self._pools: dict[tuple[ServiceName, ModelName], _Pool] = {}
         self._unassigned: dict[str, int] = {}
         self._zone_processes: set[Holder] = set()
 
@@ -116,11 +168,21 @@
         """
         known = self._ledger.find(holder, serial)
         if known is not None:
-            return Decision(known, has_groups=True)
+            return Decision(known, has_groups=True, load=self.in_flight(known) - 1)
         head, has_groups = self._choose(question)
-        if head is not None:
-            self._ledger.add(holder, serial, head.vm, now_s=self._clock.monotonic())
-        return Decision(head.vm if head is not None else None, has_groups)
+        if head is None:
+            return Decision(None, has_groups)
+        load = self.in_flight(head.vm)
+        accounts = self._pools[question.service, question.model].accounts
+        accounts.on_grant(question.account)
+        self._ledger.add(
+            holder,
+            serial,
+            head.vm,
+            now_s=self._clock.monotonic(),
+            on_end=lambda: accounts.on_release(question.account),
+        )
+        return Decision(head.vm, has_groups=True, load=load)
 
     def end(self, holder: Holder, serials: Sequence[int]) -> None:
         """Record that assigned streams have ended."""
@@ -194,11 +256,21 @@
             for head in self._heads(question.service, model.name)
             if head.zone == self._zone
         ]
+        pool = self._pools.setdefault((question.service, question.model), _Pool())
+        now_s = self._clock.monotonic()
+        pool.record_question(question, now_s=now_s)
+        limits = {head.vm: self._estimator.limit(head, engine) for head in heads}
+        free = sum(max(limits[h.vm] - self.in_flight(h.vm), 0) for h in heads)
+        reserved = pool.reserved_slots(
+            question, free=free, slots=sum(limits.values()), now_s=now_s
+        )
+        if reserved and free <= reserved:
+            return None, bool(heads)
         scores: list[tuple[float, BackendServer]] = []
         for head in heads:
             if head.vm in question.excluded:
                 continue
-            in_flight = self.in_flight(head.vm)
+            in_flight, limit = self.in_flight(head.vm), limits[head.vm]
             delay_s = self._estimator.choice_delay_s(
                 head,
                 engine,
@@ -207,7 +279,6 @@
                 prompt_tokens=question.prompt_tokens,
                 target=datetime.timedelta(seconds=question.target_s),
             )
-            limit = self._estimator.limit(head, engine)
             if in_flight < limit or delay_s <= question.target_s:
                 load = in_flight / max(limit, 1)
                 scores.append((delay_s + _LOAD_COST_S * load, head))
--- a/pomelolug/entry/dispatch/_endpoint.py
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -11,7 +11,7 @@
 from pomelolug.clock import Clock
 from pomelolug.entry.dispatch._dispatcher import Decision, GroupDispatcher, Question
 from pomelolug.entry.dispatch._ledger import Holder
-from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
+from pomelolug.ids import AccountId, ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import (
     DispatchEnd,
     DispatchReply,
@@ -57,10 +57,12 @@
 class Assignment:
     """Group that a dispatcher has assigned to a stream; `end` must be called once.
 
-    `head` is None if all groups that could be asked for are full.
+    `head` is None if all groups that could be asked for are full. `load` is the number
+    of requests at the group before this one.
     """
 
     head: VmId | None
+    load: int = 0
     on_end: Callable[[], None] | None = None
 
     def end(self) -> None:
@@ -223,6 +225,7 @@
             reply = DispatchReply(
                 serial=message.serial,
                 server=decision.head or "",
+                load=decision.load,
                 has_groups=decision.has_groups,
             )
             self._send(reply, message.sender)
@@ -241,10 +244,10 @@
             if reply is None:
                 return None
             head = VmId(reply.server) if reply.server else None
-            decision = Decision(head, reply.has_groups)
+            decision = Decision(head, reply.has_groups, reply.load)
         if decision.head is None:
             return decision.has_groups
-        return self._hold(address, serial, decision.head)
+        return self._hold(address, serial, decision.head, decision.load)
 
     async def _query(
         self, address: str, serial: int, question: Question
@@ -288,7 +291,7 @@
         }
         _log.info("dispatcher_avoided", dispatcher=address)
 
-    def _hold(self, address: str, serial: int, head: VmId) -> Assignment:
+    def _hold(self, address: str, serial: int, head: VmId, load: int) -> Assignment:
         key = (address, head)
         self._assigned[key] = self._assigned.get(key, 0) + 1
 
@@ -301,7 +304,7 @@
             else:
                 self._send_end(address, serial)
 
-        return Assignment(head, end)
+        return Assignment(head, load, end)
 
     def _encode_question(self, serial: int, question: Question) -> DispatchRequest:
         return DispatchRequest(
@@ -313,6 +316,8 @@
             prompt_tokens=question.prompt_tokens,
             target_s=round(question.target_s, 4),
             excluded=tuple(question.excluded[:_MAX_EXCLUDED]),
+            account=question.account,
+            urgency=question.urgency,
         )
 
     def _send_end(self, address: str, serial: int) -> None:
@@ -332,4 +337,6 @@
         prompt_tokens=message.prompt_tokens,
         target_s=message.target_s,
         excluded=[VmId(vm) for vm in excluded],
+        account=AccountId(message.account),
+        urgency=message.urgency,
     )
--- a/pomelolug/entry/dispatch/_ledger.py
+++ b/pomelolug/entry/dispatch/_ledger.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from pomelolug.ids import VmId
 
@@ -35,6 +35,7 @@
 class _Assignment:
     vm: VmId
     assigned_at_s: float
+    on_end: Callable[[], None]
 
 
 class AssignmentLedger:
@@ -67,10 +68,33 @@
         """Return the number of open assignments to a group."""
         return self._counts[vm]
 
-    def add(self, holder: Holder, serial: int, vm: VmId, *, now_s: float) -> None:
-        """Record an assignment; `serial` is the number of the node's question."""
+    def add(
+        self,
+        holder: Holder,
+        serial: int,
+        vm: VmId,
+        *,
+        now_s: float,
+        on_end: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Record an assignment.
+
+        Parameters
+        ----------
+        holder : Holder
+            Process that asked.
+        serial : int
+            Number of its question.
+        vm : VmId
+            Head of the group.
+        now_s : float
+            Current monotonic time in seconds.
+        on_end : callable, optional
+            Called when the assignment ends or is dropped.
+        """
         self.end(holder, [serial])
-        self._assignments.setdefault(holder, {})[serial] = _Assignment(vm, now_s)
+        assignment = _Assignment(vm, now_s, on_end)
+        self._assignments.setdefault(holder, {})[serial] = assignment
         self._counts[vm] += 1
 
     def find(self, holder: Holder, serial: int) -> VmId | None:
@@ -87,6 +111,7 @@
             assignment = assignments.pop(serial, None)
             if assignment is not None:
                 self._uncount(assignment.vm)
+                assignment.on_end()
         if not assignments:
             del self._assignments[holder]
 
@@ -137,8 +162,8 @@
 
     def clear(self) -> None:
         """Drop all assignments."""
-        self._assignments.clear()
-        self._counts.clear()
+        for holder in self.holders():
+            self.drop_process(holder)
 
     def _uncount(self, vm: VmId) -> None:
         self._counts[vm] -= 1
--- a/pomelolug/entry/dispatch/tests/test_dispatcher.py
+++ b/pomelolug/entry/dispatch/tests/test_dispatcher.py
@@ -139,3 +139,69 @@
     report = status(load={"a0": 3}, unassigned={})
     dispatcher.update([report], own=OWN, own_unassigned={}, is_stand_in=True)
     assert assign(dispatcher, 3) == ["a1"] * 3
+
+
+def test_large_account_does_not_crowd_out_the_others():
+    # Guards against a burst of one account that fills all groups for seconds.
+    clock = ManualClock()
+    dispatcher = make_dispatcher(make_heads(10), clock=clock)
+    dispatcher.decide(NODE, 1, make_question(account="small"))
+    heads = []
+    for serial in range(100, 120 + 10 * SLOTS):
+        # The reserve follows the accounts every 50 ms.
+        clock.time_s += 0.01
+        heads += assign(dispatcher, 1, first=serial, account="large")
+    assigned = sum(head is not None for head in heads)
+    assert 0.85 * 10 * SLOTS <= assigned < 10 * SLOTS
+    others = assign(dispatcher, 5, first=900, account="small")
+    assert None not in others
+
+
+def test_account_alone_may_use_all_slots():
+    # Guards against idle groups while only one account needs them.
+    dispatcher = make_dispatcher(make_heads(3))
+    heads = assign(dispatcher, 3 * SLOTS, account="large", target_s=0.0)
+    assert None not in heads
+
+
+def test_accounts_of_equal_size_may_use_all_slots():
+    # Guards against a reserve that nobody needs.
+    dispatcher = make_dispatcher(make_heads(3))
+    question = [make_question(account=f"a{n % 3}", target_s=0.0) for n in range(21)]
+    heads = [dispatcher.decide(NODE, n, q).head for n, q in enumerate(question)]
+    assert None not in heads
+
+
+def test_ended_streams_of_an_account_no_longer_count():
+    # Guards against an account that is held back for streams of before.
+    dispatcher = make_dispatcher(make_heads(10))
+    dispatcher.decide(NODE, 1, make_question(account="small"))
+    serials = range(100, 100 + 10 * SLOTS)
+    assign(dispatcher, len(serials), first=100, account="large")
+    dispatcher.end(NODE, serials)
+    assert dispatcher.in_flight(VmId("a0")) <= 1
+    heads = assign(dispatcher, 5 * SLOTS, first=1000, account="large")
+    assert None not in heads
+
+
+def test_less_urgent_streams_leave_room_for_urgent_ones():
+    # Guards against urgent streams that are refused at groups full of others, and
+    # against a kind that gets no room at all.
+    dispatcher = make_dispatcher(make_heads(6))
+    slots = 6 * SLOTS
+    assign(dispatcher, 1, urgency=0)
+    heads = assign(dispatcher, slots, first=100, urgency=2, target_s=0.0)
+    assigned = sum(head is not None for head in heads)
+    assert 0.9 * slots <= assigned < slots - 1
+    assert assign(dispatcher, 2, first=900, urgency=0, target_s=0.0) != [None, None]
+
+
+def test_room_is_not_kept_for_urgent_streams_that_do_not_come():
+    # Guards against idle slots where the urgent kind has gone.
+    clock = ManualClock()
+    dispatcher = make_dispatcher(make_heads(2), clock=clock)
+    assign(dispatcher, 1, urgency=0)
+    dispatcher.end(NODE, [0])
+    clock.time_s += 20.0
+    heads = assign(dispatcher, 2 * SLOTS, first=100, urgency=2, target_s=0.0)
+    assert None not in heads
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -38,7 +38,7 @@
     StallDetector,
 )
 from pomelolug.errors import ErrorCode, Outcome, RequestError
-from pomelolug.ids import ModelName, VmId
+from pomelolug.ids import AccountId, ModelName, VmId
 from pomelolug.platform import ServerSentEvent, response_headers
 from pomelolug.transport import ConnectionPool
 
@@ -78,6 +78,11 @@
     choice: GroupChoice
     assignment: Assignment | None = None
 
+    @property
+    def load(self) -> int:
+        """Requests at the group before this one, as the dispatcher knows."""
+        return self.assignment.load if self.assignment is not None else 0
+
     def end(self) -> None:
         """Tell the dispatcher that the run has ended or was not started."""
         if self.assignment is not None:
@@ -314,7 +319,9 @@
         assert context.request_head.model is not None
         record = AttemptRecord(
             head.vm,
-            self._server_tracker.in_flight(head.vm),
+            selected.load
+            if selected.assignment is not None
+            else self._server_tracker.in_flight(head.vm),
             len(
                 self._server_tracker.heads(
                     context.service.name, context.request_head.model
@@ -689,6 +696,8 @@
             prompt_tokens=context.request_head.prompt_tokens,
             target_s=context.route.latency_target.total_seconds(),
             excluded=[*unusable, *excluded],
+            account=context.account or AccountId(""),
+            urgency=context.urgency,
         )
 
     def _find_head(
--- a/pomelolug/admission/tests/test_accounts.py
+++ b/pomelolug/fairness/tests/test_accounts.py
@@ -1,6 +1,6 @@
 """Tests that slots are not reserved for accounts that do not need them."""
 
-from pomelolug.admission._accounts import AccountShares
+from pomelolug.fairness import AccountShares
 
 
 def account_shares(held):
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -153,6 +153,10 @@
     """Size of the prompt; 0 if unknown."""
     target_s: float
     """Time left to the first event by the latency target, in seconds."""
+    account: str = ""
+    """Client account of the stream; empty if there is none."""
+    urgency: int = 0
+    """Urgency of the stream; 0 is the most urgent."""
     excluded: tuple[str, ...] = ()
     """Servers that the node does not send this stream to."""
 
@@ -164,6 +168,8 @@
     """Number of the question."""
     server: str = ""
     """Head of the assigned group; empty if there is none."""
+    load: int = 0
+    """Requests at that group before this one."""
     has_groups: bool = True
     """Whether the dispatcher knows open groups; without a server, all are full."""
 
