--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -7,6 +7,7 @@
 import dataclasses
 import datetime
 import functools
+import itertools
 import json
 import logging
 import random
@@ -20,13 +21,18 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import (
     BackendServer,
+    Declaration,
+    EngineProfile,
     GroupMembership,
     GroupState,
     ModelProfile,
     ServerRegistry,
     ServerState,
+    Service,
 )
+from pomelolug.entry.dispatch import GroupDispatcher, Holder, Question
 from pomelolug.entry.losses import PoisonRequestDetector, compute_fingerprint
+from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.servers import (
     ColdServers,
     EvacuatedZones,
@@ -42,6 +48,7 @@
     measure_memory_kib,
 )
 from pomelolug.ids import (
+    AccountId,
     DomainId,
     GroupId,
     ModelName,
@@ -164,8 +171,8 @@
     return lambda: group_views(servers)
 
 
-def _make_group_plan(count: int) -> Callable[[], object]:
-    model = ModelProfile(
+def _make_model() -> ModelProfile:
+    return ModelProfile(
         name=_MODEL,
         group_size=GROUP_SIZE,
         time_factor=1.0,
@@ -173,6 +180,10 @@
         load_time=datetime.timedelta(seconds=16),
         warm_load_time=datetime.timedelta(seconds=1.6),
     )
+
+
+def _make_group_plan(count: int) -> Callable[[], object]:
+    model = _make_model()
     # One server in ten is free, as after losses.
     free = [FreeServer(_make_server(n), _MODEL) for n in range(0, count, 10)]
     needed = needed_servers([model], {_MODEL: 500}, slots=13, server_count=count)
@@ -291,6 +302,69 @@
     ]
 
 
+def _make_dispatch_decision(group_count: int) -> Callable[[], object]:
+    """Return a question of a node to a dispatcher, and the end of its stream."""
+    model = _make_model()
+    engine = EngineProfile(
+        slots=13,
+        kv_tokens=1_000_000,
+        step_ms=6.0,
+        step_ms_per_request=0.1,
+        step_ms_per_1000_tokens=0.01,
+        prefill_tokens_per_s=50_000.0,
+        tokens_per_event=6,
+        loads_per_s=10.0,
+        max_concurrent_loads=10,
+        staged_models=1,
+        open_delay=datetime.timedelta(seconds=0.3),
+        mean_prompt_tokens=800.0,
+        mean_answer_tokens=160.0,
+        models=(model,),
+    )
+    service = Service(
+        name=_SERVICE, health_path="/", max_connections=400, engine=engine
+    )
+    limit = datetime.timedelta(seconds=1)
+    declaration = Declaration(
+        version=1,
+        routes=(),
+        services={_SERVICE: service},
+        accounts_by_key=None,
+        max_header_bytes=1,
+        max_body_bytes=1,
+        header_timeout=limit,
+        idle_timeout=limit,
+    )
+    heads = [_make_server(number * GROUP_SIZE) for number in range(group_count)]
+    clock = _ProcessClock()
+    dispatcher = GroupDispatcher(
+        heads=lambda service, model: heads,
+        estimator=LearnedDelayEstimator(
+            zone=ZoneId("z"), clock=clock, on_sample=lambda measure: None
+        ),
+        declaration=lambda: declaration,
+        zone=ZoneId("z"),
+        clock=clock,
+        rng=random.Random(1),
+    )
+    holder = Holder("10.1.2.4:7340", 1)
+    question = Question(
+        service=_SERVICE,
+        model=model.name,
+        prompt_tokens=700,
+        target_s=0.25,
+        account=AccountId("account"),
+    )
+    serials = itertools.count()
+
+    def decide() -> None:
+        serial = next(serials)
+        dispatcher.decide(holder, serial, question)
+        dispatcher.end(holder, [serial - 3 * group_count])
+
+    return decide
+
+
 def _encode_entry() -> bytes:
     return msgspec.json.encode(
         {
@@ -345,6 +419,17 @@
         fit_line(
             "status, bytes", "B", "head", leader_counts, [len(e) for e in encoded], 75
         ),
+        fit_line(
+            "dispatcher, question and end",
+            "us",
+            "group of the zone",
+            leader_counts,
+            [
+                1e6 * measure_cpu_s(_make_dispatch_decision(count))
+                for count in leader_counts
+            ],
+            11,
+        ),
         fit_line(
             "status, decode",
             "us",
