--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -35,6 +35,7 @@
 from pomelolug.entry.peers import PeerCoordinator, StoreContact
 from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.requests import (
+    GroupChooser,
     PlainForwarder,
     RequestExits,
     RequestHandler,
@@ -496,9 +497,15 @@
             stall_detector=self._stall_detector,
             run_monitor=self._run_monitor,
             notices=self._notices,
-            group_selector=self._group_selector,
+            group_chooser=GroupChooser(
+                server_tracker=self._server_tracker,
+                notices=self._notices,
+                group_selector=self._group_selector,
+                delay_estimator=self._delay_estimator,
+                dispatch=lambda: self._peer_coordinator.dispatch,
+                clock=clock,
+            ),
             delay_estimator=self._delay_estimator,
-            dispatch=lambda: self._peer_coordinator.dispatch,
             exits=exits,
             clock=clock,
             rng=self._rng,
--- a/pomelolug/entry/requests/__init__.py
+++ b/pomelolug/entry/requests/__init__.py
@@ -7,6 +7,9 @@
     AttemptError,
     RunStatus,
 )
+from pomelolug.entry.requests._group_chooser import (
+    GroupChooser,
+)
 from pomelolug.entry.requests._peer_forwarding import (
     ForwardedRequest,
     PeerAttempt,
@@ -35,6 +38,7 @@
 __all__ = [
     "AttemptError",
     "ForwardedRequest",
+    "GroupChooser",
     "PeerAttempt",
     "PeerRefusalError",
     "PlainForwarder",
--- /dev/null
+++ b/pomelolug/entry/requests/_group_chooser.py
@@ -0,0 +1,232 @@
+"""Choice of the group of a stream, by a dispatcher or by the node itself."""
+
+import dataclasses
+import datetime
+from collections.abc import Callable, Collection
+
+from pomelolug.clock import Clock
+from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
+from pomelolug.entry.dispatch import Assignment, DispatchEndpoint, Question
+from pomelolug.entry.performance import LearnedDelayEstimator
+from pomelolug.entry.requests._request_context import RequestContext
+from pomelolug.entry.requests._request_record import GroupChoice
+from pomelolug.entry.servers import (
+    Candidate,
+    GroupSelector,
+    ServerNotices,
+    ServerTracker,
+)
+from pomelolug.ids import AccountId, ModelName, VmId
+
+__all__ = ["GroupChooser", "SelectedGroup", "engine_and_model"]
+
+_MAX_QUESTIONS = 2
+"""Assignments that a node asks for until it chooses a group by itself."""
+_MAX_RESUME_WAIT_S = 1.0
+"""Maximum time to wait for a group that can resume a stream."""
+_COLD_PENALTY_S = 0.05
+"""Expected delay, in seconds, that the group of a cold head must save.
+
+It is slower than the estimate says, which does not know by how much.
+"""
+_RESUME_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SelectedGroup:
+    """Head of the group of a run, and the assignment if a dispatcher has made one."""
+
+    head: BackendServer
+    choice: GroupChoice
+    assignment: Assignment | None = None
+
+    @property
+    def load(self) -> int:
+        """Requests at the group before this one, as the dispatcher knows."""
+        return self.assignment.load if self.assignment is not None else 0
+
+    def end(self) -> None:
+        """Tell the dispatcher that the run has ended or was not started."""
+        if self.assignment is not None:
+            self.assignment.end()
+
+
+class GroupChooser:
+    """Chooses the group of each run of a stream.
+
+    Parameters
+    ----------
+    server_tracker : ServerTracker
+        Groups and their load.
+    notices : ServerNotices
+        What servers state about the requests that they take.
+    group_selector : GroupSelector
+        Selects a group if no dispatcher does.
+    delay_estimator : LearnedDelayEstimator
+        Expected delays at the groups.
+    dispatch : callable
+        Returns the endpoint that asks dispatchers for groups.
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        server_tracker: ServerTracker,
+        notices: ServerNotices,
+        group_selector: GroupSelector,
+        delay_estimator: LearnedDelayEstimator,
+        dispatch: Callable[[], DispatchEndpoint],
+        clock: Clock,
+    ) -> None:
+        self._server_tracker = server_tracker
+        self._notices = notices
+        self._group_selector = group_selector
+        self._delay_estimator = delay_estimator
+        self._dispatch = dispatch
+        self._clock = clock
+
+    async def select(
+        self, context: RequestContext, tried: Collection[VmId], *, waits: bool
+    ) -> SelectedGroup | None:
+        """Return the group of the next run, None if there is none.
+
+        Parameters
+        ----------
+        context : RequestContext
+            The request.
+        tried : collection of VmId
+            Heads that the request is not sent to again.
+        waits : bool
+            Whether to wait for a moment until a group has room.
+        """
+        until_s = self._clock.monotonic() + _MAX_RESUME_WAIT_S
+        while True:
+            selected = await self._try_select(context, tried)
+            if selected is not None or not waits:
+                return selected
+            if self._clock.monotonic() >= until_s:
+                # A suspected group may only have paused, and the stream ends otherwise.
+                suspected = self._find_candidates(context, tried, suspected=True)
+                candidate = self._group_selector.select(suspected)
+                return (
+                    SelectedGroup(candidate.server, GroupChoice.SUSPECTED)
+                    if candidate is not None
+                    else None
+                )
+            await self._clock.sleep(_RESUME_POLL_INTERVAL)
+
+    async def _try_select(
+        self, context: RequestContext, tried: Collection[VmId]
+    ) -> SelectedGroup | None:
+        """Return the group that a dispatcher assigns, or that this node chooses."""
+        choice = GroupChoice.OWN
+        model = context.request_head.model
+        if model is not None and self._dispatch().is_enabled:
+            choice = GroupChoice.NO_REPLY
+            unusable: set[VmId] = set()
+            while len(unusable) < _MAX_QUESTIONS:
+                question = self._build_question(context, tried, model, unusable)
+                assignment = await self._dispatch().assign(question)
+                if assignment is None:
+                    break
+                if assignment.head is None:
+                    return None
+                head = self._find_head(context, tried, assignment.head)
+                if head is not None:
+                    return SelectedGroup(head, GroupChoice.ASSIGNED, assignment)
+                choice = GroupChoice.UNUSABLE
+                unusable.add(assignment.head)
+                assignment.end()
+        candidate = self._group_selector.select(self._find_candidates(context, tried))
+        if candidate is None:
+            return None
+        return SelectedGroup(candidate.server, choice)
+
+    def _build_question(
+        self,
+        context: RequestContext,
+        tried: Collection[VmId],
+        model: ModelName,
+        unusable: set[VmId],
+    ) -> Question:
+        """Return the question for a group that this node may send a run to."""
+        service = context.service.name
+        usable = {
+            head.vm for head in self._server_tracker.heads(service, model)
+        } - unusable
+        excluded = [
+            head.vm
+            for head in self._server_tracker.open_heads(service, model)
+            if head.vm in tried or head.vm not in usable
+        ]
+        return Question(
+            service=service,
+            model=model,
+            prompt_tokens=context.request_head.prompt_tokens,
+            target_s=context.route.latency_target.total_seconds(),
+            excluded=[*unusable, *excluded],
+            account=context.account or AccountId(""),
+            urgency=context.urgency,
+        )
+
+    def _find_head(
+        self, context: RequestContext, tried: Collection[VmId], vm: VmId
+    ) -> BackendServer | None:
+        """Return an assigned head, None if this node may not send to it now.
+
+        The dispatcher may know more recent entries of servers, or older ones.
+        """
+        model = context.request_head.model
+        if model is None or vm in tried:
+            return None
+        heads = self._server_tracker.heads(context.service.name, model)
+        return next((head for head in heads if head.vm == vm), None)
+
+    def _find_candidates(
+        self,
+        context: RequestContext,
+        tried: Collection[VmId],
+        *,
+        suspected: bool = False,
+    ) -> list[Candidate]:
+        engine, model = engine_and_model(context)
+        if engine is None or model is None:
+            return []
+        candidates = []
+        target_s = context.route.latency_target.total_seconds()
+        heads = (
+            self._server_tracker.suspected_heads(context.service.name, model.name)
+            if suspected
+            else self._server_tracker.heads(context.service.name, model.name)
+        )
+        for head in heads:
+            if head.vm in tried:
+                continue
+            in_flight = self._server_tracker.in_flight(head.vm)
+            delay_s = self._delay_estimator.choice_delay_s(
+                head,
+                engine,
+                model,
+                in_flight=in_flight,
+                prompt_tokens=context.request_head.prompt_tokens,
+                target=context.route.latency_target,
+            )
+            # A request beyond the limit also delays all requests behind it, so it is
+            # sent only if it may meet the latency target.
+            limit = self._delay_estimator.limit(head, engine)
+            if in_flight < limit or delay_s <= target_s:
+                penalty_s = _COLD_PENALTY_S if self._notices.is_cold(head) else 0.0
+                candidates.append(Candidate(head, delay_s + penalty_s))
+        return candidates
+
+
+def engine_and_model(
+    context: RequestContext,
+) -> tuple[EngineProfile | None, ModelProfile | None]:
+    """Return the declared figures for a stream, None where there are none."""
+    engine = context.service.engine
+    if engine is None or context.request_head.model is None:
+        return engine, None
+    return engine, engine.find_model(context.request_head.model)
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -1,18 +1,20 @@
 """Forwarding of streams from replica groups."""
 
 import asyncio
-import dataclasses
 import datetime
 import random
-from collections.abc import Callable
 from typing import TypeAlias
 
 from pomelolug.clock import Clock
-from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
-from pomelolug.entry.dispatch import Assignment, DispatchEndpoint, Question
+from pomelolug.deployment import BackendServer
 from pomelolug.entry.losses import QuarantinedError, RunMonitor
 from pomelolug.entry.performance import LearnedDelayEstimator, StreamObservation
 from pomelolug.entry.requests._attempt import Attempt, AttemptError
+from pomelolug.entry.requests._group_chooser import (
+    GroupChooser,
+    SelectedGroup,
+    engine_and_model,
+)
 from pomelolug.entry.requests._peer_forwarding import PeerRefusalError
 from pomelolug.entry.requests._repeats import RetryLimiter
 from pomelolug.entry.requests._request_context import (
@@ -22,7 +24,7 @@
     unknown_outcome_error,
 )
 from pomelolug.entry.requests._request_exits import MAX_UNREACHED_SERVERS, RequestExits
-from pomelolug.entry.requests._request_record import AttemptRecord, GroupChoice
+from pomelolug.entry.requests._request_record import AttemptRecord
 from pomelolug.entry.requests._stream_run import (
     RefusedError,
     ServerError,
@@ -31,14 +33,11 @@
 )
 from pomelolug.entry.requests._stream_state import StreamState
 from pomelolug.entry.servers import (
-    Candidate,
-    GroupSelector,
     ServerNotices,
     ServerTracker,
     StallDetector,
 )
 from pomelolug.errors import ErrorCode, Outcome, RequestError
-from pomelolug.ids import AccountId, ModelName, VmId
 from pomelolug.platform import ServerSentEvent, response_headers
 from pomelolug.transport import ConnectionPool
 
@@ -46,11 +45,6 @@
 
 _MAX_ATTEMPTS = 5
 """Maximum number of attempts, including those that a group refuses."""
-_COLD_PENALTY_S = 0.05
-"""Expected delay, in seconds, that the group of a cold head must save.
-
-It is slower than the estimate says, which does not know by how much.
-"""
 _RETRY_AFTER_FULL = datetime.timedelta(seconds=1.3)
 """Retry-After time if all groups are full.
 
@@ -61,34 +55,10 @@
 """Retry-After time if no group of the model is open."""
 _RETRY_AFTER_JITTER = 0.15
 """Relative jitter of these times, so that callers do not retry simultaneously."""
-_MAX_QUESTIONS = 2
-"""Assignments that a node asks for until it chooses a group by itself."""
-_MAX_RESUME_WAIT_S = 1.0
-"""Maximum time to wait for a group that can resume a stream."""
-_RESUME_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 _RUN_ERRORS = (RefusedError, ServerError, PeerRefusalError, AttemptError)
 _RunError: TypeAlias = RefusedError | ServerError | PeerRefusalError | AttemptError
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _SelectedGroup:
-    """Head of the group of a run, and the assignment if a dispatcher has made one."""
-
-    head: BackendServer
-    choice: GroupChoice
-    assignment: Assignment | None = None
-
-    @property
-    def load(self) -> int:
-        """Requests at the group before this one, as the dispatcher knows."""
-        return self.assignment.load if self.assignment is not None else 0
-
-    def end(self) -> None:
-        """Tell the dispatcher that the run has ended or was not started."""
-        if self.assignment is not None:
-            self.assignment.end()
-
-
 class StreamForwarder:
     """Forwards streams and resumes them on another group when one is lost.
 
@@ -109,12 +79,10 @@
         Refuses requests that crash servers.
     notices : ServerNotices
         What servers state about the requests that they take.
-    group_selector : GroupSelector
-        Selects the group of an attempt.
+    group_chooser : GroupChooser
+        Chooses the group of an attempt.
     delay_estimator : LearnedDelayEstimator
         Expected delays at the groups, learned from the streams.
-    dispatch : callable
-        Returns the endpoint that asks dispatchers for groups.
     exits : RequestExits
         Other nodes that get requests if this one reaches no server.
     clock : Clock
@@ -132,9 +100,8 @@
         stall_detector: StallDetector,
         run_monitor: RunMonitor,
         notices: ServerNotices,
-        group_selector: GroupSelector,
+        group_chooser: GroupChooser,
         delay_estimator: LearnedDelayEstimator,
-        dispatch: Callable[[], DispatchEndpoint],
         exits: RequestExits,
         clock: Clock,
         rng: random.Random,
@@ -145,9 +112,8 @@
         self._stall_detector = stall_detector
         self._run_monitor = run_monitor
         self._notices = notices
-        self._group_selector = group_selector
+        self._group_chooser = group_chooser
         self._delay_estimator = delay_estimator
-        self._dispatch = dispatch
         self._exits = exits
         self._clock = clock
         self._rng = rng
@@ -269,7 +235,9 @@
             state.attempt_count < _MAX_ATTEMPTS
             and state.unreached_count < MAX_UNREACHED_SERVERS
         ):
-            selected = await self._select_group(context, state, waits=waits)
+            selected = await self._group_chooser.select(
+                context, state.tried, waits=waits
+            )
             if selected is None:
                 return None
             head = selected.head
@@ -313,7 +281,7 @@
         return self._retry_limiter.try_spend(context)
 
     def _create_run(
-        self, context: RequestContext, state: StreamState, selected: _SelectedGroup
+        self, context: RequestContext, state: StreamState, selected: SelectedGroup
     ) -> StreamRun:
         head = selected.head
         assert context.request_head.model is not None
@@ -383,7 +351,7 @@
     def _observe_delays(
         self, context: RequestContext, run: StreamRun, head: BackendServer
     ) -> StreamObservation:
-        engine, model = _engine_and_model(context)
+        engine, model = engine_and_model(context)
         assert engine is not None and model is not None
         return self._delay_estimator.begin_stream(
             head,
@@ -626,126 +594,6 @@
     ) -> bool:
         return error.head.status >= 500 and self._may_retry(context, state, running=1)
 
-    async def _select_group(
-        self, context: RequestContext, state: StreamState, *, waits: bool
-    ) -> _SelectedGroup | None:
-        """Return the group of the next run, None if there is none."""
-        until_s = self._clock.monotonic() + _MAX_RESUME_WAIT_S
-        while True:
-            selected = await self._try_select_group(context, state)
-            if selected is not None or not waits:
-                return selected
-            if self._clock.monotonic() >= until_s:
-                # A suspected group may only have paused, and the stream ends otherwise.
-                suspected = self._find_candidates(context, state, suspected=True)
-                candidate = self._group_selector.select(suspected)
-                return (
-                    _SelectedGroup(candidate.server, GroupChoice.SUSPECTED)
-                    if candidate is not None
-                    else None
-                )
-            await self._clock.sleep(_RESUME_POLL_INTERVAL)
-
-    async def _try_select_group(
-        self, context: RequestContext, state: StreamState
-    ) -> _SelectedGroup | None:
-        """Return the group that a dispatcher assigns, or that this node chooses."""
-        choice = GroupChoice.OWN
-        model = context.request_head.model
-        if model is not None and self._dispatch().is_enabled:
-            choice = GroupChoice.NO_REPLY
-            unusable: set[VmId] = set()
-            while len(unusable) < _MAX_QUESTIONS:
-                question = self._build_question(context, state, model, unusable)
-                assignment = await self._dispatch().assign(question)
-                if assignment is None:
-                    break
-                if assignment.head is None:
-                    return None
-                head = self._find_head(context, state, assignment.head)
-                if head is not None:
-                    return _SelectedGroup(head, GroupChoice.ASSIGNED, assignment)
-                choice = GroupChoice.UNUSABLE
-                unusable.add(assignment.head)
-                assignment.end()
-        candidate = self._group_selector.select(self._find_candidates(context, state))
-        if candidate is None:
-            return None
-        return _SelectedGroup(candidate.server, choice)
-
-    def _build_question(
-        self,
-        context: RequestContext,
-        state: StreamState,
-        model: ModelName,
-        unusable: set[VmId],
-    ) -> Question:
-        """Return the question for a group that this node may send a run to."""
-        service = context.service.name
-        usable = {
-            head.vm for head in self._server_tracker.heads(service, model)
-        } - unusable
-        excluded = [
-            head.vm
-            for head in self._server_tracker.open_heads(service, model)
-            if head.vm in state.tried or head.vm not in usable
-        ]
-        return Question(
-            service=service,
-            model=model,
-            prompt_tokens=context.request_head.prompt_tokens,
-            target_s=context.route.latency_target.total_seconds(),
-            excluded=[*unusable, *excluded],
-            account=context.account or AccountId(""),
-            urgency=context.urgency,
-        )
-
-    def _find_head(
-        self, context: RequestContext, state: StreamState, vm: VmId
-    ) -> BackendServer | None:
-        """Return an assigned head, None if this node may not send to it now.
-
-        The dispatcher may know more recent entries of servers, or older ones.
-        """
-        model = context.request_head.model
-        if model is None or vm in state.tried:
-            return None
-        heads = self._server_tracker.heads(context.service.name, model)
-        return next((head for head in heads if head.vm == vm), None)
-
-    def _find_candidates(
-        self, context: RequestContext, state: StreamState, *, suspected: bool = False
-    ) -> list[Candidate]:
-        engine, model = _engine_and_model(context)
-        if engine is None or model is None:
-            return []
-        candidates = []
-        target_s = context.route.latency_target.total_seconds()
-        heads = (
-            self._server_tracker.suspected_heads(context.service.name, model.name)
-            if suspected
-            else self._server_tracker.heads(context.service.name, model.name)
-        )
-        for head in heads:
-            if head.vm in state.tried:
-                continue
-            in_flight = self._server_tracker.in_flight(head.vm)
-            delay_s = self._delay_estimator.choice_delay_s(
-                head,
-                engine,
-                model,
-                in_flight=in_flight,
-                prompt_tokens=context.request_head.prompt_tokens,
-                target=context.route.latency_target,
-            )
-            # A request beyond the limit also delays all requests behind it, so it is
-            # sent only if it may meet the latency target.
-            limit = self._delay_estimator.limit(head, engine)
-            if in_flight < limit or delay_s <= target_s:
-                penalty_s = _COLD_PENALTY_S if self._notices.is_cold(head) else 0.0
-                candidates.append(Candidate(head, delay_s + penalty_s))
-        return candidates
-
     def _has_working_groups(self, context: RequestContext) -> bool:
         """Return whether the model has groups; all are full if none was selected."""
         return context.request_head.model is not None and bool(
@@ -796,15 +644,6 @@
     """Do nothing: the other node counts the load of the run."""
 
 
-def _engine_and_model(
-    context: RequestContext,
-) -> tuple[EngineProfile | None, ModelProfile | None]:
-    engine = context.service.engine
-    if engine is None or context.request_head.model is None:
-        return engine, None
-    return engine, engine.find_model(context.request_head.model)
-
-
 def _backend_refused_error(
     message: str, retry_after: datetime.timedelta
 ) -> RequestError:
--- a/pomelolug/entry/tests/choice_simulation.py
+++ b/pomelolug/entry/tests/choice_simulation.py
@@ -113,7 +113,7 @@
 
     async def sleep(self, duration: datetime.timedelta) -> None:
         """Fail, since nothing waits in a simulation."""
-        raise NotImplementedError
+        raise AssertionError("nothing waits in a simulation")
 
 
 class _Node:
