Apply learned speeds only where the load at groups is known

What is learned now counts in zones with a dispatcher only.

A status leaves out fields at their defaults: with its new fields a full one had 1,563 bytes, and test_status_with_full_lists_fits_in_one_packet allows 1,472.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -239,6 +239,7 @@
             on_sample=lambda measure: self._metrics.delay_samples.labels(
                 measure.value
             ).inc(),
+            is_applied=lambda: self._peer_coordinator.dispatch.is_enabled,
         )
         self._server_tracker = ServerTracker(
             registry=self._registry, notices=self._notices, clock=clock
--- a/pomelolug/entry/performance/_learned.py
+++ b/pomelolug/entry/performance/_learned.py
@@ -185,6 +185,9 @@
         Source of monotonic time.
     on_sample : callable
         Called with each kind of measure that is recorded.
+    is_applied : callable
+        Returns whether choices follow what is learned, rather than the declared figures
+        alone. Loads that are known too late make servers seem slow that are only full.
     """
 
     def __init__(
@@ -193,8 +196,10 @@
         zone: ZoneId,
         clock: Clock,
         on_sample: Callable[[Measure], None] = lambda measure: None,
+        is_applied: Callable[[], bool] = lambda: True,
     ) -> None:
         self._zone = zone
+        self._is_applied = is_applied
         self._clock = clock
         self._on_sample = on_sample
         self._common: dict[tuple[Measure, str], CommonDelay] = {}
@@ -253,7 +258,7 @@
         entry = self._find(head, model.name, engine.slots)
         delay = self._group_delay(engine, model)
         declared_s = delay.declared_s(in_flight, prompt_tokens)
-        if entry.is_usual:
+        if entry.is_usual or not self._is_applied():
             return declared_s
         factor = _factor(entry, in_flight)
         if factor <= 1.0:
@@ -266,16 +271,22 @@
     def limit(self, head: BackendServer, engine: EngineProfile) -> int:
         """Return the number of requests of all nodes that a group takes well."""
         self._refresh_if_due()
+        if not self._is_applied():
+            return engine.slots
         return self._find(head, head.model or "", engine.slots).limit
 
     def service_factor(self, server: BackendServer, *, in_flight: int) -> float:
         """Return the service time of a plain server over the usual one."""
         self._refresh_if_due()
         entry = self._find(server, server.service, server.slots)
-        return 1.0 if entry.is_usual else _factor(entry, in_flight)
+        if entry.is_usual or not self._is_applied():
+            return 1.0
+        return _factor(entry, in_flight)
 
     def plain_limit(self, server: BackendServer) -> int:
         """Return the number of requests of all nodes that a plain server takes well."""
+        if not self._is_applied():
+            return server.slots
         return self._find(server, server.service, server.slots).limit
 
     def summary(self) -> PerformanceSummary:
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -45,7 +45,7 @@
     """Time since the server's response, in seconds."""
 
 
-class NodeStatus(Message, frozen=True, kw_only=True):
+class NodeStatus(Message, frozen=True, kw_only=True, omit_defaults=True):
     """Status datagram that a node sends to its peers several times a second."""
 
     node: str
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -41,7 +41,10 @@
     lines += imports
     lines += ["", f"__all__ = {sorted(names)!r}"]
     for name in names:
-        lines += ["", "", f"class {name}(Message, frozen=True, kw_only=True):"]
+        options = "frozen=True, kw_only=True"
+        if schema[name].get("omit_defaults"):
+            options += ", omit_defaults=True"
+        lines += ["", "", f"class {name}(Message, {options}):"]
         lines += [f'    """{schema[name]["doc"]}"""', ""]
         for field, spec in schema[name].get("fields", {}).items():
             default = f" = {spec['default']}" if "default" in spec else ""
