Take no failure over lost links as evidence about servers

Cause: a stream that was connecting to a head when its node found itself cut off suspected the head afterwards, when the connection failed. The node had just withdrawn its suspicions, so these stayed, also if the attempt failed after the links had returned: sound groups got no streams for up to 6 s. The failures of plain servers had the same fault, and were not withdrawn at all.

Change: the tracker ignores suspicions and failures that rest on something that began when the node may have been cut off (ServerContact.was_cut_off_since, the rule that losses of requests follow already). The callers state when their attempt began. What a server reports itself (a status of 500 or more) counts as before. Failures are withdrawn with the suspicions when the contact changes.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -242,7 +242,12 @@
             is_applied=lambda: self._peer_coordinator.dispatch.is_enabled,
         )
         self._server_tracker = ServerTracker(
-            registry=self._registry, notices=self._notices, clock=clock
+            registry=self._registry,
+            notices=self._notices,
+            was_cut_off_since=lambda time_s: self._server_contact.was_cut_off_since(
+                time_s
+            ),
+            clock=clock,
         )
         self._declarations = DeclarationCache(on_change=self._on_declaration)
         self._registry_updater = RegistryUpdater(
@@ -757,8 +762,8 @@
     def _on_contact_change(self, is_cut_off: bool) -> None:
         """Take back what the loss of the links looked like, and tell the peers."""
         since_s = self._server_contact.doubtful_since_s
-        # After the links have returned, this ends the suspicions made without them.
         self._server_tracker.clear_suspicions(since_s=since_s)
+        self._server_tracker.clear_failures(since_s=since_s)
         if is_cut_off:
             self._run_monitor.withdraw_losses(since_s=since_s)
         self._metrics.servers_out_of_reach.set(is_cut_off)
--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -60,6 +60,14 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RunningAttempt:
+    """Attempt that has not ended, and the monotonic time in seconds of its start."""
+
+    attempt: Attempt
+    began_at_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _PlainState:
     """State of one request across its attempts.
@@ -71,7 +79,7 @@
     """
 
     tried: set[VmId] = dataclasses.field(default_factory=set)
-    running: dict[asyncio.Task[_Answer], Attempt] = dataclasses.field(
+    running: dict[asyncio.Task[_Answer], _RunningAttempt] = dataclasses.field(
         default_factory=dict
     )
     attempt_count: int = 0
@@ -301,7 +309,7 @@
         task = asyncio.get_running_loop().create_task(
             self._run_attempt(context, attempt)
         )
-        state.running[task] = attempt
+        state.running[task] = _RunningAttempt(attempt, self._clock.monotonic())
 
     def _try_spend(self, context: RequestContext, state: _PlainState) -> bool:
         """Take a retry from the budget, unless the latest one has reached no server."""
@@ -325,9 +333,9 @@
         if not done and state.failed_answer is not None:
             return state.failed_answer
         if not done:
-            for attempt in state.running.values():
-                self._server_tracker.record_failure(attempt.server.vm)
-                attempt.record_silence()
+            for running in state.running.values():
+                running.attempt.record_silence()
+                self._record_failure(running)
             return None
         answers = [self._finish_attempt(context, state, task) for task in done]
         return next((answer for answer in answers if answer is not None), None)
@@ -354,13 +362,13 @@
         task: asyncio.Task[_Answer],
     ) -> _Answer | None:
         """Return the answer of an attempt that has ended, None if it has none."""
-        server = state.running.pop(task).server
+        running = state.running.pop(task)
         state.may_start = state.quarantine is None
         try:
             answer = task.result()
         except AttemptError as failure:
             if failure.is_server_failure:
-                self._server_tracker.record_failure(server.vm)
+                self._record_failure(running)
             if failure.run_status is RunStatus.MAY_HAVE_RUN:
                 state.possible_runs += 1
                 state.unreached_count = 0
@@ -384,12 +392,18 @@
             )
             return None
         if answer.reply.status >= 500 and context.route.is_repeatable:
-            self._server_tracker.record_failure(server.vm)
+            self._server_tracker.record_failure(running.attempt.server.vm)
             state.possible_runs += 1
             state.failed_answer = answer
             return None
         return answer
 
+    def _record_failure(self, running: _RunningAttempt) -> None:
+        """Record that an attempt got no response, which the links may explain."""
+        self._server_tracker.record_failure(
+            running.attempt.server.vm, since_s=running.began_at_s
+        )
+
     def _reply(self, context: RequestContext, answer: _Answer) -> None:
         self._retry_limiter.on_success(context)
         status = answer.reply.status
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -254,13 +254,14 @@
                 now_s=self._clock.monotonic(),
                 last_event_id=state.last_event_id,
             )
+            began_at_s = self._clock.monotonic()
             try:
                 await run.send(data, fresh=state.use_fresh_connection)
             except AttemptError as failure:
                 await run.close(failure, failure.reason)
                 state.has_unused_retry = True
                 if failure.is_server_failure:
-                    self._server_tracker.suspect(head.vm)
+                    self._server_tracker.suspect(head.vm, since_s=began_at_s)
                     state.unreached_count += 1
                 state.error = self._attempt_error(context, state, failure)
                 continue
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import TypeAlias
 
 from pomelolug.clock import Clock
@@ -59,6 +59,9 @@
         Servers as read from the store.
     notices : ServerNotices
         What servers state about the requests that they take.
+    was_cut_off_since : callable
+        Returns whether this node may have been cut off from the servers since a
+        monotonic time. What it has seen of them since then is no evidence.
     clock : Clock
         Source of monotonic time.
     """
@@ -68,10 +71,12 @@
         *,
         registry: ServerRegistry,
         notices: ServerNotices,
+        was_cut_off_since: Callable[[float], bool] = lambda time_s: False,
         clock: Clock,
     ) -> None:
         self._registry = registry
         self._notices = notices
+        self._was_cut_off_since = was_cut_off_since
         self._clock = clock
         self._loads: dict[VmId, ServerLoad] = {}
         self._start_times_ms: dict[VmId, int] = {}
@@ -109,9 +114,20 @@
         """Return the known number of requests of all nodes in flight at a server."""
         return self.load(vm).in_flight + self._peer_loads.get(vm, 0)
 
-    def suspect(self, vm: VmId) -> None:
-        """Send no requests to a head until it makes progress or the suspicion ends."""
-        self.load(vm).suspect_until_s = self._clock.monotonic() + _SUSPICION_TIMEOUT_S
+    def suspect(self, vm: VmId, *, since_s: float | None = None) -> None:
+        """Send no requests to a head until it makes progress or the suspicion ends.
+
+        Parameters
+        ----------
+        vm : VmId
+            The head.
+        since_s : float, optional
+            Monotonic time at which what raises the suspicion began, such as an attempt
+            to connect; now by default. The node must not have been cut off since.
+        """
+        now_s = self._clock.monotonic()
+        if not self._was_cut_off_since(now_s if since_s is None else since_s):
+            self.load(vm).suspect_until_s = now_s + _SUSPICION_TIMEOUT_S
 
     def clear_suspicions(self, *, since_s: float) -> None:
         """End the suspicions of this node that began at or after a monotonic time."""
@@ -120,6 +136,12 @@
             if load.suspect_until_s >= oldest_end_s:
                 load.suspect_until_s = float("-inf")
 
+    def clear_failures(self, *, since_s: float) -> None:
+        """Forget the failures of servers that failed at or after a monotonic time."""
+        for load in self._loads.values():
+            if load.last_failure_at_s >= since_s:
+                load.failure_score = 0.0
+
     def record_refusal(self, vm: VmId) -> None:
         """Send no requests for a moment to a server that has just refused one."""
         self.load(vm).full_until_s = self._clock.monotonic() + _REFUSAL_BACKOFF_S
@@ -130,8 +152,19 @@
         load.progress_at_s = self._clock.monotonic()
         load.suspect_until_s = float("-inf")
 
-    def record_failure(self, vm: VmId) -> None:
-        """Record a failure caused by the server."""
+    def record_failure(self, vm: VmId, *, since_s: float | None = None) -> None:
+        """Record a failure caused by the server.
+
+        Parameters
+        ----------
+        vm : VmId
+            The server.
+        since_s : float, optional
+            Monotonic time at which the request began, if the failure is not one that
+            the server has reported. The node must not have been cut off since.
+        """
+        if since_s is not None and self._was_cut_off_since(since_s):
+            return
         load = self.load(vm)
         load.failure_score = self.failure_score(vm) + 1.0
         load.last_failure_at_s = self._clock.monotonic()
--- a/pomelolug/entry/tests/test_lost_links.py
+++ b/pomelolug/entry/tests/test_lost_links.py
@@ -17,6 +17,7 @@
     send_response,
     start_stream,
 )
+from pomelolug.ids import VmId
 from pomelolug.testing import LinkFault, LoopbackProxy, ScriptedServer
 from pomelolug.transport import HttpConnectionError
 
@@ -245,6 +246,77 @@
         links.stop()
 
 
+class DelayedConnections:
+    """Connections from a node to its servers that fail when the test lets them."""
+
+    def __init__(self, node: Harness) -> None:
+        self._node = node
+        self._acquire_at_once = entry(node)._pool.acquire
+        self.waiting_count = 0
+        self._may_fail = asyncio.Event()
+
+    def begin(self, monkeypatch) -> None:
+        """Let all attempts to connect wait from now until `fail`."""
+        monkeypatch.setattr(entry(self._node)._pool, "acquire", self._acquire)
+
+    async def fail(self) -> None:
+        """Let those that wait fail, and wait until the node has dealt with it."""
+        self._may_fail.set()
+        while self.waiting_count:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+
+    async def _acquire(self, address: str, *, fresh: bool):
+        if self._may_fail.is_set():
+            return await self._acquire_at_once(address, fresh=fresh)
+        self.waiting_count += 1
+        try:
+            await self._may_fail.wait()
+        finally:
+            self.waiting_count -= 1
+        raise HttpConnectionError("connect_timeout")
+
+
+@pytest.mark.parametrize("moment", ["cut_off", "returned"])
+@pytest.mark.parametrize("path", ["/stream/x", "/safe/slow"])
+async def test_connections_that_fail_late_say_nothing_of_the_servers(
+    path, moment, monkeypatch
+):
+    # Guards against attempts over lost links that count against servers, since they
+    # fail after the node has found itself cut off, or after the links have returned.
+    async with Harness() as h:
+        links = ServerLinks(h, service="llm" if path == "/stream/x" else "plain")
+        await links.start()
+        await h.start()
+        connections = [await h.connect() for _ in range(6)]
+        fields = {"Model": MODEL, "Token_Count": "100,50"}
+        for number, connection in enumerate(connections):
+            connection.send(
+                encode_caller_request(
+                    path, method=b"POST", request_id=f"r{number}", **fields
+                )
+            )
+        await asyncio.sleep(0.3)
+        delayed = DelayedConnections(h)
+        delayed.begin(monkeypatch)
+        await links.lose("reset")
+        await wait_for_reach(h, False, within_s=NOTICED_S)
+        if moment == "returned":
+            await links.restore()
+            await wait_for_reach(h, True, within_s=1.5)
+        # The streams and requests that broke off are sent again meanwhile.
+        assert delayed.waiting_count > 0
+        await delayed.fail()
+        tracker = entry(h)._server_tracker
+        assert tracker.suspects() == ()
+        assert [
+            tracker.failure_score(VmId(f"vm-{n}")) for n in range(SERVER_COUNT)
+        ] == [0.0] * SERVER_COUNT
+        for connection in connections:
+            connection.abort()
+        links.stop()
+
+
 async def test_links_that_accept_connections_and_pass_nothing_are_lost():
     # Guards against a node that takes an open connection for a server that it reaches.
     async with Harness() as h:
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 
 import msgspec
 import pytest
@@ -42,7 +43,9 @@
 OTHER_SERVICE = ServiceName("other")
 
 
-def make_tracker() -> ServerTracker:
+def make_tracker(
+    was_cut_off_since: Callable[[float], bool] = lambda time_s: False,
+) -> ServerTracker:
     clock, zone = LoopClock(), ZoneId("a")
     limits = ServerLimits(zone=zone, clock=clock, on_news=lambda: None)
     cold_servers = ColdServers(
@@ -72,7 +75,10 @@
         on_leaving=lambda: None,
     )
     return ServerTracker(
-        registry=ServerRegistry(clock=clock), notices=notices, clock=clock
+        registry=ServerRegistry(clock=clock),
+        notices=notices,
+        was_cut_off_since=was_cut_off_since,
+        clock=clock,
     )
 
 
@@ -186,6 +192,38 @@
     assert tracker.suspects() == (earlier,)
 
 
+async def test_what_a_node_sees_over_lost_links_is_no_evidence():
+    # Guards against attempts that began over lost links and fail after the node has
+    # noticed it, or after the links have returned, and then count against servers.
+    returned_at_s = 2.0
+    tracker = make_tracker(was_cut_off_since=lambda time_s: time_s <= returned_at_s)
+    await asyncio.sleep(1.0)
+    tracker.suspect(HEAD)
+    tracker.suspect(HEAD, since_s=0.5)
+    tracker.record_failure(HEAD, since_s=0.5)
+    await asyncio.sleep(2.0)
+    tracker.suspect(HEAD, since_s=1.9)
+    tracker.record_failure(HEAD, since_s=1.9)
+    assert tracker.suspects() == ()
+    assert tracker.failure_score(HEAD) == 0.0
+    tracker.suspect(HEAD, since_s=2.1)
+    tracker.record_failure(HEAD, since_s=2.1)
+    assert tracker.suspects() == (HEAD,)
+    assert tracker.failure_score(HEAD) == 1.0
+
+
+async def test_failures_since_the_trouble_began_are_taken_back():
+    # Guards against servers that this node prefers after its links have returned only
+    # because it had sent them nothing over the lost links.
+    tracker, earlier = make_tracker(), VmId("earlier")
+    tracker.record_failure(earlier)
+    await asyncio.sleep(1.0)
+    tracker.record_failure(HEAD)
+    tracker.clear_failures(since_s=1.0)
+    assert tracker.failure_score(HEAD) == 0.0
+    assert tracker.failure_score(earlier) > 0.0
+
+
 def list_server(tracker: ServerTracker, *, born: int, offset: int, **changes) -> None:
     server = dataclasses.replace(
         make_backend_server(), vm=HEAD, start_time_ms=born, **changes
