Free the members of a group whose head has started again

Cause: when the head of a group started again under its id, its entry lost the membership, so the group looked as if its head were unreachable. Its members were withheld for 40 s (5.5 s with streams), as if the head could still be open. The same held when a head that did not answer came back with a new start.

Change: each node remembers the head of each group and its start, as long as an entry names the group; a newer start of the head frees the members at once. A node that has started since waits as before.

--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import (
@@ -13,7 +13,7 @@
     StatedAvailability,
 )
 from pomelolug.ids import ModelName, ServiceName, VmId
-from pomelolug.replicas._group_view import GroupView, group_views
+from pomelolug.replicas._group_view import GroupKey, GroupView, group_key, group_views
 from pomelolug.replicas._health import ServerHealth
 from pomelolug.replicas._plan import FreeServer
 
@@ -87,6 +87,8 @@
         self._unlisted: dict[VmId, tuple[BackendServer, float]] = {}
         self._suspicions: dict[VmId, _Suspicion] = {}
         self._last_model: dict[tuple[VmId, int], ModelName] = {}
+        # Head of each group and its start, as long as a member names the group.
+        self._heads: dict[GroupKey, tuple[VmId, int]] = {}
 
     @property
     def listed(self) -> Mapping[VmId, BackendServer]:
@@ -145,6 +147,7 @@
                 self._last_model[vm, server.start_time_ms] = server.model
             self._unlisted.pop(vm, None)
         self._listed = dict(current)
+        self._record_heads()
         for vm in [
             v
             for v, (_, at_s) in self._unlisted.items()
@@ -156,6 +159,35 @@
             for key in [k for k in self._last_model if k not in listed]:
                 del self._last_model[key]
 
+    def has_head_restarted(self, key: GroupKey) -> bool:
+        """Return whether the head of a group has started again since it joined.
+
+        Nothing serves the group any more then.
+        """
+        head = self._heads.get(key)
+        if head is None:
+            return False
+        vm, start_time_ms = head
+        listed = self._listed.get(vm)
+        return listed is not None and listed.start_time_ms > start_time_ms
+
+    def _record_heads(self) -> None:
+        named = set()
+        for server in self._known_servers():
+            key = group_key(server.membership)
+            if key is None or server.membership is None:
+                continue
+            named.add(key)
+            if server.membership.rank == 0:
+                self._heads.setdefault(key, (server.vm, server.start_time_ms))
+        for key in [key for key in self._heads if key not in named]:
+            del self._heads[key]
+
+    def _known_servers(self) -> Iterator[BackendServer]:
+        """Yield the listed and unlisted servers."""
+        yield from self._listed.values()
+        yield from (server for server, _ in self._unlisted.values())
+
     def is_leaving(self, server: BackendServer) -> bool:
         """Return whether a server leaves, by its entry or by its own statement.
 
--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -136,6 +136,9 @@
         self, view: GroupView, engine: EngineProfile
     ) -> list[Coroutine[Any, Any, None]]:
         """Return the orders for a group that is not in formation."""
+        if self._fleet.has_head_restarted(view.key):
+            self._free_members(view.key)
+            return []
         teardown = self._teardowns.get(view.key)
         if teardown is not None and teardown.free_at_s is not None:
             unresponsive_head = view.head
@@ -180,6 +183,13 @@
             return []
         return self._tear_down(view, lost)
 
+    def _free_members(self, key: GroupKey) -> None:
+        """Free the members of a group whose head cannot serve any more."""
+        now_s = self._clock.monotonic()
+        teardown = self._teardowns.setdefault(key, _Teardown())
+        teardown.member_left = True
+        teardown.free_at_s = min(teardown.free_at_s or now_s, now_s)
+
     def _open_inherited(
         self, view: GroupView, model: ModelProfile | None
     ) -> list[Coroutine[Any, Any, None]]:
--- a/pomelolug/replicas/tests/simulated_node.py
+++ b/pomelolug/replicas/tests/simulated_node.py
@@ -128,6 +128,7 @@
         """Fabric domains that lie in evacuated zones."""
         self.in_flight: dict[str, int] = {}
         self.serving = False
+        self.declaration = DECLARATION
         self.controller = ReplicaGroupController(
             lease=self.lease,
             registry=self.registry,
@@ -137,7 +138,7 @@
             availability=self.statements,
             is_evacuated=lambda server: server.domain in self.evacuated_domains,
             clock=clock,
-            declaration=lambda: DECLARATION,
+            declaration=lambda: self.declaration,
             stall_timeout=STALL_TIMEOUT,
             is_serving=lambda: self.serving,
             in_flight=lambda vm: self.in_flight.get(vm, 0),
