Count a load no longer once its server has started again

Cause: a load of weights that had been ordered was kept by the server's id. A spare that started again in the middle of it got no other load for 60 s, and the lost one counted against the loads that may run at the same time.

Change: a load belongs to a start of the server.

Measured: the test fails before (one load in 3 s) and passes.

--- a/pomelolug/replicas/_spares.py
+++ b/pomelolug/replicas/_spares.py
@@ -28,6 +28,15 @@
     servers_needed: Mapping[ModelName, float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PendingLoad:
+    """Load that a start of a server was ordered at a monotonic time."""
+
+    model: ModelName
+    ordered_at_s: float
+    start_time_ms: int
+
+
 class SparePool:
     """Free servers onto which weights are loaded and kept in memory.
 
@@ -63,7 +72,7 @@
         self._teardown = teardown
         self._clock = clock
         self._is_in_formation = is_in_formation
-        self._pending_loads: dict[VmId, tuple[ModelName, float]] = {}
+        self._pending_loads: dict[VmId, _PendingLoad] = {}
 
     @property
     def pending_load_count(self) -> int:
@@ -108,12 +117,13 @@
         """
         now_s = self._clock.monotonic()
         servers = {s.vm: s for s in free}
-        for vm, (model, ordered_at_s) in list(self._pending_loads.items()):
+        for vm, load in list(self._pending_loads.items()):
             server = self._fleet.listed.get(vm)
             if (
                 server is None
-                or model in server.staged
-                or now_s - ordered_at_s > _STAGING_TIMEOUT_S
+                or server.start_time_ms != load.start_time_ms
+                or load.model in server.staged
+                or now_s - load.ordered_at_s > _STAGING_TIMEOUT_S
             ):
                 del self._pending_loads[vm]
         spares = [
@@ -143,8 +153,11 @@
         ]
         for vm, name in planned[: max(load_budget, 0)]:
             if self._orders.try_reserve(vm):
-                self._pending_loads[vm] = (name, now_s)
-                orders.append(self._stage(servers[vm], name))
+                server = servers[vm]
+                self._pending_loads[vm] = _PendingLoad(
+                    name, now_s, server.start_time_ms
+                )
+                orders.append(self._stage(server, name))
         return orders
 
     def _standby_orders(
--- a/pomelolug/replicas/tests/test_restarts.py
+++ b/pomelolug/replicas/tests/test_restarts.py
@@ -68,3 +68,17 @@
     assert joined
     assert fleet.violations == []
     await node.stop()
+
+
+async def test_load_of_a_spare_that_has_restarted_does_not_count():
+    # Guards against a lost load that keeps the spare, and other loads, waiting for 60 s.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    fleet.add("s0-90", "d0")
+    spare = VmId("s0-90")
+    await asyncio.sleep(2.0)
+    assert [vm for vm, _ in fleet.loads].count(spare) == 1
+    fleet.restart(spare)
+    await asyncio.sleep(3.0)
+    assert [vm for vm, _ in fleet.loads].count(spare) == 2
+    await node.stop()
