Withhold no server for a group that its start of before has left

Cause: a member that was ordered to leave before its head answered is withheld for up to 40 s, by its id, also after it has started again and knows nothing of the group.

Change: the mark belongs to a start of the server.

Measured: the test fails before (no order to the server in 3 s) and passes.

--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -114,7 +114,8 @@
         self._teardowns: dict[GroupKey, _Teardown] = {}
         self._draining_since_s: dict[GroupKey, float] = {}
         self._verify_until_s: dict[DomainId, float] = {}
-        self._removed_members: set[tuple[GroupKey, VmId]] = set()
+        # Members, with their start, that were ordered to leave before the head did.
+        self._removed_members: set[tuple[GroupKey, VmId, int]] = set()
         self._watching_since_s = clock.monotonic()
 
     def is_ending(self, key: GroupKey) -> bool:
@@ -326,7 +327,7 @@
         return any(
             teardown.free_at_s is not None and now_s < teardown.free_at_s
             for key, teardown in self._teardowns.items()
-            if (key, server.vm) in self._removed_members
+            if (key, server.vm, server.start_time_ms) in self._removed_members
         )
 
     async def _leave(
@@ -347,6 +348,6 @@
         teardown.free_at_s = self._clock.monotonic() + (0.0 if is_head else wait_s)
         self._wake()
         if not is_head:
-            self._removed_members.add((key, server.vm))
+            self._removed_members.add((key, server.vm, server.start_time_ms))
             if had_work:
                 self._departures.record(key)
--- a/pomelolug/replicas/tests/test_restarts.py
+++ b/pomelolug/replicas/tests/test_restarts.py
@@ -70,6 +70,25 @@
     await node.stop()
 
 
+async def test_member_that_was_removed_and_has_restarted_is_free_at_once():
+    # Guards against a server that is withheld for a group which its start of before
+    # has left.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, LARGE)
+    removed = min(set(fleet.servers[head].members) - {head})
+    fleet.servers[head].reachable = False
+    fleet.deregister(head)
+    await asyncio.sleep(12.0)
+    assert fleet.servers[removed].membership is None
+    seen = len(fleet.orders)
+    fleet.restart(removed)
+    await asyncio.sleep(3.0)
+    assert orders_to(fleet, removed, seen=seen)
+    assert fleet.violations == []
+    await node.stop()
+
+
 async def test_load_of_a_spare_that_has_restarted_does_not_count():
     # Guards against a lost load that keeps the spare, and other loads, waiting for 60 s.
     fleet = make_fleet()
