Take the answer of a server that has started again for the loss of its group

Cause: a probe whose answer shows a later start than the entry counted as a sign of life: the silence of the group ended, and its members went on waiting for a server that knew nothing of them until its entry arrived. A spare whose entry was of the start before was planned into groups, which then waited for orders that could not be sent. A suspicion of a head outlived its restart.

Change: a report with a later start ends the membership that the entry shows, frees the members if it is the head's, and keeps the server out of new groups until its entry shows that start; a suspicion ends with the start.

--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -139,8 +139,11 @@
             if vm not in current:
                 self._unlisted[vm] = (server, now_s)
         for vm, server in current.items():
-            if self._listed.get(vm) is not server:
+            previous = self._listed.get(vm)
+            if previous is not server:
                 self._health.record_contact(vm)
+            if previous is not None and previous.start_time_ms != server.start_time_ms:
+                self._suspicions.pop(vm, None)
             membership = server.membership
             has_loaded = membership and membership.state is not GroupState.JOINING
             if has_loaded and server.model is not None:
@@ -169,7 +172,13 @@
             return False
         vm, start_time_ms = head
         listed = self._listed.get(vm)
-        return listed is not None and listed.start_time_ms > start_time_ms
+        return listed is not None and (
+            listed.start_time_ms > start_time_ms
+            or (
+                listed.start_time_ms == start_time_ms
+                and self._health.has_restarted(listed)
+            )
+        )
 
     def _record_heads(self) -> None:
         named = set()
@@ -216,6 +225,8 @@
             and server.vm in self._listed
             and not self._registry.is_lapsed(server.vm)
             and not self._health.is_lost(server.vm)
+            # An order needs the entry of the start that executes it.
+            and not self._health.has_restarted(server)
         )
 
     def is_working_member(self, server: BackendServer) -> bool:
@@ -224,7 +235,7 @@
         A server without a registry entry may only be disconnected from the store.
         It counts as working until it is lost or reports another membership.
         """
-        if self._health.is_lost(server.vm):
+        if self._health.is_lost(server.vm) or self._health.has_restarted(server):
             return False
         if server.vm in self._listed:
             return True
@@ -247,6 +258,8 @@
         head = view.head
         if head is None or self.is_suspect(head.vm) or head.vm not in self._listed:
             return False
+        if any(map(self._health.has_restarted, view.members.values())):
+            return False
         return self._in_flight(head.vm) > 0
 
     def may_go_on(self, view: GroupView) -> bool:
@@ -260,6 +273,7 @@
             or not self.is_suspect(head.vm)
             or not self._in_flight(head.vm)
             or any(m.vm not in self._listed for m in view.members.values())
+            or any(map(self._health.has_restarted, view.members.values()))
         ):
             return False
         since_s = self._suspicions[head.vm].silent_since_s
--- a/pomelolug/replicas/_health.py
+++ b/pomelolug/replicas/_health.py
@@ -67,6 +67,11 @@
         entry = self._reports.get(vm)
         return float("-inf") if entry is None else entry[0]
 
+    def has_restarted(self, server: BackendServer) -> bool:
+        """Return whether a server has reported a later start than its entry shows."""
+        entry = self._reports.get(server.vm)
+        return entry is not None and entry[1].start_time_ms > server.start_time_ms
+
     def orders_begun(self, server: BackendServer) -> int | None:
         """Return how many orders a server has begun since its start.
 
--- a/pomelolug/replicas/tests/test_restarts.py
+++ b/pomelolug/replicas/tests/test_restarts.py
@@ -90,7 +90,7 @@
 
 
 async def test_load_of_a_spare_that_has_restarted_does_not_count():
-    # Guards against a lost load that keeps the spare, and other loads, waiting for 60 s.
+    # Guards against a lost load for which the spare, and other loads, wait for 60 s.
     fleet = make_fleet()
     node = await start_node(fleet)
     fleet.add("s0-90", "d0")
@@ -101,3 +101,57 @@
     await asyncio.sleep(3.0)
     assert [vm for vm, _ in fleet.loads].count(spare) == 2
     await node.stop()
+
+
+@pytest.mark.parametrize("rank", [0, -1])
+async def test_report_of_a_restart_is_no_sign_that_a_group_works(rank):
+    # Guards against a lost group that is kept, since its member answers after a restart
+    # that its entry does not show yet.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, SMALL)
+    members = fleet.servers[head].members
+    restarted = members[rank]
+    node.in_flight[head] = 3
+    seen = len(fleet.orders)
+    node.follows_registry = False
+    fleet.restart(restarted)
+    node.controller.mark_suspect(head)
+    await asyncio.sleep(0.8)
+    assert {vm for _, vm, _ in fleet.orders[seen:]} & (set(members) - {restarted})
+    node.follows_registry = True
+    fleet.expire_entry(restarted)
+    await wait_until_open(fleet, 2, timeout_s=8.0)
+    assert fleet.violations == []
+    await node.stop()
+
+
+async def test_suspicion_of_a_head_ends_with_its_restart():
+    # Guards against members of a new group that are probed and lost for the stall of a
+    # head's start of before.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    head = head_of(fleet, SMALL)
+    node.controller.mark_suspect(head)
+    fleet.restart(head)
+    await asyncio.sleep(0.3)
+    assert not node.controller._fleet.is_suspect(head)
+    await node.stop()
+
+
+async def test_server_whose_report_shows_a_restart_gets_orders_with_its_entry_only():
+    # Guards against groups that are formed with a server whose entry is out of date,
+    # and that wait for it for seconds.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    spare = spares_of(fleet)[0]
+    node.follows_registry = False
+    fleet.restart(spare)
+    entry = node.registry.servers[spare]
+    await node.health.probe([entry])
+    assert not node.controller._fleet.may_join(entry)
+    node.follows_registry = True
+    fleet.expire_entry(spare)
+    await asyncio.sleep(0.3)
+    assert node.controller._fleet.may_join(node.registry.servers[spare])
+    await node.stop()
