Let the statements of a server hold for the start that made them

Cause: limits, pauses, coldness and statements that a server leaves were attributed to the start of the entry that the request had chosen. A response of a process that is gone, read after the news of the restart, limited or hid what the new one had stated. While the store was away, a start that only a report showed was not used as long as the start before had stated that it leaves or pauses, and what it stated itself ended with its entry.

Change: a request that was sent after this node had learned of a start has reached that one, however old its entry is, unless the response names its start. Statements of earlier starts change nothing.

--- a/pomelolug/entry/servers/_leaving_servers.py
+++ b/pomelolug/entry/servers/_leaving_servers.py
@@ -41,10 +41,10 @@
         # Latest start that is about to end, and the monotonic time of the statement.
         self._statements: dict[VmId, tuple[int, float]] = {}
 
-    def is_leaving(self, server: BackendServer) -> bool:
-        """Return whether a server has stated that it leaves, since its start."""
-        statement = self._statements.get(server.vm)
-        return statement is not None and server.start_time_ms <= statement[0]
+    def is_leaving(self, vm: VmId, start_time_ms: int) -> bool:
+        """Return whether a server has stated that it leaves, since a start."""
+        statement = self._statements.get(vm)
+        return statement is not None and start_time_ms <= statement[0]
 
     def record(self, server: BackendServer) -> bool:
         """Record the statement of a server; return whether it is news."""
--- a/pomelolug/entry/servers/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -20,7 +20,7 @@
 from pomelolug.entry.servers._rate_limiter import RequestRateLimiter
 from pomelolug.entry.servers._request_bound import BoundKind
 from pomelolug.entry.servers._server_limits import ServerLimits
-from pomelolug.entry.servers._server_pauses import ServerPauses
+from pomelolug.entry.servers._server_pauses import Pause, ServerPauses
 from pomelolug.ids import VmId
 from pomelolug.messages import NodeStatus
 
@@ -135,11 +135,11 @@
 
     def is_leaving(self, server: BackendServer) -> bool:
         """Return whether a server has stated that it is about to leave."""
-        return self._leaving.is_leaving(server)
+        return self._leaving.is_leaving(server.vm, self._latest_start_ms(server))
 
     def is_paused(self, server: BackendServer) -> bool:
         """Return whether a server wants no requests from this node for a while."""
-        return self._pauses.find(server) is not None
+        return self._find_pause(server) is not None
 
     def is_cold(self, server: BackendServer) -> bool:
         """Return whether a server is cold and its service declares what it bears."""
@@ -170,7 +170,7 @@
             return ServerWait(WaitCause.EVACUATED, wait_s, spread_s)
         bound_wait = self._rate_limiter.find_wait(server.vm)
         bound_wait_s = bound_wait[1] if bound_wait is not None else 0.0
-        pause = self._pauses.find(server)
+        pause = self._find_pause(server)
         if pause is not None and pause.left_s >= bound_wait_s:
             spread_s = _PAUSE_RETURN_SPREAD * pause.length_s
             return ServerWait(WaitCause.PAUSE, pause.left_s, spread_s)
@@ -246,6 +246,7 @@
         confirms_no_limit : bool
             Whether the server would have named its limit if it had one.
         """
+        server = self._answering_start(server, notice, sent_at_s=sent_at_s)
         if notice.is_leaving and self._leaving.record(server):
             self._on_leaving()
         if notice.pause is not None:
@@ -254,6 +255,9 @@
             _log.warning("server_pause_ignored", server=server.vm)
         if self._cold_servers.record_notice(server, notice):
             self._limits.record_restart(server.vm)
+        if server.start_time_ms < self._latest_start_ms(server):
+            # A late response of the start before says nothing about this one.
+            return
         if notice.request_limit_per_s is not None or confirms_no_limit:
             self._limits.record_response(
                 server.vm, notice.request_limit_per_s, sent_at_s=sent_at_s
@@ -275,6 +279,30 @@
         if self._leaving.merge(status.leaving, source=status.node):
             self._on_leaving()
 
+    def _find_pause(self, server: BackendServer) -> Pause | None:
+        return self._pauses.find(server.vm, self._latest_start_ms(server))
+
+    def _latest_start_ms(self, server: BackendServer) -> int:
+        """Return the latest known start of a server; its entry may be older."""
+        known = self._cold_servers.find_start(server.vm)
+        return max(server.start_time_ms, known[0] if known is not None else 0)
+
+    def _answering_start(
+        self, server: BackendServer, notice: ServerNotice, *, sent_at_s: float
+    ) -> BackendServer:
+        """Return a server with the start that has answered a request.
+
+        If the response does not say it, a request that was sent after this node had
+        learned of a start has reached that one, however old the entry is.
+        """
+        start_time_ms = max(server.start_time_ms, notice.start_time_ms)
+        known = self._cold_servers.find_start(server.vm)
+        if not notice.start_time_ms and known is not None and sent_at_s >= known[1]:
+            start_time_ms = max(start_time_ms, known[0])
+        if start_time_ms == server.start_time_ms:
+            return server
+        return dataclasses.replace(server, start_time_ms=start_time_ms)
+
     def forget_expired(self) -> None:
         """Forget statements that no longer hold."""
         self._limits.forget_expired()
--- a/pomelolug/entry/servers/_server_pauses.py
+++ b/pomelolug/entry/servers/_server_pauses.py
@@ -60,24 +60,30 @@
         self._entries: dict[VmId, _Entry] = {}
 
     def record(self, server: BackendServer, pause: datetime.timedelta) -> None:
-        """Record a pause; one that ends earlier than the known one changes nothing."""
+        """Record a pause; one that ends earlier than the known one changes nothing.
+
+        Nor does one of an earlier start, whose response was late.
+        """
+        entry = self._entries.get(server.vm)
+        if entry is not None and entry.start_time_ms > server.start_time_ms:
+            return
         length_s = pause.total_seconds()
         extension_s = self._rng.uniform(0.0, _MAX_EXTENSION * length_s)
         until_s = self._clock.monotonic() + length_s + extension_s
-        known = self.find(server)
+        known = self.find(server.vm, server.start_time_ms)
         if known is None:
             _log.info("server_paused", server=server.vm, pause_s=round(length_s, 3))
         elif until_s <= self._entries[server.vm].until_s:
             return
         self._entries[server.vm] = _Entry(server.start_time_ms, until_s, length_s)
 
-    def find(self, server: BackendServer) -> Pause | None:
-        """Return the pause of a server, None if it takes requests.
+    def find(self, vm: VmId, start_time_ms: int) -> Pause | None:
+        """Return the pause of a start of a server, None if it takes requests.
 
         A server that has restarted knows nothing of an earlier pause.
         """
-        entry = self._entries.get(server.vm)
-        if entry is None or server.start_time_ms > entry.start_time_ms:
+        entry = self._entries.get(vm)
+        if entry is None or start_time_ms > entry.start_time_ms:
             return None
         left_s = entry.until_s - self._clock.monotonic()
         return Pause(left_s, entry.length_s) if left_s > 0.0 else None
