--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -114,7 +114,8 @@
         self._teardowns: dict[GroupKey, _Teardown] = {}
         self._draining_since_s: dict[GroupKey, float] = {}
         self._verify_until_s: dict[DomainId, float] = {}
-        self._removed_members: set[tuple[GroupKey, VmId]] = set()
+        # Members, with their start, that were ordered to leave before the head did.
+        self._removed_members: set[tuple[GroupKey, VmId, int]] = set()
         self._watching_since_s = clock.monotonic()
 
     def is_ending(self, key: GroupKey) -> bool:
@@ -136,6 +137,9 @@
         self, view: GroupView, engine: EngineProfile
     ) -> list[Coroutine[Any, Any, None]]:
         """Return the orders for a group that is not in formation."""
+        if self._fleet.has_head_restarted(view.key):
+            self._free_members(view.key)
+            return []
         teardown = self._teardowns.get(view.key)
         if teardown is not None and teardown.free_at_s is not None:
             unresponsive_head = view.head
@@ -180,6 +184,13 @@
             return []
         return self._tear_down(view, lost)
 
+    def _free_members(self, key: GroupKey) -> None:
+        """Free the members of a group whose head cannot serve any more."""
+        now_s = self._clock.monotonic()
+        teardown = self._teardowns.setdefault(key, _Teardown())
+        teardown.member_left = True
+        teardown.free_at_s = min(teardown.free_at_s or now_s, now_s)
+
     def _open_inherited(
         self, view: GroupView, model: ModelProfile | None
     ) -> list[Coroutine[Any, Any, None]]:
@@ -316,7 +327,7 @@
         return any(
             teardown.free_at_s is not None and now_s < teardown.free_at_s
             for key, teardown in self._teardowns.items()
-            if (key, server.vm) in self._removed_members
+            if (key, server.vm, server.start_time_ms) in self._removed_members
         )
 
     async def _leave(
@@ -337,6 +348,6 @@
         teardown.free_at_s = self._clock.monotonic() + (0.0 if is_head else wait_s)
         self._wake()
         if not is_head:
-            self._removed_members.add((key, server.vm))
+            self._removed_members.add((key, server.vm, server.start_time_ms))
             if had_work:
                 self._departures.record(key)
