Compare assignments with loads by the age of the report

Cause: the ledger dropped each assignment older than 2 s that the latest status of its node did not show. In a zone of 78 nodes a status comes every 1.8 s or more, and after a lost one every 3.6 s, so live assignments younger than the status were dropped and their group was filled twice. Change: the dispatcher notes when it first saw a status, and only assignments made 2 s before that are compared with it. Measured: the new test failed before (0 instead of 3 streams known), passes now; tests of the package pass.

--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -155,6 +155,8 @@
         self._pools: dict[tuple[ServiceName, ModelName], _Pool] = {}
         self._unassigned: dict[str, int] = {}
         self._zone_processes: set[Holder] = set()
+        # Number of each process's latest status, and when it was first seen.
+        self._status_times_s: dict[Holder, tuple[int, float]] = {}
 
     @property
     def open_assignments(self) -> int:
@@ -216,13 +218,20 @@
         for status in statuses:
             holder = Holder(status.datagram, status.started_ms)
             zone_processes.add(holder)
-            self._ledger.reconcile(holder, status.load, now_s=now_s)
+            self._ledger.reconcile(
+                holder, status.load, now_s=self._status_time_s(holder, status, now_s)
+            )
             unassigned.update(
                 self._ledger.subtract(holder, status.load)
                 if is_stand_in
                 else status.unassigned
             )
         self._unassigned = dict(unassigned)
+        self._status_times_s = {
+            holder: seen
+            for holder, seen in self._status_times_s.items()
+            if holder in zone_processes
+        }
         for holder in self._ledger.holders():
             if holder in self._zone_processes and holder not in zone_processes:
                 self._ledger.drop_process(holder)
@@ -239,11 +248,19 @@
         self._ledger.clear()
         self._unassigned = {}
         self._zone_processes = set()
+        self._status_times_s = {}
 
     def in_flight(self, vm: VmId) -> int:
         """Return the number of requests at a group."""
         return self._ledger.count(vm) + self._unassigned.get(vm, 0)
 
+    def _status_time_s(self, holder: Holder, status: NodeStatus, now_s: float) -> float:
+        """Return when the status of a process was first seen, in seconds."""
+        seen = self._status_times_s.get(holder)
+        if seen is None or seen[0] != status.serial:
+            seen = self._status_times_s[holder] = (status.serial, now_s)
+        return seen[1]
+
     def _choose(self, question: Question) -> tuple[BackendServer | None, bool]:
         declaration = self._declaration()
         service = declaration and declaration.services.get(question.service)
--- a/pomelolug/entry/dispatch/_ledger.py
+++ b/pomelolug/entry/dispatch/_ledger.py
@@ -11,7 +11,7 @@
 _SETTLING_S = 2.0
 """Age in seconds from which an assignment has to show in the load of its node.
 
-A status may be a second old, and a stream may wait for its connection first.
+A stream may wait for its connection first, and a status may wait at the dispatcher.
 """
 
 
@@ -127,7 +127,7 @@
         load : mapping of str to int
             Requests in flight that it reports, by server.
         now_s : float
-            Current monotonic time in seconds.
+            Monotonic time of the report, in seconds.
         """
         settled: dict[VmId, list[int]] = {}
         for serial, assignment in self._assignments.get(holder, {}).items():
--- a/pomelolug/entry/dispatch/tests/test_dispatcher.py
+++ b/pomelolug/entry/dispatch/tests/test_dispatcher.py
@@ -133,6 +133,21 @@
     assert dispatcher.in_flight(VmId("a0")) == 0
 
 
+def test_old_status_drops_no_stream_that_is_younger():
+    # Guards against groups that are filled twice: with many nodes a status may be
+    # seconds old, and older if one is lost, and it lacks the streams since then.
+    clock = ManualClock()
+    dispatcher = make_dispatcher(make_heads(1), clock=clock)
+    dispatcher.update([status(serial=1, load={})], own=OWN, own_unassigned={})
+    assign(dispatcher, 3)
+    for _ in range(40):
+        clock.time_s += 0.1
+        dispatcher.update([status(serial=1, load={})], own=OWN, own_unassigned={})
+    assert dispatcher.in_flight(VmId("a0")) == 3
+    dispatcher.update([status(serial=2, load={"a0": 1})], own=OWN, own_unassigned={})
+    assert dispatcher.in_flight(VmId("a0")) == 1
+
+
 def test_stand_in_counts_what_the_dispatcher_has_assigned():
     # Guards against a stand-in that takes groups for free which the dispatcher filled.
     dispatcher = make_dispatcher(make_heads(2))
