Use groups of zones whose dispatcher cannot be asked

Cause: at a full zone a stream was refused although another zone had free groups, if the dispatcher of that zone had just been lost, its reply was lost, or the zone had too few nodes for one. Change: the assignment names the zones that could not be asked, and the node chooses among their groups by the loads that it knows. The relays pass on which zones have nodes and no dispatcher, as an empty address.

--- a/pomelolug/entry/dispatch/_endpoint.py
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -47,10 +47,12 @@
 
     `local` has the dispatcher of the zone and its stand-in, which is asked while the
     dispatcher does not reply. It is empty if the zone has too few nodes.
+    `undispatched` has the other zones that have nodes and no dispatcher.
     """
 
     local: tuple[str, ...] = ()
     others: Mapping[ZoneId, str] = dataclasses.field(default_factory=dict)
+    undispatched: frozenset[ZoneId] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,12 +60,14 @@
     """Group that a dispatcher has assigned to a stream; `end` must be called once.
 
     `head` is None if all groups that could be asked for are full. `load` is the number
-    of requests at the group before this one.
+    of requests at the group before this one. `unasked` has the zones that have no
+    dispatcher or whose dispatcher has not replied, so that their groups may have room.
     """
 
     head: VmId | None
     load: int = 0
     on_end: Callable[[], None] | None = None
+    unasked: frozenset[ZoneId] = frozenset()
 
     def end(self) -> None:
         """Tell the dispatcher that the stream has ended or was not sent."""
@@ -134,8 +138,11 @@
 
     @property
     def other_dispatchers(self) -> Mapping[ZoneId, str]:
-        """Datagram addresses of the dispatchers of other zones."""
-        return self._addresses.others
+        """Datagram addresses of the dispatchers of other zones, empty without one."""
+        return {
+            **dict.fromkeys(self._addresses.undispatched, ""),
+            **self._addresses.others,
+        }
 
     @property
     def is_dispatcher(self) -> bool:
@@ -197,14 +204,19 @@
                 break
         if not has_reply:
             return None
-        others = list(self._addresses.others.values())
+        unasked = set(self._addresses.undispatched)
+        others = list(self._addresses.others.items())
         self._rng.shuffle(others)
-        for address in others:
+        for zone, address in others:
             reply = await self._ask(address, question)
             if isinstance(reply, Assignment):
                 return reply
+            if reply is None:
+                unasked.add(zone)
             has_groups = has_groups or bool(reply)
-        return Assignment(None) if has_groups else None
+        if not has_groups:
+            return None
+        return Assignment(None, unasked=frozenset(unasked))
 
     def receive(self, message: DispatchMessage) -> None:
         """Answer a question, or pass a reply to the stream that waits for it."""
--- a/pomelolug/entry/dispatch/tests/test_endpoint.py
+++ b/pomelolug/entry/dispatch/tests/test_endpoint.py
@@ -111,6 +111,23 @@
     assert network.dispatchers["e"].open_assignments == SLOTS
 
 
+async def test_zones_that_could_not_be_asked_are_named_at_a_full_zone():
+    # Guards against refusals while another zone has free groups: its dispatcher has
+    # just been lost, or it has too few nodes for one.
+    network, node = make_pair(groups=1)
+    network.add("e", groups=1).set_addresses(DispatcherAddresses(("e",)))
+    node.set_addresses(
+        DispatcherAddresses(
+            ("d",), {ZoneId("b"): "e", ZoneId("f"): "lost"}, frozenset({ZoneId("c")})
+        )
+    )
+    network.silent.add("lost")
+    question = make_question(target_s=0.0)
+    assignments = [await node.assign(question) for _ in range(2 * SLOTS + 1)]
+    assert assignments[-1].head is None
+    assert assignments[-1].unasked == {"c", "f"}
+
+
 async def test_node_without_groups_in_its_zone_uses_those_of_others():
     # Guards against refusals, and against choices by old loads, in a zone whose groups
     # are all gone or evacuated.
--- a/pomelolug/entry/peers/_dispatchers.py
+++ b/pomelolug/entry/peers/_dispatchers.py
@@ -63,9 +63,12 @@
                 ZoneId(name): other for name, other in status.other_dispatchers.items()
             }
     for status in statuses:
-        if status.zone != zone and status.relay and status.dispatcher:
-            others[ZoneId(status.zone)] = status.dispatcher
+        if status.zone != zone and status.relay:
+            name = ZoneId(status.zone)
+            others[name] = status.dispatcher or others.get(name, "")
     others.pop(zone, None)
     return DispatcherAddresses(
-        local, {name: other for name, other in sorted(others.items()) if other}
+        local,
+        {name: other for name, other in sorted(others.items()) if other},
+        frozenset(name for name, other in others.items() if not other),
     )
--- a/pomelolug/entry/requests/_group_chooser.py
+++ b/pomelolug/entry/requests/_group_chooser.py
@@ -16,7 +16,7 @@
     ServerNotices,
     ServerTracker,
 )
-from pomelolug.ids import AccountId, ModelName, VmId
+from pomelolug.ids import AccountId, ModelName, VmId, ZoneId
 
 __all__ = ["GroupChooser", "SelectedGroup", "engine_and_model"]
 
@@ -132,14 +132,32 @@
                 if assignment is None:
                     break
                 if assignment.head is None:
-                    return None
+                    return self._select_own(
+                        context, tried, GroupChoice.NO_REPLY, zones=assignment.unasked
+                    )
                 head = self._find_head(context, tried, assignment.head)
                 if head is not None:
                     return SelectedGroup(head, GroupChoice.ASSIGNED, assignment)
                 choice = GroupChoice.UNUSABLE
                 unusable.add(assignment.head)
                 assignment.end()
-        candidate = self._group_selector.select(self._find_candidates(context, tried))
+        return self._select_own(context, tried, choice)
+
+    def _select_own(
+        self,
+        context: RequestContext,
+        tried: Collection[VmId],
+        choice: GroupChoice,
+        *,
+        zones: Collection[ZoneId] | None = None,
+    ) -> SelectedGroup | None:
+        """Return a group that this node chooses, in certain zones or in any."""
+        candidates = [
+            candidate
+            for candidate in self._find_candidates(context, tried)
+            if zones is None or candidate.server.zone in zones
+        ]
+        candidate = self._group_selector.select(candidates)
         if candidate is None:
             return None
         return SelectedGroup(candidate.server, choice)
--- a/pomelolug/entry/tests/test_dispatchers.py
+++ b/pomelolug/entry/tests/test_dispatchers.py
@@ -88,6 +88,17 @@
     assert find([*nodes, other_relay], relay).others == {"c": "10.0.2.2:7340"}
 
 
+def test_zones_without_a_dispatcher_are_known_through_the_relays():
+    # Guards against a full zone that never uses the groups of a small one.
+    nodes = [status(n) for n in range(2, 9)]
+    other_relay = status(50, zone="c", relay=True)
+    assert find([*nodes, other_relay], status(1)).undispatched == {"c"}
+    relay = status(1, relay=True, other_dispatchers={"c": "", "b": "10.0.1.2:7340"})
+    found = find([relay, *nodes], status(9))
+    assert found.undispatched == {"c"}
+    assert found.others == {"b": "10.0.1.2:7340"}
+
+
 def test_order_of_the_statuses_does_not_matter():
     # Guards against a choice that depends on which datagram came first.
     nodes = [status(n) for n in (3, 1, 2, 5, 4)]
