Keep count of streams when a dispatcher restarts or loses its role

Cause: nodes report to the dispatcher only what it has not assigned itself, by its address. A process that had restarted at this address, and a node that had lost the role for a moment (six nodes or fewer in its zone, a new node that was lost again) had forgotten them, so nobody counted them until they ended, and the groups were filled again. Change: replies name the start of the dispatcher's process; what an earlier process has assigned is reported, at once. A node without the role keeps its count, which follows the notices of ends.

--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -243,13 +243,6 @@
             )
             self._ledger.expire(before_s=now_s - longest_s - _MAX_OVERTIME_S)
 
-    def clear(self) -> None:
-        """Drop all state, since another node is the dispatcher."""
-        self._ledger.clear()
-        self._unassigned = {}
-        self._zone_processes = set()
-        self._status_times_s = {}
-
     def in_flight(self, vm: VmId) -> int:
         """Return the number of requests at a group."""
         return self._ledger.count(vm) + self._unassigned.get(vm, 0)
--- a/pomelolug/entry/dispatch/_endpoint.py
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -91,6 +91,8 @@
         Source of monotonic time.
     rng : random.Random
         Order in which the dispatchers of other zones are asked.
+    on_restart : callable
+        Called when the zone's dispatcher has restarted and needs the load of this node.
     """
 
     def __init__(
@@ -101,8 +103,10 @@
         send: Callable[[DispatchMessage, str], None],
         clock: Clock,
         rng: random.Random,
+        on_restart: Callable[[], None] = lambda: None,
     ) -> None:
         self._dispatcher = dispatcher
+        self._on_restart = on_restart
         self._rng = rng
         self._self = holder
         self._send = send
@@ -112,8 +116,10 @@
         self._replies: dict[int, asyncio.Future[DispatchReply]] = {}
         self._failures: dict[str, int] = {}
         self._avoided_until_s: dict[str, float] = {}
-        # Streams of this node by the dispatcher and by the head.
-        self._assigned: dict[tuple[str, VmId], int] = {}
+        # Start of the process of each dispatcher that has replied.
+        self._started_ms: dict[str, int] = {holder.address: holder.started_ms}
+        # Streams of this node by the process of the dispatcher and by the head.
+        self._assigned: dict[tuple[Holder, VmId], int] = {}
         self._timeout_count = 0
 
     @property
@@ -157,10 +163,7 @@
     def set_addresses(self, addresses: DispatcherAddresses) -> bool:
         """Use other dispatchers from now on; return whether the zone's has changed."""
         previous = self.local_dispatcher
-        had_state = self._self.address in self._addresses.local
         self._addresses = addresses
-        if had_state and self._self.address not in addresses.local:
-            self._dispatcher.clear()
         if self.local_dispatcher == previous:
             return False
         _log.info("dispatcher_changed", dispatcher=self.local_dispatcher)
@@ -174,7 +177,7 @@
         own_loads : mapping of str to int
             Requests of this node in flight, by server.
         """
-        local = self.local_dispatcher
+        local = self._process_of(self.local_dispatcher)
         counts = {
             vm: count - self._assigned.get((local, VmId(vm)), 0)
             for vm, count in own_loads.items()
@@ -239,6 +242,7 @@
                 server=decision.head or "",
                 load=decision.load,
                 has_groups=decision.has_groups,
+                started_ms=self._self.started_ms,
             )
             self._send(reply, message.sender)
 
@@ -278,6 +282,7 @@
                 reply = await future
             is_answered = True
             self._failures.pop(address, None)
+            self._record_start(address, reply.started_ms)
             return reply
         except TimeoutError:
             self._record_failure(address)
@@ -287,6 +292,20 @@
             if not is_answered:
                 self._send_end(address, serial)
 
+    def _process_of(self, address: str) -> Holder:
+        """Return the process of a dispatcher as last known."""
+        return Holder(address, self._started_ms.get(address, 0))
+
+    def _record_start(self, address: str, started_ms: int) -> None:
+        """Note which process has replied; a new one knows no streams of before."""
+        previous_ms = self._started_ms.get(address)
+        if previous_ms == started_ms:
+            return
+        self._started_ms[address] = started_ms
+        if previous_ms is not None and address == self.local_dispatcher:
+            _log.info("dispatcher_restarted", dispatcher=address)
+            self._on_restart()
+
     def _record_failure(self, address: str) -> None:
         self._timeout_count += 1
         self._failures[address] = self._failures.get(address, 0) + 1
@@ -304,7 +323,7 @@
         _log.info("dispatcher_avoided", dispatcher=address)
 
     def _hold(self, address: str, serial: int, head: VmId, load: int) -> Assignment:
-        key = (address, head)
+        key = (self._process_of(address), head)
         self._assigned[key] = self._assigned.get(key, 0) + 1
 
         def end() -> None:
--- a/pomelolug/entry/dispatch/_ledger.py
+++ b/pomelolug/entry/dispatch/_ledger.py
@@ -160,11 +160,6 @@
         """Return the processes with open assignments."""
         return list(self._assignments)
 
-    def clear(self) -> None:
-        """Drop all assignments."""
-        for holder in self.holders():
-            self.drop_process(holder)
-
     def _uncount(self, vm: VmId) -> None:
         self._counts[vm] -= 1
         if not self._counts[vm]:
--- a/pomelolug/entry/dispatch/tests/test_endpoint.py
+++ b/pomelolug/entry/dispatch/tests/test_endpoint.py
@@ -29,15 +29,18 @@
         self.loses_ends = False
         self.question_count = 0
 
-    def add(self, address: str, *, groups: int = 2) -> DispatchEndpoint:
+    def add(
+        self, address: str, *, groups: int = 2, started_ms: int = 1, **options
+    ) -> DispatchEndpoint:
         dispatcher = make_dispatcher(make_heads(groups))
         self.dispatchers[address] = dispatcher
         endpoint = DispatchEndpoint(
             dispatcher=dispatcher,
-            holder=Holder(address, 1),
+            holder=Holder(address, started_ms),
             send=self._send,
             clock=LoopClock(),
             rng=random.Random(0),
+            **options,
         )
         self.endpoints[address] = endpoint
         return endpoint
@@ -161,6 +164,45 @@
     assert network.dispatchers["d"].open_assignments == 0
 
 
+async def test_streams_assigned_before_a_restart_are_reported_to_the_new_process():
+    # Guards against a dispatcher that has restarted at its address before its loss was
+    # seen, and that takes all groups for free.
+    network, _ = make_pair(groups=1)
+    restarts = []
+    node = network.add("n", on_restart=lambda: restarts.append(1))
+    node.set_addresses(DispatcherAddresses(("d",)))
+    before = await node.assign(make_question())
+    network.add("d", groups=1, started_ms=2).set_addresses(DispatcherAddresses(("d",)))
+    assert node.unassigned({before.head: 1}) == {}
+    after = await node.assign(make_question())
+    assert restarts == [1]
+    assert node.unassigned({before.head: 2}) == {before.head: 1}
+    before.end()
+    assert node.unassigned({before.head: 1}) == {}
+    after.end()
+    await asyncio.sleep(0.01)
+    assert network.dispatchers["d"].open_assignments == 0
+
+
+async def test_node_that_has_the_role_again_knows_its_streams():
+    # Guards against a dispatcher that forgets streams which nodes still take for known
+    # to it, as when a zone has one node less than a dispatcher needs for a moment.
+    network, node = make_pair(groups=1)
+    assignments = [await node.assign(make_question()) for _ in range(3)]
+    load = {assignments[0].head: 3}
+    for addresses in ((), ("e",), ("d",)):
+        for endpoint in network.endpoints.values():
+            endpoint.set_addresses(DispatcherAddresses(addresses))
+        known = network.dispatchers["d"].open_assignments
+        if addresses == ("d",):
+            assert known + sum(node.unassigned(load).values()) == 3
+        else:
+            assert node.unassigned(load) == load
+    assignments.pop().end()
+    await asyncio.sleep(0.01)
+    assert network.dispatchers["d"].open_assignments == 2
+
+
 async def test_dispatcher_uses_no_messages_for_its_own_streams():
     # Guards against a node that asks itself over the network.
     network = Network()
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -185,6 +185,7 @@
             send=self._gossip.send,
             clock=clock,
             rng=rng,
+            on_restart=lambda: self.announce(),
         )
         self._fetch_task: asyncio.Task[None] | None = None
         self._pool = ConnectionPool(
@@ -412,7 +413,12 @@
         if self._dispatch.set_addresses(addresses):
             # The new dispatcher needs the load of all nodes.
             self.announce()
-        if self._dispatch.is_dispatcher or self._dispatch.is_stand_in:
+        # A node without the role keeps its count for when it has the role again.
+        if (
+            self._dispatch.is_dispatcher
+            or self._dispatch.is_stand_in
+            or self._dispatcher.open_assignments
+        ):
             self._dispatcher.update(
                 [status for status in statuses if status.zone == zone],
                 own=self._dispatch.holder,
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -172,6 +172,8 @@
     """Requests at that group before this one."""
     has_groups: bool = True
     """Whether the dispatcher knows open groups; without a server, all are full."""
+    started_ms: int = 0
+    """Start time of the dispatcher's process, in milliseconds since 1970."""
 
 
 class DispatchEnd(Message, frozen=True, kw_only=True):
