--- a/pomelolug/entry/dispatch/_endpoint.py
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -47,10 +47,12 @@
 
     `local` has the dispatcher of the zone and its stand-in, which is asked while the
     dispatcher does not reply. It is empty if the zone has too few nodes.
+    `undispatched` has the other zones that have nodes and no dispatcher.
     """
 
     local: tuple[str, ...] = ()
     others: Mapping[ZoneId, str] = dataclasses.field(default_factory=dict)
+    undispatched: frozenset[ZoneId] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,12 +60,14 @@
     """Group that a dispatcher has assigned to a stream; `end` must be called once.
 
     `head` is None if all groups that could be asked for are full. `load` is the number
-    of requests at the group before this one.
+    of requests at the group before this one. `unasked` has the zones that have no
+    dispatcher or whose dispatcher has not replied, so that their groups may have room.
     """
 
     head: VmId | None
     load: int = 0
     on_end: Callable[[], None] | None = None
+    unasked: frozenset[ZoneId] = frozenset()
 
     def end(self) -> None:
         """Tell the dispatcher that the stream has ended or was not sent."""
@@ -87,6 +91,8 @@
         Source of monotonic time.
     rng : random.Random
         Order in which the dispatchers of other zones are asked.
+    on_restart : callable
+        Called when the zone's dispatcher has restarted and needs the load of this node.
     """
 
     def __init__(
@@ -97,8 +103,10 @@
         send: Callable[[DispatchMessage, str], None],
         clock: Clock,
         rng: random.Random,
+        on_restart: Callable[[], None] = lambda: None,
     ) -> None:
         self._dispatcher = dispatcher
+        self._on_restart = on_restart
         self._rng = rng
         self._self = holder
         self._send = send
@@ -108,8 +116,10 @@
         self._replies: dict[int, asyncio.Future[DispatchReply]] = {}
         self._failures: dict[str, int] = {}
         self._avoided_until_s: dict[str, float] = {}
-        # Streams of this node by the dispatcher and by the head.
-        self._assigned: dict[tuple[str, VmId], int] = {}
+        # Start of the process of each dispatcher that has replied.
+        self._started_ms: dict[str, int] = {holder.address: holder.started_ms}
+        # Streams of this node by the process of the dispatcher and by the head.
+        self._assigned: dict[tuple[Holder, VmId], int] = {}
         self._timeout_count = 0
 
     @property
@@ -134,8 +144,11 @@
 
     @property
     def other_dispatchers(self) -> Mapping[ZoneId, str]:
-        """Datagram addresses of the dispatchers of other zones."""
-        return self._addresses.others
+        """Datagram addresses of the dispatchers of other zones, empty without one."""
+        return {
+            **dict.fromkeys(self._addresses.undispatched, ""),
+            **self._addresses.others,
+        }
 
     @property
     def is_dispatcher(self) -> bool:
@@ -150,10 +163,7 @@
     def set_addresses(self, addresses: DispatcherAddresses) -> bool:
         """Use other dispatchers from now on; return whether the zone's has changed."""
         previous = self.local_dispatcher
-        had_state = self._self.address in self._addresses.local
         self._addresses = addresses
-        if had_state and self._self.address not in addresses.local:
-            self._dispatcher.clear()
         if self.local_dispatcher == previous:
             return False
         _log.info("dispatcher_changed", dispatcher=self.local_dispatcher)
@@ -167,7 +177,7 @@
         own_loads : mapping of str to int
             Requests of this node in flight, by server.
         """
-        local = self.local_dispatcher
+        local = self._process_of(self.local_dispatcher)
         counts = {
             vm: count - self._assigned.get((local, VmId(vm)), 0)
             for vm, count in own_loads.items()
@@ -197,14 +207,19 @@
                 break
         if not has_reply:
             return None
-        others = list(self._addresses.others.values())
+        unasked = set(self._addresses.undispatched)
+        others = list(self._addresses.others.items())
         self._rng.shuffle(others)
-        for address in others:
+        for zone, address in others:
             reply = await self._ask(address, question)
             if isinstance(reply, Assignment):
                 return reply
+            if reply is None:
+                unasked.add(zone)
             has_groups = has_groups or bool(reply)
-        return Assignment(None) if has_groups else None
+        if not has_groups:
+            return None
+        return Assignment(None, unasked=frozenset(unasked))
 
     def receive(self, message: DispatchMessage) -> None:
         """Answer a question, or pass a reply to the stream that waits for it."""
@@ -227,6 +242,7 @@
                 server=decision.head or "",
                 load=decision.load,
                 has_groups=decision.has_groups,
+                started_ms=self._self.started_ms,
             )
             self._send(reply, message.sender)
 
@@ -262,10 +278,17 @@
         is_answered = False
         try:
             self._send(self._encode_question(serial, question), address)
-            async with asyncio.timeout(_REPLY_TIMEOUT_S):
-                reply = await future
+            try:
+                async with asyncio.timeout(_REPLY_TIMEOUT_S):
+                    reply = await future
+            except TimeoutError:
+                # After a pause of this process, the reply and the timeout are both due.
+                if not future.done() or future.cancelled():
+                    raise
+                reply = future.result()
             is_answered = True
             self._failures.pop(address, None)
+            self._record_start(address, reply.started_ms)
             return reply
         except TimeoutError:
             self._record_failure(address)
@@ -275,12 +298,27 @@
             if not is_answered:
                 self._send_end(address, serial)
 
+    def _process_of(self, address: str) -> Holder:
+        """Return the process of a dispatcher as last known."""
+        return Holder(address, self._started_ms.get(address, 0))
+
+    def _record_start(self, address: str, started_ms: int) -> None:
+        """Note which process has replied; a new one knows no streams of before."""
+        previous_ms = self._started_ms.get(address)
+        if previous_ms == started_ms:
+            return
+        self._started_ms[address] = started_ms
+        if previous_ms is not None and address == self.local_dispatcher:
+            _log.info("dispatcher_restarted", dispatcher=address)
+            self._on_restart()
+
     def _record_failure(self, address: str) -> None:
         self._timeout_count += 1
         self._failures[address] = self._failures.get(address, 0) + 1
         if self._failures[address] < _MAX_FAILURES:
             return
-        del self._failures[address]
+        # After the avoidance, one more failure renews it.
+        self._failures[address] = _MAX_FAILURES - 1
         self._avoided_until_s = {
             address: self._clock.monotonic() + _AVOIDANCE_S,
             **{
@@ -292,7 +330,7 @@
         _log.info("dispatcher_avoided", dispatcher=address)
 
     def _hold(self, address: str, serial: int, head: VmId, load: int) -> Assignment:
-        key = (address, head)
+        key = (self._process_of(address), head)
         self._assigned[key] = self._assigned.get(key, 0) + 1
 
         def end() -> None:
--- a/pomelolug/entry/dispatch/tests/test_endpoint.py
+++ b/pomelolug/entry/dispatch/tests/test_endpoint.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from pomelolug.entry.dispatch import DispatchEndpoint, DispatcherAddresses, Holder
+from pomelolug.entry.dispatch import (
+    DispatchEndpoint,
+    DispatcherAddresses,
+    Holder,
+    _endpoint,
+)
 from pomelolug.entry.dispatch.tests.dispatch_fixtures import (
     SLOTS,
     make_dispatcher,
@@ -26,18 +31,22 @@
         self.endpoints: dict[str, DispatchEndpoint] = {}
         self.dispatchers = {}
         self.silent: set[str] = set()
+        self.delay_s = 0.002
         self.loses_ends = False
         self.question_count = 0
 
-    def add(self, address: str, *, groups: int = 2) -> DispatchEndpoint:
+    def add(
+        self, address: str, *, groups: int = 2, started_ms: int = 1, **options
+    ) -> DispatchEndpoint:
         dispatcher = make_dispatcher(make_heads(groups))
         self.dispatchers[address] = dispatcher
         endpoint = DispatchEndpoint(
             dispatcher=dispatcher,
-            holder=Holder(address, 1),
+            holder=Holder(address, started_ms),
             send=self._send,
             clock=LoopClock(),
             rng=random.Random(0),
+            **options,
         )
         self.endpoints[address] = endpoint
         return endpoint
@@ -49,7 +58,7 @@
         if isinstance(message, DispatchEnd) and self.loses_ends:
             return
         endpoint = self.endpoints[address]
-        asyncio.get_running_loop().call_later(0.002, endpoint.receive, message)
+        asyncio.get_running_loop().call_later(self.delay_s, endpoint.receive, message)
 
 
 def make_pair(*, groups: int = 2) -> tuple[Network, DispatchEndpoint]:
@@ -87,6 +96,33 @@
     assert (await node.assign(make_question())).head is not None
 
 
+async def test_reply_that_waits_during_a_pause_of_the_node_is_used():
+    # Guards against a node that, whenever its own event loop pauses for a moment,
+    # withdraws what was assigned to it and avoids a sound dispatcher.
+    network, node = make_pair()
+    network.delay_s = _endpoint._REPLY_TIMEOUT_S / 2 - 1e-10
+    for _ in range(3):
+        assert (await node.assign(make_question())).head is not None
+    await asyncio.sleep(0.1)
+    assert network.dispatchers["d"].open_assignments == 3
+    assert node.timeout_count == 0
+
+
+async def test_slow_dispatcher_is_asked_once_a_second():
+    # Guards against a node whose streams lose 30 ms twice a second to a dispatcher that
+    # runs and is too slow.
+    network, node = make_pair()
+    network.delay_s = 0.05
+    for _ in range(60):
+        await node.assign(make_question())
+        await asyncio.sleep(0.1)
+    assert node.timeout_count <= 8
+    network.delay_s = 0.002
+    await asyncio.sleep(1.1)
+    for _ in range(2):
+        assert (await node.assign(make_question())).head is not None
+
+
 async def test_late_reply_leaves_no_place_taken():
     # Guards against a place that nobody uses, since its reply came too late.
     network, node = make_pair()
@@ -111,6 +147,23 @@
     assert network.dispatchers["e"].open_assignments == SLOTS
 
 
+async def test_zones_that_could_not_be_asked_are_named_at_a_full_zone():
+    # Guards against refusals while another zone has free groups: its dispatcher has
+    # just been lost, or it has too few nodes for one.
+    network, node = make_pair(groups=1)
+    network.add("e", groups=1).set_addresses(DispatcherAddresses(("e",)))
+    node.set_addresses(
+        DispatcherAddresses(
+            ("d",), {ZoneId("b"): "e", ZoneId("f"): "lost"}, frozenset({ZoneId("c")})
+        )
+    )
+    network.silent.add("lost")
+    question = make_question(target_s=0.0)
+    assignments = [await node.assign(question) for _ in range(2 * SLOTS + 1)]
+    assert assignments[-1].head is None
+    assert assignments[-1].unasked == {"c", "f"}
+
+
 async def test_node_without_groups_in_its_zone_uses_those_of_others():
     # Guards against refusals, and against choices by old loads, in a zone whose groups
     # are all gone or evacuated.
@@ -144,6 +197,45 @@
     assert network.dispatchers["d"].open_assignments == 0
 
 
+async def test_streams_assigned_before_a_restart_are_reported_to_the_new_process():
+    # Guards against a dispatcher that has restarted at its address before its loss was
+    # seen, and that takes all groups for free.
+    network, _ = make_pair(groups=1)
+    restarts = []
+    node = network.add("n", on_restart=lambda: restarts.append(1))
+    node.set_addresses(DispatcherAddresses(("d",)))
+    before = await node.assign(make_question())
+    network.add("d", groups=1, started_ms=2).set_addresses(DispatcherAddresses(("d",)))
+    assert node.unassigned({before.head: 1}) == {}
+    after = await node.assign(make_question())
+    assert restarts == [1]
+    assert node.unassigned({before.head: 2}) == {before.head: 1}
+    before.end()
+    assert node.unassigned({before.head: 1}) == {}
+    after.end()
+    await asyncio.sleep(0.01)
+    assert network.dispatchers["d"].open_assignments == 0
+
+
+async def test_node_that_has_the_role_again_knows_its_streams():
+    # Guards against a dispatcher that forgets streams which nodes still take for known
+    # to it, as when a zone has one node less than a dispatcher needs for a moment.
+    network, node = make_pair(groups=1)
+    assignments = [await node.assign(make_question()) for _ in range(3)]
+    load = {assignments[0].head: 3}
+    for addresses in ((), ("e",), ("d",)):
+        for endpoint in network.endpoints.values():
+            endpoint.set_addresses(DispatcherAddresses(addresses))
+        known = network.dispatchers["d"].open_assignments
+        if addresses == ("d",):
+            assert known + sum(node.unassigned(load).values()) == 3
+        else:
+            assert node.unassigned(load) == load
+    assignments.pop().end()
+    await asyncio.sleep(0.01)
+    assert network.dispatchers["d"].open_assignments == 2
+
+
 async def test_dispatcher_uses_no_messages_for_its_own_streams():
     # Guards against a node that asks itself over the network.
     network = Network()
