Keep the members of a restarted head that has joined its group again

Orders may be carried out seconds late, also by the new start of a head. It is then a member of its group again, perhaps open, while the controller freed the other members because of the restart.

Change: a restart frees the members only if the entry of the new start names another group or none.

Measured: the new test fails without the change (the members get join orders within 0.3 s) and passes with it.

--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -172,12 +172,13 @@
             return False
         vm, start_time_ms = head
         listed = self._listed.get(vm)
-        return listed is not None and (
-            listed.start_time_ms > start_time_ms
-            or (
-                listed.start_time_ms == start_time_ms
-                and self._health.has_restarted(listed)
-            )
+        if listed is None:
+            return False
+        if listed.start_time_ms > start_time_ms:
+            # A late order may have made its new start a member of the group again.
+            return group_key(listed.membership) != key
+        return listed.start_time_ms == start_time_ms and self._health.has_restarted(
+            listed
         )
 
     def _record_heads(self) -> None:
--- a/pomelolug/replicas/tests/test_restarts.py
+++ b/pomelolug/replicas/tests/test_restarts.py
@@ -155,3 +155,21 @@
     await asyncio.sleep(0.3)
     assert node.controller._fleet.may_join(node.registry.servers[spare])
     await node.stop()
+
+
+async def test_head_that_has_joined_its_group_again_frees_no_member():
+    # Guards against members that join other groups while their head may be open: orders
+    # that are carried out late reach its new start too.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    old = fleet.servers[head_of(fleet, SMALL)]
+    others = set(old.members) - {old.vm}
+    fleet.restart(old.vm)
+    new = fleet.servers[old.vm]
+    new.membership, new.members, new.model = old.membership, old.members, old.model
+    seen = len(fleet.orders)
+    await asyncio.sleep(0.3)
+    assert node.registry.servers[old.vm].start_time_ms == new.start_time_ms
+    assert not any("join" in orders_to(fleet, vm, seen=seen) for vm in others)
+    assert fleet.violations == []
+    await node.stop()
