Let no pause of the process use up the time to connect

Cause: the time limit of a connection was one timer. After a pause longer than the limit (0.3 s), the event loop runs it before it has looked at the socket, so every connection that was being opened failed although the server had accepted it at once. A node that stood still refused requests and suspected sound heads; tests saw 503 with connect_timeout on loopback.

Change: the limit is counted in slices of 50 ms, of which a pause uses one (RunningTimeLimit). Without a pause it ends as before.

--- a/pomelolug/transport/__init__.py
+++ b/pomelolug/transport/__init__.py
@@ -9,6 +9,7 @@
 )
 from pomelolug.transport._pool import ConnectionPool
 from pomelolug.transport._request import encode_request
+from pomelolug.transport._running_time_limit import RunningTimeLimit
 from pomelolug.transport._server import (
     Exchange,
     Handler,
@@ -25,6 +26,7 @@
     "HttpConnectionError",
     "HttpServerLimits",
     "ResponseHead",
+    "RunningTimeLimit",
     "ServerConnection",
     "encode_request",
     "open_connection",
--- a/pomelolug/transport/_client.py
+++ b/pomelolug/transport/_client.py
@@ -10,6 +10,7 @@
 import httptools
 
 from pomelolug.transport._buffer_budget import BufferBudget
+from pomelolug.transport._running_time_limit import RunningTimeLimit
 
 __all__ = ["ClientConnection", "HttpConnectionError", "ResponseHead", "open_connection"]
 
@@ -379,11 +380,12 @@
     Raises
     ------
     HttpConnectionError
-        If the connection is not established within `timeout`.
+        If the connection is not established within `timeout`, in which a pause of this
+        process hardly counts.
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout.total_seconds()):
+        async with RunningTimeLimit(timeout):
             _, connection = await loop.create_connection(ClientConnection, host, port)
     except TimeoutError as error:
         raise HttpConnectionError("connect_timeout") from error
--- a/pomelolug/transport/tests/test_client_connection.py
+++ b/pomelolug/transport/tests/test_client_connection.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import datetime
+import time
 
 import pytest
+import uvloop
 
 from pomelolug.testing import ScriptedServer
 from pomelolug.transport import (
     ConnectionPool,
     HttpConnectionError,
+    RunningTimeLimit,
     encode_request,
     open_connection,
 )
@@ -24,6 +27,47 @@
     return server, await open_connection(host, int(port), timeout=SECOND)
 
 
+@pytest.mark.parametrize(
+    "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop]
+)
+def test_pause_of_the_process_does_not_fail_a_connection(loop_factory):
+    # Guards against a node that suspects all servers to which it was just connecting,
+    # because it stood still for longer than the time limit.
+    async def connect_while_paused():
+        async def script(request):
+            pass
+
+        server = ScriptedServer(script)
+        await server.start()
+        host, _, port = server.address.rpartition(":")
+        task = asyncio.create_task(
+            open_connection(
+                host, int(port), timeout=datetime.timedelta(milliseconds=300)
+            )
+        )
+        await asyncio.sleep(0)
+        time.sleep(0.5)  # noqa: ASYNC251
+        connection = await task
+        connection.close()
+        server.stop()
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(connect_while_paused())
+
+
+@pytest.mark.looptime
+async def test_connection_that_hangs_fails_at_its_time_limit():
+    # Guards against a time limit that never ends, or ends late, without any pause.
+    loop = asyncio.get_running_loop()
+    began_at_s = loop.time()
+    with pytest.raises(TimeoutError):
+        async with RunningTimeLimit(datetime.timedelta(milliseconds=320)):
+            await asyncio.sleep(10.0)
+    assert loop.time() - began_at_s == pytest.approx(0.32, abs=0.001)
+    async with RunningTimeLimit(datetime.timedelta(milliseconds=320)):
+        await asyncio.sleep(0.3)
+
+
 async def test_body_without_length_ends_when_the_server_closes():
     # Guards against complete responses that are treated as truncated.
     async def script(request):
