Take no pause of the test's process for a silent link

Cause: test_loopback_proxy runs client, proxy and server in one event loop, and called a link silent after 0.3 s of wall time. A pause of the process of 0.3 s therefore read as "silent".

Change: the 0.3 s are counted while the process runs (RunningTimeLimit). The checks and the time are as before.

--- a/pomelolug/testing/tests/test_loopback_proxy.py
+++ b/pomelolug/testing/tests/test_loopback_proxy.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import contextlib
+import datetime
 import os
+import time
 from collections.abc import AsyncIterator
 
 import pytest
 
 from pomelolug.testing import LinkCut, LoopbackProxy, ProcessConnections
+from pomelolug.transport import RunningTimeLimit
 
-TIMEOUT_S = 0.3
+TIMEOUT = datetime.timedelta(seconds=0.3)
+"""Time without a byte after which a link is silent, while this process runs."""
 
 
 @contextlib.asynccontextmanager
@@ -48,7 +52,7 @@
         """Return whether the data came back: echoed, silent or reset."""
         try:
             self._writer.write(data)
-            async with asyncio.timeout(TIMEOUT_S):
+            async with RunningTimeLimit(TIMEOUT):
                 received = await self._reader.readexactly(len(data))
         except TimeoutError:
             return "silent"
@@ -83,6 +87,15 @@
             assert await client.exchange() == "echoed"
 
 
+async def test_pause_of_the_test_is_no_silence():
+    # Guards against links that these tests take for silent because the process that
+    # runs the client, the proxy and the server stood still.
+    async with start_proxy() as proxy:
+        client = await Client().open(proxy)
+        asyncio.get_running_loop().call_soon(time.sleep, 0.5)
+        assert await client.exchange() == "echoed"
+
+
 @pytest.mark.parametrize("way", LinkCut)
 async def test_cut_leaves_other_processes_alone(way):
     # Guards against a cut of the links of all processes that share a proxy.
