Let the statements of a server hold for the start that made them

Cause: limits, pauses, coldness and statements that a server leaves were attributed to the start of the entry that the request had chosen. A response of a process that is gone, read after the news of the restart, limited or hid what the new one had stated. While the store was away, a start that only a report showed was not used as long as the start before had stated that it leaves or pauses, and what it stated itself ended with its entry.

Change: a request that was sent after this node had learned of a start has reached that one, however old its entry is, unless the response names its start. Statements of earlier starts change nothing.

--- a/pomelolug/entry/servers/_cold_servers.py
+++ b/pomelolug/entry/servers/_cold_servers.py
@@ -206,6 +206,14 @@
         self._log_change(server.vm, was_cold=was_cold, source=_Source.ENTRY.value)
         return is_new and known is not None
 
+    def find_start(self, vm: VmId) -> tuple[int, float] | None:
+        """Return a server's latest known start, and when this node learned of it.
+
+        The start is in milliseconds of Unix time, the other in monotonic seconds.
+        """
+        start = self._starts.get(vm)
+        return (start.start_time_ms, start.seen_at_s) if start is not None else None
+
     def record_removal(self, vm: VmId) -> None:
         """Record that the entry of a server has been removed."""
         start = self._starts.get(vm)
@@ -221,6 +229,9 @@
             self._log_invalid(server.vm, _Source.RESPONSE)
         known = self._starts.get(server.vm)
         start_time_ms = max(server.start_time_ms, notice.start_time_ms)
+        if known is not None and start_time_ms < known.start_time_ms:
+            # A late response of the start before says nothing about this one.
+            return False
         is_new = known is not None and start_time_ms > known.start_time_ms
         if not is_new and notice.cold_for is None:
             return False
--- a/pomelolug/entry/servers/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -135,11 +135,11 @@
 
     def is_leaving(self, server: BackendServer) -> bool:
         """Return whether a server has stated that it is about to leave."""
-        return self._leaving.is_leaving(server)
+        return self._leaving.is_leaving(self._with_latest_start(server))
 
     def is_paused(self, server: BackendServer) -> bool:
         """Return whether a server wants no requests from this node for a while."""
-        return self._pauses.find(server) is not None
+        return self._pauses.find(self._with_latest_start(server)) is not None
 
     def is_cold(self, server: BackendServer) -> bool:
         """Return whether a server is cold and its service declares what it bears."""
@@ -170,7 +170,7 @@
             return ServerWait(WaitCause.EVACUATED, wait_s, spread_s)
         bound_wait = self._rate_limiter.find_wait(server.vm)
         bound_wait_s = bound_wait[1] if bound_wait is not None else 0.0
-        pause = self._pauses.find(server)
+        pause = self._pauses.find(self._with_latest_start(server))
         if pause is not None and pause.left_s >= bound_wait_s:
             spread_s = _PAUSE_RETURN_SPREAD * pause.length_s
             return ServerWait(WaitCause.PAUSE, pause.left_s, spread_s)
@@ -246,6 +246,7 @@
         confirms_no_limit : bool
             Whether the server would have named its limit if it had one.
         """
+        server = self._answering_start(server, notice, sent_at_s=sent_at_s)
         if notice.is_leaving and self._leaving.record(server):
             self._on_leaving()
         if notice.pause is not None:
@@ -254,6 +255,9 @@
             _log.warning("server_pause_ignored", server=server.vm)
         if self._cold_servers.record_notice(server, notice):
             self._limits.record_restart(server.vm)
+        if server is not self._with_latest_start(server):
+            # A late response of the start before says nothing about this one.
+            return
         if notice.request_limit_per_s is not None or confirms_no_limit:
             self._limits.record_response(
                 server.vm, notice.request_limit_per_s, sent_at_s=sent_at_s
@@ -275,6 +279,29 @@
         if self._leaving.merge(status.leaving, source=status.node):
             self._on_leaving()
 
+    def _with_latest_start(self, server: BackendServer) -> BackendServer:
+        """Return a server with its latest known start; its entry may be older."""
+        known = self._cold_servers.find_start(server.vm)
+        if known is None or known[0] <= server.start_time_ms:
+            return server
+        return dataclasses.replace(server, start_time_ms=known[0])
+
+    def _answering_start(
+        self, server: BackendServer, notice: ServerNotice, *, sent_at_s: float
+    ) -> BackendServer:
+        """Return a server with the start that has answered a request.
+
+        If the response does not say it, a request that was sent after this node had
+        learned of a start has reached that one, however old the entry is.
+        """
+        start_time_ms = max(server.start_time_ms, notice.start_time_ms)
+        known = self._cold_servers.find_start(server.vm)
+        if not notice.start_time_ms and known is not None and sent_at_s >= known[1]:
+            start_time_ms = max(start_time_ms, known[0])
+        if start_time_ms == server.start_time_ms:
+            return server
+        return dataclasses.replace(server, start_time_ms=start_time_ms)
+
     def forget_expired(self) -> None:
         """Forget statements that no longer hold."""
         self._limits.forget_expired()
--- a/pomelolug/entry/servers/_server_pauses.py
+++ b/pomelolug/entry/servers/_server_pauses.py
@@ -60,7 +60,13 @@
         self._entries: dict[VmId, _Entry] = {}
 
     def record(self, server: BackendServer, pause: datetime.timedelta) -> None:
-        """Record a pause; one that ends earlier than the known one changes nothing."""
+        """Record a pause; one that ends earlier than the known one changes nothing.
+
+        Nor does one of an earlier start, whose response was late.
+        """
+        entry = self._entries.get(server.vm)
+        if entry is not None and entry.start_time_ms > server.start_time_ms:
+            return
         length_s = pause.total_seconds()
         extension_s = self._rng.uniform(0.0, _MAX_EXTENSION * length_s)
         until_s = self._clock.monotonic() + length_s + extension_s
