Let the process soak lose dispatchers and let accounts compete

The servers of one domain are slower than the others there; after the other faults one dispatcher is killed, the next one paused and the next one cut off from the servers, each time while another entry VM of the zone restarts; then a large account sends far more streams than there is room for.

New checks: a stream of another entry VM is not cut with the dispatcher, streams there are served as before the loss (two thirds of the share, as for cuts), and no account is without any served stream while others are served.

--- a/pomelolug/experiments/process_soak/_callers.py
+++ b/pomelolug/experiments/process_soak/_callers.py
@@ -38,6 +38,7 @@
 _MEAN_CRASH_PAUSE_S = 0.5
 _MEAN_TAINTED_PAUSE_S = 1.5
 _SHARED_PROMPT_PARTS = ("5a0001", "5a0002", "5a0003")
+_COMPETITION_PAUSE_RANGE_S = (0.05, 0.3)
 _CRASH_ACCOUNT = ("account-a", "key-a1")
 """Account and key of the calls that crash servers; this key is never revoked."""
 
@@ -91,6 +92,18 @@
             if entry:
                 await self._send_call(self._new_tainted_call(entry), {})
 
+    async def run_competing(self, account: str) -> None:
+        """Send one stream of an account after another, without a pause to think."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(*_COMPETITION_PAUSE_RANGE_S))
+            entry = self._cluster.pick_entry(())
+            if entry:
+                number = next(self._request_numbers)
+                key = self._cluster.account_key(account)
+                path = f"/{CallKind.STREAM.value}/{number}/{_MAX_EVENTS}"
+                call = _make_call(number, CallKind.STREAM, path, account, key, entry)
+                await self._send_call(call, {})
+
     async def _send_call(
         self, call: SentCall, idle_connections: dict[str, ClientConnection]
     ) -> None:
--- a/pomelolug/experiments/process_soak/_cluster.py
+++ b/pomelolug/experiments/process_soak/_cluster.py
@@ -5,7 +5,9 @@
 import datetime
 import pathlib
 import random
+import re
 import time
+from collections import Counter
 from collections.abc import Container
 from typing import Any
 
@@ -51,8 +53,11 @@
     "account-c": ("key-c1",),
 }
 _START_TIMEOUT_S = 20.0
+_DISPATCHER_ZONE_SIZE = 6
+"""Entry VMs of a zone from which on one of them assigns its streams to groups."""
 _COLD_REQUESTS_PER_S = 1.0
 """Requests per second that a cold server bears, well below its share of the calls."""
+_DISPATCHER_PATTERN = re.compile(r'"dispatcher": "([0-9.]+):')
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -61,6 +66,7 @@
 
     name: str
     ip: str
+    zone: str
     process: SoakProcess
     store_link: LoopbackProxy
     failed_probes: int = _UNREADY_THRESHOLD
@@ -164,6 +170,26 @@
         account = self._rng.choice(list(_ACCOUNT_KEYS))
         return account, self._rng.choice(_ACCOUNT_KEYS[account])
 
+    @property
+    def has_dispatcher(self) -> bool:
+        """Whether the first zone is so large that it has a dispatcher of streams."""
+        sizes = Counter(map(self._entry_zone, range(self._entry_count)))
+        return sizes[self.zones[0]] >= _DISPATCHER_ZONE_SIZE
+
+    def find_dispatcher(self) -> EntryVm | None:
+        """Return the dispatcher of the first zone by the logs of its entry VMs."""
+        entries = [e for e in self.entries if e.zone == self.zones[0]]
+        votes: Counter[str] = Counter()
+        for entry in entries:
+            named = _DISPATCHER_PATTERN.findall(entry.process.log_text)
+            votes.update(named[-1:])
+        leading = votes.most_common(1)
+        return next((e for e in entries if leading and e.ip == leading[0][0]), None)
+
+    def account_key(self, account: str) -> str:
+        """Return the key of an account that is never revoked."""
+        return _ACCOUNT_KEYS[account][0]
+
     def caller_address(self, entry: str) -> str:
         """Return the address of an entry VM for callers."""
         return next(f"{e.ip}:8001" for e in self.entries if e.name == entry)
@@ -246,19 +272,23 @@
             self.servers.append(ServerHandle(vm=server.vm, process=process, link=link))
         await process.start()
 
+    def _entry_zone(self, number: int) -> str:
+        """Return the zone of an entry VM; those beyond four lie in the first one."""
+        return self.zones[number % _ZONE_COUNT if number < 4 else 0]
+
     async def _start_entry(self, number: int) -> None:
         ip = f"{self._network_prefix}.1.{number + 1}"
         link = LoopbackProxy(
             f"{self._network_prefix}.2.{number + 1}:7000", self._store.address
         )
         await link.start()
-        name = f"entry-{number}"
+        name, zone = f"entry-{number}", self._entry_zone(number)
         path = self._folder / f"{name}.toml"
         path.write_text(
             format_entry_settings(
                 node=name,
                 ip=ip,
-                zone=f"zone-{number % _ZONE_COUNT}",
+                zone=zone,
                 store=link.address,
                 seeds=[f"{self._network_prefix}.1.{k + 1}:8003" for k in range(3)],
             )
@@ -270,7 +300,7 @@
             folder=self._folder,
         )
         await process.start()
-        entry = EntryVm(name=name, ip=ip, process=process, store_link=link)
+        entry = EntryVm(name=name, ip=ip, zone=zone, process=process, store_link=link)
         self.entries.append(entry)
         self._probe_tasks.append(asyncio.create_task(self._probe_readiness(entry)))
 
--- a/pomelolug/experiments/process_soak/_faults.py
+++ b/pomelolug/experiments/process_soak/_faults.py
@@ -15,6 +15,7 @@
     ProcessCluster,
     ServerHandle,
 )
+from pomelolug.experiments.process_soak._competition import DispatcherLoss
 from pomelolug.experiments.process_soak._disturbances import (
     QUIET_PERIOD_S,
     FaultWindow,
@@ -63,6 +64,10 @@
 """Silences that are no disruption of sound servers."""
 _ALL_SILENT_SHARE = 0.5
 _CUT_RANGE_S = (4.0, 8.0)
+_DISPATCHER_LOSS_S = 3.0
+"""Time for which a dispatcher is lost; its stand-in takes over after about 2 s."""
+_SLOW_FACTOR_RANGE = (1.3, 2.0)
+"""Factors on the execution times of servers that are slower than others."""
 _PLAIN_TIMEOUTS_MS = (1000, 1200, 1500)
 
 
@@ -149,6 +154,8 @@
         leaves before the other faults begin, and each kind of interruption of servers,
         a cold return and an evacuation happen once more after them.
         """
+        if self._cluster.has_dispatcher:
+            self._slow_domain()
         await asyncio.sleep(_CALM_START_S)
         await self._inject("server_unlisted")
         until_s = time.monotonic() + length_s
@@ -183,6 +190,8 @@
         await self._let_servers_return_cold(are_all=True)
         await asyncio.sleep(QUIET_PERIOD_S)
         await self._evacuate(self._cluster.zones[0])
+        if self._cluster.has_dispatcher:
+            await self._lose_dispatchers()
 
     async def _evacuate_in_turn(self, until_s: float) -> None:
         """Evacuate one zone after the other until a time, beside all faults."""
@@ -661,6 +670,71 @@
                     link.mend()
         self._reserved -= {"server links", *names}
 
+    async def _lose_dispatchers(self) -> None:
+        """Kill, pause and cut off one dispatcher after the other.
+
+        Each time, another entry VM of the zone is restarted.
+        """
+        for disturb in (self._kill, self._pause, self._cut_off):
+            await asyncio.sleep(QUIET_PERIOD_S)
+            dispatcher = self._cluster.find_dispatcher()
+            if dispatcher is None or not self._reserve(dispatcher.name):
+                self.record_event("no dispatcher to disturb")
+                continue
+            peers = [
+                e
+                for e in self._cluster.entries
+                if e.zone == dispatcher.zone and e is not dispatcher
+            ]
+            self.counts["dispatcher_lost"] += 1
+            async with self._fault_window(
+                f"dispatcher {dispatcher.name}: {disturb.__name__}", dispatcher.name
+            ) as window:
+                self._guarantees.record_dispatcher_loss(
+                    DispatcherLoss(
+                        window=window, peers=frozenset(e.name for e in peers)
+                    )
+                )
+                other = self._interruption_rng.choice(peers)
+                await asyncio.gather(
+                    disturb(dispatcher),
+                    *(
+                        [self._restart_entry(other)]
+                        if self._reserve(other.name)
+                        else []
+                    ),
+                )
+            self._reserved.discard(dispatcher.name)
+
+    async def _kill(self, entry: EntryVm) -> None:
+        await entry.process.kill()
+        await asyncio.sleep(_DISPATCHER_LOSS_S)
+        await entry.process.start()
+
+    async def _pause(self, entry: EntryVm) -> None:
+        entry.process.signal(signal.SIGSTOP)
+        await asyncio.sleep(_DISPATCHER_LOSS_S)
+        entry.process.signal(signal.SIGCONT)
+
+    async def _cut_off(self, entry: EntryVm) -> None:
+        cut_off = ProcessConnections([entry.process.pid])
+        cut_off.read()
+        links = [server.link for server in self._cluster.servers]
+        for link in links:
+            link.cut(self._interruption_rng.choice(list(LinkCut)), cut_off)
+        await asyncio.sleep(_DISPATCHER_LOSS_S)
+        for link in links:
+            link.mend()
+
+    def _slow_domain(self) -> None:
+        """Let the servers of one domain be slower than the others for the whole run."""
+        factor = round(self._interruption_rng.uniform(*_SLOW_FACTOR_RANGE), 2)
+        process = self._cluster.server_processes[0]
+        self.record_event(f"servers of {process.name} slower by {factor}")
+        for server in self._cluster.servers:
+            if server.process is process:
+                self._cluster.send_command(server, "slow", factor)
+
     def _targets_of(self, process: SoakProcess) -> set[str]:
         """Return the targets that stand for all servers of a process."""
         vms = [s.vm for s in self._cluster.servers if s.process is process]
--- a/pomelolug/experiments/process_soak/_interruptions.py
+++ b/pomelolug/experiments/process_soak/_interruptions.py
@@ -1,7 +1,7 @@
 """Checks of answers while servers are silent or links to them are cut."""
 
 import math
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator, Sequence
 
 from pomelolug.experiments.process_soak._calls import (
     TAINTED_PATH_PART,
@@ -19,7 +19,14 @@
 )
 from pomelolug.testing import CRASH_PATH_PART
 
-__all__ = ["cut_violations", "is_lost_answer", "silence_violations"]
+__all__ = [
+    "crashes_servers",
+    "cut_violations",
+    "is_lost_answer",
+    "is_share_too_small",
+    "is_undisturbed",
+    "silence_violations",
+]
 
 _SERVER_LOST_STATUS = 502
 _ASSUMED_READ_S = 0.2
@@ -71,9 +78,9 @@
         ]
         if (
             met
-            and not _crashes_servers(call)
+            and not crashes_servers(call)
             and call.ended_at_s - call.sent_at_s < _SHORTEST_TIMEOUT_S[call.kind]
-            and _is_undisturbed(call, targets, windows, silences)
+            and is_undisturbed(call, targets, windows, silences)
         ):
             if call.answer.is_complete and call.answer.status == _SERVER_LOST_STATUS:
                 yield f"{call.request_id} at {call.entry} got 502 from silent servers"
@@ -96,7 +103,7 @@
         call
         for call in calls
         if call.outcome not in (CallOutcome.LEFT, CallOutcome.UNFINISHED)
-        and not _crashes_servers(call)
+        and not crashes_servers(call)
     ]
     for cut in cuts:
         served: dict[bool, list[bool]] = {True: [], False: []}
@@ -104,24 +111,33 @@
             until_s = cut.end_s if cut.end_s is not None else call.sent_at_s
             if (
                 cut.start_s + _CUT_KNOWN_S <= call.sent_at_s <= until_s
-                and _is_undisturbed(call, (), windows, (cut,))
+                and is_undisturbed(call, (), windows, (cut,))
             ):
                 is_served = call.answer.is_complete and call.answer.status == 200
                 served[call.entry in cut.targets].append(is_served)
-        count, other_count = len(served[True]), len(served[False])
-        if min(count, other_count) < _MIN_CUT_CALLS:
-            continue
-        share, other = sum(served[True]) / count, sum(served[False]) / other_count
-        least = _MIN_SERVED_RATIO * other
-        variance = least * (1 - least) / count
-        variance += _MIN_SERVED_RATIO**2 * other * (1 - other) / other_count
-        if share < least - _CHANCE_DEVIATIONS * math.sqrt(variance):
+        if is_share_too_small(served[True], served[False]):
+            count, other_count = len(served[True]), len(served[False])
+            share, other = sum(served[True]) / count, sum(served[False]) / other_count
             yield (
                 f"{', '.join(sorted(cut.targets))} without links to servers served "
                 f"{share:.0%} of {count} calls, others {other:.0%} of {other_count}"
             )
 
 
+def is_share_too_small(served: Sequence[bool], others: Sequence[bool]) -> bool:
+    """Return whether fewer than two thirds as many calls were served as of others.
+
+    What chance may explain is allowed; shares of few calls are not compared.
+    """
+    if min(len(served), len(others)) < _MIN_CUT_CALLS:
+        return False
+    share, other = sum(served) / len(served), sum(others) / len(others)
+    least = _MIN_SERVED_RATIO * other
+    variance = least * (1 - least) / len(served)
+    variance += _MIN_SERVED_RATIO**2 * other * (1 - other) / len(others)
+    return share < least - _CHANCE_DEVIATIONS * math.sqrt(variance)
+
+
 def is_lost_answer(call: SentCall, *, has_run: bool) -> bool:
     """Return whether a call that was read was closed without a whole answer."""
     # A call on a reused connection may race with its closing and never be read.
@@ -133,7 +149,7 @@
     return is_broken and was_read
 
 
-def _is_undisturbed(
+def is_undisturbed(
     call: SentCall,
     servers: Iterable[str],
     windows: FaultWindows,
@@ -152,5 +168,5 @@
     )
 
 
-def _crashes_servers(call: SentCall) -> bool:
+def crashes_servers(call: SentCall) -> bool:
     return CRASH_PATH_PART in call.path or TAINTED_PATH_PART in call.path
--- a/pomelolug/experiments/process_soak/_processes.py
+++ b/pomelolug/experiments/process_soak/_processes.py
@@ -76,6 +76,12 @@
         path = self._folder / f"{self._name}.err"
         return path.read_text() if path.exists() else ""
 
+    @property
+    def log_text(self) -> str:
+        """Text that the process wrote to standard output, unless it is read."""
+        path = self._folder / f"{self._name}.log"
+        return path.read_text(errors="replace") if path.exists() else ""
+
     async def start(self) -> None:
         """Start the process."""
         self._is_exit_expected = False
--- a/pomelolug/experiments/process_soak/_promises.py
+++ b/pomelolug/experiments/process_soak/_promises.py
@@ -13,6 +13,11 @@
     ServerRun,
     TurnedAwayRequest,
 )
+from pomelolug.experiments.process_soak._competition import (
+    DispatcherLoss,
+    dispatcher_violations,
+    starvation_violations,
+)
 from pomelolug.experiments.process_soak._disturbances import (
     QUIET_PERIOD_S,
     SOAK_PROCESS,
@@ -123,6 +128,8 @@
         self._silences: list[FaultWindow] = []
         self._cuts: list[FaultWindow] = []
         self._reported_violations: list[str] = []
+        self._dispatcher_losses: list[DispatcherLoss] = []
+        self._competitions: list[tuple[float, float]] = []
         self._evacuations = EvacuationChecker()
 
     @property
@@ -208,6 +215,14 @@
         """Record the window in which entry VMs, its targets, reach no server."""
         self._cuts.append(window)
 
+    def record_dispatcher_loss(self, loss: DispatcherLoss) -> None:
+        """Record the window in which the dispatcher of a zone is lost."""
+        self._dispatcher_losses.append(loss)
+
+    def record_competition(self, start_s: float, end_s: float) -> None:
+        """Record a time in which accounts compete for the servers."""
+        self._competitions.append((start_s, end_s))
+
     def check(self, *, timeouts: dict[CallKind, datetime.timedelta]) -> list[str]:
         """Return all violated guarantees."""
         counts = Counter(run.request_id for run in self._runs)
@@ -235,6 +250,12 @@
         )
         valid = [c for c in self._calls.values() if c.key not in self._revoked_at_s]
         violations += cut_violations(valid, self._cuts, self._fault_windows)
+        violations += dispatcher_violations(
+            valid, self._runs, self._dispatcher_losses, self._fault_windows
+        )
+        violations += starvation_violations(
+            valid, self._competitions, self._fault_windows
+        )
         return violations + list(self._containment_violations())
 
     def _limit_violations(self, period: LimitPeriod) -> Iterator[str]:
--- a/pomelolug/experiments/process_soak/_run.py
+++ b/pomelolug/experiments/process_soak/_run.py
@@ -25,6 +25,8 @@
 _CALLER_COUNT = 24
 _WARM_UP_S = 2.0
 """Time for groups to form before callers start."""
+_COMPETING_CALLERS = {"account-a": 60, "account-b": 10, "account-c": 5}
+_COMPETITION_S = 6.0
 _RECOVERY_S = 12.0
 """Time after the last fault during which calls may still fail."""
 _MEASUREMENT_S = 3.0
@@ -101,6 +103,8 @@
         tasks.append(asyncio.create_task(callers.run_tainted()))
         tasks.append(asyncio.create_task(_watch_own_pauses(fault_windows, faults)))
         await faults.run(length_s)
+        if cluster.has_dispatcher:
+            await _let_accounts_compete(callers, guarantees)
         await asyncio.sleep(_RECOVERY_S)
         recovered_at_s = time.monotonic()
         await asyncio.sleep(_MEASUREMENT_S)
@@ -127,6 +131,19 @@
     )
 
 
+async def _let_accounts_compete(callers: Callers, guarantees: GuaranteeChecker) -> None:
+    """Let a large account send far more streams than there is room for."""
+    start_s = time.monotonic()
+    tasks = [
+        asyncio.create_task(callers.run_competing(account))
+        for account, count in _COMPETING_CALLERS.items()
+        for _ in range(count)
+    ]
+    await asyncio.sleep(_COMPETITION_S)
+    guarantees.record_competition(start_s, time.monotonic())
+    await _cancel(tasks)
+
+
 async def _watch_own_pauses(fault_windows: FaultWindows, faults: FaultInjector) -> None:
     """Record when this process does not run, since all links pass through it."""
     while True:
--- a/pomelolug/experiments/process_soak/tests/test_run.py
+++ b/pomelolug/experiments/process_soak/tests/test_run.py
@@ -16,6 +16,14 @@
     assert sum(report.faults.values()) >= 3
 
 
+@pytest.mark.timeout(180)
+def test_run_with_a_dispatcher_has_no_violations(tmp_path: pathlib.Path):
+    # Guards against streams and accounts that depend on one entry VM of a large zone.
+    report = run_process_soak(seed=8007, length_s=3.0, entry_count=8, keep=tmp_path)
+    assert report.violations == [], report.history
+    assert report.faults["dispatcher_lost"] == 3
+
+
 @pytest.mark.timeout(180)
 @pytest.mark.parametrize(
     "seed",
