Abandon formations whose model is not declared any more

Cause: a formation was advanced only while its model was declared exactly as at its start. A new load time, or a model or service that was withdrawn, left it as it was for ever, so its members were in no other group and were never opened.

Change: a formation goes on if its model is still declared with the same size, and is abandoned otherwise.

Two services that declare the same model, with servers in one domain, are tested as well: groups and repairs stay within a service; no fault was found there.

--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -220,6 +220,7 @@
                 self._clear_state()
             return
         self._had_lease = True
+        self._abandon_undeclared(declaration)
         orders: list[Coroutine[Any, Any, None]] = []
         for service in declaration.engine_services():
             assert service.engine is not None
@@ -265,7 +266,7 @@
         }
         orders: list[Coroutine[Any, Any, None]] = []
         for formation in list(self._formations.values()):
-            if formation.service == name and formation.model in engine.models:
+            if formation.service == name:
                 orders += self._advance_formation(formation, views)
         for key, view in views.items():
             if key not in self._formations:
@@ -388,6 +389,15 @@
             "group_given_up", formation.key, reason=reason, failed=failed
         )
 
+    def _abandon_undeclared(self, declaration: Declaration) -> None:
+        """Abandon the formations whose model or service is not declared any more."""
+        for formation in list(self._formations.values()):
+            service = declaration.services.get(formation.service)
+            engine = service.engine if service is not None else None
+            model = engine.find_model(formation.model.name) if engine else None
+            if model is None or model.group_size != formation.model.group_size:
+                self._abandon(formation, "not_declared", [])
+
     def _failure_reason(self, failed: list[VmId]) -> str:
         servers = [self._fleet.listed.get(vm) for vm in failed]
         if any(s is not None and self._fleet.is_in_evacuated_zone(s) for s in servers):
