Free no members for a server that only names itself their head

An entry of another writer with the same group and rank, listed first, could stand for the head, and its restart freed the members of an open group.

Change: the head is kept by service and group; if two servers of a service name themselves its head, a restart of either frees nobody.

Measured: both cases fail before (the group of six is taken apart) and pass.

--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -87,8 +87,9 @@
         self._unlisted: dict[VmId, tuple[BackendServer, float]] = {}
         self._suspicions: dict[VmId, _Suspicion] = {}
         self._last_model: dict[tuple[VmId, int], ModelName] = {}
-        # Head of each group and its start, as long as a member names the group.
-        self._heads: dict[GroupKey, tuple[VmId, int]] = {}
+        # Head of each group of a service and its start, as long as a member names the
+        # group; None if several servers are its head by their entries.
+        self._heads: dict[tuple[ServiceName, GroupKey], tuple[VmId, int] | None] = {}
 
     @property
     def listed(self) -> Mapping[VmId, BackendServer]:
@@ -162,12 +163,15 @@
             for key in [k for k in self._last_model if k not in listed]:
                 del self._last_model[key]
 
-    def has_head_restarted(self, key: GroupKey) -> bool:
+    def has_head_restarted(self, view: GroupView) -> bool:
         """Return whether the head of a group has started again since it joined.
 
         Nothing serves the group any more then.
         """
-        head = self._heads.get(key)
+        services = {member.service for member in view.members.values()}
+        if len(services) != 1:
+            return False
+        head = self._heads.get((services.pop(), view.key))
         if head is None:
             return False
         vm, start_time_ms = head
@@ -186,11 +190,13 @@
             key = group_key(server.membership)
             if key is None or server.membership is None:
                 continue
-            named.add(key)
+            named.add((server.service, key))
             if server.membership.rank == 0:
-                self._heads.setdefault(key, (server.vm, server.start_time_ms))
-        for key in [key for key in self._heads if key not in named]:
-            del self._heads[key]
+                head = (server.vm, server.start_time_ms)
+                if self._heads.setdefault((server.service, key), head) != head:
+                    self._heads[server.service, key] = None
+        for group in [group for group in self._heads if group not in named]:
+            del self._heads[group]
 
     def _known_servers(self) -> Iterator[BackendServer]:
         """Yield the listed and unlisted servers."""
--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -137,7 +137,7 @@
         self, view: GroupView, engine: EngineProfile
     ) -> list[Coroutine[Any, Any, None]]:
         """Return the orders for a group that is not in formation."""
-        if self._fleet.has_head_restarted(view.key):
+        if self._fleet.has_head_restarted(view):
             self._free_members(view.key)
             return []
         teardown = self._teardowns.get(view.key)
--- a/pomelolug/replicas/tests/test_services.py
+++ b/pomelolug/replicas/tests/test_services.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pomelolug.deployment import BackendServer, Declaration, GroupState
+from pomelolug.deployment import BackendServer, Declaration, GroupMembership, GroupState
 from pomelolug.ids import GroupId, ServiceName, VmId
 from pomelolug.replicas.tests.simulated_node import (
     DECLARATION,
@@ -108,6 +108,50 @@
     await node.stop()
 
 
+CLAIMANT = VmId("claimant")
+
+
+class ClaimedServers(GroupServers):
+    """Servers before which another writer's entry names a group and its head's rank."""
+
+    claim: GroupMembership | None = None
+    service = SERVICE
+
+    def build_entry(self, vm: VmId) -> BackendServer:
+        entry = super().build_entry(vm)
+        if vm != CLAIMANT:
+            return entry
+        return dataclasses.replace(entry, service=self.service, membership=self.claim)
+
+
+@pytest.mark.parametrize("service", [SERVICE, OTHER])
+async def test_restart_of_a_server_that_only_names_itself_head_frees_nobody(service):
+    # Guards against an open group whose members are taken, since another writer's entry
+    # named its head and was followed by one with a later start.
+    fleet = ClaimedServers(engine=ENGINE, service=SERVICE, stall_timeout=STALL_TIMEOUT)
+    fleet.service = service
+    fleet.add(CLAIMANT, "d9")
+    for number in range(11):
+        fleet.add(f"s0-{number:02}", "d0")
+    node = Node(fleet)
+    await asyncio.sleep(90.0)
+    before = fleet.open_groups()
+    head = next(s for s in fleet.servers.values() if s.model == LARGE)
+    fleet.claim = fleet.servers[head.members[0]].membership
+    await node.stop()
+    successor = Node(fleet, generation=2)
+    successor.serving = True
+    await asyncio.sleep(10.0)
+    seen = len(fleet.orders)
+    fleet.claim = None
+    fleet.restart(CLAIMANT)
+    await asyncio.sleep(5.0)
+    ordered = {vm for kind, vm, _ in fleet.orders[seen:] if kind in ("join", "leave")}
+    assert fleet.open_groups() == before
+    assert not ordered & set(head.members)
+    await successor.stop()
+
+
 @pytest.mark.parametrize("change", ["load_time", "service"])
 async def test_declaration_that_changes_during_a_formation_locks_no_servers(change):
     # Guards against members that belong to a formation for ever, since its service or
