Probe the members of a suspect group whatever entries of other services name

Cause: the probes looked groups up by name and epoch alone. An entry of another service with the rank of the head took its place, so the suspicion of the true head led to no probes, and a lost member was not found until its entry expired.

Change: groups are assembled for each service there as well.

Measured: the test fails before (the group of six stays closed for 2 s and more) and passes.

--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -317,7 +317,7 @@
                 if not self._availability.is_paused(server)
             }
         )
-        views = list(group_views(self._listed.values()).values())
+        views = self._views()
         members = {
             member.vm: member
             for view in views
@@ -344,6 +344,21 @@
             self._end_silence(view)
         self._health.drop_stale()
 
+    def _views(self) -> list[GroupView]:
+        """Return the groups of listed servers, each of which belongs to a service.
+
+        An entry of another service may name any group and rank.
+        """
+        members: dict[ServiceName, list[BackendServer]] = {}
+        for server in self._listed.values():
+            if server.membership is not None:
+                members.setdefault(server.service, []).append(server)
+        return [
+            view
+            for servers in members.values()
+            for view in group_views(servers).values()
+        ]
+
     def _end_silence(self, view: GroupView) -> None:
         """End the silence of a group of which all members have answered since."""
         suspicion = self._suspicions.get(view.head.vm) if view.head else None
--- a/pomelolug/replicas/tests/test_services.py
+++ b/pomelolug/replicas/tests/test_services.py
@@ -18,7 +18,7 @@
     make_fleet,
     seconds,
 )
-from pomelolug.testing import GroupServers
+from pomelolug.testing import GroupServers, SimulatedServer
 
 pytestmark = pytest.mark.looptime
 
@@ -152,6 +152,39 @@
     await successor.stop()
 
 
+def live_heads(fleet: GroupServers) -> list[SimulatedServer]:
+    return [
+        s
+        for s in fleet.servers.values()
+        if s.membership is not None
+        and s.membership.state is GroupState.OPEN
+        and s.broken_at_s is None
+    ]
+
+
+async def test_entry_of_another_service_hides_no_lost_member():
+    # Guards against a lost member that is not probed, since the entry of another writer
+    # takes the place of the head that is suspected.
+    fleet = ClaimedServers(engine=ENGINE, service=SERVICE, stall_timeout=STALL_TIMEOUT)
+    fleet.service = OTHER
+    for number in range(11):
+        fleet.add(f"s0-{number:02}", "d0")
+    node = Node(fleet)
+    await asyncio.sleep(90.0)
+    node.serving = True
+    head = next(s for s in fleet.servers.values() if s.model == LARGE)
+    fleet.claim = fleet.servers[head.members[0]].membership
+    fleet.add(CLAIMANT, "d9")
+    await asyncio.sleep(1.0)
+    lost = head.members[-1]
+    fleet.kill(lost)
+    node.controller.mark_suspect(head.members[0])
+    await asyncio.sleep(2.0)
+    assert sorted(fleet.open_groups().values()) == [LARGE, SMALL]
+    assert all(lost not in s.members for s in live_heads(fleet))
+    await node.stop()
+
+
 @pytest.mark.parametrize("change", ["load_time", "service"])
 async def test_declaration_that_changes_during_a_formation_locks_no_servers(change):
     # Guards against members that belong to a formation for ever, since its service or
