--- a/pomelolug/entry/servers/_server_pauses.py
+++ b/pomelolug/entry/servers/_server_pauses.py
@@ -70,20 +70,20 @@
         length_s = pause.total_seconds()
         extension_s = self._rng.uniform(0.0, _MAX_EXTENSION * length_s)
         until_s = self._clock.monotonic() + length_s + extension_s
-        known = self.find(server.vm, server.start_time_ms)
+        known = self.find(server)
         if known is None:
             _log.info("server_paused", server=server.vm, pause_s=round(length_s, 3))
         elif until_s <= self._entries[server.vm].until_s:
             return
         self._entries[server.vm] = _Entry(server.start_time_ms, until_s, length_s)
 
-    def find(self, vm: VmId, start_time_ms: int) -> Pause | None:
-        """Return the pause of a start of a server, None if it takes requests.
+    def find(self, server: BackendServer) -> Pause | None:
+        """Return the pause of a server, None if it takes requests.
 
         A server that has restarted knows nothing of an earlier pause.
         """
-        entry = self._entries.get(vm)
-        if entry is None or start_time_ms > entry.start_time_ms:
+        entry = self._entries.get(server.vm)
+        if entry is None or server.start_time_ms > entry.start_time_ms:
             return None
         left_s = entry.until_s - self._clock.monotonic()
         return Pause(left_s, entry.length_s) if left_s > 0.0 else None
