Serve less urgent streams while more urgent ones fill all groups

Cause: while more urgent streams came, less urgent ones had to leave 5% of the slots free, which hardly ever are while the urgent ones alone exceed the slots. Change: streams of an urgency that hold less than half of their share of the slots, by recent questions, need not leave this reserve.

--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -31,6 +31,11 @@
 """Fraction of all slots that streams leave to more urgent ones, which cannot wait."""
 _URGENT_PERIOD_S = 10.0
 """Time in seconds after a stream for which more of its urgency are expected."""
+_LEAST_SHARE = 0.5
+"""Part of its share of the slots, by questions, that a kind holds without a reserve.
+
+Otherwise streams would not be served at all while more urgent ones fill all groups.
+"""
 _TIE_TOLERANCE_S = 0.001
 _MAX_OVERTIME_S = 2.0
 """Time in seconds by which a stream may outlast the longest timeout of streams."""
@@ -78,17 +83,48 @@
     load: int = 0
 
 
+class _Urgency:
+    """Questions for streams of one urgency, and the streams that have a group."""
+
+    def __init__(self) -> None:
+        self.held = 0
+        self.asked_at_s = 0.0
+        self._asked = 0.0
+
+    def record_question(self, *, now_s: float) -> None:
+        """Count a question."""
+        self._asked = self.asked(now_s=now_s) + 1.0
+        self.asked_at_s = now_s
+
+    def asked(self, *, now_s: float) -> float:
+        """Return the number of questions, which old ones count for less and less."""
+        return self._asked * math.exp((self.asked_at_s - now_s) / _URGENT_PERIOD_S)
+
+
 class _Pool:
     """Streams of one model of a service in the zone, by account and urgency."""
 
     def __init__(self) -> None:
         self.accounts = AccountShares()
-        self._asked_at_s: dict[int, float] = {}
+        self._urgencies: dict[int, _Urgency] = {}
 
     def record_question(self, question: Question, *, now_s: float) -> None:
         """Record that an account needs a group."""
         self.accounts.on_request(question.account, weight=1.0, now_s=now_s)
-        self._asked_at_s[question.urgency] = now_s
+        urgency = self._urgencies.setdefault(question.urgency, _Urgency())
+        urgency.record_question(now_s=now_s)
+
+    def record_grant(self, question: Question) -> Callable[[], None]:
+        """Record that a stream has a group; call what is returned at its end."""
+        urgency = self._urgencies[question.urgency]
+        self.accounts.on_grant(question.account)
+        urgency.held += 1
+
+        def end() -> None:
+            self.accounts.on_release(question.account)
+            urgency.held -= 1
+
+        return end
 
     def reserved_slots(
         self, question: Question, *, free: int, slots: int, now_s: float
@@ -107,12 +143,17 @@
         for_accounts = self.accounts.reserved_slots(
             question.account, free=free, now_s=now_s
         )
-        has_more_urgent = any(
-            urgency < question.urgency and now_s - asked_at_s < _URGENT_PERIOD_S
-            for urgency, asked_at_s in self._asked_at_s.items()
-        )
-        for_urgent = math.ceil(_URGENT_RESERVE * slots) if has_more_urgent else 0
-        return max(for_accounts, for_urgent)
+        asked = {
+            urgency: state.asked(now_s=now_s)
+            for urgency, state in self._urgencies.items()
+            if now_s - state.asked_at_s < _URGENT_PERIOD_S
+        }
+        if not any(urgency < question.urgency for urgency in asked):
+            return for_accounts
+        share = asked[question.urgency] / sum(asked.values())
+        if self._urgencies[question.urgency].held < _LEAST_SHARE * share * slots:
+            return for_accounts
+        return max(for_accounts, math.ceil(_URGENT_RESERVE * slots))
 
 
 class GroupDispatcher:
@@ -175,14 +216,13 @@
         if head is None:
             return Decision(None, has_groups)
         load = self.in_flight(head.vm)
-        accounts = self._pools[question.service, question.model].accounts
-        accounts.on_grant(question.account)
+        pool = self._pools[question.service, question.model]
         self._ledger.add(
             holder,
             serial,
             head.vm,
             now_s=self._clock.monotonic(),
-            on_end=lambda: accounts.on_release(question.account),
+            on_end=pool.record_grant(question),
         )
         return Decision(head.vm, has_groups=True, load=load)
 
--- a/pomelolug/entry/dispatch/tests/test_dispatcher.py
+++ b/pomelolug/entry/dispatch/tests/test_dispatcher.py
@@ -1,5 +1,8 @@
 """Assignment of streams to the groups of a zone."""
 
+import random
+from collections import Counter
+
 import pytest
 
 from pomelolug.entry.dispatch import Holder
@@ -211,6 +214,28 @@
     assert assign(dispatcher, 2, first=900, urgency=0, target_s=0.0) != [None, None]
 
 
+def test_less_urgent_streams_are_served_while_urgent_ones_fill_all_groups():
+    # Guards against a kind that is not served at all in an overload by a more urgent
+    # one, and against urgent streams that are refused as often as others.
+    clock, rng = ManualClock(), random.Random(1)
+    dispatcher = make_dispatcher(make_heads(6), clock=clock)
+    asked, served = Counter(), Counter()
+    running: list[tuple[float, int]] = []
+    for serial in range(3000):
+        # Twice as many streams of a second as there are slots.
+        clock.time_s += rng.expovariate(2 * 6 * SLOTS)
+        while running and running[0][0] <= clock.time_s:
+            dispatcher.end(NODE, [running.pop(0)[1]])
+        urgency = 2 if rng.random() < 0.1 else 0
+        question = make_question(urgency=urgency, target_s=0.0)
+        asked[urgency] += 1
+        if dispatcher.decide(NODE, serial, question).head is not None:
+            served[urgency] += 1
+            running.append((clock.time_s + 1.0, serial))
+    urgent, other = served[0] / asked[0], served[2] / asked[2]
+    assert 0.4 * urgent <= other <= urgent
+
+
 def test_room_is_not_kept_for_urgent_streams_that_do_not_come():
     # Guards against idle slots where the urgent kind has gone.
     clock = ManualClock()
