Let the stand-in count the streams of its own node

Cause: the stand-in took for its own node what it reports to the dispatcher, so that it left out the streams of its node that the dispatcher had assigned. Change: it subtracts its own assignments from the load of its node, as for other nodes. Measured: the new test passes; without the change the argument for the load of the own node does not exist.

--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -236,6 +236,7 @@
         *,
         own: Holder,
         own_unassigned: Mapping[str, int],
+        own_load: Mapping[str, int] | None = None,
         is_stand_in: bool = False,
     ) -> None:
         """Apply what the nodes of the zone report.
@@ -247,13 +248,20 @@
         own : Holder
             This process.
         own_unassigned : mapping of str to int
-            Requests of this node that no dispatcher has assigned, by server.
+            Requests of this node that the dispatcher of the zone has not assigned, by
+            server.
+        own_load : mapping of str to int, optional
+            Requests of this node in flight, by server; the stand-in needs it.
         is_stand_in : bool
             Whether another node is the dispatcher of the zone. What it has assigned
             does not count as unassigned in the statuses.
         """
         now_s = self._clock.monotonic()
-        unassigned = collections.Counter(own_unassigned)
+        unassigned = collections.Counter(
+            self._ledger.subtract(own, own_load or {})
+            if is_stand_in
+            else own_unassigned
+        )
         zone_processes = {own}
         for status in statuses:
             holder = Holder(status.datagram, status.started_ms)
--- a/pomelolug/entry/dispatch/tests/test_dispatcher.py
+++ b/pomelolug/entry/dispatch/tests/test_dispatcher.py
@@ -159,6 +159,19 @@
     assert assign(dispatcher, 3) == ["a1"] * 3
 
 
+def test_stand_in_counts_its_own_streams_once():
+    # Guards against a stand-in that forgets the streams of its own node which the
+    # dispatcher has assigned, and that counts those twice which it assigned itself.
+    dispatcher = make_dispatcher(make_heads(2))
+    head = dispatcher.decide(OWN, 1, make_question()).head
+    dispatcher.update(
+        [], own=OWN, own_unassigned={}, own_load={"a0": 2, "a1": 2}, is_stand_in=True
+    )
+    assert head in ("a0", "a1")
+    assert dispatcher.in_flight(VmId("a0")) == 2
+    assert dispatcher.in_flight(VmId("a1")) == 2
+
+
 def test_large_account_does_not_crowd_out_the_others():
     # Guards against a burst of one account that fills all groups for seconds.
     clock = ManualClock()
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -419,12 +419,12 @@
             or self._dispatch.is_stand_in
             or self._dispatcher.open_assignments
         ):
+            own_loads = self._server_tracker.own_loads()
             self._dispatcher.update(
                 [status for status in statuses if status.zone == zone],
                 own=self._dispatch.holder,
-                own_unassigned=self._dispatch.unassigned(
-                    self._server_tracker.own_loads()
-                ),
+                own_unassigned=self._dispatch.unassigned(own_loads),
+                own_load=own_loads,
                 is_stand_in=self._dispatch.is_stand_in,
             )
 
