--- a/pomelolug/entry/dispatch/tests/test_dispatcher.py
+++ b/pomelolug/entry/dispatch/tests/test_dispatcher.py
@@ -1,5 +1,8 @@
 """Assignment of streams to the groups of a zone."""
 
+import random
+from collections import Counter
+
 import pytest
 
 from pomelolug.entry.dispatch import Holder
@@ -156,6 +159,19 @@
     assert assign(dispatcher, 3) == ["a1"] * 3
 
 
+def test_stand_in_counts_its_own_streams_once():
+    # Guards against a stand-in that forgets the streams of its own node which the
+    # dispatcher has assigned, and that counts those twice which it assigned itself.
+    dispatcher = make_dispatcher(make_heads(2))
+    head = dispatcher.decide(OWN, 1, make_question()).head
+    dispatcher.update(
+        [], own=OWN, own_unassigned={}, own_load={"a0": 2, "a1": 2}, is_stand_in=True
+    )
+    assert head in ("a0", "a1")
+    assert dispatcher.in_flight(VmId("a0")) == 2
+    assert dispatcher.in_flight(VmId("a1")) == 2
+
+
 def test_large_account_does_not_crowd_out_the_others():
     # Guards against a burst of one account that fills all groups for seconds.
     clock = ManualClock()
@@ -211,6 +227,28 @@
     assert assign(dispatcher, 2, first=900, urgency=0, target_s=0.0) != [None, None]
 
 
+def test_less_urgent_streams_are_served_while_urgent_ones_fill_all_groups():
+    # Guards against a kind that is not served at all in an overload by a more urgent
+    # one, and against urgent streams that are refused as often as others.
+    clock, rng = ManualClock(), random.Random(1)
+    dispatcher = make_dispatcher(make_heads(6), clock=clock)
+    asked, served = Counter(), Counter()
+    running: list[tuple[float, int]] = []
+    for serial in range(3000):
+        # Twice as many streams of a second as there are slots.
+        clock.time_s += rng.expovariate(2 * 6 * SLOTS)
+        while running and running[0][0] <= clock.time_s:
+            dispatcher.end(NODE, [running.pop(0)[1]])
+        urgency = 2 if rng.random() < 0.1 else 0
+        question = make_question(urgency=urgency, target_s=0.0)
+        asked[urgency] += 1
+        if dispatcher.decide(NODE, serial, question).head is not None:
+            served[urgency] += 1
+            running.append((clock.time_s + 1.0, serial))
+    urgent, other = served[0] / asked[0], served[2] / asked[2]
+    assert 0.4 * urgent <= other <= urgent
+
+
 def test_room_is_not_kept_for_urgent_streams_that_do_not_come():
     # Guards against idle slots where the urgent kind has gone.
     clock = ManualClock()
