Bound what a node holds for callers, and disconnect those who read nothing

Bodies in transit were bounded for each request only.

What does not fit is handed to the handler as to be refused, and the rest of its body is dropped. The next request waits until the last response is read. A client that has read nothing for unread_timeout_s is disconnected, which cancels its handler. Requests on connections above max_connections are refused.

--- a/pomelolug/transport/__init__.py
+++ b/pomelolug/transport/__init__.py
@@ -7,12 +7,14 @@
     ResponseHead,
     open_connection,
 )
+from pomelolug.transport._memory_budget import MemoryAccount, MemoryBudget
 from pomelolug.transport._pool import ConnectionPool
 from pomelolug.transport._request import encode_request
 from pomelolug.transport._server import (
     Exchange,
     Handler,
     HttpServerLimits,
+    RefusalCause,
     ServerConnection,
 )
 
@@ -24,6 +26,9 @@
     "Handler",
     "HttpConnectionError",
     "HttpServerLimits",
+    "MemoryAccount",
+    "MemoryBudget",
+    "RefusalCause",
     "ResponseHead",
     "ServerConnection",
     "encode_request",
--- a/pomelolug/transport/_server.py
+++ b/pomelolug/transport/_server.py
@@ -3,13 +3,22 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import socket
 from collections.abc import Callable, Coroutine
 from typing import Any, cast
 
 import httptools
 
-__all__ = ["Exchange", "Handler", "HttpServerLimits", "ServerConnection"]
+from pomelolug.transport._memory_budget import MemoryBudget
+
+__all__ = [
+    "Exchange",
+    "Handler",
+    "HttpServerLimits",
+    "RefusalCause",
+    "ServerConnection",
+]
 
 _MAX_PIPELINED_REQUESTS = 8
 _FIELD_OVERHEAD_BYTES = 4
@@ -17,6 +26,18 @@
 _BODY_TIMEOUT_S = 30.0
 _FIRST_REQUEST_WAIT_S = 1.0
 """Time for the first request of a connection, as long as callers wait to connect."""
+_REQUEST_BYTES = 8 * 1024
+"""Memory of a request beside its header fields and body."""
+_COPIES_OF_BODY = 2
+"""Times that a request body is held: as received, and as sent to a server."""
+_HIGH_WATER_BYTES = 16 * 1024
+"""Unread bytes of a caller above which no more are read for it."""
+_UNREAD_CHECK_S = 0.5
+"""Interval at which is checked whether a caller reads."""
+_LINGER_S = 1.0
+"""Time to receive the rest of a refused body, without which the refusal is lost."""
+_REFUSAL_CONNECTIONS = 200
+"""Connections above the limit that stay open until their request is refused."""
 _REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -42,6 +63,17 @@
     max_body_bytes: int = 4 * 1024 * 1024
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    unread_timeout_s: float = 10.0
+    """Time after which a client that has read nothing is disconnected."""
+    max_connections: int | None = None
+    """Connections above which requests on further ones are refused."""
+
+
+class RefusalCause(enum.Enum):
+    """Why a request is refused before it is handled."""
+
+    MEMORY = "memory"
+    CONNECTIONS = "connections"
 
 
 class Exchange:
@@ -64,6 +96,18 @@
         self._started = False
         self._chunked = False
         self._ended = False
+        self._refusal: RefusalCause | None = None
+
+    @property
+    def refusal(self) -> RefusalCause | None:
+        """Why the handler has to refuse the request, None if it has not to."""
+        return self._refusal
+
+    def refuse(self, cause: RefusalCause) -> None:
+        """Make the handler refuse the request, whose body is dropped."""
+        self._refusal = cause
+        self._keep_alive = False
+        self._body.clear()
 
     @property
     def method(self) -> bytes:
@@ -188,6 +232,10 @@
         Called with the status if a request is refused before it was fully read.
     refusal_headers : tuple of (bytes, bytes)
         Header fields of the response to such a request.
+    memory_budget : MemoryBudget or None
+        Budget that requests and unread responses are charged to.
+    on_unread : callable
+        Called when a client that reads nothing is disconnected.
     """
 
     def __init__(
@@ -197,7 +245,18 @@
         connections: "set[ServerConnection]",
         on_refused: Callable[[int], None],
         refusal_headers: tuple[tuple[bytes, bytes], ...] = (),
+        *,
+        memory_budget: MemoryBudget | None = None,
+        on_unread: Callable[[], None] = lambda: None,
     ) -> None:
+        self._account = (memory_budget or _NO_BUDGET).open_account()
+        self._on_unread = on_unread
+        self._unread = _UnreadBytes()
+        self._unread_timer: asyncio.TimerHandle | None = None
+        self._held_for: dict[Exchange, int] = {}
+        self._is_above_limit = False
+        self._is_turned_away = False
+        self._discards_body = False
         self._handler = handler
         self._limits = limits
         self._connections = connections
@@ -252,13 +311,16 @@
         self._closing = True
         age_s = self._loop.time() - self._opened_at_s
         awaits_first_request = not self._has_received and age_s < _FIRST_REQUEST_WAIT_S
-        if not self.is_busy and not awaits_first_request and self._transport:
-            self._transport.close()
+        if not self.is_busy and not awaits_first_request:
+            self._close()
 
     def write(self, data: bytes) -> None:
         """Send data to the client."""
         if self._transport is not None and not self._transport.is_closing():
+            self._unread.written += len(data)
             self._transport.write(data)
+            if not self._writable.is_set():
+                self._charge_unread()
 
     async def drain(self) -> None:
         """Wait until the client has read enough to accept more data."""
@@ -273,8 +335,10 @@
         """Close the connection unless it is kept alive."""
         if not keep_alive or self._closing:
             self._closing = True
-            if self._transport is not None:
-                self._transport.close()
+            if self._discards_body:
+                self._set_timer(_LINGER_S)
+            else:
+                self._close()
 
     # asyncio.Protocol
 
@@ -282,7 +346,15 @@
         """Register the connection and start the idle timeout."""
         # uvloop transports are not subclasses of the asyncio classes.
         self._transport = cast(asyncio.Transport, transport)
+        max_connections = self._limits.max_connections
+        if max_connections is not None:
+            excess = len(self._connections) + 1 - max_connections
+            self._is_above_limit = excess > 0
+            if excess > _REFUSAL_CONNECTIONS:
+                self._on_refused(503)
+                self._transport.abort()
         self._connections.add(self)
+        self._transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -293,7 +365,14 @@
         self._connections.discard(self)
         self._writable.set()
         self._cancel_timer()
+        self._stop_unread_timer()
+        self._account.release(self._unread.charged)
+        self._unread.charged = 0
+        for exchange in (*self._queue, self._incoming):
+            if exchange is not None:
+                self._release(exchange)
         self._queue.clear()
+        self._incoming = None
         if self._handler_task is not None:
             self._handler_task.cancel()
 
@@ -304,17 +383,22 @@
     def pause_writing(self) -> None:
         """Make writers wait because the write buffer is full."""
         self._writable.clear()
+        self._charge_unread()
+        self._watch_unread()
 
     def resume_writing(self) -> None:
-        """Let waiting writers continue."""
+        """Let waiting writers continue, and start the next request."""
         self._writable.set()
+        self._charge_unread()
+        if not self._closing:
+            self._start_next()
 
     def data_received(self, data: bytes) -> None:
         """Parse requests and refuse those that are malformed or exceed a limit."""
-        if self._refused:
+        if self._refused or (self._is_turned_away and not self._discards_body):
             return
         self._has_received = True
-        if not self._in_head and self._incoming is None:
+        if not self._in_head and self._incoming is None and not self._discards_body:
             self._in_head = True
             self._incomplete_head_bytes = 0
             self._set_timer(self._limits.header_timeout_s)
@@ -358,16 +442,28 @@
         """Create the exchange and prepare to receive the body."""
         self._in_head = False
         self._incomplete_head_bytes = 0
-        if self._refused:
+        if self._refused or self._is_turned_away:
             return
         self._set_timer(_BODY_TIMEOUT_S)
-        self._incoming = Exchange(
+        exchange = self._incoming = Exchange(
             self,
             self._parser.get_method(),
             self._target,
             tuple(self._fields),
             self._parser.should_keep_alive(),
         )
+        if self._is_above_limit:
+            self._turn_away(exchange, RefusalCause.CONNECTIONS)
+            return
+        fixed = self._header_bytes + _REQUEST_BYTES
+        # What cannot fit is refused before its body has arrived.
+        expected = _COPIES_OF_BODY * min(
+            _content_length(self._fields), self._limits.max_body_bytes
+        )
+        if not self._account.can_reserve(fixed + expected):
+            self._turn_away(exchange, RefusalCause.MEMORY)
+            return
+        self._hold(exchange, fixed)
         if any(k.lower() == b"expect" for k, _ in self._fields):
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -375,12 +471,19 @@
         """Collect a part of the request body."""
         if self._incoming is None or self._refused:
             return
+        if not self._hold(self._incoming, _COPIES_OF_BODY * len(data)):
+            self._turn_away(self._incoming, RefusalCause.MEMORY)
+            return
         self._incoming.append_body(data)
         if self._incoming.body_size > self._limits.max_body_bytes:
             self._refuse(413)
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
+        if self._discards_body:
+            self._discards_body = False
+            if self._closing:
+                self._close()
         if self._incoming is None or self._refused:
             return
         self._cancel_timer()
@@ -393,7 +496,13 @@
     # internals
 
     def _start_next(self) -> None:
-        if self._handler_task is None and self._queue and not self._refused:
+        # A caller who has not read the last response gets no further one.
+        if (
+            self._handler_task is None
+            and self._queue
+            and not self._refused
+            and self._writable.is_set()
+        ):
             self._cancel_timer()
             self._handler_task = self._loop.create_task(
                 self._run_handler(self._queue.popleft())
@@ -405,6 +514,7 @@
         finally:
             if not exchange.has_ended:
                 exchange.abort()
+            self._release(exchange)
             self._handler_task = None
             if not self._closing and self._transport is not None:
                 if self._queue:
@@ -425,7 +535,7 @@
                 b"HTTP/1.1 %d %b\r\n%bContent-Length: 0\r\nConnection: close\r\n\r\n"
                 % (status, _REASON_PHRASES[status], fields)
             )
-            self._transport.close()
+            self._close()
 
     def _on_timeout(self) -> None:
         if self._in_head:
@@ -434,7 +544,78 @@
             self._refuse(408)
         elif self._handler_task is None and self._transport is not None:
             self._closing = True
+            if self._queue or self._transport.get_write_buffer_size():
+                # It has read nothing of its response since.
+                self._abort_unread()
+            else:
+                self._close()
+
+    def _hold(self, exchange: Exchange, count: int) -> bool:
+        """Reserve memory for a request; return whether it was available."""
+        if not self._account.try_reserve(count):
+            return False
+        self._held_for[exchange] = self._held_for.get(exchange, 0) + count
+        return True
+
+    def _release(self, exchange: Exchange) -> None:
+        self._account.release(self._held_for.pop(exchange, 0))
+
+    def _turn_away(self, exchange: Exchange, cause: RefusalCause) -> None:
+        """Have the handler refuse a request at once, and drop what follows."""
+        self._is_turned_away = True
+        self._discards_body = True
+        self._incoming = None
+        self._cancel_timer()
+        self._release(exchange)
+        exchange.refuse(cause)
+        self._queue.append(exchange)
+        self._start_next()
+
+    def _close(self) -> None:
+        """Close the connection when the client has read what was written."""
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.close()
+            self._watch_unread()
+
+    def _abort_unread(self) -> None:
+        self._on_unread()
+        self.abort()
+
+    def _charge_unread(self) -> None:
+        """Count the unread bytes, which are held whether they fit or not."""
+        assert self._transport is not None
+        size = 0 if self._writable.is_set() else self._transport.get_write_buffer_size()
+        self._account.add(size - self._unread.charged)
+        self._unread.charged = size
+
+    def _watch_unread(self) -> None:
+        if self._unread_timer is None:
+            self._unread.start(self._buffered_bytes(), self._loop.time())
+            self._unread_timer = self._loop.call_later(
+                _UNREAD_CHECK_S, self._check_unread
+            )
+
+    def _check_unread(self) -> None:
+        """Disconnect a client that has read nothing for too long."""
+        self._unread_timer = None
+        size, now_s = self._buffered_bytes(), self._loop.time()
+        if not size:
+            return
+        if not self._writable.is_set():
+            self._charge_unread()
+        unread_s = self._unread.note_progress(size, now_s)
+        if unread_s >= self._limits.unread_timeout_s:
+            self._abort_unread()
+            return
+        self._unread_timer = self._loop.call_later(_UNREAD_CHECK_S, self._check_unread)
+
+    def _stop_unread_timer(self) -> None:
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
+    def _buffered_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport else 0
 
     def _set_timer(self, delay_s: float) -> None:
         self._cancel_timer()
@@ -444,3 +625,43 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+
+
+class _UnreadBytes:
+    """Bytes written to a client, and how many of them have gone out.
+
+    `written` counts all bytes, and `charged` those that are counted as held.
+    """
+
+    __slots__ = ("_progressed_at_s", "_sent", "charged", "written")
+
+    def __init__(self) -> None:
+        self.written = 0
+        self.charged = 0
+        self._sent = -1
+        self._progressed_at_s = 0.0
+
+    def start(self, buffered: int, now_s: float) -> None:
+        """Begin to measure the time in which the client reads nothing."""
+        self._sent = self.written - buffered
+        self._progressed_at_s = now_s
+
+    def note_progress(self, buffered: int, now_s: float) -> float:
+        """Return the seconds since the client has last read something."""
+        sent = self.written - buffered
+        if sent != self._sent:
+            self._sent = sent
+            self._progressed_at_s = now_s
+        return now_s - self._progressed_at_s
+
+
+_NO_BUDGET = MemoryBudget(None)
+"""Budget of connections without a bound."""
+
+
+def _content_length(fields: list[tuple[bytes, bytes]]) -> int:
+    """Return the announced length of a body, 0 if none is announced."""
+    for name, value in fields:
+        if name.lower() == b"content-length" and value.isdigit():
+            return int(value[:18])
+    return 0
