Refuse what memory and descriptors do not bear, and tell cut unread responses apart

Cause: the limits of the process in the settings were not read. A server that cut a response because its caller had not read it counted as a loss of the request, and as trouble of the server.

Change: memory_mb and max_fds give the bounds (ResourceBounds); without them nothing changes. Requests beyond are refused as memory_limit or connection_limit, not run. Bytes read ahead and bodies in assembly are charged to the same budget. A connection that ends after it was not read for 1 s ends its run as left_unread, a loss only if the registry shows the server's end. A missing descriptor is no_descriptor, after idle connections were closed.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -25,6 +25,7 @@
 from pomelolug.entry._internal_endpoints import InternalEndpoints
 from pomelolug.entry._lifecycle import Lifecycle
 from pomelolug.entry._metrics import EntryMetrics
+from pomelolug.entry._resource_bounds import ResourceBounds
 from pomelolug.entry._topic_consumers import (
     DeclarationCache,
     EvacuationUpdater,
@@ -178,6 +179,14 @@
         self._forwarding_limits = HttpServerLimits()
         self._connections: set[ServerConnection] = set()
         self._group_sizes: dict[ServedModel, int] = {}
+        self._bounds = ResourceBounds(
+            memory_limit=settings.memory_limit_bytes,
+            socket_limit=settings.socket_limit,
+            connections=self._connections,
+            metrics=self._metrics,
+        )
+        for limits in (self._limits, self._forwarding_limits):
+            limits.max_connections = self._bounds.max_connections
 
     async def run(self) -> None:
         """Start all components, wait for the stop request, and stop them in order."""
@@ -262,11 +271,17 @@
         )
         self._build_feeds()
         self._pool = ConnectionPool(
-            max_idle=_MAX_IDLE, connect_timeout=_CONNECT_TIMEOUT
+            max_idle=_MAX_IDLE,
+            connect_timeout=_CONNECT_TIMEOUT,
+            max_idle_connections=self._bounds.max_idle_connections,
+            memory_budget=self._bounds.memory_budget,
         )
         self._build_server_contact()
         self._forwarding_pool = ConnectionPool(
-            max_idle=_MAX_PEER_IDLE, connect_timeout=_CONNECT_TIMEOUT
+            max_idle=_MAX_PEER_IDLE,
+            connect_timeout=_CONNECT_TIMEOUT,
+            max_idle_connections=self._bounds.max_idle_connections,
+            memory_budget=self._bounds.memory_budget,
         )
         self._run_monitor = RunMonitor(
             detector=self._poison_detector,
@@ -486,6 +501,7 @@
             notices=self._notices,
             delay_estimator=self._delay_estimator,
             exits=exits,
+            memory_budget=self._bounds.memory_budget,
             clock=clock,
             zone=settings.zone,
             rng=self._rng,
@@ -597,6 +613,7 @@
                 self._forwarding_pool.close_expired()
                 self._run_monitor.settle_overdue()
                 self._notices.forget_expired()
+                self._bounds.update()
                 self._metrics.in_flight.set(self._request_handler.in_flight)
                 self._metrics.declaration_version.set(self._declarations.version)
                 self._metrics.open_groups.set(self._server_tracker.open_groups())
@@ -652,6 +669,8 @@
                 self._connections,
                 self._on_unreadable_request,
                 refusal_headers,
+                memory_budget=self._bounds.memory_budget,
+                on_unread=self._bounds.record_unread,
             ),
             host,
             int(port),
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -155,6 +155,21 @@
             "Times at which no server responded to requests or probes.",
             registry=self._registry,
         )
+        self.held_bytes = prometheus_client.Gauge(
+            f"{name}_held_bytes",
+            "Bytes of requests and unread responses that are held.",
+            registry=self._registry,
+        )
+        self.connections = prometheus_client.Gauge(
+            f"{name}_connections",
+            "Open connections of callers and other nodes.",
+            registry=self._registry,
+        )
+        self.unread_disconnects = prometheus_client.Counter(
+            f"{name}_unread_disconnects",
+            "Callers disconnected because they did not read their response.",
+            registry=self._registry,
+        )
         self.lapsed_servers = prometheus_client.Gauge(
             f"{name}_lapsed_servers",
             "Servers that are kept although their entry was removed.",
--- a/pomelolug/entry/losses/_run_monitor.py
+++ b/pomelolug/entry/losses/_run_monitor.py
@@ -9,7 +9,8 @@
 the prompt until the registry shows the end.
 
 While the node is cut off from the servers, the end of a run says nothing about its
-server. Only the registry then shows a loss.
+server. Only the registry then shows a loss. So it is for a response that was left
+unread, since its server may have cut it for that.
 """
 
 import collections
@@ -63,6 +64,8 @@
     """The server refused, failed, or sent something that cannot be used."""
     CONNECTION_LOST = "connection_lost"
     """The connection ended."""
+    LEFT_UNREAD = "left_unread"
+    """The connection ended after this node had not read the response for its caller."""
     STALLED = "stalled"
     """The streams of the group stalled, and another group went on."""
     UNANSWERED = "unanswered"
@@ -108,7 +111,8 @@
     """Loss for which the registry does not show yet whether the server has ended.
 
     `claims` are the fingerprints for which it counts, each with the id of the loss.
-    There are none if the links of this node may have ended the run.
+    There are none if the links of this node may have ended the run, or its caller who
+    did not read.
     """
 
     run: ServerRun
@@ -232,6 +236,9 @@
             if end is RunEnd.ANSWERED:
                 self._detector.acquit(run.identity.request)
                 self._record_answer(run)
+        elif end is RunEnd.LEFT_UNREAD:
+            if not is_counted:
+                self._record_loss(run, is_suspicion=True, is_evidence=False)
         elif not is_counted:
             was_silent = self._extend_silence(run) >= _SILENCE_S
             is_evident = end is RunEnd.CONNECTION_LOST or (
@@ -308,12 +315,20 @@
         return now_s - since_s
 
     def _record_loss(
-        self, run: ServerRun, *, is_suspicion: bool, is_running: bool = False
+        self,
+        run: ServerRun,
+        *,
+        is_suspicion: bool,
+        is_running: bool = False,
+        is_evidence: bool = True,
     ) -> None:
-        """Record a loss, until the registry shows whether the server has ended."""
+        """Record a loss, until the registry shows whether the server has ended.
+
+        Without evidence, it counts only then.
+        """
         loss_id = self._find_loss_id(run)
         claims: list[tuple[str, str]] = []
-        if not self._contact.was_cut_off_since(run.began_at_s):
+        if is_evidence and not self._contact.was_cut_off_since(run.began_at_s):
             claims.append((run.identity.request, loss_id))
             if not is_suspicion:
                 claims += self._part_claims(run, loss_id)
--- a/pomelolug/entry/requests/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -1,6 +1,7 @@
 """Handling of callers' requests: routing, authentication, deadline, forwarding."""
 
 import asyncio
+import datetime
 import random
 from collections.abc import Callable
 from typing import Any
@@ -31,7 +32,7 @@
 from pomelolug.feeds import TopicFeed
 from pomelolug.ids import AccountId
 from pomelolug.platform import RequestHead, decode_request_head
-from pomelolug.transport import Exchange
+from pomelolug.transport import Exchange, RefusalCause
 
 __all__ = ["RequestHandler"]
 
@@ -39,6 +40,17 @@
 
 _MAX_LOG_LINES_PER_S = 100.0
 """Log lines per second for answered requests; failures are always logged."""
+_REFUSAL_RETRY_AFTER = datetime.timedelta(seconds=1)
+"""Retry-After time at the bound of memory or connections; most requests end sooner."""
+_REFUSAL_JITTER = 0.2
+"""Relative jitter of this time, so that callers do not return simultaneously."""
+_REFUSALS = {
+    RefusalCause.MEMORY: (ErrorCode.MEMORY_LIMIT, "the node holds too much"),
+    RefusalCause.CONNECTIONS: (
+        ErrorCode.CONNECTION_LIMIT,
+        "the node has too many connections",
+    ),
+}
 _LOWEST_URGENCY = 9
 """Largest urgency value sent to a server; 0 is the most urgent."""
 
@@ -144,6 +156,7 @@
         assert task is not None
         self._tasks.add(task)
         try:
+            self._check_refusal(exchange)
             forwarded = self._accept_forwarded(exchange) if is_forwarded else None
             context = self._build_context(
                 exchange, request_head, record, arrived_at_s, forwarded
@@ -169,6 +182,20 @@
             self._tasks.discard(task)
             self._record_outcome(record, arrived_at_s)
 
+    def _check_refusal(self, exchange: Exchange) -> None:
+        """Raise the error of a request that the node has no room for."""
+        if exchange.refusal is None:
+            return
+        code, message = _REFUSALS[exchange.refusal]
+        factor = 1.0 + self._rng.uniform(-_REFUSAL_JITTER, _REFUSAL_JITTER)
+        raise RequestError(
+            code,
+            message,
+            status=503,
+            outcome=Outcome.NOT_RUN,
+            retry_after=_REFUSAL_RETRY_AFTER * factor,
+        )
+
     def _accept_forwarded(self, exchange: Exchange) -> ForwardedRequest:
         """Return what another node states about a request, unless it is refused.
 
--- a/pomelolug/entry/requests/_attempt.py
+++ b/pomelolug/entry/requests/_attempt.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "CONNECTION_END_REASONS",
+    "LEFT_UNREAD_REASON",
     "Attempt",
     "AttemptError",
     "BaseAttempt",
@@ -33,6 +34,10 @@
 """Maximum number of responses read to find the one to this request."""
 _STALLED_REASON = "stalled"
 """Reason of the abort of a stalled stream that another group goes on with."""
+LEFT_UNREAD_REASON = "left_unread"
+"""Reason of a connection that ended after its response was left unread."""
+_NO_DESCRIPTOR_REASON = "no_descriptor"
+"""Reason of a connection that was not opened since this process has too many."""
 _SURVIVED_REASONS = frozenset(
     {
         "event_missing",
@@ -57,6 +62,12 @@
 }
 
 
+_OWN_REASONS = frozenset(
+    {*_WITHDRAWN_REASONS.values(), LEFT_UNREAD_REASON, _NO_DESCRIPTOR_REASON}
+)
+"""Failures of an attempt that say nothing about the server."""
+
+
 class RunStatus(enum.Enum):
     """Whether a server may have run a request."""
 
@@ -108,8 +119,12 @@
 
     @property
     def is_server_failure(self) -> bool:
-        """Whether the attempt failed, rather than being withdrawn before sending."""
-        return self._reason not in _WITHDRAWN_REASONS.values()
+        """Whether the server failed, rather than this node or its caller.
+
+        It did not if the request was withdrawn before sending, if the process has no
+        descriptor left, or if the caller did not read the response.
+        """
+        return self._reason not in _OWN_REASONS
 
     @property
     def stale_connection(self) -> bool:
@@ -255,6 +270,8 @@
         )
 
     def _lost_reason(self, error: HttpConnectionError) -> str:
+        if error.was_left_unread and error.reason in CONNECTION_END_REASONS:
+            return LEFT_UNREAD_REASON
         return error.reason
 
 
@@ -335,7 +352,8 @@
         try:
             connection = await self._pool.acquire(self._address, fresh=fresh)
         except HttpConnectionError as error:
-            self._report_trouble()
+            if error.reason != _NO_DESCRIPTOR_REASON:
+                self._report_trouble()
             raise AttemptError(
                 error.reason, run_status=RunStatus.NOT_RUN, may_have_arrived=False
             ) from error
@@ -412,6 +430,8 @@
         if isinstance(exc, AttemptError):
             if exc.reason == _STALLED_REASON:
                 return RunEnd.STALLED
+            if exc.reason == LEFT_UNREAD_REASON:
+                return RunEnd.LEFT_UNREAD
             survived = exc.reason in _SURVIVED_REASONS
             return RunEnd.SURVIVED if survived else RunEnd.CONNECTION_LOST
         if reply is not None and exc is None and self._body_complete:
--- a/pomelolug/entry/requests/_peer_forwarding.py
+++ b/pomelolug/entry/requests/_peer_forwarding.py
@@ -44,7 +44,9 @@
 _ELSEWHERE_CODES = frozenset(
     {
         ErrorCode.BACKEND_UNREACHABLE,
+        ErrorCode.CONNECTION_LIMIT,
         ErrorCode.DRAINING,
+        ErrorCode.MEMORY_LIMIT,
         ErrorCode.NO_CONFIGURATION,
         # A node that has lost its servers too lists none of them as ready.
         ErrorCode.NO_GROUP,
@@ -171,8 +173,8 @@
         )
 
     def _lost_reason(self, error: HttpConnectionError) -> str:
-        is_end = error.reason in CONNECTION_END_REASONS
-        return "peer_lost" if is_end else error.reason
+        reason = super()._lost_reason(error)
+        return "peer_lost" if reason in CONNECTION_END_REASONS else reason
 
 
 class _ErrorDetail(msgspec.Struct):
--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -23,7 +23,12 @@
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId, ZoneId
 from pomelolug.platform import ServerReply, response_headers
-from pomelolug.transport import BufferBudget, ConnectionPool, ResponseHead
+from pomelolug.transport import (
+    BufferBudget,
+    ConnectionPool,
+    MemoryBudget,
+    ResponseHead,
+)
 
 __all__ = ["PlainForwarder"]
 
@@ -103,6 +108,8 @@
         Service times and limits of the servers, learned from the answers.
     exits : RequestExits
         Other nodes that get requests if this one reaches no server.
+    memory_budget : MemoryBudget
+        Budget that bodies in assembly are charged to.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -121,6 +128,7 @@
         notices: ServerNotices,
         delay_estimator: LearnedDelayEstimator,
         exits: RequestExits,
+        memory_budget: MemoryBudget,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -135,7 +143,9 @@
         self._clock = clock
         self._zone = zone
         self._rng = rng
-        self._body_budget = BufferBudget(_MAX_BUFFERED_BODY_BYTES)
+        self._body_budget = BufferBudget(
+            _MAX_BUFFERED_BODY_BYTES, memory_budget=memory_budget
+        )
 
     async def forward(self, context: RequestContext) -> None:
         """Forward a request and send the response to the caller.
--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -250,6 +250,8 @@
         stop_grace_s: float = 8.0,
         cold_accepted_factor: float = 1.0,
         cold_excess_requests: float = 0.0,
+        memory_limit_bytes: int | None = None,
+        socket_limit: int | None = None,
     ) -> None:
         """Start the entry process; wait until it listens and has found its servers.
 
@@ -276,6 +278,8 @@
             least_lease=datetime.timedelta(seconds=1),
             cold_accepted_factor=cold_accepted_factor,
             cold_excess_requests=cold_excess_requests,
+            memory_limit_bytes=memory_limit_bytes,
+            socket_limit=socket_limit,
         )
         self.entry = _EntryProcess(
             settings, NonBlockingWriter(os.dup(2)), lambda: settings
--- a/pomelolug/entry/tests/test_run_monitor.py
+++ b/pomelolug/entry/tests/test_run_monitor.py
@@ -135,6 +135,36 @@
     assert node.losses == 0
 
 
+@pytest.mark.looptime
+async def test_cut_of_an_unread_response_is_no_loss():
+    # Guards against requests that are refused because their callers read slowly.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    for _ in range(5):
+        node.monitor.finish(node.begin(server), RunEnd.LEFT_UNREAD)
+    assert node.losses == 0
+    assert not node.told
+    await settle(node, 11.0)
+    assert node.losses == 0
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("shown_first", [False, True])
+async def test_end_of_a_server_counts_though_its_response_was_left_unread(shown_first):
+    # Guards against a crash that is taken for a cut because the caller read slowly.
+    node = Node()
+    server = make_server()
+    node.publish(server)
+    run = node.begin(server)
+    if shown_first:
+        node.publish(make_server(born=2))
+    node.monitor.finish(run, RunEnd.LEFT_UNREAD)
+    if not shown_first:
+        node.publish(make_server(born=2))
+    assert node.losses == 1
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize("how", ["lapsed", "restarted"])
 async def test_silent_server_that_has_ended_is_a_loss(how):
--- a/pomelolug/errors/_codes.py
+++ b/pomelolug/errors/_codes.py
@@ -57,6 +57,8 @@
     CALLER_TOO_SLOW = "caller_too_slow"
     CALLER_LEFT = "caller_left"
     DRAINING = "draining"
+    MEMORY_LIMIT = "memory_limit"
+    CONNECTION_LIMIT = "connection_limit"
 
     # The platform or a peer failed, the input is invalid or an invariant is violated.
     PLATFORM_UNAVAILABLE = "platform_unavailable"
--- a/pomelolug/platform/_server_control.py
+++ b/pomelolug/platform/_server_control.py
@@ -32,7 +32,7 @@
 
 _MAX_REPORT_BYTES = 64 * 1024
 _OTHER_SERVER_STATUS = 421
-_CONNECT_FAILURES = frozenset({"connect_refused", "connect_timeout"})
+_CONNECT_FAILURES = frozenset({"connect_refused", "connect_timeout", "no_descriptor"})
 """Reasons of connections that have not opened."""
 
 _RESULT_BY_STATUS = {
--- a/pomelolug/platform/_settings.py
+++ b/pomelolug/platform/_settings.py
@@ -17,6 +17,9 @@
 """Heartbeat intervals of silence after which the store removes an entry."""
 _LONGEST_HEARTBEAT = 1.25
 """Longest time between two writes of a server, in heartbeat intervals."""
+_BYTES_PER_MB = 1_000_000
+_FILE_DESCRIPTORS = 200
+"""Descriptors that the platform reserves for files."""
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -47,6 +50,12 @@
     min_ttl_ms: float = 1000.0
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    # A process that uses more memory is killed; 0 without a limit.
+    memory_mb: float = 0.0
+    max_fds: int = 0
+
+
 class _SettingsFile(msgspec.Struct, frozen=True):
     node: str
     ip: str
@@ -61,6 +70,7 @@
     # Region of each zone.
     zones: dict[str, str] = {}
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -100,6 +110,10 @@
     """Requests that a cold server accepts in a second, as a multiple of its limit."""
     cold_excess_requests: float = 0.0
     """Requests that a cold server accepts in a second beyond that."""
+    memory_limit_bytes: int | None = None
+    """Memory above which the process is killed, None if no limit is known."""
+    socket_limit: int | None = None
+    """Sockets that the process may have open, None if no limit is known."""
 
 
 def load_settings(path: pathlib.Path) -> NodeSettings:
@@ -151,6 +165,8 @@
         least_lease=datetime.timedelta(milliseconds=file.platform.min_ttl_ms),
         cold_accepted_factor=bounds.cold_overage,
         cold_excess_requests=bounds.cold_slack,
+        memory_limit_bytes=int(file.limits.memory_mb * _BYTES_PER_MB) or None,
+        socket_limit=max(file.limits.max_fds - _FILE_DESCRIPTORS, 0) or None,
     )
 
 
--- a/pomelolug/platform/tests/test_decoding.py
+++ b/pomelolug/platform/tests/test_decoding.py
@@ -61,6 +61,21 @@
     assert settings.longest_record_delay.total_seconds() == pytest.approx(1.5)
 
 
+def test_limits_of_the_process_are_read(tmp_path):
+    # Without them, a node holds more than its memory and is killed.
+    text = SETTINGS + "\n[limits]\nmemory_mb = 200\nmax_fds = 4100\n"
+    settings = load_settings(write_settings(tmp_path, text))
+    assert settings.memory_limit_bytes == 200_000_000
+    assert settings.socket_limit == 3900
+
+
+def test_settings_without_limits_set_no_bound(tmp_path):
+    # Guards against a node that refuses everything for a limit of 0.
+    settings = load_settings(write_settings(tmp_path, SETTINGS))
+    assert settings.memory_limit_bytes is None
+    assert settings.socket_limit is None
+
+
 @pytest.mark.parametrize(
     ("key", "zone"),
     [
--- a/pomelolug/transport/_buffer_budget.py
+++ b/pomelolug/transport/_buffer_budget.py
@@ -1,5 +1,7 @@
 """Limit of the bytes of response bodies that a process holds at a time."""
 
+from pomelolug.transport._memory_budget import MemoryBudget
+
 __all__ = ["BufferBudget"]
 
 
@@ -10,6 +12,8 @@
     ----------
     limit : int
         Maximum number of bytes.
+    memory_budget : MemoryBudget or None
+        Budget of the process, which the bytes are charged to as well.
 
     Examples
     --------
@@ -21,17 +25,24 @@
     True
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(
+        self, limit: int, *, memory_budget: MemoryBudget | None = None
+    ) -> None:
         self._limit = limit
+        self._memory_budget = memory_budget or MemoryBudget(None)
         self._reserved = 0
 
     def try_reserve(self, size: int) -> bool:
         """Reserve `size` bytes; return whether they were available."""
         if self._reserved + size > self._limit:
             return False
+        old = self._reserved
+        if not self._memory_budget.try_replace(old, old + size):
+            return False
         self._reserved += size
         return True
 
     def release(self, size: int) -> None:
         """Return bytes that were reserved."""
+        self._memory_budget.replace(self._reserved, self._reserved - size)
         self._reserved -= size
--- a/pomelolug/transport/_client.py
+++ b/pomelolug/transport/_client.py
@@ -4,16 +4,24 @@
 import collections
 import dataclasses
 import datetime
+import errno
 import socket
 from typing import cast
 
 import httptools
 
 from pomelolug.transport._buffer_budget import BufferBudget
+from pomelolug.transport._memory_budget import MemoryBudget
 
 __all__ = ["ClientConnection", "HttpConnectionError", "ResponseHead", "open_connection"]
 
 _MAX_BUFFERED_BYTES = 256 * 1024
+_UNCOUNTED_BYTES = 16 * 1024
+"""Bytes read ahead that need nothing of the memory budget, so that reading goes on."""
+_LEFT_UNREAD_S = 1.0
+"""Time in seconds without reading after which a server may cut its response."""
+_NO_DESCRIPTOR_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
+"""Errors that say something about this process, and nothing about the server."""
 _MAX_FRAMING_BYTES = 64 * 1024
 """Maximum number of bytes received in a row that are no part of a body.
 
@@ -37,11 +45,20 @@
     ----------
     reason : str
         Short name of the cause, from a bounded set so that it can be a metric label.
+    was_left_unread : bool
+        Whether the response was left unread before, so that the server may have cut
+        it for that.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, *, was_left_unread: bool = False) -> None:
         super().__init__(reason)
         self._reason = reason
+        self._was_left_unread = was_left_unread
+
+    @property
+    def was_left_unread(self) -> bool:
+        """Whether the response was left unread before the connection ended."""
+        return self._was_left_unread
 
     @property
     def reason(self) -> str:
@@ -70,9 +87,17 @@
 
     It cannot be reused after an incomplete response, after bytes that belong to no
     request, or if the server announced that it will close the connection.
+
+    Parameters
+    ----------
+    memory_budget : MemoryBudget or None
+        Budget that bytes read ahead are charged to.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory_budget: MemoryBudget | None = None) -> None:
+        self._account = (memory_budget or _NO_BUDGET).open_account()
+        self._paused_at_s: float | None = None
+        self._was_left_unread_until_s = float("-inf")
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -129,6 +154,17 @@
     def idle_since_s(self, loop_time_s: float) -> None:
         self._idle_since_s = loop_time_s
 
+    @property
+    def was_left_unread(self) -> bool:
+        """Whether the response was not read for so long that the server may cut it.
+
+        An end that arrives while nothing is read shows only when reading goes on.
+        """
+        now_s = self._loop.time()
+        if self._paused_at_s is not None:
+            return now_s - self._paused_at_s >= _LEFT_UNREAD_S
+        return now_s - self._was_left_unread_until_s < _LEFT_UNREAD_S
+
     @property
     def is_closed(self) -> bool:
         """Whether the connection has been closed."""
@@ -319,8 +355,14 @@
         self._chunks.append(data)
         self._has_progressed = True
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > _MAX_BUFFERED_BYTES and not self._reading_paused:
+        if self._buffered_bytes <= _UNCOUNTED_BYTES:
+            return
+        has_room = self._account.can_reserve(len(data))
+        self._charge()
+        is_full = self._buffered_bytes > _MAX_BUFFERED_BYTES or not has_room
+        if is_full and not self._reading_paused:
             self._reading_paused = True
+            self._paused_at_s = self._loop.time()
             if self._transport is not None:
                 self._transport.pause_reading()
 
@@ -347,16 +389,31 @@
         self._chunks.append(None)
         self._wake_reader()
 
+    def _charge(self) -> None:
+        """Count the bytes read ahead, which are held whether they fit or not."""
+        size = self._buffered_bytes
+        counted = size if size > _UNCOUNTED_BYTES and not self._closed else 0
+        if counted != self._account.held_bytes:
+            self._account.add(counted - self._account.held_bytes)
+
     def _resume_reading(self) -> None:
-        if self._reading_paused and self._buffered_bytes <= _MAX_BUFFERED_BYTES // 2:
+        """Count the bytes that are left, and read on if they are few."""
+        self._charge()
+        if self._reading_paused and self._buffered_bytes <= _UNCOUNTED_BYTES:
             self._reading_paused = False
+            if self.was_left_unread:
+                self._was_left_unread_until_s = self._loop.time()
+            self._paused_at_s = None
             if self._transport is not None and not self._closed:
                 self._transport.resume_reading()
 
     def _fail(self, reason: str) -> None:
         if not self._closed:
             self._closed = True
-            self._error = HttpConnectionError(reason)
+            self._charge()
+            self._error = HttpConnectionError(
+                reason, was_left_unread=self.was_left_unread
+            )
             self._wake_reader()
 
     def _wake_reader(self) -> None:
@@ -366,13 +423,19 @@
 
     async def _wait_for_data(self) -> None:
         if self._error is not None:
-            raise HttpConnectionError(self._error.reason)
+            raise HttpConnectionError(
+                self._error.reason, was_left_unread=self._error.was_left_unread
+            )
         self._waiter = self._loop.create_future()
         await self._waiter
 
 
 async def open_connection(
-    host: str, port: int, *, timeout: datetime.timedelta
+    host: str,
+    port: int,
+    *,
+    timeout: datetime.timedelta,
+    memory_budget: MemoryBudget | None = None,
 ) -> ClientConnection:
     """Open a connection to a server.
 
@@ -384,9 +447,17 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout.total_seconds()):
-            _, connection = await loop.create_connection(ClientConnection, host, port)
+            _, connection = await loop.create_connection(
+                lambda: ClientConnection(memory_budget), host, port
+            )
     except TimeoutError as error:
         raise HttpConnectionError("connect_timeout") from error
     except OSError as error:
-        raise HttpConnectionError("connect_refused") from error
+        has_descriptor = error.errno not in _NO_DESCRIPTOR_ERRORS
+        reason = "connect_refused" if has_descriptor else "no_descriptor"
+        raise HttpConnectionError(reason) from error
     return connection
+
+
+_NO_BUDGET = MemoryBudget(None)
+"""Budget of connections without a bound."""
--- a/pomelolug/transport/_pool.py
+++ b/pomelolug/transport/_pool.py
@@ -4,7 +4,12 @@
 import collections
 import datetime
 
-from pomelolug.transport._client import ClientConnection, open_connection
+from pomelolug.transport._client import (
+    ClientConnection,
+    HttpConnectionError,
+    open_connection,
+)
+from pomelolug.transport._memory_budget import MemoryBudget
 
 __all__ = ["ConnectionPool"]
 
@@ -20,13 +25,24 @@
         Idle time after which a connection is closed instead of reused.
     connect_timeout : datetime.timedelta
         Time limit for opening a connection.
+    max_idle_connections : int or None
+        Maximum number of idle connections to all addresses, None without a bound.
+    memory_budget : MemoryBudget or None
+        Budget that bytes read ahead are charged to.
     """
 
     def __init__(
-        self, *, max_idle: datetime.timedelta, connect_timeout: datetime.timedelta
+        self,
+        *,
+        max_idle: datetime.timedelta,
+        connect_timeout: datetime.timedelta,
+        max_idle_connections: int | None = None,
+        memory_budget: MemoryBudget | None = None,
     ) -> None:
         self._max_idle_s = max_idle.total_seconds()
         self._connect_timeout = connect_timeout
+        self._max_idle_connections = max_idle_connections
+        self._memory_budget = memory_budget
         self._idle_connections: dict[str, collections.deque[ClientConnection]] = {}
 
     async def acquire(self, address: str, *, fresh: bool = False) -> ClientConnection:
@@ -42,13 +58,32 @@
             if connection is not None:
                 return connection
         host, _, port = address.rpartition(":")
-        return await open_connection(host, int(port), timeout=self._connect_timeout)
+        try:
+            return await self._open(host, int(port))
+        except HttpConnectionError as error:
+            if error.reason != "no_descriptor" or not self._idle_connections:
+                raise
+        for idle_address in list(self._idle_connections):
+            self.close_idle(idle_address)
+        # Closed connections give their descriptors back in the next round.
+        await asyncio.sleep(0)
+        return await self._open(host, int(port))
+
+    async def _open(self, host: str, port: int) -> ClientConnection:
+        return await open_connection(
+            host, port, timeout=self._connect_timeout, memory_budget=self._memory_budget
+        )
 
     def release(self, address: str, connection: ClientConnection) -> None:
         """Keep a connection for reuse if possible; otherwise abort it."""
         if not connection.is_reusable:
             connection.abort()
             return
+        if self._max_idle_connections is not None:
+            idle_count = sum(map(len, self._idle_connections.values()))
+            if idle_count >= self._max_idle_connections:
+                connection.close()
+                return
         connections = self._idle_connections.setdefault(address, collections.deque())
         connection.idle_since_s = asyncio.get_running_loop().time()
         connections.append(connection)
--- a/pomelolug/transport/_server.py
+++ b/pomelolug/transport/_server.py
@@ -280,6 +280,7 @@
         self._in_head = False
         self._opened_at_s = self._loop.time()
         self._has_received = False
+        self._idle_since_s = self._opened_at_s
 
     @property
     def is_closing(self) -> bool:
@@ -349,7 +350,7 @@
         max_connections = self._limits.max_connections
         if max_connections is not None:
             excess = len(self._connections) + 1 - max_connections
-            self._is_above_limit = excess > 0
+            self._is_above_limit = excess > 0 and not self._replace_idle()
             if excess > _REFUSAL_CONNECTIONS:
                 self._on_refused(503)
                 self._transport.abort()
@@ -516,6 +517,7 @@
                 exchange.abort()
             self._release(exchange)
             self._handler_task = None
+            self._idle_since_s = self._loop.time()
             if not self._closing and self._transport is not None:
                 if self._queue:
                     self._start_next()
@@ -571,6 +573,18 @@
         self._queue.append(exchange)
         self._start_next()
 
+    def _replace_idle(self) -> bool:
+        """Close the connection that is idle longest; return whether there is one."""
+        idle = [
+            c
+            for c in self._connections
+            if c._has_received and not c.is_busy and not c.is_closing
+        ]
+        if not idle:
+            return False
+        min(idle, key=lambda connection: connection._idle_since_s).close_if_idle()
+        return True
+
     def _close(self) -> None:
         """Close the connection when the client has read what was written."""
         if self._transport is not None and not self._transport.is_closing():
