Do not pass on a promise that the server has not made

Cause: a server's 408, 429 or 503 without the statement that it did not run the request went unchanged to callers of requests that may run only once, who take it as the promise that theirs never runs, and send it again. Plain requests and streams that cannot be resumed, own and forwarded ones alike.

Change: such a request ends as 502 backend_lost, outcome unknown. Apart from that cause no path was found to be wrong.

--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -393,6 +393,12 @@
                 )
             )
             return None
+        if context.promises_falsely(answer.reply.status):
+            state.possible_runs += 1
+            state.error = _backend_lost_error(
+                f"the server answered {answer.reply.status}"
+            )
+            return None
         if answer.reply.status >= 500 and context.route.is_repeatable:
             self._server_tracker.record_failure(server.vm)
             state.possible_runs += 1
--- a/pomelolug/entry/requests/_request_context.py
+++ b/pomelolug/entry/requests/_request_context.py
@@ -20,6 +20,7 @@
 from pomelolug.platform import (
     RequestHead,
     forwarded_headers,
+    implies_not_run,
     outcome_headers,
     peer_headers,
     refusal_headers,
@@ -73,6 +74,14 @@
         """Whether the request may have run on any of the servers tried."""
         return any(attempt.may_have_run for attempt in self.record.attempts)
 
+    def promises_falsely(self, status: int) -> bool:
+        """Return whether a status of a server must not be passed on.
+
+        Callers of requests that may run only once take it as the promise that theirs
+        has not run, which the server did not state.
+        """
+        return implies_not_run(status) and not self.route.is_repeatable
+
     def encode_for_server(
         self, server: VmId, *, now_s: float, last_event_id: int | None
     ) -> bytes:
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -388,8 +388,10 @@
             error = caught
             result = _result_of(caught)
             if isinstance(caught, ServerError):
-                if not state.started and not self._can_retry_error(
-                    context, state, caught
+                if (
+                    not state.started
+                    and not self._can_retry_error(context, state, caught)
+                    and not context.promises_falsely(caught.head.status)
                 ):
                     self._reply_error(context, caught)
                     result = "answered"
@@ -419,7 +421,9 @@
                 self._server_tracker.record_refusal(run.target.vm)
             state.error = self._refused_error("no group took the request")
             return
-        if isinstance(error, ServerError):
+        if isinstance(error, ServerError) and not context.promises_falsely(
+            error.head.status
+        ):
             state.server_error = error
         is_stale = isinstance(error, AttemptError) and error.stale_connection
         if is_stale and context.route.is_repeatable and not state.use_fresh_connection:
--- a/pomelolug/platform/_headers.py
+++ b/pomelolug/platform/_headers.py
@@ -68,6 +68,7 @@
 """Longest pause of a server, in seconds; a longer one is shortened to it."""
 _UNAVAILABLE_STATUS = 503
 _OTHER_SERVER_STATUS = 421
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -280,6 +281,11 @@
     return datetime.timedelta(seconds=min(seconds, _MAX_PAUSE_S))
 
 
+def implies_not_run(status: int) -> bool:
+    """Return whether callers take a status as the promise that nothing has run."""
+    return status in _NOT_RUN_STATUSES
+
+
 def response_headers(head: ResponseHead) -> tuple[tuple[bytes, bytes], ...]:
     """Return a server's header fields that go to the caller."""
     dropped = _HOP_BY_HOP_FIELDS | _INTERNAL_FIELDS
