Show that a process of 200 MB bears callers who neither read nor finish

Test with the real process: 300 callers leave 1 MB responses unread and 150 send 3 of 4 MB of a body.

--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -321,9 +321,14 @@
 
 
 class ProcessNode(CallerOfNode):
-    """A node beside those of a harness, as a process that can be stopped."""
+    """A node beside those of a harness, as a process that can be stopped.
 
-    def __init__(self, joins: Harness, folder: pathlib.Path) -> None:
+    `limits` is the section of that name in its settings.
+    """
+
+    def __init__(
+        self, joins: Harness, folder: pathlib.Path, *, limits: str = ""
+    ) -> None:
         self._ip = next(_addresses)
         path = folder / "node.toml"
         settings = format_entry_settings(
@@ -333,7 +338,7 @@
             store=joins.store.address,
             seeds=[f"{joins.ip}:8003"],
         )
-        path.write_text(settings)
+        path.write_text(settings + limits)
         self._process = SoakProcess(
             name="process-node",
             arguments=("-m", "pomelolug.entry"),
@@ -352,6 +357,13 @@
             while not await is_ready(f"{self._ip}:8002"):  # noqa: ASYNC110
                 await asyncio.sleep(0.1)
 
+    @property
+    def peak_memory_bytes(self) -> int:
+        """Largest resident memory of the process so far."""
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        line = next(x for x in status.splitlines() if x.startswith("VmHWM"))
+        return int(line.split()[1]) * 1024
+
     def signal(self, number: signal.Signals) -> None:
         self._process.signal(number)
 
--- a/pomelolug/entry/tests/test_slow_readers.py
+++ b/pomelolug/entry/tests/test_slow_readers.py
@@ -1,6 +1,7 @@
 """Callers who read slowly, and the bounds of memory and sockets, at a whole node."""
 
 import asyncio
+import pathlib
 import re
 import socket
 
@@ -9,7 +10,9 @@
 
 from pomelolug.entry.tests.harness import (
     MODEL,
+    CallerOfNode,
     Harness,
+    ProcessNode,
     declaration,
     encode_caller_request,
     route,
@@ -84,7 +87,7 @@
             await asyncio.sleep(0.02)
 
 
-def connect_unread(h: Harness) -> socket.socket:
+def connect_unread(h: CallerOfNode) -> socket.socket:
     """Return a connection with a small window, which is not read by itself."""
     client = socket.socket()
     client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 * 1024)
@@ -294,3 +297,52 @@
         tracker = h.entry._server_tracker
         assert not tracker.suspects()
         assert tracker.failure_score("vm-1") == 0.0
+
+
+LIMITS = "[limits]\nmemory_mb = 200\nmax_fds = 4100\n"
+UNREAD_COUNT = 300
+UPLOAD_COUNT = 150
+
+
+async def test_process_of_200_mb_bears_callers_who_neither_read_nor_finish(
+    tmp_path: pathlib.Path,
+):
+    # Guards against a node that is killed for its memory, or that serves nobody else
+    # while callers leave 300 MB of responses unread and 450 MB of bodies unfinished.
+    async def script(request):
+        send_response(
+            request, body=b"x" * MB if "large" in request.target else b"small"
+        )
+
+    async with Harness() as h:
+        h.publish_declaration(slow_declaration())
+        await h.add_server(script, slots=2000)
+        node = ProcessNode(h, tmp_path, limits=LIMITS)
+        await node.start()
+        clients = []
+        try:
+            request = encode_caller_request("/safe/large", deadline_ms=20_000)
+            upload = encode_caller_request(
+                "/once/x", method=b"POST", body=b"x" * 4 * MB, deadline_ms=20_000
+            )
+            for number in range(max(UNREAD_COUNT, UPLOAD_COUNT)):
+                client = connect_unread(node)
+                clients.append(client)
+                client.send(request)
+                if number < UPLOAD_COUNT:
+                    _, writer = await asyncio.open_connection(node.ip, 8001)
+                    clients.append(writer)
+                    # All but the end of the body.
+                    writer.write(upload[: 3 * MB])
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(1.0)
+            statuses = []
+            for number in range(20):
+                head, _ = await node.request("/safe/small", request_id=f"s{number}")
+                statuses.append(head.status)
+            assert statuses == [200] * 20
+            assert node.peak_memory_bytes < 200 * MB
+        finally:
+            for client in clients:
+                client.close()
+            await node.kill()
