--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 from collections.abc import Iterator
 
@@ -357,6 +358,11 @@
             while not await is_ready(f"{self._ip}:8002"):  # noqa: ASYNC110
                 await asyncio.sleep(0.1)
 
+    def limit_descriptors(self, count: int) -> None:
+        """Let the process have at most `count` descriptors open."""
+        limit = (count, count)
+        resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limit)
+
     @property
     def peak_memory_bytes(self) -> int:
         """Largest resident memory of the process so far."""
--- a/pomelolug/entry/tests/test_slow_readers.py
+++ b/pomelolug/entry/tests/test_slow_readers.py
@@ -346,3 +346,59 @@
             for client in clients:
                 client.close()
             await node.kill()
+
+
+RUNNING_COUNT = 1650
+"""Connections for which 4,100 descriptors are enough, with those to the servers."""
+
+
+async def test_process_of_4100_descriptors_refuses_what_it_cannot_run(
+    tmp_path: pathlib.Path,
+):
+    # Guards against running requests that fail, or servers that are suspected, since
+    # new callers have taken the last descriptors.
+    proceed = asyncio.Event()
+    arrived = []
+
+    async def script(request):
+        arrived.append(request)
+        await proceed.wait()
+        send_response(request, body=b"small")
+
+    async with Harness() as h:
+        h.publish_declaration(slow_declaration())
+        for _ in range(2):
+            await h.add_server(script, slots=2000)
+        node = ProcessNode(h, tmp_path, limits=LIMITS)
+        await node.start()
+        node.limit_descriptors(4100)
+        tasks = []
+        try:
+            for number in range(RUNNING_COUNT):
+                request = node.request(
+                    "/once/x",
+                    method=b"POST",
+                    request_id=f"r{number}",
+                    deadline_ms=20_000,
+                )
+                tasks.append(asyncio.create_task(request))
+                if number % 50 == 0:
+                    await asyncio.sleep(0.05)
+            async with asyncio.timeout(15.0):
+                while len(arrived) < RUNNING_COUNT:  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+            further = [
+                await node.request("/once/x", method=b"POST", request_id=f"f{number}")
+                for number in range(50)
+            ]
+            assert {head.status for head, _ in further} == {503}
+            assert all(b'"connection_limit"' in body for _, body in further)
+            proceed.set()
+            answers = await asyncio.gather(*tasks)
+            assert {head.status for head, _ in answers} == {200}
+            assert len(arrived) == RUNNING_COUNT
+            assert node.peak_memory_bytes < 200 * MB
+        finally:
+            for task in tasks:
+                task.cancel()
+            await node.kill()
--- a/pomelolug/transport/tests/test_client_connection.py
+++ b/pomelolug/transport/tests/test_client_connection.py
@@ -1,7 +1,9 @@
 """Tests of the assignment of received data to requests on a client connection."""
 
 import asyncio
+import contextlib
 import datetime
+import errno
 
 import pytest
 
@@ -9,6 +11,7 @@
 from pomelolug.transport import (
     ConnectionPool,
     HttpConnectionError,
+    MemoryBudget,
     encode_request,
     open_connection,
 )
@@ -134,3 +137,109 @@
     with pytest.raises(HttpConnectionError) as caught:
         await open_connection(host, int(port), timeout=SECOND)
     assert caught.value.reason == "connect_refused"
+
+
+async def connect_to(script, **options):
+    server = ScriptedServer(script)
+    await server.start()
+    host, _, port = server.address.rpartition(":")
+    connection = await open_connection(host, int(port), timeout=SECOND, **options)
+    return server, connection
+
+
+async def send_without_end(request):
+    request.send_head("200 OK", {"Content-Length": str(1 << 30)})
+    for _ in range(1 << 14):
+        request.writer.write(b"x" * (1 << 16))
+        await request.writer.drain()
+
+
+async def test_reading_ahead_stops_when_the_memory_is_used_up():
+    # Guards against many responses read ahead for slow callers, each within its bound.
+    budget = MemoryBudget(1 << 20)
+    budget.replace(0, 1 << 20)
+    server, connection = await connect_to(send_without_end, memory_budget=budget)
+    connection.send(REQUEST)
+    await asyncio.sleep(0.3)
+    # One read may exceed what needs nothing of the budget.
+    assert connection._buffered_bytes <= 16 * 1024 + 256 * 1024
+    assert connection._reading_paused
+    held_bytes = budget.held_bytes
+    # Its own reader goes on nevertheless, without waiting for the others.
+    for _ in range(20):
+        assert await connection.read_available()
+    assert budget.held_bytes <= held_bytes + 256 * 1024
+    connection.abort()
+    assert budget.held_bytes == 1 << 20
+    server.stop()
+
+
+@pytest.mark.parametrize(("pause_s", "was_left"), [(1.2, True), (0.0, False)])
+async def test_end_after_a_response_was_left_unread_is_told_apart(pause_s, was_left):
+    # Guards against a cut by a server whose response was not read that looks like a
+    # crash, and against a crash that looks like such a cut.
+    async def script(request):
+        request.send_head("200 OK", {"Content-Length": str(1 << 30)})
+        with contextlib.suppress(TimeoutError):
+            for _ in range(1 << 8 if pause_s else 8):
+                request.writer.write(b"x" * (1 << 16))
+                await asyncio.wait_for(request.writer.drain(), 0.5)
+        request.reset()
+
+    server, connection = await connect_to(script)
+    connection.send(REQUEST)
+    await connection.read_head()
+    await asyncio.sleep(pause_s)
+    with pytest.raises(HttpConnectionError) as caught:
+        while True:
+            await connection.read_available()
+    assert caught.value.reason in ("reset", "closed")
+    assert caught.value.was_left_unread == was_left
+    server.stop()
+
+
+async def test_pool_keeps_a_bounded_number_of_idle_connections():
+    # Guards against idle connections that take the descriptors of new requests.
+    async def script(request):
+        request.send("200 OK", {}, b"")
+
+    servers = [ScriptedServer(script) for _ in range(5)]
+    pool = ConnectionPool(
+        max_idle=SECOND, connect_timeout=SECOND, max_idle_connections=3
+    )
+    connections = []
+    for server in servers:
+        await server.start()
+        connection = await pool.acquire(server.address)
+        connection.send(REQUEST)
+        await connection.read_head()
+        await connection.read_body(10)
+        pool.release(server.address, connection)
+        connections.append(connection)
+    assert [c.is_closed for c in connections] == [False] * 3 + [True] * 2
+    for server in servers:
+        server.stop()
+
+
+async def test_pool_gives_up_idle_connections_for_a_descriptor(monkeypatch):
+    # Guards against a request that is refused while idle connections are kept.
+    async def script(request):
+        request.send("200 OK", {}, b"")
+
+    server = ScriptedServer(script)
+    await server.start()
+    pool = ConnectionPool(max_idle=SECOND, connect_timeout=SECOND)
+    idle = await pool.acquire(server.address)
+    pool.release(server.address, idle)
+    loop = asyncio.get_running_loop()
+    create_connection = loop.create_connection
+
+    async def create(*args, **options):
+        if not idle.is_closed:
+            raise OSError(errno.EMFILE, "Too many open files")
+        return await create_connection(*args, **options)
+
+    monkeypatch.setattr(loop, "create_connection", create)
+    connection = await pool.acquire(server.address, fresh=True)
+    assert not connection.is_closed
+    server.stop()
