--- a/pomelolug/transport/_memory_budget.py
+++ b/pomelolug/transport/_memory_budget.py
@@ -35,8 +35,9 @@
 
     def __init__(self, total: int | None) -> None:
         self._total = total
+        self._own_part = 0 if total is None else total // _SHARES
         # Bytes held by connections that hold little, and by those that hold much.
-        self._held = {False: 0, True: 0}
+        self._held = [0, 0]
 
     @classmethod
     def for_process(cls, memory_limit: int | None) -> "MemoryBudget":
@@ -51,12 +52,12 @@
     @property
     def held_bytes(self) -> int:
         """Number of bytes held, which may exceed the total by what was not refused."""
-        return self._held[False] + self._held[True]
+        return sum(self._held)
 
     @property
     def connection_limit(self) -> int | None:
         """Maximum number of bytes of one connection, None without a bound."""
-        return None if self._total is None else self._total // _SHARES
+        return None if self._total is None else self._own_part
 
     def open_account(self) -> "MemoryAccount":
         """Return the account of a connection that holds nothing yet."""
@@ -78,11 +79,10 @@
         kind = self._held[is_large] + new
         if (old > _SMALL_BYTES) == is_large:
             kind -= old
-        own_part = self._total // _SHARES
-        if kind <= own_part:
+        if kind <= self._own_part:
             return True
         held = self.held_bytes - old + new
-        return kind <= self._total - own_part and held <= self._total
+        return kind <= self._total - self._own_part and held <= self._total
 
     def try_replace(self, old: int, new: int) -> bool:
         """Change a holding of `old` to `new` bytes; return whether they fit."""
@@ -106,10 +106,11 @@
         Budget of all connections.
     """
 
-    __slots__ = ("_budget", "_held")
+    __slots__ = ("_budget", "_held", "_limit")
 
     def __init__(self, budget: MemoryBudget) -> None:
         self._budget = budget
+        self._limit = budget.connection_limit
         self._held = 0
 
     @property
@@ -119,10 +120,10 @@
 
     def can_reserve(self, count: int) -> bool:
         """Return whether the connection may hold `count` bytes more."""
-        limit = self._budget.connection_limit
-        if limit is not None and self._held + count > limit:
+        new = self._held + count
+        if self._limit is not None and new > self._limit:
             return False
-        return self._budget.can_replace(self._held, self._held + count)
+        return self._budget.can_replace(self._held, new)
 
     def try_reserve(self, count: int) -> bool:
         """Reserve bytes; return whether the connection and all together may."""
--- a/pomelolug/transport/_server.py
+++ b/pomelolug/transport/_server.py
@@ -27,7 +27,8 @@
 _FIRST_REQUEST_WAIT_S = 1.0
 """Time for the first request of a connection, as long as callers wait to connect."""
 _REQUEST_BYTES = 8 * 1024
-"""Memory of a request beside its header fields and body."""
+"""Memory of a request beside its header fields, with a body of the next size."""
+_SMALL_BODY_BYTES = 2 * 1024
 _COPIES_OF_BODY = 2
 """Times that a request body is held: as received, and as sent to a server."""
 _HIGH_WATER_BYTES = 16 * 1024
@@ -97,6 +98,8 @@
         self._chunked = False
         self._ended = False
         self._refusal: RefusalCause | None = None
+        self.held_bytes = 0
+        """Bytes of memory that the connection has reserved for the request."""
 
     @property
     def refusal(self) -> RefusalCause | None:
@@ -253,7 +256,6 @@
         self._on_unread = on_unread
         self._unread = _UnreadBytes()
         self._unread_timer: asyncio.TimerHandle | None = None
-        self._held_for: dict[Exchange, int] = {}
         self._is_above_limit = False
         self._is_turned_away = False
         self._discards_body = False
@@ -456,24 +458,29 @@
         if self._is_above_limit:
             self._turn_away(exchange, RefusalCause.CONNECTIONS)
             return
-        fixed = self._header_bytes + _REQUEST_BYTES
-        # What cannot fit is refused before its body has arrived.
-        expected = _COPIES_OF_BODY * min(
-            _content_length(self._fields), self._limits.max_body_bytes
-        )
-        if not self._account.can_reserve(fixed + expected):
+        expects_continue, length = _announced_body(self._fields)
+        if not self._hold(exchange, self._header_bytes + _REQUEST_BYTES) or (
+            # What cannot fit is refused before its body has arrived.
+            length > _SMALL_BODY_BYTES
+            and not self._account.can_reserve(
+                _COPIES_OF_BODY * min(length, self._limits.max_body_bytes)
+            )
+        ):
             self._turn_away(exchange, RefusalCause.MEMORY)
             return
-        self._hold(exchange, fixed)
-        if any(k.lower() == b"expect" for k, _ in self._fields):
+        if expects_continue:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the request body."""
         if self._incoming is None or self._refused:
             return
-        if not self._hold(self._incoming, _COPIES_OF_BODY * len(data)):
-            self._turn_away(self._incoming, RefusalCause.MEMORY)
+        exchange = self._incoming
+        size = exchange.body_size + len(data)
+        if size > _SMALL_BODY_BYTES and not self._hold(
+            exchange, _COPIES_OF_BODY * len(data)
+        ):
+            self._turn_away(exchange, RefusalCause.MEMORY)
             return
         self._incoming.append_body(data)
         if self._incoming.body_size > self._limits.max_body_bytes:
@@ -556,11 +563,12 @@
         """Reserve memory for a request; return whether it was available."""
         if not self._account.try_reserve(count):
             return False
-        self._held_for[exchange] = self._held_for.get(exchange, 0) + count
+        exchange.held_bytes += count
         return True
 
     def _release(self, exchange: Exchange) -> None:
-        self._account.release(self._held_for.pop(exchange, 0))
+        self._account.release(exchange.held_bytes)
+        exchange.held_bytes = 0
 
     def _turn_away(self, exchange: Exchange, cause: RefusalCause) -> None:
         """Have the handler refuse a request at once, and drop what follows."""
@@ -669,13 +677,23 @@
         return now_s - self._progressed_at_s
 
 
+_EXPECT_SIZE = len(b"expect")
+_CONTENT_LENGTH_SIZE = len(b"content-length")
 _NO_BUDGET = MemoryBudget(None)
 """Budget of connections without a bound."""
 
 
-def _content_length(fields: list[tuple[bytes, bytes]]) -> int:
-    """Return the announced length of a body, 0 if none is announced."""
+def _announced_body(fields: list[tuple[bytes, bytes]]) -> tuple[bool, int]:
+    """Return whether a client waits to send its body, and the length if announced."""
+    expects_continue, length = False, 0
     for name, value in fields:
-        if name.lower() == b"content-length" and value.isdigit():
-            return int(value[:18])
-    return 0
+        size = len(name)
+        if size == _EXPECT_SIZE and name.lower() == b"expect":
+            expects_continue = True
+        elif (
+            size == _CONTENT_LENGTH_SIZE
+            and name.lower() == b"content-length"
+            and value.isdigit()
+        ):
+            length = int(value[:18])
+    return expects_continue, length
