--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -23,7 +23,12 @@
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId, ZoneId
 from pomelolug.platform import ServerReply, response_headers
-from pomelolug.transport import BufferBudget, ConnectionPool, ResponseHead
+from pomelolug.transport import (
+    BufferBudget,
+    ConnectionPool,
+    MemoryBudget,
+    ResponseHead,
+)
 
 __all__ = ["PlainForwarder"]
 
@@ -111,6 +116,8 @@
         Service times and limits of the servers, learned from the answers.
     exits : RequestExits
         Other nodes that get requests if this one reaches no server.
+    memory_budget : MemoryBudget
+        Budget that bodies in assembly are charged to.
     clock : Clock
         Source of monotonic time.
     zone : ZoneId
@@ -129,6 +136,7 @@
         notices: ServerNotices,
         delay_estimator: LearnedDelayEstimator,
         exits: RequestExits,
+        memory_budget: MemoryBudget,
         clock: Clock,
         zone: ZoneId,
         rng: random.Random,
@@ -143,7 +151,9 @@
         self._clock = clock
         self._zone = zone
         self._rng = rng
-        self._body_budget = BufferBudget(_MAX_BUFFERED_BODY_BYTES)
+        self._body_budget = BufferBudget(
+            _MAX_BUFFERED_BODY_BYTES, memory_budget=memory_budget
+        )
 
     async def forward(self, context: RequestContext) -> None:
         """Forward a request and send the response to the caller.
@@ -391,6 +401,12 @@
                 )
             )
             return None
+        if context.promises_falsely(answer.reply.status):
+            state.possible_runs += 1
+            state.error = _backend_lost_error(
+                f"the server answered {answer.reply.status}"
+            )
+            return None
         if answer.reply.status >= 500 and context.route.is_repeatable:
             self._server_tracker.record_failure(running.attempt.server.vm)
             state.possible_runs += 1
--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 from collections.abc import Iterator
 
@@ -250,6 +251,8 @@
         stop_grace_s: float = 8.0,
         cold_accepted_factor: float = 1.0,
         cold_excess_requests: float = 0.0,
+        memory_limit_bytes: int | None = None,
+        socket_limit: int | None = None,
     ) -> None:
         """Start the entry process; wait until it listens and has found its servers.
 
@@ -276,6 +279,8 @@
             least_lease=datetime.timedelta(seconds=1),
             cold_accepted_factor=cold_accepted_factor,
             cold_excess_requests=cold_excess_requests,
+            memory_limit_bytes=memory_limit_bytes,
+            socket_limit=socket_limit,
         )
         self.entry = _EntryProcess(
             settings, NonBlockingWriter(os.dup(2)), lambda: settings
@@ -317,9 +322,14 @@
 
 
 class ProcessNode(CallerOfNode):
-    """A node beside those of a harness, as a process that can be stopped."""
+    """A node beside those of a harness, as a process that can be stopped.
 
-    def __init__(self, joins: Harness, folder: pathlib.Path) -> None:
+    `limits` is the section of that name in its settings.
+    """
+
+    def __init__(
+        self, joins: Harness, folder: pathlib.Path, *, limits: str = ""
+    ) -> None:
         self._ip = next(_addresses)
         path = folder / "node.toml"
         settings = format_entry_settings(
@@ -329,7 +339,7 @@
             store=joins.store.address,
             seeds=[f"{joins.ip}:8003"],
         )
-        path.write_text(settings)
+        path.write_text(settings + limits)
         self._process = SoakProcess(
             name="process-node",
             arguments=("-m", "pomelolug.entry"),
@@ -348,6 +358,18 @@
             while not await is_ready(f"{self._ip}:8002"):  # noqa: ASYNC110
                 await asyncio.sleep(0.1)
 
+    def limit_descriptors(self, count: int) -> None:
+        """Let the process have at most `count` descriptors open."""
+        limit = (count, count)
+        resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limit)
+
+    @property
+    def peak_memory_bytes(self) -> int:
+        """Largest resident memory of the process so far."""
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        line = next(x for x in status.splitlines() if x.startswith("VmHWM"))
+        return int(line.split()[1]) * 1024
+
     def signal(self, number: signal.Signals) -> None:
         self._process.signal(number)
 
--- a/pomelolug/transport/__init__.py
+++ b/pomelolug/transport/__init__.py
@@ -7,6 +7,7 @@
     ResponseHead,
     open_connection,
 )
+from pomelolug.transport._memory_budget import MemoryAccount, MemoryBudget
 from pomelolug.transport._pool import ConnectionPool
 from pomelolug.transport._request import encode_request
 from pomelolug.transport._running_time_limit import RunningTimeLimit
@@ -14,6 +15,7 @@
     Exchange,
     Handler,
     HttpServerLimits,
+    RefusalCause,
     ServerConnection,
 )
 
@@ -25,6 +27,9 @@
     "Handler",
     "HttpConnectionError",
     "HttpServerLimits",
+    "MemoryAccount",
+    "MemoryBudget",
+    "RefusalCause",
     "ResponseHead",
     "RunningTimeLimit",
     "ServerConnection",
