Leave pauses of the test's process out of the times of requests

Cause: check_service and the tests of cut off nodes bound the wall time of requests by 1.0 s, while nodes, servers and callers run in one event loop. A pause of the process counted for every request in flight.

--- a/pomelolug/entry/tests/cut_off_nodes.py
+++ b/pomelolug/entry/tests/cut_off_nodes.py
@@ -18,6 +18,7 @@
     start_stream,
 )
 from pomelolug.entry.tests.server_links import LinkCut, ServerLinks
+from pomelolug.testing import RunningStopwatch
 from pomelolug.transport import HttpConnectionError
 
 __all__ = [
@@ -57,7 +58,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """Status and body of a response, 0 if the connection failed, and its time."""
+    """Status and body of a response, 0 if the connection failed, and its time.
+
+    Pauses of the process, which runs the nodes and the servers too, are left out.
+    """
 
     status: int
     body: bytes
@@ -199,10 +203,10 @@
     **headers: str,
 ) -> Answer:
     """Send a request whose id contains the route."""
-    started_s = time.monotonic()
     if route == "stream":
         headers = STREAM_HEADERS | headers
-    try:
+    status, body = 0, b""
+    with RunningStopwatch() as stopwatch, contextlib.suppress(HttpConnectionError):
         head, body = await node.request(
             f"/{route}/{target}",
             method=b"POST" if route == "stream" else b"GET",
@@ -211,9 +215,8 @@
             deadline_ms=deadline_ms,
             **headers,
         )
-    except HttpConnectionError:
-        return Answer(0, b"", time.monotonic() - started_s)
-    return Answer(head.status, body, time.monotonic() - started_s)
+        status = head.status
+    return Answer(status, body, stopwatch.elapsed_s)
 
 
 async def send_many(
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -19,6 +19,7 @@
 from pomelolug.testing._loopback_proxy import LinkCut, LinkFault, LoopbackProxy
 from pomelolug.testing._memory_log import LogFaults, MemoryLog
 from pomelolug.testing._process_connections import ProcessConnections
+from pomelolug.testing._running_stopwatch import RunningStopwatch
 from pomelolug.testing._sample_deployment import (
     COLD_ACCEPTED_FACTOR,
     COLD_EXCESS_REQUESTS,
@@ -52,6 +53,7 @@
     "MemoryLog",
     "ProcessConnections",
     "ReceivedRequest",
+    "RunningStopwatch",
     "SampleDeployment",
     "ScriptedServer",
     "SimulatedServer",
