--- a/pomelolug/entry/servers/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -20,7 +20,7 @@
 from pomelolug.entry.servers._rate_limiter import RequestRateLimiter
 from pomelolug.entry.servers._request_bound import BoundKind
 from pomelolug.entry.servers._server_limits import ServerLimits
-from pomelolug.entry.servers._server_pauses import ServerPauses
+from pomelolug.entry.servers._server_pauses import Pause, ServerPauses
 from pomelolug.ids import VmId
 from pomelolug.messages import NodeStatus
 
@@ -135,11 +135,13 @@
 
     def is_leaving(self, server: BackendServer) -> bool:
         """Return whether a server has stated that it is about to leave."""
-        return self._leaving.is_leaving(self._with_latest_start(server))
+        return self._leaving.is_leaving(server) and self._leaving.is_leaving(
+            self._with_latest_start(server)
+        )
 
     def is_paused(self, server: BackendServer) -> bool:
         """Return whether a server wants no requests from this node for a while."""
-        return self._pauses.find(self._with_latest_start(server)) is not None
+        return self._find_pause(server) is not None
 
     def is_cold(self, server: BackendServer) -> bool:
         """Return whether a server is cold and its service declares what it bears."""
@@ -170,7 +172,7 @@
             return ServerWait(WaitCause.EVACUATED, wait_s, spread_s)
         bound_wait = self._rate_limiter.find_wait(server.vm)
         bound_wait_s = bound_wait[1] if bound_wait is not None else 0.0
-        pause = self._pauses.find(self._with_latest_start(server))
+        pause = self._find_pause(server)
         if pause is not None and pause.left_s >= bound_wait_s:
             spread_s = _PAUSE_RETURN_SPREAD * pause.length_s
             return ServerWait(WaitCause.PAUSE, pause.left_s, spread_s)
@@ -279,6 +281,12 @@
         if self._leaving.merge(status.leaving, source=status.node):
             self._on_leaving()
 
+    def _find_pause(self, server: BackendServer) -> Pause | None:
+        # Few servers pause, and the latest start matters only for those.
+        if self._pauses.find(server) is None:
+            return None
+        return self._pauses.find(self._with_latest_start(server))
+
     def _with_latest_start(self, server: BackendServer) -> BackendServer:
         """Return a server with its latest known start; its entry may be older."""
         known = self._cold_servers.find_start(server.vm)
