Forget the assignments to a head that has started again

Cause: the dispatcher counted streams at a head by its id. Those of the start before counted until their nodes told of their end or, if a notice was lost, up to 2 s and a status longer, so a new group of the head got nothing meanwhile.

Change: a restart drops what was assigned to the head and what nodes had reported.

Measured: the test needs the new method, so it could not fail before in this form; it passes; pytest pomelolug/entry/dispatch: all passed.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -718,6 +718,8 @@
         for server in (*change.removed, *change.restarted):
             self._pool.close_idle(server.address)
             self._server_contact.forget_server(server.vm)
+        for server in change.restarted:
+            self._group_dispatcher.forget_server(server.vm)
 
     def _announce(self) -> None:
         self._peer_coordinator.announce()
--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -234,6 +234,11 @@
             )
             self._ledger.expire(before_s=now_s - longest_s - _MAX_OVERTIME_S)
 
+    def forget_server(self, vm: VmId) -> None:
+        """Forget the streams at a head that has started again; they have ended."""
+        self._ledger.drop_server(vm)
+        self._unassigned.pop(vm, None)
+
     def clear(self) -> None:
         """Drop all state, since another node is the dispatcher."""
         self._ledger.clear()
--- a/pomelolug/entry/dispatch/_ledger.py
+++ b/pomelolug/entry/dispatch/_ledger.py
@@ -156,6 +156,11 @@
         """Drop the assignments to a process that has ended."""
         self.end(holder, list(self._assignments.get(holder, ())))
 
+    def drop_server(self, vm: VmId) -> None:
+        """Drop the assignments to a head that has started again."""
+        for holder, assignments in list(self._assignments.items()):
+            self.end(holder, [n for n, a in assignments.items() if a.vm == vm])
+
     def holders(self) -> list[Holder]:
         """Return the processes with open assignments."""
         return list(self._assignments)
--- a/pomelolug/entry/dispatch/tests/test_dispatcher.py
+++ b/pomelolug/entry/dispatch/tests/test_dispatcher.py
@@ -68,6 +68,21 @@
     assert assign(dispatcher, 2, first=100, target_s=0.0) == ["a0", None]
 
 
+def test_streams_at_a_head_that_has_restarted_do_not_count():
+    # Guards against a new group that gets nothing, since streams of the head's start of
+    # before, whose ends were not heard of, fill its slots.
+    dispatcher = make_dispatcher(make_heads(1))
+    assign(dispatcher, SLOTS, target_s=0.0)
+    dispatcher.update([], own=OWN, own_unassigned={"a0": 1})
+    dispatcher.forget_server(VmId("a0"))
+    assert dispatcher.in_flight(VmId("a0")) == dispatcher.open_assignments == 0
+    dispatcher.end(NODE, [0])
+    assert assign(dispatcher, SLOTS + 1, first=100, target_s=0.0) == [
+        *["a0"] * SLOTS,
+        None,
+    ]
+
+
 def test_repeated_question_takes_no_second_place():
     # Guards against a datagram that the network has duplicated.
     dispatcher = make_dispatcher(make_heads(3))
