--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import structlog
+
 from pomelolug.clock import Clock
 from pomelolug.deployment import (
     BackendServer,
@@ -21,6 +23,8 @@
 
 __all__ = ["GroupTeardown"]
 
+_log = structlog.get_logger(__name__)
+
 _DRAIN_TIMEOUT_S = 5.0
 """Time for which a group with a draining member keeps serving if no spare is ready.
 
@@ -189,7 +193,9 @@
         now_s = self._clock.monotonic()
         teardown = self._teardowns.setdefault(key, _Teardown())
         teardown.member_left = True
-        teardown.free_at_s = min(teardown.free_at_s or now_s, now_s)
+        if teardown.free_at_s is None or teardown.free_at_s > now_s:
+            teardown.free_at_s = now_s
+            _log.info("group_head_restarted", group=key[0], epoch=key[1])
 
     def _open_inherited(
         self, view: GroupView, model: ModelProfile | None
