Find slow servers within seconds, the slowest ones too

A slow server ends few requests, and the many of before outweighed them. Change: a second long pause in a row counts; an interval counts for 0.6 requests instead of 0.3, evidence for 10 requests at most instead of 24, the usual speed for 2 instead of 4. The two new tests fail without the change.

--- a/pomelolug/entry/performance/_evidence.py
+++ b/pomelolug/entry/performance/_evidence.py
@@ -30,7 +30,7 @@
 """Bound of the value that one request can show; as a log ratio, a factor of 4."""
 _HALF_LIFE_S = 3.0
 """Time in which evidence on a server loses half of its weight."""
-_MAX_WEIGHT = 24.0
+_MAX_WEIGHT = 10.0
 """Most requests that it counts for, so that old ones do not delay a change."""
 _MIN_WEIGHT = 0.1
 """Weight below which evidence is forgotten."""
--- a/pomelolug/entry/performance/_learned.py
+++ b/pomelolug/entry/performance/_learned.py
@@ -34,7 +34,7 @@
 
 _REFRESH_INTERVAL_S = 0.25
 """Interval at which factors and limits are computed from the evidence."""
-_PRIOR_WEIGHT = 4.0
+_PRIOR_WEIGHT = 2.0
 """Requests that the usual speed counts for, against those seen at a server."""
 _MIN_CENTER_WEIGHT = 1.0
 """Least weight of a server's evidence that counts for what is usual."""
@@ -68,7 +68,7 @@
 """Excess over the usual delay from which a pause of a sound server may explain it."""
 _SILENCE_WEIGHT = 0.25
 """Weight of a first event that a pause of the server may have delayed."""
-_INTERVAL_WEIGHT = 0.3
+_INTERVAL_WEIGHT = 0.6
 """Weight of a mean interval between events; a stream has several of them."""
 _MAX_TICK_DELAY_S = 0.2
 """Time without a tick after which this process was stopped or is overloaded."""
--- a/pomelolug/entry/performance/_observation.py
+++ b/pomelolug/entry/performance/_observation.py
@@ -13,7 +13,10 @@
 _MAX_INTERVAL_AGE_S = 0.4
 """Time after which it is recorded with fewer events, so that a slowdown shows."""
 _MAX_PAUSE_S = 0.5
-"""Pause between two events above which it is left out, as a sound server may pause."""
+"""Pause between two events above which it is left out, as a sound server may pause.
+
+A second one in a row is the pace of the server and counts.
+"""
 _UNANSWERED_WEIGHT = 0.5
 """Weight of a request that another server has answered first."""
 
@@ -52,6 +55,7 @@
         "_interval_s",
         "_interval_since_s",
         "_is_held",
+        "_is_paused",
         "_last_event_at_s",
         "_record",
         "_sent_at_s",
@@ -68,6 +72,7 @@
         self._interval_s = 0.0
         self._interval_since_s = self._sent_at_s
         self._is_held = False
+        self._is_paused = False
 
     def record_event(self) -> None:
         """Record that an event has arrived."""
@@ -83,7 +88,8 @@
             self._record_first_event()
         if self._is_held:
             return
-        if pause_s > _MAX_PAUSE_S:
+        was_paused, self._is_paused = self._is_paused, pause_s > _MAX_PAUSE_S
+        if self._is_paused and not was_paused:
             self._reset_interval(now_s)
             return
         self._interval_events += 1
--- a/pomelolug/entry/performance/tests/test_learned_performance.py
+++ b/pomelolug/entry/performance/tests/test_learned_performance.py
@@ -231,6 +231,35 @@
     assert node.learned.summary().limited == before.limited == 0
 
 
+def test_server_whose_events_all_come_later_than_a_pause_is_found():
+    # Guards against the slowest servers, which count as sound and paused for ever and
+    # get as many requests as others.
+    node, servers = make_node(), make_servers()
+    node.serve(servers, 3.0, {})
+    for _ in range(4):
+        node.clock.time_s += 0.5
+        for server in servers:
+            slowdown = 12.0 if server is servers[2] else 1.0
+            first_s = USUAL_S / slowdown
+            node.stream(server, slowdown, first_s=first_s, events=12)
+    assert node.limit(servers[2]) <= 0.6 * SLOTS
+    assert node.limit(servers[0]) == SLOTS
+
+
+def test_slow_server_with_few_requests_is_found_within_seconds():
+    # Guards against a slow server that is known only after most of its slow time, since
+    # it ends few requests and has ended many before.
+    node, servers = make_node(), make_servers(20)
+    node.serve(servers, 6.0, {})
+    for _ in range(6):
+        node.clock.time_s += 0.5
+        for server in servers:
+            node.stream(server, 3.0 if server is servers[2] else 1.0)
+    assert node.limit(servers[2]) <= 0.6 * SLOTS
+    assert node.choice_delay_s(servers[2]) > node.choice_delay_s(servers[0]) + 0.1
+    assert node.limit(servers[0]) == SLOTS
+
+
 def test_failures_do_not_count_as_fast():
     # Guards against a server that attracts requests by refusing or breaking them.
     node, servers = make_node(), make_servers()
