Take back the preference for fast groups, which changed nothing

The dispatcher sees about 0.3 streams a second of that model itself, and its usual delay rests on its own requests, so it never exceeded 70% of the target.

--- a/pomelolug/entry/performance/_learned.py
+++ b/pomelolug/entry/performance/_learned.py
@@ -253,8 +253,7 @@
         It is the declared one at the load that a usual server would have with as much
         work: a slow server's requests count for more. So equal servers are compared by
         the declared figures alone. Of a server's slowness, only what comes near the
-        target is added: a fast server gains nothing for a caller who is in time. Where
-        the usual server comes near the target, a fast one with free slots is preferred.
+        target is added: a fast server gains nothing for a caller who is in time.
         """
         entry = self._find(head, model.name, engine.slots)
         delay = self._group_delay(engine, model)
@@ -262,12 +261,11 @@
         if entry.is_usual or not self._is_applied():
             return declared_s
         factor = _factor(entry, in_flight)
-        usual_s = delay.offset_s + delay.factor * declared_s
-        comfort_s = _COMFORTABLE_SHARE * target.total_seconds()
         if factor <= 1.0:
-            gain_s = max(usual_s - max(usual_s * factor, comfort_s), 0.0)
-            return declared_s - (gain_s if in_flight < entry.slots else 0.0)
+            return declared_s
         delay_s = delay.declared_s(math.ceil(in_flight * factor), prompt_tokens)
+        usual_s = delay.offset_s + delay.factor * declared_s
+        comfort_s = _COMFORTABLE_SHARE * target.total_seconds()
         return delay_s + max(usual_s * factor - max(usual_s, comfort_s), 0.0)
 
     def limit(self, head: BackendServer, engine: EngineProfile) -> int:
