--- a/pomelolug/entry/tests/harness.py
+++ b/pomelolug/entry/tests/harness.py
@@ -324,12 +324,10 @@
 class ProcessNode(CallerOfNode):
     """A node beside those of a harness, as a process that can be stopped.
 
-    `limits` is the section of that name in its settings.
+    Its settings name limits of 200 MB and 4,100 descriptors.
     """
 
-    def __init__(
-        self, joins: Harness, folder: pathlib.Path, *, limits: str = ""
-    ) -> None:
+    def __init__(self, joins: Harness, folder: pathlib.Path) -> None:
         self._ip = next(_addresses)
         path = folder / "node.toml"
         settings = format_entry_settings(
@@ -339,7 +337,7 @@
             store=joins.store.address,
             seeds=[f"{joins.ip}:8003"],
         )
-        path.write_text(settings + limits)
+        path.write_text(settings)
         self._process = SoakProcess(
             name="process-node",
             arguments=("-m", "pomelolug.entry"),
--- a/pomelolug/entry/tests/test_slow_readers.py
+++ b/pomelolug/entry/tests/test_slow_readers.py
@@ -299,7 +299,6 @@
         assert tracker.failure_score("vm-1") == 0.0
 
 
-LIMITS = "[limits]\nmemory_mb = 200\nmax_fds = 4100\n"
 UNREAD_COUNT = 300
 UPLOAD_COUNT = 150
 
@@ -317,7 +316,7 @@
     async with Harness() as h:
         h.publish_declaration(slow_declaration())
         await h.add_server(script, slots=2000)
-        node = ProcessNode(h, tmp_path, limits=LIMITS)
+        node = ProcessNode(h, tmp_path)
         await node.start()
         clients = []
         try:
@@ -369,7 +368,7 @@
         h.publish_declaration(slow_declaration())
         for _ in range(2):
             await h.add_server(script, slots=2000)
-        node = ProcessNode(h, tmp_path, limits=LIMITS)
+        node = ProcessNode(h, tmp_path)
         await node.start()
         node.limit_descriptors(4100)
         tasks = []
--- a/pomelolug/testing/_sample_deployment.py
+++ b/pomelolug/testing/_sample_deployment.py
@@ -18,6 +18,8 @@
 STALL_TIMEOUT_S = 2.0
 EVACUATION_TIME_S = 3.0
 """Time after which the servers of an evacuated zone get no requests."""
+MEMORY_MB = 200
+MAX_DESCRIPTORS = 4100
 COLD_ACCEPTED_FACTOR = 1.5
 COLD_EXCESS_REQUESTS = 1.0
 """Requests that a cold server accepts in a second, as a multiple of what it bears, and
@@ -126,4 +128,5 @@
         f"[bounds]\ngrace_s = {GRACE_PERIOD_S}\nstall_ms = {STALL_TIMEOUT_S * 1000}\n"
         f"evacuate_ms = {EVACUATION_TIME_S * 1000}\n"
         f"cold_overage = {COLD_ACCEPTED_FACTOR}\ncold_slack = {COLD_EXCESS_REQUESTS}\n"
+        f"[limits]\nmemory_mb = {MEMORY_MB}\nmax_fds = {MAX_DESCRIPTORS}\n"
     )
