Let the groups of several models follow the demand of callers

Cause: free servers follow the demand of a service with several models, but nothing gives up groups of a model with a lasting surplus, so one model refuses streams beside mostly empty groups of another.

Change: the active controller smooths the requests in flight of each model. If a model has been short of servers for 4 s, it stages its weights on the hosts of a group of a model with a surplus, which serves on, and closes that group, with its requests finished, once the weights are there and the shortage has lasted 15 s. One conversion at a time for each service; none while servers are lost in numbers, a zone is evacuated, groups are formed or torn down, or the list of servers is out of date. It takes effect only where the zone of the controller has a dispatcher of streams. Free servers and spares are planned by the smoothed demand there as well. No new message and no new state in the store (docs/design/group-placement.md).

The simulated servers can take time to finish the requests of a closed head.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -559,6 +559,10 @@
                 or self._peer_coordinator.has_serving_peer
             ),
             in_flight=self._server_tracker.in_flight,
+            may_rebalance=lambda: (
+                self._server_feed.is_fresh
+                and self._peer_coordinator.dispatch.local_dispatcher != ""
+            ),
             on_event=lambda event, result: self._metrics.group_events.labels(
                 event, result
             ).inc(),
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -34,6 +34,7 @@
 from pomelolug.replicas._lease import ControllerLease
 from pomelolug.replicas._orders import GroupEventCallback, OrderSender
 from pomelolug.replicas._plan import NewGroup, needed_servers, plan_groups
+from pomelolug.replicas._rebalancing import GroupRebalancing
 from pomelolug.replicas._spares import Demand, SparePool
 from pomelolug.replicas._teardown import GroupTeardown
 
@@ -111,6 +112,9 @@
         start, or to a live peer. It stays true when no request is in flight.
     in_flight : callable
         Returns the number of requests that all nodes have in flight at a head.
+    may_rebalance : callable
+        Returns whether the groups of several models follow the demand, so that groups
+        of a model with a surplus are given up.
     on_event : GroupEventCallback
         Called with each decision and order and its result, for metrics.
     """
@@ -130,6 +134,7 @@
         stall_timeout: datetime.timedelta,
         is_serving: Callable[[], bool],
         in_flight: Callable[[VmId], int],
+        may_rebalance: Callable[[], bool] = lambda: False,
         on_event: GroupEventCallback,
     ) -> None:
         self._lease = lease
@@ -171,6 +176,15 @@
             clock=clock,
             is_in_formation=self._is_in_formation,
         )
+        self._rebalancing = GroupRebalancing(
+            fleet=self._fleet,
+            spares=self._spares,
+            teardown=self._teardown,
+            clock=clock,
+            may_rebalance=lambda: is_serving() and may_rebalance(),
+            is_forming=lambda: bool(self._formations),
+            on_event=on_event,
+        )
         self._listing_history: dict[ServiceName, tuple[float, float, int]] = {}
         self._wake_event = asyncio.Event()
         self._order_tasks: set[asyncio.Task[None]] = set()
@@ -234,6 +248,7 @@
         self._formations.clear()
         self._teardown.clear()
         self._spares.clear()
+        self._rebalancing.clear()
         self._orders.clear()
 
     def _servers_awaiting_report(self) -> list[BackendServer]:
@@ -281,6 +296,10 @@
         orders += self._formation_orders(engine, free, views, demand)
         load_budget = self._load_budget(engine, views)
         orders += self._spares.staging_orders(engine, free, views, demand, load_budget)
+        load_budget = self._load_budget(engine, views)
+        orders += self._rebalancing.orders(
+            name, engine, servers, free, views, demand, load_budget
+        )
         return orders
 
     def _demand(
@@ -313,7 +332,10 @@
                 )
         usable_count = sum(self._fleet.may_join(server) for server in servers)
         servers_needed = needed_servers(
-            engine.models, in_flight, slots=engine.slots, server_count=usable_count
+            engine.models,
+            self._rebalancing.observe(service, engine, in_flight, usable_count),
+            slots=engine.slots,
+            server_count=usable_count,
         )
         return Demand(servers_in_groups, servers_needed)
 
--- a/pomelolug/replicas/_fleet.py
+++ b/pomelolug/replicas/_fleet.py
@@ -121,6 +121,10 @@
             and self._clock.monotonic() - suspicion.last_at_s < _SUSPICION_S
         )
 
+    def in_flight(self, head: VmId) -> int:
+        """Return the number of requests that all nodes have in flight at a head."""
+        return self._in_flight(head)
+
     def last_model(self, server: BackendServer) -> ModelName | None:
         """Return the model of a server's last group since its start, if known."""
         return self._last_model.get((server.vm, server.start_time_ms))
--- a/pomelolug/replicas/_plan.py
+++ b/pomelolug/replicas/_plan.py
@@ -61,6 +61,10 @@
             return 0
         return 1 if model in self.server.staged else _NEEDS_LOAD
 
+    def needs_load(self, model: ModelName) -> bool:
+        """Return whether the server has to load a model from the weight store."""
+        return self.join_cost(model) == _NEEDS_LOAD
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewGroup:
@@ -77,7 +81,7 @@
 
 def needed_servers(
     models: Sequence[ModelProfile],
-    in_flight: Mapping[ModelName, int],
+    in_flight: Mapping[ModelName, float],
     *,
     slots: int,
     server_count: int,
@@ -91,8 +95,8 @@
     ----------
     models : sequence of ModelProfile
         Models with their sizes and shares of the servers.
-    in_flight : mapping of ModelName to int
-        Number of requests in flight at the groups of each model.
+    in_flight : mapping of ModelName to float
+        Number of requests in flight at the groups of each model, or their mean.
     slots : int
         Number of requests that one group runs concurrently.
     server_count : int
--- a/pomelolug/replicas/_spares.py
+++ b/pomelolug/replicas/_spares.py
@@ -1,7 +1,7 @@
 """Spare servers that hold weights for repairs within their fabric domain."""
 
 import dataclasses
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any
 
 from pomelolug.clock import Clock
@@ -147,6 +147,39 @@
                 orders.append(self._stage(servers[vm], name))
         return orders
 
+    def stage_members(
+        self, servers: Iterable[BackendServer], model: ModelName, load_budget: int
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Return the orders that load weights onto the hosts of serving members.
+
+        Members keep the weights that they serve with in memory.
+
+        Parameters
+        ----------
+        servers : iterable of BackendServer
+            Members without the weights.
+        model : ModelName
+            Model to load.
+        load_budget : int
+            Number of loads that may start now.
+
+        Returns
+        -------
+        list of coroutine
+            Orders to run.
+        """
+        now_s = self._clock.monotonic()
+        orders: list[Coroutine[Any, Any, None]] = []
+        for server in servers:
+            if len(orders) >= load_budget:
+                break
+            if server.vm in self._pending_loads:
+                continue
+            if self._orders.try_reserve(server.vm):
+                self._pending_loads[server.vm] = (model, now_s)
+                orders.append(self._stage(server, model))
+        return orders
+
     def _standby_orders(
         self, spares: list[BackendServer]
     ) -> list[Coroutine[Any, Any, None]]:
--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -61,7 +61,7 @@
 
 
 class GroupTeardown:
-    """Tears down groups that have lost a member or have a draining one.
+    """Tears down groups that have lost a member, have a draining one or are given up.
 
     A member of such a group is used again only after the head has confirmed that
     it leaves the group or, if the head does not answer, after the time within
@@ -112,14 +112,26 @@
         self._is_in_formation = is_in_formation
         self._wake = wake
         self._teardowns: dict[GroupKey, _Teardown] = {}
+        self._retiring: set[GroupKey] = set()
         self._draining_since_s: dict[GroupKey, float] = {}
         self._verify_until_s: dict[DomainId, float] = {}
         self._removed_members: set[tuple[GroupKey, VmId]] = set()
         self._watching_since_s = clock.monotonic()
 
     def is_ending(self, key: GroupKey) -> bool:
-        """Return whether a group is being torn down or has been."""
-        return key in self._teardowns
+        """Return whether a group is closed, is being torn down or has been."""
+        return key in self._teardowns or key in self._retiring
+
+    def is_running(self, key: GroupKey) -> bool:
+        """Return whether the members of a group have not been freed yet."""
+        teardown = self._teardowns.get(key)
+        if teardown is None:
+            return key in self._retiring
+        return teardown.free_at_s is None
+
+    def retire(self, key: GroupKey) -> None:
+        """Close a group, and free its members when its requests are finished."""
+        self._retiring.add(key)
 
     def end_unopened(self, key: GroupKey) -> None:
         """Free the members of a group whose head was never ordered to open."""
@@ -128,6 +140,7 @@
     def clear(self) -> None:
         """Discard all state when this node is no longer the active controller."""
         self._teardowns.clear()
+        self._retiring.clear()
         self._removed_members.clear()
         self._verify_until_s.clear()
         self._draining_since_s.clear()
@@ -169,14 +182,17 @@
             if len(members) in {m.group_size for m in engine.models}:
                 # A predecessor formed the group, which is loading its weights.
                 return []
-        if is_complete and not draining:
+        if is_complete and not draining and view.key in self._retiring:
+            if view.head_state in _SERVING_STATES:
+                return self._close_when_finished(view)
+        elif is_complete and not draining:
             if view.head_state is GroupState.READY and teardown is None:
                 return self._open_inherited(view, model)
             if view.head_state is not GroupState.BROKEN:
                 return []
         if is_complete and draining and view.head_state in _SERVING_STATES:
             if view.head in draining or self._may_close(view, model):
-                return self._close_for_drain(view)
+                return self._close_when_finished(view)
             return []
         return self._tear_down(view, lost)
 
@@ -217,7 +233,7 @@
             for server in self._fleet.listed.values()
         )
 
-    def _close_for_drain(self, view: GroupView) -> list[Coroutine[Any, Any, None]]:
+    def _close_when_finished(self, view: GroupView) -> list[Coroutine[Any, Any, None]]:
         head = view.head
         if head is None or view.head_state is GroupState.CLOSING:
             return []
--- a/pomelolug/replicas/tests/simulated_node.py
+++ b/pomelolug/replicas/tests/simulated_node.py
@@ -128,6 +128,7 @@
         """Fabric domains that lie in evacuated zones."""
         self.in_flight: dict[str, int] = {}
         self.serving = False
+        self.may_rebalance = False
         self.controller = ReplicaGroupController(
             lease=self.lease,
             registry=self.registry,
@@ -141,6 +142,7 @@
             stall_timeout=STALL_TIMEOUT,
             is_serving=lambda: self.serving,
             in_flight=lambda vm: self.in_flight.get(vm, 0),
+            may_rebalance=lambda: self.may_rebalance,
             on_event=lambda event, result: None,
         )
         self.follows_registry = True
--- a/pomelolug/testing/_group_servers.py
+++ b/pomelolug/testing/_group_servers.py
@@ -108,6 +108,8 @@
 
         If it is None, orders are executed and answered at once.
         """
+        self.finish_time_s = 0.0
+        """Time that a closed head takes to finish its requests."""
 
     @property
     def servers(self) -> dict[VmId, SimulatedServer]:
@@ -396,9 +398,25 @@
         membership = server.membership
         if membership is None or (membership.group, membership.epoch) != (group, epoch):
             return OrderResult.CONFLICT
+        if self.finish_time_s:
+            server.membership = dataclasses.replace(
+                membership, state=GroupState.CLOSING
+            )
+            self._call_later(self.finish_time_s, self._finish_close, server, epoch)
+            return OrderResult.BEGUN
         server.membership = dataclasses.replace(membership, state=GroupState.READY)
         return OrderResult.BEGUN
 
+    def _finish_close(self, server: SimulatedServer, epoch: int) -> None:
+        membership = server.membership
+        if (
+            membership is not None
+            and membership.epoch == epoch
+            and membership.state is GroupState.CLOSING
+        ):
+            server.membership = dataclasses.replace(membership, state=GroupState.READY)
+            self._publish_entry(server)
+
     def _leave(
         self, server: SimulatedServer, group: GroupId, epoch: int
     ) -> OrderResult:
