--- a/pomelolug/replicas/_rebalancing.py
+++ b/pomelolug/replicas/_rebalancing.py
@@ -24,6 +24,9 @@
 
 _log = structlog.get_logger(__name__)
 
+_WAITING_LOG_INTERVAL_S = 5.0
+"""Least time between two lines on what a conversion waits for, as reasons alternate."""
+
 
 class GroupRebalancing:
     """Gives up groups of models with a surplus, for services with several models.
@@ -66,7 +69,7 @@
         self._is_forming = is_forming
         self._on_event = on_event
         self._rebalancers: dict[ServiceName, Rebalancer] = {}
-        self._waiting: dict[ServiceName, str] = {}
+        self._waiting: dict[ServiceName, tuple[str, float]] = {}
 
     def clear(self) -> None:
         """Discard all state when this node is no longer the active controller."""
@@ -216,10 +219,14 @@
         return groups
 
     def _report_waiting(self, service: ServiceName, reason: str) -> None:
-        if reason and self._waiting.get(service, "") != reason:
+        now_s = self._clock.monotonic()
+        last_reason, logged_at_s = self._waiting.get(service, ("", float("-inf")))
+        if reason and reason != last_reason:
             self._on_event("conversion_waiting", reason)
-            _log.info("conversion_waiting", service=service, reason=reason)
-        self._waiting[service] = reason
+            if now_s - logged_at_s >= _WAITING_LOG_INTERVAL_S:
+                _log.info("conversion_waiting", service=service, reason=reason)
+                logged_at_s = now_s
+        self._waiting[service] = (reason, logged_at_s)
 
     def _report_decision(self, event: str, reason: str, conversion: Conversion) -> None:
         self._on_event(event, reason)
