--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -143,7 +143,12 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def run_entry(settings: NodeSettings, reload: Callable[[], NodeSettings]) -> None:
+def run_entry(
+    settings: NodeSettings,
+    reload: Callable[[], NodeSettings],
+    *,
+    groups_follow_demand: bool = False,
+) -> None:
     """Run the entry process until a signal stops it.
 
     Parameters
@@ -152,11 +157,16 @@
         Settings at startup.
     reload : callable
         Returns the current settings; called on SIGHUP.
+    groups_follow_demand : bool
+        Whether groups of a model with a surplus are given up for another model.
     """
     writer = NonBlockingWriter(sys.stdout.fileno())
     configure_logging("info", file=writer, node=settings.node)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_EntryProcess(settings, writer, reload).run())
+        process = _EntryProcess(
+            settings, writer, reload, groups_follow_demand=groups_follow_demand
+        )
+        runner.run(process.run())
     writer.write_pending()
 
 
@@ -168,7 +178,10 @@
         settings: NodeSettings,
         writer: NonBlockingWriter,
         reload: Callable[[], NodeSettings],
+        *,
+        groups_follow_demand: bool = False,
     ) -> None:
+        self._groups_follow_demand = groups_follow_demand
         self._settings = settings
         self._reload_settings = reload
         self._writer = writer
@@ -580,6 +593,11 @@
                 or self._peer_coordinator.has_serving_peer
             ),
             in_flight=self._server_tracker.in_flight,
+            may_rebalance=lambda: (
+                self._groups_follow_demand
+                and self._server_feed.is_fresh
+                and self._peer_coordinator.dispatch.local_dispatcher != ""
+            ),
             on_event=lambda event, result: self._metrics.group_events.labels(
                 event, result
             ).inc(),
