--- a/pomelolug/entry/tests/test_plain_speeds.py
+++ b/pomelolug/entry/tests/test_plain_speeds.py
@@ -13,6 +13,7 @@
 from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.requests import PlainForwarder
 from pomelolug.ids import ServiceName, ZoneId
+from pomelolug.transport import MemoryBudget
 
 SLOTS = 6
 WORK_S = 0.015
@@ -51,6 +52,7 @@
             server_tracker=tracker,
             notices=SimpleNamespace(is_cold=lambda server: False),
             delay_estimator=self.learned,
+            memory_budget=MemoryBudget(None),
             clock=self.clock,
             zone=ZoneId("a"),
             rng=self.rng,
