Parse sources without garbage collection in the checks of the pages

Python 3.11 keeps one depth counter for ast.parse, and a finalizer that runs during the conversion and parses too spoils it. A failed task that is collected does so: its traceback is formatted, and the markers below its lines are found with ast.parse.

--- a/pomelolug/experiments/tests/test_docs.py
+++ b/pomelolug/experiments/tests/test_docs.py
@@ -1,3 +1,5 @@
+import ast
+import gc
 import importlib
 import pathlib
 import subprocess
@@ -21,6 +23,37 @@
     return check_docs.known_names(ROOT)
 
 
+class _ParsesWhenCollected:
+    """Parses a source in its finalizer, as a traceback of a failed task does."""
+
+    def __init__(self) -> None:
+        self.itself = self
+
+    def __del__(self) -> None:
+        ast.parse("a = b + c")
+
+
+@pytest.fixture(scope="module")
+def checkout_names(check_docs):
+    return importlib.import_module("checkout_names")
+
+
+def test_finalizer_that_parses_does_not_fail_the_check(checkout_names):
+    # Guards against "AST constructor recursion depth mismatch", which failed the checks
+    # of the pages when a traceback was formatted while a source was parsed.
+    source = "\n".join(
+        f"def f_{n}(a, b):\n    return (a, [b, {n}])" for n in range(500)
+    )
+    thresholds = gc.get_threshold()
+    gc.set_threshold(50)
+    try:
+        for _ in range(20):
+            _ParsesWhenCollected()
+            checkout_names.parse_source(source)
+    finally:
+        gc.set_threshold(*thresholds)
+
+
 def test_pages_name_only_what_exists():
     # Guards against pages that name code, commands or files that no longer exist,
     # which happens when something is renamed or removed without its pages.
--- a/tools/checkout_names.py
+++ b/tools/checkout_names.py
@@ -3,12 +3,13 @@
 import ast
 import dataclasses
 import functools
+import gc
 import pathlib
 import re
 import tomllib
 from collections.abc import Iterator
 
-__all__ = ["KnownNames", "known_names"]
+__all__ = ["KnownNames", "known_names", "parse_source"]
 
 _DATA_DIRECTORIES = ("schema", "deploy", "traces")
 _DATA_FILES = ("pyproject.toml", "requirements-dev.in", ".ci/run")
@@ -208,6 +209,22 @@
     return paths
 
 
+def parse_source(source: str) -> ast.Module:
+    """Return the syntax tree of a source, parsed without garbage collection.
+
+    `ast.parse` of Python 3.11 fails if it is called while another call converts a
+    tree. A finalizer may do so, such as the one of a failed task, since formatting a
+    traceback parses its lines.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        return ast.parse(source)
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
 def known_names(root: pathlib.Path) -> KnownNames:
     """Collect the names that exist in a checkout."""
     words: set[str] = set()
@@ -216,7 +233,7 @@
     attributes: dict[str, frozenset[str]] = {}
     fields: set[str] = set()
     for path in source_files(root):
-        tree = ast.parse(path.read_text())
+        tree = parse_source(path.read_text())
         words.update(identifiers(tree))
         for text in literals(tree):
             words |= literal_words(text)
--- a/tools/outer_names.py
+++ b/tools/outer_names.py
@@ -17,6 +17,8 @@
 from collections.abc import Iterator
 from typing import Any
 
+from checkout_names import parse_source
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _NAME = re.compile(r"[A-Za-z0-9_.:/@*{}+=-]*[A-Za-z][A-Za-z0-9_.:/@*{}+=-]*")
 _LOG_CALLS = {"debug", "info", "warning", "error", "exception", "bind"}
@@ -136,7 +138,7 @@
     """Return all names that are visible outside of the process."""
     words, found = documented_words(), set()
     for path in source_files():
-        tree = ast.parse(path.read_text())
+        tree = parse_source(path.read_text())
         found.update(iter_strings(tree, words))
         found.update(iter_outer_fields(tree))
         found.update(iter_fire_options(tree))
