Leave out invalid addresses in the exchange of statuses

A registration or status of another writer could hold an address without a port.

Addresses are checked when they are added and when a peer's first status arrives; an invalid one is logged as peer_address_invalid. The new test failed before with ValueError.

--- a/pomelolug/entry/peers/_peer_gossip.py
+++ b/pomelolug/entry/peers/_peer_gossip.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import datetime
+import ipaddress
 import random
 from collections.abc import Callable, Iterable
 from typing import cast
@@ -47,6 +48,8 @@
 _EXPIRY_S = 30.0
 """Time without a status after which an address is forgotten."""
 _MAX_ADDRESSES = 1024
+_MAX_LOGGED = 64
+"""Characters of an invalid address that are logged."""
 _MAX_ADVERTISED_PEERS = 12
 """Peers listed in a status, limited so that it fits in one packet."""
 
@@ -124,11 +127,15 @@
         ]
 
     def add_addresses(self, addresses: Iterable[str]) -> None:
-        """Add datagram addresses of nodes to send to."""
+        """Add datagram addresses of nodes to send to, without invalid ones."""
         now_s = self._clock.monotonic()
         for address in addresses:
-            if address != self._address and len(self._last_seen_s) < _MAX_ADDRESSES:
-                self._last_seen_s.setdefault(address, now_s)
+            if address == self._address or address in self._last_seen_s:
+                continue
+            if not _is_datagram_address(address):
+                _log.warning("peer_address_invalid", address=address[:_MAX_LOGGED])
+            elif len(self._last_seen_s) < _MAX_ADDRESSES:
+                self._last_seen_s[address] = now_s
 
     def send_soon(self) -> None:
         """Send the status without waiting for the rest of the interval."""
@@ -186,6 +193,11 @@
             return
         now_s = self._clock.monotonic()
         if known is None:
+            if not _is_datagram_address(status.datagram):
+                _log.warning(
+                    "peer_address_invalid", address=status.datagram[:_MAX_LOGGED]
+                )
+                return
             _log.info("peer_found", peer=status.node, zone=status.zone)
         self._peers[status.datagram] = PeerState(status, now_s)
         self._last_seen_s[status.datagram] = now_s
@@ -284,3 +296,16 @@
             peer = self._peers.pop(address, None)
             if peer is not None:
                 _log.info("peer_gone", peer=peer.status.node)
+
+
+def _is_datagram_address(address: str) -> bool:
+    """Return whether an address is an IP number and a port.
+
+    Addresses come from records and messages that other programs may have written.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) <= 65535
--- a/pomelolug/entry/tests/test_peer_gossip.py
+++ b/pomelolug/entry/tests/test_peer_gossip.py
@@ -142,3 +142,27 @@
     harness.send_round()
     assert "127.0.0.1:7" not in advertised[-1]
     assert "127.0.0.1:8" in advertised[-1]
+
+
+INVALID_ADDRESSES = (
+    '["key-of-a"]}]}',
+    "",
+    "127.0.0.1",
+    "127.0.0.1:",
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:\N{SUPERSCRIPT TWO}",
+    "node-3:7340",
+)
+
+
+def test_invalid_addresses_do_not_end_the_exchange():
+    # Guards against a record or message of another writer that ends the exchange of
+    # statuses, because its address cannot be parsed when the status is sent.
+    harness = GossipHarness(2)
+    harness.receive_from([2, 3])
+    harness.gossip.add_addresses(INVALID_ADDRESSES)
+    for address in INVALID_ADDRESSES:
+        harness.receive_from([4], datagram=address)
+    harness.receive_from([5], peers=INVALID_ADDRESSES)
+    assert harness.send_round() == {f"127.0.0.1:{n}" for n in (2, 3, 5)}
