Split the exchange and the progress of a client from the server connection

_server.py had 699 lines with three jobs: one request and its response, the connection, and the bytes that a client has not read. The first and the last move into modules of their own; the connection is an abstract base class for the exchange. Nothing else changes: the tests of the transport, of slow readers and of endless responses pass.

--- a/pomelolug/transport/__init__.py
+++ b/pomelolug/transport/__init__.py
@@ -7,15 +7,14 @@
     ResponseHead,
     open_connection,
 )
+from pomelolug.transport._exchange import Exchange, RefusalCause
 from pomelolug.transport._memory_budget import MemoryAccount, MemoryBudget
 from pomelolug.transport._pool import ConnectionPool
 from pomelolug.transport._request import encode_request
 from pomelolug.transport._running_time_limit import RunningTimeLimit
 from pomelolug.transport._server import (
-    Exchange,
     Handler,
     HttpServerLimits,
-    RefusalCause,
     ServerConnection,
 )
 
--- a/pomelolug/transport/_server.py
+++ b/pomelolug/transport/_server.py
@@ -3,20 +3,24 @@
 import asyncio
 import collections
 import dataclasses
-import enum
 import socket
 from collections.abc import Callable, Coroutine
 from typing import Any, cast
 
 import httptools
 
+from pomelolug.transport._exchange import (
+    REASON_PHRASES,
+    Exchange,
+    ExchangeConnection,
+    RefusalCause,
+)
 from pomelolug.transport._memory_budget import MemoryBudget
+from pomelolug.transport._unread_bytes import UnreadBytes
 
 __all__ = [
-    "Exchange",
     "Handler",
     "HttpServerLimits",
-    "RefusalCause",
     "ServerConnection",
 ]
 
@@ -39,21 +43,6 @@
 """Time to receive the rest of a refused body, without which the refusal is lost."""
 _REFUSAL_CONNECTIONS = 200
 """Connections above the limit that stay open until their request is refused."""
-_REASON_PHRASES = {
-    200: b"OK",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    421: b"Misdirected Request",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,154 +59,10 @@
     """Connections above which requests on further ones are refused."""
 
 
-class RefusalCause(enum.Enum):
-    """Why a request is refused before it is handled."""
-
-    MEMORY = "memory"
-    CONNECTIONS = "connections"
-
-
-class Exchange:
-    """A request and its response."""
-
-    def __init__(
-        self,
-        connection: "ServerConnection",
-        method: bytes,
-        target: bytes,
-        headers: tuple[tuple[bytes, bytes], ...],
-        keep_alive: bool,
-    ) -> None:
-        self._connection = connection
-        self._method = method
-        self._target = target
-        self._headers = headers
-        self._keep_alive = keep_alive
-        self._body = bytearray()
-        self._started = False
-        self._chunked = False
-        self._ended = False
-        self._refusal: RefusalCause | None = None
-        self.held_bytes = 0
-        """Bytes of memory that the connection has reserved for the request."""
-
-    @property
-    def refusal(self) -> RefusalCause | None:
-        """Why the handler has to refuse the request, None if it has not to."""
-        return self._refusal
-
-    def refuse(self, cause: RefusalCause) -> None:
-        """Make the handler refuse the request, whose body is dropped."""
-        self._refusal = cause
-        self._keep_alive = False
-        self._body.clear()
-
-    @property
-    def method(self) -> bytes:
-        """Request method."""
-        return self._method
-
-    @property
-    def target(self) -> bytes:
-        """Request target including the query string."""
-        return self._target
-
-    @property
-    def headers(self) -> tuple[tuple[bytes, bytes], ...]:
-        """Header fields as received."""
-        return self._headers
-
-    @property
-    def body(self) -> bytes:
-        """Complete request body."""
-        return bytes(self._body)
-
-    @property
-    def has_started(self) -> bool:
-        """Whether the response head has been sent."""
-        return self._started
-
-    @property
-    def has_ended(self) -> bool:
-        """Whether the response was completed or aborted."""
-        return self._ended
-
-    def append_body(self, data: bytes) -> None:
-        """Append data to the request body."""
-        self._body += data
-
-    @property
-    def body_size(self) -> int:
-        """Number of request body bytes received so far."""
-        return len(self._body)
-
-    def start(
-        self,
-        status: int,
-        headers: tuple[tuple[bytes, bytes], ...],
-        *,
-        length: int | None,
-    ) -> None:
-        """Send the response head; without `length` the body is sent chunked."""
-        self._started = True
-        self._chunked = length is None
-        lines = [
-            b"HTTP/1.1 %d %b\r\n" % (status, _REASON_PHRASES.get(status, b"Status"))
-        ]
-        lines += [b"%b: %b\r\n" % field for field in headers]
-        if length is None:
-            lines.append(b"Transfer-Encoding: chunked\r\n")
-        else:
-            lines.append(b"Content-Length: %d\r\n" % length)
-        if not self._keep_alive or self._connection.is_closing:
-            self._keep_alive = False
-            lines.append(b"Connection: close\r\n")
-        lines.append(b"\r\n")
-        self._connection.write(b"".join(lines))
-
-    def write(self, data: bytes) -> None:
-        """Send a part of the response body."""
-        if data:
-            if self._chunked:
-                data = b"%x\r\n%b\r\n" % (len(data), data)
-            self._connection.write(data)
-
-    @property
-    def is_writable(self) -> bool:
-        """Whether the client has read enough to accept more data."""
-        return self._connection.is_writable
-
-    async def drain(self) -> None:
-        """Wait until the client has read enough to accept more data."""
-        await self._connection.drain()
-
-    def finish(self) -> None:
-        """Complete the response."""
-        if not self._ended:
-            self._ended = True
-            if self._chunked:
-                self._connection.write(b"0\r\n\r\n")
-            self._connection.on_exchange_finished(self._keep_alive)
-
-    def reply(
-        self, status: int, headers: tuple[tuple[bytes, bytes], ...], body: bytes
-    ) -> None:
-        """Send a complete response."""
-        self.start(status, headers, length=len(body))
-        self._connection.write(body)
-        self.finish()
-
-    def abort(self) -> None:
-        """Abort the response so that the client cannot take it for complete."""
-        if not self._ended:
-            self._ended = True
-            self._connection.abort()
-
-
 Handler = Callable[[Exchange], Coroutine[Any, Any, None]]
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.Protocol, ExchangeConnection):
     """Reads requests from one client and handles them one after another.
 
     Each request is handled in its own task, which is cancelled if the client
@@ -254,7 +99,7 @@
     ) -> None:
         self._account = (memory_budget or _NO_BUDGET).open_account()
         self._on_unread = on_unread
-        self._unread = _UnreadBytes()
+        self._unread = UnreadBytes()
         self._unread_timer: asyncio.TimerHandle | None = None
         self._is_above_limit = False
         self._is_turned_away = False
@@ -542,7 +387,7 @@
             fields = b"".join(b"%b: %b\r\n" % field for field in self._refusal_headers)
             self.write(
                 b"HTTP/1.1 %d %b\r\n%bContent-Length: 0\r\nConnection: close\r\n\r\n"
-                % (status, _REASON_PHRASES[status], fields)
+                % (status, REASON_PHRASES[status], fields)
             )
             self._close()
 
@@ -649,34 +494,6 @@
             self._timer = None
 
 
-class _UnreadBytes:
-    """Bytes written to a client, and how many of them have gone out.
-
-    `written` counts all bytes, and `charged` those that are counted as held.
-    """
-
-    __slots__ = ("_progressed_at_s", "_sent", "charged", "written")
-
-    def __init__(self) -> None:
-        self.written = 0
-        self.charged = 0
-        self._sent = -1
-        self._progressed_at_s = 0.0
-
-    def start(self, buffered: int, now_s: float) -> None:
-        """Begin to measure the time in which the client reads nothing."""
-        self._sent = self.written - buffered
-        self._progressed_at_s = now_s
-
-    def note_progress(self, buffered: int, now_s: float) -> float:
-        """Return the seconds since the client has last read something."""
-        sent = self.written - buffered
-        if sent != self._sent:
-            self._sent = sent
-            self._progressed_at_s = now_s
-        return now_s - self._progressed_at_s
-
-
 _EXPECT_SIZE = len(b"expect")
 _CONTENT_LENGTH_SIZE = len(b"content-length")
 _NO_BUDGET = MemoryBudget(None)
