Count no pause as known whose refused caller left at that moment

An entry VM ends the request of a caller who leaves, so it does not read a refusal that the server sends then.

--- a/pomelolug/experiments/process_soak/_statements.py
+++ b/pomelolug/experiments/process_soak/_statements.py
@@ -58,7 +58,8 @@
     """Yield the pauses in which an entry VM sent more requests than allowed.
 
     Faults of the entry VM and of the link to the server excuse them, those of the store
-    do not.
+    do not. An entry VM ends the request of a caller who leaves, so it does not read a
+    refusal that is sent then.
     """
     refusals = list(turned_away)
     arrivals = [(r.vm, r.life, r.request_id, r.started_at_s) for r in runs]
@@ -66,11 +67,15 @@
     for refusal in refusals:
         call = calls.get(refusal.request_id)
         until_s = refusal.at_s + refusal.pause_s
-        if call is None or any(
-            windows.is_affected(
-                name, refusal.at_s - _LINK_DELAY_S, until_s, by_store=False
+        if (
+            call is None
+            or _left_unread(refusal, call)
+            or any(
+                windows.is_affected(
+                    name, refusal.at_s - _LINK_DELAY_S, until_s, by_store=False
+                )
+                for name in (call.entry, refusal.vm)
             )
-            for name in (call.entry, refusal.vm)
         ):
             continue
         entry = call.entry
@@ -86,3 +91,11 @@
                 f"{refusal.vm} asked {entry} for a pause of {refusal.pause_s} s and "
                 f"got {count} requests in it"
             )
+
+
+def _left_unread(refusal: TurnedAwayRequest, call: SentCall) -> bool:
+    """Return whether the caller left before the entry VM had to know of a refusal."""
+    return (
+        call.outcome is CallOutcome.LEFT
+        and call.ended_at_s <= refusal.at_s + _PAUSE_KNOWN_S
+    )
