Take the choice of a server and the reason for a refusal from one look

A request that was withdrawn before it was sent got backend_refused without Retry-After if its server took requests again a moment later.

Servers are now asked once for each choice (ServerOptions), and the refusal is that of the choice. A server from which a request was withdrawn may be chosen again.

--- a/pomelolug/entry/requests/_attempt.py
+++ b/pomelolug/entry/requests/_attempt.py
@@ -126,6 +126,11 @@
         """
         return self._reason not in _OWN_REASONS
 
+    @property
+    def was_withdrawn(self) -> bool:
+        """Whether the request was not sent since the server took none any more."""
+        return self._reason in _WITHDRAWN_REASONS.values()
+
     @property
     def stale_connection(self) -> bool:
         """Whether a reused connection ended before any response."""
--- a/pomelolug/entry/requests/_group_chooser.py
+++ b/pomelolug/entry/requests/_group_chooser.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import datetime
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
@@ -14,6 +14,7 @@
     Candidate,
     GroupSelector,
     ServerNotices,
+    ServerOptions,
     ServerTracker,
 )
 from pomelolug.ids import AccountId, ModelName, VmId, ZoneId
@@ -89,8 +90,8 @@
 
     async def select(
         self, context: RequestContext, tried: Collection[VmId], *, waits: bool
-    ) -> SelectedGroup | None:
-        """Return the group of the next run, None if there is none.
+    ) -> SelectedGroup | ServerOptions:
+        """Return the group of the next run, or the heads among which there is none.
 
         Parameters
         ----------
@@ -104,22 +105,31 @@
         until_s = self._clock.monotonic() + _MAX_RESUME_WAIT_S
         while True:
             selected = await self._try_select(context, tried)
-            if selected is not None or not waits:
+            if isinstance(selected, SelectedGroup) or not waits:
                 return selected
             if self._clock.monotonic() >= until_s:
                 # A suspected group may only have paused, and the stream ends otherwise.
-                suspected = self._find_candidates(context, tried, suspected=True)
+                suspected = self._find_candidates(
+                    context, tried, self._find_suspected(context)
+                )
                 candidate = self._group_selector.select(suspected)
                 return (
                     SelectedGroup(candidate.server, GroupChoice.SUSPECTED)
                     if candidate is not None
-                    else None
+                    else selected
                 )
             await self._clock.sleep(_RESUME_POLL_INTERVAL)
 
+    def find_options(self, context: RequestContext) -> ServerOptions:
+        """Return the heads that take a stream now, and the wait if none does."""
+        model = context.request_head.model
+        if model is None:
+            return ServerOptions([], None)
+        return self._server_tracker.head_options(context.service.name, model)
+
     async def _try_select(
         self, context: RequestContext, tried: Collection[VmId]
-    ) -> SelectedGroup | None:
+    ) -> SelectedGroup | ServerOptions:
         """Return the group that a dispatcher assigns, or that this node chooses."""
         choice = GroupChoice.OWN
         model = context.request_head.model
@@ -150,16 +160,17 @@
         choice: GroupChoice,
         *,
         zones: Collection[ZoneId] | None = None,
-    ) -> SelectedGroup | None:
+    ) -> SelectedGroup | ServerOptions:
         """Return a group that this node chooses, in certain zones or in any."""
+        options = self.find_options(context)
         candidates = [
             candidate
-            for candidate in self._find_candidates(context, tried)
+            for candidate in self._find_candidates(context, tried, options.accepting)
             if zones is None or candidate.server.zone in zones
         ]
         candidate = self._group_selector.select(candidates)
         if candidate is None:
-            return None
+            return options
         return SelectedGroup(candidate.server, choice)
 
     def _build_question(
@@ -202,23 +213,23 @@
         heads = self._server_tracker.heads(context.service.name, model)
         return next((head for head in heads if head.vm == vm), None)
 
+    def _find_suspected(self, context: RequestContext) -> list[BackendServer]:
+        model = context.request_head.model
+        if model is None:
+            return []
+        return self._server_tracker.suspected_heads(context.service.name, model)
+
     def _find_candidates(
         self,
         context: RequestContext,
         tried: Collection[VmId],
-        *,
-        suspected: bool = False,
+        heads: Iterable[BackendServer],
     ) -> list[Candidate]:
         engine, model = engine_and_model(context)
         if engine is None or model is None:
             return []
         candidates = []
         target_s = context.route.latency_target.total_seconds()
-        heads = (
-            self._server_tracker.suspected_heads(context.service.name, model.name)
-            if suspected
-            else self._server_tracker.heads(context.service.name, model.name)
-        )
         for head in heads:
             if head.vm in tried:
                 continue
--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Iterable
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, Repeatability
@@ -13,13 +14,14 @@
 from pomelolug.entry.requests._repeats import RetryLimiter
 from pomelolug.entry.requests._request_context import (
     RequestContext,
+    no_room_error,
     not_run_error,
     server_wait_error,
     unknown_outcome_error,
 )
 from pomelolug.entry.requests._request_exits import MAX_UNREACHED_SERVERS, RequestExits
 from pomelolug.entry.requests._request_record import AttemptRecord
-from pomelolug.entry.servers import ServerNotices, ServerTracker
+from pomelolug.entry.servers import ServerNotices, ServerOptions, ServerTracker
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId, ZoneId
 from pomelolug.platform import ServerReply, response_headers
@@ -80,6 +82,7 @@
     `possible_runs` counts the ended attempts that may have run the request, and
     `unreached_count` the servers to which no connection has opened in a row.
     `has_unused_retry` tells whether the latest attempt has reached no server.
+    `options` are the servers among which the latest choice was made.
     `failed_answer` is the latest response with which a server reports its own failure.
     """
 
@@ -92,6 +95,7 @@
     unreached_count: int = 0
     has_unused_retry: bool = False
     may_start: bool = True
+    options: ServerOptions | None = None
     failed_answer: _Answer | None = None
     error: RequestError | None = None
     quarantine: QuarantinedError | None = None
@@ -178,7 +182,7 @@
             return
         if state.quarantine is not None:
             raise state.quarantine
-        raise state.error or self._no_server_error(context)
+        raise state.error or self._no_server_error(context, state)
 
     async def _ask_servers(self, context: RequestContext, state: _PlainState) -> bool:
         """Send to servers; return whether the caller has the response of one."""
@@ -301,7 +305,8 @@
 
     def _start_attempt(self, context: RequestContext, state: _PlainState) -> None:
         """Send to a further server, if there is one and the retry budget allows it."""
-        server = self._select_server(context, state.tried)
+        state.options = self._server_tracker.server_options(context.service.name)
+        server = self._select_server(state.options.accepting, state.tried)
         is_retry = state.attempt_count > 0
         if server is None or (is_retry and not self._try_spend(context, state)):
             state.may_start = False
@@ -385,7 +390,7 @@
             else:
                 state.has_unused_retry = True
                 state.unreached_count += failure.is_server_failure
-            state.error = self._attempt_error(context, state, failure)
+            self._record_attempt_error(state, running.attempt, failure)
             return None
         except QuarantinedError as error:
             # A server that is asked already may still answer.
@@ -486,31 +491,39 @@
         return _Answer(reply, response_head, body)
 
     def _select_server(
-        self, context: RequestContext, tried: set[VmId]
+        self, accepting: Iterable[BackendServer], tried: set[VmId]
     ) -> BackendServer | None:
-        servers = [
-            s
-            for s in self._server_tracker.servers(context.service.name)
-            if s.vm not in tried
-        ]
+        servers = [s for s in accepting if s.vm not in tried]
         if not servers:
             return None
         return min(servers, key=lambda s: (self._score(s), self._rng.random()))
 
-    def _attempt_error(
-        self, context: RequestContext, state: _PlainState, failure: AttemptError
+    def _record_attempt_error(
+        self, state: _PlainState, attempt: Attempt, failure: AttemptError
+    ) -> None:
+        """Record the error of a failed attempt.
+
+        A server that took no more requests may be chosen again once it does. If none
+        is, the next choice tells why.
+        """
+        if not failure.was_withdrawn:
+            state.error = _to_request_error(failure, state.possible_runs)
+            return
+        state.tried.discard(attempt.server.vm)
+        if not state.possible_runs:
+            state.error = None
+
+    def _no_server_error(
+        self, context: RequestContext, state: _PlainState
     ) -> RequestError:
-        """Return the error of a failed attempt, with the wait if no server takes it."""
-        if not failure.is_server_failure and not state.possible_runs:
-            wait = self._server_tracker.server_wait(context.service.name)
-            if wait is not None:
-                return server_wait_error(wait, self._rng)
-        return _to_request_error(failure, state.possible_runs)
-
-    def _no_server_error(self, context: RequestContext) -> RequestError:
-        wait = self._server_tracker.server_wait(context.service.name)
-        if wait is not None:
-            return server_wait_error(wait, self._rng)
+        """Return the error of a request for which no server was chosen."""
+        options = state.options
+        if options is None:
+            options = self._server_tracker.server_options(context.service.name)
+        if options.wait is not None:
+            return server_wait_error(options.wait, self._rng)
+        if options.accepting:
+            return no_room_error(self._rng)
         return not_run_error(ErrorCode.NO_GROUP, "no server of the service is ready")
 
     def _score(self, server: BackendServer) -> float:
--- a/pomelolug/entry/requests/_request_context.py
+++ b/pomelolug/entry/requests/_request_context.py
@@ -29,12 +29,15 @@
 
 __all__ = [
     "RequestContext",
+    "no_room_error",
     "not_run_error",
     "reply_error",
     "server_wait_error",
     "unknown_outcome_error",
 ]
 
+_RETRY_AFTER_NO_ROOM = datetime.timedelta(seconds=1)
+"""Shortest Retry-After time if servers take requests, but others came first."""
 _WAIT_CODES = {
     WaitCause.LIMIT: ErrorCode.SERVER_LIMIT,
     WaitCause.COLD: ErrorCode.SERVER_COLD,
@@ -176,6 +179,17 @@
     )
 
 
+def no_room_error(rng: random.Random) -> RequestError:
+    """Return an error stating that other requests took each place that was chosen."""
+    return RequestError(
+        ErrorCode.BACKEND_REFUSED,
+        "no server took the request",
+        status=503,
+        outcome=Outcome.NOT_RUN,
+        retry_after=_RETRY_AFTER_NO_ROOM * rng.uniform(1.0, 2.0),
+    )
+
+
 def unknown_outcome_error(
     code: ErrorCode, message: str, *, status: int = 502
 ) -> RequestError:
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -34,6 +34,7 @@
 from pomelolug.entry.requests._stream_state import StreamState
 from pomelolug.entry.servers import (
     ServerNotices,
+    ServerOptions,
     ServerTracker,
     StallDetector,
 )
@@ -238,8 +239,10 @@
             selected = await self._group_chooser.select(
                 context, state.tried, waits=waits
             )
-            if selected is None:
+            if isinstance(selected, ServerOptions):
+                state.options = selected
                 return None
+            state.options = None
             head = selected.head
             if state.attempt_count and not self._try_spend(context, state):
                 selected.end()
@@ -263,7 +266,7 @@
                 if failure.is_server_failure:
                     self._server_tracker.suspect(head.vm, since_s=began_at_s)
                     state.unreached_count += 1
-                state.error = self._attempt_error(context, state, failure)
+                self._record_attempt_error(state, head, failure)
                 continue
             except BaseException as error:
                 is_quarantined = isinstance(error, QuarantinedError)
@@ -544,30 +547,34 @@
             return
         if state.possible_runs and (error is None or error.outcome is Outcome.NOT_RUN):
             raise unknown_outcome_error(ErrorCode.BACKEND_LOST, "the group was lost")
-        raise error or self._no_head_error(context)
+        raise error or self._no_head_error(context, state)
 
-    def _no_head_error(self, context: RequestContext) -> RequestError:
+    def _no_head_error(
+        self, context: RequestContext, state: StreamState
+    ) -> RequestError:
         """Return the error of a request for which no head was selected."""
-        model = context.request_head.model
-        wait = None
-        if model is not None:
-            wait = self._server_tracker.head_wait(context.service.name, model)
-        if wait is not None:
-            return server_wait_error(wait, self._rng)
-        has_groups = self._has_working_groups(context)
+        options = state.options or self._group_chooser.find_options(context)
+        if options.wait is not None:
+            return server_wait_error(options.wait, self._rng)
+        # All groups are full if none of those that take requests was selected.
+        has_groups = bool(options.accepting)
         retry_after = _RETRY_AFTER_FULL if has_groups else _RETRY_AFTER_NO_GROUP
         return _no_group_error(has_groups, self._add_jitter(retry_after))
 
-    def _attempt_error(
-        self, context: RequestContext, state: StreamState, failure: AttemptError
-    ) -> RequestError:
-        """Return the error of a request not sent, with the wait if no head takes it."""
-        model = context.request_head.model
-        if not failure.is_server_failure and not state.possible_runs and model:
-            wait = self._server_tracker.head_wait(context.service.name, model)
-            if wait is not None:
-                return server_wait_error(wait, self._rng)
-        return _to_request_error(failure, state.possible_runs)
+    def _record_attempt_error(
+        self, state: StreamState, head: BackendServer, failure: AttemptError
+    ) -> None:
+        """Record the error of a request that was not sent.
+
+        A head that took no more requests may be chosen again once it does. If none is,
+        the next choice tells why.
+        """
+        if not failure.was_withdrawn:
+            state.error = _to_request_error(failure, state.possible_runs)
+            return
+        state.tried.discard(head.vm)
+        if not state.possible_runs:
+            state.error = None
 
     def _refused_error(self, message: str) -> RequestError:
         return _backend_refused_error(message, self._add_jitter(_RETRY_AFTER_FULL))
@@ -599,12 +606,6 @@
     ) -> bool:
         return error.head.status >= 500 and self._may_retry(context, state, running=1)
 
-    def _has_working_groups(self, context: RequestContext) -> bool:
-        """Return whether the model has groups; all are full if none was selected."""
-        return context.request_head.model is not None and bool(
-            self._server_tracker.heads(context.service.name, context.request_head.model)
-        )
-
     def _reply_error(self, context: RequestContext, error: ServerError) -> None:
         head = error.head
         context.record.status = head.status
--- a/pomelolug/entry/requests/_stream_state.py
+++ b/pomelolug/entry/requests/_stream_state.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from pomelolug.entry.requests._stream_run import ServerError, StreamRun
+from pomelolug.entry.servers import ServerOptions
 from pomelolug.errors import RequestError
 from pomelolug.ids import VmId
 
@@ -18,7 +19,8 @@
     if nothing better arrives. `unreached_count` counts the servers to which no
     connection has opened in a row, and `has_unused_retry` tells whether the latest
     attempt has reached none. `is_refused` tells whether another node has decided that
-    the request is not served.
+    the request is not served. `options` are the heads among which the latest choice
+    was made, if it found none.
     """
 
     __slots__ = (
@@ -29,6 +31,7 @@
         "is_refused",
         "last_event_id",
         "move",
+        "options",
         "possible_runs",
         "replacement",
         "server_error",
@@ -50,6 +53,7 @@
         self.unreached_count = 0
         self.has_unused_retry = False
         self.is_refused = False
+        self.options: ServerOptions | None = None
         self.error: RequestError | None = None
         self.server_error: ServerError | None = None
         self.current: StreamRun | None = None
--- a/pomelolug/entry/servers/__init__.py
+++ b/pomelolug/entry/servers/__init__.py
@@ -30,6 +30,7 @@
 )
 from pomelolug.entry.servers._server_notices import (
     ServerNotices,
+    ServerOptions,
     ServerWait,
     WaitCause,
 )
@@ -58,6 +59,7 @@
     "ServerContact",
     "ServerLimits",
     "ServerNotices",
+    "ServerOptions",
     "ServerPauses",
     "ServedModel",
     "ServerTracker",
--- a/pomelolug/entry/servers/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -24,7 +24,7 @@
 from pomelolug.ids import VmId
 from pomelolug.messages import NodeStatus
 
-__all__ = ["ServerNotices", "ServerWait", "WaitCause"]
+__all__ = ["ServerNotices", "ServerOptions", "ServerWait", "WaitCause"]
 
 _log = structlog.get_logger(__name__)
 
@@ -69,6 +69,22 @@
     return_spread_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerOptions:
+    """Servers that may get a request, as they stand at one moment.
+
+    Parameters
+    ----------
+    accepting : list of BackendServer
+        Those that take it.
+    wait : ServerWait or None
+        Wait for the first of them if none takes it; None also if all of them leave.
+    """
+
+    accepting: list[BackendServer]
+    wait: ServerWait | None
+
+
 class ServerNotices(StatedAvailability):
     """Statements of servers that decide whether they take requests.
 
@@ -181,16 +197,26 @@
             return ServerWait(_CAUSES[bound_wait[0]], bound_wait_s, spread_s)
         return None
 
-    def shortest_wait(self, servers: Iterable[BackendServer]) -> ServerWait | None:
-        """Return the wait for the first of several servers to take a request.
+    def find_options(
+        self, servers: Iterable[BackendServer], *, waits_for_evacuated: bool = True
+    ) -> ServerOptions:
+        """Return which of several servers take a request, and the wait if none does.
 
-        None if one takes a request now, or if all of them leave.
+        Each is asked once, so a choice and the reason for a refusal agree however the
+        servers change meanwhile.
         """
-        waits = [self.find_wait(server) for server in servers]
-        finite = [w for w in waits if w is not None and w.wait_s != float("inf")]
-        if not finite or None in waits:
-            return None
-        return min(finite, key=lambda wait: wait.wait_s)
+        waits = [(server, self.find_wait(server)) for server in servers]
+        accepting = [server for server, wait in waits if wait is None]
+        finite = [
+            wait
+            for _, wait in waits
+            if wait is not None
+            and wait.wait_s != float("inf")
+            and (waits_for_evacuated or wait.cause is not WaitCause.EVACUATED)
+        ]
+        if accepting or not finite:
+            return ServerOptions(accepting, None)
+        return ServerOptions(accepting, min(finite, key=lambda wait: wait.wait_s))
 
     def take_request(self, server: BackendServer) -> frozenset[BoundKind] | None:
         """Count a request that is about to be sent to a server.
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -12,7 +12,7 @@
     ServerRegistry,
     ServerState,
 )
-from pomelolug.entry.servers._server_notices import ServerNotices, ServerWait
+from pomelolug.entry.servers._server_notices import ServerNotices, ServerOptions
 from pomelolug.ids import ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.replicas import GroupKey, group_key, group_views
@@ -317,7 +317,7 @@
 
     def heads(self, service: ServiceName, model: ModelName) -> list[BackendServer]:
         """Return the heads of the open groups that take a request now."""
-        return self._select_accepting(self._usable_heads(service, model))
+        return self.head_options(service, model).accepting
 
     def open_heads(self, service: ServiceName, model: ModelName) -> list[BackendServer]:
         """Return the heads of the open groups that any node may send to.
@@ -341,20 +341,19 @@
         """
         now_s = self._clock.monotonic()
         heads = self._heads.get((service, model), [])
-        return self._select_accepting(
-            [h for h in heads if self._is_suspected(h.vm, now_s)]
-        )
+        suspected = [h for h in heads if self._is_suspected(h.vm, now_s)]
+        return self._notices.find_options(suspected).accepting
 
-    def head_wait(self, service: ServiceName, model: ModelName) -> ServerWait | None:
-        """Return the wait for a head to take a request.
+    def head_options(self, service: ServiceName, model: ModelName) -> ServerOptions:
+        """Return the heads of the open groups that take a request, or the wait.
 
-        None if one does now, if there is none or if all of them leave. An evacuation
-        counts only if it concerns all heads, since others may just be full.
+        An evacuation counts only if it concerns all heads, since others may just be
+        full.
         """
-        heads = self._usable_heads(service, model)
-        if self._heads_elsewhere(service, model):
-            heads = [h for h in heads if not self._notices.is_evacuated(h)]
-        return self._notices.shortest_wait(heads)
+        return self._notices.find_options(
+            self._usable_heads(service, model),
+            waits_for_evacuated=not self._heads_elsewhere(service, model),
+        )
 
     def is_left_without_heads(self, service: ServiceName, model: ModelName) -> bool:
         """Return whether suspicions exclude all open groups of a service and model.
@@ -377,14 +376,14 @@
 
     def servers(self, service: ServiceName) -> list[BackendServer]:
         """Return the servers that take a request now, of a service without groups."""
-        return self._select_accepting(self._servers_by_service.get(service, []))
+        return self.server_options(service).accepting
 
-    def server_wait(self, service: ServiceName) -> ServerWait | None:
-        """Return the wait for a server of a service without groups, as `head_wait`."""
-        return self._notices.shortest_wait(self._servers_by_service.get(service, []))
+    def server_options(self, service: ServiceName) -> ServerOptions:
+        """Return the servers of a service without groups that take a request now.
 
-    def _select_accepting(self, servers: list[BackendServer]) -> list[BackendServer]:
-        return [s for s in servers if self._notices.accepts_request(s)]
+        With the wait for the first of them if none does.
+        """
+        return self._notices.find_options(self._servers_by_service.get(service, []))
 
     def _heads_elsewhere(
         self, service: ServiceName, model: ModelName
--- a/pomelolug/entry/tests/test_group_chooser.py
+++ b/pomelolug/entry/tests/test_group_chooser.py
@@ -12,7 +12,7 @@
 )
 from pomelolug.entry.performance import DeclaredDelayEstimator
 from pomelolug.entry.requests import GroupChooser
-from pomelolug.entry.servers import GroupSelector
+from pomelolug.entry.servers import GroupSelector, ServerOptions
 from pomelolug.entry.tests.choice_simulation import MODEL
 from pomelolug.ids import ZoneId
 
@@ -40,6 +40,9 @@
 
     open_heads = heads
 
+    def head_options(self, service, model) -> ServerOptions:
+        return ServerOptions(self._heads, None)
+
     def in_flight(self, vm) -> int:
         return 0
 
@@ -63,7 +66,7 @@
         clock=ManualClock(),
     )
     selected = await chooser.select(context, set(), waits=False)
-    return selected.head.zone if selected is not None else None
+    return None if isinstance(selected, ServerOptions) else selected.head.zone
 
 
 async def test_zone_that_could_not_be_asked_is_used():
