Move the choice of plain servers out of their forwarder

A preview of a request has to ask the code that chooses, without a forwarder and its connections. PlainServerChooser has the score, the choice and the error without a server; nothing else changes. test_plain_speeds.py asks it directly instead of a private method of a forwarder that was built for it only; its checks are the same.

--- a/pomelolug/entry/requests/__init__.py
+++ b/pomelolug/entry/requests/__init__.py
@@ -22,6 +22,9 @@
 from pomelolug.entry.requests._plain import (
     PlainForwarder,
 )
+from pomelolug.entry.requests._plain_chooser import (
+    PlainServerChooser,
+)
 from pomelolug.entry.requests._repeats import (
     RetryLimiter,
 )
@@ -42,6 +45,7 @@
     "PeerAttempt",
     "PeerRefusalError",
     "PlainForwarder",
+    "PlainServerChooser",
     "RequestContext",
     "RequestExits",
     "RequestHandler",
--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -5,11 +5,12 @@
 import random
 
 from pomelolug.clock import Clock
-from pomelolug.deployment import BackendServer, Repeatability
+from pomelolug.deployment import Repeatability
 from pomelolug.entry.losses import QuarantinedError, RunMonitor
 from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.requests._attempt import Attempt, AttemptError, RunStatus
 from pomelolug.entry.requests._peer_forwarding import PeerRefusalError
+from pomelolug.entry.requests._plain_chooser import PlainServerChooser
 from pomelolug.entry.requests._repeats import RetryLimiter
 from pomelolug.entry.requests._request_context import (
     RequestContext,
@@ -37,14 +38,6 @@
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 _MAX_BUFFERED_BODY_BYTES = 32 * 1024 * 1024
 """Maximum size of all bodies in assembly, of the 200 MB of a small entry VM."""
-_CROSS_ZONE_PENALTY = 0.1
-"""Load, as a fraction of the slots, that a server in another zone must save."""
-_COLD_PENALTY = 0.25
-"""Load, as a fraction of the slots, that a cold server must save, since it is slow."""
-_FAILURE_PENALTY = 0.5
-"""Load, as a fraction of the slots, that one recent failure counts for."""
-_OVER_LIMIT_PENALTY = 0.5
-"""Load, as a fraction of the slots, that being above the learned limit counts for."""
 _ATTEMPT_TIMEOUT_FACTOR = 1.5
 """Time after which a second server is tried, as a multiple of the latency target.
 
@@ -149,8 +142,14 @@
         self._delay_estimator = delay_estimator
         self._exits = exits
         self._clock = clock
-        self._zone = zone
         self._rng = rng
+        self._chooser = PlainServerChooser(
+            server_tracker=server_tracker,
+            notices=notices,
+            delay_estimator=delay_estimator,
+            zone=zone,
+            rng=rng,
+        )
         self._body_budget = BufferBudget(
             _MAX_BUFFERED_BODY_BYTES, memory_budget=memory_budget
         )
@@ -178,7 +177,7 @@
             return
         if state.quarantine is not None:
             raise state.quarantine
-        raise state.error or self._no_server_error(context)
+        raise state.error or self._chooser.no_server_error(context.service.name)
 
     async def _ask_servers(self, context: RequestContext, state: _PlainState) -> bool:
         """Send to servers; return whether the caller has the response of one."""
@@ -301,7 +300,7 @@
 
     def _start_attempt(self, context: RequestContext, state: _PlainState) -> None:
         """Send to a further server, if there is one and the retry budget allows it."""
-        server = self._select_server(context, state.tried)
+        server = self._chooser.select(context.service.name, state.tried)
         is_retry = state.attempt_count > 0
         if server is None or (is_retry and not self._try_spend(context, state)):
             state.may_start = False
@@ -485,18 +484,6 @@
             )
         return _Answer(reply, response_head, body)
 
-    def _select_server(
-        self, context: RequestContext, tried: set[VmId]
-    ) -> BackendServer | None:
-        servers = [
-            s
-            for s in self._server_tracker.servers(context.service.name)
-            if s.vm not in tried
-        ]
-        if not servers:
-            return None
-        return min(servers, key=lambda s: (self._score(s), self._rng.random()))
-
     def _attempt_error(
         self, context: RequestContext, state: _PlainState, failure: AttemptError
     ) -> RequestError:
@@ -507,29 +494,6 @@
                 return server_wait_error(wait, self._rng)
         return _to_request_error(failure, state.possible_runs)
 
-    def _no_server_error(self, context: RequestContext) -> RequestError:
-        wait = self._server_tracker.server_wait(context.service.name)
-        if wait is not None:
-            return server_wait_error(wait, self._rng)
-        return not_run_error(ErrorCode.NO_GROUP, "no server of the service is ready")
-
-    def _score(self, server: BackendServer) -> float:
-        in_flight = self._server_tracker.in_flight(server.vm)
-        slots = max(server.slots, 1)
-        factor = self._delay_estimator.service_factor(server, in_flight=in_flight)
-        # With this request, a slow server has as much work as its time is longer.
-        load = ((in_flight + 1) * factor - 1) / slots
-        limit = self._delay_estimator.plain_limit(server)
-        if limit < slots and in_flight >= limit:
-            load += _OVER_LIMIT_PENALTY
-        zone_penalty = 0.0 if server.zone == self._zone else _CROSS_ZONE_PENALTY
-        return (
-            load
-            + zone_penalty
-            + (_COLD_PENALTY if self._notices.is_cold(server) else 0.0)
-            + _FAILURE_PENALTY * self._server_tracker.failure_score(server.vm)
-        )
-
 
 def _to_request_error(failure: AttemptError, possible_runs: int) -> RequestError:
     if possible_runs:
--- a/pomelolug/entry/tests/test_plain_speeds.py
+++ b/pomelolug/entry/tests/test_plain_speeds.py
@@ -11,9 +11,8 @@
 
 from pomelolug.entry.dispatch.tests.dispatch_fixtures import ManualClock, make_heads
 from pomelolug.entry.performance import LearnedDelayEstimator
-from pomelolug.entry.requests import PlainForwarder
+from pomelolug.entry.requests import PlainServerChooser
 from pomelolug.ids import ServiceName, ZoneId
-from pomelolug.transport import MemoryBudget
 
 SLOTS = 6
 WORK_S = 0.015
@@ -46,18 +45,13 @@
             in_flight=lambda vm: self.in_flight[vm],
             failure_score=lambda vm: 0.0,
         )
-        unused = dict.fromkeys(("pool", "retry_limiter", "run_monitor", "exits"))
-        self.forwarder = PlainForwarder(
-            **unused,
+        self.chooser = PlainServerChooser(
             server_tracker=tracker,
             notices=SimpleNamespace(is_cold=lambda server: False),
             delay_estimator=self.learned,
-            memory_budget=MemoryBudget(None),
-            clock=self.clock,
             zone=ZoneId("a"),
             rng=self.rng,
         )
-        self.context = SimpleNamespace(service=SimpleNamespace(name=ServiceName("s")))
 
     def run(self, seconds: float, *, rate_per_s: float, slow_vm: str) -> None:
         """Serve requests that arrive at random for a time."""
@@ -70,7 +64,7 @@
             while ends and ends[0][0] <= arrival_s:
                 self._end(*heapq.heappop(ends))
             self.clock.time_s = arrival_s
-            server = self.forwarder._select_server(self.context, set())
+            server = self.chooser.select(ServiceName("s"), set())
             waiting = max(self.in_flight[server.vm] + 1 - SLOTS, 0)
             work_s = WORK_S * (SLOWDOWN if server.vm == slow_vm else 1.0)
             work_s *= self.rng.uniform(0.7, 1.3) * (1.0 + waiting / SLOTS)
