Move route, account and refusals of requests into functions

A preview of a request has to ask the same code without an exchange or connections. The route, account, urgency, timeout and service of a request are functions of _resolution.py, whether a stream is passed on and its error without a head those of _stream_decisions.py. RoutedRequest is the part of RequestContext that decides where a request goes.

--- a/pomelolug/entry/requests/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -9,7 +9,6 @@
 import structlog
 
 from pomelolug.clock import Clock
-from pomelolug.deployment import ClientAccount, Declaration, Route, Service
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._topic_consumers import DeclarationCache
 from pomelolug.entry.losses import (
@@ -27,6 +26,14 @@
     unknown_outcome_error,
 )
 from pomelolug.entry.requests._request_record import RequestRecord
+from pomelolug.entry.requests._resolution import (
+    authenticate,
+    client_error,
+    find_route,
+    select_service,
+    timeout_of,
+    urgency_of,
+)
 from pomelolug.entry.requests._stream import StreamForwarder
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.feeds import TopicFeed
@@ -51,8 +58,6 @@
         "the node has too many connections",
     ),
 }
-_LOWEST_URGENCY = 9
-"""Largest urgency value sent to a server; 0 is the most urgent."""
 
 
 class RequestHandler:
@@ -209,7 +214,7 @@
             raise not_run_error(ErrorCode.DRAINING, "the node stops")
         forwarded = decode_forwarded(exchange.headers)
         if forwarded is None:
-            raise _client_error(
+            raise client_error(
                 400, ErrorCode.BAD_REQUEST, "the field of a forwarded request is wrong"
             )
         if forwarded.declaration_version > self._declarations.version:
@@ -232,11 +237,9 @@
                 ErrorCode.NO_CONFIGURATION, "no declaration is known yet"
             )
         record.declaration_version = declaration.version
-        route = declaration.find_route(request_head.host, request_head.path)
-        if route is None:
-            raise _client_error(404, ErrorCode.UNKNOWN_CLASS, "no route matches")
+        route = find_route(declaration, request_head)
         record.route = route.name
-        client_account = _authenticate(declaration, route, request_head)
+        client_account = authenticate(declaration, route, request_head)
         account = client_account.account_id if client_account is not None else None
         record.account = account
         identity = RequestIdentity.build(
@@ -247,20 +250,15 @@
         )
         record.identity = identity
         record.known_losses = self._poison_detector.loss_count(identity.request)
-        priority = route.priority
-        if client_account is not None and client_account.priority is not None:
-            priority = client_account.priority
-        timeout_s = route.timeout.total_seconds()
-        if request_head.deadline_s is not None:
-            timeout_s = min(timeout_s, request_head.deadline_s)
+        timeout_s = timeout_of(route, request_head).total_seconds()
         return RequestContext(
             exchange=exchange,
             request_head=request_head,
             declaration=declaration,
             route=route,
-            service=self._select_service(declaration, route),
+            service=select_service(declaration, route, self._rng),
             account=AccountId(account) if account is not None else None,
-            urgency=min(max(priority, 0), _LOWEST_URGENCY),
+            urgency=urgency_of(route, client_account),
             arrived_at_s=arrived_at_s,
             deadline_at_s=arrived_at_s + timeout_s,
             identity=identity,
@@ -269,18 +267,6 @@
             prior_runs=forwarded.possible_runs if forwarded is not None else 0,
         )
 
-    def _select_service(self, declaration: Declaration, route: Route) -> Service:
-        """Return a service of the route, chosen at random by weight."""
-        shares = [s for s in route.shares if s.service in declaration.services]
-        weights = [max(s.weight, 0.0) for s in shares]
-        if not any(weights):
-            raise not_run_error(
-                ErrorCode.UNKNOWN_SERVICE,
-                "the route has no service",
-            )
-        share = self._rng.choices(shares, weights)[0]
-        return declaration.services[share.service]
-
     async def _forward(self, context: RequestContext) -> None:
         forwarder = (
             self._stream_forwarder
@@ -343,22 +329,6 @@
             _log.info("request", took_s=round(took_s, 4), **record.log_fields())
 
 
-def _authenticate(
-    declaration: Declaration, route: Route, request_head: RequestHead
-) -> ClientAccount | None:
-    """Return the client account of a request, or None if none is required."""
-    if declaration.accounts_by_key is None:
-        return None
-    client_account = (
-        declaration.accounts_by_key.get(request_head.api_key)
-        if request_head.api_key is not None
-        else None
-    )
-    if client_account is None and not route.public:
-        raise _client_error(401, ErrorCode.UNAUTHENTICATED, "the key is unknown")
-    return client_account
-
-
 def _stop_error(record: RequestRecord) -> RequestError:
     message = "the node stops before the request was answered"
     if any(attempt.may_have_run for attempt in record.attempts):
@@ -388,10 +358,6 @@
     context.exchange.abort()
 
 
-def _client_error(status: int, code: ErrorCode, message: str) -> RequestError:
-    return RequestError(code, message, status=status)
-
-
 def _record_and_reply_error(
     exchange: Exchange,
     request_head: RequestHead,
--- a/pomelolug/entry/requests/_group_chooser.py
+++ b/pomelolug/entry/requests/_group_chooser.py
@@ -8,7 +8,7 @@
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
 from pomelolug.entry.dispatch import Assignment, DispatchEndpoint, Question
 from pomelolug.entry.performance import LearnedDelayEstimator
-from pomelolug.entry.requests._request_context import RequestContext
+from pomelolug.entry.requests._request_context import RoutedRequest
 from pomelolug.entry.requests._request_record import GroupChoice
 from pomelolug.entry.servers import (
     Candidate,
@@ -88,13 +88,13 @@
         self._clock = clock
 
     async def select(
-        self, context: RequestContext, tried: Collection[VmId], *, waits: bool
+        self, context: RoutedRequest, tried: Collection[VmId], *, waits: bool
     ) -> SelectedGroup | None:
         """Return the group of the next run, None if there is none.
 
         Parameters
         ----------
-        context : RequestContext
+        context : RoutedRequest
             The request.
         tried : collection of VmId
             Heads that the request is not sent to again.
@@ -118,7 +118,7 @@
             await self._clock.sleep(_RESUME_POLL_INTERVAL)
 
     async def _try_select(
-        self, context: RequestContext, tried: Collection[VmId]
+        self, context: RoutedRequest, tried: Collection[VmId]
     ) -> SelectedGroup | None:
         """Return the group that a dispatcher assigns, or that this node chooses."""
         choice = GroupChoice.OWN
@@ -145,7 +145,7 @@
 
     def _select_own(
         self,
-        context: RequestContext,
+        context: RoutedRequest,
         tried: Collection[VmId],
         choice: GroupChoice,
         *,
@@ -164,7 +164,7 @@
 
     def _build_question(
         self,
-        context: RequestContext,
+        context: RoutedRequest,
         tried: Collection[VmId],
         model: ModelName,
         unusable: set[VmId],
@@ -190,7 +190,7 @@
         )
 
     def _find_head(
-        self, context: RequestContext, tried: Collection[VmId], vm: VmId
+        self, context: RoutedRequest, tried: Collection[VmId], vm: VmId
     ) -> BackendServer | None:
         """Return an assigned head, None if this node may not send to it now.
 
@@ -204,7 +204,7 @@
 
     def _find_candidates(
         self,
-        context: RequestContext,
+        context: RoutedRequest,
         tried: Collection[VmId],
         *,
         suspected: bool = False,
@@ -241,7 +241,7 @@
 
 
 def engine_and_model(
-    context: RequestContext,
+    context: RoutedRequest,
 ) -> tuple[EngineProfile | None, ModelProfile | None]:
     """Return the declared figures for a stream, None where there are none."""
     engine = context.service.engine
--- a/pomelolug/entry/requests/_request_context.py
+++ b/pomelolug/entry/requests/_request_context.py
@@ -29,6 +29,7 @@
 
 __all__ = [
     "RequestContext",
+    "RoutedRequest",
     "not_run_error",
     "reply_error",
     "server_wait_error",
@@ -44,18 +45,16 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class RequestContext:
-    """A caller's request with its route, service and account.
+class RoutedRequest:
+    """What decides where a caller's request goes: its route, service and account.
 
     `arrived_at_s` and `deadline_at_s` are monotonic seconds of the event loop's clock,
     which `SystemClock.monotonic` returns.
     At the deadline, the caller has left or the timeout of the route has passed.
-    `identity` identifies the request when its caller sends it again.
     `is_forwarded` is true if another node sent the request, which must not be passed
-    on again. `prior_runs` is the number of runs that may have happened before.
+    on again.
     """
 
-    exchange: Exchange
     request_head: RequestHead
     declaration: Declaration
     route: Route
@@ -64,9 +63,20 @@
     urgency: int
     arrived_at_s: float
     deadline_at_s: float
+    is_forwarded: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RequestContext(RoutedRequest):
+    """A caller's request while this node processes it.
+
+    `identity` identifies the request when its caller sends it again.
+    `prior_runs` is the number of runs that may have happened before.
+    """
+
+    exchange: Exchange
     identity: RequestIdentity
     record: RequestRecord
-    is_forwarded: bool = False
     prior_runs: int = 0
 
     @property
--- a/pomelolug/entry/requests/_request_exits.py
+++ b/pomelolug/entry/requests/_request_exits.py
@@ -6,7 +6,7 @@
 
 from pomelolug.clock import Clock
 from pomelolug.entry.requests._peer_forwarding import PeerAttempt
-from pomelolug.entry.requests._request_context import RequestContext
+from pomelolug.entry.requests._request_context import RequestContext, RoutedRequest
 from pomelolug.entry.requests._request_record import AttemptRecord
 from pomelolug.entry.servers import ServerContact
 from pomelolug.errors import ErrorCode, Outcome, RequestError
@@ -74,11 +74,11 @@
         if not context.is_forwarded:
             await self._contact.check()
 
-    def is_needed(self, context: RequestContext) -> bool:
+    def is_needed(self, context: RoutedRequest) -> bool:
         """Return whether a request cannot be sent to any server from this node."""
         return self._contact.is_cut_off and not context.is_forwarded
 
-    def may_use(self, context: RequestContext, *, unreached_count: int) -> bool:
+    def may_use(self, context: RoutedRequest, *, unreached_count: int) -> bool:
         """Return whether another node may get a request.
 
         So it may if this node is in doubt whether it reaches the servers. If no other
@@ -86,7 +86,7 @@
 
         Parameters
         ----------
-        context : RequestContext
+        context : RoutedRequest
             The request, which is passed on only once.
         unreached_count : int
             Number of servers to which no connection has opened in a row.
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -25,6 +25,12 @@
 )
 from pomelolug.entry.requests._request_exits import MAX_UNREACHED_SERVERS, RequestExits
 from pomelolug.entry.requests._request_record import AttemptRecord
+from pomelolug.entry.requests._stream_decisions import (
+    RETRY_AFTER_FULL,
+    add_jitter,
+    may_pass_stream_on,
+    no_head_error,
+)
 from pomelolug.entry.requests._stream_run import (
     RefusedError,
     ServerError,
@@ -45,16 +51,6 @@
 
 _MAX_ATTEMPTS = 5
 """Maximum number of attempts, including those that a group refuses."""
-_RETRY_AFTER_FULL = datetime.timedelta(seconds=1.3)
-"""Retry-After time if all groups are full.
-
-Groups fill up when one of them is lost, and a lost group serves again within two
-seconds if a spare is ready.
-"""
-_RETRY_AFTER_NO_GROUP = datetime.timedelta(seconds=2)
-"""Retry-After time if no group of the model is open."""
-_RETRY_AFTER_JITTER = 0.15
-"""Relative jitter of these times, so that callers do not retry simultaneously."""
 _RUN_ERRORS = (RefusedError, ServerError, PeerRefusalError, AttemptError)
 _RunError: TypeAlias = RefusedError | ServerError | PeerRefusalError | AttemptError
 
@@ -184,14 +180,12 @@
         return run
 
     def _may_use_exits(self, context: RequestContext, state: StreamState) -> bool:
-        model = context.request_head.model
-        if context.is_forwarded:
-            return False
-        service = context.service.name
-        tracker = self._server_tracker
-        if model is not None and tracker.is_left_without_heads(service, model):
-            return True
-        return self._exits.may_use(context, unreached_count=state.unreached_count)
+        return may_pass_stream_on(
+            context,
+            server_tracker=self._server_tracker,
+            exits=self._exits,
+            unreached_count=state.unreached_count,
+        )
 
     async def _start_run_at_node(
         self, context: RequestContext, state: StreamState
@@ -544,19 +538,7 @@
             return
         if state.possible_runs and (error is None or error.outcome is Outcome.NOT_RUN):
             raise unknown_outcome_error(ErrorCode.BACKEND_LOST, "the group was lost")
-        raise error or self._no_head_error(context)
-
-    def _no_head_error(self, context: RequestContext) -> RequestError:
-        """Return the error of a request for which no head was selected."""
-        model = context.request_head.model
-        wait = None
-        if model is not None:
-            wait = self._server_tracker.head_wait(context.service.name, model)
-        if wait is not None:
-            return server_wait_error(wait, self._rng)
-        has_groups = self._has_working_groups(context)
-        retry_after = _RETRY_AFTER_FULL if has_groups else _RETRY_AFTER_NO_GROUP
-        return _no_group_error(has_groups, self._add_jitter(retry_after))
+        raise error or no_head_error(context, self._server_tracker, self._rng)
 
     def _attempt_error(
         self, context: RequestContext, state: StreamState, failure: AttemptError
@@ -570,12 +552,7 @@
         return _to_request_error(failure, state.possible_runs)
 
     def _refused_error(self, message: str) -> RequestError:
-        return _backend_refused_error(message, self._add_jitter(_RETRY_AFTER_FULL))
-
-    def _add_jitter(self, wait: datetime.timedelta) -> datetime.timedelta:
-        return wait * self._rng.uniform(
-            1.0 - _RETRY_AFTER_JITTER, 1.0 + _RETRY_AFTER_JITTER
-        )
+        return _backend_refused_error(message, add_jitter(RETRY_AFTER_FULL, self._rng))
 
     def _may_retry(
         self, context: RequestContext, state: StreamState, *, running: int = 0
@@ -599,12 +576,6 @@
     ) -> bool:
         return error.head.status >= 500 and self._may_retry(context, state, running=1)
 
-    def _has_working_groups(self, context: RequestContext) -> bool:
-        """Return whether the model has groups; all are full if none was selected."""
-        return context.request_head.model is not None and bool(
-            self._server_tracker.heads(context.service.name, context.request_head.model)
-        )
-
     def _reply_error(self, context: RequestContext, error: ServerError) -> None:
         head = error.head
         context.record.status = head.status
@@ -661,12 +632,6 @@
     )
 
 
-def _no_group_error(has_groups: bool, retry_after: datetime.timedelta) -> RequestError:
-    code = ErrorCode.QUEUE_FULL if has_groups else ErrorCode.NO_GROUP
-    message = "all groups of the model are full" if has_groups else "no group is open"
-    return RequestError(code, message, status=503, retry_after=retry_after)
-
-
 def _to_request_error(reason: str | AttemptError, possible_runs: int) -> RequestError:
     if isinstance(reason, AttemptError):
         reason = reason.reason
