Rank the groups of a zone apart from the assignment

A preview has to ask the dispatcher where a stream would go without an assignment, a question that counts or a draw.

A decision among 41 groups takes 244, 285 and 320 us, before it 256, 274 and 337 us (measured in turn, load average 28).

--- a/pomelolug/entry/dispatch/__init__.py
+++ b/pomelolug/entry/dispatch/__init__.py
@@ -1,6 +1,12 @@
 """Assignment of streams to groups by one node of each zone."""
 
-from pomelolug.entry.dispatch._dispatcher import Decision, GroupDispatcher, Question
+from pomelolug.entry.dispatch._dispatcher import (
+    Decision,
+    GroupDispatcher,
+    GroupRank,
+    Question,
+    Ranking,
+)
 from pomelolug.entry.dispatch._endpoint import (
     Assignment,
     DispatchEndpoint,
@@ -17,6 +23,8 @@
     "DispatchMessage",
     "DispatcherAddresses",
     "GroupDispatcher",
+    "GroupRank",
     "Holder",
     "Question",
+    "Ranking",
 ]
--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -6,21 +6,29 @@
 """
 
 import collections
+import copy
 import dataclasses
 import datetime
 import math
 import random
 from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
 
 from pomelolug.clock import Clock
-from pomelolug.deployment import BackendServer, Declaration, Repeatability
+from pomelolug.deployment import (
+    BackendServer,
+    Declaration,
+    EngineProfile,
+    ModelProfile,
+    Repeatability,
+)
 from pomelolug.entry.dispatch._ledger import AssignmentLedger, Holder
 from pomelolug.entry.performance import DelayEstimator
 from pomelolug.fairness import AccountShares
 from pomelolug.ids import AccountId, ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 
-__all__ = ["Decision", "GroupDispatcher", "Question"]
+__all__ = ["Decision", "GroupDispatcher", "GroupRank", "Question", "Ranking"]
 
 _LOAD_COST_S = 0.05
 """Expected delay, in seconds, that counts as much as all slots of a group.
@@ -83,6 +91,51 @@
     load: int = 0
 
 
+class GroupRank(NamedTuple):
+    """A group as a stream finds it; the one with room and the least score is chosen.
+
+    `in_flight` is the number of requests at the group, `limit` how many it takes well,
+    `delay_s` the expected delay by which groups are compared, and `score_s` this delay
+    with the cost of the load, in seconds.
+    """
+
+    head: BackendServer
+    in_flight: int
+    limit: int
+    delay_s: float
+    score_s: float
+    has_room: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ranking:
+    """Groups of the zone for a stream.
+
+    Parameters
+    ----------
+    ranks : tuple of GroupRank
+        Open groups that the question does not exclude.
+    best : tuple of BackendServer
+        Heads among which one is drawn, none if no group has room.
+    free, reserved : int
+        Free slots of all groups, and how many of them are reserved for others. The
+        stream gets none if there are no more.
+    has_groups : bool
+        Whether there are open groups.
+    """
+
+    ranks: tuple[GroupRank, ...] = ()
+    best: tuple[BackendServer, ...] = ()
+    free: int = 0
+    reserved: int = 0
+    has_groups: bool = False
+
+    @property
+    def is_reserved(self) -> bool:
+        """Whether all free slots are reserved for others."""
+        return _is_reserved(free=self.free, reserved=self.reserved)
+
+
 class _Urgency:
     """Questions for streams of one urgency, and the streams that have a group."""
 
@@ -156,6 +209,17 @@
         return max(for_accounts, math.ceil(_URGENT_RESERVE * slots))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Groups:
+    """Open groups of the zone for one model, with the limit of each head."""
+
+    engine: EngineProfile
+    model: ModelProfile
+    heads: list[BackendServer]
+    limits: dict[VmId, int]
+    estimator: DelayEstimator
+
+
 class GroupDispatcher:
     """Assigns streams to the open groups of a zone.
 
@@ -312,46 +376,100 @@
             seen = self._status_times_s[holder] = (status.serial, now_s)
         return seen[1]
 
+    def rank(self, question: Question) -> Ranking:
+        """Return where a stream would go now, without counting the question."""
+        key = question.service, question.model
+        groups = self._find_groups(question, self._estimator.snapshot())
+        if groups is None:
+            return Ranking()
+        pool = copy.deepcopy(self._pools.get(key) or _Pool())
+        pool.record_question(question, now_s=self._clock.monotonic())
+        ranks = self._rank(question, groups)
+        free = self._free_slots(groups)
+        return Ranking(
+            ranks=tuple(ranks),
+            best=tuple(_find_best(ranks)),
+            free=free,
+            reserved=self._reserved_slots(question, pool, groups, free=free),
+            has_groups=bool(groups.heads),
+        )
+
     def _choose(self, question: Question) -> tuple[BackendServer | None, bool]:
+        groups = self._find_groups(question, self._estimator)
+        if groups is None:
+            return None, False
+        pool = self._pools.setdefault((question.service, question.model), _Pool())
+        pool.record_question(question, now_s=self._clock.monotonic())
+        free = self._free_slots(groups)
+        reserved = self._reserved_slots(question, pool, groups, free=free)
+        if _is_reserved(free=free, reserved=reserved):
+            return None, bool(groups.heads)
+        best = _find_best(self._rank(question, groups))
+        if not best:
+            return None, bool(groups.heads)
+        return self._rng.choice(best), True
+
+    def _find_groups(
+        self, question: Question, estimator: DelayEstimator
+    ) -> _Groups | None:
+        """Return the groups of the zone, None if the model is not declared."""
         declaration = self._declaration()
         service = declaration and declaration.services.get(question.service)
         engine = service.engine if service else None
         model = engine.find_model(question.model) if engine is not None else None
         if engine is None or model is None:
-            return None, False
+            return None
         heads = [
             head
             for head in self._heads(question.service, model.name)
             if head.zone == self._zone
         ]
-        pool = self._pools.setdefault((question.service, question.model), _Pool())
-        now_s = self._clock.monotonic()
-        pool.record_question(question, now_s=now_s)
-        limits = {head.vm: self._estimator.limit(head, engine) for head in heads}
-        free = sum(max(limits[h.vm] - self.in_flight(h.vm), 0) for h in heads)
-        reserved = pool.reserved_slots(
-            question, free=free, slots=sum(limits.values()), now_s=now_s
+        limits = {head.vm: estimator.limit(head, engine) for head in heads}
+        return _Groups(engine, model, heads, limits, estimator)
+
+    def _free_slots(self, groups: _Groups) -> int:
+        limits = groups.limits
+        return sum(max(limits[h.vm] - self.in_flight(h.vm), 0) for h in groups.heads)
+
+    def _reserved_slots(
+        self, question: Question, pool: _Pool, groups: _Groups, *, free: int
+    ) -> int:
+        """Return the free slots that a stream must leave to others."""
+        return pool.reserved_slots(
+            question,
+            free=free,
+            slots=sum(groups.limits.values()),
+            now_s=self._clock.monotonic(),
         )
-        if reserved and free <= reserved:
-            return None, bool(heads)
-        scores: list[tuple[float, BackendServer]] = []
-        for head in heads:
+
+    def _rank(self, question: Question, groups: _Groups) -> list[GroupRank]:
+        """Return the groups that a question does not exclude."""
+        target = datetime.timedelta(seconds=question.target_s)
+        ranks = []
+        for head in groups.heads:
             if head.vm in question.excluded:
                 continue
-            in_flight, limit = self.in_flight(head.vm), limits[head.vm]
-            delay_s = self._estimator.choice_delay_s(
+            in_flight, limit = self.in_flight(head.vm), groups.limits[head.vm]
+            delay_s = groups.estimator.choice_delay_s(
                 head,
-                engine,
-                model,
+                groups.engine,
+                groups.model,
                 in_flight=in_flight,
                 prompt_tokens=question.prompt_tokens,
-                target=datetime.timedelta(seconds=question.target_s),
+                target=target,
             )
-            if in_flight < limit or delay_s <= question.target_s:
-                load = in_flight / max(limit, 1)
-                scores.append((delay_s + _LOAD_COST_S * load, head))
-        if not scores:
-            return None, bool(heads)
-        lowest_s = min(score_s for score_s, _ in scores)
-        best = [h for score_s, h in scores if score_s <= lowest_s + _TIE_TOLERANCE_S]
-        return self._rng.choice(best), True
+            has_room = in_flight < limit or delay_s <= question.target_s
+            score_s = delay_s + _LOAD_COST_S * (in_flight / max(limit, 1))
+            ranks.append(GroupRank(head, in_flight, limit, delay_s, score_s, has_room))
+        return ranks
+
+
+def _is_reserved(*, free: int, reserved: int) -> bool:
+    return bool(reserved) and free <= reserved
+
+
+def _find_best(ranks: Sequence[GroupRank]) -> list[BackendServer]:
+    """Return the heads of the groups with room that serve a stream equally well."""
+    scores = [(rank.score_s, rank.head) for rank in ranks if rank.has_room]
+    lowest_s = min((score_s for score_s, _ in scores), default=0.0)
+    return [h for score_s, h in scores if score_s <= lowest_s + _TIE_TOLERANCE_S]
--- a/pomelolug/entry/dispatch/tests/test_dispatcher.py
+++ b/pomelolug/entry/dispatch/tests/test_dispatcher.py
@@ -273,3 +273,29 @@
     clock.time_s += 20.0
     heads = assign(dispatcher, 2 * SLOTS, first=100, urgency=2, target_s=0.0)
     assert None not in heads
+
+
+def test_ranking_names_the_group_that_is_assigned_and_changes_no_assignment():
+    # Guards against a ranking for an operator that counts as a question or draws a
+    # number, so that streams go elsewhere than without it.
+    def decide_all(is_ranked: bool) -> list[str | None]:
+        dispatcher = make_dispatcher(make_heads(5), seed=4)
+        decisions = []
+        for serial in range(6 * SLOTS):
+            question = make_question(
+                account=f"a{serial % 2}", urgency=serial % 3, target_s=0.0
+            )
+            ranking = dispatcher.rank(question) if is_ranked else None
+            head = dispatcher.decide(NODE, serial, question).head
+            decisions.append(head)
+            if ranking is not None and head is None:
+                assert ranking.has_groups
+                assert ranking.is_reserved or not ranking.best
+            elif ranking is not None:
+                assert not ranking.is_reserved
+                assert head in [best.vm for best in ranking.best]
+        return decisions
+
+    decisions = decide_all(False)
+    assert None in decisions
+    assert decide_all(True) == decisions
--- a/pomelolug/entry/performance/_base.py
+++ b/pomelolug/entry/performance/_base.py
@@ -61,3 +61,10 @@
     @abc.abstractmethod
     def limit(self, head: BackendServer, engine: EngineProfile) -> int:
         """Return the number of requests up to which a group takes more of them well."""
+
+    def snapshot(self) -> "DelayEstimator":
+        """Return an estimator that can be asked without a change of this one.
+
+        It is this one unless asking changes the subclass.
+        """
+        return self
--- a/pomelolug/entry/performance/_learned.py
+++ b/pomelolug/entry/performance/_learned.py
@@ -1,5 +1,6 @@
 """Delays and limits of servers as learned from the requests of all nodes."""
 
+import copy
 import dataclasses
 import datetime
 import math
@@ -289,6 +290,16 @@
             return server.slots
         return self._find(server, server.service, server.slots).limit
 
+    def snapshot(self) -> "LearnedDelayEstimator":
+        """Return an estimator with what is known now, which does not learn."""
+        snapshot = copy.copy(self)
+        snapshot._refreshed_at_s = float("inf")
+        snapshot._servers = {vm: copy.copy(s) for vm, s in self._servers.items()}
+        snapshot._group_delays = dict(self._group_delays)
+        snapshot._load_curves = dict(self._load_curves)
+        snapshot._load_keys = set(self._load_keys)
+        return snapshot
+
     def summary(self) -> PerformanceSummary:
         """Return counts for the metrics."""
         self._refresh_if_due()
