--- a/pomelolug/entry/requests/_group_chooser.py
+++ b/pomelolug/entry/requests/_group_chooser.py
@@ -8,7 +8,7 @@
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
 from pomelolug.entry.dispatch import Assignment, DispatchEndpoint, Question
 from pomelolug.entry.performance import LearnedDelayEstimator
-from pomelolug.entry.requests._request_context import RequestContext
+from pomelolug.entry.requests._request_context import RoutedRequest
 from pomelolug.entry.requests._request_record import GroupChoice
 from pomelolug.entry.servers import (
     Candidate,
@@ -89,13 +89,13 @@
         self._clock = clock
 
     async def select(
-        self, context: RequestContext, tried: Collection[VmId], *, waits: bool
+        self, context: RoutedRequest, tried: Collection[VmId], *, waits: bool
     ) -> SelectedGroup | ServerOptions:
         """Return the group of the next run, or the heads among which there is none.
 
         Parameters
         ----------
-        context : RequestContext
+        context : RoutedRequest
             The request.
         tried : collection of VmId
             Heads that the request is not sent to again.
@@ -120,7 +120,7 @@
                 )
             await self._clock.sleep(_RESUME_POLL_INTERVAL)
 
-    def find_options(self, context: RequestContext) -> ServerOptions:
+    def find_options(self, context: RoutedRequest) -> ServerOptions:
         """Return the heads that take a stream now, and the wait if none does."""
         model = context.request_head.model
         if model is None:
@@ -128,7 +128,7 @@
         return self._server_tracker.head_options(context.service.name, model)
 
     async def _try_select(
-        self, context: RequestContext, tried: Collection[VmId]
+        self, context: RoutedRequest, tried: Collection[VmId]
     ) -> SelectedGroup | ServerOptions:
         """Return the group that a dispatcher assigns, or that this node chooses."""
         choice = GroupChoice.OWN
@@ -155,7 +155,7 @@
 
     def _select_own(
         self,
-        context: RequestContext,
+        context: RoutedRequest,
         tried: Collection[VmId],
         choice: GroupChoice,
         *,
@@ -175,7 +175,7 @@
 
     def _build_question(
         self,
-        context: RequestContext,
+        context: RoutedRequest,
         tried: Collection[VmId],
         model: ModelName,
         unusable: set[VmId],
@@ -201,7 +201,7 @@
         )
 
     def _find_head(
-        self, context: RequestContext, tried: Collection[VmId], vm: VmId
+        self, context: RoutedRequest, tried: Collection[VmId], vm: VmId
     ) -> BackendServer | None:
         """Return an assigned head, None if this node may not send to it now.
 
@@ -213,7 +213,7 @@
         heads = self._server_tracker.heads(context.service.name, model)
         return next((head for head in heads if head.vm == vm), None)
 
-    def _find_suspected(self, context: RequestContext) -> list[BackendServer]:
+    def _find_suspected(self, context: RoutedRequest) -> list[BackendServer]:
         model = context.request_head.model
         if model is None:
             return []
@@ -221,7 +221,7 @@
 
     def _find_candidates(
         self,
-        context: RequestContext,
+        context: RoutedRequest,
         tried: Collection[VmId],
         heads: Iterable[BackendServer],
     ) -> list[Candidate]:
@@ -252,7 +252,7 @@
 
 
 def engine_and_model(
-    context: RequestContext,
+    context: RoutedRequest,
 ) -> tuple[EngineProfile | None, ModelProfile | None]:
     """Return the declared figures for a stream, None where there are none."""
     engine = context.service.engine
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -20,11 +20,16 @@
 from pomelolug.entry.requests._request_context import (
     RequestContext,
     not_run_error,
-    server_wait_error,
     unknown_outcome_error,
 )
 from pomelolug.entry.requests._request_exits import MAX_UNREACHED_SERVERS, RequestExits
 from pomelolug.entry.requests._request_record import AttemptRecord
+from pomelolug.entry.requests._stream_decisions import (
+    RETRY_AFTER_FULL,
+    add_jitter,
+    may_pass_stream_on,
+    no_head_error,
+)
 from pomelolug.entry.requests._stream_run import (
     RefusedError,
     ServerError,
@@ -46,16 +51,6 @@
 
 _MAX_ATTEMPTS = 5
 """Maximum number of attempts, including those that a group refuses."""
-_RETRY_AFTER_FULL = datetime.timedelta(seconds=1.3)
-"""Retry-After time if all groups are full.
-
-Groups fill up when one of them is lost, and a lost group serves again within two
-seconds if a spare is ready.
-"""
-_RETRY_AFTER_NO_GROUP = datetime.timedelta(seconds=2)
-"""Retry-After time if no group of the model is open."""
-_RETRY_AFTER_JITTER = 0.15
-"""Relative jitter of these times, so that callers do not retry simultaneously."""
 _RUN_ERRORS = (RefusedError, ServerError, PeerRefusalError, AttemptError)
 _RunError: TypeAlias = RefusedError | ServerError | PeerRefusalError | AttemptError
 
@@ -185,14 +180,12 @@
         return run
 
     def _may_use_exits(self, context: RequestContext, state: StreamState) -> bool:
-        model = context.request_head.model
-        if context.is_forwarded:
-            return False
-        service = context.service.name
-        tracker = self._server_tracker
-        if model is not None and tracker.is_left_without_heads(service, model):
-            return True
-        return self._exits.may_use(context, unreached_count=state.unreached_count)
+        return may_pass_stream_on(
+            context,
+            server_tracker=self._server_tracker,
+            exits=self._exits,
+            unreached_count=state.unreached_count,
+        )
 
     async def _start_run_at_node(
         self, context: RequestContext, state: StreamState
@@ -547,19 +540,8 @@
             return
         if state.possible_runs and (error is None or error.outcome is Outcome.NOT_RUN):
             raise unknown_outcome_error(ErrorCode.BACKEND_LOST, "the group was lost")
-        raise error or self._no_head_error(context, state)
-
-    def _no_head_error(
-        self, context: RequestContext, state: StreamState
-    ) -> RequestError:
-        """Return the error of a request for which no head was selected."""
         options = state.options or self._group_chooser.find_options(context)
-        if options.wait is not None:
-            return server_wait_error(options.wait, self._rng)
-        # All groups are full if none of those that take requests was selected.
-        has_groups = bool(options.accepting)
-        retry_after = _RETRY_AFTER_FULL if has_groups else _RETRY_AFTER_NO_GROUP
-        return _no_group_error(has_groups, self._add_jitter(retry_after))
+        raise error or no_head_error(options, self._rng)
 
     def _record_attempt_error(
         self, state: StreamState, head: BackendServer, failure: AttemptError
@@ -577,12 +559,7 @@
             state.error = None
 
     def _refused_error(self, message: str) -> RequestError:
-        return _backend_refused_error(message, self._add_jitter(_RETRY_AFTER_FULL))
-
-    def _add_jitter(self, wait: datetime.timedelta) -> datetime.timedelta:
-        return wait * self._rng.uniform(
-            1.0 - _RETRY_AFTER_JITTER, 1.0 + _RETRY_AFTER_JITTER
-        )
+        return _backend_refused_error(message, add_jitter(RETRY_AFTER_FULL, self._rng))
 
     def _may_retry(
         self, context: RequestContext, state: StreamState, *, running: int = 0
@@ -662,12 +639,6 @@
     )
 
 
-def _no_group_error(has_groups: bool, retry_after: datetime.timedelta) -> RequestError:
-    code = ErrorCode.QUEUE_FULL if has_groups else ErrorCode.NO_GROUP
-    message = "all groups of the model are full" if has_groups else "no group is open"
-    return RequestError(code, message, status=503, retry_after=retry_after)
-
-
 def _to_request_error(reason: str | AttemptError, possible_runs: int) -> RequestError:
     if isinstance(reason, AttemptError):
         reason = reason.reason
