Tell other nodes of a server that has started again, before they read of it

Cause: a node whose list of servers was old kept what it knew of a server's start before (counts, suspicions, failures, its limit, that it leaves, kept connections) until it read the new entry or asked for a report, even if other nodes knew of the start.

A node that learns of a later start from a status or a report forgets the start before at once, with the dispatcher's assignments and the kept connections; what is sent since then stays counted when the entry shows the start.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -443,6 +443,7 @@
             clock=self._clock,
             rng=self._rng,
             on_leaving=self._on_leaving_server,
+            on_restart=self._on_reported_restart,
         )
 
     def _build_feeds(self) -> None:
@@ -757,11 +758,26 @@
         self._controller.wake()
         for server in change.removed:
             self._notices.record_removal(server)
-        for server in (*change.removed, *change.restarted):
-            self._pool.close_idle(server.address)
-            self._server_contact.forget_server(server.vm)
+        for server in change.removed:
+            self._forget_connections(server)
         for server in change.restarted:
-            self._group_dispatcher.forget_server(server.vm)
+            self._forget_start(server)
+
+    def _on_reported_restart(self, vm: VmId, start_time_ms: int) -> None:
+        """Forget what a server was before a start that its entry does not show yet."""
+        self._server_tracker.record_restart(vm, start_time_ms)
+        server = self._registry.servers.get(vm)
+        if server is not None:
+            self._forget_start(server)
+        self._announce()
+
+    def _forget_start(self, server: BackendServer) -> None:
+        self._forget_connections(server)
+        self._group_dispatcher.forget_server(server.vm)
+
+    def _forget_connections(self, server: BackendServer) -> None:
+        self._pool.close_idle(server.address)
+        self._server_contact.forget_server(server.vm)
 
     def _announce(self) -> None:
         self._peer_coordinator.announce()
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -556,6 +556,7 @@
             limits=limits.own_reports(),
             zone_limits=limits.zone_reports() if is_relay else {},
             other_limits=limits.other_zone_reports() if is_relay else {},
+            starts=self._notices.recent_starts.reports(),
             cold=cold.own_reports(),
             zone_cold=cold.zone_reports() if is_relay else {},
             other_cold=cold.other_zone_reports() if is_relay else {},
--- a/pomelolug/entry/servers/__init__.py
+++ b/pomelolug/entry/servers/__init__.py
@@ -17,6 +17,9 @@
 from pomelolug.entry.servers._rate_limiter import (
     RequestRateLimiter,
 )
+from pomelolug.entry.servers._recent_starts import (
+    RecentStarts,
+)
 from pomelolug.entry.servers._request_bound import (
     BoundKind,
     BoundSource,
@@ -54,6 +57,7 @@
     "ColdServers",
     "GroupSelector",
     "LeavingServers",
+    "RecentStarts",
     "RequestBound",
     "RequestRateLimiter",
     "ServerContact",
--- a/pomelolug/entry/servers/_cold_servers.py
+++ b/pomelolug/entry/servers/_cold_servers.py
@@ -195,7 +195,10 @@
         is_new = known is None or server.start_time_ms > known.start_time_ms
         if is_new:
             self._record_start(
-                server, server.start_time_ms, credit_s=self._start_credit_s(server)
+                server.vm,
+                server.service,
+                server.start_time_ms,
+                credit_s=self._start_credit_s(server),
             )
         else:
             assert known is not None
@@ -237,7 +240,7 @@
             return False
         was_cold = bool(self.remaining_s(server.vm))
         if is_new:
-            self._record_start(server, start_time_ms, credit_s=0.0)
+            self._record_start(server.vm, server.service, start_time_ms, credit_s=0.0)
         if notice.cold_for is not None:
             self._hear(server.vm, _Source.RESPONSE, start_time_ms, notice.cold_for)
         if self._log_change(
@@ -246,6 +249,21 @@
             self._on_news()
         return is_new
 
+    def record_reported_start(
+        self, vm: VmId, start_time_ms: int, *, source: str
+    ) -> bool:
+        """Record a start that a peer reports; return whether the server is known.
+
+        A start that is not later than the known one changes nothing.
+        """
+        known = self._starts.get(vm)
+        if known is None or start_time_ms <= known.start_time_ms:
+            return False
+        was_cold = bool(self.remaining_s(vm))
+        self._record_start(vm, known.service, start_time_ms, credit_s=0.0)
+        self._log_change(vm, was_cold=was_cold, source=source)
+        return True
+
     def merge(self, status: NodeStatus) -> None:
         """Apply what a peer reports; it never shortens what is known."""
         now_s = self._clock.monotonic()
@@ -334,14 +352,14 @@
         return 0.0
 
     def _record_start(
-        self, server: BackendServer, start_time_ms: int, *, credit_s: float
+        self, vm: VmId, service: ServiceName, start_time_ms: int, *, credit_s: float
     ) -> None:
-        self._starts[server.vm] = _Start(
-            server.service, start_time_ms, self._clock.monotonic(), credit_s
+        self._starts[vm] = _Start(
+            service, start_time_ms, self._clock.monotonic(), credit_s
         )
-        self._heard.pop(server.vm, None)
-        self._statements.own.pop(server.vm, None)
-        self._candidates.add(server.vm)
+        self._heard.pop(vm, None)
+        self._statements.own.pop(vm, None)
+        self._candidates.add(vm)
 
     def _hear(
         self,
--- a/pomelolug/entry/servers/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -18,6 +18,7 @@
 from pomelolug.entry.servers._evacuations import EvacuatedZones
 from pomelolug.entry.servers._leaving_servers import LeavingServers
 from pomelolug.entry.servers._rate_limiter import RequestRateLimiter
+from pomelolug.entry.servers._recent_starts import RecentStarts
 from pomelolug.entry.servers._request_bound import BoundKind
 from pomelolug.entry.servers._server_limits import ServerLimits
 from pomelolug.entry.servers._server_pauses import Pause, ServerPauses
@@ -104,6 +105,9 @@
         Spreads the ends of pauses.
     on_leaving : callable
         Called when a server turns out to leave.
+    on_restart : callable
+        Called with a server and the start, in milliseconds of Unix time, that this
+        node has learned of before the entry of the server shows it.
     """
 
     def __init__(
@@ -116,6 +120,7 @@
         clock: Clock,
         rng: random.Random,
         on_leaving: Callable[[], None],
+        on_restart: Callable[[VmId, int], None] = lambda vm, start_time_ms: None,
     ) -> None:
         self._limits = limits
         self._cold_servers = cold_servers
@@ -123,7 +128,9 @@
         self._evacuated_zones = evacuated_zones
         self._leaving = LeavingServers(clock=clock)
         self._pauses = ServerPauses(clock=clock, rng=rng)
+        self._recent_starts = RecentStarts(clock=clock)
         self._on_leaving = on_leaving
+        self._on_restart = on_restart
 
     @property
     def limits(self) -> ServerLimits:
@@ -140,6 +147,11 @@
         """Servers that are about to leave."""
         return self._leaving
 
+    @property
+    def recent_starts(self) -> RecentStarts:
+        """Servers that have started again lately."""
+        return self._recent_starts
+
     @property
     def evacuated_zones(self) -> EvacuatedZones:
         """Zones whose servers get no requests."""
@@ -248,6 +260,7 @@
         """Record the entry of a server."""
         if self._cold_servers.record_entry(server):
             self._limits.record_restart(server.vm)
+            self._recent_starts.record(server.vm, server.start_time_ms)
 
     def record_removal(self, server: BackendServer) -> None:
         """Record that the entry of a server has been removed."""
@@ -282,7 +295,7 @@
         elif notice.has_invalid_pause:
             _log.warning("server_pause_ignored", server=server.vm)
         if self._cold_servers.record_notice(server, notice):
-            self._limits.record_restart(server.vm)
+            self._record_restart(server.vm, server.start_time_ms)
         if server is not self._with_latest_start(server):
             # A late response of the start before says nothing about this one.
             return
@@ -297,6 +310,11 @@
 
     def merge(self, status: NodeStatus) -> None:
         """Apply what a peer reports."""
+        for vm, report in self._recent_starts.select_valid(status.starts).items():
+            if self._cold_servers.record_reported_start(
+                vm, report.start_time_ms, source=status.node
+            ):
+                self._record_restart(vm, report.start_time_ms, age_s=report.age_s)
         self._limits.merge(status)
         self._evacuated_zones.merge(
             status.evacuated_zones,
@@ -307,6 +325,15 @@
         if self._leaving.merge(status.leaving, source=status.node):
             self._on_leaving()
 
+    def _record_restart(
+        self, vm: VmId, start_time_ms: int, *, age_s: float = 0.0
+    ) -> None:
+        """Forget what was known of a server whose entry is of an earlier start."""
+        _log.info("server_restarted", server=vm, start_time_ms=start_time_ms)
+        self._limits.record_restart(vm)
+        self._recent_starts.record(vm, start_time_ms, age_s=age_s)
+        self._on_restart(vm, start_time_ms)
+
     def _find_pause(self, server: BackendServer) -> Pause | None:
         # Few servers pause, and the latest start matters only for those.
         if self._pauses.find(server) is None:
@@ -344,3 +371,4 @@
         self._rate_limiter.drop_unlimited()
         self._leaving.forget_expired()
         self._pauses.forget_ended()
+        self._recent_starts.forget_expired()
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -80,6 +80,8 @@
         self._clock = clock
         self._loads: dict[VmId, ServerLoad] = {}
         self._start_times_ms: dict[VmId, int] = {}
+        # Starts known before the entries of the servers showed them.
+        self._reported_starts_ms: dict[VmId, int] = {}
         self._peer_loads: dict[VmId, int] = {}
         self._zone_peer_loads: dict[str, int] = {}
         self._other_zone_loads: dict[str, int] = {}
@@ -265,6 +267,7 @@
         for vm in [v for v in self._start_times_ms if v not in servers]:
             if vm not in self._loads:
                 del self._start_times_ms[vm]
+                self._reported_starts_ms.pop(vm, None)
 
     def _refresh_heads(self, group_sizes: Mapping[ServedModel, int]) -> None:
         """Recompute the open groups, each of which consists of servers of one service.
@@ -296,6 +299,24 @@
                         self._degraded_heads.add(head.vm)
         self._completed_groups = completed_groups
 
+    def record_restart(self, vm: VmId, start_time_ms: int) -> None:
+        """Forget the load and the outcomes at a server whose entry is of before.
+
+        Parameters
+        ----------
+        vm : VmId
+            Server that has started again.
+        start_time_ms : int
+            Its start in milliseconds of Unix time.
+        """
+        self._reported_starts_ms[vm] = start_time_ms
+        self._forget_start(vm)
+
+    def _forget_start(self, vm: VmId) -> None:
+        self._loads.pop(vm, None)
+        self._peer_loads.pop(vm, None)
+        self._peer_suspects.discard(vm)
+
     def _forget_earlier_starts(self) -> None:
         """Forget the load and the outcomes at servers that have started again.
 
@@ -307,9 +328,8 @@
             self._start_times_ms[vm] = server.start_time_ms
             if known_ms is None or known_ms == server.start_time_ms:
                 continue
-            self._loads.pop(vm, None)
-            self._peer_loads.pop(vm, None)
-            self._peer_suspects.discard(vm)
+            if self._reported_starts_ms.pop(vm, None) != server.start_time_ms:
+                self._forget_start(vm)
             # A group that it has joined since is complete once all are ready again.
             key = group_key(server.membership)
             if key is not None:
--- a/pomelolug/entry/tests/test_server_tracker.py
+++ b/pomelolug/entry/tests/test_server_tracker.py
@@ -256,6 +256,25 @@
     assert tracker.in_flight(HEAD) == 0
 
 
+async def test_load_since_a_reported_start_stays_when_the_entry_shows_it():
+    # Guards against a server whose load of before counts until its entry changes, and
+    # against requests since its start that are forgotten when the entry does.
+    tracker = make_tracker()
+    list_server(tracker, born=1, offset=1)
+    tracker.load(HEAD).in_flight += 3
+    tracker.suspect(HEAD)
+    tracker.record_restart(HEAD, 2)
+    assert tracker.in_flight(HEAD) == 0
+    assert tracker.suspects() == ()
+    tracker.load(HEAD).in_flight += 1
+    list_server(tracker, born=1, offset=2, slots=7)
+    assert tracker.in_flight(HEAD) == 1
+    list_server(tracker, born=2, offset=3)
+    assert tracker.in_flight(HEAD) == 1
+    list_server(tracker, born=3, offset=4)
+    assert tracker.in_flight(HEAD) == 0
+
+
 async def test_load_stays_while_the_entry_of_a_server_changes():
     # Guards against counts that are lost with each change of an entry.
     tracker = make_tracker()
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -25,6 +25,7 @@
     LeavingReport,
     LimitReport,
     NodeStatus,
+    StartReport,
 )
 from pomelolug.messages._groups_generated import (
     Dissolution,
@@ -101,6 +102,7 @@
     "Relay",
     "RoutingTable",
     "ServiceStatus",
+    "StartReport",
     "StatusBatch",
     "StatusPull",
     "StreamRecords",
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -15,6 +15,7 @@
     "LeavingReport",
     "LimitReport",
     "NodeStatus",
+    "StartReport",
 ]
 
 
@@ -45,6 +46,15 @@
     """Time since the server's response, in seconds."""
 
 
+class StartReport(Message, frozen=True, kw_only=True):
+    """A server that has started again under its id."""
+
+    start_time_ms: int
+    """Start of the server, in milliseconds since 1970."""
+    age_s: float
+    """Time since a node learned of the start, in seconds."""
+
+
 class NodeStatus(Message, frozen=True, kw_only=True, omit_defaults=True):
     """Status datagram that a node sends to its peers several times a second."""
 
@@ -114,6 +124,8 @@
     """The same of all other zones, as known to the relay."""
     leaving: dict[str, LeavingReport] = {}
     """Servers that have stated that they are about to leave."""
+    starts: dict[str, StartReport] = {}
+    """Servers that have started again under their ids."""
     evacuated_zones: tuple[str, ...] = ()
     """Zones whose servers get no requests, as of `evacuations_read`."""
     evacuations_read: int = -1
