Take over unchanged routes from the declaration decoded before

DeclarationDecoder keeps the routes of the last version by their encoding and decodes only those that it does not have; bytes that are in force already are not decoded again. Lists of routes with one entry are not sorted.

--- a/pomelolug/deployment/_declaration.py
+++ b/pomelolug/deployment/_declaration.py
@@ -243,7 +243,8 @@
         for route in self.routes:
             by_host[route.host].append(route)
         for routes in by_host.values():
-            routes.sort(key=lambda route: -len(route.prefix))
+            if len(routes) > 1:
+                routes.sort(key=lambda route: -len(route.prefix))
         object.__setattr__(self, "_by_host", dict(by_host))
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/pomelolug/entry/_topic_consumers.py
+++ b/pomelolug/entry/_topic_consumers.py
@@ -17,7 +17,7 @@
 from pomelolug.ids import Offset, VmId
 from pomelolug.platform import (
     KEY_DECLARATION,
-    decode_declaration,
+    DeclarationDecoder,
     decode_evacuated_zone,
     decode_server,
 )
@@ -44,6 +44,7 @@
         self._on_change = on_change
         self._current: Declaration | None = None
         self._encoded = b""
+        self._decoder = DeclarationDecoder()
 
     @property
     def current(self) -> Declaration | None:
@@ -68,8 +69,10 @@
 
     def apply_if_newer(self, data: bytes, *, source: str) -> None:
         """Decode a declaration and put it into force if its version is newer."""
+        if data == self._encoded:
+            return
         try:
-            declaration = decode_declaration(data)
+            declaration = self._decoder.decode(data)
         except InvalidInputError as error:
             _log.error("declaration_refused", source=source, reason=str(error))
             return
--- a/pomelolug/platform/__init__.py
+++ b/pomelolug/platform/__init__.py
@@ -4,7 +4,7 @@
 uses these names.
 """
 
-from pomelolug.platform._declaration import decode_declaration
+from pomelolug.platform._declaration import DeclarationDecoder, decode_declaration
 from pomelolug.platform._evacuations import decode_evacuated_zone, evacuation_key
 from pomelolug.platform._headers import (
     RequestHead,
@@ -41,6 +41,7 @@
 )
 
 __all__ = [
+    "DeclarationDecoder",
     "EventSplitter",
     "HttpServerControl",
     "ProbeResult",
--- a/pomelolug/platform/_declaration.py
+++ b/pomelolug/platform/_declaration.py
@@ -1,7 +1,9 @@
 """Decoding of the declaration that the operator writes to the store."""
 
 import datetime
-from collections.abc import Sequence
+import functools
+from collections.abc import Iterable, Sequence
+from typing import TypeVar
 
 import msgspec
 
@@ -18,7 +20,10 @@
 from pomelolug.errors import ErrorCode, Finding, InvalidInputError
 from pomelolug.ids import AccountId, ModelName, ServiceName
 
-__all__ = ["decode_declaration"]
+__all__ = ["DeclarationDecoder", "decode_declaration"]
+
+_DISTINCT_VALUES = 256
+"""Times and splits of routes that are built once for all routes that have them."""
 
 # Requests of kind `unsafe` may run at most once. The kind `keyed` is not available
 # here and is treated the same way.
@@ -30,6 +35,9 @@
 }
 
 
+_RecordT = TypeVar("_RecordT")
+
+
 class _Split(msgspec.Struct, frozen=True):
     service: str
     weight: float = 1.0
@@ -114,12 +122,58 @@
 
 class _DeclarationRecord(msgspec.Struct, frozen=True):
     version: int
-    routes: tuple[_Route, ...] = ()
+    # A route is decoded only if the version before it does not have it.
+    routes: tuple[msgspec.Raw, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
     tenants: tuple[_ClientAccount, ...] | None = None
 
 
+class DeclarationDecoder:
+    """Decodes successive versions of the declaration.
+
+    Versions of a large declaration differ in a few routes. The objects of the routes
+    whose encoding is unchanged are taken over from the version decoded last.
+    """
+
+    def __init__(self) -> None:
+        self._routes: dict[bytes, Route] = {}
+
+    def decode(self, data: bytes) -> Declaration:
+        """Return the declaration that is encoded in a record of the store.
+
+        Raises
+        ------
+        InvalidInputError
+            If the record cannot be decoded; no part of it may be applied then.
+        """
+        raw = _decode_json(data, _DeclarationRecord, place="$")
+        encoded_routes = [bytes(route) for route in raw.routes]
+        routes = self._decode_routes(encoded_routes)
+        declaration = Declaration(
+            version=raw.version,
+            routes=routes,
+            services={ServiceName(s.name): _decode_service(s) for s in raw.services},
+            accounts_by_key=_decode_accounts(raw.tenants),
+            max_header_bytes=raw.limits.max_header_bytes,
+            max_body_bytes=raw.limits.max_body_bytes,
+            header_timeout=_from_milliseconds(raw.limits.header_timeout_ms),
+            idle_timeout=_from_milliseconds(raw.limits.idle_timeout_ms),
+        )
+        self._routes = dict(zip(encoded_routes, routes, strict=True))
+        return declaration
+
+    def _decode_routes(self, encoded_routes: Iterable[bytes]) -> tuple[Route, ...]:
+        routes = []
+        for number, encoded in enumerate(encoded_routes):
+            route = self._routes.get(encoded)
+            if route is None:
+                raw = _decode_json(encoded, _Route, place=f"$.routes[{number}]")
+                route = _decode_route(raw)
+            routes.append(route)
+        return tuple(routes)
+
+
 def decode_declaration(data: bytes) -> Declaration:
     """Return the declaration that is encoded in a record of the store.
 
@@ -128,39 +182,41 @@
     InvalidInputError
         If the record cannot be decoded; no part of it may be applied then.
     """
+    return DeclarationDecoder().decode(data)
+
+
+def _decode_json(data: bytes, record_type: type[_RecordT], *, place: str) -> _RecordT:
+    """Decode JSON that lies at `place` of the declaration."""
     try:
-        raw = msgspec.json.decode(data, type=_DeclarationRecord, strict=False)
+        return msgspec.json.decode(data, type=record_type, strict=False)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        message, _, place = str(error).partition(" - at ")
-        finding = Finding(location=place.strip("`"), value="", problem=message)
+        message, _, inner_place = str(error).partition(" - at ")
+        location = place + inner_place.strip("`").removeprefix("$")
+        finding = Finding(location=location, value="", problem=message)
         raise InvalidInputError(ErrorCode.CONFIGURATION_INVALID, [finding]) from error
-    return Declaration(
-        version=raw.version,
-        routes=tuple(_decode_route(route) for route in raw.routes),
-        services={ServiceName(s.name): _decode_service(s) for s in raw.services},
-        accounts_by_key=_decode_accounts(raw.tenants),
-        max_header_bytes=raw.limits.max_header_bytes,
-        max_body_bytes=raw.limits.max_body_bytes,
-        header_timeout=_from_milliseconds(raw.limits.header_timeout_ms),
-        idle_timeout=_from_milliseconds(raw.limits.idle_timeout_ms),
-    )
 
 
+@functools.lru_cache(maxsize=_DISTINCT_VALUES)
 def _from_milliseconds(milliseconds: float) -> datetime.timedelta:
     return datetime.timedelta(milliseconds=milliseconds)
 
 
-def _decode_route(raw: _Route) -> Route:
+@functools.lru_cache(maxsize=_DISTINCT_VALUES)
+def _decode_shares(split: tuple[_Split, ...], service: str) -> tuple[ServiceShare, ...]:
     shares = tuple(
-        ServiceShare(service=ServiceName(s.service), weight=s.weight) for s in raw.split
+        ServiceShare(service=ServiceName(s.service), weight=s.weight) for s in split
     )
-    if not shares and raw.service:
-        shares = (ServiceShare(service=ServiceName(raw.service), weight=1.0),)
+    if not shares and service:
+        return (ServiceShare(service=ServiceName(service), weight=1.0),)
+    return shares
+
+
+def _decode_route(raw: _Route) -> Route:
     return Route(
         name=raw.name,
         host=raw.host,
         prefix=raw.path_prefix,
-        shares=shares,
+        shares=_decode_shares(raw.split, raw.service),
         repeatability=_REPEATABILITY.get(raw.kind, Repeatability.AT_MOST_ONCE),
         timeout=_from_milliseconds(raw.timeout_ms),
         latency_target=_from_milliseconds(raw.target_latency_ms),
