Send large records between nodes compressed or as differences

A relay answered 413 for a record above the limit of a peer message, so every node of a zone read the declaration of 2,172 routes from the store.

A reader says which values it accepts (accept=difference, compressed; earlier versions ignore it or do not send it and exchange plain values as before). The relay then sends values above 4 KB as the difference to the record that the reader has by its offset, made of the objects of the JSON that both have, or compressed. Sizes are bounded before unpacking, checksums verified; a refused difference is asked for in whole, a refused whole value is read from the store, both with a log line. The head of a large response is sent to all waiting readers before the bodies, and from the head on a body gets the time that its size needs, at most 1.5 s; without a head the limit is 0.4 s as before.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -339,6 +339,7 @@
             reaches_servers=self._reaches_servers,
             on_suspect=self._controller.mark_suspect,
             on_nodes=self._on_nodes,
+            find_record=lambda topic, key: self._feeds[topic].log.newest(key),
             needs_node_names=lambda: self._cold_servers.has_services,
             departures=self._departures,
             poison_detector=self._poison_detector,
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -23,7 +23,7 @@
 from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.servers import ServerNotices, ServerTracker
 from pomelolug.errors import PlatformError
-from pomelolug.feeds import RecordBatch, RecordSource
+from pomelolug.feeds import Record, RecordBatch, RecordSource
 from pomelolug.ids import NodeId, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.platform import TOPIC_NODES, MetadataStore, NodeSettings
@@ -105,6 +105,8 @@
     on_nodes : callable
         Called with the known number of nodes in all zones, with the live nodes of this
         zone, and with the registered nodes of all zones that this node has read.
+    find_record : callable
+        Returns the newest record of a topic and key that this node has read.
     needs_node_names : callable
         Returns whether every node has to know all registered nodes by name.
     departures : Departures
@@ -135,6 +137,7 @@
         reaches_servers: Callable[[], bool],
         on_suspect: Callable[[VmId], None],
         on_nodes: Callable[[int, list[NodeId], frozenset[NodeId]], None],
+        find_record: Callable[[str, str], Record | None],
         needs_node_names: Callable[[], bool],
         departures: Departures,
         poison_detector: PoisonRequestDetector,
@@ -158,6 +161,7 @@
         self._on_nodes = on_nodes
         self._registered: frozenset[NodeId] = frozenset()
         self._count_at_reading = 0
+        self._find_record = find_record
         self._needs_node_names = needs_node_names
         self._departures = departures
         self._poison_detector = poison_detector
@@ -279,7 +283,11 @@
             return self.store_source()
         relay = self._relay_sources.get(status.address)
         if relay is None:
-            relay = RelaySource(address=status.address, pool=self._pool)
+            relay = RelaySource(
+                address=status.address,
+                pool=self._pool,
+                find_record=self._find_record,
+            )
             self._relay_sources = {status.address: relay}
         return relay, _RELAY_LONG_POLL_WAIT
 
--- a/pomelolug/entry/tests/test_relay_snapshot.py
+++ b/pomelolug/entry/tests/test_relay_snapshot.py
@@ -1,14 +1,16 @@
 """Snapshots that a node reads from its relay page by page."""
 
+import asyncio
 import datetime
+import random
 
 from pomelolug.entry.peers import RelaySource, serve_records
 from pomelolug.feeds import Record, RecordBatch, RecordLog
 from pomelolug.ids import Offset
 from pomelolug.transport import ConnectionPool
 
-LARGE = b"x" * 100_000
-"""Two of these do not fit in one page."""
+LARGE = random.Random(1).randbytes(100_000)
+"""Two of these do not fit in one page, even compressed."""
 
 
 class Relay:
@@ -35,8 +37,17 @@
         self.data = b""
 
     def reply(self, status: int, headers: object, data: bytes) -> None:
+        self.start(status, headers, length=len(data))
+        self.write(data)
+
+    def start(self, status: int, headers: object, *, length: int) -> None:
         assert status == 200
-        self.data = data
+
+    def write(self, data: bytes) -> None:
+        self.data += data
+
+    def finish(self) -> None:
+        assert self.data
 
 
 class SourceWithoutNetwork(RelaySource):
@@ -51,7 +62,7 @@
         self._relay = relay
         self._after_response = after_response
 
-    async def _send_request(self, request: bytes) -> bytes:
+    async def _send_request(self, request: bytes, limit: asyncio.Timeout) -> bytes:
         exchange = Request(request.split(b" ")[1])
         await serve_records(exchange, {"t": self._relay})
         self._after_response()
--- a/pomelolug/feeds/__init__.py
+++ b/pomelolug/feeds/__init__.py
@@ -1,6 +1,13 @@
 """Reading keyed topics of the store, directly or through a relay node."""
 
 from pomelolug.feeds._feed import FeedStatus, TopicFeed
+from pomelolug.feeds._packing import (
+    PackedValue,
+    compress,
+    decompress,
+    pack_value,
+    unpack_value,
+)
 from pomelolug.feeds._record_log import RecordLog
 from pomelolug.feeds._source import (
     OFFSETS_PER_ERA,
@@ -17,6 +24,7 @@
     "OFFSETS_PER_ERA",
     "FeedStatus",
     "HistoryLostError",
+    "PackedValue",
     "Record",
     "RecordBatch",
     "RecordLog",
@@ -24,5 +32,9 @@
     "SourceUnavailableError",
     "StoreRestoredError",
     "TopicFeed",
+    "compress",
+    "decompress",
     "era_of",
+    "pack_value",
+    "unpack_value",
 ]
--- a/pomelolug/messages/__init__.py
+++ b/pomelolug/messages/__init__.py
@@ -25,6 +25,7 @@
     LeavingReport,
     LimitReport,
     NodeStatus,
+    PackedRecordValue,
 )
 from pomelolug.messages._groups_generated import (
     Dissolution,
@@ -95,6 +96,7 @@
     "MAX_MESSAGE_BYTES",
     "Message",
     "NodeStatus",
+    "PackedRecordValue",
     "Proof",
     "RecordPayload",
     "RecordsRequest",
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -15,6 +15,7 @@
     "LeavingReport",
     "LimitReport",
     "NodeStatus",
+    "PackedRecordValue",
 ]
 
 
@@ -187,7 +188,22 @@
     """Numbers of the questions that the streams were assigned to."""
 
 
-class FeedRecord(Message, frozen=True, kw_only=True):
+class PackedRecordValue(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """Large value of a record, for a reader that has asked for packed values."""
+
+    data: bytes
+    """New parts of the value, joined and compressed."""
+    size: int
+    """Size of the value in bytes."""
+    checksum: int
+    """CRC-32 of the value."""
+    copies: tuple[int, ...] = ()
+    """Bytes of new parts before, start and length of each earlier part."""
+    base: int | None = None
+    """Offset of the record with the earlier value; None without copies."""
+
+
+class FeedRecord(Message, frozen=True, kw_only=True, omit_defaults=True):
     """Record of a keyed topic."""
 
     offset: int
@@ -196,6 +212,8 @@
     """Key of the record."""
     value: bytes | None = None
     """Value of the record; None removes the key."""
+    packed: PackedRecordValue | None = None
+    """The value, if it is sent packed."""
 
 
 class FeedBatch(Message, frozen=True, kw_only=True):
