Fetch the declaration from peers compressed, and after the relay's response

A node that hears of a newer declaration from a peer fetches it 250 ms later if its feed has not brought it.

The node sends Accept-Encoding, and its peer answers with the declaration compressed once for all; earlier versions ignore the field or do not send it. What is decompressed is bounded to 16 MB. Fetching is in a module of its own.

--- a/pomelolug/entry/_internal_endpoints.py
+++ b/pomelolug/entry/_internal_endpoints.py
@@ -10,9 +10,11 @@
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._topic_consumers import DeclarationCache
 from pomelolug.entry.peers import (
+    COMPRESSED_FIELD,
     DECLARATION_PATH,
     RECORDS_PATH,
     PeerCoordinator,
+    accepts_compressed,
     serve_records,
 )
 from pomelolug.entry.servers import EvacuatedZones, ServerContact, ServerTracker
@@ -67,7 +69,7 @@
     async def handle_peer(self, exchange: Exchange) -> None:
         """Answer with the declaration in force, records, or the state of the node."""
         if exchange.target == DECLARATION_PATH and self._declarations.encoded:
-            exchange.reply(200, _JSON_HEADERS, self._declarations.encoded)
+            self._reply_declaration(exchange)
         elif exchange.target.startswith(RECORDS_PATH):
             await serve_records(exchange, self._feeds)
         elif exchange.target == _STATUS_PATH:
@@ -77,6 +79,13 @@
         else:
             exchange.reply(404, (), b"")
 
+    def _reply_declaration(self, exchange: Exchange) -> None:
+        if accepts_compressed(exchange.headers):
+            headers = (*_JSON_HEADERS, COMPRESSED_FIELD)
+            exchange.reply(200, headers, self._declarations.compressed)
+        else:
+            exchange.reply(200, _JSON_HEADERS, self._declarations.encoded)
+
     async def handle_metrics(self, exchange: Exchange) -> None:
         """Answer with the metrics in the Prometheus text format."""
         exchange.reply(200, _METRICS_HEADERS, self._metrics.render())
--- a/pomelolug/entry/_topic_consumers.py
+++ b/pomelolug/entry/_topic_consumers.py
@@ -13,7 +13,7 @@
 )
 from pomelolug.entry.servers import EvacuatedZones, EvacuationChange
 from pomelolug.errors import InvalidInputError
-from pomelolug.feeds import Record, RecordBatch
+from pomelolug.feeds import Record, RecordBatch, compress
 from pomelolug.ids import Offset, VmId
 from pomelolug.platform import (
     KEY_DECLARATION,
@@ -44,6 +44,7 @@
         self._on_change = on_change
         self._current: Declaration | None = None
         self._encoded = b""
+        self._compressed = b""
         self._decoder = DeclarationDecoder()
 
     @property
@@ -61,6 +62,13 @@
         """Encoded declaration in force, as sent to peers."""
         return self._encoded
 
+    @property
+    def compressed(self) -> bytes:
+        """Encoded declaration in force, compressed."""
+        if not self._compressed:
+            self._compressed = compress(self._encoded)
+        return self._compressed
+
     def apply_records(self, records: Iterable[Record]) -> None:
         """Apply the declarations among the records of the topic."""
         for record in records:
@@ -87,6 +95,7 @@
         )
         self._current = declaration
         self._encoded = data
+        self._compressed = b""
         self._on_change(declaration)
 
 
--- a/pomelolug/entry/peers/__init__.py
+++ b/pomelolug/entry/peers/__init__.py
@@ -1,5 +1,11 @@
 """What a node knows of the other entry VMs and of the store."""
 
+from pomelolug.entry.peers._declaration_fetch import (
+    COMPRESSED_FIELD,
+    DECLARATION_PATH,
+    accepts_compressed,
+    fetch_declaration,
+)
 from pomelolug.entry.peers._dispatchers import MIN_ZONE_NODES, find_dispatchers
 from pomelolug.entry.peers._exit_nodes import (
     order_forwarding_addresses,
@@ -7,7 +13,6 @@
     sample_zone_exits,
 )
 from pomelolug.entry.peers._peer_coordinator import (
-    DECLARATION_PATH,
     PeerCoordinator,
     is_lease_held_by_peer,
     is_longest_running_relay,
@@ -26,12 +31,15 @@
 )
 
 __all__ = [
+    "COMPRESSED_FIELD",
     "MIN_ZONE_NODES",
     "DECLARATION_PATH",
     "PeerCoordinator",
     "PeerGossip",
     "RECORDS_PATH",
     "RelaySource",
+    "accepts_compressed",
+    "fetch_declaration",
     "find_dispatchers",
     "StoreContact",
     "is_lease_held_by_peer",
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -12,6 +12,7 @@
 from pomelolug.entry._topic_consumers import DeclarationCache
 from pomelolug.entry.dispatch import DispatchEndpoint, GroupDispatcher, Holder
 from pomelolug.entry.losses import PoisonRequestDetector
+from pomelolug.entry.peers._declaration_fetch import fetch_declaration
 from pomelolug.entry.peers._dispatchers import find_dispatchers
 from pomelolug.entry.peers._exit_nodes import (
     order_forwarding_addresses,
@@ -22,21 +23,15 @@
 from pomelolug.entry.peers._relay import RelaySource
 from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.servers import ServerNotices, ServerTracker
-from pomelolug.errors import PlatformError
+from pomelolug.errors import PeerError, PlatformError
 from pomelolug.feeds import Record, RecordBatch, RecordSource
 from pomelolug.ids import NodeId, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 from pomelolug.platform import TOPIC_NODES, MetadataStore, NodeSettings
 from pomelolug.replicas import Departures
-from pomelolug.transport import (
-    ConnectionPool,
-    HttpConnectionError,
-    encode_request,
-    open_connection,
-)
+from pomelolug.transport import ConnectionPool, HttpConnectionError
 
 __all__ = [
-    "DECLARATION_PATH",
     "PeerCoordinator",
     "is_lease_held_by_peer",
     "is_longest_running_relay",
@@ -45,13 +40,10 @@
 
 _log = structlog.get_logger(__name__)
 
-DECLARATION_PATH = b"/declaration"
-
 _FETCH_DELAY = datetime.timedelta(milliseconds=250)
 """Time that this node's own feed has to deliver the declaration first."""
 _FETCH_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=300)
-_MAX_DECLARATION_BYTES = 16 * 1024 * 1024
 _REGISTRATION_RETRY = datetime.timedelta(seconds=1)
 _REGISTRATION_INTERVAL = datetime.timedelta(seconds=15)
 """Interval at which a relay reads the addresses of the registered nodes."""
@@ -628,12 +620,17 @@
     async def _fetch_declaration(self, status: NodeStatus) -> None:
         """Fetch a newer declaration from a peer unless a feed delivers it first."""
         await self._clock.sleep(_FETCH_DELAY)
+        while any(source.is_receiving for source in self._relay_sources.values()):
+            # A large declaration that all nodes of the zone read at once takes longer.
+            await self._clock.sleep(_REFRESH_INTERVAL)
         if self._declarations.version >= status.declaration:
             return
         try:
             async with asyncio.timeout(_FETCH_TIMEOUT_S):
-                data = await _http_get(status.address, DECLARATION_PATH)
-        except (HttpConnectionError, TimeoutError) as error:
+                data = await fetch_declaration(
+                    status.address, connect_timeout=_CONNECT_TIMEOUT
+                )
+        except (HttpConnectionError, TimeoutError, PeerError) as error:
             _log.warning(
                 "declaration_fetch_failed", peer=status.node, reason=repr(error)
             )
@@ -690,16 +687,3 @@
         for s in statuses
         if s.relay and s.store and s.reaches_servers and not s.stopping
     )
-
-
-async def _http_get(address: str, path: bytes) -> bytes:
-    host, _, port = address.rpartition(":")
-    connection = await open_connection(host, int(port), timeout=_CONNECT_TIMEOUT)
-    try:
-        connection.send(encode_request(b"GET", path, [(b"Host", address.encode())]))
-        head = await connection.read_head()
-        if head.status != 200:
-            raise HttpConnectionError(f"status_{head.status}")
-        return await connection.read_body(_MAX_DECLARATION_BYTES)
-    finally:
-        connection.close()
--- a/pomelolug/feeds/__init__.py
+++ b/pomelolug/feeds/__init__.py
@@ -2,6 +2,7 @@
 
 from pomelolug.feeds._feed import FeedStatus, TopicFeed
 from pomelolug.feeds._packing import (
+    MAX_VALUE_BYTES,
     PackedValue,
     compress,
     decompress,
@@ -21,6 +22,7 @@
 )
 
 __all__ = [
+    "MAX_VALUE_BYTES",
     "OFFSETS_PER_ERA",
     "FeedStatus",
     "HistoryLostError",
