--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -47,6 +47,7 @@
     measure_cpu_s,
     measure_memory_kib,
 )
+from pomelolug.feeds import pack_value, unpack_value
 from pomelolug.ids import (
     AccountId,
     DomainId,
@@ -59,7 +60,7 @@
     ZoneId,
 )
 from pomelolug.messages import NodeStatus, decode, encode
-from pomelolug.platform import decode_server
+from pomelolug.platform import DeclarationDecoder, decode_declaration, decode_server
 from pomelolug.replicas import FreeServer, group_views, needed_servers, plan_groups
 
 __all__ = ["main"]
@@ -74,6 +75,8 @@
 _PLANNED_NODES = 390
 _PLANNED_ZONE_NODES = 56
 _LIMIT_PER_S = 2.0
+_ROUTE_COUNTS = (250, 500, 1000, 2000)
+_PLANNED_ROUTES = 2300
 _PLANNED_LOSSES = 500
 """Requests that were running on the servers lost in a day, 19 times 26."""
 
@@ -365,6 +368,82 @@
     return decide
 
 
+def _encode_declaration(count: int, *, version: int = 1) -> bytes:
+    """Return a declaration of which each version changes one route."""
+    rng = random.Random(1)
+    routes = [
+        {
+            "name": f"r-{rng.getrandbits(36):09x}",
+            "host": f"h{rng.getrandbits(32):08x}.example",
+            "path_prefix": f"/p{rng.getrandbits(32):08x}/",
+            "kind": "streaming",
+            "timeout_ms": 6075.0,
+            "target_latency_ms": 253.0,
+            "split": [{"service": "llm", "weight": 1.0}],
+            "max_attempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_target_ms": 200.0,
+        }
+        for _ in range(count)
+    ]
+    routes[version % count]["timeout_ms"] = 5000.0
+    return msgspec.json.encode({"version": version, "routes": routes})
+
+
+def _declaration_fits() -> list[LinearFit]:
+    """Return the costs of a large declaration of which one route changes."""
+
+    def fit(name: str, unit: str, figures: list[float]) -> LinearFit:
+        return fit_line(name, unit, "route", _ROUTE_COUNTS, figures, _PLANNED_ROUTES)
+
+    def fit_cpu(name: str, functions: list[Callable[[], object]]) -> LinearFit:
+        return fit(name, "ms", [1e3 * measure_cpu_s(f) for f in functions])
+
+    versions = [
+        (_encode_declaration(count), _encode_declaration(count, version=2))
+        for count in _ROUTE_COUNTS
+    ]
+    whole = [pack_value(new) for _, new in versions]
+    differences = [pack_value(new, base=old) for old, new in versions]
+    decoders = [DeclarationDecoder() for _ in versions]
+    for decoder, (old, _) in zip(decoders, versions, strict=True):
+        decoder.decode(old)
+    unpacked = list(zip(differences, versions, strict=True))
+    return [
+        fit("declaration, bytes", "B", [len(new) for _, new in versions]),
+        fit("declaration compressed, bytes", "B", [len(p.data) for p in whole]),
+        fit(
+            "declaration as difference, bytes and numbers",
+            "B",
+            [len(p.data) + len(p.copies) for p in differences],
+        ),
+        fit_cpu(
+            "declaration, first decode",
+            [functools.partial(decode_declaration, new) for _, new in versions],
+        ),
+        fit_cpu(
+            "declaration, decode after another version",
+            [
+                functools.partial(decoder.decode, new)
+                for decoder, (_, new) in zip(decoders, versions, strict=True)
+            ],
+        ),
+        fit_cpu(
+            "declaration, difference packed",
+            [functools.partial(pack_value, new, base=old) for old, new in versions],
+        ),
+        fit_cpu(
+            "declaration, difference unpacked",
+            [
+                functools.partial(unpack_value, packed, base=old)
+                for packed, (old, _) in unpacked
+            ],
+        ),
+    ]
+
+
 def _encode_entry() -> bytes:
     return msgspec.json.encode(
         {
@@ -455,6 +534,7 @@
     ]
     fits += _loss_fits()
     fits += _limit_fits()
+    fits += _declaration_fits()
     for fit in fits:
         print(json.dumps(dataclasses.asdict(fit)))
     encoded_entry = _encode_entry()
