--- a/pomelolug/entry/_topic_consumers.py
+++ b/pomelolug/entry/_topic_consumers.py
@@ -13,11 +13,11 @@
 )
 from pomelolug.entry.servers import EvacuatedZones, EvacuationChange
 from pomelolug.errors import InvalidInputError
-from pomelolug.feeds import Record, RecordBatch
+from pomelolug.feeds import Record, RecordBatch, compress
 from pomelolug.ids import Offset, VmId
 from pomelolug.platform import (
     KEY_DECLARATION,
-    decode_declaration,
+    DeclarationDecoder,
     decode_evacuated_zone,
     decode_server,
 )
@@ -44,6 +44,8 @@
         self._on_change = on_change
         self._current: Declaration | None = None
         self._encoded = b""
+        self._compressed = b""
+        self._decoder = DeclarationDecoder()
 
     @property
     def current(self) -> Declaration | None:
@@ -60,6 +62,13 @@
         """Encoded declaration in force, as sent to peers."""
         return self._encoded
 
+    @property
+    def compressed(self) -> bytes:
+        """Encoded declaration in force, compressed."""
+        if not self._compressed:
+            self._compressed = compress(self._encoded)
+        return self._compressed
+
     def apply_records(self, records: Iterable[Record]) -> None:
         """Apply the declarations among the records of the topic."""
         for record in records:
@@ -68,8 +77,10 @@
 
     def apply_if_newer(self, data: bytes, *, source: str) -> None:
         """Decode a declaration and put it into force if its version is newer."""
+        if data == self._encoded:
+            return
         try:
-            declaration = decode_declaration(data)
+            declaration = self._decoder.decode(data)
         except InvalidInputError as error:
             _log.error("declaration_refused", source=source, reason=str(error))
             return
@@ -84,6 +95,7 @@
         )
         self._current = declaration
         self._encoded = data
+        self._compressed = b""
         self._on_change(declaration)
 
 
