Complete large groups with members of small ones after a loss

On a service with groups of 8 and of 2 and no spares, seven survivors of a lost group of 8 became three groups of 2: the planner loads what completes a group with the fewest loads, and two free servers complete a small one.

Survivors are now kept together while another model is no worse supplied, and a member of a small group of the domain, whose host has loaded the weights beside serving, takes the lost place. Only for models whose groups have at least four times the size of another's; sizes 6 and 3, 12 and 6 or 8 and 4 are planned as before.

--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -21,6 +21,7 @@
     StatedAvailability,
 )
 from pomelolug.ids import GroupId, ModelName, ServiceName, VmId
+from pomelolug.replicas._completing import GroupCompletion
 from pomelolug.replicas._departures import Departures
 from pomelolug.replicas._fleet import FleetView
 from pomelolug.replicas._group_view import (
@@ -185,6 +186,14 @@
             is_forming=lambda: bool(self._formations),
             on_event=on_event,
         )
+        self._completion = GroupCompletion(
+            fleet=self._fleet,
+            spares=self._spares,
+            teardown=self._teardown,
+            clock=clock,
+            is_serving=is_serving,
+            on_event=on_event,
+        )
         self._listing_history: dict[ServiceName, tuple[float, float, int]] = {}
         self._wake_event = asyncio.Event()
         self._order_tasks: set[asyncio.Task[None]] = set()
@@ -250,6 +259,7 @@
         self._teardown.clear()
         self._spares.clear()
         self._rebalancing.clear()
+        self._completion.clear()
         self._orders.clear()
 
     def _servers_awaiting_report(self) -> list[BackendServer]:
@@ -294,9 +304,22 @@
         if not self._has_settled(name, servers):
             free = _servers_in_sufficient_domains(free, engine)
         demand = self._demand(name, engine, servers, views)
-        orders += self._formation_orders(engine, free, views, demand)
+        completion = self._completion.step(
+            name, engine, free, views, demand, self._forming_members()
+        )
+        reserved = completion.reserved
+        orders += self._formation_orders(engine, free, views, demand, reserved)
+        load_budget = self._load_budget(engine, views)
+        orders += self._completion.load_orders(completion, load_budget)
         load_budget = self._load_budget(engine, views)
-        orders += self._spares.staging_orders(engine, free, views, demand, load_budget)
+        orders += self._spares.staging_orders(
+            engine, free, views, demand, load_budget, reserved=reserved
+        )
+        if not self._formations:
+            load_budget = self._load_budget(engine, views)
+            orders += self._completion.substitute_orders(
+                engine, free, views, load_budget
+            )
         load_budget = self._load_budget(engine, views)
         orders += self._rebalancing.orders(
             name, engine, servers, free, views, demand, load_budget
@@ -436,17 +459,27 @@
     def _is_in_formation(self, vm: VmId) -> bool:
         return any(vm in f.members for f in self._formations.values())
 
+    def _forming_members(self) -> frozenset[VmId]:
+        return frozenset(vm for f in self._formations.values() for vm in f.members)
+
     def _formation_orders(
         self,
         engine: EngineProfile,
         free: list[BackendServer],
         views: Mapping[GroupKey, GroupView],
         demand: Demand,
+        reserved: Mapping[VmId, ModelName],
     ) -> list[Coroutine[Any, Any, None]]:
         orders: list[Coroutine[Any, Any, None]] = []
         load_budget = self._load_budget(engine, views)
         groups = plan_groups(
-            map(self._fleet.as_free_server, free),
+            [
+                dataclasses.replace(
+                    self._fleet.as_free_server(server),
+                    reserved_for=reserved.get(server.vm),
+                )
+                for server in free
+            ],
             engine.models,
             demand.servers_in_groups,
             demand.servers_needed,
--- /dev/null
+++ b/pomelolug/replicas/tests/test_completion.py
@@ -0,0 +1,233 @@
+"""Tests of the decision how a large group is formed again after losses."""
+
+import dataclasses
+
+from pomelolug.deployment import BackendServer, ServerState
+from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId, ZoneId
+from pomelolug.replicas import FreeServer, plan_groups
+from pomelolug.replicas._completion import (
+    Completion,
+    CompletionState,
+    GroupCompleter,
+    needs_completion,
+    plan_substitutes,
+)
+from pomelolug.replicas._rebalance import OpenGroup
+from pomelolug.replicas.tests.simulated_node import ENGINE, LARGE, SMALL
+
+LARGE_MODEL, SMALL_MODEL = (
+    dataclasses.replace(model, group_size=size)
+    for model, size in zip(ENGINE.models, (8, 2), strict=True)
+)
+MODELS = (LARGE_MODEL, SMALL_MODEL)
+NEEDED = {LARGE: 40.0, SMALL: 40.0}
+SHORT_OF_LARGE = {LARGE: 24, SMALL: 60}
+
+
+def server(
+    name: str, *, staged: str = "", last: str = "", domain: str = "d0"
+) -> FreeServer:
+    entry = BackendServer(
+        vm=VmId(name),
+        start_time_ms=1,
+        service=ServiceName("llm"),
+        address="10.0.0.1:1",
+        zone=ZoneId("z"),
+        domain=DomainId(domain),
+        state=ServerState.READY,
+        slots=10,
+        staged=frozenset({ModelName(staged)} if staged else ()),
+        model=None,
+        membership=None,
+    )
+    return FreeServer(entry, ModelName(last) if last else None)
+
+
+def survivors(count: int) -> list[FreeServer]:
+    return [server(f"survivor-{n}", last=LARGE) for n in range(count)]
+
+
+def small_group(
+    number: int, *, staged: str = SMALL, in_flight: int = 3, domain: str = "d0"
+) -> OpenGroup:
+    members = (
+        server(f"small-{number}-0", staged=staged, last=SMALL, domain=domain),
+        server(f"small-{number}-1", staged=SMALL, last=SMALL, domain=domain),
+    )
+    key = (GroupId(f"g{number}"), number)
+    return OpenGroup(key, SMALL, ZoneId("z"), DomainId(domain), in_flight, members)
+
+
+def large_group(number: int, *, domain: str = "d0") -> OpenGroup:
+    members = tuple(
+        server(f"large-{number}-{rank}", staged=LARGE, last=LARGE, domain=domain)
+        for rank in range(8)
+    )
+    key = (GroupId(f"g{number}"), number)
+    return OpenGroup(key, LARGE, ZoneId("z"), DomainId(domain), 5, members)
+
+
+class Rounds:
+    """Rounds of the decision, with a record of what it reported."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[str, str]] = []
+        self.completer = GroupCompleter(on_decision=self._record)
+        self.now_s = 100.0
+
+    def _record(self, event: str, reason: str, completion: Completion) -> None:
+        self.events.append((event, reason))
+
+    def run(
+        self,
+        free: list[FreeServer],
+        groups: list[OpenGroup],
+        *,
+        servers: dict[ModelName, int] = SHORT_OF_LARGE,
+        forming: tuple[VmId, ...] = (),
+        after_s: float = 0.15,
+    ):
+        self.now_s += after_s
+        state = CompletionState(MODELS, groups, free, forming, servers, NEEDED)
+        return self.completer.step(state, now_s=self.now_s)
+
+
+def test_survivors_of_a_large_group_get_a_member_of_a_small_one():
+    # Guards against seven survivors of a group of eight that become three groups of
+    # two, while the large model refuses its callers: its groups vanish one by one.
+    rounds = Rounds()
+    groups = [small_group(1), small_group(2, staged=LARGE, in_flight=9)]
+    step = rounds.run(survivors(7), groups)
+    assert step.stage == ()
+    assert step.close == (groups[1].key,)
+    assert step.reserved == dict.fromkeys(
+        [*(s.server.vm for s in survivors(7)), VmId("small-2-0")], LARGE
+    )
+    assert rounds.events == [("completion_begun", "member_lost")]
+
+
+def test_reserved_servers_join_no_small_group_and_form_the_large_one():
+    # Guards against survivors that are used up while the small group is closed.
+    rounds = Rounds()
+    step = rounds.run(survivors(7), [small_group(1, staged=LARGE)])
+
+    def plan(free: list[FreeServer]) -> list[ModelName]:
+        candidates = [
+            dataclasses.replace(s, reserved_for=step.reserved.get(s.server.vm))
+            for s in free
+        ]
+        groups = plan_groups(
+            candidates, MODELS, {LARGE: 24, SMALL: 8}, NEEDED, allow_loads=False
+        )
+        return [group.model.name for group in groups]
+
+    with_both = [
+        FreeServer(dataclasses.replace(s.server, staged=frozenset({SMALL})), LARGE)
+        for s in survivors(7)
+    ]
+    assert plan(with_both) == []
+    freed = list(small_group(1, staged=LARGE).members)
+    assert plan(with_both + freed) == [LARGE]
+    vms = tuple(s.server.vm for s in survivors(7))
+    after = rounds.run(survivors(7), [], forming=vms)
+    assert after.reserved == {}
+    assert rounds.events[-1] == ("completion_forming", "complete")
+
+
+def test_group_is_closed_only_after_its_host_has_the_weights():
+    # Guards against servers that serve nobody while weights are loaded.
+    rounds = Rounds()
+    step = rounds.run(survivors(7), [small_group(1)])
+    assert step.stage == (VmId("small-1-0"),)
+    assert step.model == LARGE
+    assert step.close == ()
+    step = rounds.run(survivors(7), [small_group(1, staged=LARGE)], after_s=16.0)
+    assert step.close == (small_group(1).key,)
+
+
+def test_no_group_is_given_up_if_its_model_is_worse_supplied():
+    # Guards against a burst of the small model that loses groups to the large one.
+    rounds = Rounds()
+    groups = [small_group(1, staged=LARGE)]
+    for supplied in ({LARGE: 24, SMALL: 24}, {LARGE: 40, SMALL: 41}):
+        assert rounds.run(survivors(7), groups, servers=supplied).reserved == {}
+    assert rounds.events == []
+
+
+def test_completion_ends_if_demand_turns_during_the_load():
+    # Guards against a group closed on what was true one load ago.
+    rounds = Rounds()
+    rounds.run(survivors(7), [small_group(1)])
+    turned = {LARGE: 40, SMALL: 30}
+    step = rounds.run(
+        survivors(7), [small_group(1, staged=LARGE)], servers=turned, after_s=16.0
+    )
+    assert step.close == ()
+    assert step.reserved == {}
+    assert rounds.events[-1] == ("completion_dropped", "demand")
+
+
+def test_too_few_survivors_are_not_kept():
+    # Guards against half a group that stands idle for replacements of its other half.
+    rounds = Rounds()
+    groups = [small_group(n, staged=LARGE) for n in range(3)]
+    assert rounds.run(survivors(5), groups).reserved == {}
+    assert rounds.run(survivors(6), groups).reserved != {}
+
+
+def test_free_server_replaces_a_member_if_no_host_of_a_group_has_the_weights():
+    # Guards against a small group that is given up beside an empty free server.
+    rounds = Rounds()
+    step = rounds.run([*survivors(7), server("empty")], [small_group(1)])
+    assert step.stage == (VmId("empty"),)
+    assert step.close == ()
+
+
+def test_groups_of_other_domains_replace_no_members():
+    # Guards against groups across domains, which run at a fraction of the speed.
+    rounds = Rounds()
+    groups = [small_group(1, staged=LARGE, domain="d1")]
+    assert rounds.run(survivors(7), groups).reserved == {}
+
+
+def test_lost_servers_end_a_completion_and_the_next_one_waits():
+    # Guards against survivors that stay reserved for a group that cannot be formed,
+    # and against decisions that alternate in each round.
+    lost = {
+        "survivor_lost": (survivors(6), [small_group(1)]),
+        "group_lost": (survivors(7), []),
+    }
+    for reason, (free, groups) in lost.items():
+        rounds = Rounds()
+        rounds.run(survivors(7), [small_group(1)])
+        assert rounds.run(free, groups).reserved == {}
+        assert rounds.events[-1] == ("completion_dropped", reason)
+        assert rounds.run(survivors(7), [small_group(1)]).reserved == {}
+        step = rounds.run(survivors(7), [small_group(1)], after_s=2.0)
+        assert step.reserved != {}
+
+
+def test_survivors_are_not_kept_for_longer_than_a_close_takes():
+    # Guards against stranded survivors if the closed group is lost meanwhile.
+    rounds = Rounds()
+    rounds.run(survivors(7), [small_group(1, staged=LARGE)])
+    assert rounds.run(survivors(7), [], after_s=9.0).reserved != {}
+    assert rounds.run(survivors(7), [], after_s=2.0).reserved == {}
+    assert rounds.events[-1] == ("completion_dropped", "timeout")
+
+
+def test_one_host_in_each_domain_of_a_large_group_holds_its_weights():
+    # Guards against a group of eight that is missing for a load time (16 s).
+    groups = [large_group(1), small_group(2), small_group(3)]
+    elsewhere = [small_group(4, domain="d1")]
+    loads = plan_substitutes(MODELS, groups + elsewhere, [])
+    assert loads == [(VmId("small-2-0"), LARGE)]
+    with_host = [*groups, small_group(5, staged=LARGE)]
+    assert plan_substitutes(MODELS, with_host, []) == []
+    assert plan_substitutes(MODELS, groups, [server("spare", staged=LARGE)]) == []
+
+
+def test_models_of_similar_sizes_are_planned_as_before():
+    # Guards against a change for deployments whose groups have 6 and 3 or 12 and 6.
+    assert not needs_completion(ENGINE.models)
+    assert needs_completion(MODELS)
