Keep completions over further losses and varying demand

Small groups then took the survivors in the pause of 2 s.

A completion now goes on while its servers are verified, and is dropped for demand only when another model is 0.8 times as well supplied. The pause follows only demand and time.

--- a/pomelolug/replicas/_completing.py
+++ b/pomelolug/replicas/_completing.py
@@ -7,7 +7,7 @@
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, EngineProfile
-from pomelolug.ids import ModelName, ServiceName, VmId
+from pomelolug.ids import DomainId, ModelName, ServiceName, VmId
 from pomelolug.replicas._completion import (
     Completion,
     CompletionState,
@@ -80,6 +80,7 @@
         views: Mapping[GroupKey, GroupView],
         demand: Demand,
         forming: Collection[VmId],
+        unverified_domains: Collection[DomainId],
     ) -> CompletionStep:
         """Decide on the completions of a service, and close the groups given up.
 
@@ -97,6 +98,8 @@
             Number of servers that each model has and needs.
         forming : collection of VmId
             Members of the groups that are being formed.
+        unverified_domains : collection of DomainId
+            Domains whose free servers have to answer before they get orders.
         """
         if not needs_completion(engine.models) or not self._is_serving():
             return CompletionStep()
@@ -113,6 +116,7 @@
             forming=forming,
             servers_in_groups=demand.servers_in_groups,
             servers_needed=demand.servers_needed,
+            unverified_domains=unverified_domains,
         )
         step = completer.step(state, now_s=self._clock.monotonic())
         for key in step.close:
--- a/pomelolug/replicas/_completion.py
+++ b/pomelolug/replicas/_completion.py
@@ -32,8 +32,16 @@
 """Time beyond the load of the weights at which a completion is dropped."""
 _CLOSING_TIMEOUT_S = 10.0
 """Time in which a closed group finishes its requests; most streams take seconds."""
+_DROP_MARGIN = 0.8
+"""Factor on the comparison of supplies at which a completion is dropped.
+
+The requests in flight vary from one round to the next.
+"""
 _PAUSE_S = 2.0
-"""Time after a dropped completion in which the servers are planned as others."""
+"""Time after a completion was dropped for demand or time until the next one.
+
+The servers are planned as others meanwhile.
+"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +85,9 @@
         Number of servers in groups of each model.
     servers_needed : mapping of ModelName to float
         Number of servers that the requests of each model need.
+    unverified_domains : collection of DomainId
+        Domains whose free servers have to answer first, as others were just lost. No
+        completion begins there.
     """
 
     models: Sequence[ModelProfile]
@@ -85,20 +96,24 @@
     forming: Collection[VmId]
     servers_in_groups: Mapping[ModelName, int]
     servers_needed: Mapping[ModelName, float]
+    unverified_domains: Collection[DomainId] = ()
 
     def supply(self, model: ModelName, removed: int = 0) -> float:
         """Return the servers of a model relative to its need, less `removed` ones."""
         servers = self.servers_in_groups.get(model, 0) - removed
         return servers / self.servers_needed[model]
 
-    def is_acceptable(self, completion: Completion) -> bool:
-        """Return whether no other model is then worse supplied than this one is now."""
+    def is_acceptable(self, completion: Completion, *, margin: float = 1.0) -> bool:
+        """Return whether no other model is then worse supplied than this one is now.
+
+        With a margin below 1, others may be worse supplied by that factor.
+        """
         removed: collections.Counter[ModelName] = collections.Counter()
         for group in completion.groups:
             removed[group.model] += len(group.members)
         supply = self.supply(completion.model.name)
         return all(
-            self.supply(model.name, removed[model.name]) >= supply
+            self.supply(model.name, removed[model.name]) >= margin * supply
             for model in self.models
             if model.name != completion.model.name
         )
@@ -199,7 +214,7 @@
         }
         if not all(vm in servers for vm in completion.replacements):
             return self._end("completion_dropped", "replacement_lost", now_s)
-        if not state.is_acceptable(completion):
+        if not state.is_acceptable(completion, margin=_DROP_MARGIN):
             return self._end("completion_dropped", "demand", now_s)
         name = completion.model.name
         missing = tuple(
@@ -216,7 +231,7 @@
         assert self._progress is not None
         self._on_decision(event, reason, self._progress.completion)
         self._progress = None
-        if event == "completion_dropped":
+        if reason in ("demand", "timeout"):
             self._paused_until_s = now_s + _PAUSE_S
         return CompletionStep()
 
@@ -278,6 +293,8 @@
         if not smaller:
             continue
         for domain, local in free_in.items():
+            if domain in state.unverified_domains:
+                continue
             kept = [s for s in local if not s.needs_load(model.name)]
             missing = model.group_size - len(kept)
             if not 0 < missing <= _MAX_REPLACED_SHARE * model.group_size:
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -296,16 +296,24 @@
         for key, view in views.items():
             if key not in self._formations:
                 orders += self._teardown.orders_for_group(view, engine)
-        free = [s for s in servers if self._teardown.is_free(s)]
+        all_free = [s for s in servers if self._teardown.is_free(s)]
         # A domain is planned after all its free servers have reported, so that
         # the choice of members does not depend on the order of the reports.
-        unverified_domains = {s.domain for s in free if self._teardown.is_unverified(s)}
-        free = [s for s in free if s.domain not in unverified_domains]
+        unverified_domains = {
+            s.domain for s in all_free if self._teardown.is_unverified(s)
+        }
+        free = [s for s in all_free if s.domain not in unverified_domains]
         if not self._has_settled(name, servers):
             free = _servers_in_sufficient_domains(free, engine)
         demand = self._demand(name, engine, servers, views)
         completion = self._completion.step(
-            name, engine, free, views, demand, self._forming_members()
+            name,
+            engine,
+            all_free,
+            views,
+            demand,
+            self._forming_members(),
+            unverified_domains,
         )
         reserved = completion.reserved
         orders += self._formation_orders(engine, free, views, demand, reserved)
