Let what a node knows be asked without a change of it

A preview must take no token, create no entry and draw no number that a request would draw. What excludes a head or a server can be listed: ServerTracker.exclusions and ServerNotices.find_waits, of which the choice uses the same parts. DispatchEndpoint.ask_in_turn asks dispatchers in the usual order through a given function, and GroupChooser.assess is what it expects of one group.

--- a/pomelolug/entry/dispatch/__init__.py
+++ b/pomelolug/entry/dispatch/__init__.py
@@ -12,6 +12,7 @@
     DispatchEndpoint,
     DispatcherAddresses,
     DispatchMessage,
+    GroupAssigner,
 )
 from pomelolug.entry.dispatch._ledger import AssignmentLedger, Holder
 
@@ -22,6 +23,7 @@
     "DispatchEndpoint",
     "DispatchMessage",
     "DispatcherAddresses",
+    "GroupAssigner",
     "GroupDispatcher",
     "GroupRank",
     "Holder",
--- a/pomelolug/entry/dispatch/_endpoint.py
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -1,15 +1,21 @@
 """Questions to dispatchers and their answers, as datagrams between nodes."""
 
+import abc
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import TypeAlias
 
 import structlog
 
 from pomelolug.clock import Clock
-from pomelolug.entry.dispatch._dispatcher import Decision, GroupDispatcher, Question
+from pomelolug.entry.dispatch._dispatcher import (
+    Decision,
+    GroupDispatcher,
+    Question,
+    Ranking,
+)
 from pomelolug.entry.dispatch._ledger import Holder
 from pomelolug.ids import AccountId, ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import (
@@ -23,6 +29,7 @@
     "DispatchEndpoint",
     "DispatchMessage",
     "DispatcherAddresses",
+    "GroupAssigner",
 ]
 
 DispatchMessage: TypeAlias = DispatchRequest | DispatchReply | DispatchEnd
@@ -76,7 +83,33 @@
             on_end()
 
 
-class DispatchEndpoint:
+AskDispatcher: TypeAlias = Callable[
+    [str, Question], Awaitable[Assignment | bool | None]
+]
+
+
+class GroupAssigner(abc.ABC):
+    """Has groups assigned to streams, where a zone has a dispatcher."""
+
+    @property
+    @abc.abstractmethod
+    def is_enabled(self) -> bool:
+        """Whether the zone has a dispatcher."""
+
+    @abc.abstractmethod
+    async def assign(self, question: Question) -> Assignment | None:
+        """Return the group for a stream.
+
+        Returns
+        -------
+        Assignment or None
+            Without a head if the groups of all zones that have any are full; None if
+            the dispatchers of the zone have not replied, or none is known that has
+            groups, so that the node chooses itself.
+        """
+
+
+class DispatchEndpoint(GroupAssigner):
     """Asks dispatchers for groups, and answers for the dispatcher of this node.
 
     Parameters
@@ -160,6 +193,21 @@
         """Whether this node is asked while the dispatcher does not reply."""
         return self._self.address in self._addresses.local[1:]
 
+    @property
+    def addresses(self) -> DispatcherAddresses:
+        """Addresses of the dispatchers as known to this node."""
+        return self._addresses
+
+    @property
+    def may_assign(self) -> bool:
+        """Whether this node answers questions, as the dispatcher or its stand-in."""
+        return self._self.address in self._addresses.local
+
+    def is_avoided(self, address: str) -> bool:
+        """Return whether a dispatcher is not asked, since it did not reply."""
+        now_s = self._clock.monotonic()
+        return self._avoided_until_s.get(address, now_s) > now_s
+
     def set_addresses(self, addresses: DispatcherAddresses) -> bool:
         """Use other dispatchers from now on; return whether the zone's has changed."""
         previous = self.local_dispatcher
@@ -169,6 +217,12 @@
         _log.info("dispatcher_changed", dispatcher=self.local_dispatcher)
         return True
 
+    def rank(self, message: DispatchRequest) -> Ranking:
+        """Return where a question would be assigned now, without counting it."""
+        if not self.may_assign:
+            return Ranking()
+        return self._dispatcher.rank(_decode_question(message))
+
     def unassigned(self, own_loads: Mapping[str, int]) -> dict[str, int]:
         """Return the requests that the zone's dispatcher has not assigned, by server.
 
@@ -185,18 +239,27 @@
         return {vm: count for vm, count in counts.items() if count > 0}
 
     async def assign(self, question: Question) -> Assignment | None:
-        """Return the group for a stream.
+        """Return the group for a stream; None as in `GroupAssigner.assign`."""
+        return await self.ask_in_turn(question, self._ask, self._rng)
 
-        Returns
-        -------
-        Assignment or None
-            Without a head if the groups of all zones that have any are full; None if
-            the dispatchers of the zone have not replied, or none is known that has
-            groups, so that the node chooses itself.
+    async def ask_in_turn(
+        self, question: Question, ask: AskDispatcher, rng: random.Random
+    ) -> Assignment | None:
+        """Return the group that the first dispatcher with room assigns.
+
+        Parameters
+        ----------
+        question : Question
+            The stream.
+        ask : callable
+            Returns the assignment of the dispatcher at an address, or whether it has
+            groups, None without a reply.
+        rng : random.Random
+            Order in which the dispatchers of other zones are asked.
         """
         has_reply = has_groups = False
         for local in self._addresses.local:
-            reply = await self._ask(local, question)
+            reply = await ask(local, question)
             if reply is None:
                 continue
             has_reply = True
@@ -209,9 +272,9 @@
             return None
         unasked = set(self._addresses.undispatched)
         others = list(self._addresses.others.items())
-        self._rng.shuffle(others)
+        rng.shuffle(others)
         for zone, address in others:
-            reply = await self._ask(address, question)
+            reply = await ask(address, question)
             if isinstance(reply, Assignment):
                 return reply
             if reply is None:
@@ -234,7 +297,7 @@
         else:
             # A node that is no dispatcher by its own knowledge has no counts.
             decision = Decision(None, has_groups=False)
-            if self._self.address in self._addresses.local:
+            if self.may_assign:
                 question = _decode_question(message)
                 decision = self._dispatcher.decide(holder, message.serial, question)
             reply = DispatchReply(
@@ -269,15 +332,14 @@
         self, address: str, serial: int, question: Question
     ) -> DispatchReply | None:
         """Return the reply of another node, None without one in time."""
-        now_s = self._clock.monotonic()
-        if self._avoided_until_s.get(address, now_s) > now_s:
+        if self.is_avoided(address):
             return None
         future: asyncio.Future[DispatchReply]
         future = asyncio.get_running_loop().create_future()
         self._replies[serial] = future
         is_answered = False
         try:
-            self._send(self._encode_question(serial, question), address)
+            self._send(self.encode_question(serial, question), address)
             try:
                 async with asyncio.timeout(_REPLY_TIMEOUT_S):
                     reply = await future
@@ -344,7 +406,8 @@
 
         return Assignment(head, load, end)
 
-    def _encode_question(self, serial: int, question: Question) -> DispatchRequest:
+    def encode_question(self, serial: int, question: Question) -> DispatchRequest:
+        """Return the message of a question of this node."""
         return DispatchRequest(
             serial=serial,
             sender=self._self.address,
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -303,20 +303,36 @@
         )
         return store_retry_delay(zone_nodes, self._rng)
 
-    def forwarding_addresses(self) -> list[str]:
+    def forwarding_addresses(self, rng: random.Random | None = None) -> list[str]:
         """Return the addresses of nodes to pass requests to, best first.
 
         They are datagram addresses, `host:port`, of nodes that reach the servers.
         Forwarded requests are received at the same host and port over TCP.
+
+        Parameters
+        ----------
+        rng : random.Random, optional
+            Orders the addresses; that of the node by default.
         """
         return order_forwarding_addresses(
             self._gossip.live_statuses,
             own_address=self._datagram_address,
             zone=self._settings.zone,
             reaches_servers=self._reaches_servers(),
-            rng=self._rng,
+            rng=rng or self._rng,
         )
 
+    def peer_address_of(self, datagram_address: str) -> str:
+        """Return the peer address of the node with a datagram address.
+
+        All nodes use the same ports, as in `add_seeds`.
+        """
+        for status in self._gossip.live_statuses:
+            if status.datagram == datagram_address and status.address:
+                return status.address
+        host, port = datagram_address.rpartition(":")[0], self._settings.peer_address
+        return f"{host}:{port.rpartition(':')[2]}"
+
     def announce(self) -> None:
         """Send the status of this node to its peers without delay."""
         self._gossip.send_soon()
--- a/pomelolug/entry/performance/_learned.py
+++ b/pomelolug/entry/performance/_learned.py
@@ -160,6 +160,12 @@
         self._waits_s: dict[int, float] = {}
         self._prefill_s = model.time_factor / max(engine.prefill_tokens_per_s, 1.0)
 
+    def snapshot(self) -> "_GroupDelay":
+        """Return the same delays, which keep what they compute apart from these."""
+        snapshot = copy.copy(self)
+        snapshot._waits_s = dict(self._waits_s)
+        return snapshot
+
     def declared_s(self, in_flight: int, prompt_tokens: int) -> float:
         """Return the declared time in seconds."""
         wait_s = self._waits_s.get(in_flight)
@@ -294,9 +300,14 @@
         """Return an estimator with what is known now, which does not learn."""
         snapshot = copy.copy(self)
         snapshot._refreshed_at_s = float("inf")
-        snapshot._servers = {vm: copy.copy(s) for vm, s in self._servers.items()}
-        snapshot._group_delays = dict(self._group_delays)
-        snapshot._load_curves = dict(self._load_curves)
+        snapshot._load_curves = {k: c.snapshot() for k, c in self._load_curves.items()}
+        snapshot._servers = {
+            vm: dataclasses.replace(entry, curve=snapshot._load_curves[entry.kind])
+            for vm, entry in self._servers.items()
+        }
+        snapshot._group_delays = {
+            name: delay.snapshot() for name, delay in self._group_delays.items()
+        }
         snapshot._load_keys = set(self._load_keys)
         return snapshot
 
--- a/pomelolug/entry/performance/_load_curve.py
+++ b/pomelolug/entry/performance/_load_curve.py
@@ -4,6 +4,7 @@
 late, so that some servers are fuller than known. The curve tells what that costs.
 """
 
+import copy
 import zlib
 from collections.abc import Mapping
 
@@ -64,6 +65,12 @@
             self._cache[in_flight, slots] = factor
         return factor
 
+    def snapshot(self) -> "LoadCurve":
+        """Return the same curve, which keeps what it computes apart from this one."""
+        snapshot = copy.copy(self)
+        snapshot._cache = dict(self._cache)
+        return snapshot
+
     def refresh(self, evidence: Mapping[EvidenceKey, Evidence]) -> None:
         """Compute the factors from the evidence of the bins."""
         excesses: list[float] = []
--- a/pomelolug/entry/requests/__init__.py
+++ b/pomelolug/entry/requests/__init__.py
@@ -8,7 +8,10 @@
     RunStatus,
 )
 from pomelolug.entry.requests._group_chooser import (
+    GroupAssessment,
     GroupChooser,
+    SelectedGroup,
+    engine_and_model,
 )
 from pomelolug.entry.requests._peer_forwarding import (
     ForwardedRequest,
@@ -30,17 +33,35 @@
 )
 from pomelolug.entry.requests._request_context import (
     RequestContext,
+    RoutedRequest,
+    not_run_error,
 )
 from pomelolug.entry.requests._request_exits import (
     RequestExits,
 )
+from pomelolug.entry.requests._request_record import (
+    GroupChoice,
+)
+from pomelolug.entry.requests._resolution import (
+    authenticate,
+    find_route,
+    select_service,
+    timeout_of,
+    urgency_of,
+)
 from pomelolug.entry.requests._stream import (
     StreamForwarder,
 )
+from pomelolug.entry.requests._stream_decisions import (
+    may_pass_stream_on,
+    no_head_error,
+)
 
 __all__ = [
     "AttemptError",
     "ForwardedRequest",
+    "GroupAssessment",
+    "GroupChoice",
     "GroupChooser",
     "PeerAttempt",
     "PeerRefusalError",
@@ -50,10 +71,21 @@
     "RequestExits",
     "RequestHandler",
     "RetryLimiter",
+    "RoutedRequest",
     "RunStatus",
+    "SelectedGroup",
     "StreamForwarder",
+    "authenticate",
     "decode_forwarded",
     "decode_outcome",
     "encode_forwarded",
     "encode_outcome",
+    "engine_and_model",
+    "find_route",
+    "may_pass_stream_on",
+    "no_head_error",
+    "not_run_error",
+    "select_service",
+    "timeout_of",
+    "urgency_of",
 ]
--- a/pomelolug/entry/requests/_group_chooser.py
+++ b/pomelolug/entry/requests/_group_chooser.py
@@ -6,7 +6,7 @@
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer, EngineProfile, ModelProfile
-from pomelolug.entry.dispatch import Assignment, DispatchEndpoint, Question
+from pomelolug.entry.dispatch import Assignment, GroupAssigner, Question
 from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.requests._request_context import RoutedRequest
 from pomelolug.entry.requests._request_record import GroupChoice
@@ -18,7 +18,7 @@
 )
 from pomelolug.ids import AccountId, ModelName, VmId, ZoneId
 
-__all__ = ["GroupChooser", "SelectedGroup", "engine_and_model"]
+__all__ = ["GroupAssessment", "GroupChooser", "SelectedGroup", "engine_and_model"]
 
 _MAX_QUESTIONS = 2
 """Assignments that a node asks for until it chooses a group by itself."""
@@ -51,6 +51,21 @@
             self.assignment.end()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupAssessment:
+    """A group as this node knows it, and the expected delay by which it is compared.
+
+    `in_flight` is the number of requests at the group, `limit` how many it takes well,
+    and `score_s` the delay in seconds.
+    """
+
+    head: BackendServer
+    in_flight: int
+    limit: int
+    score_s: float
+    has_room: bool
+
+
 class GroupChooser:
     """Chooses the group of each run of a stream.
 
@@ -77,7 +92,7 @@
         notices: ServerNotices,
         group_selector: GroupSelector,
         delay_estimator: LearnedDelayEstimator,
-        dispatch: Callable[[], DispatchEndpoint],
+        dispatch: Callable[[], GroupAssigner],
         clock: Clock,
     ) -> None:
         self._server_tracker = server_tracker
@@ -212,32 +227,57 @@
         engine, model = engine_and_model(context)
         if engine is None or model is None:
             return []
-        candidates = []
-        target_s = context.route.latency_target.total_seconds()
         heads = (
             self._server_tracker.suspected_heads(context.service.name, model.name)
             if suspected
             else self._server_tracker.heads(context.service.name, model.name)
         )
-        for head in heads:
-            if head.vm in tried:
-                continue
-            in_flight = self._server_tracker.in_flight(head.vm)
-            delay_s = self._delay_estimator.choice_delay_s(
-                head,
-                engine,
-                model,
-                in_flight=in_flight,
-                prompt_tokens=context.request_head.prompt_tokens,
-                target=context.route.latency_target,
-            )
+        assessments = [
+            self.assess(context, head, engine, model)
+            for head in heads
+            if head.vm not in tried
+        ]
+        return [Candidate(a.head, a.score_s) for a in assessments if a.has_room]
+
+    def assess(
+        self,
+        request: RoutedRequest,
+        head: BackendServer,
+        engine: EngineProfile,
+        model: ModelProfile,
+    ) -> GroupAssessment:
+        """Return what this node expects of a group for a stream.
+
+        Parameters
+        ----------
+        request : RoutedRequest
+            The stream.
+        head : BackendServer
+            Head of the group.
+        engine, model : EngineProfile, ModelProfile
+            Declared figures for the stream.
+        """
+        in_flight = self._server_tracker.in_flight(head.vm)
+        delay_s = self._delay_estimator.choice_delay_s(
+            head,
+            engine,
+            model,
+            in_flight=in_flight,
+            prompt_tokens=request.request_head.prompt_tokens,
+            target=request.route.latency_target,
+        )
+        limit = self._delay_estimator.limit(head, engine)
+        penalty_s = _COLD_PENALTY_S if self._notices.is_cold(head) else 0.0
+        return GroupAssessment(
+            head,
+            in_flight,
+            limit,
+            score_s=delay_s + penalty_s,
             # A request beyond the limit also delays all requests behind it, so it is
             # sent only if it may meet the latency target.
-            limit = self._delay_estimator.limit(head, engine)
-            if in_flight < limit or delay_s <= target_s:
-                penalty_s = _COLD_PENALTY_S if self._notices.is_cold(head) else 0.0
-                candidates.append(Candidate(head, delay_s + penalty_s))
-        return candidates
+            has_room=in_flight < limit
+            or delay_s <= request.route.latency_target.total_seconds(),
+        )
 
 
 def engine_and_model(
--- a/pomelolug/entry/requests/_request_exits.py
+++ b/pomelolug/entry/requests/_request_exits.py
@@ -1,5 +1,6 @@
 """Choice of another node that sends a request to the servers for this one."""
 
+import copy
 import datetime
 import random
 from collections.abc import Callable, Collection
@@ -66,6 +67,23 @@
         self._rng = rng
         self._avoided_until_s: dict[str, float] = {}
 
+    def snapshot(
+        self, *, list_addresses: Callable[[], list[str]], rng: random.Random
+    ) -> "RequestExits":
+        """Return exits with the same state, to be asked without a change of these.
+
+        Parameters
+        ----------
+        list_addresses : callable
+            Returns the addresses of the nodes that reach the servers, best first.
+        rng : random.Random
+            Used by the new exits.
+        """
+        snapshot = copy.copy(self)
+        snapshot._list_addresses = list_addresses
+        snapshot._rng = rng
+        return snapshot
+
     async def check_contact(self, context: RequestContext) -> None:
         """Wait until it is known whether a further server is worth a run.
 
--- a/pomelolug/entry/servers/__init__.py
+++ b/pomelolug/entry/servers/__init__.py
@@ -37,6 +37,7 @@
     ServerPauses,
 )
 from pomelolug.entry.servers._server_tracker import (
+    HeadExclusion,
     ServedModel,
     ServerTracker,
 )
@@ -52,6 +53,7 @@
     "EvacuationChange",
     "ColdServers",
     "GroupSelector",
+    "HeadExclusion",
     "LeavingServers",
     "RequestBound",
     "RequestRateLimiter",
--- a/pomelolug/entry/servers/_choice.py
+++ b/pomelolug/entry/servers/_choice.py
@@ -1,5 +1,6 @@
 """Selection of a replica group by its expected delay."""
 
+import copy
 import dataclasses
 import math
 import random
@@ -60,6 +61,18 @@
         """Set the number of nodes in the zone, this one included."""
         self._zone_node_count = max(count, 1)
 
+    def snapshot(self, rng: random.Random) -> "GroupSelector":
+        """Return a selector that draws from other numbers.
+
+        Parameters
+        ----------
+        rng : random.Random
+            Used by the new selector.
+        """
+        snapshot = copy.copy(self)
+        snapshot._rng = rng
+        return snapshot
+
     def select(self, candidates: Sequence[Candidate]) -> Candidate | None:
         """Return a candidate with a low expected delay, None if there are none.
 
--- a/pomelolug/entry/servers/_rate_limiter.py
+++ b/pomelolug/entry/servers/_rate_limiter.py
@@ -5,6 +5,7 @@
 hear each other stay within the bound together.
 """
 
+import copy
 import dataclasses
 import random
 from collections.abc import Collection, Sequence
@@ -171,6 +172,42 @@
                 longest = source.kind, wait_s
         return longest
 
+    def find_waits(self, vm: VmId) -> list[tuple[BoundKind, float]]:
+        """Return each bound that keeps requests from a server, and the seconds."""
+        waits = [(s.kind, self._source_wait_s(s, vm)) for s in self._sources]
+        return [(kind, wait_s) for kind, wait_s in waits if wait_s > 0.0]
+
+    def find_bounds(self, vm: VmId) -> list[RequestBound]:
+        """Return the bounds of a server for the requests of all nodes."""
+        bounds = [source.find_bound(vm) for source in self._sources]
+        return [bound for bound in bounds if bound is not None]
+
+    def has_share(self, vm: VmId, kind: BoundKind) -> bool:
+        """Return whether this node has a share in a bound of a server yet.
+
+        It begins with a random number of requests when the first one comes.
+        """
+        return vm in self._buckets[kind]
+
+    def snapshot(self, rng: random.Random) -> "RequestRateLimiter":
+        """Return a limiter with the same state, which counts apart from this one.
+
+        Parameters
+        ----------
+        rng : random.Random
+            Used by the new limiter.
+        """
+        snapshot = copy.copy(self)
+        snapshot._rng = rng
+        snapshot._buckets = {
+            kind: {vm: dataclasses.replace(bucket) for vm, bucket in buckets.items()}
+            for kind, buckets in self._buckets.items()
+        }
+        snapshot._recent = {
+            vm: dataclasses.replace(recent) for vm, recent in self._recent.items()
+        }
+        return snapshot
+
     def record_request(self, vm: VmId) -> None:
         """Count a request that is sent to a server."""
         self._count(vm, self._find_buckets(vm))
--- a/pomelolug/entry/servers/_server_notices.py
+++ b/pomelolug/entry/servers/_server_notices.py
@@ -5,6 +5,7 @@
 it chooses one.
 """
 
+import copy
 import dataclasses
 import enum
 import random
@@ -18,7 +19,7 @@
 from pomelolug.entry.servers._evacuations import EvacuatedZones
 from pomelolug.entry.servers._leaving_servers import LeavingServers
 from pomelolug.entry.servers._rate_limiter import RequestRateLimiter
-from pomelolug.entry.servers._request_bound import BoundKind
+from pomelolug.entry.servers._request_bound import BoundKind, RequestBound
 from pomelolug.entry.servers._server_limits import ServerLimits
 from pomelolug.entry.servers._server_pauses import Pause, ServerPauses
 from pomelolug.ids import VmId
@@ -69,6 +70,9 @@
     return_spread_s: float
 
 
+_LEAVING_WAIT = ServerWait(WaitCause.LEAVING, float("inf"), 0.0)
+
+
 class ServerNotices(StatedAvailability):
     """Statements of servers that decide whether they take requests.
 
@@ -165,21 +169,57 @@
     def find_wait(self, server: BackendServer) -> ServerWait | None:
         """Return how long a server takes no request, None if it takes one now."""
         if self.is_leaving(server):
-            return ServerWait(WaitCause.LEAVING, float("inf"), 0.0)
+            return _LEAVING_WAIT
         if self.is_evacuated(server):
-            wait_s = self._evacuated_zones.expected_wait_s(server.zone)
-            spread_s = _EVACUATION_RETURN_SPREAD * wait_s
-            return ServerWait(WaitCause.EVACUATED, wait_s, spread_s)
+            return self._evacuation_wait(server)
         bound_wait = self._rate_limiter.find_wait(server.vm)
         bound_wait_s = bound_wait[1] if bound_wait is not None else 0.0
         pause = self._find_pause(server)
         if pause is not None and pause.left_s >= bound_wait_s:
-            spread_s = _PAUSE_RETURN_SPREAD * pause.length_s
-            return ServerWait(WaitCause.PAUSE, pause.left_s, spread_s)
-        if bound_wait is not None:
-            spread_s = _LIMIT_RETURN_SPREAD * bound_wait_s
-            return ServerWait(_CAUSES[bound_wait[0]], bound_wait_s, spread_s)
-        return None
+            return _pause_wait(pause)
+        return _bound_wait(*bound_wait) if bound_wait is not None else None
+
+    def find_waits(self, server: BackendServer) -> list[ServerWait]:
+        """Return everything that keeps requests from a server now.
+
+        The wait of `find_wait` is one of them.
+        """
+        waits = []
+        if self.is_leaving(server):
+            waits.append(_LEAVING_WAIT)
+        if self.is_evacuated(server):
+            waits.append(self._evacuation_wait(server))
+        pause = self._find_pause(server)
+        if pause is not None:
+            waits.append(_pause_wait(pause))
+        waits += [
+            _bound_wait(*bound) for bound in self._rate_limiter.find_waits(server.vm)
+        ]
+        return waits
+
+    def find_bounds(self, server: BackendServer) -> dict[WaitCause, RequestBound]:
+        """Return the bounds on the requests of all nodes to a server."""
+        bounds = self._rate_limiter.find_bounds(server.vm)
+        return {_CAUSES[bound.kind]: bound for bound in bounds}
+
+    def has_share(self, server: BackendServer) -> bool:
+        """Return whether this node has its share in all bounds of a server yet."""
+        return all(
+            self._rate_limiter.has_share(server.vm, bound.kind)
+            for bound in self._rate_limiter.find_bounds(server.vm)
+        )
+
+    def snapshot(self, rng: random.Random) -> "ServerNotices":
+        """Return the same notices, which can be asked without a change of these.
+
+        Parameters
+        ----------
+        rng : random.Random
+            Used by the new notices.
+        """
+        snapshot = copy.copy(self)
+        snapshot._rate_limiter = self._rate_limiter.snapshot(rng)
+        return snapshot
 
     def shortest_wait(self, servers: Iterable[BackendServer]) -> ServerWait | None:
         """Return the wait for the first of several servers to take a request.
@@ -281,6 +321,12 @@
         if self._leaving.merge(status.leaving, source=status.node):
             self._on_leaving()
 
+    def _evacuation_wait(self, server: BackendServer) -> ServerWait:
+        wait_s = self._evacuated_zones.expected_wait_s(server.zone)
+        return ServerWait(
+            WaitCause.EVACUATED, wait_s, _EVACUATION_RETURN_SPREAD * wait_s
+        )
+
     def _find_pause(self, server: BackendServer) -> Pause | None:
         # Few servers pause, and the latest start matters only for those.
         if self._pauses.find(server) is None:
@@ -318,3 +364,12 @@
         self._rate_limiter.drop_unlimited()
         self._leaving.forget_expired()
         self._pauses.forget_ended()
+
+
+def _pause_wait(pause: Pause) -> ServerWait:
+    spread_s = _PAUSE_RETURN_SPREAD * pause.length_s
+    return ServerWait(WaitCause.PAUSE, pause.left_s, spread_s)
+
+
+def _bound_wait(kind: BoundKind, wait_s: float) -> ServerWait:
+    return ServerWait(_CAUSES[kind], wait_s, _LIMIT_RETURN_SPREAD * wait_s)
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -1,7 +1,9 @@
 """Availability and load of the backend servers, as known to this node."""
 
 import collections
+import copy
 import dataclasses
+import enum
 from collections.abc import Callable, Iterable, Mapping
 from typing import TypeAlias
 
@@ -17,7 +19,7 @@
 from pomelolug.messages import NodeStatus
 from pomelolug.replicas import GroupKey, group_key, group_views
 
-__all__ = ["ServedModel", "ServerLoad", "ServerTracker"]
+__all__ = ["HeadExclusion", "ServedModel", "ServerLoad", "ServerTracker"]
 
 ServedModel: TypeAlias = tuple[ServiceName, ModelName]
 """A model and its service; several services may run the same model."""
@@ -35,6 +37,15 @@
 """Age up to which progress of a stream proves that all group members work."""
 
 
+class HeadExclusion(enum.Enum):
+    """Why this node sends no requests to the head of an open group."""
+
+    SUSPECTED = "suspected"
+    SUSPECTED_BY_PEER = "suspected_by_peer"
+    RECENTLY_FULL = "recently_full"
+    DEGRADED = "degraded"
+
+
 @dataclasses.dataclass(slots=True)
 class ServerLoad:
     """Load and recent outcomes of this node's requests at one server.
@@ -93,6 +104,19 @@
         self._degraded_heads: set[VmId] = set()
         self._servers_by_service: dict[ServiceName, list[BackendServer]] = {}
 
+    def snapshot(self, notices: ServerNotices) -> "ServerTracker":
+        """Return a tracker with the same state, to be asked without a change of it.
+
+        Parameters
+        ----------
+        notices : ServerNotices
+            Used by the new tracker.
+        """
+        snapshot = copy.copy(self)
+        snapshot._notices = notices
+        snapshot._loads = {vm: copy.copy(load) for vm, load in self._loads.items()}
+        return snapshot
+
     def load(self, vm: VmId) -> ServerLoad:
         """Return the mutable load entry of a server, created on first use."""
         return self._loads.setdefault(vm, ServerLoad())
@@ -332,6 +356,17 @@
             and not self._notices.is_evacuated(head)
         ]
 
+    def all_heads(self, service: ServiceName, model: ModelName) -> list[BackendServer]:
+        """Return the heads of the open groups, whether they take requests or not."""
+        return list(self._heads.get((service, model), []))
+
+    def exclusions(self, vm: VmId) -> list[HeadExclusion]:
+        """Return why no requests are sent to the head of an open group now.
+
+        What servers and the operator state is left out; `ServerNotices` has it.
+        """
+        return self._exclusions(vm, self._clock.monotonic())
+
     def suspected_heads(
         self, service: ServiceName, model: ModelName
     ) -> list[BackendServer]:
@@ -379,6 +414,10 @@
         """Return the servers that take a request now, of a service without groups."""
         return self._select_accepting(self._servers_by_service.get(service, []))
 
+    def all_servers(self, service: ServiceName) -> list[BackendServer]:
+        """Return the ready servers of a service without groups, as `all_heads`."""
+        return list(self._servers_by_service.get(service, []))
+
     def server_wait(self, service: ServiceName) -> ServerWait | None:
         """Return the wait for a server of a service without groups, as `head_wait`."""
         return self._notices.shortest_wait(self._servers_by_service.get(service, []))
@@ -411,15 +450,24 @@
         recent progress of this node's requests shows that all members work, and
         overrides suspicions of peers and members missing from the registry.
         """
+        return not self._exclusions(vm, now_s)
+
+    def _exclusions(self, vm: VmId, now_s: float) -> list[HeadExclusion]:
+        """Return everything but notices that keeps requests from an open group."""
+        exclusions = []
         load = self._loads.get(vm)
         if load is not None:
-            if load.suspect_until_s > now_s or load.full_until_s > now_s:
-                return False
-            if now_s - load.progress_at_s < _PROGRESS_MAX_AGE_S:
-                return True
+            if load.suspect_until_s > now_s:
+                exclusions.append(HeadExclusion.SUSPECTED)
+            if load.full_until_s > now_s:
+                exclusions.append(HeadExclusion.RECENTLY_FULL)
+            if not exclusions and now_s - load.progress_at_s < _PROGRESS_MAX_AGE_S:
+                return exclusions
         if vm in self._peer_suspects:
-            return False
-        return vm not in self._degraded_heads
+            exclusions.append(HeadExclusion.SUSPECTED_BY_PEER)
+        if vm in self._degraded_heads:
+            exclusions.append(HeadExclusion.DEGRADED)
+        return exclusions
 
     def _is_suspected(self, vm: VmId, now_s: float) -> bool:
         """Return whether nothing but a suspicion excludes the head of an open group."""
