--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -35,6 +35,12 @@
 from pomelolug.entry.losses import LossPublisher, PoisonRequestDetector, RunMonitor
 from pomelolug.entry.peers import PeerCoordinator, StoreContact
 from pomelolug.entry.performance import LearnedDelayEstimator
+from pomelolug.entry.preview import (
+    KnownState,
+    PreviewEndpoint,
+    RequestPreviewer,
+    fetch_ranking,
+)
 from pomelolug.entry.requests import (
     GroupChooser,
     PlainForwarder,
@@ -357,6 +363,36 @@
             feeds=self._feeds,
             server_contact=self._server_contact,
             evacuated_zones=self._evacuated_zones,
+            previews=self._build_previews(),
+        )
+
+    def _build_previews(self) -> PreviewEndpoint:
+        coordinator = self._peer_coordinator
+        previewer = RequestPreviewer(
+            node=self._settings.node,
+            zone=self._settings.zone,
+            declaration=lambda: self._declarations.current,
+            registry=self._registry,
+            known=KnownState(
+                notices=self._notices,
+                server_tracker=self._server_tracker,
+                delay_estimator=self._delay_estimator,
+                group_selector=self._group_selector,
+                exits=self._request_exits,
+                list_exits=coordinator.forwarding_addresses,
+                rng=self._rng,
+            ),
+            contact=self._server_contact,
+            dispatch=lambda: coordinator.dispatch,
+            fetch_ranking=lambda address, message: fetch_ranking(
+                coordinator.peer_address_of(address), message
+            ),
+            clock=self._clock,
+        )
+        return PreviewEndpoint(
+            previewer=previewer,
+            dispatch=lambda: coordinator.dispatch,
+            node=self._settings.node,
         )
 
     def _build_server_contact(self) -> None:
@@ -504,7 +540,7 @@
             node_count=max(len(settings.peer_seeds), 1) * 3,
             on_denied=self._metrics.repeats_denied.inc,
         )
-        exits = RequestExits(
+        self._request_exits = exits = RequestExits(
             contact=self._server_contact,
             list_addresses=lambda: self._peer_coordinator.forwarding_addresses(),
             pool=self._forwarding_pool,
--- a/pomelolug/entry/_internal_endpoints.py
+++ b/pomelolug/entry/_internal_endpoints.py
@@ -15,6 +15,11 @@
     PeerCoordinator,
     serve_records,
 )
+from pomelolug.entry.preview import (
+    DISPATCH_PREVIEW_PATH,
+    PREVIEW_PATH,
+    PreviewEndpoint,
+)
 from pomelolug.entry.servers import EvacuatedZones, ServerContact, ServerTracker
 from pomelolug.feeds import TopicFeed
 from pomelolug.platform import READY_PATH
@@ -44,6 +49,7 @@
         feeds: Mapping[str, TopicFeed],
         server_contact: ServerContact,
         evacuated_zones: EvacuatedZones,
+        previews: PreviewEndpoint,
     ) -> None:
         self._lifecycle = lifecycle
         self._declarations = declarations
@@ -55,6 +61,7 @@
         self._feeds = feeds
         self._server_contact = server_contact
         self._evacuated_zones = evacuated_zones
+        self._previews = previews
 
     async def handle_readiness(self, exchange: Exchange) -> None:
         """Answer 200 if the node is ready for callers, else 503 with the reason."""
@@ -65,7 +72,7 @@
         exchange.reply(503 if reason else 200, (), reason.encode())
 
     async def handle_peer(self, exchange: Exchange) -> None:
-        """Answer with the declaration in force, records, or the state of the node."""
+        """Answer with the declaration, records, the state of the node or a preview."""
         if exchange.target == DECLARATION_PATH and self._declarations.encoded:
             exchange.reply(200, _JSON_HEADERS, self._declarations.encoded)
         elif exchange.target.startswith(RECORDS_PATH):
@@ -74,6 +81,8 @@
             exchange.reply(
                 200, _JSON_HEADERS, msgspec.json.encode(self._describe_state())
             )
+        elif exchange.target in (PREVIEW_PATH, DISPATCH_PREVIEW_PATH):
+            await self._previews.handle(exchange)
         else:
             exchange.reply(404, (), b"")
 
--- a/pomelolug/operator/_commands.py
+++ b/pomelolug/operator/_commands.py
@@ -16,7 +16,7 @@
 from pomelolug.messages import Drain
 from pomelolug.operator._context import CommandContext, open_context
 from pomelolug.operator._control import ConfigurationResponse
-from pomelolug.operator._entry import fetch_entry_status
+from pomelolug.operator._entry import fetch_entry_status, fetch_preview
 from pomelolug.operator._publication import (
     publish_document,
     wait_for_nodes,
@@ -133,6 +133,45 @@
         statuses = asyncio.run(fetch_statuses())
         _print_json(dict(zip((address, *more), statuses, strict=True)))
 
+    def preview(
+        self,
+        address: str,
+        *,
+        host: str,
+        path: str,
+        account: str = "",
+        model: str = "",
+        prompt_tokens: int = 0,
+        deadline: float = 0.0,
+    ) -> None:
+        """Show where a request would go now and why, without sending it.
+
+        Parameters
+        ----------
+        address : str
+            IP address and port on which the entry process that has the request
+            communicates with its peers.
+        host, path : str
+            Host and path of the request.
+        account : str
+            Name of the client account, which is not its key.
+        model : str
+            Model, if the request names one.
+        prompt_tokens : int
+            Size of the prompt, 0 if unknown.
+        deadline : float
+            Time in seconds that the caller waits, 0 if it does not say it.
+        """
+        query: dict[str, Any] = {
+            "host": host,
+            "path": path,
+            "account": account or None,
+            "model": model or None,
+            "prompt_tokens": _parse_number(int, prompt_tokens, "--prompt_tokens"),
+            "deadline_s": _parse_number(float, deadline, "--deadline") or None,
+        }
+        _print_json(asyncio.run(fetch_preview(address, query)))
+
     def history(self, settings: str = _DEFAULT_SETTINGS) -> None:
         """Show the versions of the configuration, the current one first."""
         _print_json(_run_with_context(settings, _fetch_history))
