--- a/pomelolug/entry/servers/__init__.py
+++ b/pomelolug/entry/servers/__init__.py
@@ -41,6 +41,7 @@
     ServerPauses,
 )
 from pomelolug.entry.servers._server_tracker import (
+    HeadExclusion,
     ServedModel,
     ServerTracker,
 )
@@ -56,6 +57,7 @@
     "EvacuationChange",
     "ColdServers",
     "GroupSelector",
+    "HeadExclusion",
     "LeavingServers",
     "RecentStarts",
     "RequestBound",
