Check that the unread responses of the test of 200 MB exceed the memory

Review of: nothing showed that the large requests had reached a server, so the test would also have passed if the node had refused them all.

--- a/pomelolug/entry/tests/test_slow_readers.py
+++ b/pomelolug/entry/tests/test_slow_readers.py
@@ -308,10 +308,13 @@
 ):
     # Guards against a node that is killed for its memory, or that serves nobody else
     # while callers leave 300 MB of responses unread and 450 MB of bodies unfinished.
+    large_ids = set()
+
     async def script(request):
-        send_response(
-            request, body=b"x" * MB if "large" in request.target else b"small"
-        )
+        is_large = "large" in request.target
+        if is_large:
+            large_ids.add(request.request_id)
+        send_response(request, body=b"x" * MB if is_large else b"small")
 
     async with Harness() as h:
         h.publish_declaration(slow_declaration())
@@ -320,14 +323,17 @@
         await node.start()
         clients = []
         try:
-            request = encode_caller_request("/safe/large", deadline_ms=20_000)
             upload = encode_caller_request(
                 "/once/x", method=b"POST", body=b"x" * 4 * MB, deadline_ms=20_000
             )
             for number in range(max(UNREAD_COUNT, UPLOAD_COUNT)):
                 client = connect_unread(node)
                 clients.append(client)
-                client.send(request)
+                client.send(
+                    encode_caller_request(
+                        "/safe/large", request_id=f"l{number}", deadline_ms=20_000
+                    )
+                )
                 if number < UPLOAD_COUNT:
                     _, writer = await asyncio.open_connection(node.ip, 8001)
                     clients.append(writer)
@@ -340,6 +346,8 @@
                 head, _ = await node.request("/safe/small", request_id=f"s{number}")
                 statuses.append(head.status)
             assert statuses == [200] * 20
+            # What was left unread alone exceeds the memory of the process.
+            assert len(large_ids) * MB > 200 * MB
             assert node.peak_memory_bytes < 200 * MB
         finally:
             for client in clients:
