Take the lower quartile of the servers for the usual speed

Where a sixth of the servers is slow, about half of the groups of four and most of those of eight are, since a group is as slow as its slowest member. By the median they counted as the usual ones, so that no group was found slow. The new test (six of nine servers slow) failed before.

The tests of choice where speeds differ pass at 8 to 390 nodes.

--- a/pomelolug/entry/performance/_learned.py
+++ b/pomelolug/entry/performance/_learned.py
@@ -39,6 +39,11 @@
 """Requests that the usual speed counts for, against those seen at a server."""
 _MIN_CENTER_WEIGHT = 1.0
 """Least weight of a server's evidence that counts for what is usual."""
+_USUAL_SHARE = 0.25
+"""Share of the servers, by evidence, that are at least as fast as the usual speed.
+
+With a half, slow servers count as usual as soon as most of the groups contain one.
+"""
 _TOLERATED_LOG_RATIO = 0.15
 """Log ratio that counts as none, so that noise does not order equal servers."""
 _LIMIT_SLACK = 1.15
@@ -617,16 +622,16 @@
 
 
 def _center(evidence: Iterable[Evidence], band: int) -> float:
-    """Return the weighted median of the log ratios, the lower one of two."""
+    """Return the log ratio of the usual speed, a weighted quantile of all."""
     ratios = sorted(
         (e.mean(band), min(e.weight(band), _PRIOR_WEIGHT))
         for e in evidence
         if e.weight(band) >= _MIN_CENTER_WEIGHT
     )
-    half = sum(weight for _, weight in ratios) / 2
+    left = sum(weight for _, weight in ratios) * _USUAL_SHARE
     for ratio, weight in ratios:
-        half -= weight
-        if half <= 1e-9:
+        left -= weight
+        if left <= 1e-9:
             return ratio
     return 0.0
 
--- a/pomelolug/entry/performance/tests/test_learned_performance.py
+++ b/pomelolug/entry/performance/tests/test_learned_performance.py
@@ -147,6 +147,16 @@
     assert node.limit(servers[0]) == SLOTS
 
 
+def test_slow_servers_are_found_though_most_are_slow():
+    # Guards against slow servers that count as usual: if a sixth of all servers are slow,
+    # so are half of the groups of four, and more of the larger ones.
+    node, servers = make_node(), make_servers(9)
+    slow = {f"s{number}": 3.0 for number in range(3, 9)}
+    node.serve(servers, 3.0, slow)
+    assert max(node.limit(server) for server in servers[3:]) <= SLOTS / 2
+    assert {node.limit(server) for server in servers[:3]} == {SLOTS}
+
+
 def test_speed_that_changes_is_followed_within_seconds():
     # Guards against evidence that outlives what it was about, in both directions.
     node, servers = make_node(), make_servers()
