--- a/pomelolug/entry/performance/tests/test_learned_performance.py
+++ b/pomelolug/entry/performance/tests/test_learned_performance.py
@@ -148,8 +148,8 @@
 
 
 def test_slow_servers_are_found_though_most_are_slow():
-    # Guards against slow servers that count as usual: if a sixth of all servers are slow,
-    # so are half of the groups of four, and more of the larger ones.
+    # Guards against slow servers that count as usual: if a sixth of all are slow, so
+    # are half of the groups of four, and more of the larger ones.
     node, servers = make_node(), make_servers(9)
     slow = {f"s{number}": 3.0 for number in range(3, 9)}
     node.serve(servers, 3.0, slow)
