Complete a large group only with hosts that have the weights

Survivors now wait only for the close of a small group whose hosts have loaded the weights beside serving.

--- a/pomelolug/replicas/_completing.py
+++ b/pomelolug/replicas/_completing.py
@@ -123,15 +123,6 @@
             self._teardown.retire(key)
         return step
 
-    def load_orders(
-        self, step: CompletionStep, load_budget: int
-    ) -> list[Coroutine[Any, Any, None]]:
-        """Return the orders that load the weights that a completion waits for."""
-        if step.model is None:
-            return []
-        servers = [self._fleet.listed[vm] for vm in step.stage]
-        return self._spares.stage_members(servers, step.model, load_budget)
-
     def substitute_orders(
         self,
         engine: EngineProfile,
@@ -179,5 +170,4 @@
             replacements=list(completion.replacements),
             groups=[group.key[0] for group in completion.groups],
             in_flight=sum(group.in_flight for group in completion.groups),
-            loads=completion.load_count,
         )
--- a/pomelolug/replicas/_completion.py
+++ b/pomelolug/replicas/_completion.py
@@ -28,17 +28,10 @@
 
 A completion then puts at least four times the servers that it takes to use.
 """
-_LOADING_MARGIN_S = 10.0
-"""Time beyond the load of the weights at which a completion is dropped."""
 _CLOSING_TIMEOUT_S = 10.0
 """Time in which a closed group finishes its requests; most streams take seconds."""
-_DROP_MARGIN = 0.8
-"""Factor on the comparison of supplies at which a completion is dropped.
-
-The requests in flight vary from one round to the next.
-"""
 _PAUSE_S = 2.0
-"""Time after a completion was dropped for demand or time until the next one.
+"""Time after a completion that took too long until the next one.
 
 The servers are planned as others meanwhile.
 """
@@ -53,13 +46,9 @@
     kept: tuple[VmId, ...]
     """Free servers with the weights, which join no other group meanwhile."""
     replacements: tuple[VmId, ...]
-    """Free servers, or members of the groups to close."""
+    """Members of the groups to close whose hosts have the weights."""
     groups: tuple[OpenGroup, ...]
-    """Groups of smaller models that are closed when the replacements have the weights.
-
-    Empty if the replacements are free.
-    """
-    load_count: int
+    """Groups of smaller models that are closed."""
 
     @property
     def reserved(self) -> Mapping[VmId, ModelName]:
@@ -103,17 +92,14 @@
         servers = self.servers_in_groups.get(model, 0) - removed
         return servers / self.servers_needed[model]
 
-    def is_acceptable(self, completion: Completion, *, margin: float = 1.0) -> bool:
-        """Return whether no other model is then worse supplied than this one is now.
-
-        With a margin below 1, others may be worse supplied by that factor.
-        """
+    def is_acceptable(self, completion: Completion) -> bool:
+        """Return whether no other model is then worse supplied than this one is now."""
         removed: collections.Counter[ModelName] = collections.Counter()
         for group in completion.groups:
             removed[group.model] += len(group.members)
         supply = self.supply(completion.model.name)
         return all(
-            self.supply(model.name, removed[model.name]) >= margin * supply
+            self.supply(model.name, removed[model.name]) >= supply
             for model in self.models
             if model.name != completion.model.name
         )
@@ -124,9 +110,6 @@
     """What to do in one round."""
 
     reserved: Mapping[VmId, ModelName] = dataclasses.field(default_factory=dict)
-    stage: tuple[VmId, ...] = ()
-    """Servers that need the weights of `model`."""
-    model: ModelName | None = None
     close: tuple[GroupKey, ...] = ()
     """Groups to close and to give up."""
 
@@ -135,7 +118,6 @@
 class _Progress:
     completion: Completion
     deadline_s: float
-    is_closing: bool = False
 
 
 class GroupCompleter:
@@ -165,18 +147,19 @@
         now_s : float
             Monotonic time in seconds.
         """
-        if self._progress is None and now_s >= self._paused_until_s:
-            self._begin(state, now_s)
-        if self._progress is None:
+        if self._progress is not None:
+            reserved = self._advance(self._progress, state, now_s)
+            if reserved:
+                return CompletionStep(reserved)
+        if now_s < self._paused_until_s:
             return CompletionStep()
-        return self._advance(self._progress, state, now_s)
+        return self._begin(state, now_s)
 
-    def _begin(self, state: CompletionState, now_s: float) -> None:
+    def _begin(self, state: CompletionState, now_s: float) -> CompletionStep:
         options = filter(state.is_acceptable, _possible_completions(state))
         completion = min(
             options,
             key=lambda option: (
-                option.load_count,
                 state.supply(option.model.name),
                 len(option.replacements),
                 option.domain,
@@ -184,56 +167,34 @@
             default=None,
         )
         if completion is None:
-            return
-        load_s = completion.model.load_time.total_seconds()
-        deadline_s = now_s + _LOADING_MARGIN_S
-        deadline_s += load_s if completion.load_count else 0.0
-        self._progress = _Progress(completion, deadline_s)
+            return CompletionStep()
+        self._progress = _Progress(completion, now_s + _CLOSING_TIMEOUT_S)
         self._on_decision("completion_begun", "member_lost", completion)
+        keys = tuple(group.key for group in completion.groups)
+        return CompletionStep(completion.reserved, keys)
 
     def _advance(
         self, progress: _Progress, state: CompletionState, now_s: float
-    ) -> CompletionStep:
+    ) -> Mapping[VmId, ModelName]:
+        """Return the servers that stay reserved, none if the completion has ended."""
         completion = progress.completion
-        free = {server.server.vm: server for server in state.free}
+        free = {server.server.vm for server in state.free}
         if all(vm in state.forming for vm in completion.kept):
-            return self._end("completion_forming", "complete", now_s)
-        if not all(vm in free for vm in completion.kept):
-            return self._end("completion_dropped", "survivor_lost", now_s)
-        if now_s >= progress.deadline_s:
-            return self._end("completion_dropped", "timeout", now_s)
-        if progress.is_closing:
-            return CompletionStep(completion.reserved)
-        open_keys = {group.key for group in state.groups}
-        if not all(group.key in open_keys for group in completion.groups):
-            return self._end("completion_dropped", "group_lost", now_s)
-        servers = free | {
-            member.server.vm: member
-            for group in state.groups
-            for member in group.members
-        }
-        if not all(vm in servers for vm in completion.replacements):
-            return self._end("completion_dropped", "replacement_lost", now_s)
-        if not state.is_acceptable(completion, margin=_DROP_MARGIN):
-            return self._end("completion_dropped", "demand", now_s)
-        name = completion.model.name
-        missing = tuple(
-            vm for vm in completion.replacements if servers[vm].needs_load(name)
-        )
-        if missing:
-            return CompletionStep(completion.reserved, missing, name)
-        progress.is_closing = True
-        progress.deadline_s = now_s + _CLOSING_TIMEOUT_S
-        keys = tuple(group.key for group in completion.groups)
-        return CompletionStep(completion.reserved, close=keys)
-
-    def _end(self, event: str, reason: str, now_s: float) -> CompletionStep:
+            self._end("completion_forming", "complete", now_s)
+        elif not all(vm in free for vm in completion.kept):
+            self._end("completion_dropped", "survivor_lost", now_s)
+        elif now_s >= progress.deadline_s:
+            self._end("completion_dropped", "timeout", now_s)
+        else:
+            return completion.reserved
+        return {}
+
+    def _end(self, event: str, reason: str, now_s: float) -> None:
         assert self._progress is not None
         self._on_decision(event, reason, self._progress.completion)
         self._progress = None
-        if reason in ("demand", "timeout"):
+        if reason == "timeout":
             self._paused_until_s = now_s + _PAUSE_S
-        return CompletionStep()
 
 
 def needs_completion(models: Sequence[ModelProfile]) -> bool:
@@ -299,56 +260,52 @@
             missing = model.group_size - len(kept)
             if not 0 < missing <= _MAX_REPLACED_SHARE * model.group_size:
                 continue
-            others = [s for s in local if s.needs_load(model.name)]
             donors = [g for g in groups_of.get(domain, ()) if g.model in smaller]
-            for groups in ((), _choose_donors(model, missing, donors)):
-                pool = [m for g in groups for m in g.members] if groups else others
-                if len(pool) >= missing:
-                    completions.append(_complete(model, kept, pool, groups))
+            groups = _choose_donors(model, missing, donors)
+            if groups:
+                completions.append(_complete(model, kept, missing, groups))
     return completions
 
 
 def _complete(
     model: ModelProfile,
     kept: Sequence[FreeServer],
-    pool: Iterable[FreeServer],
+    missing: int,
     groups: tuple[OpenGroup, ...],
 ) -> Completion:
-    missing = model.group_size - len(kept)
-    chosen = sorted(pool, key=lambda s: (s.needs_load(model.name), s.server.vm))
-    replacements = chosen[:missing]
+    holders = [vm for group in groups for vm in _holders(group, model)]
     return Completion(
         model=model,
         domain=kept[0].server.domain,
         kept=tuple(server.server.vm for server in kept),
-        replacements=tuple(server.server.vm for server in replacements),
+        replacements=tuple(holders[:missing]),
         groups=groups,
-        load_count=sum(server.needs_load(model.name) for server in replacements),
     )
 
 
+def _holders(group: OpenGroup, model: ModelProfile) -> list[VmId]:
+    """Return the members of a group whose hosts have the weights of a model."""
+    return [m.server.vm for m in group.members if not m.needs_load(model.name)]
+
+
 def _choose_donors(
     model: ModelProfile, missing: int, groups: Iterable[OpenGroup]
 ) -> tuple[OpenGroup, ...]:
-    """Return small groups with enough members, empty if there are too few.
+    """Return small groups with enough hosts that have the weights, empty if too few.
 
-    Those whose hosts have the weights come first, then those with few requests.
+    Those with the most such hosts come first, then those with few requests.
     """
+    limit = _MAX_REPLACED_SHARE * model.group_size
     chosen: list[OpenGroup] = []
-    count = 0
+    found = size = 0
     for group in sorted(
-        groups,
-        key=lambda group: (
-            all(member.needs_load(model.name) for member in group.members),
-            group.in_flight,
-            group.key,
-        ),
+        groups, key=lambda g: (-len(_holders(g, model)), g.in_flight, g.key)
     ):
-        size = len(group.members)
-        if count < missing and count + size <= _MAX_REPLACED_SHARE * model.group_size:
+        if found < missing and size + len(group.members) <= limit:
             chosen.append(group)
-            count += size
-    return tuple(chosen) if count >= missing else ()
+            size += len(group.members)
+            found += len(_holders(group, model))
+    return tuple(chosen) if found >= missing else ()
 
 
 def _smaller_models(
--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -318,8 +318,6 @@
         reserved = completion.reserved
         orders += self._formation_orders(engine, free, views, demand, reserved)
         load_budget = self._load_budget(engine, views)
-        orders += self._completion.load_orders(completion, load_budget)
-        load_budget = self._load_budget(engine, views)
         orders += self._spares.staging_orders(
             engine, free, views, demand, load_budget, reserved=reserved
         )
