Move the large declaration of the slopes to the package that may use wire names

test_no_module_outside_the_adapter_uses_wire_names failed since the slopes of declarations were added: entry_slopes wrote names of the platform.

--- a/pomelolug/experiments/entry_slopes.py
+++ b/pomelolug/experiments/entry_slopes.py
@@ -62,6 +62,7 @@
 from pomelolug.messages import NodeStatus, decode, encode
 from pomelolug.platform import DeclarationDecoder, decode_declaration, decode_server
 from pomelolug.replicas import FreeServer, group_views, needed_servers, plan_groups
+from pomelolug.testing import encode_large_declaration
 
 __all__ = ["main"]
 
@@ -368,30 +369,6 @@
     return decide
 
 
-def _encode_declaration(count: int, *, version: int = 1) -> bytes:
-    """Return a declaration of which each version changes one route."""
-    rng = random.Random(1)
-    routes = [
-        {
-            "name": f"r-{rng.getrandbits(36):09x}",
-            "host": f"h{rng.getrandbits(32):08x}.example",
-            "path_prefix": f"/p{rng.getrandbits(32):08x}/",
-            "kind": "streaming",
-            "timeout_ms": 6075.0,
-            "target_latency_ms": 253.0,
-            "split": [{"service": "llm", "weight": 1.0}],
-            "max_attempts": 2,
-            "public": False,
-            "sticky": True,
-            "resumable": True,
-            "gap_target_ms": 200.0,
-        }
-        for _ in range(count)
-    ]
-    routes[version % count]["timeout_ms"] = 5000.0
-    return msgspec.json.encode({"version": version, "routes": routes})
-
-
 def _declaration_fits() -> list[LinearFit]:
     """Return the costs of a large declaration of which one route changes."""
 
@@ -402,7 +379,7 @@
         return fit(name, "ms", [1e3 * measure_cpu_s(f) for f in functions])
 
     versions = [
-        (_encode_declaration(count), _encode_declaration(count, version=2))
+        (encode_large_declaration(count), encode_large_declaration(count, version=2))
         for count in _ROUTE_COUNTS
     ]
     whole = [pack_value(new) for _, new in versions]
--- a/pomelolug/testing/__init__.py
+++ b/pomelolug/testing/__init__.py
@@ -15,6 +15,7 @@
 )
 from pomelolug.testing._group_servers import GroupServers, SimulatedServer
 from pomelolug.testing._group_simulation import ControlNode, GroupSimulation
+from pomelolug.testing._large_declaration import encode_large_declaration
 from pomelolug.testing._loopback_prefix import reserve_loopback_prefix
 from pomelolug.testing._loopback_proxy import LinkCut, LinkFault, LoopbackProxy
 from pomelolug.testing._memory_log import LogFaults, MemoryLog
@@ -58,6 +59,7 @@
     "ScriptedServer",
     "SimulatedServer",
     "encode_caller_request",
+    "encode_large_declaration",
     "format_entry_settings",
     "is_ready",
     "read_response",
