--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -647,13 +647,6 @@
                 self._metrics.open_assignments.set(
                     self._group_dispatcher.open_assignments
                 )
-                self._metrics.waiting_streams.set(self._group_dispatcher.waiting_count)
-                wait_counts = self._group_dispatcher.wait_counts
-                for result, count in (
-                    ("granted", wait_counts.granted),
-                    ("expired", wait_counts.expired),
-                ):
-                    self._metrics.waited_streams.labels(result).set(count)
                 self._metrics.dispatch_timeouts.set(
                     self._peer_coordinator.dispatch.timeout_count
                 )
--- a/pomelolug/entry/_metrics.py
+++ b/pomelolug/entry/_metrics.py
@@ -140,17 +140,6 @@
             "Streams that this node has assigned as a dispatcher.",
             registry=self._registry,
         )
-        self.waiting_streams = prometheus_client.Gauge(
-            f"{name}_waiting_streams",
-            "Streams that wait for a slot at this node as a dispatcher.",
-            registry=self._registry,
-        )
-        self.waited_streams = prometheus_client.Gauge(
-            f"{name}_waited_streams",
-            "Streams that have waited at this node as a dispatcher, since the start.",
-            ["result"],
-            registry=self._registry,
-        )
         self.dispatch_timeouts = prometheus_client.Gauge(
             f"{name}_dispatch_timeouts",
             "Questions to dispatchers without a reply, since the start.",
--- a/pomelolug/entry/dispatch/__init__.py
+++ b/pomelolug/entry/dispatch/__init__.py
@@ -1,12 +1,6 @@
 """Assignment of streams to groups by one node of each zone."""
 
-from pomelolug.entry.dispatch._dispatcher import (
-    Decision,
-    Grant,
-    GroupDispatcher,
-    Question,
-    WaitCounts,
-)
+from pomelolug.entry.dispatch._dispatcher import Decision, GroupDispatcher, Question
 from pomelolug.entry.dispatch._endpoint import (
     Assignment,
     DispatchEndpoint,
@@ -19,12 +13,10 @@
     "Assignment",
     "AssignmentLedger",
     "Decision",
-    "Grant",
     "DispatchEndpoint",
     "DispatchMessage",
     "DispatcherAddresses",
     "GroupDispatcher",
     "Holder",
     "Question",
-    "WaitCounts",
 ]
--- a/pomelolug/entry/dispatch/_dispatcher.py
+++ b/pomelolug/entry/dispatch/_dispatcher.py
@@ -10,36 +10,17 @@
 import datetime
 import math
 import random
-import statistics
 from collections.abc import Callable, Mapping, Sequence
 
 from pomelolug.clock import Clock
-from pomelolug.deployment import (
-    BackendServer,
-    Declaration,
-    EngineProfile,
-    ModelProfile,
-    Repeatability,
-)
+from pomelolug.deployment import BackendServer, Declaration, Repeatability
 from pomelolug.entry.dispatch._ledger import AssignmentLedger, Holder
-from pomelolug.entry.dispatch._waiting_room import (
-    ReleaseRate,
-    WaitingRoom,
-    WaitingStream,
-)
 from pomelolug.entry.performance import DelayEstimator
 from pomelolug.fairness import AccountShares
 from pomelolug.ids import AccountId, ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import NodeStatus
 
-__all__ = [
-    "MAX_WAIT_S",
-    "Decision",
-    "Grant",
-    "GroupDispatcher",
-    "Question",
-    "WaitCounts",
-]
+__all__ = ["Decision", "GroupDispatcher", "Question"]
 
 _LOAD_COST_S = 0.05
 """Expected delay, in seconds, that counts as much as all slots of a group.
@@ -56,12 +37,6 @@
 Otherwise streams would not be served at all while more urgent ones fill all groups.
 """
 _TIE_TOLERANCE_S = 0.001
-_SAMPLE_SIZE = 3
-"""Groups whose median is the usual delay; more of them cost time at a full zone."""
-_SENDING_S = 0.01
-"""Time in seconds for the reply to the node and for sending the stream."""
-MAX_WAIT_S = 0.5
-"""Longest wait for a slot in seconds; another zone may have room since."""
 _MAX_OVERTIME_S = 2.0
 """Time in seconds by which a stream may outlast the longest timeout of streams."""
 
@@ -84,9 +59,6 @@
         Client account, empty if there is none.
     urgency : int
         Urgency of the stream; 0 is the most urgent.
-    time_left_s : float
-        Time until the first event would be late, in seconds, for a stream that may wait
-        for a slot; 0 for one that is not to wait.
     """
 
     service: ServiceName
@@ -96,7 +68,6 @@
     excluded: Sequence[VmId] = ()
     account: AccountId = AccountId("")
     urgency: int = 0
-    time_left_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,30 +76,11 @@
 
     `has_groups` tells whether there are open groups; without a head they have no room
     for the stream. `load` is the number of requests at the group before this one.
-    `wait_s` is the time in seconds for which the stream waits for a slot.
     """
 
     head: VmId | None
     has_groups: bool
     load: int = 0
-    wait_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
-    """Group for a stream that has waited, and the question that it answers."""
-
-    holder: Holder
-    serial: int
-    decision: Decision
-
-
-@dataclasses.dataclass(slots=True)
-class WaitCounts:
-    """Streams that have waited: those that got a slot, and those that did not."""
-
-    granted: int = 0
-    expired: int = 0
 
 
 class _Urgency:
@@ -139,9 +91,9 @@
         self.asked_at_s = 0.0
         self._asked = 0.0
 
-    def record_question(self, *, now_s: float, weight: float = 1.0) -> None:
+    def record_question(self, *, now_s: float) -> None:
         """Count a question."""
-        self._asked = self.asked(now_s=now_s) + weight
+        self._asked = self.asked(now_s=now_s) + 1.0
         self.asked_at_s = now_s
 
     def asked(self, *, now_s: float) -> float:
@@ -154,30 +106,16 @@
 
     def __init__(self) -> None:
         self.accounts = AccountShares()
-        self.waiting: WaitingRoom[Question] = WaitingRoom()
-        self.release_rate = ReleaseRate()
         self._urgencies: dict[int, _Urgency] = {}
 
     def record_question(self, question: Question, *, now_s: float) -> None:
         """Record that an account needs a group."""
         self.accounts.on_request(question.account, weight=1.0, now_s=now_s)
         urgency = self._urgencies.setdefault(question.urgency, _Urgency())
-        # A stream that may wait has been counted when it asked without waiting.
-        weight = 0.0 if question.time_left_s > 0.0 else 1.0
-        urgency.record_question(now_s=now_s, weight=weight)
+        urgency.record_question(now_s=now_s)
 
-    def record_grant(
-        self, question: Question, *, now_s: Callable[[], float]
-    ) -> Callable[[], None]:
-        """Record that a stream has a group; call what is returned at its end.
-
-        Parameters
-        ----------
-        question : Question
-            The stream.
-        now_s : callable
-            Returns the monotonic time in seconds.
-        """
+    def record_grant(self, question: Question) -> Callable[[], None]:
+        """Record that a stream has a group; call what is returned at its end."""
         urgency = self._urgencies[question.urgency]
         self.accounts.on_grant(question.account)
         urgency.held += 1
@@ -185,7 +123,6 @@
         def end() -> None:
             self.accounts.on_release(question.account)
             urgency.held -= 1
-            self.release_rate.record(1, now_s=now_s())
 
         return end
 
@@ -213,32 +150,11 @@
         }
         if not any(urgency < question.urgency for urgency in asked):
             return for_accounts
-        share = asked[question.urgency] / (sum(asked.values()) or 1.0)
+        share = asked[question.urgency] / sum(asked.values())
         if self._urgencies[question.urgency].held < _LEAST_SHARE * share * slots:
             return for_accounts
         return max(for_accounts, math.ceil(_URGENT_RESERVE * slots))
 
-    def ordered(self, *, now_s: float) -> list[WaitingStream[Question]]:
-        """Return the waiting streams in the order in which they get slots.
-
-        Kinds that hold less than half of their share are first, then more urgent ones,
-        then accounts that hold fewer slots.
-        """
-        asked = {
-            urgency: state.asked(now_s=now_s)
-            for urgency, state in self._urgencies.items()
-        }
-        held = sum(state.held for state in self._urgencies.values())
-        slots_per_question = held / (sum(asked.values()) or 1.0)
-
-        def rank(question: Question) -> tuple[float, ...]:
-            urgency = question.urgency
-            share = asked[urgency] * slots_per_question
-            has_share = self._urgencies[urgency].held + 1 > _LEAST_SHARE * share
-            return has_share, urgency, self.accounts.held(question.account)
-
-        return self.waiting.ordered(rank)
-
 
 class GroupDispatcher:
     """Assigns streams to the open groups of a zone.
@@ -278,8 +194,6 @@
         self._rng = rng
         self._ledger = AssignmentLedger()
         self._pools: dict[tuple[ServiceName, ModelName], _Pool] = {}
-        self._grants: list[Grant] = []
-        self._wait_counts = WaitCounts()
         self._unassigned: dict[str, int] = {}
         self._zone_processes: set[Holder] = set()
         # Number of each process's latest status, and when it was first seen.
@@ -290,49 +204,17 @@
         """Number of assigned streams that have not ended."""
         return len(self._ledger)
 
-    @property
-    def waiting_count(self) -> int:
-        """Number of streams that wait for a slot."""
-        return sum(len(pool.waiting) for pool in self._pools.values())
-
-    @property
-    def wait_counts(self) -> WaitCounts:
-        """Streams that have waited since the start."""
-        return self._wait_counts
-
     def decide(self, holder: Holder, serial: int, question: Question) -> Decision:
         """Assign a stream to the group that serves it best.
 
-        A repeated question gets the same answer again. Streams that wait get free slots
-        first; `take_grants` has them.
+        A repeated question gets the same answer again.
         """
         known = self._ledger.find(holder, serial)
         if known is not None:
             return Decision(known, has_groups=True, load=self.in_flight(known) - 1)
         head, has_groups = self._choose(question)
-        if head is not None and self._offer_slots():
-            head, has_groups = self._choose(question)
         if head is None:
-            wait_s = self._wait(holder, serial, question) if has_groups else 0.0
-            return Decision(None, has_groups, wait_s=wait_s)
-        return self._assign(holder, serial, question, head)
-
-    def take_grants(self) -> list[Grant]:
-        """Return the slots that waiting streams have got since the last call."""
-        grants, self._grants = self._grants, []
-        return grants
-
-    def stop_waiting(self, holder: Holder, serial: int) -> bool:
-        """Note that the time of a stream is over; return whether it still waited."""
-        has_waited = any(
-            pool.waiting.remove(holder, serial) for pool in self._pools.values()
-        )
-        self._wait_counts.expired += has_waited
-        return has_waited
-
-    def _assign(
-        self, holder: Holder, serial: int, question: Question, head: BackendServer
-    ) -> Decision:
+            return Decision(None, has_groups)
         load = self.in_flight(head.vm)
         pool = self._pools[question.service, question.model]
         self._ledger.add(
@@ -340,17 +222,13 @@
             serial,
             head.vm,
             now_s=self._clock.monotonic(),
-            on_end=pool.record_grant(question, now_s=self._clock.monotonic),
+            on_end=pool.record_grant(question),
         )
         return Decision(head.vm, has_groups=True, load=load)
 
     def end(self, holder: Holder, serials: Sequence[int]) -> None:
-        """Record that assigned streams have ended, or that they no longer wait."""
-        for pool in self._pools.values():
-            for serial in serials if pool.waiting else ():
-                pool.waiting.remove(holder, serial)
+        """Record that assigned streams have ended."""
         self._ledger.end(holder, serials)
-        self._offer_slots()
 
     def update(
         self,
@@ -417,7 +295,6 @@
                 default=0.0,
             )
             self._ledger.expire(before_s=now_s - longest_s - _MAX_OVERTIME_S)
-        self._offer_slots()
 
     def forget_server(self, vm: VmId) -> None:
         """Forget the streams at a head that has started again; they have ended."""
@@ -435,93 +312,6 @@
             seen = self._status_times_s[holder] = (status.serial, now_s)
         return seen[1]
 
-    def _find_engine(
-        self, question: Question
-    ) -> tuple[EngineProfile, ModelProfile] | None:
-        """Return the declared figures for a stream, None where there are none."""
-        declaration = self._declaration()
-        service = declaration and declaration.services.get(question.service)
-        engine = service.engine if service else None
-        model = engine.find_model(question.model) if engine is not None else None
-        return (engine, model) if engine is not None and model is not None else None
-
-    def _zone_heads(self, question: Question) -> list[BackendServer]:
-        return [
-            head
-            for head in self._heads(question.service, question.model)
-            if head.zone == self._zone
-        ]
-
-    def _wait(self, holder: Holder, serial: int, question: Question) -> float:
-        """Let a stream wait for a slot if it can be on time; return for how long."""
-        found = self._find_engine(question) if question.time_left_s > 0.0 else None
-        if found is None:
-            return 0.0
-        engine, model = found
-        now_s = self._clock.monotonic()
-        pool = self._pools[question.service, question.model]
-        known = pool.waiting.find(holder, serial)
-        if known is not None:
-            return max(known.until_s - now_s, 0.0)
-        heads = self._zone_heads(question)
-        usual_s = statistics.median(
-            self._estimator.first_event_s(
-                head,
-                engine,
-                model,
-                in_flight=max(self._estimator.limit(head, engine) - 1, 0),
-                prompt_tokens=question.prompt_tokens,
-            )
-            for head in self._rng.sample(heads, min(_SAMPLE_SIZE, len(heads)))
-        )
-        wait_s = min(question.time_left_s - usual_s - _SENDING_S, MAX_WAIT_S)
-        ahead = sum(s.question.urgency <= question.urgency for s in pool.waiting)
-        if wait_s * pool.release_rate.per_s(now_s=now_s) < ahead + 1:
-            return 0.0
-        stream = WaitingStream(
-            holder=holder,
-            serial=serial,
-            question=question,
-            until_s=now_s + wait_s,
-            since_s=now_s,
-        )
-        return wait_s if pool.waiting.add(stream) else 0.0
-
-    def _offer_slots(self) -> bool:
-        """Give free slots to the streams that wait; return whether any got one."""
-        grant_count = len(self._grants)
-        for pool in self._pools.values():
-            if pool.waiting:
-                now_s = self._clock.monotonic()
-                self._wait_counts.expired += pool.waiting.expire(now_s=now_s)
-                self._offer_slots_of(pool, now_s=now_s)
-        return len(self._grants) > grant_count
-
-    def _offer_slots_of(self, pool: _Pool, *, now_s: float) -> None:
-        refused: set[tuple[AccountId, int, tuple[VmId, ...]]] = set()
-        for stream in pool.ordered(now_s=now_s):
-            question = stream.question
-            kind = (question.account, question.urgency, tuple(question.excluded))
-            if kind in refused:
-                continue
-            head, _ = self._choose(question)
-            if head is None:
-                if not refused and not self._has_free_slots(question):
-                    return
-                refused.add(kind)
-                continue
-            pool.waiting.remove(stream.holder, stream.serial)
-            decision = self._assign(stream.holder, stream.serial, question, head)
-            self._wait_counts.granted += 1
-            self._grants.append(Grant(stream.holder, stream.serial, decision))
-
-    def _has_free_slots(self, question: Question) -> bool:
-        found = self._find_engine(question)
-        return found is not None and any(
-            self.in_flight(head.vm) < self._estimator.limit(head, found[0])
-            for head in self._zone_heads(question)
-        )
-
     def _choose(self, question: Question) -> tuple[BackendServer | None, bool]:
         declaration = self._declaration()
         service = declaration and declaration.services.get(question.service)
--- a/pomelolug/entry/dispatch/_endpoint.py
+++ b/pomelolug/entry/dispatch/_endpoint.py
@@ -9,12 +9,7 @@
 import structlog
 
 from pomelolug.clock import Clock
-from pomelolug.entry.dispatch._dispatcher import (
-    MAX_WAIT_S,
-    Decision,
-    GroupDispatcher,
-    Question,
-)
+from pomelolug.entry.dispatch._dispatcher import Decision, GroupDispatcher, Question
 from pomelolug.entry.dispatch._ledger import Holder
 from pomelolug.ids import AccountId, ModelName, ServiceName, VmId, ZoneId
 from pomelolug.messages import (
@@ -67,16 +62,12 @@
     `head` is None if all groups that could be asked for are full. `load` is the number
     of requests at the group before this one. `unasked` has the zones that have no
     dispatcher or whose dispatcher has not replied, so that their groups may have room.
-    `full_at` is the dispatcher of the zone if it has groups; the stream may wait there.
-    `waited_s` is the time in seconds for which the stream has waited for a slot.
     """
 
     head: VmId | None
     load: int = 0
     on_end: Callable[[], None] | None = None
     unasked: frozenset[ZoneId] = frozenset()
-    full_at: str = ""
-    waited_s: float = 0.0
 
     def end(self) -> None:
         """Tell the dispatcher that the stream has ended or was not sent."""
@@ -122,7 +113,7 @@
         self._clock = clock
         self._addresses = DispatcherAddresses()
         self._serial = 0
-        self._replies: dict[int, asyncio.Queue[DispatchReply]] = {}
+        self._replies: dict[int, asyncio.Future[DispatchReply]] = {}
         self._failures: dict[str, int] = {}
         self._avoided_until_s: dict[str, float] = {}
         # Start of the process of each dispatcher that has replied.
@@ -194,7 +185,7 @@
         return {vm: count for vm, count in counts.items() if count > 0}
 
     async def assign(self, question: Question) -> Assignment | None:
-        """Return the group for a stream, which does not wait for a slot.
+        """Return the group for a stream.
 
         Returns
         -------
@@ -203,8 +194,6 @@
             the dispatchers of the zone have not replied, or none is known that has
             groups, so that the node chooses itself.
         """
-        full_at = ""
-        question = dataclasses.replace(question, time_left_s=0.0)
         has_reply = has_groups = False
         for local in self._addresses.local:
             reply = await self._ask(local, question)
@@ -215,7 +204,6 @@
                 return reply
             has_groups = reply
             if has_groups:
-                full_at = local
                 break
         if not has_reply:
             return None
@@ -231,54 +219,32 @@
             has_groups = has_groups or bool(reply)
         if not has_groups:
             return None
-        return Assignment(None, unasked=frozenset(unasked), full_at=full_at)
-
-    async def wait(self, question: Question, refused: Assignment) -> Assignment | None:
-        """Return the group for a stream that waits while it can be on time.
-
-        Parameters
-        ----------
-        question : Question
-            The stream.
-        refused : Assignment
-            Assignment without a head that the stream has got.
-
-        Returns
-        -------
-        Assignment or None
-            Without a head if the stream is to be refused; None if the dispatcher has
-            not replied, so that the node chooses itself.
-        """
-        if not refused.full_at or question.time_left_s <= 0.0:
-            return refused
-        reply = await self._ask(refused.full_at, question)
-        if reply is None or isinstance(reply, Assignment):
-            return reply
-        return refused
-
-    def send_grants(self) -> None:
-        """Tell the nodes of streams that have waited which groups they have got."""
-        for grant in self._dispatcher.take_grants():
-            self._reply(grant.holder.address, grant.serial, grant.decision)
+        return Assignment(None, unasked=frozenset(unasked))
 
     def receive(self, message: DispatchMessage) -> None:
         """Answer a question, or pass a reply to the stream that waits for it."""
         if isinstance(message, DispatchReply):
-            replies = self._replies.get(message.serial)
-            if replies is not None:
-                replies.put_nowait(message)
+            future = self._replies.get(message.serial)
+            if future is not None and not future.done():
+                future.set_result(message)
             return
         holder = Holder(message.sender, message.started_ms)
         if isinstance(message, DispatchEnd):
             self._dispatcher.end(holder, message.serials)
-            self.send_grants()
         else:
             # A node that is no dispatcher by its own knowledge has no counts.
             decision = Decision(None, has_groups=False)
             if self._self.address in self._addresses.local:
                 question = _decode_question(message)
-                decision = self._decide(holder, message.serial, question)
-            self._reply(message.sender, message.serial, decision)
+                decision = self._dispatcher.decide(holder, message.serial, question)
+            reply = DispatchReply(
+                serial=message.serial,
+                server=decision.head or "",
+                load=decision.load,
+                has_groups=decision.has_groups,
+                started_ms=self._self.started_ms,
+            )
+            self._send(reply, message.sender)
 
     async def _ask(self, address: str, question: Question) -> Assignment | bool | None:
         """Return the assignment of one dispatcher, or whether it has groups.
@@ -288,78 +254,38 @@
         self._serial += 1
         serial = self._serial
         if address == self._self.address:
-            if question.time_left_s <= 0.0:
-                decision = self._dispatcher.decide(self._self, serial, question)
-                self.send_grants()
-                return self._apply(address, serial, decision)
-        elif self._avoided_until_s.get(address, 0.0) > self._clock.monotonic():
-            return None
-        began_s = self._clock.monotonic()
-        reply = await self._query(address, serial, question)
-        if reply is None:
-            return None
-        head = VmId(reply.server) if reply.server else None
-        applied = self._apply(
-            address, serial, Decision(head, reply.has_groups, reply.load)
-        )
-        if isinstance(applied, Assignment) and question.time_left_s > 0.0:
-            applied.waited_s = self._clock.monotonic() - began_s
-        return applied
-
-    def _apply(
-        self, address: str, serial: int, decision: Decision
-    ) -> Assignment | bool:
+            decision = self._dispatcher.decide(self._self, serial, question)
+        else:
+            reply = await self._query(address, serial, question)
+            if reply is None:
+                return None
+            head = VmId(reply.server) if reply.server else None
+            decision = Decision(head, reply.has_groups, reply.load)
         if decision.head is None:
             return decision.has_groups
         return self._hold(address, serial, decision.head, decision.load)
 
-    def _decide(self, holder: Holder, serial: int, question: Question) -> Decision:
-        """Decide, and answer a stream that waits when its time is over."""
-        decision = self._dispatcher.decide(holder, serial, question)
-        self.send_grants()
-        if decision.wait_s > 0.0:
-            asyncio.get_running_loop().call_later(
-                decision.wait_s, self._refuse_waiting, holder, serial
-            )
-        return decision
-
-    def _refuse_waiting(self, holder: Holder, serial: int) -> None:
-        if self._dispatcher.stop_waiting(holder, serial):
-            self._reply(holder.address, serial, Decision(None, has_groups=True))
-
-    def _reply(self, address: str, serial: int, decision: Decision) -> None:
-        reply = DispatchReply(
-            serial=serial,
-            server=decision.head or "",
-            load=decision.load,
-            has_groups=decision.has_groups,
-            wait_s=round(decision.wait_s, 4),
-            started_ms=self._self.started_ms,
-        )
-        if address == self._self.address:
-            self.receive(reply)
-        else:
-            self._send(reply, address)
-
     async def _query(
         self, address: str, serial: int, question: Question
     ) -> DispatchReply | None:
-        """Return the final reply of a dispatcher, None without one in time."""
-        replies: asyncio.Queue[DispatchReply] = asyncio.Queue()
-        self._replies[serial] = replies
+        """Return the reply of another node, None without one in time."""
+        now_s = self._clock.monotonic()
+        if self._avoided_until_s.get(address, now_s) > now_s:
+            return None
+        future: asyncio.Future[DispatchReply]
+        future = asyncio.get_running_loop().create_future()
+        self._replies[serial] = future
         is_answered = False
         try:
-            if address == self._self.address:
-                decision = self._decide(self._self, serial, question)
-                self._reply(address, serial, decision)
-            else:
-                self._send(self._encode_question(serial, question), address)
-            reply = await _next_reply(replies, timeout_s=_REPLY_TIMEOUT_S)
-            if reply.wait_s > 0.0:
-                timeout_s = min(reply.wait_s, MAX_WAIT_S) + _REPLY_TIMEOUT_S
-                reply = await _next_reply(
-                    replies, timeout_s=timeout_s, is_final=lambda r: r.wait_s <= 0.0
-                )
+            self._send(self._encode_question(serial, question), address)
+            try:
+                async with asyncio.timeout(_REPLY_TIMEOUT_S):
+                    reply = await future
+            except TimeoutError:
+                # After a pause of this process, the reply and the timeout are both due.
+                if not future.done() or future.cancelled():
+                    raise
+                reply = future.result()
             is_answered = True
             self._failures.pop(address, None)
             self._record_start(address, reply.started_ms)
@@ -370,7 +296,7 @@
         finally:
             del self._replies[serial]
             if not is_answered:
-                self._withdraw(address, serial)
+                self._send_end(address, serial)
 
     def _process_of(self, address: str) -> Holder:
         """Return the process of a dispatcher as last known."""
@@ -411,7 +337,10 @@
             self._assigned[key] -= 1
             if not self._assigned[key]:
                 del self._assigned[key]
-            self._withdraw(address, serial)
+            if address == self._self.address:
+                self._dispatcher.end(self._self, [serial])
+            else:
+                self._send_end(address, serial)
 
         return Assignment(head, load, end)
 
@@ -427,17 +356,8 @@
             excluded=tuple(question.excluded[:_MAX_EXCLUDED]),
             account=question.account,
             urgency=question.urgency,
-            time_left_s=round(question.time_left_s, 4),
         )
 
-    def _withdraw(self, address: str, serial: int) -> None:
-        """Tell a dispatcher that a stream has ended or no longer needs a group."""
-        if address == self._self.address:
-            self._dispatcher.end(self._self, [serial])
-            self.send_grants()
-        else:
-            self._send_end(address, serial)
-
     def _send_end(self, address: str, serial: int) -> None:
         message = DispatchEnd(
             sender=self._self.address,
@@ -457,27 +377,4 @@
         excluded=[VmId(vm) for vm in excluded],
         account=AccountId(message.account),
         urgency=message.urgency,
-        time_left_s=message.time_left_s,
     )
-
-
-async def _next_reply(
-    replies: asyncio.Queue[DispatchReply],
-    *,
-    timeout_s: float,
-    is_final: Callable[[DispatchReply], bool] = lambda reply: True,
-) -> DispatchReply:
-    """Return the next reply, or the next final one; TimeoutError without one."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            while True:
-                reply = await replies.get()
-                if is_final(reply):
-                    return reply
-    except TimeoutError:
-        # After a pause of this process, the reply and the timeout are both due.
-        while not replies.empty():
-            reply = replies.get_nowait()
-            if is_final(reply):
-                return reply
-        raise
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -427,7 +427,6 @@
                 own_load=own_loads,
                 is_stand_in=self._dispatch.is_stand_in,
             )
-            self._dispatch.send_grants()
 
     def _report_nodes(self) -> None:
         """Report the live nodes of the zone, and how many nodes there are in all.
--- a/pomelolug/entry/requests/_group_chooser.py
+++ b/pomelolug/entry/requests/_group_chooser.py
@@ -45,11 +45,6 @@
         """Requests at the group before this one, as the dispatcher knows."""
         return self.assignment.load if self.assignment is not None else 0
 
-    @property
-    def waited_s(self) -> float:
-        """Time in seconds for which the stream has waited at the dispatcher."""
-        return self.assignment.waited_s if self.assignment is not None else 0.0
-
     def end(self) -> None:
         """Tell the dispatcher that the run has ended or was not started."""
         if self.assignment is not None:
@@ -137,17 +132,9 @@
                 if assignment is None:
                     break
                 if assignment.head is None:
-                    selected = self._select_own(
+                    return self._select_own(
                         context, tried, GroupChoice.NO_REPLY, zones=assignment.unasked
                     )
-                    if selected is not None:
-                        return selected
-                    question = self._build_question(context, tried, model, unusable)
-                    assignment = await self._dispatch().wait(question, assignment)
-                    if assignment is None:
-                        break
-                    if assignment.head is None:
-                        return None
                 head = self._find_head(context, tried, assignment.head)
                 if head is not None:
                     return SelectedGroup(head, GroupChoice.ASSIGNED, assignment)
@@ -192,14 +179,11 @@
             for head in self._server_tracker.open_heads(service, model)
             if head.vm in tried or head.vm not in usable
         ]
-        target_s = context.route.latency_target.total_seconds()
-        elapsed_s = self._clock.monotonic() - context.arrived_at_s
         return Question(
             service=service,
             model=model,
             prompt_tokens=context.request_head.prompt_tokens,
-            target_s=target_s,
-            time_left_s=max(target_s - elapsed_s, 0.0),
+            target_s=context.route.latency_target.total_seconds(),
             excluded=[*unusable, *excluded],
             account=context.account or AccountId(""),
             urgency=context.urgency,
--- a/pomelolug/entry/requests/_request_record.py
+++ b/pomelolug/entry/requests/_request_record.py
@@ -36,8 +36,7 @@
 class AttemptRecord:
     """Server selected for one attempt, and the result.
 
-    `choice` tells how the group of a stream was chosen, and `waited_s` how long the
-    stream waited at a dispatcher for it. `may_have_run` is set when the
+    `choice` tells how the group of a stream was chosen. `may_have_run` is set when the
     request has been sent, and cleared if the server refuses it. `limit_per_s` is the
     limit of the server, None if it has none. `is_cold` tells whether the server is
     cold. `node` is the address of the node that the request was passed on to instead
@@ -50,7 +49,6 @@
     limit_per_s: float | None = None
     is_cold: bool = False
     choice: GroupChoice = GroupChoice.OWN
-    waited_s: float = 0.0
     result: str = _RUNNING
     may_have_run: bool = False
     node: str = ""
@@ -71,8 +69,6 @@
             "choice": self.choice.value,
             "result": self.result,
         }
-        if self.waited_s > 0.0:
-            fields["waited_s"] = round(self.waited_s, 4)
         if self.limit_per_s is not None:
             fields["limit_per_s"] = self.limit_per_s
         if self.is_cold:
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -299,7 +299,6 @@
             self._notices.request_limit_per_s(head.vm),
             self._notices.is_cold(head),
             choice=selected.choice,
-            waited_s=selected.waited_s,
         )
         context.record.attempts.append(record)
         load = self._server_tracker.load(head.vm)
--- a/pomelolug/messages/_entry_generated.py
+++ b/pomelolug/messages/_entry_generated.py
@@ -159,12 +159,10 @@
     """Urgency of the stream; 0 is the most urgent."""
     excluded: tuple[str, ...] = ()
     """Servers that the node does not send this stream to."""
-    time_left_s: float = 0.0
-    """Seconds until a stream that may wait for a slot is late; else 0."""
 
 
 class DispatchReply(Message, frozen=True, kw_only=True):
-    """Answer of a dispatcher; a stream that waits gets a second one."""
+    """Answer of a dispatcher."""
 
     serial: int
     """Number of the question."""
@@ -174,8 +172,6 @@
     """Requests at that group before this one."""
     has_groups: bool = True
     """Whether the dispatcher knows open groups; without a server, all are full."""
-    wait_s: float = 0.0
-    """Seconds for which the stream waits until a second answer; else 0."""
     started_ms: int = 0
     """Start time of the dispatcher's process, in milliseconds since 1970."""
 
