Test the peer address of dispatchers without a status

Relays name the dispatchers of other zones by their datagram addresses; the preview derives their peer address from the common port. The test passes.

--- a/pomelolug/entry/tests/test_request_previews.py
+++ b/pomelolug/entry/tests/test_request_previews.py
@@ -43,6 +43,14 @@
     return json.loads(body)
 
 
+async def test_peer_address_of_a_dispatcher_of_another_zone_is_known():
+    # Guards against previews that cannot ask dispatchers of which no status arrives.
+    async with Harness() as node:
+        await node.start()
+        coordinator = node.entry._peer_coordinator
+        assert coordinator.peer_address_of("127.0.0.9:8004") == "127.0.0.9:8003"
+
+
 async def test_query_that_is_not_understood_is_refused():
     # Guards against a preview of another request than the one that was asked for.
     async with Harness() as node:
