--- a/pomelolug/replicas/_controller.py
+++ b/pomelolug/replicas/_controller.py
@@ -21,7 +21,6 @@
     StatedAvailability,
 )
 from pomelolug.ids import GroupId, ModelName, ServiceName, VmId
-from pomelolug.replicas._completing import GroupCompletion
 from pomelolug.replicas._departures import Departures
 from pomelolug.replicas._fleet import FleetView
 from pomelolug.replicas._group_view import (
@@ -186,14 +185,6 @@
             is_forming=lambda: bool(self._formations),
             on_event=on_event,
         )
-        self._completion = GroupCompletion(
-            fleet=self._fleet,
-            spares=self._spares,
-            teardown=self._teardown,
-            clock=clock,
-            is_serving=is_serving,
-            on_event=on_event,
-        )
         self._listing_history: dict[ServiceName, tuple[float, float, int]] = {}
         self._wake_event = asyncio.Event()
         self._order_tasks: set[asyncio.Task[None]] = set()
@@ -259,7 +250,6 @@
         self._teardown.clear()
         self._spares.clear()
         self._rebalancing.clear()
-        self._completion.clear()
         self._orders.clear()
 
     def _servers_awaiting_report(self) -> list[BackendServer]:
@@ -296,36 +286,17 @@
         for key, view in views.items():
             if key not in self._formations:
                 orders += self._teardown.orders_for_group(view, engine)
-        all_free = [s for s in servers if self._teardown.is_free(s)]
+        free = [s for s in servers if self._teardown.is_free(s)]
         # A domain is planned after all its free servers have reported, so that
         # the choice of members does not depend on the order of the reports.
-        unverified_domains = {
-            s.domain for s in all_free if self._teardown.is_unverified(s)
-        }
-        free = [s for s in all_free if s.domain not in unverified_domains]
+        unverified_domains = {s.domain for s in free if self._teardown.is_unverified(s)}
+        free = [s for s in free if s.domain not in unverified_domains]
         if not self._has_settled(name, servers):
             free = _servers_in_sufficient_domains(free, engine)
         demand = self._demand(name, engine, servers, views)
-        completion = self._completion.step(
-            name,
-            engine,
-            all_free,
-            views,
-            demand,
-            self._forming_members(),
-            unverified_domains,
-        )
-        reserved = completion.reserved
-        orders += self._formation_orders(engine, free, views, demand, reserved)
+        orders += self._formation_orders(engine, free, views, demand)
         load_budget = self._load_budget(engine, views)
-        orders += self._spares.staging_orders(
-            engine, free, views, demand, load_budget, reserved=reserved
-        )
-        if not self._formations:
-            load_budget = self._load_budget(engine, views)
-            orders += self._completion.substitute_orders(
-                engine, free, views, load_budget
-            )
+        orders += self._spares.staging_orders(engine, free, views, demand, load_budget)
         load_budget = self._load_budget(engine, views)
         orders += self._rebalancing.orders(
             name, engine, servers, free, views, demand, load_budget
@@ -465,27 +436,17 @@
     def _is_in_formation(self, vm: VmId) -> bool:
         return any(vm in f.members for f in self._formations.values())
 
-    def _forming_members(self) -> frozenset[VmId]:
-        return frozenset(vm for f in self._formations.values() for vm in f.members)
-
     def _formation_orders(
         self,
         engine: EngineProfile,
         free: list[BackendServer],
         views: Mapping[GroupKey, GroupView],
         demand: Demand,
-        reserved: Mapping[VmId, ModelName],
     ) -> list[Coroutine[Any, Any, None]]:
         orders: list[Coroutine[Any, Any, None]] = []
         load_budget = self._load_budget(engine, views)
         groups = plan_groups(
-            [
-                dataclasses.replace(
-                    self._fleet.as_free_server(server),
-                    reserved_for=reserved.get(server.vm),
-                )
-                for server in free
-            ],
+            map(self._fleet.as_free_server, free),
             engine.models,
             demand.servers_in_groups,
             demand.servers_needed,
--- a/pomelolug/replicas/_plan.py
+++ b/pomelolug/replicas/_plan.py
@@ -42,17 +42,11 @@
     """A server that is free to join a group.
 
     `last_model` is the model of its last group. Its weights are still in memory,
-    so the server can join another group of this model without a delay. A server with
-    `reserved_for` may only join a group of that model.
+    so the server can join another group of this model without a delay.
     """
 
     server: BackendServer
     last_model: ModelName | None
-    reserved_for: ModelName | None = None
-
-    def may_join(self, model: ModelName) -> bool:
-        """Return whether the server may join a group of a model."""
-        return self.reserved_for is None or self.reserved_for == model
 
     def join_cost(self, model: ModelName) -> int:
         """Return how slowly the server can join a group of a model.
@@ -346,18 +340,15 @@
 def _can_form(
     model: ModelProfile, candidates: Sequence[FreeServer], allow_loads: bool
 ) -> bool:
-    permitted = [c for c in candidates if c.may_join(model.name)]
     if allow_loads:
-        return model.group_size <= len(permitted)
-    ready = sum(c.join_cost(model.name) < _NEEDS_LOAD for c in permitted)
+        return model.group_size <= len(candidates)
+    ready = sum(c.join_cost(model.name) < _NEEDS_LOAD for c in candidates)
     return model.group_size <= ready
 
 
 def _count_loads(model: ModelProfile, candidates: Sequence[FreeServer]) -> int:
     """Return how many loads a group of the candidates needs."""
-    join_costs = sorted(
-        c.join_cost(model.name) for c in candidates if c.may_join(model.name)
-    )
+    join_costs = sorted(c.join_cost(model.name) for c in candidates)
     return sum(r == _NEEDS_LOAD for r in join_costs[: model.group_size])
 
 
@@ -370,7 +361,7 @@
     that the remaining spares hold weights of other models.
     """
     ordered = sorted(
-        (c for c in candidates if c.may_join(model.name)),
+        candidates,
         key=lambda c: (
             c.join_cost(model.name),
             bool(c.server.staged - {model.name}),
--- a/pomelolug/replicas/_rebalancing.py
+++ b/pomelolug/replicas/_rebalancing.py
@@ -1,19 +1,19 @@
 """Orders by which the groups of several models follow the demand of callers."""
 
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any
 
 import structlog
 
 from pomelolug.clock import Clock
-from pomelolug.deployment import BackendServer, EngineProfile
+from pomelolug.deployment import BackendServer, EngineProfile, GroupState
 from pomelolug.ids import ModelName, ServiceName
 from pomelolug.replicas._fleet import FleetView
 from pomelolug.replicas._group_view import GroupKey, GroupView
-from pomelolug.replicas._open_groups import find_open_groups
 from pomelolug.replicas._orders import GroupEventCallback
 from pomelolug.replicas._rebalance import (
     Conversion,
+    OpenGroup,
     Rebalancer,
     ServiceState,
 )
@@ -149,9 +149,7 @@
             return []
         step = rebalancer.step(
             ServiceState(
-                groups=find_open_groups(
-                    views.values(), engine, self._fleet, self._teardown
-                ),
+                groups=self._open_groups(views.values(), engine),
                 servers_in_groups=demand.servers_in_groups,
                 free=[self._fleet.as_free_server(server) for server in free],
                 server_count=sum(map(self._fleet.may_join, servers)),
@@ -189,6 +187,37 @@
             return "tearing_down"
         return ""
 
+    def _open_groups(
+        self, views: Iterable[GroupView], engine: EngineProfile
+    ) -> list[OpenGroup]:
+        """Return the complete open groups whose members may all join other groups."""
+        groups = []
+        for view in views:
+            head, name = view.head, view.model
+            model = None if name is None else engine.find_model(name)
+            if (
+                head is None
+                or model is None
+                or view.head_state is not GroupState.OPEN
+                or len(view.members) != model.group_size
+                or self._teardown.is_ending(view.key)
+                or not all(map(self._fleet.may_join, view.members.values()))
+            ):
+                continue
+            groups.append(
+                OpenGroup(
+                    key=view.key,
+                    model=model.name,
+                    zone=head.zone,
+                    domain=head.domain,
+                    in_flight=self._fleet.in_flight(head.vm),
+                    members=tuple(
+                        map(self._fleet.as_free_server, view.members.values())
+                    ),
+                )
+            )
+        return groups
+
     def _report_waiting(self, service: ServiceName, reason: str) -> None:
         now_s = self._clock.monotonic()
         last_reason, logged_at_s = self._waiting.get(service, ("", float("-inf")))
--- a/pomelolug/replicas/_spares.py
+++ b/pomelolug/replicas/_spares.py
@@ -1,7 +1,7 @@
 """Spare servers that hold weights for repairs within their fabric domain."""
 
 import dataclasses
-from collections.abc import Callable, Collection, Coroutine, Iterable, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any
 
 from pomelolug.clock import Clock
@@ -94,8 +94,6 @@
         views: Mapping[GroupKey, GroupView],
         demand: Demand,
         load_budget: int,
-        *,
-        reserved: Collection[VmId] = (),
     ) -> list[Coroutine[Any, Any, None]]:
         """Return the orders that load weights onto spares or into their memory.
 
@@ -111,8 +109,6 @@
             Number of servers that each model has and needs.
         load_budget : int
             Number of loads that may start now.
-        reserved : collection of VmId
-            Servers whose weights are not changed, as a group waits for them.
 
         Returns
         -------
@@ -141,11 +137,7 @@
                 domain = next(iter(view.members.values())).domain
                 models_by_domain.setdefault(domain, []).append(view.model)
         orders: list[Coroutine[Any, Any, None]] = self._standby_orders(spares)
-        candidates = [
-            self._fleet.as_free_server(spare)
-            for spare in spares
-            if spare.vm not in reserved
-        ]
+        candidates = [self._fleet.as_free_server(spare) for spare in spares]
         planned = plan_staging(
             candidates,
             engine.models,
