--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,80 +1,81 @@
-"""Streams that run on more servers than `max_attempts` when answers are lost."""
+"""A resumed stream that starts again at its first event."""
 
 import asyncio
 import os
 import pathlib
-import random
+import signal
 import sys
-from collections import defaultdict
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import standins  # noqa: E402
 
-_GROUPS = 6
-_GROUP_SIZE = 3
-_MAX_ATTEMPTS = 2
-_ALLOWED_EXCESS = 3
-_REQUESTS_PER_S = 70.0
-_WINDOWS_S = ((4.0, 10.0), (14.0, 20.0))
-"""When servers lose answers, from the start of traffic."""
-_LENGTH_S = 24.0
-_SERVER_SHARE = 0.6
-_LOST_SHARE = 0.3
-_EVENTS = 4
+_EVENTS = 15
+_EVENT_INTERVAL_S = 0.1
+_STREAMS = 24
+"""Streams that are under way when the process is killed."""
+_ROUNDS = 3
+_KILL_AFTER_S = 0.7
+_RESTART_AFTER_S = 3.5
+"""Time without the process, the longest of `node_kill` in the site file."""
 _HEADERS = {
     "Host": "h.example",
     "Model": "m1",
-    "Token-Count": "200,24",
+    "Token-Count": "200,90",
     "Prompt-Prefix": "5c1e07a2:40,e4402b7d:160",
-    "Deadline-Ms": "6000",
+    "Deadline-Ms": "8000",
     "Authorization": "Bearer key-1",
 }
 
 
-class ModelServer(standins.EngineServer):
-    """Model server that runs streams and loses some of the answers."""
+async def send_events(server: standins.Server, request: standins.Request) -> None:
+    """Send the events after the one that the client has already."""
+    first = int(request.headers.get("last-event-id", "-1")) + 1
+    server.begin_run(request)
+    await asyncio.sleep(0.05)
+    headers = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+    request.send_head("200 OK", server.answer_headers(request) | headers)
+    for number in range(first, _EVENTS):
+        request.send_chunk(standins.event(number))
+        await request.writer.drain()
+        await asyncio.sleep(_EVENT_INTERVAL_S)
+    request.send_chunk(b"")
+
 
-    lost_share = 0.0
+class ModelServer(standins.EngineServer):
+    """Model server whose head streams events."""
 
     async def handle_stream(self, request: standins.Request) -> None:
-        """Run a stream; a lost answer ends with the connection after the run."""
-        await asyncio.sleep(0.05)
-        self.begin_run(request)
-        is_lost = random.random() < self.lost_share
-        headers = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
-        if not is_lost:
-            request.send_head("200 OK", self.answer_headers(request) | headers)
-        for number in range(_EVENTS):
-            if not is_lost:
-                request.send_chunk(standins.event(number))
-                await request.writer.drain()
-            await asyncio.sleep(0.04)
-        if is_lost:
-            self._record.write("answer lost", request=request.id, server=self.id)
-            request.writer.close()
-            return
-        request.send_chunk(b"")
+        """Stream the events."""
+        await send_events(self, request)
+
+
+class StreamServer(standins.Server):
+    """Server of a service without engines that streams events."""
+
+    async def handle(self, request: standins.Request) -> None:
+        """Stream the events."""
+        await send_events(self, request)
 
 
 def configuration() -> dict[str, object]:
-    """Return a configuration with a resumable streaming route."""
-    model = {"name": "m1", "size": _GROUP_SIZE, "share": 1.0, "pace": 0.6}
+    """Return a configuration with a streaming route that is split."""
+    model = {"name": "m1", "size": 3, "share": 1.0, "pace": 0.6}
     route = {
         "name": "r-1",
         "host": "h.example",
         "path_prefix": "/draft/",
         "kind": "streaming",
-        "timeout_ms": 6000,
-        "target_latency_ms": 250,
+        "timeout_ms": 8000,
+        "target_latency_ms": 400,
         "priority": 1,
-        "service": "llm",
-        "max_attempts": _MAX_ATTEMPTS,
+        "split": [{"service": "llm", "weight": 90}, {"service": "api", "weight": 10}],
+        "max_attempts": 2,
         "public": False,
         "sticky": True,
         "resumable": True,
-        "gap_target_ms": 200,
+        "gap_target_ms": 250,
     }
     return {
         "version": 7,
@@ -86,87 +87,83 @@
                 "max_conns": 404,
                 "engine": standins.engine([model | {"load_s": 12.0, "warm_s": 1.1}]),
             },
+            {"name": "api", "health_path": "/health", "max_conns": 110},
         ],
         "limits": standins.LIMITS,
         "tenants": [{"name": "t1", "api_keys": ["key-1"], "priority": 1}],
     }
 
 
-async def send_stream(deployment: standins.Deployment, number: int) -> None:
-    """Send one client attempt and record what it gets."""
-    request_id = standins.new_request_id()
-    node = deployment.nodes[number % len(deployment.nodes)]
-    deployment.record.write("sent", request=request_id, node=node.name)
-    answer = await standins.call(
-        node.ip,
-        standins.FRONT_PORT,
-        f"/draft/{number}",
-        headers=_HEADERS | {"Request-Id": request_id},
-        body=b"%d" % number,
-    )
-    deployment.record.write(
-        "answered", request=request_id, status=answer.status, whole=answer.is_whole
-    )
-
-
-async def lose_answers(
-    deployment: standins.Deployment, servers: list[ModelServer]
-) -> None:
-    """Make a share of the servers lose a share of their answers in each window."""
-    began_s = asyncio.get_running_loop().time()
-    for first_s, last_s in _WINDOWS_S:
-        await asyncio.sleep(began_s + first_s - asyncio.get_running_loop().time())
-        affected = random.sample(servers, round(_SERVER_SHARE * len(servers)))
-        for server in affected:
-            server.lost_share = _LOST_SHARE
-        names = ",".join(server.id for server in affected)
-        deployment.record.write("servers lose answers", servers=names)
-        await asyncio.sleep(last_s - first_s)
-        for server in affected:
-            server.lost_share = 0.0
-        deployment.record.write("servers lose no more answers")
+async def stream(deployment: standins.Deployment) -> bool:
+    """Get one stream, resume it once if it breaks; return whether it is in order."""
+    record, received, last = deployment.record, [], None
+    for node in deployment.nodes:
+        request_id = standins.new_request_id()
+        headers = _HEADERS | {"Request-Id": request_id}
+        if last is not None:
+            headers["Last-Event-Id"] = str(last)
+        record.write("sent", request=request_id, node=node.name, last_event=last)
+        answer = await standins.call(
+            node.ip, standins.FRONT_PORT, "/draft/2f", headers=headers, body=b"x" * 700
+        )
+        ids = answer.event_ids if answer.status == 200 else []
+        record.write(
+            "answered",
+            request=request_id,
+            status=answer.status,
+            whole=answer.is_whole,
+            events=f"{ids[0]}..{ids[-1]}" if ids else "none",
+        )
+        received += ids
+        if ids:
+            last = ids[-1]
+        if answer.is_whole:
+            break
+    is_in_order = received == list(range(len(received)))
+    if not is_in_order:
+        record.write("out of order", request=request_id, events=received)
+    return is_in_order
 
 
 async def scenario(deployment: standins.Deployment, has_trouble: bool) -> bool:
-    """Send streams while servers lose answers, and count where each has run."""
+    """Kill the process that streams, and resume the streams at another node."""
     store = deployment.store
     await store.start(f"{deployment.prefix}.20")
     store.put("keyed.op", "config", configuration())
-    servers = [
-        ModelServer(
+    for number in range(12):
+        await ModelServer(
             store,
             deployment.record,
             service="llm",
             zone="zone-a",
             host=f"{deployment.prefix}.{30 + number}",
-            domain=f"domain-{number // (2 * _GROUP_SIZE)}",
+            domain="domain-1",
             model="m1",
-        )
-        for number in range(_GROUPS * _GROUP_SIZE)
-    ]
-    for server in servers:
-        await server.start()
+        ).start()
+    for number in range(2):
+        await StreamServer(
+            store,
+            deployment.record,
+            service="api",
+            zone="zone-a",
+            host=f"{deployment.prefix}.{50 + number}",
+        ).start()
     await deployment.start_nodes(["zone-a", "zone-a"])
     await asyncio.sleep(6.0)
-    trouble = asyncio.create_task(
-        lose_answers(deployment, servers) if has_trouble else asyncio.sleep(0)
-    )
-    streams = []
-    for number in range(round(_LENGTH_S * _REQUESTS_PER_S)):
-        streams.append(asyncio.create_task(send_stream(deployment, number)))
-        await asyncio.sleep(1.0 / _REQUESTS_PER_S)
-    await asyncio.gather(*streams, trouble)
-    servers_by_request = defaultdict(set)
-    for server in servers:
-        for request_id in server.runs:
-            servers_by_request[request_id].add(server.id)
-    excessive = {r: s for r, s in servers_by_request.items() if len(s) > _MAX_ATTEMPTS}
-    for request_id, names in excessive.items():
-        deployment.record.write(
-            "ran on too many servers", request=request_id, servers=",".join(names)
-        )
-    deployment.record.write("count", excessive=len(excessive))
-    return len(excessive) <= _ALLOWED_EXCESS
+    is_kept = True
+    for _ in range(_ROUNDS):
+        streams = [asyncio.create_task(stream(deployment)) for _ in range(_STREAMS)]
+        await asyncio.sleep(_KILL_AFTER_S)
+        if has_trouble:
+            deployment.nodes[0].send_signal(signal.SIGKILL)
+            await deployment.nodes[0].kill()
+        is_kept = all(await asyncio.gather(*streams)) and is_kept
+        if has_trouble:
+            await asyncio.sleep(_RESTART_AFTER_S)
+            await deployment.nodes[0].start()
+            await deployment.wait_until_ready()
+        await asyncio.sleep(3.0)
+    return is_kept
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -16,6 +16,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -177,6 +178,11 @@
         self.is_silent = False
         """Whether calls get no answer and have no effect."""
 
+    @property
+    def owner(self) -> str:
+        """Member of the consumer group that holds the partition."""
+        return self._owner
+
     def resume(self) -> None:
         """Answer calls again."""
         self.is_silent = False
@@ -273,6 +279,111 @@
             self._owner = ""
 
 
+class Link:
+    """Address of a server, through which the connections of one process can be cut.
+
+    While they are cut, no byte passes in either direction. Afterwards the bytes that
+    were held go on, unless the process has ended the connection.
+    """
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self._cut_pid = 0
+        self._mended = asyncio.Event()
+        self._held: set[asyncio.StreamWriter] = set()
+        self._clients: set[asyncio.StreamWriter] = set()
+        self.address = ""
+
+    async def start(self, host: str) -> None:
+        """Listen on a free port."""
+        listener = await asyncio.start_server(self._forward_both, host, 0)
+        self.address = f"{host}:{listener.sockets[0].getsockname()[1]}"
+
+    def cut(self, pid: int) -> None:
+        """Cut the connections of a process, and those that it opens, until `mend`."""
+        self._mended = asyncio.Event()
+        self._cut_pid = pid
+        own = connections_of(pid)
+        self._held = {c for c in self._clients if ends_of(c) in own}
+
+    def mend(self) -> None:
+        """End the cut."""
+        self._cut_pid = 0
+        self._held.clear()
+        self._mended.set()
+
+    async def _forward_both(
+        self, reader: asyncio.StreamReader, client: asyncio.StreamWriter
+    ) -> None:
+        self._clients.add(client)
+        if self._cut_pid:
+            await asyncio.sleep(0.02)
+            if self._cut_pid and ends_of(client) in connections_of(self._cut_pid):
+                self._held.add(client)
+        try:
+            server_reader, server = await asyncio.open_connection(*self._target)
+            try:
+                await asyncio.gather(
+                    self._forward(reader, server, client, is_request=True),
+                    self._forward(server_reader, client, client, is_request=False),
+                )
+            finally:
+                server.close()
+        except OSError:
+            client.transport.abort()
+        finally:
+            self._clients.discard(client)
+            self._held.discard(client)
+            client.close()
+
+    async def _forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        client: asyncio.StreamWriter,
+        *,
+        is_request: bool,
+    ) -> None:
+        while data := await reader.read(65536):
+            was_held = client in self._held
+            if was_held:
+                await self._mended.wait()
+            if was_held and is_request and reader.at_eof():
+                # The sender has ended the connection, so its bytes are lost.
+                break
+            writer.write(data)
+            await writer.drain()
+        if client in self._held:
+            await self._mended.wait()
+        writer.close()
+
+
+def ends_of(client: asyncio.StreamWriter) -> tuple[Any, Any]:
+    """Return the addresses of the client and of the server of a connection."""
+    return client.get_extra_info("peername"), client.get_extra_info("sockname")
+
+
+def connections_of(pid: int) -> set[tuple[Any, Any]]:
+    """Return the ends of the connections of a process that this test has started."""
+    inodes = set()
+    for descriptor in os.scandir(f"/proc/{pid}/fd"):
+        try:
+            inodes.add(os.readlink(descriptor.path))
+        except OSError:
+            continue
+    ends = set()
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        if f"socket:[{fields[9]}]" in inodes:
+            ends.add((_parse_end(fields[1]), _parse_end(fields[2])))
+    return ends
+
+
+def _parse_end(text: str) -> tuple[str, int]:
+    ip, _, port = text.partition(":")
+    return socket.inet_ntoa(int(ip, 16).to_bytes(4, sys.byteorder)), int(port, 16)
+
+
 def event(number: int) -> bytes:
     """Return an event of a stream."""
     return b"id: %d\ndata: token %d\n\n" % (number, number)
@@ -285,16 +396,25 @@
         self, store: Store, record: Record, *, service: str, zone: str, host: str
     ) -> None:
         self.id = f"i-{random.getrandbits(40):010x}"
+        self.has_link = False
+        """Whether requests come through a link that can be cut."""
         self._store, self._record = store, record
         self._service, self._zone, self._host = service, zone, host
         self.address = ""
+        self.link: Link | None = None
+        """Link to the server, once it has started."""
         self.runs: list[str] = []
         """Ids of the requests that have run, in order."""
 
     async def start(self) -> None:
         """Listen on a free port and write the entry."""
         listener = await serve(self._host, 0, self._handle)
-        self.address = f"{self._host}:{listener.sockets[0].getsockname()[1]}"
+        port = listener.sockets[0].getsockname()[1]
+        self.address = f"{self._host}:{port}"
+        if self.has_link:
+            self.link = Link((self._host, port))
+            await self.link.start(self._host)
+            self.address = self.link.address
         self.write_entry()
 
     def entry(self) -> dict[str, Any]:
@@ -343,10 +463,19 @@
         return {"Request-Id": request.id, "Response-Seal": f"s.{request.id}.{self.id}"}
 
 
+_STALL_S = 5.0
+"""Time for which work stands still until the head notices, `stall_ms`."""
+
+
+class GroupBrokenError(Exception):
+    """A member is missing for so long that the group is broken."""
+
+
 class EngineServer(Server):
     """A model server, alone or as a member of a replica group.
 
-    Members never fail here, so a group needs no more than its orders.
+    A head notices that a member has left only by its work: that stands still from then
+    on, and after the stall timeout the group is broken.
     """
 
     def __init__(
@@ -369,6 +498,10 @@
         self._staged: list[str] = []
         self._loaded = ""
         self._running = 0
+        self._members: list[str] = []
+        self._incomplete_since_s: float | None = None
+        self.fleet: dict[str, EngineServer] = {}
+        """All model servers by id, which a head needs to find its members."""
 
     def state(self) -> dict[str, Any]:
         """Return what the server says of itself in its entry and its reports."""
@@ -411,8 +544,58 @@
         """Handle a stream as the head of an open group."""
         raise NotImplementedError
 
+    @property
+    def group(self) -> dict[str, Any] | None:
+        """Group that the server is a member of."""
+        return self._group
+
+    @property
+    def members(self) -> list[str]:
+        """Ids of the members of the group, the head first."""
+        return self._members
+
+    @property
+    def running(self) -> int:
+        """Number of streams at the head."""
+        return self._running
+
+    def is_in(self, group: dict[str, Any]) -> bool:
+        """Return whether the server is a member of a group, by name and epoch."""
+        own = self._group
+        return own is not None and (own["name"], own["epoch"]) == (
+            group["name"],
+            group["epoch"],
+        )
+
+    async def work(self, seconds: float) -> None:
+        """Work as a head, which stands still while a member is missing.
+
+        Raises
+        ------
+        GroupBrokenError
+            If the group breaks meanwhile.
+        """
+        group = self._group
+        until_s = time.monotonic() + seconds
+        while True:
+            if group is None or self._group is not group or group["state"] == "broken":
+                raise GroupBrokenError
+            missing = [m for m in self._members if not self.fleet[m].is_in(group)]
+            now_s = time.monotonic()
+            if not missing:
+                self._incomplete_since_s = None
+                if now_s >= until_s:
+                    return
+            elif self._incomplete_since_s is None:
+                self._incomplete_since_s = now_s
+            elif now_s - self._incomplete_since_s >= _STALL_S:
+                group["state"] = "broken"
+                self._record.write("broken", server=self.id, group=group["name"])
+                self.write_entry()
+            await asyncio.sleep(min(0.02, max(until_s - now_s, 0.001)))
+
     def _handle_order(self, request: Request, order: dict[str, Any]) -> None:
-        status = self._execute(order)
+        status = self.execute(order)
         self._record.write(
             "order",
             server=self.id,
@@ -422,7 +605,8 @@
         )
         request.send_json({}, status)
 
-    def _execute(self, order: dict[str, Any]) -> str:
+    def execute(self, order: dict[str, Any]) -> str:
+        """Carry out an order and return the status of the response."""
         group = self._group
         fence = order.get("fence", order.get("epoch", 0))
         if fence < self._highest_fence:
@@ -442,6 +626,8 @@
             rank = order["members"].index(self.id)
             self._group = {"name": named[0], "epoch": named[1], "rank": rank}
             self._group["state"] = "joining"
+            self._members = list(order["members"])
+            self._incomplete_since_s = None
             joined, is_warm = self._group, order["model"] == self._loaded
             self._loaded = order["model"]
             self._staged = [order["model"]]
@@ -554,6 +740,12 @@
         log.close()
         self._record.write("start", node=self.name, pid=self._process.pid)
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process runs."""
@@ -755,6 +947,10 @@
         """Open a connection."""
         return cls(host, *await asyncio.open_connection(host, port))
 
+    def close(self) -> None:
+        """Close the connection, without waiting for an answer."""
+        self._writer.transport.abort()
+
     @property
     def is_closed(self) -> bool:
         """Whether the other side has closed the connection."""
