Forward streams of plain services as streams

Cause: the service selected the forwarder, not the kind of the route, so such a request was handled like a plain one: its response was read whole, a broken one was run again from the start, and Last-Event-Id was removed and not set.

Change: streams of both kinds of service go through StreamForwarder. What differs between groups and plain servers is in StreamServers. SelectedGroup is now SelectedServer, and its head is the server; two tests use the new names. A silent plain server is not suspected as a group.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -43,7 +43,10 @@
 )
 from pomelolug.entry.requests import (
     GroupChooser,
+    GroupServers,
     PlainForwarder,
+    PlainServerChooser,
+    PlainServers,
     RequestExits,
     RequestHandler,
     RetryLimiter,
@@ -570,15 +573,31 @@
             stall_detector=self._stall_detector,
             run_monitor=self._run_monitor,
             notices=self._notices,
-            group_chooser=GroupChooser(
+            group_servers=GroupServers(
+                chooser=GroupChooser(
+                    server_tracker=self._server_tracker,
+                    notices=self._notices,
+                    group_selector=self._group_selector,
+                    delay_estimator=self._delay_estimator,
+                    dispatch=lambda: self._peer_coordinator.dispatch,
+                    clock=clock,
+                ),
+                server_tracker=self._server_tracker,
+                delay_estimator=self._delay_estimator,
+                rng=self._rng,
+            ),
+            plain_servers=PlainServers(
+                chooser=PlainServerChooser(
+                    server_tracker=self._server_tracker,
+                    notices=self._notices,
+                    delay_estimator=self._delay_estimator,
+                    zone=settings.zone,
+                    rng=self._rng,
+                ),
                 server_tracker=self._server_tracker,
-                notices=self._notices,
-                group_selector=self._group_selector,
                 delay_estimator=self._delay_estimator,
-                dispatch=lambda: self._peer_coordinator.dispatch,
                 clock=clock,
             ),
-            delay_estimator=self._delay_estimator,
             exits=exits,
             clock=clock,
             rng=self._rng,
@@ -842,11 +861,15 @@
             # The stall may be due to the links of this node.
             self._server_contact.report_trouble(head)
             return
+        self._server_contact.report_trouble(head)
+        server = self._registry.servers.get(head)
+        if server is not None and server.membership is None:
+            # A server of a plain service has no members that all requests need.
+            return
         self._metrics.stalls.inc()
         _log.warning(
             "group_stalled", head=head, in_flight=self._server_tracker.in_flight(head)
         )
-        self._server_contact.report_trouble(head)
         self._server_tracker.suspect(head)
         self._controller.mark_suspect(head)
         self._peer_coordinator.announce()
--- a/pomelolug/entry/performance/_learned.py
+++ b/pomelolug/entry/performance/_learned.py
@@ -24,6 +24,7 @@
 from pomelolug.entry.performance._observation import (
     Measure,
     PlainObservation,
+    Record,
     StreamObservation,
 )
 from pomelolug.ids import ModelName, VmId, ZoneId
@@ -375,6 +376,31 @@
         self, server: BackendServer, route: str, *, in_flight: int
     ) -> PlainObservation:
         """Return the observation of a request to a plain server that is being sent."""
+        record = self._answer_recorder(server, route, in_flight=in_flight)
+        return PlainObservation(clock=self._clock, record=record)
+
+    def begin_plain_stream(
+        self, server: BackendServer, route: str, *, in_flight: int
+    ) -> StreamObservation:
+        """Return the observation of a stream of a plain server that has been sent.
+
+        Its first event counts like the answer to a plain request. The pauses between
+        events are left out, since no usual one is declared.
+        """
+        record_answer = self._answer_recorder(server, route, in_flight=in_flight)
+
+        def record(
+            measure: Measure, observed_s: float, since_s: float, weight: float
+        ) -> None:
+            if measure is Measure.FIRST_EVENT:
+                record_answer(Measure.ANSWER, observed_s, since_s, weight)
+
+        return StreamObservation(clock=self._clock, record=record)
+
+    def _answer_recorder(
+        self, server: BackendServer, route: str, *, in_flight: int
+    ) -> Record:
+        """Return a function that records a service time of a plain server."""
         entry = self._find(server, server.service, server.slots)
 
         def record(
@@ -394,7 +420,7 @@
                 weight,
             )
 
-        return PlainObservation(clock=self._clock, record=record)
+        return record
 
     def tick(self) -> None:
         """Note that this process runs; it has to be called every few 10 ms.
--- a/pomelolug/entry/performance/_observation.py
+++ b/pomelolug/entry/performance/_observation.py
@@ -6,7 +6,7 @@
 
 from pomelolug.clock import Clock
 
-__all__ = ["Measure", "PlainObservation", "StreamObservation"]
+__all__ = ["Measure", "PlainObservation", "Record", "StreamObservation"]
 
 _EVENTS_PER_INTERVAL = 12
 """Events after which their mean interval is recorded."""
--- a/pomelolug/entry/preview/_previewer.py
+++ b/pomelolug/entry/preview/_previewer.py
@@ -31,7 +31,7 @@
     GroupChooser,
     PlainServerChooser,
     RoutedRequest,
-    SelectedGroup,
+    SelectedServer,
     authenticate,
     engine_and_model,
     find_route,
@@ -251,7 +251,7 @@
         selected, options = None, None
         if not is_passed_on:
             choice = await chooser.select(request, (), waits=False)
-            if isinstance(choice, SelectedGroup):
+            if isinstance(choice, SelectedServer):
                 selected = choice
             else:
                 options = choice
@@ -274,7 +274,7 @@
             )
 
     def _describe_choice(
-        self, selected: SelectedGroup, assigner: PreviewAssigner
+        self, selected: SelectedServer, assigner: PreviewAssigner
     ) -> ChoicePreview:
         latest = assigner.latest
         decided_by = str(self._node)
@@ -283,15 +283,15 @@
             decided_by = latest.address
             equal = latest.ranking.best if latest.ranking is not None else ()
         return ChoicePreview(
-            server=selected.head.vm,
-            zone=selected.head.zone,
+            server=selected.server.vm,
+            zone=selected.server.zone,
             decided_by=decided_by,
             how=selected.choice.value,
             equal=equal if len(equal) > 1 else (),
         )
 
     def _apply_dispatchers(
-        self, preview: RequestPreview, selected: SelectedGroup | None
+        self, preview: RequestPreview, selected: SelectedServer | None
     ) -> None:
         """Let what the dispatchers know of groups replace what this node knows."""
         for asked in preview.dispatchers:
--- a/pomelolug/entry/preview/tests/preview_node.py
+++ b/pomelolug/entry/preview/tests/preview_node.py
@@ -35,7 +35,7 @@
     PlainServerChooser,
     RequestExits,
     RoutedRequest,
-    SelectedGroup,
+    SelectedServer,
 )
 from pomelolug.entry.servers import (
     ColdServers,
@@ -303,7 +303,7 @@
                 dispatch=lambda: self.dispatch,
                 clock=self.clock,
             ).select(request, (), waits=False)
-            server = selected.head if isinstance(selected, SelectedGroup) else None
+            server = selected.server if isinstance(selected, SelectedServer) else None
         if server is not None and self.notices.take_request(server) is not None:
             self.tracker.load(server.vm).in_flight += 1
         return server
--- a/pomelolug/entry/requests/__init__.py
+++ b/pomelolug/entry/requests/__init__.py
@@ -10,7 +10,7 @@
 from pomelolug.entry.requests._group_chooser import (
     GroupAssessment,
     GroupChooser,
-    SelectedGroup,
+    SelectedServer,
     engine_and_model,
 )
 from pomelolug.entry.requests._peer_forwarding import (
@@ -56,6 +56,10 @@
     may_pass_stream_on,
     no_head_error,
 )
+from pomelolug.entry.requests._stream_servers import (
+    GroupServers,
+    PlainServers,
+)
 
 __all__ = [
     "AttemptError",
@@ -63,17 +67,19 @@
     "GroupAssessment",
     "GroupChoice",
     "GroupChooser",
+    "GroupServers",
     "PeerAttempt",
     "PeerRefusalError",
     "PlainForwarder",
     "PlainServerChooser",
+    "PlainServers",
     "RequestContext",
     "RequestExits",
     "RequestHandler",
     "RetryLimiter",
     "RoutedRequest",
     "RunStatus",
-    "SelectedGroup",
+    "SelectedServer",
     "StreamForwarder",
     "authenticate",
     "decode_forwarded",
--- a/pomelolug/entry/requests/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -9,6 +9,7 @@
 import structlog
 
 from pomelolug.clock import Clock
+from pomelolug.deployment import Repeatability
 from pomelolug.entry._metrics import EntryMetrics
 from pomelolug.entry._topic_consumers import DeclarationCache
 from pomelolug.entry.losses import (
@@ -70,7 +71,7 @@
     server_feed : TopicFeed
         Feed of the server entries, whose age is logged.
     plain_forwarder, stream_forwarder : PlainForwarder, StreamForwarder
-        Forward requests to plain services and to replica groups.
+        Forward other requests and streams.
     poison_detector : PoisonRequestDetector
         Losses known of each request, which are logged.
     run_monitor : RunMonitor
@@ -268,9 +269,10 @@
         )
 
     async def _forward(self, context: RequestContext) -> None:
+        is_stream = context.route.repeatability is Repeatability.STREAM
         forwarder = (
             self._stream_forwarder
-            if context.service.engine is not None
+            if is_stream or context.service.engine is not None
             else self._plain_forwarder
         )
         try:
--- a/pomelolug/entry/requests/_group_chooser.py
+++ b/pomelolug/entry/requests/_group_chooser.py
@@ -19,31 +19,41 @@
 )
 from pomelolug.ids import AccountId, ModelName, VmId, ZoneId
 
-__all__ = ["GroupAssessment", "GroupChooser", "SelectedGroup", "engine_and_model"]
+__all__ = [
+    "MAX_RESUME_WAIT_S",
+    "RESUME_POLL_INTERVAL",
+    "GroupAssessment",
+    "GroupChooser",
+    "SelectedServer",
+    "engine_and_model",
+]
 
 _MAX_QUESTIONS = 2
 """Assignments that a node asks for until it chooses a group by itself."""
-_MAX_RESUME_WAIT_S = 1.0
-"""Maximum time to wait for a group that can resume a stream."""
+MAX_RESUME_WAIT_S = 1.0
+"""Maximum time to wait for a server that can resume a stream."""
 _COLD_PENALTY_S = 0.05
 """Expected delay, in seconds, that the group of a cold head must save.
 
 It is slower than the estimate says, which does not know by how much.
 """
-_RESUME_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
+RESUME_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SelectedGroup:
-    """Head of the group of a run, and the assignment if a dispatcher has made one."""
+class SelectedServer:
+    """Server of a run, and the assignment if a dispatcher has made one.
 
-    head: BackendServer
+    It is the head of a group, or a server of a plain service.
+    """
+
+    server: BackendServer
     choice: GroupChoice
     assignment: Assignment | None = None
 
     @property
     def load(self) -> int:
-        """Requests at the group before this one, as the dispatcher knows."""
+        """Requests at the server before this one, as the dispatcher knows."""
         return self.assignment.load if self.assignment is not None else 0
 
     def end(self) -> None:
@@ -105,7 +115,7 @@
 
     async def select(
         self, context: RoutedRequest, tried: Collection[VmId], *, waits: bool
-    ) -> SelectedGroup | ServerOptions:
+    ) -> SelectedServer | ServerOptions:
         """Return the group of the next run, or the heads among which there is none.
 
         Parameters
@@ -117,10 +127,10 @@
         waits : bool
             Whether to wait for a moment until a group has room.
         """
-        until_s = self._clock.monotonic() + _MAX_RESUME_WAIT_S
+        until_s = self._clock.monotonic() + MAX_RESUME_WAIT_S
         while True:
             selected = await self._try_select(context, tried)
-            if isinstance(selected, SelectedGroup) or not waits:
+            if isinstance(selected, SelectedServer) or not waits:
                 return selected
             if self._clock.monotonic() >= until_s:
                 # A suspected group may only have paused, and the stream ends otherwise.
@@ -129,11 +139,11 @@
                 )
                 candidate = self._group_selector.select(suspected)
                 return (
-                    SelectedGroup(candidate.server, GroupChoice.SUSPECTED)
+                    SelectedServer(candidate.server, GroupChoice.SUSPECTED)
                     if candidate is not None
                     else selected
                 )
-            await self._clock.sleep(_RESUME_POLL_INTERVAL)
+            await self._clock.sleep(RESUME_POLL_INTERVAL)
 
     def find_options(self, context: RoutedRequest) -> ServerOptions:
         """Return the heads that take a stream now, and the wait if none does."""
@@ -144,7 +154,7 @@
 
     async def _try_select(
         self, context: RoutedRequest, tried: Collection[VmId]
-    ) -> SelectedGroup | ServerOptions:
+    ) -> SelectedServer | ServerOptions:
         """Return the group that a dispatcher assigns, or that this node chooses."""
         choice = GroupChoice.OWN
         model = context.request_head.model
@@ -162,7 +172,7 @@
                     )
                 head = self._find_head(context, tried, assignment.head)
                 if head is not None:
-                    return SelectedGroup(head, GroupChoice.ASSIGNED, assignment)
+                    return SelectedServer(head, GroupChoice.ASSIGNED, assignment)
                 choice = GroupChoice.UNUSABLE
                 unusable.add(assignment.head)
                 assignment.end()
@@ -175,7 +185,7 @@
         choice: GroupChoice,
         *,
         zones: Collection[ZoneId] | None = None,
-    ) -> SelectedGroup | ServerOptions:
+    ) -> SelectedServer | ServerOptions:
         """Return a group that this node chooses, in certain zones or in any."""
         options = self.find_options(context)
         candidates = [
@@ -186,7 +196,7 @@
         candidate = self._group_selector.select(candidates)
         if candidate is None:
             return options
-        return SelectedGroup(candidate.server, choice)
+        return SelectedServer(candidate.server, choice)
 
     def _build_question(
         self,
--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -1,4 +1,4 @@
-"""Forwarding of requests to plain services, which have no inference engine."""
+"""Forwarding of requests to plain services, whose responses are passed on whole."""
 
 import asyncio
 import dataclasses
@@ -251,7 +251,7 @@
         attempt, record = self._exits.create_attempt(context, address)
         data = context.encode_for_peer(
             now_s=self._clock.monotonic(),
-            last_event_id=None,
+            last_event_id=context.request_head.last_event_id,
             possible_runs=context.prior_runs + state.possible_runs,
         )
         try:
@@ -469,7 +469,9 @@
     ) -> _Answer:
         at_most_once = context.route.repeatability is Repeatability.AT_MOST_ONCE
         data = context.encode_for_server(
-            attempt.server.vm, now_s=self._clock.monotonic(), last_event_id=None
+            attempt.server.vm,
+            now_s=self._clock.monotonic(),
+            last_event_id=context.request_head.last_event_id,
         )
         async with attempt:
             # A pooled connection may have been closed unnoticed, and a request that
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -1,4 +1,4 @@
-"""Forwarding of streams from replica groups."""
+"""Forwarding of streams from replica groups and from plain services."""
 
 import asyncio
 import datetime
@@ -8,13 +8,8 @@
 from pomelolug.clock import Clock
 from pomelolug.deployment import BackendServer
 from pomelolug.entry.losses import QuarantinedError, RunMonitor
-from pomelolug.entry.performance import LearnedDelayEstimator, StreamObservation
 from pomelolug.entry.requests._attempt import Attempt, AttemptError
-from pomelolug.entry.requests._group_chooser import (
-    GroupChooser,
-    SelectedGroup,
-    engine_and_model,
-)
+from pomelolug.entry.requests._group_chooser import SelectedServer
 from pomelolug.entry.requests._peer_forwarding import PeerRefusalError
 from pomelolug.entry.requests._repeats import RetryLimiter
 from pomelolug.entry.requests._request_context import (
@@ -28,7 +23,6 @@
     RETRY_AFTER_FULL,
     add_jitter,
     may_pass_stream_on,
-    no_head_error,
 )
 from pomelolug.entry.requests._stream_run import (
     RefusedError,
@@ -36,6 +30,7 @@
     StreamRun,
     lost_run_error,
 )
+from pomelolug.entry.requests._stream_servers import StreamServers
 from pomelolug.entry.requests._stream_state import StreamState
 from pomelolug.entry.servers import (
     ServerNotices,
@@ -59,12 +54,13 @@
     """Forwards streams and resumes them on another group when one is lost.
 
     A group that stalls may be lost or only pause. So its stream is kept until another
-    group has sent the next event, and goes on with whichever sends it first.
+    group has sent the next event, and goes on with whichever sends it first. A server
+    of a plain service is treated like the head of a group that has no other members.
 
     Parameters
     ----------
     server_tracker : ServerTracker
-        Groups and their load.
+        Servers and their load.
     pool : ConnectionPool
         Pool of connections to servers.
     retry_limiter : RetryLimiter
@@ -75,10 +71,10 @@
         Refuses requests that crash servers.
     notices : ServerNotices
         What servers state about the requests that they take.
-    group_chooser : GroupChooser
-        Chooses the group of an attempt.
-    delay_estimator : LearnedDelayEstimator
-        Expected delays at the groups, learned from the streams.
+    group_servers : StreamServers
+        Chooses the group of a run, for services with an inference engine.
+    plain_servers : StreamServers
+        Chooses the server of a run, for the other services.
     exits : RequestExits
         Other nodes that get requests if this one reaches no server.
     clock : Clock
@@ -96,8 +92,8 @@
         stall_detector: StallDetector,
         run_monitor: RunMonitor,
         notices: ServerNotices,
-        group_chooser: GroupChooser,
-        delay_estimator: LearnedDelayEstimator,
+        group_servers: StreamServers,
+        plain_servers: StreamServers,
         exits: RequestExits,
         clock: Clock,
         rng: random.Random,
@@ -108,12 +104,17 @@
         self._stall_detector = stall_detector
         self._run_monitor = run_monitor
         self._notices = notices
-        self._group_chooser = group_chooser
-        self._delay_estimator = delay_estimator
+        self._group_servers = group_servers
+        self._plain_servers = plain_servers
         self._exits = exits
         self._clock = clock
         self._rng = rng
 
+    def _servers(self, context: RequestContext) -> StreamServers:
+        """Return the servers among which the runs of a request are placed."""
+        has_engine = context.service.engine is not None
+        return self._group_servers if has_engine else self._plain_servers
+
     async def forward(self, context: RequestContext) -> None:
         """Forward a request and stream the events to the caller.
 
@@ -229,24 +230,24 @@
             state.attempt_count < _MAX_ATTEMPTS
             and state.unreached_count < MAX_UNREACHED_SERVERS
         ):
-            selected = await self._group_chooser.select(
+            selected = await self._servers(context).select(
                 context, state.tried, waits=waits
             )
             if isinstance(selected, ServerOptions):
                 state.options = selected
                 return None
             state.options = None
-            head = selected.head
+            server = selected.server
             if state.attempt_count and not self._try_spend(context, state):
                 selected.end()
                 message = "the budget of repeats is used up"
                 state.error = state.error or self._refused_error(message)
                 return None
             state.attempt_count += 1
-            state.tried.add(head.vm)
-            run = self._create_run(context, state, selected)
+            state.tried.add(server.vm)
+            run = self._create_run(context, selected)
             data = context.encode_for_server(
-                head.vm,
+                server.vm,
                 now_s=self._clock.monotonic(),
                 last_event_id=state.last_event_id,
             )
@@ -257,16 +258,16 @@
                 await run.close(failure, failure.reason)
                 state.has_unused_retry = True
                 if failure.is_server_failure:
-                    self._server_tracker.suspect(head.vm, since_s=began_at_s)
+                    self._servers(context).record_unreached(server, since_s=began_at_s)
                     state.unreached_count += 1
-                self._record_attempt_error(state, head, failure)
+                self._record_attempt_error(state, server, failure)
                 continue
             except BaseException as error:
                 is_quarantined = isinstance(error, QuarantinedError)
                 await run.close(error, "quarantined" if is_quarantined else "cancelled")
                 raise
             state.unreached_count = 0
-            self._watch_run(context, state, run, head)
+            self._watch_run(context, state, run, server)
             return run
         return None
 
@@ -278,26 +279,21 @@
         return self._retry_limiter.try_spend(context)
 
     def _create_run(
-        self, context: RequestContext, state: StreamState, selected: SelectedGroup
+        self, context: RequestContext, selected: SelectedServer
     ) -> StreamRun:
-        head = selected.head
-        assert context.request_head.model is not None
+        server = selected.server
         record = AttemptRecord(
-            head.vm,
+            server.vm,
             selected.load
             if selected.assignment is not None
-            else self._server_tracker.in_flight(head.vm),
-            len(
-                self._server_tracker.heads(
-                    context.service.name, context.request_head.model
-                )
-            ),
-            self._notices.request_limit_per_s(head.vm),
-            self._notices.is_cold(head),
+            else self._server_tracker.in_flight(server.vm),
+            len(self._servers(context).find_options(context).accepting),
+            self._notices.request_limit_per_s(server.vm),
+            self._notices.is_cold(server),
             choice=selected.choice,
         )
         context.record.attempts.append(record)
-        load = self._server_tracker.load(head.vm)
+        load = self._server_tracker.load(server.vm)
         load.in_flight += 1
 
         def release() -> None:
@@ -308,11 +304,11 @@
             self._pool,
             self._run_monitor,
             self._notices,
-            head,
+            server,
             request_id=context.request_head.request_id,
             identity=context.identity,
         )
-        return StreamRun(head, attempt, record, on_close=release)
+        return StreamRun(server, attempt, record, on_close=release)
 
     def _watch_run(
         self,
@@ -322,17 +318,19 @@
         server: BackendServer,
     ) -> None:
         """Notice stalls and events of a run whose request has just been sent."""
-        head = server.vm
+        vm = server.vm
         can_move = context.route.is_repeatable
-        observation = self._observe_delays(context, run, server)
+        observation = self._servers(context).begin_observation(
+            context, server, in_flight=run.record.in_flight
+        )
         watched = self._stall_detector.add(
-            head,
+            vm,
             move=(lambda: self._on_stall(context, state, run)) if can_move else None,
         )
 
         def record_event() -> None:
-            self._stall_detector.on_event(head, watched)
-            self._server_tracker.record_progress(head)
+            self._stall_detector.on_event(vm, watched)
+            self._server_tracker.record_progress(vm)
             observation.record_event()
 
         def set_held(is_held: bool) -> None:
@@ -340,24 +338,11 @@
             observation.set_held(is_held)
 
         def close() -> None:
-            self._stall_detector.remove(head, watched)
+            self._stall_detector.remove(vm, watched)
             observation.end(is_sound=run.record.result == "answered")
 
         run.observe(on_event=record_event, on_hold=set_held, on_close=close)
 
-    def _observe_delays(
-        self, context: RequestContext, run: StreamRun, head: BackendServer
-    ) -> StreamObservation:
-        engine, model = engine_and_model(context)
-        assert engine is not None and model is not None
-        return self._delay_estimator.begin_stream(
-            head,
-            engine,
-            model,
-            in_flight=run.record.in_flight,
-            prompt_tokens=context.request_head.prompt_tokens,
-        )
-
     async def _forward_run(
         self, context: RequestContext, state: StreamState, run: StreamRun
     ) -> bool:
@@ -422,6 +407,10 @@
             error.head.status
         ):
             state.server_error = error
+        if isinstance(run.target, BackendServer) and _is_server_failure(error):
+            self._servers(context).record_failed_run(
+                run.target, since_s=context.arrived_at_s
+            )
         is_stale = isinstance(error, AttemptError) and error.stale_connection
         if is_stale and context.route.is_repeatable and not state.use_fresh_connection:
             # The same server may be tried again, so that no further one needs to run
@@ -540,21 +529,22 @@
             return
         if state.possible_runs and (error is None or error.outcome is Outcome.NOT_RUN):
             raise unknown_outcome_error(ErrorCode.BACKEND_LOST, "the group was lost")
-        options = state.options or self._group_chooser.find_options(context)
-        raise error or no_head_error(options, self._rng)
+        servers = self._servers(context)
+        options = state.options or servers.find_options(context)
+        raise error or servers.no_server_error(options)
 
     def _record_attempt_error(
-        self, state: StreamState, head: BackendServer, failure: AttemptError
+        self, state: StreamState, server: BackendServer, failure: AttemptError
     ) -> None:
         """Record the error of a request that was not sent.
 
-        A head that took no more requests may be chosen again once it does. If none is,
-        the next choice tells why.
+        A server that took no more requests may be chosen again once it does. If none
+        is, the next choice tells why.
         """
         if not failure.was_withdrawn:
             state.error = _to_request_error(failure, state.possible_runs)
             return
-        state.tried.discard(head.vm)
+        state.tried.discard(server.vm)
         if not state.possible_runs:
             state.error = None
 
@@ -649,6 +639,12 @@
     return not_run_error(ErrorCode.BACKEND_REFUSED, f"not sent: {reason}")
 
 
+def _is_server_failure(error: ServerError | AttemptError) -> bool:
+    if isinstance(error, ServerError):
+        return error.head.status >= 500
+    return error.is_server_failure and not error.stale_connection
+
+
 def _result_of(error: _RunError) -> str:
     if isinstance(error, PeerRefusalError):
         return error.error.code.value
--- a/pomelolug/entry/tests/test_group_chooser.py
+++ b/pomelolug/entry/tests/test_group_chooser.py
@@ -66,7 +66,7 @@
         clock=ManualClock(),
     )
     selected = await chooser.select(context, set(), waits=False)
-    return None if isinstance(selected, ServerOptions) else selected.head.zone
+    return None if isinstance(selected, ServerOptions) else selected.server.zone
 
 
 async def test_zone_that_could_not_be_asked_is_used():
--- a/pomelolug/entry/tests/test_refusal_reasons.py
+++ b/pomelolug/entry/tests/test_refusal_reasons.py
@@ -18,6 +18,7 @@
 from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.requests import (
     GroupChooser,
+    GroupServers,
     PlainForwarder,
     RetryLimiter,
     StreamForwarder,
@@ -152,7 +153,18 @@
             dispatch=lambda: SimpleNamespace(is_enabled=False),
             clock=self.clock,
         )
-        return StreamForwarder(**common, stall_detector=None, group_chooser=chooser)
+        group_servers = GroupServers(
+            chooser=chooser,
+            server_tracker=self.tracker,
+            delay_estimator=common.pop("delay_estimator"),
+            rng=self.rng,
+        )
+        return StreamForwarder(
+            **common,
+            stall_detector=None,
+            group_servers=group_servers,
+            plain_servers=None,
+        )
 
     def use_up_limit(self) -> float:
         """Take all that the server admits; return the time in s of the next one."""
