Count the drain of a planned stop from the stop request

Cause: the process released the controller lease before it drained, which takes up to the timeout of a store call, and the drain counted its times from its own start. It closed idle connections a second late, and its end lay after the grace period.

Change: Lifecycle keeps the time of the stop request, from which the drain counts, and the lease is released beside the drain. The line "stopped" states how long the stop took.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -230,7 +230,8 @@
         ]
         _log.info("started", pid=os.getpid(), zone=self._settings.zone)
         await self._lifecycle.wait_for_stop()
-        await self._lease.stop()
+        # Beside the drain, since the store may not respond.
+        tasks.append(loop.create_task(self._lease.stop()))
         await self._lifecycle.drain(
             listeners, self._connections, lambda: self._request_handler.in_flight
         )
--- a/pomelolug/entry/_lifecycle.py
+++ b/pomelolug/entry/_lifecycle.py
@@ -47,6 +47,7 @@
         self._grace_s = grace.total_seconds()
         self._unready_reason = unready_reason
         self._stop_requested = asyncio.Event()
+        self._stop_requested_at_s = float("inf")
 
     @property
     def is_stopping(self) -> bool:
@@ -61,6 +62,7 @@
         """Begin the planned stop."""
         if not self.is_stopping:
             _log.info("stop_requested")
+            self._stop_requested_at_s = self._clock.monotonic()
             self._stop_requested.set()
 
     async def wait_for_stop(self) -> None:
@@ -77,20 +79,28 @@
 
         Persistent connections are closed with their next response. New ones are
         accepted until the load balancer has deregistered the node.
+
+        All times count from the stop request, like the grace period.
         """
-        started_at_s = self._clock.monotonic()
         for connection in list(connections):
             connection.close_after_response()
-        while self._clock.monotonic() - started_at_s < _DEREGISTRATION_S:
+        while self._since_stop_request_s() < _DEREGISTRATION_S:
             for connection in list(connections):
                 connection.close_after_response()
             await self._clock.sleep(_POLL_INTERVAL)
         for listener in listeners:
             listener.close()
-        while self._clock.monotonic() - started_at_s < self._grace_s - _KILL_MARGIN_S:
+        while self._since_stop_request_s() < self._grace_s - _KILL_MARGIN_S:
             for connection in list(connections):
                 connection.close_if_idle()
             if not in_flight() and not connections:
                 break
             await self._clock.sleep(_POLL_INTERVAL)
-        _log.info("stopped", in_flight=in_flight())
+        _log.info(
+            "stopped",
+            in_flight=in_flight(),
+            took_s=round(self._since_stop_request_s(), 3),
+        )
+
+    def _since_stop_request_s(self) -> float:
+        return self._clock.monotonic() - self._stop_requested_at_s
--- a/pomelolug/entry/tests/test_planned_stop.py
+++ b/pomelolug/entry/tests/test_planned_stop.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from pomelolug.entry.tests.harness import Harness, encode_caller_request
+from pomelolug.entry.tests.harness import (
+    Harness,
+    declaration,
+    encode_caller_request,
+)
 from pomelolug.entry.tests.stating_server import KINDS, StatingServer, send
 from pomelolug.transport import HttpConnectionError
 
@@ -106,3 +110,81 @@
         assert GRACE_S - 1.0 < time.monotonic() - started_s < GRACE_S
         assert reached.is_set()
         await stopping
+
+
+STORE_FAULTS = ("works", "silent", "refuses")
+
+
+def set_store_fault(h: Harness, fault: str) -> None:
+    h.store.is_unresponsive = fault == "silent"
+    h.store.error_status = 503 if fault == "refuses" else None
+
+
+@pytest.mark.parametrize("fault", STORE_FAULTS)
+@pytest.mark.parametrize("kind", KINDS)
+async def test_stop_ends_in_the_grace_period_whatever_the_store_does(kind, fault):
+    # Guards against a process that is killed with its requests, since it has waited for
+    # the store before it began to drain.
+    reached = asyncio.Event()
+
+    async def script(request):
+        if request.target.startswith("/-/"):
+            request.send("404 Not Found", {})
+            return
+        reached.set()
+        await request.wait_closed()
+
+    async with Harness() as h:
+        await h.add_server(script, service="llm" if kind == "stream" else "plain")
+        value = declaration(2)
+        for route in value["routes"]:
+            route["timeout_ms"] = 20_000
+        h.publish_declaration(value)
+        await h.start(stop_grace_s=GRACE_S)
+        set_store_fault(h, fault)
+        await asyncio.sleep(0.5)
+        sending = asyncio.create_task(send(h, kind, "late", deadline_ms=20_000))
+        await reached.wait()
+        started_s = time.monotonic()
+        await h.stop()
+        assert time.monotonic() - started_s < GRACE_S
+        assert (await sending).status in (502, 504)
+
+
+@pytest.mark.parametrize("fault", STORE_FAULTS)
+async def test_idle_connections_are_closed_in_time_whatever_the_store_does(fault):
+    # Guards against requests that are accepted so late that they outlast the process.
+    server = StatingServer("safe")
+    async with Harness() as h:
+        await server.add_to(h)
+        await h.start()
+        connection = await h.connect()
+        head, _ = await h.request("/safe/x", connection=connection)
+        assert head.status == 200
+        set_store_fault(h, fault)
+        await asyncio.sleep(0.5)
+        started_s = time.monotonic()
+        stopping = asyncio.create_task(h.stop())
+        with pytest.raises(HttpConnectionError):
+            async with asyncio.timeout(CLOSING_S + 0.4):
+                await connection.read_head()
+        assert CLOSING_S - 0.1 < time.monotonic() - started_s
+        await stopping
+
+
+async def test_controller_lease_is_released_while_the_node_drains():
+    # Guards against a successor that waits until the last request has been answered.
+    server = StatingServer("safe")
+    async with Harness() as h:
+        await server.add_to(h)
+        await h.start()
+        async with asyncio.timeout(5.0):
+            while not h.entry._lease.is_held:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        lease = h.entry._lease
+        stopping = asyncio.create_task(h.stop())
+        await asyncio.sleep(0.3)
+        assert not lease.is_held
+        assert "/-/log-leave" in h.store.requested_paths
+        assert not stopping.done()
+        await stopping
