Read addresses in one place, and refuse hosts that are none

What callers saw: beside a server entry of another writer whose host has a label of 300 characters, or is "..", connections of callers were closed without an answer, although sound servers were there.

Cause: only the port of an address was checked. Opening a connection to such a host raises UnicodeError, which no caller of the pool expects.

Evidence: 4 of the 14 cases of test_foreign_entries.py (long label, dots, host name, 0.0.0.0) and 5 new cases of test_decoding.py failed before. A nested report of a server raised RecursionError (test_server_control.py).

Change: split_address reads all addresses; an invalid one is a connection that does not open. The check of datagram addresses in the gossip is replaced by it. Unreadable reports count as none.

Result: the tests named above pass.

--- a/pomelolug/entry/peers/_declaration_fetch.py
+++ b/pomelolug/entry/peers/_declaration_fetch.py
@@ -6,8 +6,8 @@
 from pomelolug.feeds import MAX_VALUE_BYTES, decompress
 from pomelolug.transport import (
     HttpConnectionError,
+    connect,
     encode_request,
-    open_connection,
 )
 
 __all__ = [
@@ -42,8 +42,7 @@
     PeerError
         If the response cannot be decompressed.
     """
-    host, _, port = address.rpartition(":")
-    connection = await open_connection(host, int(port), timeout=connect_timeout)
+    connection = await connect(address, timeout=connect_timeout)
     try:
         fields = [(b"Host", address.encode()), _ACCEPTED_FIELD]
         connection.send(encode_request(b"GET", DECLARATION_PATH, fields))
--- a/pomelolug/entry/peers/_peer_gossip.py
+++ b/pomelolug/entry/peers/_peer_gossip.py
@@ -10,7 +10,6 @@
 import asyncio
 import dataclasses
 import datetime
-import ipaddress
 import random
 from collections.abc import Callable, Iterable
 from typing import cast
@@ -29,6 +28,7 @@
     decode,
     encode,
 )
+from pomelolug.transport import is_address, split_address
 
 __all__ = ["PeerGossip", "PeerState"]
 
@@ -132,7 +132,7 @@
         for address in addresses:
             if address == self._address or address in self._last_seen_s:
                 continue
-            if not _is_datagram_address(address):
+            if not is_address(address):
                 _log.warning("peer_address_invalid", address=address[:_MAX_LOGGED])
             elif len(self._last_seen_s) < _MAX_ADDRESSES:
                 self._last_seen_s[address] = now_s
@@ -177,11 +177,12 @@
         """Send a message to the datagram address of a node."""
         if self._transport is None or self._transport.is_closing():
             return
-        host, _, port = address.rpartition(":")
-        if not port.isdigit():
-            _log.warning("peer_address_invalid", address=address)
+        try:
+            target = split_address(address)
+        except ValueError:
+            _log.warning("peer_address_invalid", address=address[:_MAX_LOGGED])
             return
-        self._transport.sendto(encode(message), (host, int(port)))
+        self._transport.sendto(encode(message), target)
 
     def _receive_status(self, status: NodeStatus) -> None:
         """Store the status of a peer unless it is out of order."""
@@ -193,7 +194,7 @@
             return
         now_s = self._clock.monotonic()
         if known is None:
-            if not _is_datagram_address(status.datagram):
+            if not is_address(status.datagram):
                 _log.warning(
                     "peer_address_invalid", address=status.datagram[:_MAX_LOGGED]
                 )
@@ -220,8 +221,7 @@
             _log.error("peer_message_too_large", reason=str(error))
             return 0
         for address in receivers:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+            self._transport.sendto(data, split_address(address))
         return len(receivers)
 
     def _sample_peers(self) -> tuple[str, ...]:
@@ -296,16 +296,3 @@
             peer = self._peers.pop(address, None)
             if peer is not None:
                 _log.info("peer_gone", peer=peer.status.node)
-
-
-def _is_datagram_address(address: str) -> bool:
-    """Return whether an address is an IP number and a port.
-
-    Addresses come from records and messages that other programs may have written.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= 65535
--- a/pomelolug/entry/preview/_endpoint.py
+++ b/pomelolug/entry/preview/_endpoint.py
@@ -17,8 +17,8 @@
 from pomelolug.transport import (
     Exchange,
     HttpConnectionError,
+    connect,
     encode_request,
-    open_connection,
 )
 
 __all__ = [
@@ -95,16 +95,13 @@
     PlatformError
         If it does not answer in time, or not with a ranking.
     """
-    host, _, port = address.rpartition(":")
     headers = [(b"Host", address.encode())]
     request = encode_request(
         b"POST", DISPATCH_PREVIEW_PATH, headers, msgspec.json.encode(message)
     )
     try:
         async with asyncio.timeout(_TIMEOUT.total_seconds()):
-            connection = await open_connection(
-                host, int(port), timeout=_CONNECT_TIMEOUT
-            )
+            connection = await connect(address, timeout=_CONNECT_TIMEOUT)
             try:
                 connection.send(request)
                 head = await connection.read_head()
--- a/pomelolug/entry/requests/_request_record.py
+++ b/pomelolug/entry/requests/_request_record.py
@@ -12,7 +12,13 @@
 
 _RUNNING = "running"
 _UNREACHED_RESULTS = frozenset(
-    {"closed_before_send", "connect_refused", "connect_timeout", "no_descriptor"}
+    {
+        "closed_before_send",
+        "connect_refused",
+        "connect_timeout",
+        "invalid_address",
+        "no_descriptor",
+    }
 )
 """Results of attempts that had no connection to the server on which to send."""
 
--- a/pomelolug/entry/tests/test_foreign_entries.py
+++ b/pomelolug/entry/tests/test_foreign_entries.py
@@ -20,6 +20,12 @@
 STREAM_HEADERS = {"Model": MODEL, "Token_Count": "100,50"}
 
 
+def make_entry(address: bytes, fields: bytes = b"") -> bytes:
+    """Return the entry of a ready plain server with an encoded address."""
+    entry = b'{"service": "plain", "zone": "z1", "state": "ready", "address": '
+    return entry + address + fields + b"}"
+
+
 async def serve(request) -> None:
     if request.target.startswith("/-/"):
         request.send("404 Not Found", {})
@@ -79,20 +85,47 @@
         b'{"service": "plain", "address": "127.0.0.1:70000", "state": "ready"}',
         b'{"service": "plain", "address": "127.0.0.1:\xc2\xb2", "state": "ready"}',
         b'{"service": "plain", "address": "127.0.0.1:1", "state": "unheard"}',
+        make_entry(b'"' + b"a" * 300 + b':80"'),
+        make_entry(b'"..:80"'),
+        make_entry(b'"host.example:80"'),
+        make_entry(b'"0.0.0.0:80"'),
+        make_entry(b'"127.0.0.1:%s"' % (b"9" * 6000)),
+        make_entry(b'"127.0.0.1:80"', b', "born": ' + b"9" * 6000),
+        make_entry(b'"127.0.0.1:80"', b', "born": 1e999999'),
+        make_entry(b'"127.0.0.1:80"', b', "slots": 18446744073709551616'),
+        make_entry(b'"127.0.0.1:80"', b', "x": ' + b"[" * 100_000 + b"]" * 100_000),
+    ],
+    ids=[
+        "bytes",
+        "nested",
+        "port",
+        "digit",
+        "state",
+        "long_label",
+        "dots",
+        "host_name",
+        "unspecified",
+        "port_digits",
+        "number_digits",
+        "number_exponent",
+        "number_size",
+        "nested_deep",
     ],
-    ids=["bytes", "nested", "port", "digit", "state"],
 )
 async def test_entry_that_names_no_server_leaves_the_others_in_use(data):
-    # Guards against a reader that ends, and requests that fail, for one entry.
-    async with Harness() as h:
+    # Guards against a reader that ends, and requests that fail, for one entry, also at
+    # a node that gets the entries from another one.
+    async with Harness() as h, Harness(joins=h) as other:
         await h.add_server(serve, vm="plain-1")
         h.store.put("keyed.servers", "foreign", data)
         await h.start(servers=1)
+        await other.start(servers=1, seeds=(f"{h.ip}:8003",))
         await h.add_server(serve, vm="plain-2")
         h.store.put("keyed.servers", "foreign-2", data)
         await asyncio.sleep(LEARNED_S)
-        assert h.entry is not None
-        assert set(h.entry._registry.servers) == {"plain-1", "plain-2"}
-        for number in range(20):
-            head, _ = await h.request("/once/x", request_id=f"r{number}")
-            assert head.status == 200
+        for node in (h, other):
+            assert node.entry is not None
+            assert set(node.entry._registry.servers) == {"plain-1", "plain-2"}
+            for number in range(20):
+                head, _ = await node.request("/once/x", request_id=f"r{number}")
+                assert head.status == 200
--- a/pomelolug/platform/_server_control.py
+++ b/pomelolug/platform/_server_control.py
@@ -32,7 +32,9 @@
 
 _MAX_REPORT_BYTES = 64 * 1024
 _OTHER_SERVER_STATUS = 421
-_CONNECT_FAILURES = frozenset({"connect_refused", "connect_timeout", "no_descriptor"})
+_CONNECT_FAILURES = frozenset(
+    {"connect_refused", "connect_timeout", "invalid_address", "no_descriptor"}
+)
 """Reasons of connections that have not opened."""
 
 _RESULT_BY_STATUS = {
@@ -232,7 +234,13 @@
             if notice != ServerNotice():
                 self._on_notice(server, notice)
             return _convert_report(raw)
-        except (HttpConnectionError, TimeoutError, msgspec.DecodeError):
+        except (
+            HttpConnectionError,
+            TimeoutError,
+            msgspec.DecodeError,
+            RecursionError,
+            UnicodeDecodeError,
+        ):
             return None
 
     async def _order(
--- a/pomelolug/platform/_servers.py
+++ b/pomelolug/platform/_servers.py
@@ -12,13 +12,13 @@
 )
 from pomelolug.ids import DomainId, GroupId, ModelName, ServiceName, VmId, ZoneId
 from pomelolug.platform._cold_times import decode_cold_time
+from pomelolug.transport import is_address
 
 __all__ = ["decode_server"]
 
 
 _MAX_INTEGER = 2**53
 """Largest integer that all readers of JSON carry exactly."""
-_MAX_PORT = 65535
 _Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
 
 
@@ -62,7 +62,7 @@
         raw = msgspec.json.decode(data, type=_ServerEntry)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
-    if not (_is_token(vm) and _is_address(raw.address) and raw.service):
+    if not (_is_token(vm) and is_address(raw.address) and raw.service):
         return None
     cold_for, has_invalid_cold_time = decode_cold_time(bytes(raw.cold_remaining_ms))
     return BackendServer(
@@ -87,13 +87,6 @@
     return text.isascii() and text.isprintable() and bool(text) and " " not in text
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    if not host or not _is_token(text) or not port.isdigit():
-        return False
-    return len(port) <= len(str(_MAX_PORT)) and 0 < int(port) <= _MAX_PORT
-
-
 def _decode_membership(raw: _Group | None) -> GroupMembership | None:
     if raw is None:
         return None
--- a/pomelolug/platform/tests/test_decoding.py
+++ b/pomelolug/platform/tests/test_decoding.py
@@ -197,6 +197,12 @@
         {"address": "10.0.0.1:0"},
         {"address": "10.0.0.1:\u00b2"},
         {"address": "10.0.0.1\r\nX: y:80"},
+        {"address": "10.0.0.1:" + "9" * 6000},
+        {"address": "a" * 300 + ":80"},
+        {"address": "..:80"},
+        {"address": "host.example:80"},
+        {"address": "0.0.0.0:80"},
+        {"address": "fe80::1%" + "a" * 300 + ":80"},
     ],
 )
 def test_invalid_server_entry_is_ignored(change):
@@ -205,6 +211,29 @@
     assert decode_server(VmId("a"), b"\x00\xff") is None
 
 
+NESTED = b"[" * 100_000 + b"]" * 100_000
+ODD_VALUES = {
+    "nested": NESTED,
+    "nested_object": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+    "digits": b"9" * 6000,
+    "exponent": b"1e999999",
+    "beyond_64_bits": b"18446744073709551616",
+    "not_utf8": b'"\xff\xfe"',
+    "surrogate": b'"\\ud800"',
+}
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+@pytest.mark.parametrize("field", [*ENTRY, "models", "staged", "cold_remaining_ms"])
+def test_odd_value_of_any_field_does_not_end_the_reader(field, value):
+    # Guards against an exception that ends the reader of all entries.
+    entry = {k: msgspec.Raw(msgspec.json.encode(v)) for k, v in ENTRY.items()}
+    entry[field] = msgspec.Raw(value)
+    server = decode_server(VmId("a"), msgspec.json.encode(entry))
+    # A field that is not read may hold anything.
+    assert server is None or field in ("seq", "cold_remaining_ms", "service")
+
+
 @pytest.mark.parametrize(
     "vm",
     ["", "a b", "a\r\nX: y", "\ud800", "\u00e4"],
--- a/pomelolug/platform/tests/test_server_control.py
+++ b/pomelolug/platform/tests/test_server_control.py
@@ -46,17 +46,43 @@
     assert not await probe(script)
 
 
-async def probe(script) -> bool:
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xff",
+        b'{"seq": 1, "models": "\xff"}',
+        b'{"x": ' + b"[" * 20_000 + b"]" * 20_000 + b"}",
+        b'{"seq": ' + b"9" * 6000 + b"}",
+    ],
+    ids=["bytes", "not_utf8", "nested", "digits"],
+)
+async def test_unreadable_report_counts_as_none(body):
+    # Guards against one server whose report ends the controller or its probes.
+    async def script(request):
+        request.send("200 OK", {}, body)
+
     server = ScriptedServer(script)
     await server.start()
-    control = HttpServerControl(
+    try:
+        assert await make_control().report(make_server(server.address)) is None
+    finally:
+        server.stop()
+
+
+def make_control() -> HttpServerControl:
+    return HttpServerControl(
         pool=ConnectionPool(max_idle=TIMEOUT, connect_timeout=TIMEOUT),
         order_timeout=TIMEOUT,
         report_timeout=TIMEOUT,
         on_notice=lambda server, notice: None,
     )
+
+
+async def probe(script) -> bool:
+    server = ScriptedServer(script)
+    await server.start()
     try:
-        result = await control.probe(make_server(server.address))
+        result = await make_control().probe(make_server(server.address))
         return result is ProbeResult.RESPONDED
     finally:
         server.stop()
--- a/pomelolug/transport/__init__.py
+++ b/pomelolug/transport/__init__.py
@@ -1,10 +1,12 @@
 """HTTP/1.1 client and server connections that track what was sent and received."""
 
+from pomelolug.transport._address import is_address, split_address
 from pomelolug.transport._buffer_budget import BufferBudget
 from pomelolug.transport._client import (
     ClientConnection,
     HttpConnectionError,
     ResponseHead,
+    connect,
     open_connection,
 )
 from pomelolug.transport._exchange import Exchange, RefusalCause
@@ -32,6 +34,9 @@
     "ResponseHead",
     "RunningTimeLimit",
     "ServerConnection",
+    "connect",
     "encode_request",
+    "is_address",
     "open_connection",
+    "split_address",
 ]
--- a/pomelolug/transport/_client.py
+++ b/pomelolug/transport/_client.py
@@ -10,11 +10,18 @@
 
 import httptools
 
+from pomelolug.transport._address import split_address
 from pomelolug.transport._buffer_budget import BufferBudget
 from pomelolug.transport._memory_budget import MemoryBudget
 from pomelolug.transport._running_time_limit import RunningTimeLimit
 
-__all__ = ["ClientConnection", "HttpConnectionError", "ResponseHead", "open_connection"]
+__all__ = [
+    "ClientConnection",
+    "HttpConnectionError",
+    "ResponseHead",
+    "connect",
+    "open_connection",
+]
 
 _MAX_BUFFERED_BYTES = 256 * 1024
 _UNCOUNTED_BYTES = 16 * 1024
@@ -431,6 +438,28 @@
         await self._waiter
 
 
+async def connect(
+    address: str,
+    *,
+    timeout: datetime.timedelta,
+    memory_budget: MemoryBudget | None = None,
+) -> ClientConnection:
+    """Open a connection to the IP address and port of a process.
+
+    Raises
+    ------
+    HttpConnectionError
+        As `open_connection`, and if the address is invalid.
+    """
+    try:
+        host, port = split_address(address)
+    except ValueError as error:
+        raise HttpConnectionError("invalid_address") from error
+    return await open_connection(
+        host, port, timeout=timeout, memory_budget=memory_budget
+    )
+
+
 async def open_connection(
     host: str,
     port: int,
@@ -458,6 +487,9 @@
         has_descriptor = error.errno not in _NO_DESCRIPTOR_ERRORS
         reason = "connect_refused" if has_descriptor else "no_descriptor"
         raise HttpConnectionError(reason) from error
+    except UnicodeError as error:
+        # The host is no name that can be looked up.
+        raise HttpConnectionError("invalid_address") from error
     return connection
 
 
--- a/pomelolug/transport/_pool.py
+++ b/pomelolug/transport/_pool.py
@@ -7,7 +7,7 @@
 from pomelolug.transport._client import (
     ClientConnection,
     HttpConnectionError,
-    open_connection,
+    connect,
 )
 from pomelolug.transport._memory_budget import MemoryBudget
 
@@ -57,9 +57,8 @@
             connection = self._pop_idle(address)
             if connection is not None:
                 return connection
-        host, _, port = address.rpartition(":")
         try:
-            return await self._open(host, int(port))
+            return await self._open(address)
         except HttpConnectionError as error:
             if error.reason != "no_descriptor" or not self._idle_connections:
                 raise
@@ -67,11 +66,11 @@
             self.close_idle(idle_address)
         # Closed connections give their descriptors back in the next round.
         await asyncio.sleep(0)
-        return await self._open(host, int(port))
+        return await self._open(address)
 
-    async def _open(self, host: str, port: int) -> ClientConnection:
-        return await open_connection(
-            host, port, timeout=self._connect_timeout, memory_budget=self._memory_budget
+    async def _open(self, address: str) -> ClientConnection:
+        return await connect(
+            address, timeout=self._connect_timeout, memory_budget=self._memory_budget
         )
 
     def release(self, address: str, connection: ClientConnection) -> None:
