Go on with a stream only by a response of the same kind

What callers saw: after a stream had broken off, an empty 204, 205 or 202 of the next server, or an empty 200 that is no event stream, ended it as complete after four of eight events.

Cause: any sealed 2xx response counted as the rest of the stream, and one without events as its end.

A 204 that began a stream was sent in chunks, whose end the next response on the connection would begin with; the four cases of test_server_connection.py failed before.

Change: a run goes on with a stream only if status and media type are those of the response that the caller gets. Responses without content have no framing.

--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -39,7 +39,11 @@
     StallDetector,
 )
 from pomelolug.errors import ErrorCode, Outcome, RequestError
-from pomelolug.platform import ServerSentEvent, response_headers
+from pomelolug.platform import (
+    ServerSentEvent,
+    continues_stream,
+    response_headers,
+)
 from pomelolug.transport import ConnectionPool
 
 __all__ = ["StreamForwarder"]
@@ -363,6 +367,7 @@
                     run.hold(False)
             if not state.started:
                 self._start_response(context, run, state)
+            _check_continuation(run, state)
             context.exchange.finish()
             result = "answered"
             return True
@@ -489,6 +494,7 @@
             result = "cancelled"
             try:
                 has_event = await other.read_after(state.last_event_id)
+                _check_continuation(other, state)
                 if not has_event and state.current is run:
                     # The first group knows better whether its stream has ended.
                     raise lost_run_error("ended_early")
@@ -581,8 +587,8 @@
     def _start_response(
         self, context: RequestContext, run: StreamRun, state: StreamState
     ) -> None:
-        state.started = True
         head = run.response_head
+        state.response_head = head
         context.record.status = head.status
         context.record.first_event_s = self._clock.monotonic() - context.arrived_at_s
         context.exchange.start(head.status, response_headers(head), length=None)
@@ -601,6 +607,7 @@
         event_id = event.event_id
         if event_id is None:
             raise lost_run_error("event_unreadable")
+        _check_continuation(run, state)
         if state.last_event_id is not None:
             if event_id <= state.last_event_id:
                 return
@@ -613,6 +620,15 @@
         context.exchange.write(event.data)
 
 
+def _check_continuation(run: StreamRun, state: StreamState) -> None:
+    """Raise an error if the response of a run cannot go on with the caller's one."""
+    head, first = run.response_head, state.response_head
+    if head is first or first is None:
+        return
+    if not continues_stream(head, first):
+        raise lost_run_error("foreign_body")
+
+
 def _do_nothing() -> None:
     """Do nothing: the other node counts the load of the run."""
 
--- a/pomelolug/entry/requests/_stream_state.py
+++ b/pomelolug/entry/requests/_stream_state.py
@@ -6,6 +6,7 @@
 from pomelolug.entry.servers import ServerOptions
 from pomelolug.errors import RequestError
 from pomelolug.ids import VmId
+from pomelolug.transport import ResponseHead
 
 __all__ = ["StreamState"]
 
@@ -13,14 +14,15 @@
 class StreamState:
     """State of one stream across its runs.
 
-    `possible_runs` counts the ended runs that may have run the request. `move` looks
-    for another group while the `current` run pauses, and leaves the run that has taken
-    over in `replacement`. `server_error` is a whole error response that is passed on
-    if nothing better arrives. `unreached_count` counts the servers to which no
-    connection has opened in a row, and `has_unused_retry` tells whether the latest
-    attempt has reached none. `is_refused` tells whether another node has decided that
-    the request is not served. `options` are the heads among which the latest choice
-    was made, if it found none.
+    `response_head` is the head of the response that the caller gets, once it has
+    started. `possible_runs` counts the ended runs that may have run the request.
+    `move` looks for another group while the `current` run pauses, and leaves the run
+    that has taken over in `replacement`. `server_error` is a whole error response that
+    is passed on if nothing better arrives. `unreached_count` counts the servers to
+    which no connection has opened in a row, and `has_unused_retry` tells whether the
+    latest attempt has reached none. `is_refused` tells whether another node has
+    decided that the request is not served. `options` are the heads among which the
+    latest choice was made, if it found none.
     """
 
     __slots__ = (
@@ -34,8 +36,8 @@
         "options",
         "possible_runs",
         "replacement",
+        "response_head",
         "server_error",
-        "started",
         "tried",
         "tried_nodes",
         "unreached_count",
@@ -44,7 +46,7 @@
 
     def __init__(self, last_event_id: int | None) -> None:
         self.last_event_id = last_event_id
-        self.started = False
+        self.response_head: ResponseHead | None = None
         self.use_fresh_connection = False
         self.possible_runs = 0
         self.attempt_count = 0
@@ -59,3 +61,8 @@
         self.current: StreamRun | None = None
         self.move: asyncio.Task[None] | None = None
         self.replacement: StreamRun | None = None
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller has got the head of a response."""
+        return self.response_head is not None
--- a/pomelolug/platform/__init__.py
+++ b/pomelolug/platform/__init__.py
@@ -29,7 +29,11 @@
     PartitionAssignment,
     StoreControllerElection,
 )
-from pomelolug.platform._streams import EventSplitter, ServerSentEvent
+from pomelolug.platform._streams import (
+    EventSplitter,
+    ServerSentEvent,
+    continues_stream,
+)
 from pomelolug.platform._wire_names import (
     KEY_DECLARATION,
     READY_PATH,
@@ -59,6 +63,7 @@
     "TOPIC_LOSSES",
     "TOPIC_NODES",
     "TOPIC_SERVERS",
+    "continues_stream",
     "decode_declaration",
     "decode_evacuated_zone",
     "decode_request_head",
--- a/pomelolug/platform/_streams.py
+++ b/pomelolug/platform/_streams.py
@@ -1,8 +1,10 @@
-"""Splitting of a ``text/event-stream`` body into events."""
+"""Streams of events: responses that go on with one, and their events."""
 
 import dataclasses
 
-__all__ = ["EventSplitter", "ServerSentEvent"]
+from pomelolug.transport import ResponseHead
+
+__all__ = ["EventSplitter", "ServerSentEvent", "continues_stream"]
 
 _MAX_EVENT_BYTES = 256 * 1024
 _SEPARATORS = (b"\n\n", b"\r\n\r\n")
@@ -61,6 +63,26 @@
         return events
 
 
+def continues_stream(head: ResponseHead, first: ResponseHead) -> bool:
+    """Return whether a response can go on with the stream that another one began.
+
+    Any other successful response may be empty, and would end the stream as if it were
+    complete.
+
+    Examples
+    --------
+    >>> first = ResponseHead(200, ((b"Content-Type", b"text/event-stream"),))
+    >>> continues_stream(ResponseHead(204, ()), first)
+    False
+    """
+    return head.status == first.status and _media_type(head) == _media_type(first)
+
+
+def _media_type(head: ResponseHead) -> bytes:
+    value = head.get(b"Content-Type") or b""
+    return value.partition(b";")[0].strip().lower()
+
+
 def _find_event_end(data: bytearray, start: int) -> int:
     """Return the end of the first event that ends after `start`, 0 if none does."""
     ends = []
--- a/pomelolug/transport/_exchange.py
+++ b/pomelolug/transport/_exchange.py
@@ -20,6 +20,7 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+_STATUSES_WITHOUT_CONTENT = frozenset({204, 304})
 
 
 class RefusalCause(enum.Enum):
@@ -140,16 +141,19 @@
         *,
         length: int | None,
     ) -> None:
-        """Send the response head; without `length` the body is sent chunked."""
+        """Send the response head; without `length` the body is sent chunked.
+
+        A response without content (status 204 or 304) has neither.
+        """
         self._started = True
-        self._chunked = length is None
+        self._chunked = length is None and status not in _STATUSES_WITHOUT_CONTENT
         lines = [
             b"HTTP/1.1 %d %b\r\n" % (status, REASON_PHRASES.get(status, b"Status"))
         ]
         lines += [b"%b: %b\r\n" % field for field in headers]
-        if length is None:
+        if self._chunked:
             lines.append(b"Transfer-Encoding: chunked\r\n")
-        else:
+        elif length is not None and status not in _STATUSES_WITHOUT_CONTENT:
             lines.append(b"Content-Length: %d\r\n" % length)
         if not self._keep_alive or self._connection.is_closing:
             self._keep_alive = False
--- a/pomelolug/transport/tests/test_server_connection.py
+++ b/pomelolug/transport/tests/test_server_connection.py
@@ -120,6 +120,28 @@
             assert await reader.read() == b""
 
 
+@pytest.mark.parametrize("status", [204, 304])
+@pytest.mark.parametrize("is_streamed", [True, False])
+async def test_response_without_content_has_no_framing(status, is_streamed):
+    # Guards against bytes after a response without a body, which the client would read
+    # as the beginning of the next one.
+    async def handle(exchange):
+        if is_streamed:
+            exchange.start(status, (), length=None)
+            exchange.finish()
+        else:
+            exchange.reply(status, (), b"")
+
+    async with run_server(handle) as (reader, writer, _):
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" * 2)
+        received = b""
+        for _ in range(2):
+            received += await reader.readuntil(b"\r\n\r\n")
+        assert received.count(b"HTTP/1.1 %d " % status) == 2
+        assert b"chunked" not in received
+        assert b"content-length" not in received.lower()
+
+
 async def test_aborted_response_has_no_final_chunk():
     # Guards against truncated responses that look complete.
     async def abort_midway(exchange):
