Keep members waiting while the entry of their head shows that it serves

Cause: members were free after the stall timeout if streams of the head had stalled, as a sign that it had work and so would notice the departure. By the time of the departure it mostly has none.

The new test fails before, at the same controller and at a successor. The simulated heads broke without work too; SimulatedServer.has_work tells them apart, and is true by default.

Change: after the stall timeout the entry of the head decides; while it is open or closing, the members wait as for any head without work. The entry of a lost head has lapsed by then.

--- a/pomelolug/replicas/_teardown.py
+++ b/pomelolug/replicas/_teardown.py
@@ -62,6 +62,11 @@
     """
     had_work: bool = False
     """Whether streams of the head have stalled, which shows that it had work."""
+    left_at_s: float | None = None
+    """Monotonic time at which a member left a head that did not answer, or None.
+
+    The head may then be open without work, although its streams had stalled before.
+    """
 
 
 class GroupTeardown:
@@ -160,7 +165,7 @@
         teardown = self._teardowns.get(view.key)
         if teardown is not None and teardown.free_at_s is not None:
             unresponsive_head = view.head
-            is_waiting = self._clock.monotonic() < teardown.free_at_s
+            is_waiting = not self._are_members_free(view.key, teardown)
             if (
                 is_waiting
                 and unresponsive_head is not None
@@ -209,6 +214,7 @@
         now_s = self._clock.monotonic()
         teardown = self._teardowns.setdefault(key, _Teardown())
         teardown.member_left = True
+        teardown.left_at_s = None
         if teardown.free_at_s is None or teardown.free_at_s > now_s:
             teardown.free_at_s = now_s
             _log.info("group_head_restarted", group=key[0], epoch=key[1])
@@ -280,6 +286,7 @@
         left_at_s = self._departures.left_at_s(view.key)
         if left_at_s is not None and not teardown.member_left:
             teardown.member_left = True
+            teardown.left_at_s = left_at_s
             teardown.free_at_s = left_at_s + self._stall_timeout_s
         if teardown.member_left:
             return []
@@ -313,13 +320,13 @@
         """Return whether a server is free to join a new group."""
         if not self._fleet.may_join(server) or self._is_in_formation(server.vm):
             return False
-        now_s = self._clock.monotonic()
         membership = server.membership
         if membership is None:
             # A predecessor may have ordered the server to leave a group whose
             # head it could not reach. Wait for the same time as it would have.
             is_fresh = self._health.orders_begun(server) == 0
-            has_settled = now_s - self._lease.held_since_s > self._stall_timeout_s
+            held_s = self._clock.monotonic() - self._lease.held_since_s
+            has_settled = held_s > self._stall_timeout_s
             return (
                 is_fresh or has_settled or self._has_no_known_model(server)
             ) and not self._is_withheld(server)
@@ -327,12 +334,37 @@
         if is_standby(key):
             return True
         teardown = self._teardowns.get(key)
+        return teardown is not None and self._are_members_free(key, teardown)
+
+    def _are_members_free(self, key: GroupKey, teardown: _Teardown) -> bool:
+        """Return whether the members of a group may join another one.
+
+        A head that did not answer when a member left may have had no work by then, and
+        stays open. As long as its entry shows that it serves, the members wait like
+        those of any head without work. The entry of a lost head lapses before.
+        """
+        now_s = self._clock.monotonic()
+        if teardown.free_at_s is None or now_s < teardown.free_at_s:
+            return False
+        if teardown.left_at_s is None:
+            return True
         return (
-            teardown is not None
-            and teardown.free_at_s is not None
-            and now_s >= teardown.free_at_s
+            now_s - teardown.left_at_s >= _IDLE_HEAD_WAIT_S
+            or not self._is_head_serving(key)
         )
 
+    def _is_head_serving(self, key: GroupKey) -> bool:
+        """Return whether the entry of the head of a group shows that it serves."""
+        for server in self._fleet.listed.values():
+            membership = server.membership
+            if (
+                membership is not None
+                and membership.rank == 0
+                and (membership.group, membership.epoch) == key
+            ):
+                return membership.state in _SERVING_STATES
+        return False
+
     def _has_no_known_model(self, server: BackendServer) -> bool:
         """Return whether this node has never seen a server with a loaded model.
 
@@ -345,9 +377,8 @@
 
     def _is_withheld(self, server: BackendServer) -> bool:
         """Return whether a server left a group whose members are not free yet."""
-        now_s = self._clock.monotonic()
         return any(
-            teardown.free_at_s is not None and now_s < teardown.free_at_s
+            teardown.free_at_s is not None and not self._are_members_free(key, teardown)
             for key, teardown in self._teardowns.items()
             if (key, server.vm, server.start_time_ms) in self._removed_members
         )
@@ -367,7 +398,9 @@
         is_head = membership is not None and membership.rank == 0
         had_work = teardown.had_work
         wait_s = self._stall_timeout_s if had_work else _IDLE_HEAD_WAIT_S
-        teardown.free_at_s = self._clock.monotonic() + (0.0 if is_head else wait_s)
+        now_s = self._clock.monotonic()
+        teardown.left_at_s = None if is_head else now_s
+        teardown.free_at_s = now_s + (0.0 if is_head else wait_s)
         self._wake()
         if not is_head:
             self._removed_members.add((key, server.vm, server.start_time_ms))
--- a/pomelolug/replicas/tests/test_controller.py
+++ b/pomelolug/replicas/tests/test_controller.py
@@ -379,6 +379,43 @@
     await node.stop()
 
 
+@pytest.mark.parametrize("is_successor", [False, True])
+async def test_members_are_not_reused_while_the_entry_of_their_head_is_open(
+    is_successor,
+):
+    # Guards against a server in two groups: streams of a head have stalled, since the
+    # path to it is lost, and it has no work when a member leaves, so it stays open.
+    fleet = make_fleet()
+    node = await start_node(fleet)
+    successor = Node(fleet, generation=2)
+    successor.serving = True
+    successor.election.is_assigned = False
+    await asyncio.sleep(6.0)
+    head = head_of(fleet, SMALL)
+    members = set(fleet.servers[head].members) - {head}
+    fleet.servers[head].reachable = False
+    fleet.servers[head].has_work = False
+    node.controller.mark_suspect(head)
+    order_count_before = len(fleet.orders)
+    await asyncio.sleep(3.0)
+    if is_successor:
+        successor.departures.merge(node.departures.ages_s())
+        node.election.is_assigned = False
+        successor.election.is_assigned = True
+    await asyncio.sleep(10.0)
+    orders = fleet.orders[order_count_before:]
+    joined = {vm for kind, vm, _ in orders if kind == "join"}
+    # A successor may use a member that has left, which is in no group any more.
+    assert not joined & (members - set(leave_orders(fleet, order_count_before)))
+    assert fleet.violations == []
+    fleet.servers[head].reachable = True
+    await asyncio.sleep(8.0)
+    assert SMALL in fleet.open_groups().values()
+    assert fleet.violations == []
+    await node.stop()
+    await successor.stop()
+
+
 def silent_members(fleet: GroupServers, head: VmId, which: str) -> tuple[VmId, ...]:
     members = fleet.servers[head].members
     return {"head": members[:1], "member": members[-1:], "all": members}[which]
--- a/pomelolug/testing/_group_servers.py
+++ b/pomelolug/testing/_group_servers.py
@@ -59,6 +59,8 @@
     membership: GroupMembership | None = None
     members: tuple[VmId, ...] = ()
     broken_at_s: float | None = None
+    has_work: bool = True
+    """Whether the server works if it is a head, so that it detects a loss."""
 
 
 _OrderAction = Callable[[SimulatedServer], OrderResult]
@@ -493,7 +495,7 @@
                     membership.group,
                     membership.epoch,
                 ):
-                    if other.broken_at_s is None:
+                    if other.broken_at_s is None and other.has_work:
                         other.broken_at_s = breaks_at_s
                         self._call_later(
                             self._stall_timeout_s,
