Free requests when they end, not when the garbage collector runs

Cause: four reference cycles kept the bodies of ended requests: the task in its own frame, the frame that asks a task for its result, errors kept in variables of frames in their traceback, and runs of streams with the functions called at their events.

Change: no frame keeps its task, errors lose their tracebacks when they have been handled, and a closed run drops its functions.

--- a/pomelolug/entry/requests/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -36,6 +36,7 @@
     urgency_of,
 )
 from pomelolug.entry.requests._stream import StreamForwarder
+from pomelolug.entry.requests._tracebacks import drop_tracebacks
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.feeds import TopicFeed
 from pomelolug.ids import AccountId
@@ -158,9 +159,7 @@
         )
         self._request_count += 1
         self._in_flight += 1
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
+        self._tasks.add(_current_task())
         try:
             self._check_refusal(exchange)
             forwarded = self._accept_forwarded(exchange) if is_forwarded else None
@@ -172,7 +171,9 @@
             if is_forwarded:
                 error = _name_unreached_servers(error, record)
             _record_and_reply_error(exchange, request_head, record, error)
-        except asyncio.CancelledError:
+            drop_tracebacks(error)
+        except asyncio.CancelledError as error:
+            drop_tracebacks(error)
             if self._is_ending and not exchange.has_started:
                 _record_and_reply_error(
                     exchange, request_head, record, _stop_error(record)
@@ -180,12 +181,13 @@
                 return
             record.status, record.code = 499, ErrorCode.CALLER_LEFT
             raise
-        except Exception:
+        except Exception as error:
             _log.exception("request_failed", request=request_head.request_id)
             exchange.abort()
+            drop_tracebacks(error)
         finally:
             self._in_flight -= 1
-            self._tasks.discard(task)
+            self._tasks.discard(_current_task())
             self._record_outcome(record, arrived_at_s)
 
     def _check_refusal(self, exchange: Exchange) -> None:
@@ -331,6 +333,16 @@
             _log.info("request", took_s=round(took_s, 4), **record.log_fields())
 
 
+def _current_task() -> asyncio.Task[Any]:
+    """Return the current task.
+
+    A frame that keeps it in a variable forms a cycle with the error of the task.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    return task
+
+
 def _stop_error(record: RequestRecord) -> RequestError:
     message = "the node stops before the request was answered"
     if any(attempt.may_have_run for attempt in record.attempts):
--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -19,6 +19,7 @@
 )
 from pomelolug.entry.requests._request_exits import MAX_UNREACHED_SERVERS, RequestExits
 from pomelolug.entry.requests._request_record import AttemptRecord
+from pomelolug.entry.requests._tracebacks import drop_tracebacks
 from pomelolug.entry.servers import ServerNotices, ServerOptions, ServerTracker
 from pomelolug.errors import ErrorCode, Outcome, RequestError
 from pomelolug.ids import VmId, ZoneId
@@ -388,8 +389,10 @@
                 state.has_unused_retry = True
                 state.unreached_count += failure.is_server_failure
             self._record_attempt_error(state, running.attempt, failure)
+            drop_tracebacks(failure)
             return None
         except QuarantinedError as error:
+            drop_tracebacks(error)
             # A server that is asked already may still answer.
             state.may_start = False
             state.quarantine = error
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -391,6 +391,8 @@
         finally:
             state.current = None
             await run.close(error, result)
+            # This frame is in the traceback of the error.
+            error = None
 
     def _record_failure(
         self,
@@ -514,6 +516,7 @@
             finally:
                 if state.replacement is not other:
                     await other.close(error, result)
+                error = None
 
     async def _end_move(self, state: StreamState) -> None:
         """Give up the search for another group, and the run that it has found."""
--- a/pomelolug/entry/requests/_stream_run.py
+++ b/pomelolug/entry/requests/_stream_run.py
@@ -204,6 +204,9 @@
         await self._attempt.__aexit__(kind, cause, None)
         for on_close in self._on_close:
             on_close()
+        # The functions refer to the run, and so to the request.
+        self._on_event = self._on_hold = None
+        self._on_close.clear()
 
     async def _read_events(self) -> None:
         """Read until an event has arrived, or the stream has ended."""
