Count each run of a stream, and repeat it at the same server only

Cause: the end of a kept connection before any answer was taken for one that the server had closed before, and no run was counted; the next choice was free.

Change: each possible run is counted with its server, and the limit counts servers. After such an end the same server is asked once more, and a further one only if the route allows it. Nodes that requests are passed on to count in the same way.

--- a/pomelolug/entry/requests/_request_record.py
+++ b/pomelolug/entry/requests/_request_record.py
@@ -34,6 +34,8 @@
     """By the node, since no dispatcher replied that has groups."""
     UNUSABLE = "unusable"
     """By the node, since it may not send to the assigned group."""
+    REPEATED = "repeated"
+    """Not at all: the server that has closed a kept connection is asked once more."""
     SUSPECTED = "suspected"
     """By the node, among the groups that are suspected, for a stream that has begun."""
 
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -18,7 +18,7 @@
     unknown_outcome_error,
 )
 from pomelolug.entry.requests._request_exits import MAX_UNREACHED_SERVERS, RequestExits
-from pomelolug.entry.requests._request_record import AttemptRecord
+from pomelolug.entry.requests._request_record import AttemptRecord, GroupChoice
 from pomelolug.entry.requests._stream_decisions import (
     RETRY_AFTER_FULL,
     add_jitter,
@@ -185,6 +185,9 @@
         return run
 
     def _may_use_exits(self, context: RequestContext, state: StreamState) -> bool:
+        if state.repeats_at is not None:
+            # A node might choose a further server.
+            return False
         return may_pass_stream_on(
             context,
             server_tracker=self._server_tracker,
@@ -234,9 +237,9 @@
             state.attempt_count < _MAX_ATTEMPTS
             and state.unreached_count < MAX_UNREACHED_SERVERS
         ):
-            selected = await self._servers(context).select(
-                context, state.tried, waits=waits
-            )
+            selected = await self._select(context, state, waits=waits)
+            if selected is None:
+                return None
             if isinstance(selected, ServerOptions):
                 state.options = selected
                 return None
@@ -275,6 +278,21 @@
             return run
         return None
 
+    async def _select(
+        self, context: RequestContext, state: StreamState, *, waits: bool
+    ) -> SelectedServer | ServerOptions | None:
+        """Return the server of the next run, None if no further one may run it."""
+        servers = self._servers(context)
+        vm, state.repeats_at = state.repeats_at, None
+        if vm is not None:
+            options = servers.find_options(context)
+            server = next((s for s in options.accepting if s.vm == vm), None)
+            if server is not None:
+                return SelectedServer(server, GroupChoice.REPEATED)
+        if not self._may_retry(context, state, running=state.current is not None):
+            return None
+        return await servers.select(context, state.tried, waits=waits)
+
     def _try_spend(self, context: RequestContext, state: StreamState) -> bool:
         """Take a retry from the budget, unless the latest one has reached no server."""
         if state.has_unused_retry:
@@ -418,18 +436,14 @@
             self._servers(context).record_failed_run(
                 run.target, since_s=context.arrived_at_s
             )
+        state.count_run(run.target)
         is_stale = isinstance(error, AttemptError) and error.stale_connection
         if is_stale and context.route.is_repeatable and not state.use_fresh_connection:
-            # The same server may be tried again, so that no further one needs to run
-            # the request.
+            # The server may have closed the connection before the request arrived, or
+            # have run it. It may run it once more, which takes no further server.
             state.use_fresh_connection = True
             if isinstance(run.target, BackendServer):
-                state.tried.discard(run.target.vm)
-            else:
-                state.tried_nodes.discard(run.target)
-            state.error = _to_request_error(_result_of(error), 1)
-            return
-        state.possible_runs += 1
+                state.repeats_at = run.target.vm
         state.error = _to_request_error(_result_of(error), state.possible_runs)
 
     def _has_decisive_error(self, state: StreamState) -> bool:
@@ -447,7 +461,7 @@
             self._exits.avoid(run.target)
             return
         if not refusal.has_not_run:
-            state.possible_runs += 1
+            state.count_run(run.target)
         # While an earlier run goes on, other nodes may still be asked.
         state.is_refused = state.current in (None, run)
 
@@ -511,7 +525,7 @@
                     return
             except BaseException as caught:
                 error = caught
-                state.possible_runs += 1
+                state.count_run(other.target)
                 raise
             finally:
                 if state.replacement is not other:
@@ -570,12 +584,14 @@
         running : int
             Number of runs that go on.
         """
-        run_count = context.prior_runs + state.possible_runs + running
+        server_count = context.prior_runs + len(state.run_servers) + running
         if state.is_refused:
             return False
-        if not run_count:
+        if not server_count:
             return True
-        return context.route.is_repeatable and run_count < context.route.max_attempts
+        return context.route.is_repeatable and (
+            state.repeats_at is not None or server_count < context.route.max_attempts
+        )
 
     def _can_retry_error(
         self, context: RequestContext, state: StreamState, error: ServerError
