Tell the node that gets a stream on how many servers it may have run

Cause: since runs at the same server are counted, a stream whose server had been asked twice was passed on with two runs, and the other node would have taken the limit of two servers as reached.

Change: the number of servers is passed on, as the limit counts them. Two comments say what they mean.

Result: tests of forwarded requests, lost answers, cut-off nodes and moved streams pass; the case itself has no test of its own.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -865,7 +865,7 @@
         self._server_contact.report_trouble(head)
         server = self._registry.servers.get(head)
         if server is not None and server.membership is None:
-            # A server of a plain service has no members that all requests need.
+            # The other servers of a plain service work on, so no group is suspected.
             return
         self._metrics.stalls.inc()
         _log.warning(
--- a/pomelolug/entry/requests/_request_record.py
+++ b/pomelolug/entry/requests/_request_record.py
@@ -35,7 +35,7 @@
     UNUSABLE = "unusable"
     """By the node, since it may not send to the assigned group."""
     REPEATED = "repeated"
-    """Not at all: the server that has closed a kept connection is asked once more."""
+    """Not chosen: the server whose kept connection has ended is asked once more."""
     SUSPECTED = "suspected"
     """By the node, among the groups that are suspected, for a stream that has begun."""
 
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -200,8 +200,8 @@
     ) -> StreamRun | None:
         """Pass the request on to another node, None if none takes it."""
         while (address := self._exits.select(state.tried_nodes)) is not None:
-            possible_runs = state.possible_runs + (state.current is not None)
-            if possible_runs and not self._try_spend(context, state):
+            run_count = len(state.run_servers) + (state.current is not None)
+            if run_count and not self._try_spend(context, state):
                 return None
             state.tried_nodes.add(address)
             attempt, record = self._exits.create_attempt(context, address)
@@ -209,7 +209,7 @@
             data = context.encode_for_peer(
                 now_s=self._clock.monotonic(),
                 last_event_id=state.last_event_id,
-                possible_runs=context.prior_runs + possible_runs,
+                possible_runs=context.prior_runs + run_count,
             )
             try:
                 is_fresh = state.use_fresh_connection or not context.route.is_repeatable
