Log records that a source leaves out, and read all keys again

A feed took the end of a batch as it was, although the store numbers the records of a topic without gaps.

Change: TopicFeed compares the offsets of a batch with its bounds. If some are left out, it logs `records_skipped` with the source and the offsets, and reads the newest record of each key instead, so that a relay of an earlier version withholds a removal for one read only.

--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -8,7 +8,7 @@
 import structlog
 
 from pomelolug.clock import Clock
-from pomelolug.errors import PlatformError
+from pomelolug.errors import ErrorCode, PlatformError
 from pomelolug.feeds._record_log import RecordLog
 from pomelolug.feeds._source import (
     HistoryLostError,
@@ -205,6 +205,7 @@
             records = [*batch.records, *removals]
         else:
             batch = await source.read(self._topic, self._offset, wait=wait)
+            self._check_complete(source, batch, self._offset)
             self._log.extend(batch)
             records = list(batch.records)
         self._offset = max(batch.end, self._offset or batch.end)
@@ -213,6 +214,29 @@
             self._on_records(records)
         return batch
 
+    def _check_complete(
+        self, source: RecordSource, batch: RecordBatch, first: Offset
+    ) -> None:
+        """Raise `HistoryLostError` if a batch leaves out records from `first` on.
+
+        The store numbers the records of a topic without gaps.
+        """
+        offsets = {record.offset for record in batch.records}
+        missing = max(batch.end - first, 0) - len(offsets)
+        if missing > 0:
+            _log.warning(
+                "records_skipped",
+                topic=self._topic,
+                source=source.name,
+                first=first,
+                end=batch.end,
+                missing=missing,
+            )
+            raise HistoryLostError(
+                ErrorCode.LOG_INCOMPLETE,
+                f"{source.name} left out {missing} records before offset {batch.end}",
+            )
+
     def _log_source(self, source: RecordSource) -> None:
         if source.name != self._source_name:
             self._source_name = source.name
--- a/pomelolug/feeds/tests/test_topic_feed.py
+++ b/pomelolug/feeds/tests/test_topic_feed.py
@@ -5,6 +5,7 @@
 import datetime
 
 import pytest
+import structlog
 
 from pomelolug.errors import ErrorCode
 from pomelolug.feeds import (
@@ -241,3 +242,36 @@
     assert store.calls == 1 and feed.is_fresh
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
+
+
+class SkippingSource(LogSource):
+    """Source whose first batch has no records, but the end of the log."""
+
+    skips = True
+
+    async def read(self, topic, first, *, wait):
+        batch = await super().read(topic, first, wait=wait)
+        if not self.skips or not batch.records:
+            return batch
+        self.skips = False
+        return dataclasses.replace(batch, records=())
+
+
+async def test_feed_reads_all_keys_again_if_a_source_skips_records():
+    # Guards against a removal that is never read and leaves no line in the log, since
+    # a relay of an earlier version answers with an end past it.
+    log = RecordLog()
+    log.extend(RecordBatch((record(0, "a"), record(1, "b")), Offset(2)))
+    received = []
+    feed = make_feed([SkippingSource(log)], received, [])
+    task = asyncio.create_task(feed.run())
+    await asyncio.sleep(0.5)
+    with structlog.testing.capture_logs() as lines:
+        log.extend(RecordBatch((record(2, "a", None),), Offset(3)))
+        await asyncio.sleep(0.5)
+    assert [r.key for r in feed.log.snapshot(age_s=0.0).records] == ["b"]
+    assert ("a", None) in [(r.key, r.value) for r in received]
+    skipped = [line for line in lines if line["event"] == "records_skipped"]
+    assert [(line["first"], line["missing"]) for line in skipped] == [(2, 1)]
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
