--- a/pomelolug/feeds/_record_log.py
+++ b/pomelolug/feeds/_record_log.py
@@ -45,14 +45,15 @@
     def reset(self, batch: RecordBatch) -> list[Record]:
         """Apply a snapshot and return removal records for the keys missing from it.
 
-        A snapshot that ends before the last record that was read is stale, so no
-        key is removed for it.
+        A snapshot that ends before the last record that was read is stale: all that it
+        contains was read before, and may have been removed since. It changes nothing.
         """
+        if batch.end < self._end:
+            return []
         self._is_loaded = True
         known = set(self._newest)
         present = {record.key for record in batch.records}
-        stale = batch.end < self._end
-        missing = [] if stale else sorted(known - present)
+        missing = sorted(known - present)
         is_lost = era_of(batch.end) != era_of(self._end)
         removals = [
             Record(Offset(batch.end - 1), key, None, is_lost) for key in missing
@@ -64,7 +65,7 @@
         for record in self.snapshot(age_s=0.0).records:
             # No reader gets these records, but differences to them can be sent.
             self._append_recent(record)
-        self._end = Offset(max(self._end, batch.end))
+        self._end = batch.end
         self._first_kept = self._end
         self.wake_readers()
         return removals
--- a/pomelolug/feeds/tests/test_record_log.py
+++ b/pomelolug/feeds/tests/test_record_log.py
@@ -37,3 +37,14 @@
         first = batch.end
     await appending
     assert received == list(range(RECORD_COUNT))
+
+
+def test_stale_snapshot_brings_no_removed_key_back():
+    # Guards against a removed server that other nodes get from this one again, because
+    # a source that is behind has answered a request for all keys.
+    log = RecordLog()
+    old = RecordBatch((Record(Offset(0), "a", b"v"),), Offset(1))
+    log.reset(old)
+    log.extend(RecordBatch((Record(Offset(1), "a", None),), Offset(2)))
+    assert log.reset(old) == []
+    assert log.snapshot(age_s=0.0) == RecordBatch((), Offset(2))
