Read the store again soon after a single failed read

Callers may have seen requests go to a server that had left, on large zones.

Cause: the pause after a failed read grew with the nodes of the zone at once, as if the store were out for all of them. The class: a bound that protects a shared service applied to a fault of one client.

Change: the pause is at most the time for which the reads have failed, or 0.25 s, times the same spread. In an outage it grows to the former one. The probe of the store by a node behind a relay follows the same rule.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -260,7 +260,7 @@
             store=store,
             topic=TOPIC_LOSSES,
             is_reading=lambda: self._peer_coordinator.record_source()[0] is store,
-            retry_delay=lambda: self._peer_coordinator.retry_delay(store),
+            retry_delay=lambda failing_for: self._retry_delay(store, failing_for),
             clock=clock,
         )
         self._registry = ServerRegistry(clock=clock)
@@ -500,7 +500,7 @@
             on_success=lambda source: self._store_contact.record(
                 source, succeeded=True
             ),
-            retry_delay=lambda source: self._peer_coordinator.retry_delay(source),
+            retry_delay=self._retry_delay,
         )
         self._server_feed = TopicFeed(
             topic=TOPIC_SERVERS,
@@ -511,7 +511,7 @@
             ),
             on_records=self._registry_updater.apply_records,
             on_failure=lambda source: self._peer_coordinator.avoid_source(source),
-            retry_delay=lambda source: self._peer_coordinator.retry_delay(source),
+            retry_delay=self._retry_delay,
             restore_delay=_SERVER_RESTORE_DELAY,
         )
         self._loss_feed = TopicFeed(
@@ -522,7 +522,7 @@
             on_records=self._loss_publisher.apply_records,
             # A relay of an earlier version does not serve this topic.
             on_failure=lambda source: None,
-            retry_delay=lambda source: self._peer_coordinator.retry_delay(source),
+            retry_delay=self._retry_delay,
         )
         self._feeds = {
             TOPIC_DECLARATION: self._declaration_feed,
@@ -530,6 +530,11 @@
             TOPIC_LOSSES: self._loss_feed,
         }
 
+    def _retry_delay(
+        self, source: RecordSource, failing_for: datetime.timedelta
+    ) -> datetime.timedelta:
+        return self._peer_coordinator.retry_delay(source, failing_for)
+
     def _server_source(self) -> tuple[RecordSource, datetime.timedelta]:
         """Return the source of server entries, the store on the active controller."""
         if self._lease.is_held:
--- a/pomelolug/entry/peers/_peer_coordinator.py
+++ b/pomelolug/entry/peers/_peer_coordinator.py
@@ -294,14 +294,24 @@
             until_s = self._clock.monotonic() + _RELAY_BACKOFF_S
             self._avoided_until_s = {source.address: until_s}
 
-    def retry_delay(self, source: RecordSource) -> datetime.timedelta:
-        """Return the pause before a source that failed is read again."""
+    def retry_delay(
+        self, source: RecordSource, failing_for: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Return the pause before a source that failed is read again.
+
+        Parameters
+        ----------
+        source : RecordSource
+            The source that failed.
+        failing_for : datetime.timedelta
+            Time for which all reads have failed.
+        """
         if isinstance(source, RelaySource):
             return _RETRY_DELAY
         zone_nodes = 1 + sum(
             status.zone == self._settings.zone for status in self._gossip.live_statuses
         )
-        return store_retry_delay(zone_nodes, self._rng)
+        return store_retry_delay(zone_nodes, self._rng, failing_for=failing_for)
 
     def forwarding_addresses(self, rng: random.Random | None = None) -> list[str]:
         """Return the addresses of nodes to pass requests to, best first.
@@ -655,17 +665,29 @@
         self._declarations.apply_if_newer(data, source=status.node)
 
 
-def store_retry_delay(zone_node_count: int, rng: random.Random) -> datetime.timedelta:
+def store_retry_delay(
+    zone_node_count: int, rng: random.Random, *, failing_for: datetime.timedelta
+) -> datetime.timedelta:
     """Return the pause of a node before it reads the store again after a failure.
 
     It grows with the number of nodes in the zone, so that the calls of the zone do not,
     and is spread at random. The first node that reaches the store again becomes the
-    relay of the others.
+    relay of the others. A node whose reads fail for a moment only reads again as soon,
+    since it may be alone in that.
+
+    Parameters
+    ----------
+    zone_node_count : int
+        Number of nodes in the zone.
+    rng : random.Random
+        Spreads the pauses of the nodes.
+    failing_for : datetime.timedelta
+        Time for which all reads of the node have failed.
     """
     if zone_node_count <= _STORE_PROBERS:
         return _RETRY_DELAY
-    spread = rng.uniform(0.5, 1.5)
-    return _RETRY_DELAY * (spread * zone_node_count / _STORE_PROBERS)
+    longest = _RETRY_DELAY * (zone_node_count / _STORE_PROBERS)
+    return rng.uniform(0.5, 1.5) * min(longest, max(_RETRY_DELAY, failing_for))
 
 
 def is_lease_held_by_peer(statuses: Iterable[NodeStatus], *, zone: ZoneId) -> bool:
--- a/pomelolug/entry/peers/_store_contact.py
+++ b/pomelolug/entry/peers/_store_contact.py
@@ -31,7 +31,7 @@
     is_reading : callable
         Returns whether this node reads the store anyway.
     retry_delay : callable
-        Returns the pause that the number of nodes asks for between two reads.
+        Returns the pause between two reads, given the time for which they have failed.
     clock : Clock
         Source of monotonic time.
     """
@@ -42,7 +42,7 @@
         store: RecordSource,
         topic: str,
         is_reading: Callable[[], bool],
-        retry_delay: Callable[[], datetime.timedelta],
+        retry_delay: Callable[[datetime.timedelta], datetime.timedelta],
         clock: Clock,
     ) -> None:
         self._store = store
@@ -51,6 +51,7 @@
         self._retry_delay = retry_delay
         self._clock = clock
         self._is_available = True
+        self._failing_since_s = float("inf")
 
     @property
     def is_available(self) -> bool:
@@ -62,12 +63,15 @@
         if source is not self._store or succeeded == self._is_available:
             return
         self._is_available = succeeded
+        self._failing_since_s = float("inf") if succeeded else self._clock.monotonic()
         _log.info("store_contact", available=succeeded)
 
     async def run(self) -> None:
         """Read the store after a failure until it responds, until cancelled."""
         while True:
-            await self._clock.sleep(max(_MIN_PROBE_INTERVAL, self._retry_delay()))
+            failing_s = max(self._clock.monotonic() - self._failing_since_s, 0.0)
+            pause = self._retry_delay(datetime.timedelta(seconds=failing_s))
+            await self._clock.sleep(max(_MIN_PROBE_INTERVAL, pause))
             if self._is_available or self._is_reading():
                 continue
             try:
--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -65,7 +65,8 @@
     on_success : callable, optional
         Called with a source that responded.
     retry_delay : callable
-        Returns the pause before a source that failed is read again.
+        Returns the pause before a source that failed is read again, given the source
+        and the time for which all reads have failed.
     restore_delay : datetime.timedelta
         Time for which the records are kept as they are after the store went back to
         an older copy, until their writers have written again.
@@ -80,7 +81,7 @@
         read_pause: Callable[[], datetime.timedelta],
         on_records: Callable[[Iterable[Record]], None],
         on_failure: Callable[[RecordSource], None],
-        retry_delay: Callable[[RecordSource], datetime.timedelta],
+        retry_delay: Callable[[RecordSource, datetime.timedelta], datetime.timedelta],
         on_success: Callable[[RecordSource], None] = lambda source: None,
         on_batch: Callable[[RecordBatch, bool], None] = lambda batch, is_snapshot: None,
         restore_delay: datetime.timedelta = datetime.timedelta(0),
@@ -100,6 +101,7 @@
         self._status = FeedStatus()
         self._store_lost = False
         self._last_read_failed = False
+        self._failing_since_s = float("inf")
         self._is_overdue = False
         self._is_source_stale = False
         self._source_name = ""
@@ -153,6 +155,7 @@
                 await self._pause_after_failure(source)
                 continue
             self._last_read_failed = False
+            self._failing_since_s = float("inf")
             self._is_source_stale = batch.is_stale
             self._status.last_contact_s = self._clock.monotonic() - batch.age_s
             self._on_success(source)
@@ -187,7 +190,10 @@
 
     async def _pause_after_failure(self, failed: RecordSource) -> None:
         """Wait until a source may be read again, or until there is another one."""
-        left = self._retry_delay(failed)
+        now_s = self._clock.monotonic()
+        self._failing_since_s = min(self._failing_since_s, now_s)
+        failing_for = datetime.timedelta(seconds=now_s - self._failing_since_s)
+        left = self._retry_delay(failed, failing_for)
         while left > datetime.timedelta(0):
             step = min(left, _SOURCE_CHECK_INTERVAL)
             await self._clock.sleep(step)
