Turn from a failed relay to the store without a pause

Change: the feed pauses only as long as the source that failed is the one to be read next.

Result: test_feed_turns_from_a_failed_relay_to_the_store_without_a_pause failed before and passes; the tests of feeds/ pass.

--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -194,12 +194,10 @@
         self._failing_since_s = min(self._failing_since_s, now_s)
         failing_for = datetime.timedelta(seconds=now_s - self._failing_since_s)
         left = self._retry_delay(failed, failing_for)
-        while left > datetime.timedelta(0):
+        while left > datetime.timedelta(0) and self._select_source()[0] is failed:
             step = min(left, _SOURCE_CHECK_INTERVAL)
             await self._clock.sleep(step)
             left -= step
-            if self._select_source()[0] is not failed:
-                return
 
     async def _read(
         self, source: RecordSource, wait: datetime.timedelta
--- a/pomelolug/feeds/tests/test_topic_feed.py
+++ b/pomelolug/feeds/tests/test_topic_feed.py
@@ -275,3 +275,23 @@
     assert [(line["first"], line["missing"]) for line in skipped] == [(2, 1)]
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_feed_turns_from_a_failed_relay_to_the_store_without_a_pause():
+    # Guards against a server in use while the node waits to read a relay again that it
+    # does not read next.
+    log = RecordLog()
+    log.extend(RecordBatch((record(0, "a"),), Offset(1)))
+    relay, store = LogSource(log), LogSource(log)
+    sources = [relay]
+    feed = make_feed(sources, [], [])
+    feed._on_failure = lambda source: sources.__setitem__(0, store)
+    feed._retry_delay = lambda source, failing_for: datetime.timedelta(seconds=60)
+    task = asyncio.create_task(feed.run())
+    await asyncio.sleep(0.5)
+    relay.is_unavailable = True
+    log.extend(RecordBatch((record(1, "a", None),), Offset(2)))
+    await asyncio.sleep(0.15)
+    assert store.calls and feed.is_fresh
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
