Keep the latest contact with the store when a relay knows an older one

Cause: each response set the time of the last contact, also one of a relay that had heard of the store longer ago than the node itself.

Change: the time of the last contact only grows.

Result: test_old_data_of_a_relay_hide_no_later_contact_with_the_store failed before and passes; the tests of feeds/ pass.

--- a/pomelolug/feeds/_feed.py
+++ b/pomelolug/feeds/_feed.py
@@ -157,7 +157,10 @@
             self._last_read_failed = False
             self._failing_since_s = float("inf")
             self._is_source_stale = batch.is_stale
-            self._status.last_contact_s = self._clock.monotonic() - batch.age_s
+            # A relay may have heard of the store longer ago than this node.
+            self._status.last_contact_s = max(
+                self._status.last_contact_s, self._clock.monotonic() - batch.age_s
+            )
             self._on_success(source)
             self._log_source(source)
             self._log_availability(
--- a/pomelolug/feeds/tests/test_topic_feed.py
+++ b/pomelolug/feeds/tests/test_topic_feed.py
@@ -295,3 +295,21 @@
     assert store.calls and feed.is_fresh
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_old_data_of_a_relay_hide_no_later_contact_with_the_store():
+    # Guards against a removal taken for an entry that lapsed, since a node that has
+    # just read the store itself seems to have missed it for as long as its relay.
+    log = RecordLog()
+    log.extend(RecordBatch((record(0, "a"),), Offset(1)))
+    store, relay = LogSource(log), LogSource(log)
+    relay.age_s = 2.5
+    sources = [store]
+    feed = make_feed(sources, [], [])
+    task = asyncio.create_task(feed.run())
+    await asyncio.sleep(0.5)
+    sources[0] = relay
+    await asyncio.sleep(2.0)
+    assert relay.calls and feed.age_s < 2.0
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
