Read the server entries again before an entry can have lapsed

Callers saw requests go to a server up to two seconds longer than allowed after its entry was removed, if the process of the zone's relay stood still then.

Cause: a relay waited up to 1 s at the store and its readers up to 0.7 s at the relay. The class: two time bounds that depend on each other, written down separately.

Change: the waits of both reads follow from the shortest lapse.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -33,7 +33,11 @@
 )
 from pomelolug.entry.dispatch import GroupDispatcher
 from pomelolug.entry.losses import LossPublisher, PoisonRequestDetector, RunMonitor
-from pomelolug.entry.peers import PeerCoordinator, StoreContact
+from pomelolug.entry.peers import (
+    PeerCoordinator,
+    StoreContact,
+    longest_wait_within,
+)
 from pomelolug.entry.performance import LearnedDelayEstimator
 from pomelolug.entry.preview import (
     KnownState,
@@ -536,10 +540,19 @@
         return self._peer_coordinator.retry_delay(source, failing_for)
 
     def _server_source(self) -> tuple[RecordSource, datetime.timedelta]:
-        """Return the source of server entries, the store on the active controller."""
-        if self._lease.is_held:
-            return self._peer_coordinator.store_source()
-        return self._peer_coordinator.record_source()
+        """Return the source of server entries, the store on the active controller.
+
+        Behind a lost relay, an entry that is removed must not seem to have lapsed.
+        """
+        source, wait = (
+            self._peer_coordinator.store_source()
+            if self._lease.is_held
+            else self._peer_coordinator.record_source()
+        )
+        longest_wait = longest_wait_within(
+            self._settings.shortest_lapse, read_pause=_READ_PAUSE
+        )
+        return source, min(wait, longest_wait)
 
     def _build_forwarders(self) -> None:
         settings, clock = self._settings, self._clock
--- a/pomelolug/entry/peers/__init__.py
+++ b/pomelolug/entry/peers/__init__.py
@@ -24,6 +24,7 @@
 from pomelolug.entry.peers._relay import (
     RECORDS_PATH,
     RelaySource,
+    longest_wait_within,
     serve_records,
 )
 from pomelolug.entry.peers._store_contact import (
@@ -44,6 +45,7 @@
     "StoreContact",
     "is_lease_held_by_peer",
     "is_longest_running_relay",
+    "longest_wait_within",
     "order_forwarding_addresses",
     "sample_other_exits",
     "sample_zone_exits",
--- a/pomelolug/entry/peers/_relay.py
+++ b/pomelolug/entry/peers/_relay.py
@@ -41,7 +41,7 @@
     encode_request,
 )
 
-__all__ = ["RECORDS_PATH", "RelaySource", "serve_records"]
+__all__ = ["RECORDS_PATH", "RelaySource", "longest_wait_within", "serve_records"]
 
 _log = structlog.get_logger(__name__)
 
@@ -49,6 +49,9 @@
 
 _RESPONSE_TIMEOUT_S = 0.4
 """Time limit of the head of a response, and of a small one, besides the wait."""
+_STORE_RESPONSE_TIME = datetime.timedelta(milliseconds=100)
+"""Usual time of a response of the store besides the wait, with margin."""
+_SHORTEST_WAIT = datetime.timedelta(milliseconds=100)
 _LARGE_BODY_BYTES = 4096
 _SLOWEST_BYTES_PER_S = 40_000
 """Part of a link of 10 Mbit/s that one of 30 nodes of a zone gets."""
@@ -65,6 +68,33 @@
 """Most bytes that one number of a packed value takes in a message."""
 
 
+def longest_wait_within(
+    limit: datetime.timedelta, *, read_pause: datetime.timedelta
+) -> datetime.timedelta:
+    """Return how long reads may wait so that a lost relay is replaced in time.
+
+    A relay that has just waited at the store answers a reader, pauses for good, and
+    the reader waits for it in vain. With this wait at the store and at the relay, the
+    reader has a response of the store itself within the limit.
+
+    Parameters
+    ----------
+    limit : datetime.timedelta
+        Longest time between two responses of the store.
+    read_pause : datetime.timedelta
+        Pause after each read.
+
+    Examples
+    --------
+    >>> limit = datetime.timedelta(seconds=2.1)
+    >>> longest_wait_within(limit, read_pause=datetime.timedelta(seconds=0.2))
+    datetime.timedelta(microseconds=550000)
+    """
+    response_timeout = datetime.timedelta(seconds=_RESPONSE_TIMEOUT_S)
+    spent = response_timeout + 2 * (read_pause + _STORE_RESPONSE_TIME)
+    return max((limit - spent) / 2, _SHORTEST_WAIT)
+
+
 class _Accepted(enum.Enum):
     """Values that a reader accepts; earlier versions do not say it."""
 
