Refuse late requests of a planned stop that may outlast the process

Callers got 502, "may have run", for requests that reached a stopping node late in its grace period, also for those that may run only once.

Cause: the drain looked at connections only; nothing compared the deadline of a new request with the end of the process.

Change: once the load balancer has deregistered the node, a request whose deadline is later than the end of the process is refused as not run, with a Retry-After of zero, since other nodes serve.

--- a/pomelolug/entry/_compose.py
+++ b/pomelolug/entry/_compose.py
@@ -630,6 +630,7 @@
             run_monitor=self._run_monitor,
             metrics=self._metrics,
             is_stopping=lambda: self._lifecycle.is_stopping,
+            may_end_before=lambda time_s: self._lifecycle.may_end_before(time_s),
             clock=clock,
             rng=self._rng,
         )
--- a/pomelolug/entry/_lifecycle.py
+++ b/pomelolug/entry/_lifecycle.py
@@ -65,6 +65,17 @@
             self._stop_requested_at_s = self._clock.monotonic()
             self._stop_requested.set()
 
+    def may_end_before(self, time_s: float) -> bool:
+        """Return whether the process may end before a monotonic time.
+
+        False until the load balancer has deregistered the node: most requests end in
+        the rest of the grace period, and to refuse them all would cost more.
+        """
+        return (
+            self._since_stop_request_s() >= _DEREGISTRATION_S
+            and time_s > self._stop_requested_at_s + self._grace_s - _KILL_MARGIN_S
+        )
+
     async def wait_for_stop(self) -> None:
         """Wait until a stop is requested."""
         await self._stop_requested.wait()
--- a/pomelolug/entry/requests/_application.py
+++ b/pomelolug/entry/requests/_application.py
@@ -81,6 +81,8 @@
         Metrics of the process.
     is_stopping : callable
         Returns whether a planned stop has begun.
+    may_end_before : callable
+        Returns whether the process may end before a monotonic time.
     clock : Clock
         Source of monotonic time.
     rng : random.Random
@@ -98,6 +100,7 @@
         run_monitor: RunMonitor,
         metrics: EntryMetrics,
         is_stopping: Callable[[], bool],
+        may_end_before: Callable[[float], bool],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -109,6 +112,7 @@
         self._run_monitor = run_monitor
         self._metrics = metrics
         self._is_stopping = is_stopping
+        self._may_end_before = may_end_before
         self._clock = clock
         self._rng = rng
         self._in_flight = 0
@@ -166,6 +170,7 @@
             context = self._build_context(
                 exchange, request_head, record, arrived_at_s, forwarded
             )
+            self._check_stop(context)
             await self._forward(context)
         except RequestError as error:
             if is_forwarded:
@@ -204,6 +209,20 @@
             retry_after=_REFUSAL_RETRY_AFTER * factor,
         )
 
+    def _check_stop(self, context: RequestContext) -> None:
+        """Raise the error of a request that the end of the process may cut off.
+
+        Another node can take it at once, which its caller would not know later.
+        """
+        if self._may_end_before(context.deadline_at_s):
+            raise RequestError(
+                ErrorCode.DRAINING,
+                "the node stops before the request may have ended",
+                status=503,
+                outcome=Outcome.NOT_RUN,
+                retry_after=datetime.timedelta(0),
+            )
+
     def _accept_forwarded(self, exchange: Exchange) -> ForwardedRequest:
         """Return what another node states about a request, unless it is refused.
 
--- a/pomelolug/entry/tests/test_planned_stop.py
+++ b/pomelolug/entry/tests/test_planned_stop.py
@@ -188,3 +188,72 @@
         assert "/-/log-leave" in h.store.requested_paths
         assert not stopping.done()
         await stopping
+
+
+UPLOAD_GRACE_S = 5.0
+UPLOAD_END_S = 3.2
+"""Time after the request to stop at which the body of a late request is complete."""
+
+
+async def send_slowly(
+    node: Harness, kind: str, name: str, *, until_s: float, deadline_ms: int
+) -> tuple[int, bytes, float]:
+    """Send a request whose body is complete at a monotonic time.
+
+    Return status and body of the answer, and the seconds from the complete request.
+    """
+    connection = await node.connect()
+    request = encode_caller_request(
+        f"/{kind}/x",
+        method=b"POST",
+        body=b"b" * 100,
+        request_id=name,
+        deadline_ms=deadline_ms,
+        **({"Model": "model-a"} if kind == "stream" else {}),
+    )
+    connection.send(request[:-50])
+    await asyncio.sleep(until_s - time.monotonic())
+    connection.send(request[-50:])
+    head = await connection.read_head()
+    body = await connection.read_body(1 << 20)
+    connection.close()
+    return head.status, body, time.monotonic() - until_s
+
+
+async def run_upload_in_stop(
+    kind: str, *, server: StatingServer, deadline_ms: int
+) -> tuple[int, bytes, float]:
+    """Return the answer to a request that is complete late in the grace period."""
+    async with Harness() as h:
+        await server.add_to(h)
+        await h.start(stop_grace_s=UPLOAD_GRACE_S)
+        stop_s = time.monotonic()
+        stopping = asyncio.create_task(h.stop())
+        answer = await send_slowly(
+            h, kind, "late", until_s=stop_s + UPLOAD_END_S, deadline_ms=deadline_ms
+        )
+        await stopping
+        return answer
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_late_request_that_may_outlast_the_stop_is_refused_as_not_run(kind):
+    # Guards against requests that are sent on late in the grace period and cut off at
+    # its end, so that their callers do not know whether they have run.
+    server = StatingServer(kind)
+    server.takes_s = 3.0
+    status, body, took_s = await run_upload_in_stop(
+        kind, server=server, deadline_ms=4000
+    )
+    assert status == 503
+    assert b'"outcome":"not_run"' in body
+    assert took_s < 0.5
+    assert not server.count_after(0.0)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_late_request_that_ends_before_the_stop_is_served(kind):
+    # Guards against a node that refuses whatever comes late, although it can answer.
+    server = StatingServer(kind)
+    status, _, _ = await run_upload_in_stop(kind, server=server, deadline_ms=1000)
+    assert status == 200
