Count a plain request at its server when the server is chosen

Cause: PlainForwarder chose a server in _start_attempt and counted the request in _run_attempt, a turn of the event loop later. Requests of one moment saw no load of each other, so they could all go to one server while others were free.

Change: the request is counted with the choice and until its task has ended, also if the task ends before it has begun.

Result: test_requests_of_one_moment_are_spread_over_the_servers failed before (six requests: 0, 0 and 6 at three servers) and passes.

--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -311,6 +311,14 @@
             return
         state.attempt_count += 1
         state.tried.add(server.vm)
+        record = AttemptRecord(
+            server.vm,
+            self._server_tracker.in_flight(server.vm),
+            len(self._server_tracker.servers(context.service.name)),
+            self._notices.request_limit_per_s(server.vm),
+            self._notices.is_cold(server),
+        )
+        context.record.attempts.append(record)
         attempt = Attempt(
             self._pool,
             self._run_monitor,
@@ -320,8 +328,12 @@
             identity=context.identity,
         )
         task = asyncio.get_running_loop().create_task(
-            self._run_attempt(context, attempt)
+            self._run_attempt(context, attempt, record)
         )
+        # Counted from the choice on, so that requests of the same moment see it.
+        load = self._server_tracker.load(server.vm)
+        load.in_flight += 1
+        task.add_done_callback(lambda ended: load.end_request())
         state.running[task] = _RunningAttempt(attempt, self._clock.monotonic())
 
     def _try_spend(self, context: RequestContext, state: _PlainState) -> bool:
@@ -431,21 +443,12 @@
         context.record.status = status
         context.exchange.reply(status, response_headers(answer.head), answer.body)
 
-    async def _run_attempt(self, context: RequestContext, attempt: Attempt) -> _Answer:
+    async def _run_attempt(
+        self, context: RequestContext, attempt: Attempt, record: AttemptRecord
+    ) -> _Answer:
         """Send to one server and return its whole response."""
-        server = attempt.server
-        record = AttemptRecord(
-            server.vm,
-            self._server_tracker.in_flight(server.vm),
-            len(self._server_tracker.servers(context.service.name)),
-            self._notices.request_limit_per_s(server.vm),
-            self._notices.is_cold(server),
-        )
-        context.record.attempts.append(record)
-        load = self._server_tracker.load(server.vm)
-        load.in_flight += 1
         observation = self._delay_estimator.begin_answer(
-            server, context.route.name, in_flight=record.in_flight
+            attempt.server, context.route.name, in_flight=record.in_flight
         )
         try:
             answer = await self._send_and_receive(context, attempt, record)
@@ -461,8 +464,6 @@
             if context.exchange.has_ended:
                 observation.give_up()
             raise
-        finally:
-            load.in_flight -= 1
         record.result = str(answer.reply.status)
         observation.end(is_sound=not answer.reply.refused and answer.reply.status < 300)
         return answer
--- a/pomelolug/entry/requests/_stream.py
+++ b/pomelolug/entry/requests/_stream.py
@@ -319,7 +319,7 @@
         load.in_flight += 1
 
         def release() -> None:
-            load.in_flight -= 1
+            load.end_request()
             selected.end()
 
         attempt = Attempt(
--- a/pomelolug/entry/servers/_server_tracker.py
+++ b/pomelolug/entry/servers/_server_tracker.py
@@ -60,6 +60,10 @@
     failure_score: float = 0.0
     last_failure_at_s: float = 0.0
 
+    def end_request(self) -> None:
+        """Record that a request is no longer in flight."""
+        self.in_flight -= 1
+
 
 class ServerTracker:
     """Tracks open groups and ready servers together with their load.
--- a/pomelolug/entry/tests/test_plain_requests.py
+++ b/pomelolug/entry/tests/test_plain_requests.py
@@ -364,3 +364,35 @@
         with pytest.raises(HttpConnectionError):
             await connection.read_head()
         assert h.servers[0].requests == []
+
+
+async def test_requests_of_one_moment_are_spread_over_the_servers():
+    # Guards against requests that all go to one server, since none of them is counted
+    # there before the others have chosen.
+    server_count, rounds = 3, 6
+
+    async def slow(request):
+        await asyncio.sleep(0.05)
+        send_response(request)
+
+    async with Harness() as h:
+        for _ in range(server_count):
+            await h.add_server(slow)
+        await h.start()
+        connections = [await h.connect() for _ in range(2 * server_count)]
+        for number in range(rounds):
+            sent = [len(s.requests) for s in h.servers]
+            for index, connection in enumerate(connections):
+                request_id = f"r{number}-{index}"
+                connection.send(encode_caller_request("/safe/x", request_id=request_id))
+            for connection in connections:
+                assert (await connection.read_head()).status == 200
+                await connection.read_body(1 << 20)
+            counts = [
+                len(server.requests) - before
+                for server, before in zip(h.servers, sent, strict=True)
+            ]
+            assert counts == [2] * server_count
+        assert all(
+            load.in_flight == 0 for load in h.entry._server_tracker._loads.values()
+        )
