Warm up the nodes of a test one after the other

Cause: the test. Two nodes sent 12 streams each in one moment to three groups that have room for 18 by the declaration (four that run and two that wait within the latency target). It passed as long as neither node had heard of the streams of the other; a node that has must refuse.

Change: the nodes send their 12 streams one after the other, each when it knows that the former ones have ended. All of them still have to be served. The refusal has a test of its own.

--- a/pomelolug/entry/tests/cut_off_nodes.py
+++ b/pomelolug/entry/tests/cut_off_nodes.py
@@ -22,6 +22,7 @@
 from pomelolug.transport import HttpConnectionError
 
 __all__ = [
+    "ACQUAINTANCE_S",
     "DETECTION_S",
     "MAX_S",
     "MIN_SERVED",
@@ -240,15 +241,15 @@
 
 
 async def warm_up(deployment: Deployment, routes: tuple[str, ...]) -> None:
-    """Let each node open connections to several servers, which it keeps."""
-    answers = await asyncio.gather(
-        *(
-            send_many(node, routes, "first", count=12, interval_s=0.0)
-            for node in deployment.nodes
-        )
-    )
-    for of_node in answers:
-        assert count_served(deployment, of_node) == len(of_node)
+    """Let each node open connections to several servers, which it keeps.
+
+    The groups have no room for the streams of two nodes, so those of the next node come
+    when it knows that the former ones have ended.
+    """
+    for node in deployment.nodes:
+        answers = await send_many(node, routes, "first", count=12, interval_s=0.0)
+        assert count_served(deployment, answers) == len(answers)
+        await asyncio.sleep(ACQUAINTANCE_S)
 
 
 async def keep_sending(
@@ -295,8 +296,6 @@
     """Cut some nodes off, and check the requests to all of them after 3 s."""
     if warms_up:
         await warm_up(deployment, routes)
-        # The nodes learn that these requests have ended.
-        await asyncio.sleep(ACQUAINTANCE_S)
     started_s = time.monotonic()
     deployment.cut(kind, *cut_off)
     early = asyncio.create_task(
