Read the clock first in the test of the processor wait

Cause: test_sleep_of_the_thread_is_no_wait_for_a_processor read the waits for a processor before the clock. A wait between the two readings counted as a wait, but not as time on the clock, so the bound failed beside other processes.

Change: the clock is read first and last, so that its time encloses the waits. The bound is the same.

--- a/pomelolug/testing/tests/test_running_stopwatch.py
+++ b/pomelolug/testing/tests/test_running_stopwatch.py
@@ -61,8 +61,9 @@
 
 async def test_sleep_of_the_thread_is_no_wait_for_a_processor():
     # Guards against a reading that counts what blocks the thread as a wait.
-    before_s, ran_s = processor_wait_s(), time.thread_time()
+    # The time on the clock encloses that of the other readings.
     began_s = time.monotonic()
+    before_s, ran_s = processor_wait_s(), time.thread_time()
     time.sleep(0.3)  # noqa: ASYNC251
     waited_s = processor_wait_s() - before_s
     # What is beyond the sleep may be a wait, as on a busy machine.
