Wait for the status of the other node in the test of a new start

Cause: test_start_while_requests_run_ends_what_nodes_knew compared the requests in flight of all nodes right after an answer, while the last status of the other node still counted a request that had ended.

Change: the state is expected within the bound that the test uses elsewhere for what nodes hear of each other. What has to be known is the same.

--- a/pomelolug/entry/tests/test_restarted_servers.py
+++ b/pomelolug/entry/tests/test_restarted_servers.py
@@ -170,13 +170,16 @@
         for node in nodes:
             node.entry._server_tracker.record_failure(server.name)
             node.entry._server_tracker.suspect(server.name)
-            assert known_state(node, server.name) == {
-                "in_flight": count,
-                "has_failed": True,
-                "suspects": (server.name,),
-                "limit": LIMIT_PER_S,
-                "is_leaving": True,
-            }
+        known = {
+            "in_flight": count,
+            "has_failed": True,
+            "suspects": (server.name,),
+            "limit": LIMIT_PER_S,
+            "is_leaving": True,
+        }
+        for node in nodes:
+            # The other node's status shows when its request has ended.
+            await expect_state(node, server.name, known)
         server.headers = {}
         known_peers = set(server.peers)
         if learns_from == "peer":
