Leave a pause of the node out of the time for which servers are silent

Callers of a node that stood still for half a second got 503, `quarantined`, for a repeatable request, and their requests were sent to a second server.

Cause: PlainForwarder waited for 1.5 times the latency target on the clock. A node that pauses, as on a busy machine, finds the timer due before the answers have reached it, takes each server for silent, and suspects the request of three lost servers as soon as three alike were in flight.

Change: the time for which an attempt may be slow is counted while the process runs, as connection timeouts are. The time until a failed answer is passed on stays that of the clock, since it belongs to the deadline.

Result: test_pause_of_a_node_is_no_silence_of_its_servers failed before for pauses of 0.5 and 1 s (attempts recorded as slow) and passes. 108 tests of plain requests, silent servers and crashing requests pass.

--- a/pomelolug/entry/requests/_plain.py
+++ b/pomelolug/entry/requests/_plain.py
@@ -1,8 +1,11 @@
 """Forwarding of requests to plain services, whose responses are passed on whole."""
 
 import asyncio
+import contextlib
 import dataclasses
+import datetime
 import random
+from collections.abc import Collection
 
 from pomelolug.clock import Clock
 from pomelolug.deployment import Repeatability
@@ -29,6 +32,7 @@
     ConnectionPool,
     MemoryBudget,
     ResponseHead,
+    RunningTimeLimit,
 )
 
 __all__ = ["PlainForwarder"]
@@ -350,11 +354,14 @@
 
         Return the answer to pass on, if there is one.
         """
-        done, _ = await asyncio.wait(
-            state.running,
-            timeout=self._slow_after_s(context, state),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
+        limit_s = self._slow_after_s(context, state)
+        if state.failed_answer is not None:
+            await asyncio.wait(
+                state.running, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+            )
+        else:
+            await _wait_while_running(state.running, limit_s)
+        done = [task for task in state.running if task.done()]
         if not done and state.failed_answer is not None:
             return state.failed_answer
         if not done:
@@ -509,6 +516,23 @@
             state.error = None
 
 
+async def _wait_while_running(
+    tasks: Collection[asyncio.Task[_Answer]], limit_s: float | None
+) -> None:
+    """Wait until a task has ended, for a time that a pause of the node leaves out.
+
+    The answers of servers wait for a node that has paused.
+    """
+    limit = (
+        RunningTimeLimit(datetime.timedelta(seconds=limit_s))
+        if limit_s is not None
+        else contextlib.nullcontext()
+    )
+    with contextlib.suppress(TimeoutError):
+        async with limit:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+
+
 def _to_request_error(failure: AttemptError, possible_runs: int) -> RequestError:
     if possible_runs:
         return _backend_lost_error(f"the server's answer was lost: {failure.reason}")
